--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+BUILD ?= build
+
+.PHONY: all packages build test demo bench chaos format tidy models clean
+
+all: build
+
+packages:
+	./.ci/packages
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD)
+
+test: build
+	cd $(BUILD) && RC_PARAMS="seed=1" ctest --output-on-failure -j 4
+
+models:
+	./spec/check
+
+format:
+	git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp' \
+	  'bench/*.h' | xargs clang-format --dry-run -Werror
+
+tidy: build
+	./.ci/tidy $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,82 @@
+@0x89a598ec2532126e;
+# The protocol between the entries of one deployment. A change that an older
+# entry would misread raises `protocolVersion`.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("daisylanding::peer::wire");
+
+const protocolVersion :UInt32 = 1;
+
+interface Gate {
+  # What a connection offers first. Opens only to the same deployment and
+  # protocol version.
+  open @0 (deployment :Text, version :UInt32) -> (verdict :Verdict,
+                                                  peer :Peer);
+}
+
+enum Verdict {
+  accepted @0;
+  wrongDeployment @1;
+  wrongVersion @2;
+}
+
+interface Peer {
+  exchange @0 (mine :Gossip) -> (theirs :Gossip);
+  # Tells each side's load and newest configuration to the other.
+
+  forward @1 (request :Request) -> (answer :Answer);
+  # Has the other entry serve a caller's request.
+
+  wakeInbox @2 () -> ();
+  # Something was put into the inbox of a shard that the other entry owns.
+
+  events @3 (after :UInt64, limit :UInt32) -> (events :List(Event));
+  # The other entry's part of the time line.
+
+  jobs @4 (id :Text) -> (document :Text);
+  # JSON of the jobs on the other entry's shards; of one job if `id` is set.
+}
+
+struct Gossip {
+  entry @0 :Text;
+  zone @1 :Text;
+  peerAddress @2 :Text;
+  clock @3 :UInt64;         # Hybrid logical clock.
+  configVersion @4 :UInt64;
+  config @5 :Text;          # Only where the receiver's version is older.
+  freeSlots @6 :List(ServiceLoad);
+}
+
+struct ServiceLoad {
+  service @0 :Text;
+  free @1 :UInt32;
+}
+
+struct Request {
+  service @0 :Text;
+  class @1 :Text;
+  key @2 :Text;
+  repeatable @3 :Bool;
+  timeLeftMs @4 :UInt64;
+  contentType @5 :Text;
+  body @6 :Data;
+}
+
+struct Answer {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  body @2 :Data;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Event {
+  stamp @0 :UInt64;
+  entry @1 :Text;
+  kind @2 :Text;
+  subject @3 :Text;
+  detail @4 :Text;
+}
--- /dev/null
+++ b/src/caller/Answers.cpp
@@ -0,0 +1,115 @@
+#include "caller/Answers.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace daisylanding::caller {
+
+namespace {
+
+http::Response problem(uint16_t Status, std::string_view Outcome,
+                       nlohmann::json Document) {
+  Document["status"] = Status;
+  Document["outcome"] = Outcome;
+  return {.Status = Status,
+          .Headers = {{"Content-Type", "application/problem+json"},
+                      {std::string(OutcomeHeader), std::string(Outcome)}},
+          .Body = Document.dump()};
+}
+
+nlohmann::json document(ProblemCode Code) {
+  std::string_view Name = problemName(Code);
+  return {{"type", fmt::format("urn:daisylanding:problem:{}", Name)},
+          {"code", Name}};
+}
+
+/// Headers of the endpoint's answer that belong to its connection.
+bool isConnectionHeader(std::string_view Name) {
+  return http::findHeader({{"Connection", ""},
+                           {"Keep-Alive", ""},
+                           {"Transfer-Encoding", ""},
+                           {"Content-Length", ""},
+                           {"Upgrade", ""},
+                           {"Trailer", ""}},
+                          Name) != nullptr;
+}
+
+} // namespace
+
+std::string_view problemName(ProblemCode Code) {
+  switch (Code) {
+  case ProblemCode::NoSuchPath:
+    return "no-such-path";
+  case ProblemCode::NoSuchService:
+    return "no-such-service";
+  case ProblemCode::NoSuchClass:
+    return "no-such-class";
+  case ProblemCode::BadMethod:
+    return "bad-method";
+  case ProblemCode::BadField:
+    return "bad-field";
+  case ProblemCode::TooLarge:
+    return "too-large";
+  case ProblemCode::KeyReused:
+    return "key-reused";
+  case ProblemCode::Overloaded:
+    return "overloaded";
+  case ProblemCode::NoEndpoint:
+    return "no-endpoint";
+  case ProblemCode::NotRecorded:
+    return "not-recorded";
+  case ProblemCode::DeadlineTooShort:
+    return "deadline-too-short";
+  case ProblemCode::NotReady:
+    return "not-ready";
+  case ProblemCode::ShuttingDown:
+    return "shutting-down";
+  case ProblemCode::AnswerLost:
+    return "answer-lost";
+  case ProblemCode::AnswerLate:
+    return "answer-late";
+  case ProblemCode::EarlierTryUnresolved:
+    return "earlier-try-unresolved";
+  }
+  return "unrecognized";
+}
+
+http::Response refused(uint16_t Status, ProblemCode Code,
+                       std::string_view Field, std::string_view Allowed) {
+  nlohmann::json Document = document(Code);
+  Document["field"] = Field;
+  Document["allowed"] = Allowed;
+  return problem(Status, "not-run", std::move(Document));
+}
+
+http::Response done(http::Response Answer) {
+  std::erase_if(Answer.Headers, [](const http::Header &Each) {
+    return isConnectionHeader(Each.first);
+  });
+  Answer.Headers.emplace_back(OutcomeHeader, "done");
+  return Answer;
+}
+
+http::Response notRun(ProblemCode Code, int64_t RetryAfterSeconds,
+                      EarlierTries Earlier) {
+  uint16_t Status = Code == ProblemCode::Overloaded
+                        ? http::StatusTooManyRequests
+                        : http::StatusUnavailable;
+  http::Response Answer = problem(Status, "not-run", document(Code));
+  Answer.Headers.emplace_back("Retry-After", std::to_string(RetryAfterSeconds));
+  if (Earlier != EarlierTries::NotApplicable)
+    Answer.Headers.emplace_back(EarlierTriesHeader,
+                                Earlier == EarlierTries::None ? "none"
+                                                              : "not-checked");
+  return Answer;
+}
+
+http::Response unknown(ProblemCode Code, int64_t RetryAfterSeconds) {
+  uint16_t Status = Code == ProblemCode::AnswerLate ? http::StatusGatewayTimeout
+                                                    : http::StatusBadGateway;
+  http::Response Answer = problem(Status, "unknown", document(Code));
+  Answer.Headers.emplace_back("Retry-After", std::to_string(RetryAfterSeconds));
+  return Answer;
+}
+
+} // namespace daisylanding::caller
--- /dev/null
+++ b/src/common/EventLog.h
@@ -0,0 +1,58 @@
+#ifndef DAISYLANDING_COMMON_EVENTLOG_H
+#define DAISYLANDING_COMMON_EVENTLOG_H
+
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisylanding {
+
+/// A hybrid logical clock: wall milliseconds in the upper 48 bits, a counter
+/// in the lower 16. Stamps that follow one another through messages or table
+/// rows compare in that order on every process.
+class HybridClock {
+public:
+  uint64_t tick(int64_t WallMicros);
+  /// Moves past a stamp that came with a message or row.
+  void observe(uint64_t Stamp);
+  static int64_t wallMicros(uint64_t Stamp);
+
+private:
+  std::mutex Mutex;
+  uint64_t Last = 0;
+};
+
+/// One line of the time line.
+struct Event {
+  uint64_t Stamp = 0;
+  std::string Entry;
+  std::string Kind;    ///< For instance `shard-taken` or `task-started`.
+  std::string Subject; ///< The shard, job, request or instance it is about.
+  std::string Detail;  ///< key=value pairs.
+};
+
+/// The newest events of this process, bounded.
+class EventLog {
+public:
+  EventLog(std::string Entry, size_t Capacity)
+      : Entry(std::move(Entry)), Capacity(Capacity) {}
+
+  void add(std::string_view Kind, std::string Subject, std::string Detail = {});
+  /// Events with a stamp above \p After, oldest first, at most \p Limit.
+  std::vector<Event> since(uint64_t After, size_t Limit) const;
+  HybridClock &clock() { return Clock; }
+
+private:
+  std::string Entry;
+  size_t Capacity;
+  HybridClock Clock;
+  mutable std::mutex Mutex;
+  std::deque<Event> Events;
+};
+
+} // namespace daisylanding
+
+#endif
--- /dev/null
+++ b/src/common/Log.h
@@ -0,0 +1,42 @@
+#ifndef DAISYLANDING_COMMON_LOG_H
+#define DAISYLANDING_COMMON_LOG_H
+
+#include <fmt/format.h>
+
+#include <string_view>
+
+namespace daisylanding {
+
+enum class LogLevel { Debug, Info, Warn, Error };
+
+/// Sets the lowest level written; may be called at any time.
+void setLogLevel(LogLevel Lowest);
+
+/// Writes one line to standard error: time, level, event, then \p Fields,
+/// which hold `key=value` pairs.
+void logLine(LogLevel Level, std::string_view Event, std::string_view Fields);
+
+template <typename... Args>
+void logInfo(std::string_view Event, fmt::format_string<Args...> Format,
+             Args &&...Values) {
+  logLine(LogLevel::Info, Event,
+          fmt::format(Format, std::forward<Args>(Values)...));
+}
+
+template <typename... Args>
+void logWarn(std::string_view Event, fmt::format_string<Args...> Format,
+             Args &&...Values) {
+  logLine(LogLevel::Warn, Event,
+          fmt::format(Format, std::forward<Args>(Values)...));
+}
+
+template <typename... Args>
+void logError(std::string_view Event, fmt::format_string<Args...> Format,
+              Args &&...Values) {
+  logLine(LogLevel::Error, Event,
+          fmt::format(Format, std::forward<Args>(Values)...));
+}
+
+} // namespace daisylanding
+
+#endif
--- /dev/null
+++ b/src/common/Metrics.cpp
@@ -0,0 +1,112 @@
+#include "common/Metrics.h"
+
+#include <sstream> // Boost 1.74 uses it without including it.
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <map>
+#include <mutex>
+
+namespace daisylanding {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> Quantiles = {0.5, 0.9, 0.99};
+
+using Distribution = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
+                       acc::tag::extended_p_square_quantile>>;
+
+/// The quantile estimates mean nothing before the markers are filled.
+constexpr size_t SamplesForQuantiles = 2 * Quantiles.size() + 3;
+
+double quantileOf(const Distribution &Values, double Probability) {
+  if (acc::count(Values) < SamplesForQuantiles)
+    return acc::max(Values);
+  return acc::quantile(Values, acc::quantile_probability = Probability);
+}
+
+Distribution makeDistribution() {
+  return Distribution(acc::extended_p_square_probabilities = Quantiles);
+}
+
+/// Splits `name{labels}` into the name and the labels with their comma.
+std::pair<std::string_view, std::string> splitLabels(std::string_view Name) {
+  size_t Brace = Name.find('{');
+  if (Brace == std::string_view::npos)
+    return {Name, ""};
+  std::string_view Labels = Name.substr(Brace + 1);
+  Labels.remove_suffix(1);
+  return {Name.substr(0, Brace), std::string(Labels)};
+}
+
+void renderDistribution(std::string &Out, std::string_view Name,
+                        const Distribution &Values) {
+  auto [Base, Labels] = splitLabels(Name);
+  std::string Comma = Labels.empty() ? "" : ",";
+  for (double Each : Quantiles) {
+    double Value = quantileOf(Values, Each);
+    Out += fmt::format("daisylanding_{}{{{}{}quantile=\"{}\"}} {}\n", Base,
+                       Labels, Comma, Each, Value);
+  }
+  Out += fmt::format("daisylanding_{}_sum{{{}}} {}\n", Base, Labels,
+                     acc::sum(Values));
+  Out += fmt::format("daisylanding_{}_count{{{}}} {}\n", Base, Labels,
+                     acc::count(Values));
+}
+
+} // namespace
+
+struct Metrics::Impl {
+  mutable std::mutex Mutex;
+  std::map<std::string, double, std::less<>> Values;
+  std::map<std::string, Distribution, std::less<>> Distributions;
+};
+
+Metrics::Metrics() : Inner(std::make_unique<Impl>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::count(std::string_view Name, double Amount) {
+  std::lock_guard<std::mutex> Lock(Inner->Mutex);
+  auto Found = Inner->Values.find(Name);
+  if (Found == Inner->Values.end())
+    Found = Inner->Values.emplace(Name, 0).first;
+  Found->second += Amount;
+}
+
+void Metrics::gauge(std::string_view Name, double Value) {
+  std::lock_guard<std::mutex> Lock(Inner->Mutex);
+  auto Found = Inner->Values.find(Name);
+  if (Found == Inner->Values.end())
+    Found = Inner->Values.emplace(Name, 0).first;
+  Found->second = Value;
+}
+
+void Metrics::observe(std::string_view Name, double Value) {
+  std::lock_guard<std::mutex> Lock(Inner->Mutex);
+  auto Found = Inner->Distributions.find(Name);
+  if (Found == Inner->Distributions.end())
+    Found = Inner->Distributions.emplace(Name, makeDistribution()).first;
+  Found->second(Value);
+}
+
+std::string Metrics::render() const {
+  std::lock_guard<std::mutex> Lock(Inner->Mutex);
+  std::string Out;
+  for (const auto &[Name, Value] : Inner->Values)
+    Out += fmt::format("daisylanding_{} {}\n", Name, Value);
+  for (const auto &[Name, Values] : Inner->Distributions)
+    renderDistribution(Out, Name, Values);
+  return Out;
+}
+
+} // namespace daisylanding
--- /dev/null
+++ b/src/common/Metrics.h
@@ -0,0 +1,34 @@
+#ifndef DAISYLANDING_COMMON_METRICS_H
+#define DAISYLANDING_COMMON_METRICS_H
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace daisylanding {
+
+/// Counters, gauges and time distributions, rendered in the Prometheus text
+/// format. Names carry their labels, as `answers_total{outcome="done"}`.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  void count(std::string_view Name, double Amount = 1);
+  void gauge(std::string_view Name, double Value);
+  /// Adds to a distribution with quantiles 0.5, 0.9 and 0.99.
+  void observe(std::string_view Name, double Value);
+
+  /// The text of all series, each name prefixed with `daisylanding_`.
+  std::string render() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Inner;
+};
+
+} // namespace daisylanding
+
+#endif
--- /dev/null
+++ b/src/common/Thread.h
@@ -0,0 +1,46 @@
+#ifndef DAISYLANDING_COMMON_THREAD_H
+#define DAISYLANDING_COMMON_THREAD_H
+
+#include <pthread.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace daisylanding {
+
+/// A named thread with one loop, stopped by a flag and a join.
+class Thread {
+public:
+  Thread() = default;
+  Thread(const Thread &) = delete;
+  Thread &operator=(const Thread &) = delete;
+  ~Thread() { join(); }
+
+  /// Runs \p Loop, which must return soon after `stopping()` turns true.
+  /// \p Name has at most 15 characters.
+  void start(const std::string &Name, std::function<void()> Loop) {
+    Worker = std::thread([Name, Loop = std::move(Loop)] {
+      pthread_setname_np(pthread_self(), Name.c_str());
+      Loop();
+    });
+  }
+
+  bool stopping() const { return Stop.load(std::memory_order_acquire); }
+  void requestStop() { Stop.store(true, std::memory_order_release); }
+  void join() {
+    requestStop();
+    if (Worker.joinable())
+      Worker.join();
+  }
+
+private:
+  std::thread Worker;
+  std::atomic<bool> Stop{false};
+};
+
+} // namespace daisylanding
+
+#endif
--- /dev/null
+++ b/src/endpoint/EndpointLoop.cpp
@@ -0,0 +1,57 @@
+#include "endpoint/EndpointLoop.h"
+
+namespace daisylanding::endpoint {
+
+namespace {
+
+constexpr Millis PollInterval{100};
+
+} // namespace
+
+EndpointLoop::EndpointLoop(EndpointLoopOptions Options,
+                           std::function<void()> WakeFront)
+    : Calls(Options.RingCapacity, [this] { Client.wake(); }),
+      Done(Options.RingCapacity, std::move(WakeFront)), Options(Options),
+      Client({.MaxConnectionsPerHost = Options.ConnectionsPerEndpoint}) {}
+
+void EndpointLoop::start() {
+  Loop.start("endpoints", [this] { run(); });
+}
+
+void EndpointLoop::run() {
+  while (!Loop.stopping()) {
+    EndpointCall Call;
+    while (Calls.pop(Call))
+      begin(std::move(Call));
+    Client.poll(PollInterval);
+    deliver();
+  }
+}
+
+void EndpointLoop::begin(EndpointCall Call) {
+  http::Call Request;
+  Request.Method = "POST";
+  Request.Url = "http://" + Call.Address + "/v1/run/" + Call.Service;
+  Request.Body = std::move(Call.Body);
+  Request.Timeout = Call.Timeout;
+  Request.ConnectTimeout = std::min(Options.ConnectTimeout, Call.Timeout);
+  Request.FreshConnection = !Call.Repeatable;
+  Request.Headers = {{"Content-Type", Call.ContentType.empty()
+                                          ? "application/octet-stream"
+                                          : Call.ContentType}};
+  if (!Call.IdempotencyKey.empty())
+    Request.Headers.emplace_back("Idempotency-Key", Call.IdempotencyKey);
+  Client.start(std::move(Request), [this, Id = Call.Id](http::Outcome Answer) {
+    Finished.push_back({Id, std::move(Answer)});
+  });
+}
+
+void EndpointLoop::deliver() {
+  while (!Finished.empty()) {
+    if (!Done.push(Finished.front()))
+      return;
+    Finished.pop_front();
+  }
+}
+
+} // namespace daisylanding::endpoint
--- /dev/null
+++ b/src/entry/Context.h
@@ -0,0 +1,49 @@
+#ifndef DAISYLANDING_ENTRY_CONTEXT_H
+#define DAISYLANDING_ENTRY_CONTEXT_H
+
+#include "common/EventLog.h"
+#include "common/Metrics.h"
+#include "config/Settings.h"
+#include "entry/View.h"
+#include "platform/HttpPlatform.h"
+#include "platform/WriteBudget.h"
+
+#include <atomic>
+#include <memory>
+
+namespace daisylanding::entry {
+
+/// What all loops of one entry process share.
+struct Context {
+  Context(config::Settings Options, std::string Incarnation)
+      : Options(std::move(Options)), Incarnation(std::move(Incarnation)),
+        Budget(this->Options.WritesPerSecond),
+        Events(this->Options.Name, EventCapacity) {}
+
+  config::Settings Options;
+  std::string Incarnation;
+  platform::WriteBudget Budget;
+  EventLog Events;
+  Metrics Numbers;
+  ViewBox Views;
+  DigestBox Digests;
+  std::atomic<bool> Draining{false};
+
+  std::string holder() const { return Options.Name + "/" + Incarnation; }
+
+  /// A platform client for the calling thread's own use.
+  std::unique_ptr<platform::HttpPlatform> connectPlatform() {
+    return std::make_unique<platform::HttpPlatform>(
+        platform::HttpPlatformOptions{.Url = Options.PlatformUrl,
+                                      .AvailabilityZone =
+                                          Options.AvailabilityZone,
+                                      .Timeout = Options.PlatformTimeout},
+        Budget);
+  }
+
+  static constexpr size_t EventCapacity = 20'000;
+};
+
+} // namespace daisylanding::entry
+
+#endif
--- /dev/null
+++ b/src/entry/CreditLoop.cpp
@@ -0,0 +1,138 @@
+#include "entry/CreditLoop.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace daisylanding::entry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t RingCapacity = 256;
+constexpr Millis PollInterval{250};
+
+} // namespace
+
+std::string creditTableToText(const policy::CreditTable &Table) {
+  json Endpoints = json::object();
+  for (const auto &[Name, Each] : Table.Endpoints)
+    Endpoints[Name] = {{"slots", Each.Slots}, {"held", Each.Held}};
+  json Out = {{"list_version", Table.ListVersion},
+              {"endpoints", Endpoints},
+              {"wanted", Table.Wanted}};
+  return Out.dump();
+}
+
+Result<policy::CreditTable> creditTableFromText(std::string_view Text) {
+  policy::CreditTable Out;
+  if (Text.empty())
+    return Out;
+  try {
+    json Source = json::parse(Text);
+    Out.ListVersion = Source.at("list_version");
+    Out.Wanted = Source.at("wanted").get<std::map<std::string, uint32_t>>();
+    for (const auto &Each : Source.at("endpoints").items()) {
+      auto &Endpoint = Out.Endpoints[Each.key()];
+      Endpoint.Slots = Each.value().at("slots");
+      Endpoint.Held =
+          Each.value().at("held").get<std::map<std::string, uint32_t>>();
+    }
+  } catch (const json::exception &) {
+    return Errc::Malformed;
+  }
+  return Out;
+}
+
+CreditLoop::CreditLoop(Context &Shared, Ring<CreditRow> &ToFront)
+    : Writes(RingCapacity, [this] { Wake.wake(); }), Shared(Shared),
+      ToFront(ToFront) {}
+
+std::string CreditLoop::rowKey(const std::string &Service) const {
+  return fmt::format("credits/{}/{}", Shared.Options.AvailabilityZone, Service);
+}
+
+Result<platform::Row> settleCreditWrite(platform::Table &Store,
+                                        const std::string &Key,
+                                        const policy::CreditTable &Next,
+                                        uint64_t Version) {
+  platform::Mutation Put{
+      .Key = Key, .Value = creditTableToText(Next), .Expected = Version};
+  auto Outcome = Store.commit({&Put, 1});
+  if (Outcome && Outcome->Committed)
+    return platform::Row{Key, Put.Value, Outcome->Versions.front()};
+  if (Outcome)
+    return Outcome->Conflicts.front();
+  if (Outcome.error() == Errc::BudgetExhausted)
+    return Outcome.error();
+  auto Current = Store.read(Key);
+  if (!Current || Current->Version != Version)
+    return Current;
+  // Our write may still arrive. Rewriting the row as it is moves its version
+  // on, and a write that expects the old one is then refused.
+  platform::Mutation Fence{
+      .Key = Key, .Value = Current->Value, .Expected = Version};
+  auto Fenced = Store.commit({&Fence, 1});
+  if (!Fenced)
+    return Fenced.error();
+  if (!Fenced->Committed)
+    return Fenced->Conflicts.front();
+  return platform::Row{Key, Current->Value, Fenced->Versions.front()};
+}
+
+void CreditLoop::run() {
+  auto Platform = Shared.connectPlatform();
+  TimePoint NextPoll{};
+  while (!Loop.stopping()) {
+    CreditWrite Write;
+    while (Writes.pop(Write))
+      Open[Write.Service] = Write;
+    settle(*Platform);
+    TimePoint Now = monotonicNow();
+    if (Now >= NextPoll) {
+      poll(*Platform);
+      NextPoll = Now + PollInterval;
+    }
+    Wake.wait(PollInterval);
+  }
+}
+
+void CreditLoop::settle(platform::Table &Store) {
+  for (auto Each = Open.begin(); Each != Open.end();) {
+    auto Row = settleCreditWrite(Store, rowKey(Each->first), Each->second.Next,
+                                 Each->second.Version);
+    if (!Row) {
+      ++Each;
+      continue;
+    }
+    ++Settled[Each->first];
+    Shared.Numbers.count("credit_moves_total");
+    report(Each->first, *Row);
+    Each = Open.erase(Each);
+  }
+}
+
+void CreditLoop::poll(platform::Table &Store) {
+  auto Config = Shared.Views.current()->Config;
+  if (!Config)
+    return;
+  for (const config::ServiceSpec &Each : Config->Services) {
+    if (!Open.count(Each.Name))
+      readRow(Store, Each.Name);
+  }
+}
+
+void CreditLoop::readRow(platform::Table &Store, const std::string &Service) {
+  auto Row = Store.read(rowKey(Service));
+  if (Row)
+    report(Service, *Row);
+}
+
+void CreditLoop::report(const std::string &Service, const platform::Row &Row) {
+  auto Table = creditTableFromText(Row.Value);
+  if (Table)
+    (void)ToFront.push(
+        {Service, std::move(*Table), Row.Version, Settled[Service]});
+}
+
+} // namespace daisylanding::entry
--- /dev/null
+++ b/src/entry/CreditLoop.h
@@ -0,0 +1,57 @@
+#ifndef DAISYLANDING_ENTRY_CREDITLOOP_H
+#define DAISYLANDING_ENTRY_CREDITLOOP_H
+
+#include "common/Ring.h"
+#include "common/Thread.h"
+#include "entry/Context.h"
+#include "entry/FrontMessages.h"
+
+namespace daisylanding::entry {
+
+std::string creditTableToText(const policy::CreditTable &Table);
+Result<policy::CreditTable> creditTableFromText(std::string_view Text);
+
+/// Writes \p Next over the row at \p Version and returns the row that stands
+/// afterwards, ours or another's. A write whose answer was lost may still be
+/// under way; the row is then moved past its version, so that it can't take
+/// effect after the return. Errors: the table's; the write stays open.
+Result<platform::Row> settleCreditWrite(platform::Table &Store,
+                                        const std::string &Key,
+                                        const policy::CreditTable &Next,
+                                        uint64_t Version);
+
+/// Reads the escrow rows of the home zone for the front loop, and writes its
+/// plans. The front hears of a row only when no write of its own is open.
+class CreditLoop {
+public:
+  CreditLoop(Context &Shared, Ring<CreditRow> &ToFront);
+
+  void start() {
+    Loop.start("credits", [this] { run(); });
+  }
+  void stop() {
+    Wake.wake();
+    Loop.join();
+  }
+
+  Ring<CreditWrite> Writes;
+
+private:
+  void run();
+  void poll(platform::Table &Store);
+  void settle(platform::Table &Store);
+  void readRow(platform::Table &Store, const std::string &Service);
+  void report(const std::string &Service, const platform::Row &Row);
+  std::string rowKey(const std::string &Service) const;
+
+  Context &Shared;
+  Ring<CreditRow> &ToFront;
+  Waker Wake;
+  std::map<std::string, CreditWrite> Open; ///< Not settled yet, by service.
+  std::map<std::string, uint64_t> Settled; ///< Writes settled, by service.
+  Thread Loop;
+};
+
+} // namespace daisylanding::entry
+
+#endif
--- /dev/null
+++ b/src/entry/Main.cpp
@@ -0,0 +1,79 @@
+#include "common/Log.h"
+#include "config/Settings.h"
+#include "entry/Entry.h"
+#include "operator/Client.h"
+
+#include <fmt/format.h>
+
+#include <cstring>
+#include <optional>
+#include <span>
+
+namespace daisylanding {
+
+namespace {
+
+constexpr int UsageError = 2;
+
+std::optional<config::Settings> load(const std::string &File) {
+  std::vector<config::SettingsProblem> Problems;
+  auto Options = config::loadSettings(File, Problems);
+  for (const config::SettingsProblem &Each : Problems)
+    fmt::print(stderr, "{}\n", Each.text());
+  if (!Options)
+    return std::nullopt;
+  return *Options;
+}
+
+LogLevel levelOf(std::string_view Name) {
+  if (Name == "debug")
+    return LogLevel::Debug;
+  if (Name == "warn")
+    return LogLevel::Warn;
+  return Name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+int runServe(std::span<char *> Words) {
+  bool Valid = Words.size() == 2 && std::strcmp(Words[0], "--config") == 0;
+  if (!Valid) {
+    fmt::print(stderr, "usage: daisylanding serve --config FILE\n");
+    return UsageError;
+  }
+  auto Options = load(Words[1]);
+  if (!Options)
+    return 1;
+  setLogLevel(levelOf(Options->LogLevel));
+  return entry::serve(*Options);
+}
+
+int runCheck(std::span<char *> Words) {
+  if (Words.size() != 1) {
+    fmt::print(stderr, "usage: daisylanding config check FILE\n");
+    return UsageError;
+  }
+  if (!load(Words[0]))
+    return 1;
+  fmt::print("{}: ok\n", Words[0]);
+  return 0;
+}
+
+bool is(std::span<char *> Words, size_t Index, std::string_view Text) {
+  return Index < Words.size() && Words[Index] == Text;
+}
+
+} // namespace
+
+int run(std::span<char *> Words) {
+  if (is(Words, 0, "serve"))
+    return runServe(Words.subspan(1));
+  if (is(Words, 0, "config") && is(Words, 1, "check"))
+    return runCheck(Words.subspan(2));
+  return op::runClient(Words);
+}
+
+} // namespace daisylanding
+
+int main(int Count, char **Words) {
+  return daisylanding::run(
+      std::span<char *>(Words + 1, static_cast<size_t>(Count - 1)));
+}
--- /dev/null
+++ b/src/entry/Ownership.h
@@ -0,0 +1,42 @@
+#ifndef DAISYLANDING_ENTRY_OWNERSHIP_H
+#define DAISYLANDING_ENTRY_OWNERSHIP_H
+
+#include "entry/View.h"
+#include "platform/Table.h"
+
+#include <optional>
+
+namespace daisylanding::entry {
+
+std::string memberToText(const Member &Each, uint64_t Beat);
+Result<Member> memberFromText(std::string_view Text);
+
+std::string shardToText(const Shard &Each);
+Result<Shard> shardFromRow(const platform::Row &Row);
+std::string shardRowKey(std::string_view Id);
+
+/// The shard of a zone that an instance belongs to, by its rack, so that a
+/// rack is never split.
+uint32_t shardOfRack(std::string_view Rack, uint32_t ShardsPerZone);
+
+/// Whether \p Self should take \p Each over: nobody owns it, its owner's
+/// process is replaced, gone or silent, and of the zone's live entries
+/// \p Self comes first for it.
+bool shouldClaim(const Shard &Each, const Member &Self, const View &Seen);
+
+/// The entry that should own \p ShardId among live entries of the zone, by
+/// rendezvous hashing. Null when there is none.
+const Member *preferredOwner(std::string_view ShardId, std::string_view Zone,
+                             std::span<const Member> Members);
+
+/// Takes \p Each over by compare-and-set with the next epoch. Nothing when
+/// another won or the table could not say.
+std::optional<Shard> claimShard(platform::Table &Store, const Shard &Each,
+                                const Member &Self);
+
+/// Gives an owned shard up, so that another may take it at once.
+bool releaseShard(platform::Table &Store, const Shard &Each);
+
+} // namespace daisylanding::entry
+
+#endif
--- /dev/null
+++ b/src/http/Message.cpp
@@ -0,0 +1,89 @@
+#include "http/Message.h"
+
+#include <strings.h>
+
+#include <cctype>
+
+namespace daisylanding::http {
+
+namespace {
+
+int hexDigit(char Character) {
+  if (Character >= '0' && Character <= '9')
+    return Character - '0';
+  if (Character >= 'a' && Character <= 'f')
+    return Character - 'a' + 10;
+  if (Character >= 'A' && Character <= 'F')
+    return Character - 'A' + 10;
+  return -1;
+}
+
+std::string percentDecode(std::string_view Text) {
+  std::string Plain;
+  for (size_t I = 0; I < Text.size(); ++I) {
+    if (Text[I] == '%' && I + 2 < Text.size()) {
+      int High = hexDigit(Text[I + 1]);
+      int Low = hexDigit(Text[I + 2]);
+      if (High >= 0 && Low >= 0) {
+        Plain += static_cast<char>(High * 16 + Low);
+        I += 2;
+        continue;
+      }
+    }
+    Plain += Text[I] == '+' ? ' ' : Text[I];
+  }
+  return Plain;
+}
+
+} // namespace
+
+const std::string *findHeader(const std::vector<Header> &Headers,
+                              std::string_view Name) {
+  for (const Header &Each : Headers) {
+    if (Each.first.size() == Name.size() &&
+        strncasecmp(Each.first.data(), Name.data(), Name.size()) == 0)
+      return &Each.second;
+  }
+  return nullptr;
+}
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+std::string queryValue(std::string_view Target, std::string_view Name) {
+  size_t Start = Target.find('?');
+  if (Start == std::string_view::npos)
+    return {};
+  std::string_view Query = Target.substr(Start + 1);
+  while (!Query.empty()) {
+    size_t End = Query.find('&');
+    std::string_view Pair = Query.substr(0, End);
+    size_t Equals = Pair.find('=');
+    if (Pair.substr(0, Equals) == Name && Equals != std::string_view::npos)
+      return percentDecode(Pair.substr(Equals + 1));
+    if (End == std::string_view::npos)
+      break;
+    Query.remove_prefix(End + 1);
+  }
+  return {};
+}
+
+std::string percentEncode(std::string_view Text) {
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string Encoded;
+  for (char Character : Text) {
+    auto Byte = static_cast<unsigned char>(Character);
+    if (std::isalnum(Byte) || Character == '-' || Character == '_' ||
+        Character == '.' || Character == '~') {
+      Encoded += Character;
+      continue;
+    }
+    Encoded += '%';
+    Encoded += Digits[Byte >> 4];
+    Encoded += Digits[Byte & 15];
+  }
+  return Encoded;
+}
+
+} // namespace daisylanding::http
--- /dev/null
+++ b/src/peer/PeerLoop.cpp
@@ -0,0 +1,475 @@
+#include "peer/PeerLoop.h"
+
+#include "common/Log.h"
+#include "config/ClusterConfig.h"
+#include "peer/Wire.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace daisylanding::peer {
+
+namespace {
+
+constexpr size_t RingCapacity = 1'024;
+constexpr size_t QueueCapacity = 256;
+constexpr unsigned GossipMillis = 250;
+constexpr unsigned CallMillis = 2'000;
+constexpr unsigned ConnectMillis = 1'000;
+
+/// Beyond the request's own time: for the peer to give its final answer.
+constexpr unsigned ForwardGraceMillis = 1'000;
+
+} // namespace
+
+/// Everything that lives on the loop's thread.
+struct PeerLoop::Impl : private kj::TaskSet::ErrorHandler {
+  explicit Impl(PeerLoop &Owner)
+      : Owner(Owner), Shared(Owner.Shared), Io(kj::setupAsyncIo()),
+        Tasks(*this) {}
+
+  class GateServer;
+  class PeerServer;
+
+  /// One connection to one peer, with what it offered.
+  struct Link {
+    kj::Own<kj::AsyncIoStream> Stream;
+    kj::Own<capnp::TwoPartyClient> Client;
+    kj::Maybe<wire::Peer::Client> Peer;
+    bool Opening = false;
+    uint64_t KnownConfig = 0; ///< The peer's version, as it last told.
+  };
+
+  void run();
+  kj::Promise<void> watchWakeups();
+  kj::Promise<void> gossipForever();
+  void gossipOnce();
+  void drainQueues();
+  std::set<std::string> peerAddresses() const;
+  kj::Promise<wire::Peer::Client> connect(std::string Address);
+  void drop(const std::string &Address) { Links.erase(Address); }
+  void fillGossip(wire::Gossip::Builder Out, uint64_t PeerConfig);
+  void takeGossip(wire::Gossip::Reader Source);
+  void forward(entry::ForwardCall Call);
+  void collectEvents(EventsCall Call);
+  void collectJobs(JobsCall Call);
+  kj::Promise<std::string> ownJobs(const std::string &Job);
+  void reportForward(uint64_t Id, Result<http::Response> Answer);
+  void taskFailed(kj::Exception &&Failure) override;
+
+  PeerLoop &Owner;
+  entry::Context &Shared;
+  kj::AsyncIoContext Io;
+  kj::TaskSet Tasks;
+  std::map<std::string, Link> Links;
+  kj::Own<kj::AsyncInputStream> WakePipe;
+  char WakeBuffer[64] = {};
+  kj::Own<kj::PromiseFulfiller<void>> StopFulfiller;
+};
+
+class PeerLoop::Impl::PeerServer final : public wire::Peer::Server {
+public:
+  explicit PeerServer(Impl &Owner) : Owner(Owner) {}
+
+  kj::Promise<void> exchange(ExchangeContext Context) override {
+    auto Mine = Context.getParams().getMine();
+    Owner.takeGossip(Mine);
+    Owner.fillGossip(Context.getResults().initTheirs(),
+                     Mine.getConfigVersion());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> forward(ForwardContext Context) override {
+    auto Pair = kj::newPromiseAndCrossThreadFulfiller<http::Response>();
+    auto Fulfiller = std::make_shared<
+        kj::Own<kj::CrossThreadPromiseFulfiller<http::Response>>>(
+        kj::mv(Pair.fulfiller));
+    entry::FrontRequest In{.Body = read(Context.getParams().getRequest()),
+                           .Respond =
+                               [Fulfiller](http::Response Answer) {
+                                 (*Fulfiller)->fulfill(std::move(Answer));
+                               },
+                           .Arrived = monotonicNow(),
+                           .Forwarded = true};
+    if (!Owner.Owner.Hooks.Serve(std::move(In)))
+      KJ_FAIL_REQUIRE("queue full");
+    return Pair.promise.then([Context](http::Response Answer) mutable {
+      write(Context.getResults().initAnswer(), Answer);
+    });
+  }
+
+  kj::Promise<void> wakeInbox(WakeInboxContext) override {
+    Owner.Owner.Hooks.PollInbox();
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> events(EventsContext Context) override {
+    auto Params = Context.getParams();
+    auto List = Owner.Shared.Events.since(Params.getAfter(), Params.getLimit());
+    auto Out = Context.getResults().initEvents(List.size());
+    for (unsigned I = 0; I < List.size(); ++I)
+      write(Out[I], List[I]);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> jobs(JobsContext Context) override {
+    std::string Id = toString(Context.getParams().getId());
+    return Owner.ownJobs(Id).then([Context](std::string Document) mutable {
+      Context.getResults().setDocument(Document);
+    });
+  }
+
+private:
+  Impl &Owner;
+};
+
+class PeerLoop::Impl::GateServer final : public wire::Gate::Server {
+public:
+  explicit GateServer(Impl &Owner) : Owner(Owner) {}
+
+  kj::Promise<void> open(OpenContext Context) override {
+    auto Params = Context.getParams();
+    auto Results = Context.getResults();
+    if (toString(Params.getDeployment()) != Owner.Shared.Options.Deployment) {
+      Results.setVerdict(wire::Verdict::WRONG_DEPLOYMENT);
+    } else if (Params.getVersion() != wire::PROTOCOL_VERSION) {
+      Results.setVerdict(wire::Verdict::WRONG_VERSION);
+    } else {
+      Results.setVerdict(wire::Verdict::ACCEPTED);
+      Results.setPeer(kj::heap<PeerServer>(Owner));
+    }
+    return kj::READY_NOW;
+  }
+
+private:
+  Impl &Owner;
+};
+
+void PeerLoop::Impl::taskFailed(kj::Exception &&Failure) {
+  logWarn("peer-task-failed", "reason=\"{}\"", Failure.getDescription().cStr());
+}
+
+void PeerLoop::Impl::run() {
+  auto &Options = Shared.Options;
+  auto Address = Io.provider->getNetwork()
+                     .parseAddress(Options.Peers.Address, Options.Peers.Port)
+                     .wait(Io.waitScope);
+  auto Listener = Address->listen();
+  Owner.Ready.set_value(true);
+  capnp::TwoPartyServer Server(kj::heap<GateServer>(*this));
+  Tasks.add(Server.listen(*Listener));
+  WakePipe = Io.lowLevelProvider->wrapInputFd(
+      Owner.WakeRead, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+  Tasks.add(watchWakeups());
+  Tasks.add(gossipForever());
+  auto Stop = kj::newPromiseAndFulfiller<void>();
+  StopFulfiller = kj::mv(Stop.fulfiller);
+  Stop.promise.wait(Io.waitScope);
+}
+
+kj::Promise<void> PeerLoop::Impl::watchWakeups() {
+  return WakePipe->tryRead(WakeBuffer, 1, sizeof(WakeBuffer))
+      .then([this](size_t) -> kj::Promise<void> {
+        if (Owner.Loop.stopping()) {
+          StopFulfiller->fulfill();
+          return kj::READY_NOW;
+        }
+        drainQueues();
+        return watchWakeups();
+      });
+}
+
+void PeerLoop::Impl::drainQueues() {
+  entry::ForwardCall Forward;
+  while (Owner.Forwards.pop(Forward))
+    forward(std::move(Forward));
+  WakeInboxCall Wake;
+  while (Owner.Wakes.pop(Wake)) {
+    Tasks.add(connect(Wake.PeerAddress)
+                  .then([](wire::Peer::Client Peer) {
+                    return Peer.wakeInboxRequest().send().ignoreResult();
+                  })
+                  .catch_([](kj::Exception &&) {}));
+  }
+  EventsCall Events;
+  while (Owner.Events.pop(Events))
+    collectEvents(std::move(Events));
+  JobsCall Jobs;
+  while (Owner.Jobs.pop(Jobs))
+    collectJobs(std::move(Jobs));
+}
+
+std::set<std::string> PeerLoop::Impl::peerAddresses() const {
+  std::set<std::string> Out(Shared.Options.PeerSeeds.begin(),
+                            Shared.Options.PeerSeeds.end());
+  for (const entry::Member &Each : Shared.Views.current()->Members) {
+    if (Each.Alive)
+      Out.insert(Each.PeerAddress);
+  }
+  Out.erase(Shared.Options.Peers.text());
+  return Out;
+}
+
+kj::Promise<wire::Peer::Client> PeerLoop::Impl::connect(std::string Address) {
+  Link &Known = Links[Address];
+  KJ_IF_MAYBE (Peer, Known.Peer) {
+    return *Peer;
+  }
+  auto &Timer = Io.provider->getTimer();
+  auto &Network = Io.provider->getNetwork();
+  auto Opened =
+      Network.parseAddress(Address)
+          .then([](kj::Own<kj::NetworkAddress> Parsed) {
+            auto Connected = Parsed->connect();
+            return Connected.attach(kj::mv(Parsed));
+          })
+          .then([this, Address](kj::Own<kj::AsyncIoStream> Stream) {
+            Link &Each = Links[Address];
+            Each.Client = nullptr;
+            Each.Stream = kj::mv(Stream);
+            Each.Client = kj::heap<capnp::TwoPartyClient>(*Each.Stream);
+            auto Call =
+                Each.Client->bootstrap().castAs<wire::Gate>().openRequest();
+            Call.setDeployment(Shared.Options.Deployment);
+            Call.setVersion(wire::PROTOCOL_VERSION);
+            return Call.send();
+          })
+          .then([this, Address](auto &&Answer) -> wire::Peer::Client {
+            KJ_REQUIRE(Answer.getVerdict() == wire::Verdict::ACCEPTED,
+                       "the peer refused this entry");
+            wire::Peer::Client Peer = Answer.getPeer();
+            Links[Address].Peer = Peer;
+            return Peer;
+          });
+  return Timer.timeoutAfter(ConnectMillis * kj::MILLISECONDS, kj::mv(Opened))
+      .catch_([this, Address](kj::Exception &&Failure) -> wire::Peer::Client {
+        drop(Address);
+        kj::throwFatalException(kj::mv(Failure));
+      });
+}
+
+kj::Promise<void> PeerLoop::Impl::gossipForever() {
+  return Io.provider->getTimer()
+      .afterDelay(GossipMillis * kj::MILLISECONDS)
+      .then([this] {
+        gossipOnce();
+        return gossipForever();
+      });
+}
+
+void PeerLoop::Impl::gossipOnce() {
+  for (const std::string &Address : peerAddresses()) {
+    Link &Each = Links[Address];
+    if (Each.Opening)
+      continue;
+    Each.Opening = true;
+    uint64_t KnownConfig = Each.KnownConfig;
+    auto Exchange =
+        connect(Address).then([this, KnownConfig](wire::Peer::Client Peer) {
+          auto Call = Peer.exchangeRequest();
+          fillGossip(Call.initMine(), KnownConfig);
+          return Call.send();
+        });
+    auto Timed = Io.provider->getTimer().timeoutAfter(
+        CallMillis * kj::MILLISECONDS, kj::mv(Exchange));
+    Tasks.add(Timed
+                  .then([this, Address](auto &&Answer) {
+                    auto Theirs = Answer.getTheirs();
+                    takeGossip(Theirs);
+                    Link &Known = Links[Address];
+                    Known.KnownConfig = Theirs.getConfigVersion();
+                    Known.Opening = false;
+                  })
+                  .catch_([this, Address](kj::Exception &&) {
+                    // A silent connection is left; the next round opens anew.
+                    drop(Address);
+                  }));
+  }
+}
+
+void PeerLoop::Impl::fillGossip(wire::Gossip::Builder Out,
+                                uint64_t PeerConfig) {
+  const auto &Options = Shared.Options;
+  auto View = Shared.Views.current();
+  Out.setEntry(Options.Name);
+  Out.setZone(Options.AvailabilityZone);
+  Out.setPeerAddress(Options.Peers.text());
+  Out.setClock(Shared.Events.clock().tick(wallMicros()));
+  uint64_t Version = View->Config ? View->Config->Version : 0;
+  Out.setConfigVersion(Version);
+  if (Version > PeerConfig)
+    Out.setConfig(config::configToJson(*View->Config).dump());
+  auto Own = Shared.Digests.own();
+  auto Free = Out.initFreeSlots(Own.size());
+  unsigned Next = 0;
+  for (const auto &[Service, Count] : Own) {
+    Free[Next].setService(Service);
+    Free[Next].setFree(Count);
+    ++Next;
+  }
+}
+
+void PeerLoop::Impl::takeGossip(wire::Gossip::Reader Source) {
+  Shared.Events.clock().observe(Source.getClock());
+  entry::LoadDigest Digest{.Entry = toString(Source.getEntry()),
+                           .AvailabilityZone = toString(Source.getZone()),
+                           .PeerAddress = toString(Source.getPeerAddress()),
+                           .Received = monotonicNow()};
+  for (auto Each : Source.getFreeSlots())
+    Digest.FreeSlots[toString(Each.getService())] = Each.getFree();
+  Shared.Digests.setPeer(std::move(Digest));
+  if (Source.hasConfig())
+    (void)Owner.Hooks.OfferConfig(toString(Source.getConfig()));
+}
+
+void PeerLoop::Impl::reportForward(uint64_t Id, Result<http::Response> Answer) {
+  (void)Owner.Hooks.Forwarded({Id, std::move(Answer)});
+}
+
+void PeerLoop::Impl::forward(entry::ForwardCall Call) {
+  uint64_t Id = Call.Id;
+  auto Sent = std::make_shared<bool>(false);
+  auto Limit =
+      (Call.Body.TimeLeft->count() + ForwardGraceMillis) * kj::MILLISECONDS;
+  auto Answered =
+      connect(Call.PeerAddress)
+          .then([Sent, Body = std::move(Call.Body)](wire::Peer::Client Peer) {
+            auto Request = Peer.forwardRequest();
+            write(Request.initRequest(), Body);
+            *Sent = true;
+            return Request.send();
+          });
+  Tasks.add(Io.provider->getTimer()
+                .timeoutAfter(Limit, kj::mv(Answered))
+                .then([this, Id](auto &&Answer) {
+                  reportForward(Id, read(Answer.getAnswer()));
+                })
+                .catch_([this, Id, Sent,
+                         Address = Call.PeerAddress](kj::Exception &&) {
+                  drop(Address);
+                  reportForward(Id,
+                                *Sent ? Errc::AnswerLost : Errc::Unreachable);
+                }));
+}
+
+void PeerLoop::Impl::collectEvents(EventsCall Call) {
+  auto Merged = std::make_shared<std::vector<Event>>(
+      Shared.Events.since(Call.After, Call.Limit));
+  auto Pending =
+      kj::heapArrayBuilder<kj::Promise<void>>(peerAddresses().size());
+  for (const std::string &Address : peerAddresses()) {
+    auto Asked = connect(Address).then(
+        [After = Call.After, Limit = Call.Limit](wire::Peer::Client Peer) {
+          auto Request = Peer.eventsRequest();
+          Request.setAfter(After);
+          Request.setLimit(Limit);
+          return Request.send();
+        });
+    Pending.add(Io.provider->getTimer()
+                    .timeoutAfter(CallMillis * kj::MILLISECONDS, kj::mv(Asked))
+                    .then([Merged](auto &&Answer) {
+                      for (auto Each : Answer.getEvents())
+                        Merged->push_back(read(Each));
+                    })
+                    .catch_([](kj::Exception &&) {}));
+  }
+  Tasks.add(
+      kj::joinPromises(Pending.finish()).then([Merged, Answer = Call.Answer] {
+        Answer->set_value(std::move(*Merged));
+      }));
+}
+
+kj::Promise<std::string> PeerLoop::Impl::ownJobs(const std::string &Job) {
+  auto Pair = kj::newPromiseAndCrossThreadFulfiller<std::string>();
+  auto Fulfiller =
+      std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<std::string>>>(
+          kj::mv(Pair.fulfiller));
+  bool Asked =
+      Owner.Hooks.AskJobsDocument(Job, [Fulfiller](std::string Document) {
+        (*Fulfiller)->fulfill(std::move(Document));
+      });
+  KJ_REQUIRE(Asked, "queue full");
+  return kj::mv(Pair.promise);
+}
+
+void PeerLoop::Impl::collectJobs(JobsCall Call) {
+  auto Merged = std::make_shared<std::vector<std::string>>();
+  auto Pending =
+      kj::heapArrayBuilder<kj::Promise<void>>(peerAddresses().size() + 1);
+  Pending.add(ownJobs(Call.Job)
+                  .then([Merged](std::string Document) {
+                    Merged->push_back(std::move(Document));
+                  })
+                  .catch_([](kj::Exception &&) {}));
+  for (const std::string &Address : peerAddresses()) {
+    auto Asked =
+        connect(Address).then([Job = Call.Job](wire::Peer::Client Peer) {
+          auto Request = Peer.jobsRequest();
+          Request.setId(Job);
+          return Request.send();
+        });
+    Pending.add(Io.provider->getTimer()
+                    .timeoutAfter(CallMillis * kj::MILLISECONDS, kj::mv(Asked))
+                    .then([Merged](auto &&Answer) {
+                      Merged->push_back(toString(Answer.getDocument()));
+                    })
+                    .catch_([](kj::Exception &&) {}));
+  }
+  Tasks.add(
+      kj::joinPromises(Pending.finish()).then([Merged, Answer = Call.Answer] {
+        Answer->set_value(std::move(*Merged));
+      }));
+}
+
+PeerLoop::PeerLoop(entry::Context &Shared, PeerHooks Hooks)
+    : Forwards(RingCapacity, [this] { wake(); }),
+      Wakes(QueueCapacity, [this] { wake(); }),
+      Events(QueueCapacity, [this] { wake(); }),
+      Jobs(QueueCapacity, [this] { wake(); }), Shared(Shared),
+      Hooks(std::move(Hooks)) {}
+
+PeerLoop::~PeerLoop() {
+  stop();
+  if (WakeWrite >= 0)
+    ::close(WakeWrite);
+  if (WakeRead >= 0)
+    ::close(WakeRead);
+}
+
+void PeerLoop::wake() const {
+  // A full pipe means that a wake-up is under way already.
+  char Byte = 0;
+  if (WakeWrite >= 0)
+    (void)!::write(WakeWrite, &Byte, 1);
+}
+
+std::error_code PeerLoop::start() {
+  int Ends[2];
+  if (::pipe2(Ends, O_NONBLOCK | O_CLOEXEC) != 0)
+    return Errc::SystemFailure;
+  WakeRead = Ends[0];
+  WakeWrite = Ends[1];
+  Loop.start("peers", [this] {
+    try {
+      Impl Inner(*this);
+      Inner.run();
+    } catch (const kj::Exception &Failure) {
+      logError("peers-stopped", "reason=\"{}\"",
+               Failure.getDescription().cStr());
+      Ready.set_value(false);
+    }
+  });
+  return Ready.get_future().get() ? std::error_code() : Errc::SystemFailure;
+}
+
+void PeerLoop::stop() {
+  Loop.requestStop();
+  wake();
+  Loop.join();
+}
+
+} // namespace daisylanding::peer
--- /dev/null
+++ b/src/platform/HttpPlatform.h
@@ -0,0 +1,43 @@
+#ifndef DAISYLANDING_PLATFORM_HTTPPLATFORM_H
+#define DAISYLANDING_PLATFORM_HTTPPLATFORM_H
+
+#include "http/Client.h"
+#include "platform/InstanceList.h"
+#include "platform/Table.h"
+#include "platform/WriteBudget.h"
+
+namespace daisylanding::platform {
+
+struct HttpPlatformOptions {
+  std::string Url;              ///< Base URL of the platform's service.
+  std::string AvailabilityZone; ///< Sent along, for the platform's routing.
+  Millis Timeout{2'000};
+};
+
+/// The platform's service over HTTP. One thread at a time; each thread that
+/// needs the platform owns one. Writes of a process share \p Budget.
+class HttpPlatform final : public Table,
+                           public ObjectStore,
+                           public InstanceList {
+public:
+  HttpPlatform(HttpPlatformOptions Options, WriteBudget &Budget);
+
+  Result<Row> read(std::string_view Key) override;
+  Result<std::vector<Row>> scan(std::string_view Prefix) override;
+  Result<CommitResult> commit(std::span<const Mutation> Mutations) override;
+  std::error_code put(std::string_view Key, std::string_view Value) override;
+  Result<std::string> fetch(std::string_view Key) override;
+  Result<InstanceSnapshot> snapshot() override;
+
+private:
+  http::Outcome call(std::string_view Method, std::string_view Target,
+                     std::string Body);
+
+  HttpPlatformOptions Options;
+  WriteBudget &Budget;
+  http::Client Client;
+};
+
+} // namespace daisylanding::platform
+
+#endif
--- /dev/null
+++ b/src/platform/Table.h
@@ -0,0 +1,70 @@
+#ifndef DAISYLANDING_PLATFORM_TABLE_H
+#define DAISYLANDING_PLATFORM_TABLE_H
+
+#include "common/Error.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisylanding::platform {
+
+/// The version of a row that does not exist.
+constexpr uint64_t AbsentVersion = 0;
+
+struct Row {
+  std::string Key;
+  std::string Value;
+  uint64_t Version = AbsentVersion;
+};
+
+enum class Operation : uint8_t {
+  Check, ///< Only compares the version.
+  Put,   ///< Compares the version, then writes.
+  Delete ///< Compares the version, then removes.
+};
+
+/// One step of a transaction; it fails unless the row is at `Expected`.
+struct Mutation {
+  Operation Kind = Operation::Put;
+  std::string Key;
+  std::string Value;
+  uint64_t Expected = AbsentVersion;
+};
+
+/// The result of a transaction that reached the table.
+struct CommitResult {
+  bool Committed = false;
+  /// When committed: the version of each mutation's row, in order.
+  std::vector<uint64_t> Versions;
+  /// When refused: the rows that were not as expected, as they stand.
+  std::vector<Row> Conflicts;
+};
+
+/// The platform's transactional table. Calls block. Errors: Unreachable
+/// (surely not carried out), AnswerLost and Timeout (may have been carried
+/// out), BudgetExhausted (this process's share of writes is used up).
+class Table {
+public:
+  virtual ~Table() = default;
+  /// The row, with AbsentVersion if it does not exist.
+  virtual Result<Row> read(std::string_view Key) = 0;
+  /// All rows whose key starts with \p Prefix, in key order.
+  virtual Result<std::vector<Row>> scan(std::string_view Prefix) = 0;
+  /// All mutations, or none.
+  virtual Result<CommitResult> commit(std::span<const Mutation> Mutations) = 0;
+};
+
+/// Large values that are written whole and read whole.
+class ObjectStore {
+public:
+  virtual ~ObjectStore() = default;
+  virtual std::error_code put(std::string_view Key, std::string_view Value) = 0;
+  virtual Result<std::string> fetch(std::string_view Key) = 0;
+};
+
+} // namespace daisylanding::platform
+
+#endif
--- /dev/null
+++ b/src/platform/Wire.h
@@ -0,0 +1,30 @@
+#ifndef DAISYLANDING_PLATFORM_WIRE_H
+#define DAISYLANDING_PLATFORM_WIRE_H
+
+#include "platform/InstanceList.h"
+#include "platform/Table.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+/// The JSON of the platform's service, both ways. Functions that read throw
+/// the JSON library's exceptions on malformed input.
+namespace daisylanding::platform {
+
+nlohmann::json mutationsToJson(std::span<const Mutation> Mutations);
+std::vector<Mutation> mutationsFromJson(const nlohmann::json &Source);
+
+nlohmann::json rowsToJson(std::span<const Row> Rows);
+std::vector<Row> rowsFromJson(const nlohmann::json &Source);
+
+nlohmann::json commitResultToJson(const CommitResult &Outcome);
+CommitResult commitResultFromJson(const nlohmann::json &Source);
+
+nlohmann::json instancesToJson(const InstanceSnapshot &Snapshot);
+InstanceSnapshot instancesFromJson(const nlohmann::json &Source);
+
+nlohmann::json resourcesToJson(const Resources &Amount);
+Resources resourcesFromJson(const nlohmann::json &Source);
+
+} // namespace daisylanding::platform
+
+#endif
--- /dev/null
+++ b/src/platform/WriteBudget.h
@@ -0,0 +1,50 @@
+#ifndef DAISYLANDING_PLATFORM_WRITEBUDGET_H
+#define DAISYLANDING_PLATFORM_WRITEBUDGET_H
+
+#include "common/Time.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace daisylanding::platform {
+
+/// A process's share of the table's writes a second, as a token bucket that
+/// holds one second's worth.
+class WriteBudget {
+public:
+  explicit WriteBudget(double WritesPerSecond)
+      : Rate(WritesPerSecond), Tokens(WritesPerSecond) {}
+
+  /// Takes one write; false when the share is used up.
+  bool take(TimePoint Now) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    refill(Now);
+    if (Tokens < 1)
+      return false;
+    Tokens -= 1;
+    return true;
+  }
+
+  /// The part of the bucket that is filled, from 0 to 1.
+  double level(TimePoint Now) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    refill(Now);
+    return Tokens / Rate;
+  }
+
+private:
+  void refill(TimePoint Now) {
+    if (Now > Last)
+      Tokens = std::min(Rate, Tokens + Rate * toSeconds(Now - Last));
+    Last = std::max(Last, Now);
+  }
+
+  std::mutex Mutex;
+  double Rate;
+  double Tokens;
+  TimePoint Last{};
+};
+
+} // namespace daisylanding::platform
+
+#endif
--- /dev/null
+++ b/src/policy/CreditPlanner.cpp
@@ -0,0 +1,155 @@
+#include "policy/CreditPlanner.h"
+
+#include <algorithm>
+
+namespace daisylanding::policy {
+
+namespace {
+
+uint32_t heldBy(const CreditTable &Table, const std::string &Holder) {
+  uint32_t Sum = 0;
+  for (const auto &Each : Table.Endpoints) {
+    auto Found = Each.second.Held.find(Holder);
+    if (Found != Each.second.Held.end())
+      Sum += Found->second;
+  }
+  return Sum;
+}
+
+uint32_t allSlots(const CreditTable &Table) {
+  uint32_t Sum = 0;
+  for (const auto &Each : Table.Endpoints)
+    Sum += Each.second.Slots;
+  return Sum;
+}
+
+void dropHolders(CreditTable &Table, const std::set<std::string> &Over) {
+  for (const std::string &Holder : Over) {
+    Table.Wanted.erase(Holder);
+    for (auto &Each : Table.Endpoints)
+      Each.second.Held.erase(Holder);
+  }
+}
+
+/// Adds new endpoints and removes those that are gone from the list.
+void matchEndpoints(CreditTable &Table,
+                    const std::map<std::string, uint32_t> &Slots) {
+  std::erase_if(Table.Endpoints,
+                [&](const auto &Each) { return !Slots.count(Each.first); });
+  for (const auto &[Name, Count] : Slots)
+    Table.Endpoints[Name].Slots = Count;
+}
+
+bool othersAsk(const CreditTable &Table, const std::string &Holder) {
+  return std::any_of(
+      Table.Wanted.begin(), Table.Wanted.end(),
+      [&](const auto &Each) { return Each.first != Holder && Each.second; });
+}
+
+/// Takes unheld slots while this holder is below \p Limit in all.
+void takeUnheld(CreditTable &Table, const std::string &Holder, uint32_t Limit) {
+  uint32_t Total = heldBy(Table, Holder);
+  bool Progress = true;
+  while (Total < Limit && Progress) {
+    Progress = false;
+    for (auto &Each : Table.Endpoints) {
+      if (Total >= Limit || Each.second.unheld() == 0)
+        continue;
+      ++Each.second.Held[Holder];
+      ++Total;
+      Progress = true;
+    }
+  }
+}
+
+/// Hands one idle slot after the other to whoever asks.
+void giveIdle(CreditPlan &Plan, const CreditDemand &Demand) {
+  std::map<std::string, uint32_t> Idle = Demand.Idle;
+  uint32_t Spare = 0;
+  for (const auto &Each : Idle)
+    Spare += Each.second;
+  Spare = Spare > Demand.Waiting ? Spare - Demand.Waiting : 0;
+  for (auto &[Asker, Count] : Plan.Next.Wanted) {
+    if (Asker == Demand.Holder)
+      continue;
+    for (auto &[Name, Each] : Plan.Next.Endpoints) {
+      auto Mine = Each.Held.find(Demand.Holder);
+      while (Count > 0 && Spare > 0 && Idle[Name] > 0 &&
+             Mine != Each.Held.end() && Mine->second > 0) {
+        --Mine->second;
+        --Idle[Name];
+        --Spare;
+        --Count;
+        ++Each.Held[Asker];
+        ++Plan.Given[Name];
+      }
+    }
+  }
+}
+
+void ask(CreditTable &Table, const CreditDemand &Demand) {
+  uint32_t Idle = 0;
+  for (const auto &Each : Demand.Idle)
+    Idle += Each.second;
+  bool HasNone = heldBy(Table, Demand.Holder) == 0;
+  uint32_t Need = std::max<uint32_t>(Demand.Waiting, HasNone ? 1 : 0);
+  if (Need > Idle)
+    Table.Wanted[Demand.Holder] = Need - Idle;
+  else
+    Table.Wanted.erase(Demand.Holder);
+}
+
+void dropZeros(CreditTable &Table) {
+  auto IsZero = [](const auto &Each) { return Each.second == 0; };
+  std::erase_if(Table.Wanted, IsZero);
+  for (auto &Each : Table.Endpoints)
+    std::erase_if(Each.second.Held, IsZero);
+}
+
+bool same(const CreditTable &Left, const CreditTable &Right) {
+  // A newer list alone is no reason to write.
+  if (Left.Wanted != Right.Wanted ||
+      Left.Endpoints.size() != Right.Endpoints.size())
+    return false;
+  return std::equal(Left.Endpoints.begin(), Left.Endpoints.end(),
+                    Right.Endpoints.begin(),
+                    [](const auto &One, const auto &Other) {
+                      return One.first == Other.first &&
+                             One.second.Slots == Other.second.Slots &&
+                             One.second.Held == Other.second.Held;
+                    });
+}
+
+} // namespace
+
+uint32_t CreditTable::Endpoint::unheld() const {
+  uint32_t Sum = 0;
+  for (const auto &Each : Held)
+    Sum += Each.second;
+  return Slots > Sum ? Slots - Sum : 0;
+}
+
+CreditPlan planCredits(const CreditTable &Current, const CreditZone &Zone,
+                       const CreditDemand &Demand) {
+  CreditPlan Plan;
+  Plan.Next = Current;
+  if (Zone.ListVersion >= Current.ListVersion) {
+    Plan.Next.ListVersion = Zone.ListVersion;
+    dropHolders(Plan.Next, Zone.Over);
+    matchEndpoints(Plan.Next, Zone.Slots);
+  }
+  uint32_t All = allSlots(Plan.Next);
+  auto Holders = std::max<uint32_t>(1, Zone.Live.size());
+  uint32_t Share = (All + Holders - 1) / Holders;
+  uint32_t Limit = Share;
+  if (!othersAsk(Plan.Next, Demand.Holder))
+    Limit = std::max(Share, heldBy(Plan.Next, Demand.Holder) + Demand.Waiting);
+  takeUnheld(Plan.Next, Demand.Holder, Limit);
+  giveIdle(Plan, Demand);
+  ask(Plan.Next, Demand);
+  dropZeros(Plan.Next);
+  Plan.Changed = !same(Plan.Next, Current);
+  return Plan;
+}
+
+} // namespace daisylanding::policy
--- /dev/null
+++ b/src/policy/CreditPlanner.h
@@ -0,0 +1,69 @@
+#ifndef DAISYLANDING_POLICY_CREDITPLANNER_H
+#define DAISYLANDING_POLICY_CREDITPLANNER_H
+
+#include "common/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisylanding::policy {
+
+/// Who holds how many slots of each endpoint of one service in one zone.
+/// Spending a held slot needs no message; only moving slots between holders
+/// is agreed, through one row of the platform's table. This is escrow, in the
+/// frame of SIEVE: what keeps the bound from local state alone runs without
+/// coordination. "Automating the Choice of Consistency Levels in Replicated
+/// Systems", section 5.
+struct CreditTable {
+  struct Endpoint {
+    uint32_t Slots = 0;
+    std::map<std::string, uint32_t> Held; ///< By holder.
+
+    uint32_t unheld() const;
+  };
+
+  /// The newest version of the instance list that a planner has applied. A
+  /// planner with an older list adds and drops nothing.
+  uint64_t ListVersion = 0;
+  std::map<std::string, Endpoint> Endpoints;
+  std::map<std::string, uint32_t> Wanted; ///< Slots asked for, by holder.
+};
+
+/// What one holder knows when it plans a move.
+struct CreditDemand {
+  std::string Holder;
+  uint32_t Waiting = 0; ///< Requests that wait for a slot here.
+  /// Slots of each endpoint that are free here and may be given away.
+  std::map<std::string, uint32_t> Idle;
+};
+
+/// The zone as the planner sees it.
+struct CreditZone {
+  uint64_t ListVersion = 0;
+  std::map<std::string, uint32_t> Slots; ///< Of each endpoint in the list.
+  std::set<std::string> Live;            ///< Holders that may get slots.
+  std::set<std::string> Over; ///< Holders whose work is known to be over.
+};
+
+/// The row after this holder's move, and whether it differs from \p Current.
+struct CreditPlan {
+  CreditTable Next;
+  bool Changed = false;
+  /// Slots taken from this holder's idle ones, by endpoint. The holder must
+  /// stop using them before the row is written.
+  std::map<std::string, uint32_t> Given;
+};
+
+/// Plans one holder's move: reclaims slots of holders that are over, takes
+/// unheld slots up to an equal share (or more when it has waiting work and
+/// nobody else asks), gives idle slots to holders that ask, and asks for what
+/// its waiting work needs.
+CreditPlan planCredits(const CreditTable &Current, const CreditZone &Zone,
+                       const CreditDemand &Demand);
+
+} // namespace daisylanding::policy
+
+#endif
--- /dev/null
+++ b/src/policy/EndpointPicker.cpp
@@ -0,0 +1,55 @@
+#include "policy/EndpointPicker.h"
+
+namespace daisylanding::policy {
+
+namespace {
+
+constexpr double SmoothingFactor = 0.1;
+
+/// Assumed of an endpoint that has not answered yet.
+constexpr double InitialLatencyMs = 1;
+
+/// How much a failure costs, in multiples of a good answer's time.
+constexpr double FailureCost = 10;
+
+/// Spreads equal choices; small against real differences.
+constexpr double TieSpread = 0.05;
+
+double expectedMs(const EndpointView &View) {
+  double Latency = View.LatencyMs > 0 ? View.LatencyMs : InitialLatencyMs;
+  double Load = static_cast<double>(View.InFlight + 1) /
+                static_cast<double>(View.Credits);
+  return Latency * (1 + Load) * (1 + FailureCost * View.FailureRate);
+}
+
+} // namespace
+
+std::optional<size_t> pickEndpoint(std::span<const EndpointView> Endpoints,
+                                   std::optional<size_t> Exclude,
+                                   Random &Generator) {
+  std::optional<size_t> Best;
+  double BestCost = 0;
+  for (size_t I = 0; I < Endpoints.size(); ++I) {
+    const EndpointView &Each = Endpoints[I];
+    if (!Each.Usable || Each.freeCredits() == 0 || Exclude == I)
+      continue;
+    double Cost = expectedMs(Each) * (1 + TieSpread * Generator.unit());
+    if (Best && Cost >= BestCost)
+      continue;
+    Best = I;
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+void observe(EndpointView &View, Micros Latency, bool Good) {
+  constexpr double MicrosPerMilli = 1'000;
+  double Milliseconds = static_cast<double>(Latency.count()) / MicrosPerMilli;
+  double Failure = Good ? 0 : 1;
+  View.FailureRate += SmoothingFactor * (Failure - View.FailureRate);
+  if (View.LatencyMs == 0)
+    View.LatencyMs = Milliseconds;
+  View.LatencyMs += SmoothingFactor * (Milliseconds - View.LatencyMs);
+}
+
+} // namespace daisylanding::policy
--- /dev/null
+++ b/src/policy/Placement.h
@@ -0,0 +1,78 @@
+#ifndef DAISYLANDING_POLICY_PLACEMENT_H
+#define DAISYLANDING_POLICY_PLACEMENT_H
+
+#include "common/Time.h"
+#include "platform/InstanceList.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace daisylanding::policy {
+
+using platform::Resources;
+
+/// What a task asks of its place.
+struct PlacementRequest {
+  Resources Size;
+  /// 0 spreads load over instances, 1 fills the fullest that fit.
+  double Tightness = 0.5;
+  /// When the task is expected to end; instances reserved for a gang take it
+  /// only if that is before the gang's start.
+  TimePoint ExpectedEnd = TimePoint::max();
+  /// How many tasks of the same service each rack already has; may be empty.
+  std::span<const uint32_t> RackLoad;
+  /// Whether work that needs no accelerator may use an instance with some.
+  bool MayUseAcceleratorInstances = true;
+  /// Set for the gang that holds the reservation.
+  bool OwnsReservation = false;
+};
+
+/// The exact ledger of what a shard's instances hold and have free. Sums never
+/// exceed a capacity: `take` refuses what does not fit.
+class InstancePool {
+public:
+  /// Adds an instance and returns its index; indexes are never reused.
+  uint32_t add(const Resources &Capacity, uint32_t Rack);
+  /// Whether new tasks may be placed there.
+  void setUsable(uint32_t Index, bool Usable) { Usables[Index] = Usable; }
+
+  bool take(uint32_t Index, const Resources &Size);
+  void give(uint32_t Index, const Resources &Size);
+
+  /// Keeps \p Index for a gang that starts at \p Start.
+  void reserve(uint32_t Index, TimePoint Start);
+  void clearReservations();
+
+  /// The best instance for \p Request, or none that fits.
+  std::optional<uint32_t> choose(const PlacementRequest &Request) const;
+  /// Whether some instance could hold \p Size when empty.
+  bool canEverFit(const Resources &Size) const;
+  /// How many tasks of \p Size fit at once into what is free now.
+  uint64_t countFitting(const Resources &Size, bool OwnsReservation) const;
+
+  size_t size() const { return Frees.size(); }
+  bool usable(uint32_t Index) const { return Usables[Index]; }
+  const Resources &capacity(uint32_t Index) const { return Capacities[Index]; }
+  const Resources &free(uint32_t Index) const { return Frees[Index]; }
+  uint32_t rack(uint32_t Index) const { return Racks[Index]; }
+
+private:
+  bool open(uint32_t Index, const PlacementRequest &Request) const;
+  double score(uint32_t Index, const PlacementRequest &Request) const;
+
+  std::vector<Resources> Frees;
+  std::vector<Resources> Capacities;
+  std::vector<uint32_t> Racks;
+  std::vector<uint8_t> Usables;
+  std::vector<TimePoint> ReservedFrom; ///< max() when not reserved.
+};
+
+/// How many tasks of \p Size fit into \p Free; at most \p Limit.
+uint64_t fittingTasks(const Resources &Free, const Resources &Size,
+                      uint64_t Limit);
+
+} // namespace daisylanding::policy
+
+#endif
--- /dev/null
+++ b/src/policy/QuotaPlanner.cpp
@@ -0,0 +1,36 @@
+#include "policy/QuotaPlanner.h"
+
+#include <algorithm>
+
+namespace daisylanding::policy {
+
+namespace {
+
+uint32_t planAmount(uint64_t Quota, uint64_t Others, uint32_t Used,
+                    uint32_t Wanted) {
+  uint64_t Left = Quota > Others ? Quota - Others : 0;
+  auto Granted = static_cast<uint32_t>(std::min<uint64_t>(Wanted, Left));
+  return std::max(Granted, Used);
+}
+
+} // namespace
+
+platform::Resources planShare(const QuotaShares &Shares,
+                              const platform::Resources &Quota,
+                              const std::string &Shard,
+                              const platform::Resources &Used,
+                              const platform::Resources &Wanted) {
+  platform::Resources Others;
+  for (const auto &[Name, Share] : Shares) {
+    if (Name != Shard)
+      Others += Share;
+  }
+  return {.MilliCores = planAmount(Quota.MilliCores, Others.MilliCores,
+                                   Used.MilliCores, Wanted.MilliCores),
+          .MemoryMb = planAmount(Quota.MemoryMb, Others.MemoryMb, Used.MemoryMb,
+                                 Wanted.MemoryMb),
+          .Accelerators = planAmount(Quota.Accelerators, Others.Accelerators,
+                                     Used.Accelerators, Wanted.Accelerators)};
+}
+
+} // namespace daisylanding::policy
--- /dev/null
+++ b/src/policy/RetryBudget.h
@@ -0,0 +1,39 @@
+#ifndef DAISYLANDING_POLICY_RETRYBUDGET_H
+#define DAISYLANDING_POLICY_RETRYBUDGET_H
+
+#include <algorithm>
+
+namespace daisylanding::policy {
+
+struct RetryBudgetOptions {
+  double RetriesPerRequest = 0.1; ///< Earned by each first try.
+  double MaxSaved = 20;
+};
+
+/// Bounds retries to a share of first tries, so that a failing fleet is not
+/// met with a multiple of its load.
+class RetryBudget {
+public:
+  explicit RetryBudget(RetryBudgetOptions Options)
+      : Options(Options), Saved(Options.MaxSaved) {}
+
+  void firstTry() {
+    Saved = std::min(Options.MaxSaved, Saved + Options.RetriesPerRequest);
+  }
+
+  /// Takes one retry; false when the budget is used up.
+  bool takeRetry() {
+    if (Saved < 1)
+      return false;
+    Saved -= 1;
+    return true;
+  }
+
+private:
+  RetryBudgetOptions Options;
+  double Saved;
+};
+
+} // namespace daisylanding::policy
+
+#endif
--- /dev/null
+++ b/src/shard/Scheduler.cpp
@@ -0,0 +1,328 @@
+#include "shard/Scheduler.h"
+
+#include <algorithm>
+
+namespace daisylanding::shard {
+
+namespace {
+
+/// Classes with a waiting target up to this may preempt others.
+constexpr Millis UrgentTarget{5'000};
+
+/// A blocked task gets a reservation when this part of its waiting target is
+/// used up; a gang gets one at once.
+constexpr int64_t ReserveAfterDivisor = 2;
+
+/// The time allowed for preempted tasks to stop before more are preempted.
+constexpr Millis PreemptionPatience{2'000};
+
+/// For how many tasks of a job room is made at once.
+constexpr uint32_t MaxPreemptionsAtOnce = 32;
+
+/// How many jobs one plan looks at.
+constexpr size_t MaxCandidates = 4'096;
+
+platform::Resources times(const platform::Resources &Size, uint32_t Count) {
+  return {.MilliCores = Size.MilliCores * Count,
+          .MemoryMb = Size.MemoryMb * Count,
+          .Accelerators = Size.Accelerators * Count};
+}
+
+TimePoint oldestReady(const Job &Owner, TimePoint Now) {
+  TimePoint Oldest = TimePoint::max();
+  for (const Task &Each : Owner.Tasks) {
+    if (Each.Phase == TaskPhase::Pending && Each.NotBefore <= Now)
+      Oldest = std::min(Oldest, Each.ReadySince);
+  }
+  return Oldest;
+}
+
+} // namespace
+
+std::vector<Scheduler::Candidate>
+Scheduler::candidates(const config::ClusterConfig &Config,
+                      TimePoint Now) const {
+  std::vector<Candidate> Out;
+  for (const auto &Each : State.Jobs) {
+    Job &Owner = *Each.second;
+    if (Owner.Pending == 0)
+      continue;
+    const config::WorkClass *Class = Config.findClass(Owner.Spec.Class);
+    TimePoint Ready = oldestReady(Owner, Now);
+    if (!Class || Ready == TimePoint::max())
+      continue;
+    Out.push_back({Ready + Class->WaitingTarget, &Owner, Class});
+  }
+  auto Sooner = [](const Candidate &Left, const Candidate &Right) {
+    return Left.Due < Right.Due;
+  };
+  size_t Kept = std::min(Out.size(), MaxCandidates);
+  std::partial_sort(Out.begin(),
+                    Out.begin() + static_cast<std::ptrdiff_t>(Kept), Out.end(),
+                    Sooner);
+  Out.resize(Kept);
+  return Out;
+}
+
+std::vector<Record> Scheduler::plan(const config::ClusterConfig &Config,
+                                    TimePoint Now, size_t MaxStarts) {
+  Current = &Config;
+  Planned.clear();
+  Blocked.clear();
+  dropStaleReservation();
+  std::erase_if(PreemptingUntil,
+                [&](const auto &Each) { return Each.second <= Now; });
+  countQuotaUse(Config);
+  for (const Candidate &Each : candidates(Config, Now)) {
+    if (Planned.size() >= MaxStarts)
+      break;
+    planJob(Each, Now, MaxStarts);
+  }
+  return std::move(Planned);
+}
+
+void Scheduler::planJob(const Candidate &Each, TimePoint Now,
+                        size_t MaxStarts) {
+  Job &Owner = *Each.Owner;
+  if (Owner.Spec.Kind == config::JobKind::Gang) {
+    if (!planGang(Each, Now))
+      blocked(Each, Owner.Pending, Each.Due - Each.Class->WaitingTarget, Now);
+    return;
+  }
+  RackCounts.clear();
+  if (Owner.Spec.Kind == config::JobKind::Service)
+    RackCounts = rackLoad(Owner);
+  for (uint32_t I = 0; I < Owner.Tasks.size(); ++I) {
+    Task &One = Owner.Tasks[I];
+    if (One.Phase != TaskPhase::Pending || One.NotBefore > Now)
+      continue;
+    if (Planned.size() >= MaxStarts || !withinQuota(Each, 1))
+      return;
+    if (!planTask(Each, I, Now)) {
+      blocked(Each, 1, One.ReadySince, Now);
+      return;
+    }
+  }
+}
+
+policy::PlacementRequest Scheduler::requestFor(const Candidate &Each,
+                                               TimePoint Now,
+                                               TimePoint ReadySince) {
+  const Job &Owner = *Each.Owner;
+  bool Late = Now - ReadySince > Each.Class->WaitingTarget;
+  policy::PlacementRequest Request{
+      .Size = Owner.Estimate.size(),
+      .Tightness = Tightness[Each.Class->Name].tightness(),
+      .RackLoad = RackCounts,
+      .MayUseAcceleratorInstances = Late,
+      .OwnsReservation = Reserved && Reserved->Job == Owner.Spec.Id};
+  if (Owner.Spec.Kind != config::JobKind::Service)
+    Request.ExpectedEnd = Now + Owner.Estimate.runTime();
+  return Request;
+}
+
+bool Scheduler::planGang(const Candidate &Each, TimePoint Now) {
+  Job &Owner = *Each.Owner;
+  if (Owner.Pending < Owner.Tasks.size() || !withinQuota(Each, Owner.Pending))
+    return true; // Not ready as a whole; no room would help.
+  RackCounts.clear();
+  TimePoint Ready = Each.Due - Each.Class->WaitingTarget;
+  auto Places = policy::placeGang(State.Pool, requestFor(Each, Now, Ready),
+                                  Owner.Pending);
+  if (!Places)
+    return false;
+  for (uint32_t I = 0; I < Owner.Tasks.size(); ++I)
+    start(Owner, I, (*Places)[I], Now);
+  return true;
+}
+
+/// Whether a request no harder than \p Request failed in this plan.
+bool Scheduler::knownBlocked(const policy::PlacementRequest &Request) const {
+  return std::any_of(Blocked.begin(), Blocked.end(),
+                     [&](const policy::PlacementRequest &Each) {
+                       return Each.Size.fitsIn(Request.Size) &&
+                              Request.ExpectedEnd >= Each.ExpectedEnd &&
+                              (Each.MayUseAcceleratorInstances ||
+                               !Request.MayUseAcceleratorInstances) &&
+                              !Request.OwnsReservation;
+                     });
+}
+
+bool Scheduler::planTask(const Candidate &Each, uint32_t Index, TimePoint Now) {
+  Job &Owner = *Each.Owner;
+  auto Request = requestFor(Each, Now, Owner.Tasks[Index].ReadySince);
+  if (knownBlocked(Request))
+    return false;
+  auto Place = State.Pool.choose(Request);
+  if (!Place) {
+    Request.RackLoad = {};
+    Blocked.push_back(Request);
+    return false;
+  }
+  start(Owner, Index, *Place, Now);
+  if (!RackCounts.empty())
+    ++RackCounts[State.Pool.rack(*Place)];
+  return true;
+}
+
+void Scheduler::start(Job &Owner, uint32_t Index, uint32_t Instance,
+                      TimePoint Now) {
+  Task &One = Owner.Tasks[Index];
+  const config::WorkClass *Class = Current->findClass(Owner.Spec.Class);
+  Tightness[Class->Name].sawWaiting(Now - One.ReadySince, Class->WaitingTarget);
+  TaskStarted Started{.Id = {Owner.Spec.Id, Index, One.Attempt + 1},
+                      .Instance = State.Instances[Instance].Name,
+                      .Size = Owner.Estimate.size(),
+                      .Leased = Class->ZoneLoss == config::OnZoneLoss::Move};
+  auto Demand = QuotaDemands.find(Owner.Spec.Team);
+  if (Demand != QuotaDemands.end())
+    Demand->second.Used += Started.Size;
+  State.apply(Started, Now);
+  Planned.push_back(std::move(Started));
+  if (Reserved && Reserved->Job == Owner.Spec.Id) {
+    Reserved.reset();
+    State.Pool.clearReservations();
+  }
+}
+
+std::vector<uint32_t> Scheduler::rackLoad(const Job &Owner) const {
+  std::vector<uint32_t> Out;
+  for (uint32_t I = 0; I < State.Pool.size(); ++I)
+    Out.resize(std::max<size_t>(Out.size(), State.Pool.rack(I) + 1));
+  for (const Task &Each : Owner.Tasks) {
+    if (Each.Instance != NoInstance)
+      ++Out[State.Pool.rack(Each.Instance)];
+  }
+  return Out;
+}
+
+void Scheduler::countQuotaUse(const config::ClusterConfig &Config) {
+  QuotaDemands.clear();
+  for (const config::Team &Each : Config.Teams)
+    QuotaDemands[Each.Name];
+  for (const auto &Each : State.Jobs) {
+    auto Demand = QuotaDemands.find(Each.second->Spec.Team);
+    if (Demand == QuotaDemands.end())
+      continue;
+    for (const Task &One : Each.second->Tasks) {
+      if (One.Instance != NoInstance)
+        Demand->second.Used += One.Recorded;
+    }
+  }
+  for (auto &Each : QuotaDemands)
+    Each.second.Wanted = Each.second.Used;
+}
+
+/// Whether the team's share covers \p Tasks more; else asks for more of it.
+bool Scheduler::withinQuota(const Candidate &Each, uint32_t Tasks) {
+  auto Demand = QuotaDemands.find(Each.Owner->Spec.Team);
+  if (Demand == QuotaDemands.end())
+    return Each.Owner->Spec.Team.empty();
+  platform::Resources Size = Each.Owner->Estimate.size();
+  platform::Resources Total = Demand->second.Used;
+  Total += times(Size, Tasks);
+  if (Total.fitsIn(QuotaShares[Each.Owner->Spec.Team]))
+    return true;
+  Demand->second.Wanted = Demand->second.Used;
+  Demand->second.Wanted += times(Size, Each.Owner->Pending);
+  return false;
+}
+
+void Scheduler::blocked(const Candidate &Each, uint32_t Tasks,
+                        TimePoint ReadySince, TimePoint Now) {
+  bool Gang = Each.Owner->Spec.Kind == config::JobKind::Gang;
+  Micros Waited = Now - ReadySince;
+  if (!Gang && Each.Class->WaitingTarget <= UrgentTarget)
+    preemptFor(Each, Now);
+  bool Overdue = Waited * ReserveAfterDivisor > Each.Class->WaitingTarget;
+  if (!Reserved && (Gang || Overdue))
+    reserveFor(Each, Tasks, Now);
+}
+
+std::vector<policy::RunningTask> Scheduler::running(TimePoint Now) const {
+  std::vector<policy::RunningTask> Out;
+  for (const auto &Each : State.Jobs) {
+    const Job &Owner = *Each.second;
+    bool Endless = Owner.Spec.Kind == config::JobKind::Service;
+    for (const Task &One : Owner.Tasks) {
+      if (One.Instance == NoInstance)
+        continue;
+      TimePoint End = Endless
+                          ? TimePoint::max()
+                          : std::max<TimePoint>(
+                                Now, One.StartedAt + Owner.Estimate.runTime());
+      Out.push_back({One.Instance, One.Taken, End});
+    }
+  }
+  return Out;
+}
+
+void Scheduler::reserveFor(const Candidate &Each, uint32_t Tasks,
+                           TimePoint Now) {
+  auto Plan = policy::planReservation(State.Pool, running(Now),
+                                      Each.Owner->Estimate.size(), Tasks, Now);
+  if (!Plan)
+    return;
+  for (uint32_t Index : Plan->Instances)
+    State.Pool.reserve(Index, Plan->Start);
+  Reserved = Holder{Each.Owner->Spec.Id, std::move(*Plan)};
+}
+
+/// A reservation ends with its job, or when an instance of it can't be used.
+/// Otherwise it stays, also past its start: with run times longer than
+/// expected the instances drain until the holder fits.
+void Scheduler::dropStaleReservation() {
+  if (!Reserved)
+    return;
+  Job *Owner = State.find(Reserved->Job);
+  bool Usable = std::all_of(
+      Reserved->Plan.Instances.begin(), Reserved->Plan.Instances.end(),
+      [&](uint32_t Index) { return State.Pool.usable(Index); });
+  if (Owner && Owner->Pending > 0 && Usable)
+    return;
+  Reserved.reset();
+  State.Pool.clearReservations();
+}
+
+void Scheduler::preemptFor(const Candidate &Each, TimePoint Now) {
+  if (PreemptingUntil.count(Each.Owner->Spec.Id))
+    return; // The room made for it is not free yet.
+  std::vector<policy::PreemptionCandidate> Candidates;
+  std::vector<Task *> Tasks;
+  for (const auto &Other : State.Jobs) {
+    const config::WorkClass *Class =
+        Current->findClass(Other.second->Spec.Class);
+    if (!Class || Other.second->Spec.Kind != config::JobKind::Batch)
+      continue;
+    for (Task &One : Other.second->Tasks) {
+      if (One.Phase != TaskPhase::Running || One.StopAsked)
+        continue;
+      Candidates.push_back({.Instance = One.Instance,
+                            .Size = One.Taken,
+                            .WaitingTarget = Class->WaitingTarget,
+                            .Preemptions = One.Preemptions,
+                            .Ran = Now - One.StartedAt});
+      Tasks.push_back(&One);
+    }
+  }
+  uint32_t Wanted = std::min(Each.Owner->Pending, MaxPreemptionsAtOnce);
+  for (uint32_t I = 0; I < Wanted; ++I) {
+    auto Plan = policy::planPreemption(State.Pool, Each.Owner->Estimate.size(),
+                                       Each.Class->WaitingTarget, Candidates);
+    if (!Plan)
+      return;
+    for (size_t Victim : Plan->Victims) {
+      Tasks[Victim]->StopAsked = true;
+      Candidates[Victim].Preemptions = policy::MaxPreemptions;
+    }
+    PreemptingUntil[Each.Owner->Spec.Id] = Now + PreemptionPatience;
+  }
+}
+
+void Scheduler::adjustTargets(const config::ClusterConfig &Config) {
+  double Packing = State.packing();
+  for (const config::WorkClass &Each : Config.Classes)
+    Tightness[Each.Name].adjust(Packing, Each.PackingTarget);
+}
+
+} // namespace daisylanding::shard
--- /dev/null
+++ b/src/worker/WorkerLoop.h
@@ -0,0 +1,60 @@
+#ifndef DAISYLANDING_WORKER_WORKERLOOP_H
+#define DAISYLANDING_WORKER_WORKERLOOP_H
+
+#include "common/Ring.h"
+#include "common/Thread.h"
+#include "http/Client.h"
+#include "worker/Protocol.h"
+
+#include <deque>
+
+namespace daisylanding::worker {
+
+/// A sync on its way to a worker.
+struct SyncCall {
+  std::string Shard;
+  uint64_t Epoch = 0;
+  uint32_t Instance = 0;
+  std::string Address;
+  SyncRequest Request;
+};
+
+/// Errors: Fenced (the worker knows a newer epoch), Unreachable, AnswerLost,
+/// Timeout, Malformed.
+struct SyncDone {
+  std::string Shard;
+  uint64_t Epoch = 0;
+  uint32_t Instance = 0;
+  Result<SyncReport> Report = Errc::Unreachable;
+};
+
+/// The thread that talks to workers.
+class WorkerLoop {
+public:
+  WorkerLoop(Millis Timeout, std::function<void()> WakeShards);
+
+  void start() {
+    Loop.start("workers", [this] { run(); });
+  }
+  void stop() {
+    Loop.requestStop();
+    Client.wake();
+    Loop.join();
+  }
+
+  Ring<SyncCall> Calls;
+  Ring<SyncDone> Done;
+
+private:
+  void run();
+  void begin(SyncCall Call);
+
+  Millis Timeout;
+  http::MultiClient Client;
+  std::deque<SyncDone> Finished;
+  Thread Loop;
+};
+
+} // namespace daisylanding::worker
+
+#endif
--- /dev/null
+++ b/tests/standin/MemoryTable.h
@@ -0,0 +1,39 @@
+#ifndef DAISYLANDING_TESTS_STANDIN_MEMORYTABLE_H
+#define DAISYLANDING_TESTS_STANDIN_MEMORYTABLE_H
+
+#include "platform/Table.h"
+
+#include <map>
+
+namespace daisylanding::standin {
+
+/// What goes wrong with the next calls.
+struct TableFaults {
+  bool Down = false;            ///< Every call fails before its effect.
+  uint32_t LoseNextAnswers = 0; ///< Commits take effect, then fail.
+};
+
+/// The one fake of the platform's table and object store: in the tests'
+/// process directly, and behind the stand-in's HTTP server.
+class MemoryTable final : public platform::Table, public platform::ObjectStore {
+public:
+  Result<platform::Row> read(std::string_view Key) override;
+  Result<std::vector<platform::Row>> scan(std::string_view Prefix) override;
+  Result<platform::CommitResult>
+  commit(std::span<const platform::Mutation> Mutations) override;
+  std::error_code put(std::string_view Key, std::string_view Value) override;
+  Result<std::string> fetch(std::string_view Key) override;
+
+  TableFaults Faults;
+  uint64_t Commits = 0;
+  uint64_t Reads = 0;
+
+private:
+  std::map<std::string, platform::Row, std::less<>> Rows;
+  std::map<std::string, std::string, std::less<>> Objects;
+  uint64_t LastVersion = 0;
+};
+
+} // namespace daisylanding::standin
+
+#endif
--- /dev/null
+++ b/tests/standin/PlatformMain.cpp
@@ -0,0 +1,12 @@
+#include "standin/PlatformService.h"
+#include "standin/Program.h"
+
+int main(int Count, char **Words) {
+  using namespace daisylanding;
+  auto Arguments = standin::parseArguments(Count, Words);
+  standin::PlatformService Service(1);
+  http::ServerOptions Options;
+  Options.Port = static_cast<uint16_t>(std::stoi(Arguments["port"]));
+  Options.MaxBodyBytes = 64 << 20;
+  return standin::serveUntilSignal(Options, Service);
+}
--- /dev/null
+++ b/tests/standin/WorkerService.h
@@ -0,0 +1,79 @@
+#ifndef DAISYLANDING_TESTS_STANDIN_WORKERSERVICE_H
+#define DAISYLANDING_TESTS_STANDIN_WORKERSERVICE_H
+
+#include "http/Server.h"
+#include "standin/DelayQueue.h"
+#include "standin/History.h"
+#include "worker/Protocol.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace daisylanding::standin {
+
+/// One worker's tasks and leases, without any I/O.
+class WorkerModel {
+public:
+  explicit WorkerModel(std::string Name, std::string Boot)
+      : Name(std::move(Name)), Boot(std::move(Boot)) {}
+
+  /// The report, or nothing when the sync is out of date.
+  std::optional<worker::SyncReport> sync(const worker::SyncRequest &Request,
+                                         TimePoint Now, History &Log);
+  /// Ends what has run its time or whose lease has lapsed. A worker that was
+  /// paused does this before any other step.
+  void advance(TimePoint Now, History &Log);
+
+  bool FailEverything = false;
+  double RunTimeFactor = 1; ///< True run time over the declared one.
+
+private:
+  struct Running {
+    platform::Resources Size;
+    TimePoint Started;
+    std::optional<TimePoint> Ends;
+    bool Leased = false;
+  };
+
+  void obey(const worker::SyncRequest &Request, TimePoint Now, History &Log);
+  void start(const worker::StartCommand &Command, TimePoint Now, History &Log);
+  void end(const worker::AttemptId &Id, worker::AttemptResult Result,
+           TimePoint Now, History &Log);
+
+  std::string Name;
+  std::string Boot;
+  /// The newest (epoch, sequence) seen of each shard.
+  std::map<std::string, std::pair<uint64_t, uint64_t>> Newest;
+  std::map<worker::AttemptId, Running> Tasks;
+  std::map<worker::AttemptId, worker::EndedReport> Ended;
+  TimePoint LeaseUntil{};
+};
+
+struct WorkerOptions {
+  std::string NamePrefix;
+  std::string HistoryFile;
+  uint32_t Count = 1; ///< Workers served by this one process.
+};
+
+/// Workers at /w0, /w1, ... Faults at /control/faults: worker, failing,
+/// run_time_factor.
+class WorkerService final : public http::Handler {
+public:
+  explicit WorkerService(WorkerOptions Options);
+  void handle(http::Request Incoming, http::Responder Respond) override;
+
+private:
+  http::Response answer(const http::Request &Incoming);
+  http::Response setFaults(const http::Request &Incoming);
+  void tick();
+
+  std::mutex Mutex;
+  History Log;
+  std::map<std::string, WorkerModel> Workers;
+  DelayQueue Later;
+};
+
+} // namespace daisylanding::standin
+
+#endif
--- /dev/null
+++ b/tests/unit/ShardOwnerTest.cpp
@@ -0,0 +1,175 @@
+#include "ShardFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisylanding;
+using namespace daisylanding::test;
+
+// clang-format off
+TEST_GROUP(AnOwnerWithTwoWorkers) {
+  ShardWorld World;
+  void setup() override {
+    World.addWorker("w1");
+    World.addWorker("w2");
+  }
+};
+
+TEST_GROUP_BASE(WithABatchOfThreeTasks, TEST_GROUP_CppUTestGroupAnOwnerWithTwoWorkers) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerWithTwoWorkers::setup();
+    World.submit(batchJob("j1", 3));
+  }
+};
+
+TEST_GROUP_BASE(WhenTheBatchRuns, TEST_GROUP_CppUTestGroupWithABatchOfThreeTasks) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupWithABatchOfThreeTasks::setup();
+    World.run(Millis(300));
+  }
+};
+
+TEST_GROUP_BASE(WithALeasedTaskOnAPausedWorker, TEST_GROUP_CppUTestGroupAnOwnerWithTwoWorkers) {
+  std::string Paused;
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerWithTwoWorkers::setup();
+    config::JobSpec Spec = batchJob("m1", 1);
+    Spec.Class = "movable";
+    Spec.RunTime = Millis(100'000);
+    World.submit(Spec);
+    World.run(Millis(2'000));
+    Paused = World.runningOn("w1") ? "w1" : "w2";
+  }
+};
+// clang-format on
+
+TEST(WithABatchOfThreeTasks, NothingIsSaidToAWorkerBeforeItIsWritten) {
+  World.sync(); // The first exchange only asks who is there.
+  auto Group = World.Owner->nextGroup(World.Now);
+  CHECK(Group.has_value());
+  World.Now += Millis(5'000);
+  World.sync();
+  LONGS_EQUAL(0, World.runningEverywhere());
+  World.Owner->onWritten(World.Now);
+  World.sync();
+  LONGS_EQUAL(3, World.runningEverywhere());
+}
+
+TEST(WithABatchOfThreeTasks, AllRunOnceAndTheJobEnds) {
+  World.run(Millis(4'000));
+  LONGS_EQUAL(0, World.Owner->State.Jobs.size());
+  size_t Starts = 0;
+  for (const auto &Row : World.Journal) {
+    for (const auto &Each : Row.Records)
+      Starts += std::holds_alternative<shard::TaskStarted>(Each);
+  }
+  LONGS_EQUAL(3, Starts);
+}
+
+TEST(WhenTheBatchRuns, ANewOwnerFindsTheSameTasksAndStartsNoneAgain) {
+  LONGS_EQUAL(3, World.runningEverywhere());
+  World.takeOver();
+  World.run(Millis(200));
+  LONGS_EQUAL(3, World.runningEverywhere());
+  LONGS_EQUAL(3, World.Owner->status("j1")->Running);
+}
+
+TEST(WhenTheBatchRuns, APausedOwnerThatResumesIsRefusedByTheWorkers) {
+  std::unique_ptr<shard::ShardOwner> Old = std::move(World.Owner);
+  World.takeOver();
+  World.run(Millis(200));
+  World.Now += Millis(2'000);
+  for (const shard::WorkerCall &Call : Old->dueSyncs(World.Now)) {
+    auto Name = Call.Address.substr(8);
+    auto Report =
+        World.Models.at(Name).sync(Call.Request, World.Now, World.Log);
+    CHECK_FALSE(Report.has_value());
+  }
+}
+
+TEST(WhenTheBatchRuns, ADelayedDuplicateOfASyncStartsNothing) {
+  World.takeOver();
+  World.Now += Millis(1'000);
+  World.sync(); // Hello.
+  World.Now += Millis(1'000);
+  auto Calls = World.Owner->dueSyncs(World.Now);
+  for (const shard::WorkerCall &Call : Calls)
+    World.Owner->onSynced(Call.Instance, Errc::Timeout, World.Now);
+  World.run(Millis(4'000));
+  for (const shard::WorkerCall &Call : Calls) {
+    auto &Model = World.Models.at(Call.Address.substr(8));
+    CHECK_FALSE(Model.sync(Call.Request, World.Now, World.Log).has_value());
+  }
+  LONGS_EQUAL(0, World.runningEverywhere());
+}
+
+TEST(WhenTheBatchRuns, TasksOfAnInstanceThatIsGoneStartElsewhere) {
+  size_t Before = World.runningOn("w1");
+  CHECK(Before > 0);
+  World.Models.erase("w1");
+  World.removeFromList("w1");
+  World.run(Millis(300));
+  LONGS_EQUAL(3, World.runningOn("w2"));
+}
+
+TEST(WhenTheBatchRuns, AnOwnerWithAnOlderListDeclaresNothingLost) {
+  World.takeOver();
+  auto Stale = World.makeOwner();
+  Stale->applyView({}, 0, World.Config, World.Now);
+  Stale->load({}, World.Journal, World.Journal.size(), World.Now);
+  Stale->applyView({}, 0, World.Config, World.Now);
+  auto Group = Stale->nextGroup(World.Now);
+  CHECK_FALSE(Group.has_value());
+  LONGS_EQUAL(3, Stale->status("j1")->Running);
+}
+
+TEST(WhenTheBatchRuns, AStoppedJobEndsAndRunsNowhere) {
+  World.stop("j1");
+  World.run(Millis(3'000));
+  LONGS_EQUAL(0, World.runningEverywhere());
+  LONGS_EQUAL(0, World.Owner->State.Jobs.size());
+}
+
+TEST(WhenTheBatchRuns, ASnapshotRestoresTheSameState) {
+  std::string Text = World.Owner->snapshotText();
+  auto Other = World.makeOwner();
+  Other->applyView(World.List, World.ListVersion, World.Config, World.Now);
+  CHECK_FALSE(Other->load(Text, {}, World.Journal.size(), World.Now));
+  LONGS_EQUAL(3, Other->status("j1")->Running);
+  for (uint32_t I = 0; I < 2; ++I)
+    CHECK(Other->State.Pool.free(I) == World.Owner->State.Pool.free(I));
+  STRCMP_EQUAL(Text.c_str(), Other->snapshotText().c_str());
+}
+
+TEST(WithALeasedTaskOnAPausedWorker, ItStartsElsewhereOnlyAfterTheLease) {
+  auto Calls = World.Owner->dueSyncs(World.Now + Millis(1'000));
+  for (const shard::WorkerCall &Call : Calls)
+    World.Owner->onSynced(Call.Instance, Errc::Timeout, World.Now);
+  CHECK(World.Owner->status("m1")->Running == 1);
+  CHECK_FALSE(World.Owner->nextGroup(World.Now).has_value());
+}
+
+TEST(WithALeasedTaskOnAPausedWorker, ARenewalInItsSocketExtendsNothing) {
+  // Renewals reach the paused worker's socket and are read much later.
+  std::vector<shard::WorkerCall> Unread;
+  bool StartedElsewhere = false;
+  for (int Step = 0; Step < 200 && !StartedElsewhere; ++Step) {
+    World.Now += Millis(100);
+    World.Owner->confirmOwnership(World.Now);
+    World.write();
+    for (const shard::WorkerCall &Call : World.Owner->dueSyncs(World.Now)) {
+      if (Call.Address != "address-" + Paused) {
+        World.deliver(*World.Owner, Call);
+        continue;
+      }
+      Unread.push_back(Call);
+      World.Owner->onSynced(Call.Instance, Errc::Timeout, World.Now);
+    }
+    std::string Other = Paused == "w1" ? "w2" : "w1";
+    StartedElsewhere = World.runningOn(Other) == 1;
+  }
+  CHECK(StartedElsewhere);
+  // It resumes: before any other step it reads what waited.
+  for (const shard::WorkerCall &Call : Unread)
+    World.Models.at(Paused).sync(Call.Request, World.Now, World.Log);
+  LONGS_EQUAL(0, World.runningOn(Paused));
+}
