--- a/src/entry/FrontLoop.cpp
+++ b/src/entry/FrontLoop.cpp
@@ -85,13 +85,13 @@
     onEndpointDone(std::move(Done), monotonicNow());
   RecordReply Reply;
   while (Records.Replies.pop(Reply))
-    onRecord(std::move(Reply), monotonicNow());
+    onRecord(Reply, monotonicNow());
   ForwardDone Answer;
   while (Forwarded.pop(Answer))
     onForwarded(std::move(Answer));
   CreditRow Row;
   while (CreditRows.pop(Row))
-    onCredits(std::move(Row));
+    onCredits(Row);
 }
 
 void FrontLoop::applyView() {
@@ -363,7 +363,7 @@
   return true;
 }
 
-void FrontLoop::onRecord(RecordReply Reply, TimePoint Now) {
+void FrontLoop::onRecord(const RecordReply &Reply, TimePoint Now) {
   auto Found = Requests.find(Reply.Id);
   if (Found == Requests.end())
     return; // A completion: its caller was answered before.
@@ -508,7 +508,7 @@
   return Zone;
 }
 
-void FrontLoop::onCredits(CreditRow Row) {
+void FrontLoop::onCredits(const CreditRow &Row) {
   ServiceState *Service = findService(Row.Service);
   if (!Service || !Seen || Row.WritesSettled != Service->CreditWrites)
     return;
--- a/src/entry/FrontLoop.h
+++ b/src/entry/FrontLoop.h
@@ -88,10 +88,10 @@
   void onFailure(uint64_t Id, Active &Each, std::error_code Failure,
                  TimePoint Now);
   bool retry(uint64_t Id, Active &Each, TimePoint Now);
-  void onRecord(RecordReply Reply, TimePoint Now);
+  void onRecord(const RecordReply &Reply, TimePoint Now);
   void onEarlier(uint64_t Id, Active &Each, const RequestRecord &Earlier);
   void onForwarded(ForwardDone Done);
-  void onCredits(CreditRow Row);
+  void onCredits(const CreditRow &Row);
   void giveUp(uint64_t Id, Active &Each, caller::ProblemCode Problem,
               Micros ExpectedWait);
   void answerNotRun(uint64_t Id, Active &Each, caller::EarlierTries Earlier);
--- a/src/entry/ShardLoop.cpp
+++ b/src/entry/ShardLoop.cpp
@@ -119,7 +119,7 @@
   }
   ShardQuery Query;
   while (Queries.pop(Query))
-    answer(std::move(Query));
+    answer(Query);
 }
 
 void ShardLoop::onJournal(JournalReply Reply, TimePoint Now) {
@@ -264,7 +264,7 @@
   return Out;
 }
 
-void ShardLoop::answer(ShardQuery Query) {
+void ShardLoop::answer(const ShardQuery &Query) {
   ShardAnswer Out;
   for (const auto &Each : Shards) {
     Out.Shards.push_back(report(Each.second));
--- a/src/entry/ShardLoop.h
+++ b/src/entry/ShardLoop.h
@@ -68,7 +68,7 @@
   void advance(Running &Each, TimePoint Now);
   void askShares(Running &Each, TimePoint Now);
   void note(const Running &Each, const shard::StartNotice &Notice);
-  void answer(ShardQuery Query);
+  void answer(const ShardQuery &Query);
   ShardReport report(const Running &Each) const;
   void publishMetrics(TimePoint Now);
   void release(Running &Each);
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 struct Traits : public restinio::default_single_thread_traits_t {
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name.
   static constexpr bool use_connection_count_limiter = true;
 };
 
--- a/src/peer/PeerLoop.cpp
+++ b/src/peer/PeerLoop.cpp
@@ -8,6 +8,8 @@
 #include <kj/async-io.h>
 #include <nlohmann/json.hpp>
 
+#include <optional>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -39,7 +41,7 @@
   struct Link {
     kj::Own<kj::AsyncIoStream> Stream;
     kj::Own<capnp::TwoPartyClient> Client;
-    kj::Maybe<wire::Peer::Client> Peer;
+    std::optional<wire::Peer::Client> Peer;
     bool Opening = false;
     uint64_t KnownConfig = 0; ///< The peer's version, as it last told.
   };
@@ -50,13 +52,13 @@
   void gossipOnce();
   void drainQueues();
   std::set<std::string> peerAddresses() const;
-  kj::Promise<wire::Peer::Client> connect(std::string Address);
+  kj::Promise<wire::Peer::Client> connect(const std::string &Address);
   void drop(const std::string &Address) { Links.erase(Address); }
   void fillGossip(wire::Gossip::Builder Out, uint64_t PeerConfig);
   void takeGossip(wire::Gossip::Reader Source);
   void forward(entry::ForwardCall Call);
-  void collectEvents(EventsCall Call);
-  void collectJobs(JobsCall Call);
+  void collectEvents(const EventsCall &Call);
+  void collectJobs(const JobsCall &Call);
   kj::Promise<std::string> ownJobs(const std::string &Job);
   void reportForward(uint64_t Id, Result<http::Response> Answer);
   void taskFailed(kj::Exception &&Failure) override;
@@ -96,8 +98,8 @@
                            .Arrived = monotonicNow(),
                            .Forwarded = true};
     if (!Owner.Owner.Hooks.Serve(std::move(In)))
-      KJ_FAIL_REQUIRE("queue full");
-    return Pair.promise.then([Context](http::Response Answer) mutable {
+      kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "queue full"));
+    return Pair.promise.then([Context](const http::Response &Answer) mutable {
       write(Context.getResults().initAnswer(), Answer);
     });
   }
@@ -118,9 +120,10 @@
 
   kj::Promise<void> jobs(JobsContext Context) override {
     std::string Id = toString(Context.getParams().getId());
-    return Owner.ownJobs(Id).then([Context](std::string Document) mutable {
-      Context.getResults().setDocument(Document);
-    });
+    return Owner.ownJobs(Id).then(
+        [Context](const std::string &Document) mutable {
+          Context.getResults().setDocument(Document);
+        });
   }
 
 private:
@@ -197,10 +200,10 @@
   }
   EventsCall Events;
   while (Owner.Events.pop(Events))
-    collectEvents(std::move(Events));
+    collectEvents(Events);
   JobsCall Jobs;
   while (Owner.Jobs.pop(Jobs))
-    collectJobs(std::move(Jobs));
+    collectJobs(Jobs);
 }
 
 std::set<std::string> PeerLoop::Impl::peerAddresses() const {
@@ -214,11 +217,11 @@
   return Out;
 }
 
-kj::Promise<wire::Peer::Client> PeerLoop::Impl::connect(std::string Address) {
+kj::Promise<wire::Peer::Client>
+PeerLoop::Impl::connect(const std::string &Address) {
   Link &Known = Links[Address];
-  KJ_IF_MAYBE (Peer, Known.Peer) {
-    return *Peer;
-  }
+  if (Known.Peer)
+    return *Known.Peer;
   auto &Timer = Io.provider->getTimer();
   auto &Network = Io.provider->getNetwork();
   auto Opened =
@@ -239,8 +242,9 @@
             return Call.send();
           })
           .then([this, Address](auto &&Answer) -> wire::Peer::Client {
-            KJ_REQUIRE(Answer.getVerdict() == wire::Verdict::ACCEPTED,
-                       "the peer refused this entry");
+            if (Answer.getVerdict() != wire::Verdict::ACCEPTED)
+              kj::throwFatalException(
+                  KJ_EXCEPTION(FAILED, "the peer refused this entry"));
             wire::Peer::Client Peer = Answer.getPeer();
             Links[Address].Peer = Peer;
             return Peer;
@@ -356,7 +360,7 @@
                 }));
 }
 
-void PeerLoop::Impl::collectEvents(EventsCall Call) {
+void PeerLoop::Impl::collectEvents(const EventsCall &Call) {
   auto Merged = std::make_shared<std::vector<Event>>(
       Shared.Events.since(Call.After, Call.Limit));
   auto Pending =
@@ -392,11 +396,12 @@
       Owner.Hooks.AskJobsDocument(Job, [Fulfiller](std::string Document) {
         (*Fulfiller)->fulfill(std::move(Document));
       });
-  KJ_REQUIRE(Asked, "queue full");
+  if (!Asked)
+    return KJ_EXCEPTION(OVERLOADED, "queue full");
   return kj::mv(Pair.promise);
 }
 
-void PeerLoop::Impl::collectJobs(JobsCall Call) {
+void PeerLoop::Impl::collectJobs(const JobsCall &Call) {
   auto Merged = std::make_shared<std::vector<std::string>>();
   auto Pending =
       kj::heapArrayBuilder<kj::Promise<void>>(peerAddresses().size() + 1);
--- a/src/policy/Backoff.h
+++ b/src/policy/Backoff.h
@@ -5,6 +5,7 @@
 #include "common/Time.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisylanding::policy {
 
@@ -14,7 +15,7 @@
 inline int64_t retryAfterSeconds(Micros ExpectedWait, Random &Generator) {
   constexpr double MaxSeconds = 60;
   double Base = std::clamp(toSeconds(ExpectedWait), 1.0, MaxSeconds);
-  return static_cast<int64_t>(Base + Base * Generator.unit() + 0.5);
+  return std::llround(Base + Base * Generator.unit());
 }
 
 /// Exponential back-off with full jitter on its upper half.
--- a/src/policy/RequestQueue.cpp
+++ b/src/policy/RequestQueue.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-RequestQueue::RequestQueue(RequestQueueOptions Options)
+RequestQueue::RequestQueue(const RequestQueueOptions &Options)
     : MaxWaiting(Options.MaxWaiting) {
   for (Millis Target : Options.WaitingTargets) {
     ClassState &Each = Classes.emplace_back();
--- a/src/policy/RequestQueue.h
+++ b/src/policy/RequestQueue.h
@@ -40,7 +40,7 @@
 /// that overload in one class stays there.
 class RequestQueue {
 public:
-  explicit RequestQueue(RequestQueueOptions Options);
+  explicit RequestQueue(const RequestQueueOptions &Options);
 
   /// Queues \p Request unless it would be late. \p StartsPerSecond is the
   /// rate at which the service's slots become free; 0 means unknown.
--- a/src/worker/Protocol.h
+++ b/src/worker/Protocol.h
@@ -21,6 +21,7 @@
   uint32_t Attempt = 0;
 
   bool operator==(const AttemptId &) const = default;
+  // NOLINTNEXTLINE(readability-identifier-naming): found in the library.
   auto operator<=>(const AttemptId &) const = default;
 };
 
--- a/src/worker/WorkerLoop.cpp
+++ b/src/worker/WorkerLoop.cpp
@@ -25,7 +25,7 @@
       Done(RingCapacity, std::move(WakeShards)), Timeout(Timeout),
       Client({.MaxConnectionsPerHost = 64, .MaxIdleConnections = 4'096}) {}
 
-void WorkerLoop::begin(SyncCall Call) {
+void WorkerLoop::begin(const SyncCall &Call) {
   http::Call Request;
   Request.Method = "POST";
   Request.Url = "http://" + Call.Address + "/v1/sync";
@@ -35,18 +35,18 @@
   Request.MaxAnswerBytes = MaxReportBytes;
   SyncDone Reply{
       .Shard = Call.Shard, .Epoch = Call.Epoch, .Instance = Call.Instance};
-  Client.start(std::move(Request),
-               [this, Reply = std::move(Reply)](http::Outcome Answer) mutable {
-                 Reply.Report = readAnswer(Answer);
-                 Finished.push_back(std::move(Reply));
-               });
+  Client.start(std::move(Request), [this, Reply = std::move(Reply)](
+                                       const http::Outcome &Answer) mutable {
+    Reply.Report = readAnswer(Answer);
+    Finished.push_back(std::move(Reply));
+  });
 }
 
 void WorkerLoop::run() {
   while (!Loop.stopping()) {
     SyncCall Call;
     while (Calls.pop(Call))
-      begin(std::move(Call));
+      begin(Call);
     Client.poll(PollInterval);
     while (!Finished.empty() && Done.push(Finished.front()))
       Finished.pop_front();
--- a/src/worker/WorkerLoop.h
+++ b/src/worker/WorkerLoop.h
@@ -47,7 +47,7 @@
 
 private:
   void run();
-  void begin(SyncCall Call);
+  void begin(const SyncCall &Call);
 
   Millis Timeout;
   http::MultiClient Client;
