--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,10 @@
 test: build
 	cd $(BUILD) && RC_PARAMS="seed=1" ctest --output-on-failure -j 4
 
+demo: packages build
+	rm -rf $(BUILD)/demo-run
+	$(BUILD)/demo $(BUILD) $(BUILD)/demo-run demo/sohar.toml demo/akureyri.toml
+
 models:
 	./spec/check
 
--- a/src/entry/JournalStore.cpp
+++ b/src/entry/JournalStore.cpp
@@ -236,10 +236,10 @@
     return Row.error();
   policy::QuotaShares Shares;
   json Document = json::parse(Row->Value, nullptr, false);
-  if (Document.is_object()) {
-    for (const auto &Each : Document.items())
-      Shares[Each.key()] = platform::resourcesFromJson(Each.value());
-  }
+  if (!Document.is_object())
+    Document = json::object();
+  for (const auto &Each : Document.items())
+    Shares[Each.key()] = platform::resourcesFromJson(Each.value());
   platform::Resources Held = Shares[Owned.Id];
   platform::Resources Next =
       policy::planShare(Shares, Quota, Owned.Id, Demand.Used, Demand.Wanted);
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -23,7 +23,7 @@
   Response Answer;
   curl_slist *Headers = nullptr;
   CURL *Handle = nullptr;
-  bool TooLarge = false;
+  bool Issued = false; ///< A request may have gone out, on any connection.
   Completion Done;
 
   Transfer() = default;
@@ -35,10 +35,8 @@
 size_t onBody(char *Data, size_t Size, size_t Count, void *User) {
   auto *Each = static_cast<Transfer *>(User);
   size_t Bytes = Size * Count;
-  if (Each->Answer.Body.size() + Bytes > Each->Request.MaxAnswerBytes) {
-    Each->TooLarge = true;
+  if (Each->Answer.Body.size() + Bytes > Each->Request.MaxAnswerBytes)
     return 0;
-  }
   Each->Answer.Body.append(Data, Bytes);
   return Bytes;
 }
@@ -65,6 +63,12 @@
   return Size * Count;
 }
 
+/// Called when a connection stands and a request is about to go out on it.
+int onRequest(void *User, char *, char *, int, int) {
+  static_cast<Transfer *>(User)->Issued = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 void configure(Transfer &Each, CURL *Handle) {
   Each.Handle = Handle;
   const Call &Request = Each.Request;
@@ -86,7 +90,8 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Each);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, onHeader);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &Each);
-  curl_easy_setopt(Handle, CURLOPT_PRIVATE, &Each);
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, onRequest);
+  curl_easy_setopt(Handle, CURLOPT_PREREQDATA, &Each);
   if (Request.Method != "GET") {
     curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Request.Body.data());
     curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -108,14 +113,6 @@
          findHeader(Answer.Headers, "Transfer-Encoding");
 }
 
-bool surelyNotSent(CURL *Handle, CURLcode Code) {
-  if (Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST)
-    return true;
-  long Sent = 0;
-  curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &Sent);
-  return Sent == 0;
-}
-
 Outcome conclude(Transfer &Each, CURLcode Code) {
   if (Code == CURLE_OK) {
     long Status = 0;
@@ -125,7 +122,9 @@
       return Errc::AnswerLost;
     return std::move(Each.Answer);
   }
-  if (surelyNotSent(Each.Handle, Code))
+  // The code alone would mislead: the library sends a request again when a
+  // kept connection closes on it, and that second try may fail to connect.
+  if (!Each.Issued)
     return Errc::Unreachable;
   return Code == CURLE_OPERATION_TIMEDOUT ? Errc::Timeout : Errc::AnswerLost;
 }
--- /dev/null
+++ b/tests/harness/Process.cpp
@@ -0,0 +1,72 @@
+#include "harness/Process.h"
+
+#include <csignal>
+#include <thread>
+#include <utility>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace daisylanding::harness {
+
+Process::Process(std::vector<std::string> Words, const std::string &LogFile) {
+  std::vector<char *> Arguments;
+  for (std::string &Each : Words)
+    Arguments.push_back(Each.data());
+  Arguments.push_back(nullptr);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  constexpr int Mode = 0644;
+  posix_spawn_file_actions_addopen(&Actions, STDERR_FILENO, LogFile.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, Mode);
+  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, "/dev/null",
+                                   O_WRONLY, 0);
+  if (posix_spawn(&Pid, Arguments[0], &Actions, nullptr, Arguments.data(),
+                  environ) != 0)
+    Pid = -1;
+  posix_spawn_file_actions_destroy(&Actions);
+}
+
+Process::~Process() {
+  if (!running())
+    return;
+  signal(SIGKILL);
+  waitpid(Pid, nullptr, 0);
+}
+
+Process::Process(Process &&Other) noexcept
+    : Pid(std::exchange(Other.Pid, -1)), Status(Other.Status) {}
+
+Process &Process::operator=(Process &&Other) noexcept {
+  std::swap(Pid, Other.Pid);
+  std::swap(Status, Other.Status);
+  return *this;
+}
+
+void Process::signal(int Number) const {
+  if (Pid > 0)
+    ::kill(Pid, Number);
+}
+
+bool Process::running() {
+  if (Pid <= 0)
+    return false;
+  int State = 0;
+  if (waitpid(Pid, &State, WNOHANG) == 0)
+    return true;
+  Status = WIFEXITED(State) ? WEXITSTATUS(State) : -1;
+  Pid = -1;
+  return false;
+}
+
+int Process::wait(Millis Longest) {
+  constexpr Millis Step{10};
+  TimePoint Until = monotonicNow() + Longest;
+  while (running() && monotonicNow() < Until)
+    std::this_thread::sleep_for(Step);
+  return Pid > 0 ? -1 : Status;
+}
+
+} // namespace daisylanding::harness
--- /dev/null
+++ b/tests/harness/Process.h
@@ -0,0 +1,38 @@
+#ifndef DAISYLANDING_TESTS_HARNESS_PROCESS_H
+#define DAISYLANDING_TESTS_HARNESS_PROCESS_H
+
+#include "common/Time.h"
+
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace daisylanding::harness {
+
+/// A child process of the harness; killed when the object goes.
+class Process {
+public:
+  Process() = default;
+  /// Starts \p Words; standard error goes to \p LogFile, appended.
+  Process(std::vector<std::string> Words, const std::string &LogFile);
+  ~Process();
+  Process(Process &&Other) noexcept;
+  Process &operator=(Process &&Other) noexcept;
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+
+  void signal(int Number) const;
+  bool running();
+  /// Waits for its end, at most \p Longest; the exit code, or -1.
+  int wait(Millis Longest);
+  pid_t pid() const { return Pid; }
+
+private:
+  pid_t Pid = -1;
+  int Status = -1;
+};
+
+} // namespace daisylanding::harness
+
+#endif
--- /dev/null
+++ b/tests/harness/Scenario.h
@@ -0,0 +1,53 @@
+#ifndef DAISYLANDING_TESTS_HARNESS_SCENARIO_H
+#define DAISYLANDING_TESTS_HARNESS_SCENARIO_H
+
+#include "config/JobSpec.h"
+
+#include <string>
+#include <vector>
+
+namespace daisylanding::harness {
+
+struct ServiceScenario {
+  config::ServiceSpec Spec;
+  uint32_t Endpoints = 1;
+  uint32_t WorkMs = 20;
+  double RequestsPerSecond = 10;
+  double NonRepeatable = 0.5; ///< Share of requests, 0 to 1.
+};
+
+struct WorkerScenario {
+  std::string Name;
+  uint32_t Count = 1;
+  platform::Resources Capacity;
+  uint32_t PerRack = 4;
+};
+
+struct JobScenario {
+  config::JobSpec Spec; ///< Its id is the prefix of the jobs' ids.
+  uint32_t Count = 1;
+};
+
+/// A deployment and its load, as a TOML file of `demo/` describes it.
+struct Scenario {
+  std::string Name;
+  std::vector<std::string> Zones;
+  uint32_t EntriesPerZone = 2;
+  uint32_t Entries = 0; ///< In all; the last zones get fewer.
+  uint32_t PlatformLatencyMs = 0;
+  uint16_t BasePort = 20'000;
+  uint32_t ShardsPerZone = 1;
+  uint32_t WritesPerSecond = 50; ///< Of each entry.
+  std::vector<config::WorkClass> Classes;
+  std::vector<config::Team> Teams;
+  std::vector<ServiceScenario> Services;
+  std::vector<WorkerScenario> Workers;
+  std::vector<JobScenario> Jobs;
+};
+
+/// Reads a scenario; the program ends with a message when it can't.
+Scenario loadScenario(const std::string &File);
+
+} // namespace daisylanding::harness
+
+#endif
