--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,11 @@
 	rm -rf $(BUILD)/demo-run
 	$(BUILD)/demo $(BUILD) $(BUILD)/demo-run demo/sohar.toml demo/akureyri.toml
 
+SEED ?= 1
+ROUNDS ?= 12
+chaos: build
+	$(BUILD)/chaos $(BUILD) $(BUILD)/chaos-run demo/sohar.toml $(SEED) $(ROUNDS)
+
 models:
 	./spec/check
 
--- a/tests/harness/Checker.cpp
+++ b/tests/harness/Checker.cpp
@@ -165,6 +165,14 @@
   }
 }
 
+void checkRaces(const Histories &Past, Findings &Out) {
+  std::set<uint64_t> Made;
+  for (uint64_t Each : Past.AcceptedVersions) {
+    if (!Made.insert(Each).second)
+      Out.push_back({Violation::RaceHadTwoWinners, std::to_string(Each)});
+  }
+}
+
 void checkJobs(const Histories &Past, Findings &Out) {
   std::map<std::string, std::set<std::string>> Succeeded;
   for (const TaskRun &Each : Past.Tasks) {
@@ -204,6 +212,8 @@
     return "cut-by-planned-stop";
   case Violation::ConfigReverted:
     return "config-reverted";
+  case Violation::RaceHadTwoWinners:
+    return "race-had-two-winners";
   case Violation::JobLost:
     return "job-lost";
   case Violation::JobEndedWithoutItsTasks:
@@ -250,6 +260,7 @@
   checkDrains(Past, Out);
   checkTasks(Past, Out);
   checkVersions(Past, Out);
+  checkRaces(Past, Out);
   checkJobs(Past, Out);
   return Out;
 }
--- a/tests/harness/Checker.h
+++ b/tests/harness/Checker.h
@@ -74,6 +74,8 @@
   std::vector<Leaving> Drains;
   std::vector<VersionSeen> Versions;
   std::vector<JobFate> Jobs;
+  /// Accepted changes by the version they made; each has one.
+  std::vector<uint64_t> AcceptedVersions;
   std::map<std::string, platform::Resources> Capacities;
   uint32_t SlotsPerEndpoint = 8;
 };
@@ -89,6 +91,7 @@
   WorkOnLeavingEndpoint,
   CutByPlannedStop,
   ConfigReverted,
+  RaceHadTwoWinners, ///< Two changes to one version were both accepted.
   JobLost,
   JobEndedWithoutItsTasks,
 };
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -48,6 +48,7 @@
                        std::string Folder)
     : What(std::move(NewWhat)), Programs(std::move(Programs)),
       Folder(std::move(Folder)) {
+  std::filesystem::remove_all(this->Folder); // Histories of earlier runs.
   std::filesystem::create_directories(this->Folder);
   layOut();
 }
@@ -395,6 +396,19 @@
   }
 }
 
+uint64_t Deployment::lowestConfigVersion() {
+  uint64_t Lowest = UINT64_MAX;
+  for (auto &Each : Entries) {
+    auto Answer = call("GET", "http://" + Each->operators() + "/v1/status", "",
+                       ControlTimeout);
+    json Status = Answer ? json::parse(Answer->Body, nullptr, false) : json();
+    if (!Status.is_object())
+      return 0;
+    Lowest = std::min<uint64_t>(Lowest, Status["config_version"]);
+  }
+  return Lowest;
+}
+
 json Deployment::jobRow(const std::string &Id) {
   auto Row = operate("GET", "/v1/jobs/" + Id);
   return Row ? *Row : json::object();
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -75,6 +75,8 @@
   bool changeConfig(const nlohmann::json &Change);
   /// Notes the versions in force, and when drains were applied everywhere.
   void observe();
+  /// The lowest version in force over the running entries; 0 if one is silent.
+  uint64_t lowestConfigVersion();
   /// Waits until no accepted batch or gang job is open; false at the limit.
   bool waitForJobs(Millis Longest);
   nlohmann::json jobRow(const std::string &Id);
