--- a/src/entry/FrontLoop.cpp
+++ b/src/entry/FrontLoop.cpp
@@ -205,25 +205,34 @@
 }
 
 void FrontLoop::dispatch(TimePoint Now) {
-  for (auto &Each : Services)
+  bool ExpireNow = Now >= NextExpiry;
+  if (ExpireNow)
+    NextExpiry = Now + TickInterval;
+  for (auto &Each : Services) {
+    if (ExpireNow)
+      expire(*Each.second, Now);
     dispatchService(*Each.second, Now);
+  }
 }
 
-void FrontLoop::dispatchService(ServiceState &Service, TimePoint Now) {
-  Service.releaseResolved(Now);
+void FrontLoop::expire(ServiceState &Service, TimePoint Now) {
   std::vector<uint64_t> Over;
   Service.Queue.expire(Now, [&](const policy::QueuedRequest &Queued) {
     Over.push_back(Queued.Id);
   });
   for (uint64_t Id : Over) {
     Active &Each = Requests.at(Id);
-    bool TooLate = Now >= Each.Deadline;
-    giveUp(Id, Each,
-           TooLate                ? ProblemCode::DeadlineTooShort
-           : Service.hasCredits() ? ProblemCode::Overloaded
-                                  : ProblemCode::NoEndpoint,
-           Service.Targets[Each.Class]);
+    ProblemCode Problem = ProblemCode::Overloaded;
+    if (Now >= Each.Deadline)
+      Problem = ProblemCode::DeadlineTooShort;
+    else if (!Service.hasCredits())
+      Problem = ProblemCode::NoEndpoint;
+    giveUp(Id, Each, Problem, Service.Targets[Each.Class]);
   }
+}
+
+void FrontLoop::dispatchService(ServiceState &Service, TimePoint Now) {
+  Service.releaseResolved(Now);
   while (Service.Queue.waiting() > 0) {
     auto Endpoint = Service.pick(std::nullopt, Now, Generator);
     if (!Endpoint)
--- a/src/entry/FrontLoop.h
+++ b/src/entry/FrontLoop.h
@@ -80,6 +80,7 @@
   void enqueue(uint64_t Id, Active &Each, TimePoint Now);
   bool tryForward(uint64_t Id, Active &Each);
   void dispatch(TimePoint Now);
+  void expire(ServiceState &Service, TimePoint Now);
   void dispatchService(ServiceState &Service, TimePoint Now);
   void startOn(uint64_t Id, Active &Each, size_t Endpoint, TimePoint Now);
   void reserve(uint64_t Id, Active &Each);
@@ -114,6 +115,7 @@
   std::unordered_map<uint64_t, Active> Requests;
   uint64_t NextId = 1;
   TimePoint NextPublish{};
+  TimePoint NextExpiry{};
   /// When this process first knew that a holder's work would be over.
   std::map<std::string, TimePoint> HolderGoneSince;
   std::atomic<size_t> ActiveCount{0};
