Tasks: headroom for accelerators, equal shares first, preemption as last resort

Cause: (1) work without accelerators was kept off accelerator instances until it was late, though in Sohar three of four cores are there; (2) least slack alone is a domino under overload: when all is late, the class with the tightest target waits behind older lax work; (3) urgent work preempted even when room was about to come free.

--- a/bench/TaskScenario.cpp
+++ b/bench/TaskScenario.cpp
@@ -186,6 +186,8 @@
   TimePoint NextJob = Now;
   uint32_t NextId = 0;
   std::map<std::string, std::string> KindOf; ///< By job id.
+  /// Seconds of work that checkpoints have kept, by job and index.
+  std::map<std::pair<std::string, uint32_t>, double> Kept;
   std::priority_queue<Ending, std::vector<Ending>, std::greater<>> Endings;
   TaskResult Out;
 };
@@ -276,6 +278,7 @@
   double Spread = 0.7 + 0.6 * Generator.unit();
   double Seconds =
       toSeconds(Owner.Spec.RunTime) * Wrong.TrueOverDeclared * Spread;
+  Seconds = std::max(0.1, Seconds - Kept[{Started.Id.Job, Started.Id.Index}]);
   Endings.push({Now + Micros(static_cast<int64_t>(Seconds * 1e6)), Started.Id,
                 EndReason::Succeeded});
 }
@@ -289,9 +292,13 @@
       continue;
     uint32_t Place = One->Instance;
     Millis Ran(toMillis(Now - One->StartedAt));
+    double Lost = toSeconds(Now - One->StartedAt);
+    if (Each.Reason == EndReason::Stopped) {
+      Kept[{Each.Id.Job, Each.Id.Index}] += Lost - toSeconds(StopTime);
+      Lost = toSeconds(StopTime);
+    }
     if (Each.Reason != EndReason::Succeeded)
-      Out.WastedCoreSeconds +=
-          toSeconds(Now - One->StartedAt) * One->Taken.MilliCores / 1'000;
+      Out.WastedCoreSeconds += Lost * One->Taken.MilliCores / 1'000;
     State.apply(TaskEnded{Each.Id, Each.Reason, {}, Ran}, Now);
     if (Each.Reason == EndReason::Failed)
       Health.failed(Place, Now);
--- a/src/policy/Placement.cpp
+++ b/src/policy/Placement.cpp
@@ -41,6 +41,15 @@
   return Cores > Memory ? Cores - Memory : Memory - Cores;
 }
 
+/// Whether what is left beside a task serves the free accelerators.
+bool leavesRoom(const Resources &Free, const Resources &Size,
+                const Resources &KeepPerAccelerator) {
+  uint64_t Count = Free.Accelerators;
+  return Free.MilliCores - Size.MilliCores >=
+             Count * KeepPerAccelerator.MilliCores &&
+         Free.MemoryMb - Size.MemoryMb >= Count * KeepPerAccelerator.MemoryMb;
+}
+
 } // namespace
 
 uint64_t fittingTasks(const Resources &Free, const Resources &Size,
@@ -86,8 +95,8 @@
 bool InstancePool::open(uint32_t Index, const PlacementRequest &Request) const {
   if (!Usables[Index] || !Request.Size.fitsIn(Frees[Index]))
     return false;
-  if (Capacities[Index].Accelerators && !Request.Size.Accelerators &&
-      !Request.MayUseAcceleratorInstances)
+  if (!Request.Size.Accelerators &&
+      !leavesRoom(Frees[Index], Request.Size, Request.KeepPerAccelerator))
     return false;
   return Request.OwnsReservation || ReservedFrom[Index] == NotReserved ||
          Request.ExpectedEnd <= ReservedFrom[Index];
@@ -125,9 +134,11 @@
   return Best;
 }
 
-bool InstancePool::canEverFit(const Resources &Size) const {
+bool InstancePool::fitsWithoutAccelerators(const Resources &Size) const {
   return std::any_of(Capacities.begin(), Capacities.end(),
-                     [&](const Resources &Each) { return Size.fitsIn(Each); });
+                     [&](const Resources &Each) {
+                       return !Each.Accelerators && Size.fitsIn(Each);
+                     });
 }
 
 uint64_t InstancePool::countFitting(const Resources &Size,
--- a/src/policy/Placement.h
+++ b/src/policy/Placement.h
@@ -23,8 +23,9 @@
   TimePoint ExpectedEnd = TimePoint::max();
   /// How many tasks of the same service each rack already has; may be empty.
   std::span<const uint32_t> RackLoad;
-  /// Whether work that needs no accelerator may use an instance with some.
-  bool MayUseAcceleratorInstances = true;
+  /// What work without accelerators must leave for each accelerator that is
+  /// free on an instance, so that accelerators are not stranded.
+  Resources KeepPerAccelerator;
   /// Set for the gang that holds the reservation.
   bool OwnsReservation = false;
 };
@@ -47,8 +48,9 @@
 
   /// The best instance for \p Request, or none that fits.
   std::optional<uint32_t> choose(const PlacementRequest &Request) const;
-  /// Whether some instance could hold \p Size when empty.
-  bool canEverFit(const Resources &Size) const;
+  /// Whether some instance without accelerators could hold \p Size when
+  /// empty.
+  bool fitsWithoutAccelerators(const Resources &Size) const;
   /// How many tasks of \p Size fit at once into what is free now.
   uint64_t countFitting(const Resources &Size, bool OwnsReservation) const;
 
--- a/src/shard/Scheduler.cpp
+++ b/src/shard/Scheduler.cpp
@@ -1,6 +1,8 @@
 #include "shard/Scheduler.h"
 
 #include <algorithm>
+#include <array>
+#include <set>
 
 namespace daisylanding::shard {
 
@@ -13,6 +15,9 @@
 /// used up; a gang gets one at once.
 constexpr int64_t ReserveAfterDivisor = 2;
 
+/// Allowed for a task to checkpoint and for its end to be heard of.
+constexpr Millis TimeToStop{1'500};
+
 /// The time allowed for preempted tasks to stop before more are preempted.
 constexpr Millis PreemptionPatience{2'000};
 
@@ -43,6 +48,7 @@
 Scheduler::candidates(const config::ClusterConfig &Config,
                       TimePoint Now) const {
   std::vector<Candidate> Out;
+  std::set<std::string_view> Waiting;
   for (const auto &Each : State.Jobs) {
     Job &Owner = *Each.second;
     if (Owner.Pending == 0)
@@ -51,9 +57,17 @@
     TimePoint Ready = oldestReady(Owner, Now);
     if (!Class || Ready == TimePoint::max())
       continue;
-    Out.push_back({Ready + Class->WaitingTarget, &Owner, Class});
+    Waiting.insert(Class->Name);
+    Out.push_back(
+        {.Due = Ready + Class->WaitingTarget, .Owner = &Owner, .Class = Class});
   }
+  auto Shares = classShares();
+  double Fair = 1 / static_cast<double>(std::max<size_t>(1, Waiting.size()));
+  for (Candidate &Each : Out)
+    Each.OverShare = Shares[Each.Class->Name] > Fair;
   auto Sooner = [](const Candidate &Left, const Candidate &Right) {
+    if (Left.OverShare != Right.OverShare)
+      return Right.OverShare;
     return Left.Due < Right.Due;
   };
   size_t Kept = std::min(Out.size(), MaxCandidates);
@@ -64,6 +78,53 @@
   return Out;
 }
 
+/// The part of the shard that each class's running tasks hold, in the resource
+/// of which they hold most.
+std::map<std::string_view, double> Scheduler::classShares() const {
+  std::map<std::string_view, std::array<double, 3>> Held;
+  std::array<double, 3> Whole = {1, 1, 1};
+  for (uint32_t I = 0; I < State.Pool.size(); ++I) {
+    Whole[0] += State.Pool.capacity(I).MilliCores;
+    Whole[1] += State.Pool.capacity(I).MemoryMb;
+    Whole[2] += State.Pool.capacity(I).Accelerators;
+  }
+  for (const auto &Each : State.Jobs) {
+    const Job &Owner = *Each.second;
+    auto &Sum = Held[Owner.Spec.Class];
+    const platform::Resources &Size = Owner.Estimate.size();
+    Sum[0] += static_cast<double>(Size.MilliCores) * Owner.Active;
+    Sum[1] += static_cast<double>(Size.MemoryMb) * Owner.Active;
+    Sum[2] += static_cast<double>(Size.Accelerators) * Owner.Active;
+  }
+  std::map<std::string_view, double> Out;
+  for (const auto &[Class, Sum] : Held)
+    Out[Class] =
+        std::max({Sum[0] / Whole[0], Sum[1] / Whole[1], Sum[2] / Whole[2]});
+  return Out;
+}
+
+/// What tasks with accelerators need beside each, on the average of those that
+/// wait or run; nothing when there are none.
+platform::Resources Scheduler::needPerAccelerator() const {
+  uint64_t Cores = 0;
+  uint64_t Memory = 0;
+  uint64_t Accelerators = 0;
+  for (const auto &Each : State.Jobs) {
+    const Job &Owner = *Each.second;
+    const platform::Resources &Size = Owner.Estimate.size();
+    uint64_t Tasks = Owner.Pending + Owner.Active;
+    if (!Size.Accelerators)
+      continue;
+    Cores += Tasks * Size.MilliCores;
+    Memory += Tasks * Size.MemoryMb;
+    Accelerators += Tasks * Size.Accelerators;
+  }
+  if (!Accelerators)
+    return {};
+  return {.MilliCores = static_cast<uint32_t>(Cores / Accelerators),
+          .MemoryMb = static_cast<uint32_t>(Memory / Accelerators)};
+}
+
 std::vector<Record> Scheduler::plan(const config::ClusterConfig &Config,
                                     TimePoint Now, size_t MaxStarts) {
   Current = &Config;
@@ -73,6 +134,7 @@
   std::erase_if(PreemptingUntil,
                 [&](const auto &Each) { return Each.second <= Now; });
   countQuotaUse(Config);
+  KeepPerAccelerator = needPerAccelerator();
   for (const Candidate &Each : candidates(Config, Now)) {
     if (Planned.size() >= MaxStarts)
       break;
@@ -106,16 +168,17 @@
 }
 
 policy::PlacementRequest Scheduler::requestFor(const Candidate &Each,
-                                               TimePoint Now,
-                                               TimePoint ReadySince) {
+                                               TimePoint Now) {
   const Job &Owner = *Each.Owner;
-  bool Late = Now - ReadySince > Each.Class->WaitingTarget;
   policy::PlacementRequest Request{
       .Size = Owner.Estimate.size(),
       .Tightness = Tightness[Each.Class->Name].tightness(),
       .RackLoad = RackCounts,
-      .MayUseAcceleratorInstances = Late,
+      .KeepPerAccelerator = KeepPerAccelerator,
       .OwnsReservation = Reserved && Reserved->Job == Owner.Spec.Id};
+  // What fits nowhere else may not be kept out for ever.
+  if (!State.Pool.fitsWithoutAccelerators(Request.Size))
+    Request.KeepPerAccelerator = {};
   if (Owner.Spec.Kind != config::JobKind::Service)
     Request.ExpectedEnd = Now + Owner.Estimate.runTime();
   return Request;
@@ -126,9 +189,8 @@
   if (Owner.Pending < Owner.Tasks.size() || !withinQuota(Each, Owner.Pending))
     return true; // Not ready as a whole; no room would help.
   RackCounts.clear();
-  TimePoint Ready = Each.Due - Each.Class->WaitingTarget;
-  auto Places = policy::placeGang(State.Pool, requestFor(Each, Now, Ready),
-                                  Owner.Pending);
+  auto Places =
+      policy::placeGang(State.Pool, requestFor(Each, Now), Owner.Pending);
   if (!Places)
     return false;
   for (uint32_t I = 0; I < Owner.Tasks.size(); ++I)
@@ -142,15 +204,15 @@
                      [&](const policy::PlacementRequest &Each) {
                        return Each.Size.fitsIn(Request.Size) &&
                               Request.ExpectedEnd >= Each.ExpectedEnd &&
-                              (Each.MayUseAcceleratorInstances ||
-                               !Request.MayUseAcceleratorInstances) &&
+                              (Each.Size.Accelerators > 0) ==
+                                  (Request.Size.Accelerators > 0) &&
                               !Request.OwnsReservation;
                      });
 }
 
 bool Scheduler::planTask(const Candidate &Each, uint32_t Index, TimePoint Now) {
   Job &Owner = *Each.Owner;
-  auto Request = requestFor(Each, Now, Owner.Tasks[Index].ReadySince);
+  auto Request = requestFor(Each, Now);
   if (knownBlocked(Request))
     return false;
   auto Place = State.Pool.choose(Request);
@@ -232,7 +294,8 @@
                         TimePoint ReadySince, TimePoint Now) {
   bool Gang = Each.Owner->Spec.Kind == config::JobKind::Gang;
   Micros Waited = Now - ReadySince;
-  if (!Gang && Each.Class->WaitingTarget <= UrgentTarget)
+  bool Urgent = !Gang && Each.Class->WaitingTarget <= UrgentTarget;
+  if (Urgent && !Each.OverShare && !fitsInTime(Each, Now))
     preemptFor(Each, Now);
   bool Overdue = Waited * ReserveAfterDivisor > Each.Class->WaitingTarget;
   if (!Reserved && (Gang || Overdue))
@@ -284,6 +347,14 @@
   State.Pool.clearReservations();
 }
 
+/// Whether room comes free by itself before the target is missed, with time
+/// left to make some if it does not.
+bool Scheduler::fitsInTime(const Candidate &Each, TimePoint Now) const {
+  auto Plan = policy::planReservation(State.Pool, running(Now),
+                                      Each.Owner->Estimate.size(), 1, Now);
+  return Plan && Plan->Start + TimeToStop < Each.Due;
+}
+
 void Scheduler::preemptFor(const Candidate &Each, TimePoint Now) {
   if (PreemptingUntil.count(Each.Owner->Spec.Id))
     return; // The room made for it is not free yet.
--- a/src/shard/Scheduler.h
+++ b/src/shard/Scheduler.h
@@ -16,8 +16,9 @@
   platform::Resources Wanted;
 };
 
-/// Decides which pending tasks of a shard start where, in the order of their
-/// slack to the class's waiting target. Pure: it works on the state given.
+/// Decides which pending tasks of a shard start where: classes that hold less
+/// than an equal share of the shard go first, then the least slack to the
+/// class's waiting target. Pure: it works on the state given.
 class Scheduler {
 public:
   explicit Scheduler(ShardState &State) : State(State) {}
@@ -37,6 +38,8 @@
 
 private:
   struct Candidate {
+    /// Its class already holds more than an equal share of the shard.
+    bool OverShare = false;
     TimePoint Due;
     Job *Owner = nullptr;
     const config::WorkClass *Class = nullptr;
@@ -48,10 +51,12 @@
   bool planGang(const Candidate &Each, TimePoint Now);
   bool planTask(const Candidate &Each, uint32_t Index, TimePoint Now);
   void start(Job &Owner, uint32_t Index, uint32_t Instance, TimePoint Now);
-  policy::PlacementRequest requestFor(const Candidate &Each, TimePoint Now,
-                                      TimePoint ReadySince);
+  policy::PlacementRequest requestFor(const Candidate &Each, TimePoint Now);
   std::vector<uint32_t> rackLoad(const Job &Owner) const;
   bool withinQuota(const Candidate &Each, uint32_t Tasks);
+  std::map<std::string_view, double> classShares() const;
+  platform::Resources needPerAccelerator() const;
+  bool fitsInTime(const Candidate &Each, TimePoint Now) const;
   void countQuotaUse(const config::ClusterConfig &Config);
   void blocked(const Candidate &Each, uint32_t Tasks, TimePoint ReadySince,
                TimePoint Now);
@@ -72,6 +77,7 @@
   std::map<std::string, TimePoint> PreemptingUntil;
   std::vector<policy::PlacementRequest> Blocked; ///< In this plan.
   std::vector<uint32_t> RackCounts;
+  platform::Resources KeepPerAccelerator;
   std::vector<Record> Planned;
   const config::ClusterConfig *Current = nullptr;
 };
