Requests: overload stays in the class that causes it

Cause: with one bound for all, a flood filled the queue and every class was refused alike; the expected wait of a class below its share counted the flood. Change: a class below an equal share of starts goes before one above it when it is about to be late or fills its part of the queue; a full queue gives up the newest of the fullest class; the expected wait of each class is bounded by the share of starts that it can get; nine tenths of the target are admissible. Tests: WhenOneClassFloodsIt.

--- a/src/entry/FrontLoop.cpp
+++ b/src/entry/FrontLoop.cpp
@@ -168,6 +168,11 @@
                                .Deadline = Each.Deadline};
   auto Answer =
       Each.Service->Queue.admit(Queued, Each.Service->startsPerSecond(), Now);
+  if (Answer.Evicted) {
+    uint64_t Evicted = Answer.Evicted->Id;
+    giveUp(Evicted, Requests.at(Evicted), ProblemCode::Overloaded,
+           Answer.ExpectedWait);
+  }
   if (Answer.Verdict == policy::Admission::Admitted)
     return;
   if (tryForward(Id, Each))
--- a/src/policy/RequestQueue.cpp
+++ b/src/policy/RequestQueue.cpp
@@ -13,6 +13,14 @@
 /// A class counts as over its share from this multiple of it.
 constexpr double ShareTolerance = 1.1;
 
+/// A class below its share goes first when only this part of its waiting
+/// target is left.
+constexpr int64_t PressingDivisor = 5;
+
+/// The part of its waiting target that a request may be expected to wait, in
+/// hundredths; the rest is for errors of the estimate.
+constexpr int64_t AdmissiblePercent = 90;
+
 /// A queued request is given up at this multiple of its waiting target.
 constexpr int64_t GiveUpFactor = 3;
 
@@ -50,18 +58,69 @@
   return Ahead;
 }
 
+size_t RequestQueue::activeClasses() const {
+  return std::count_if(
+      Classes.begin(), Classes.end(),
+      [](const ClassState &Each) { return !Each.Queue.empty(); });
+}
+
+/// What is due earlier goes first. A class below its share waits for others
+/// only until it is about to be late; and no class gets more starts than an
+/// equal share of them or what it got lately.
+Micros RequestQueue::expectedWait(const QueuedRequest &Request,
+                                  double StartsPerSecond) const {
+  const ClassState &Class = Classes[Request.Class];
+  Micros InOrder = waitFor(aheadOf(Request), StartsPerSecond);
+  Micros UntilPressing = Class.Target - Class.Target / PressingDivisor;
+  if (!overShare(Class))
+    InOrder = std::min(InOrder, UntilPressing);
+  size_t Sharing = activeClasses() + (Class.Queue.empty() ? 1 : 0);
+  double Total = recentStarts();
+  double Share = std::max(1 / static_cast<double>(Sharing),
+                          Total > 0 ? Class.RecentStarts / Total : 0);
+  Micros AtShare = waitFor(Class.Queue.size(), StartsPerSecond * Share);
+  return std::max(InOrder, AtShare);
+}
+
+/// Takes the newest request from the class that fills the queue most, if
+/// \p For has less than an equal part of it and of the starts.
+std::optional<QueuedRequest> RequestQueue::makeRoom(uint32_t For) {
+  size_t Sharing = activeClasses() + (Classes[For].Queue.empty() ? 1 : 0);
+  if (Classes[For].Queue.size() >= MaxWaiting / Sharing ||
+      overShare(Classes[For]))
+    return std::nullopt;
+  auto Fullest =
+      std::max_element(Classes.begin(), Classes.end(),
+                       [](const ClassState &Left, const ClassState &Right) {
+                         return Left.Queue.size() < Right.Queue.size();
+                       });
+  QueuedRequest Evicted = Fullest->Queue.back();
+  Fullest->Queue.pop_back();
+  --Waiting;
+  return Evicted;
+}
+
 AdmissionAnswer RequestQueue::admit(const QueuedRequest &Request,
                                     double StartsPerSecond, TimePoint Now) {
   ClassState &Class = Classes[Request.Class];
-  Micros Wait = waitFor(aheadOf(Request), StartsPerSecond);
-  if (Waiting >= MaxWaiting)
-    return {Admission::QueueFull, Wait};
-  Micros Allowed = std::min(Class.Target, Request.Deadline - Now);
-  if (Wait > Allowed)
-    return {Admission::WouldMissTarget, Wait};
+  AdmissionAnswer Answer;
+  Answer.ExpectedWait = expectedWait(Request, StartsPerSecond);
+  Micros Allowed =
+      std::min(Class.Target * AdmissiblePercent / 100, Request.Deadline - Now);
+  if (Answer.ExpectedWait > Allowed) {
+    Answer.Verdict = Admission::WouldMissTarget;
+    return Answer;
+  }
+  if (Waiting >= MaxWaiting) {
+    Answer.Evicted = makeRoom(Request.Class);
+    if (!Answer.Evicted) {
+      Answer.Verdict = Admission::QueueFull;
+      return Answer;
+    }
+  }
   Class.Queue.push_back(Request);
   ++Waiting;
-  return {Admission::Admitted, Wait};
+  return Answer;
 }
 
 void RequestQueue::decay(TimePoint Now) {
@@ -74,18 +133,20 @@
     Each.RecentStarts *= Kept;
 }
 
-bool RequestQueue::overShare(const ClassState &Each, double Fair) const {
+double RequestQueue::recentStarts() const {
+  double Sum = 0;
+  for (const ClassState &Each : Classes)
+    Sum += Each.RecentStarts;
+  return Sum;
+}
+
+bool RequestQueue::overShare(const ClassState &Each) const {
+  size_t Sharing = activeClasses() + (Each.Queue.empty() ? 1 : 0);
+  double Fair = recentStarts() / static_cast<double>(Sharing);
   return Each.RecentStarts > Fair * ShareTolerance;
 }
 
 RequestQueue::ClassState *RequestQueue::pick(TimePoint Now) {
-  double Total = 0;
-  size_t Active = 0;
-  for (const ClassState &Each : Classes) {
-    Total += Each.RecentStarts;
-    Active += !Each.Queue.empty();
-  }
-  double Fair = Active ? Total / static_cast<double>(Active) : 0;
   ClassState *Earliest = nullptr;
   ClassState *Entitled = nullptr;
   for (ClassState &Each : Classes) {
@@ -93,12 +154,14 @@
       continue;
     if (!Earliest || Each.due() < Earliest->due())
       Earliest = &Each;
-    bool Late = Each.due() <= Now;
-    if (Late && !overShare(Each, Fair) &&
+    bool Late = Each.due() - Each.Target / PressingDivisor <= Now;
+    bool Crowded = Each.Queue.size() > MaxWaiting / (2 * Classes.size());
+    bool Pressing = Late || Crowded;
+    if (Pressing && !overShare(Each) &&
         (!Entitled || Each.due() < Entitled->due()))
       Entitled = &Each;
   }
-  return Entitled ? Entitled : Earliest;
+  return Earliest && Entitled && overShare(*Earliest) ? Entitled : Earliest;
 }
 
 std::optional<QueuedRequest> RequestQueue::next(TimePoint Now) {
--- a/src/policy/RequestQueue.h
+++ b/src/policy/RequestQueue.h
@@ -27,6 +27,9 @@
 struct AdmissionAnswer {
   Admission Verdict = Admission::Admitted;
   Micros ExpectedWait{0};
+  /// A queued request that has to give way: the queue is full, and its class
+  /// has more than an equal part of it. It is no longer queued.
+  std::optional<QueuedRequest> Evicted;
 };
 
 struct RequestQueueOptions {
@@ -36,8 +39,9 @@
 
 /// The requests of one service that wait for a slot, by class. Order is by
 /// slack, the time left to the class's waiting target. A class that has used
-/// more than an equal share yields to one below its share that is late, so
-/// that overload in one class stays there.
+/// more than an equal share of starts yields to one below its share that is
+/// about to be late, and has no claim to more than an equal part of a full
+/// queue; so overload in one class stays there.
 class RequestQueue {
 public:
   explicit RequestQueue(const RequestQueueOptions &Options);
@@ -76,8 +80,13 @@
   };
 
   size_t aheadOf(const QueuedRequest &Request) const;
+  size_t activeClasses() const;
+  double recentStarts() const;
+  Micros expectedWait(const QueuedRequest &Request,
+                      double StartsPerSecond) const;
+  std::optional<QueuedRequest> makeRoom(uint32_t For);
   void decay(TimePoint Now);
-  bool overShare(const ClassState &Each, double Fair) const;
+  bool overShare(const ClassState &Each) const;
   ClassState *pick(TimePoint Now);
 
   std::vector<ClassState> Classes;
