Slots: equal shares, load evened out by forwarding between entries

Change: shares are equal and change only with membership; a request that would wait goes to an entry of the zone with more spare slots; entries of a zone tell each other their load ten times a second, others once. SIEVE's split stands: spending a share is local, changing shares is a transaction.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -44,12 +44,12 @@
   clock @3 :UInt64;         # Hybrid logical clock.
   configVersion @4 :UInt64;
   config @5 :Text;          # Only where the receiver's version is older.
-  freeSlots @6 :List(ServiceLoad);
+  loads @6 :List(ServiceLoad);
 }
 
 struct ServiceLoad {
   service @0 :Text;
-  free @1 :UInt32;
+  spare @1 :Int32;          # Free slots less waiting requests.
 }
 
 struct Request {
--- a/schema/peer.capnp.c++
+++ b/schema/peer.capnp.c++
@@ -766,7 +766,7 @@
   0, 1, i_9b43000cc960caf6, nullptr, nullptr, { &s_9b43000cc960caf6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<129> b_b17e3d3f50e29b6d = {
+static const ::capnp::_::AlignedData<128> b_b17e3d3f50e29b6d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     109, 155, 226,  80,  63,  61, 126, 177,
      11,   0,   0,   0,   1,   0,   2,   0,
@@ -829,10 +829,10 @@
       6,   0,   0,   0,   4,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,  82,   0,   0,   0,
+    213,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    212,   0,   0,   0,   3,   0,   1,   0,
-    240,   0,   0,   0,   2,   0,   1,   0,
+    208,   0,   0,   0,   3,   0,   1,   0,
+    236,   0,   0,   0,   2,   0,   1,   0,
     101, 110, 116, 114, 121,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -883,8 +883,7 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    102, 114, 101, 101,  83, 108, 111, 116,
-    115,   0,   0,   0,   0,   0,   0,   0,
+    108, 111,  97, 100, 115,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -905,7 +904,7 @@
 static const uint16_t m_b17e3d3f50e29b6d[] = {3, 5, 4, 0, 6, 2, 1};
 static const uint16_t i_b17e3d3f50e29b6d[] = {0, 1, 2, 3, 4, 5, 6};
 const ::capnp::_::RawSchema s_b17e3d3f50e29b6d = {
-  0xb17e3d3f50e29b6d, b_b17e3d3f50e29b6d.words, 129, d_b17e3d3f50e29b6d, m_b17e3d3f50e29b6d,
+  0xb17e3d3f50e29b6d, b_b17e3d3f50e29b6d.words, 128, d_b17e3d3f50e29b6d, m_b17e3d3f50e29b6d,
   1, 7, i_b17e3d3f50e29b6d, nullptr, nullptr, { &s_b17e3d3f50e29b6d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -937,7 +936,7 @@
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  42,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      40,   0,   0,   0,   3,   0,   1,   0,
      52,   0,   0,   0,   2,   0,   1,   0,
@@ -949,18 +948,18 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    102, 114, 101, 101,   0,   0,   0,   0,
-      8,   0,   0,   0,   0,   0,   0,   0,
+    115, 112,  97, 114, 101,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_b9f816912ab63a27 = b_b9f816912ab63a27.words;
 #if !CAPNP_LITE
-static const uint16_t m_b9f816912ab63a27[] = {1, 0};
+static const uint16_t m_b9f816912ab63a27[] = {0, 1};
 static const uint16_t i_b9f816912ab63a27[] = {0, 1};
 const ::capnp::_::RawSchema s_b9f816912ab63a27 = {
   0xb9f816912ab63a27, b_b9f816912ab63a27.words, 47, nullptr, m_b9f816912ab63a27,
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -1510,8 +1510,8 @@
   inline bool hasConfig() const;
   inline  ::capnp::Text::Reader getConfig() const;
 
-  inline bool hasFreeSlots() const;
-  inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getFreeSlots() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1575,12 +1575,12 @@
   inline void adoptConfig(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownConfig();
 
-  inline bool hasFreeSlots();
-  inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getFreeSlots();
-  inline void setFreeSlots( ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder initFreeSlots(unsigned int size);
-  inline void adoptFreeSlots(::capnp::Orphan< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownFreeSlots();
+  inline bool hasLoads();
+  inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1628,7 +1628,7 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getFree() const;
+  inline  ::int32_t getSpare() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1665,8 +1665,8 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint32_t getFree();
-  inline void setFree( ::uint32_t value);
+  inline  ::int32_t getSpare();
+  inline void setSpare( ::int32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2729,36 +2729,36 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasFreeSlots() const {
+inline bool Gossip::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasFreeSlots() {
+inline bool Gossip::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getFreeSlots() const {
+inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getLoads() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getFreeSlots() {
+inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setFreeSlots( ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void Gossip::Builder::setLoads( ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initFreeSlots(unsigned int size) {
+inline  ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initLoads(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptFreeSlots(
+inline void Gossip::Builder::adoptLoads(
     ::capnp::Orphan< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownFreeSlots() {
+inline ::capnp::Orphan< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::daisylanding::peer::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
@@ -2797,17 +2797,17 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getFree() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int32_t ServiceLoad::Reader::getSpare() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getFree() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::int32_t ServiceLoad::Builder::getSpare() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setFree( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void ServiceLoad::Builder::setSpare( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
--- a/src/entry/FrontLoop.cpp
+++ b/src/entry/FrontLoop.cpp
@@ -25,6 +25,13 @@
 /// A holder's work counts as over this long after its run limit.
 constexpr Millis HolderOverMargin{1'000};
 
+/// How many more spare slots a peer must have for a request to go there; what
+/// is known of it is a little old.
+constexpr int64_t BalanceMargin = 2;
+
+/// Told by an entry that takes no requests.
+constexpr int64_t NothingSpare = -1'000'000;
+
 /// Without a deadline of its own a request may wait this many targets.
 constexpr int64_t DefaultWaitFactor = 3;
 
@@ -160,7 +167,9 @@
 }
 
 void FrontLoop::enqueue(uint64_t Id, Active &Each, TimePoint Now) {
-  if (!Each.Service->hasCredits() && tryForward(Id, Each))
+  if (tryBalance(Id, Each, Now))
+    return;
+  if (!Each.Service->hasCredits() && tryRescue(Id, Each, Now))
     return;
   policy::QueuedRequest Queued{.Id = Id,
                                .Class = Each.Class,
@@ -175,40 +184,72 @@
   }
   if (Answer.Verdict == policy::Admission::Admitted)
     return;
-  if (tryForward(Id, Each))
+  if (tryRescue(Id, Each, Now))
     return;
   giveUp(Id, Each, ProblemCode::Overloaded, Answer.ExpectedWait);
 }
 
-/// Hands the request to the entry with the most free slots, if any has some.
-bool FrontLoop::tryForward(uint64_t Id, Active &Each) {
-  if (Each.In.Forwarded || !Forward)
-    return false;
-  TimePoint Now = monotonicNow();
-  const LoadDigest *Best = nullptr;
-  uint32_t Most = 0;
-  auto Peers = Shared.Digests.peers();
-  for (const LoadDigest &Peer : Peers) {
-    auto Free = Peer.FreeSlots.find(Each.In.Body.Service);
-    if (Free == Peer.FreeSlots.end() || Now - Peer.Received > DigestMaxAge)
+/// The peer with the most spare slots for \p Service, by its newest digest and
+/// what was forwarded to it since.
+LoadDigest *FrontLoop::bestPeer(std::string_view Service, bool HomeZoneOnly,
+                                TimePoint Now) {
+  if (PeerChanges != Shared.Digests.changes()) {
+    PeerChanges = Shared.Digests.changes();
+    Peers = Shared.Digests.peers();
+  }
+  LoadDigest *Best = nullptr;
+  int64_t Most = 0;
+  for (LoadDigest &Peer : Peers) {
+    bool Home = Peer.AvailabilityZone == Shared.Options.AvailabilityZone;
+    auto Spare = Peer.Spare.find(Service);
+    if (Spare == Peer.Spare.end() || (HomeZoneOnly && !Home) ||
+        Now - Peer.Received > DigestMaxAge)
       continue;
-    auto Spread = static_cast<uint32_t>(Generator.below(Free->second + 1));
-    if (Spread <= Most)
+    if (Best && Spare->second <= Most)
       continue;
-    Most = Spread;
+    Most = Spare->second;
     Best = &Peer;
   }
-  if (!Best)
-    return false;
+  return Best;
+}
+
+/// Hands the request to \p Peer; false when it can't be handed over.
+bool FrontLoop::forwardTo(LoadDigest &Peer, uint64_t Id, Active &Each,
+                          TimePoint Now) {
   caller::CallerRequest Body = Each.In.Body;
   Body.TimeLeft = Millis(std::max<int64_t>(1, toMillis(Each.Deadline - Now)));
-  if (!Forward({Id, Best->PeerAddress, std::move(Body)}))
+  if (!Forward({Id, Peer.PeerAddress, std::move(Body)}))
     return false;
+  --Peer.Spare.find(Each.In.Body.Service)->second;
   Each.At = Stage::Forwarding;
   Shared.Numbers.count("requests_forwarded_total");
   return true;
 }
 
+/// Evens the load out: a request that would wait here goes to an entry of the
+/// zone that has more spare slots.
+bool FrontLoop::tryBalance(uint64_t Id, Active &Each, TimePoint Now) {
+  int64_t Own = Each.Service->spareSlots(Now);
+  if (Each.In.Forwarded || Own > 0)
+    return false;
+  LoadDigest *Peer = bestPeer(Each.In.Body.Service, true, Now);
+  if (!Peer)
+    return false;
+  int64_t Theirs = Peer->Spare.find(Each.In.Body.Service)->second;
+  return Theirs > Own + BalanceMargin && forwardTo(*Peer, Id, Each, Now);
+}
+
+/// Saves a request that this zone can't serve in time: any entry with spare
+/// slots takes it.
+bool FrontLoop::tryRescue(uint64_t Id, Active &Each, TimePoint Now) {
+  if (Each.In.Forwarded)
+    return false;
+  LoadDigest *Peer = bestPeer(Each.In.Body.Service, false, Now);
+  if (!Peer || Peer->Spare.find(Each.In.Body.Service)->second <= 0)
+    return false;
+  return forwardTo(*Peer, Id, Each, Now);
+}
+
 void FrontLoop::dispatch(TimePoint Now) {
   bool ExpireNow = Now >= NextExpiry;
   if (ExpireNow)
@@ -546,11 +587,11 @@
   if (Now < NextPublish)
     return;
   NextPublish = Now + PublishInterval;
-  std::map<std::string, uint32_t> Free;
+  std::map<std::string, int64_t> Spare;
   for (auto &[Name, Service] : Services) {
-    uint32_t Slots = Shared.Draining.load() ? 0 : Service->freeSlots(Now);
     size_t Waiting = Service->Queue.waiting();
-    Free[Name] = Slots > Waiting ? Slots - static_cast<uint32_t>(Waiting) : 0;
+    Spare[Name] =
+        Shared.Draining.load() ? NothingSpare : Service->spareSlots(Now);
     Shared.Numbers.gauge(
         fmt::format("requests_waiting{{service=\"{}\"}}", Name),
         static_cast<double>(Waiting));
@@ -558,7 +599,7 @@
         fmt::format("endpoints_ejected{{service=\"{}\"}}", Name),
         static_cast<double>(Service->Outliers.ejectedCount()));
   }
-  Shared.Digests.setOwn(std::move(Free));
+  Shared.Digests.setOwn(std::move(Spare));
 }
 
 } // namespace daisylanding::entry
--- a/src/entry/FrontLoop.h
+++ b/src/entry/FrontLoop.h
@@ -78,7 +78,11 @@
   void admit(FrontRequest In);
   std::optional<http::Response> refusal(const FrontRequest &In) const;
   void enqueue(uint64_t Id, Active &Each, TimePoint Now);
-  bool tryForward(uint64_t Id, Active &Each);
+  LoadDigest *bestPeer(std::string_view Service, bool HomeZoneOnly,
+                       TimePoint Now);
+  bool forwardTo(LoadDigest &Peer, uint64_t Id, Active &Each, TimePoint Now);
+  bool tryBalance(uint64_t Id, Active &Each, TimePoint Now);
+  bool tryRescue(uint64_t Id, Active &Each, TimePoint Now);
   void dispatch(TimePoint Now);
   void expire(ServiceState &Service, TimePoint Now);
   void dispatchService(ServiceState &Service, TimePoint Now);
@@ -114,6 +118,8 @@
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> Services;
   std::unordered_map<uint64_t, Active> Requests;
   uint64_t NextId = 1;
+  std::vector<LoadDigest> Peers;
+  uint64_t PeerChanges = 0;
   TimePoint NextPublish{};
   TimePoint NextExpiry{};
   /// When this process first knew that a holder's work would be over.
--- a/src/entry/ServiceState.cpp
+++ b/src/entry/ServiceState.cpp
@@ -156,8 +156,7 @@
 }
 
 policy::CreditDemand ServiceState::demand(const std::string &Holder) const {
-  policy::CreditDemand Out{.Holder = Holder,
-                           .Waiting = static_cast<uint32_t>(Queue.waiting())};
+  policy::CreditDemand Out{.Holder = Holder};
   for (size_t I = 0; I < Slots.size(); ++I) {
     if (uint32_t Free = Views[I].freeCredits())
       Out.Idle[Slots[I].Name] = Free;
@@ -174,8 +173,8 @@
   return Out;
 }
 
-uint32_t ServiceState::freeSlots(TimePoint Now) const {
-  uint32_t Sum = 0;
+int64_t ServiceState::spareSlots(TimePoint Now) const {
+  auto Sum = -static_cast<int64_t>(Queue.waiting());
   for (size_t I = 0; I < Slots.size(); ++I) {
     if (Slots[I].Listed && Outliers.available(I, Now))
       Sum += Views[I].freeCredits();
--- a/src/entry/ServiceState.h
+++ b/src/entry/ServiceState.h
@@ -54,7 +54,8 @@
 
   policy::CreditDemand demand(const std::string &Holder) const;
   std::map<std::string, uint32_t> slotsInList() const;
-  uint32_t freeSlots(TimePoint Now) const;
+  /// Free slots less waiting requests; negative when work waits.
+  int64_t spareSlots(TimePoint Now) const;
   bool hasCredits() const;
   Micros meanServiceTime() const;
   double startsPerSecond() const;
--- a/src/entry/View.h
+++ b/src/entry/View.h
@@ -5,6 +5,7 @@
 #include "config/ClusterConfig.h"
 #include "platform/InstanceList.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -70,30 +71,34 @@
   std::shared_ptr<const View> Newest = std::make_shared<View>();
 };
 
-/// What entries tell each other about load, by service.
+/// What entries tell each other about load.
 struct LoadDigest {
   std::string Entry;
   std::string AvailabilityZone;
   std::string PeerAddress;
-  std::map<std::string, uint32_t> FreeSlots;
+  /// Free slots less waiting requests, by service.
+  std::map<std::string, int64_t, std::less<>> Spare;
   TimePoint Received{};
 };
 
 /// The newest digest of each peer, and this process's own.
 class DigestBox {
 public:
-  void setOwn(std::map<std::string, uint32_t> FreeSlots) {
+  void setOwn(std::map<std::string, int64_t> Spare) {
     std::lock_guard<std::mutex> Lock(Mutex);
-    Own = std::move(FreeSlots);
+    Own = std::move(Spare);
   }
-  std::map<std::string, uint32_t> own() const {
+  std::map<std::string, int64_t> own() const {
     std::lock_guard<std::mutex> Lock(Mutex);
     return Own;
   }
   void setPeer(LoadDigest Digest) {
     std::lock_guard<std::mutex> Lock(Mutex);
     Peers[Digest.Entry] = std::move(Digest);
+    ++Changes;
   }
+  /// Grows with each digest; tells when `peers` is worth reading again.
+  uint64_t changes() const { return Changes.load(); }
   std::vector<LoadDigest> peers() const {
     std::lock_guard<std::mutex> Lock(Mutex);
     std::vector<LoadDigest> Out;
@@ -104,8 +109,9 @@
 
 private:
   mutable std::mutex Mutex;
-  std::map<std::string, uint32_t> Own;
+  std::map<std::string, int64_t> Own;
   std::map<std::string, LoadDigest> Peers;
+  std::atomic<uint64_t> Changes{0};
 };
 
 } // namespace daisylanding::entry
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -144,7 +144,7 @@
               {"config_version", View->Config ? View->Config->Version : 0},
               {"list_version", View->List.Version},
               {"draining", Shared.Draining.load()},
-              {"free_slots", Shared.Digests.own()},
+              {"spare_slots", Shared.Digests.own()},
               {"entries", json::array()},
               {"shards", json::array()},
               {"shard_owners", json::object()}};
--- a/src/peer/PeerLoop.cpp
+++ b/src/peer/PeerLoop.cpp
@@ -19,7 +19,10 @@
 
 constexpr size_t RingCapacity = 1'024;
 constexpr size_t QueueCapacity = 256;
-constexpr unsigned GossipMillis = 250;
+/// Between two exchanges with an entry of the same zone, which share load, and
+/// with any other.
+constexpr unsigned HomeGossipMillis = 100;
+constexpr unsigned RoundsPerFarGossip = 10;
 constexpr unsigned CallMillis = 2'000;
 constexpr unsigned ConnectMillis = 1'000;
 
@@ -51,7 +54,7 @@
   kj::Promise<void> gossipForever();
   void gossipOnce();
   void drainQueues();
-  std::set<std::string> peerAddresses() const;
+  std::set<std::string> peerAddresses(bool HomeZoneOnly = false) const;
   kj::Promise<wire::Peer::Client> connect(const std::string &Address);
   void drop(const std::string &Address) { Links.erase(Address); }
   void fillGossip(wire::Gossip::Builder Out, uint64_t PeerConfig);
@@ -70,6 +73,7 @@
   std::map<std::string, Link> Links;
   kj::Own<kj::AsyncInputStream> WakePipe;
   char WakeBuffer[64] = {};
+  unsigned GossipRound = 0;
   kj::Own<kj::PromiseFulfiller<void>> StopFulfiller;
 };
 
@@ -206,11 +210,14 @@
     collectJobs(Jobs);
 }
 
-std::set<std::string> PeerLoop::Impl::peerAddresses() const {
-  std::set<std::string> Out(Shared.Options.PeerSeeds.begin(),
-                            Shared.Options.PeerSeeds.end());
+std::set<std::string> PeerLoop::Impl::peerAddresses(bool HomeZoneOnly) const {
+  std::set<std::string> Out;
+  if (!HomeZoneOnly)
+    Out.insert(Shared.Options.PeerSeeds.begin(),
+               Shared.Options.PeerSeeds.end());
   for (const entry::Member &Each : Shared.Views.current()->Members) {
-    if (Each.Alive)
+    bool Home = Each.AvailabilityZone == Shared.Options.AvailabilityZone;
+    if (Each.Alive && (Home || !HomeZoneOnly))
       Out.insert(Each.PeerAddress);
   }
   Out.erase(Shared.Options.Peers.text());
@@ -258,7 +265,7 @@
 
 kj::Promise<void> PeerLoop::Impl::gossipForever() {
   return Io.provider->getTimer()
-      .afterDelay(GossipMillis * kj::MILLISECONDS)
+      .afterDelay(HomeGossipMillis * kj::MILLISECONDS)
       .then([this] {
         gossipOnce();
         return gossipForever();
@@ -266,7 +273,8 @@
 }
 
 void PeerLoop::Impl::gossipOnce() {
-  for (const std::string &Address : peerAddresses()) {
+  bool HomeZoneOnly = GossipRound++ % RoundsPerFarGossip != 0;
+  for (const std::string &Address : peerAddresses(HomeZoneOnly)) {
     Link &Each = Links[Address];
     if (Each.Opening)
       continue;
@@ -308,11 +316,11 @@
   if (Version > PeerConfig)
     Out.setConfig(config::configToJson(*View->Config).dump());
   auto Own = Shared.Digests.own();
-  auto Free = Out.initFreeSlots(Own.size());
+  auto Loads = Out.initLoads(Own.size());
   unsigned Next = 0;
-  for (const auto &[Service, Count] : Own) {
-    Free[Next].setService(Service);
-    Free[Next].setFree(Count);
+  for (const auto &[Service, Spare] : Own) {
+    Loads[Next].setService(Service);
+    Loads[Next].setSpare(static_cast<int32_t>(Spare));
     ++Next;
   }
 }
@@ -323,8 +331,8 @@
                            .AvailabilityZone = toString(Source.getZone()),
                            .PeerAddress = toString(Source.getPeerAddress()),
                            .Received = monotonicNow()};
-  for (auto Each : Source.getFreeSlots())
-    Digest.FreeSlots[toString(Each.getService())] = Each.getFree();
+  for (auto Each : Source.getLoads())
+    Digest.Spare[toString(Each.getService())] = Each.getSpare();
   Shared.Digests.setPeer(std::move(Digest));
   if (Source.hasConfig())
     (void)Owner.Hooks.OfferConfig(toString(Source.getConfig()));
--- a/src/policy/CreditPlanner.cpp
+++ b/src/policy/CreditPlanner.cpp
@@ -40,12 +40,6 @@
     Table.Endpoints[Name].Slots = Count;
 }
 
-bool othersAsk(const CreditTable &Table, const std::string &Holder) {
-  return std::any_of(
-      Table.Wanted.begin(), Table.Wanted.end(),
-      [&](const auto &Each) { return Each.first != Holder && Each.second; });
-}
-
 /// Takes unheld slots while this holder is below \p Limit in all.
 void takeUnheld(CreditTable &Table, const std::string &Holder, uint32_t Limit) {
   uint32_t Total = heldBy(Table, Holder);
@@ -62,23 +56,20 @@
   }
 }
 
-/// Hands one idle slot after the other to whoever asks.
-void giveIdle(CreditPlan &Plan, const CreditDemand &Demand) {
+/// Hands idle slots above \p Share to those who lack some.
+void giveIdle(CreditPlan &Plan, const CreditDemand &Demand, uint32_t Share) {
   std::map<std::string, uint32_t> Idle = Demand.Idle;
-  uint32_t Spare = 0;
-  for (const auto &Each : Idle)
-    Spare += Each.second;
-  Spare = Spare > Demand.Waiting ? Spare - Demand.Waiting : 0;
+  uint32_t Mine = heldBy(Plan.Next, Demand.Holder);
   for (auto &[Asker, Count] : Plan.Next.Wanted) {
     if (Asker == Demand.Holder)
       continue;
     for (auto &[Name, Each] : Plan.Next.Endpoints) {
-      auto Mine = Each.Held.find(Demand.Holder);
-      while (Count > 0 && Spare > 0 && Idle[Name] > 0 &&
-             Mine != Each.Held.end() && Mine->second > 0) {
-        --Mine->second;
+      auto Held = Each.Held.find(Demand.Holder);
+      while (Count > 0 && Mine > Share && Idle[Name] > 0 &&
+             Held != Each.Held.end() && Held->second > 0) {
+        --Held->second;
         --Idle[Name];
-        --Spare;
+        --Mine;
         --Count;
         ++Each.Held[Asker];
         ++Plan.Given[Name];
@@ -87,16 +78,13 @@
   }
 }
 
-void ask(CreditTable &Table, const CreditDemand &Demand) {
-  uint32_t Idle = 0;
-  for (const auto &Each : Demand.Idle)
-    Idle += Each.second;
-  bool HasNone = heldBy(Table, Demand.Holder) == 0;
-  uint32_t Need = std::max<uint32_t>(Demand.Waiting, HasNone ? 1 : 0);
-  if (Need > Idle)
-    Table.Wanted[Demand.Holder] = Need - Idle;
+/// Asks for what this holder lacks to the whole slots of an equal share.
+void ask(CreditTable &Table, const std::string &Holder, uint32_t Share) {
+  uint32_t Held = heldBy(Table, Holder);
+  if (Held < Share)
+    Table.Wanted[Holder] = Share - Held;
   else
-    Table.Wanted.erase(Demand.Holder);
+    Table.Wanted.erase(Holder);
 }
 
 void dropZeros(CreditTable &Table) {
@@ -139,14 +127,14 @@
     matchEndpoints(Plan.Next, Zone.Slots);
   }
   uint32_t All = allSlots(Plan.Next);
-  auto Holders = std::max<uint32_t>(1, Zone.Live.size());
-  uint32_t Share = (All + Holders - 1) / Holders;
-  uint32_t Limit = Share;
-  if (!othersAsk(Plan.Next, Demand.Holder))
-    Limit = std::max(Share, heldBy(Plan.Next, Demand.Holder) + Demand.Waiting);
-  takeUnheld(Plan.Next, Demand.Holder, Limit);
-  giveIdle(Plan, Demand);
-  ask(Plan.Next, Demand);
+  auto Holders = static_cast<uint32_t>(std::max<size_t>(1, Zone.Live.size()));
+  uint32_t Floor = All / Holders;
+  uint32_t Ceiling = (All + Holders - 1) / Holders;
+  takeUnheld(Plan.Next, Demand.Holder, Ceiling);
+  // Rounding must not make two holders ask and give in turn: who has the
+  // floor asks for nothing, and who has the ceiling gives nothing.
+  giveIdle(Plan, Demand, Ceiling);
+  ask(Plan.Next, Demand.Holder, Floor);
   dropZeros(Plan.Next);
   Plan.Changed = !same(Plan.Next, Current);
   return Plan;
--- a/src/policy/CreditPlanner.h
+++ b/src/policy/CreditPlanner.h
@@ -16,7 +16,8 @@
 /// is agreed, through one row of the platform's table. This is escrow, in the
 /// frame of SIEVE: what keeps the bound from local state alone runs without
 /// coordination. "Automating the Choice of Consistency Levels in Replicated
-/// Systems", section 5.
+/// Systems", section 5. Shares are equal and move only with membership; load
+/// is evened out by forwarding requests, which docs/DESIGN.md measures.
 struct CreditTable {
   struct Endpoint {
     uint32_t Slots = 0;
@@ -29,13 +30,13 @@
   /// planner with an older list adds and drops nothing.
   uint64_t ListVersion = 0;
   std::map<std::string, Endpoint> Endpoints;
-  std::map<std::string, uint32_t> Wanted; ///< Slots asked for, by holder.
+  /// Slots that holders lack to an equal share.
+  std::map<std::string, uint32_t> Wanted;
 };
 
 /// What one holder knows when it plans a move.
 struct CreditDemand {
   std::string Holder;
-  uint32_t Waiting = 0; ///< Requests that wait for a slot here.
   /// Slots of each endpoint that are free here and may be given away.
   std::map<std::string, uint32_t> Idle;
 };
@@ -58,9 +59,8 @@
 };
 
 /// Plans one holder's move: reclaims slots of holders that are over, takes
-/// unheld slots up to an equal share (or more when it has waiting work and
-/// nobody else asks), gives idle slots to holders that ask, and asks for what
-/// its waiting work needs.
+/// unheld slots up to an equal share, gives idle slots above its share to
+/// holders that lack some, and asks for what it lacks itself.
 CreditPlan planCredits(const CreditTable &Current, const CreditZone &Zone,
                        const CreditDemand &Demand);
 
