--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,11 @@
 	rm -rf $(BUILD)/demo-run
 	$(BUILD)/demo $(BUILD) $(BUILD)/demo-run demo/sohar.toml demo/akureyri.toml
 
+bench: build
+	$(BUILD)/policy-bench
+	$(BUILD)/scenarios
+	$(BUILD)/capacity $(BUILD) $(BUILD)/capacity-run
+
 SEED ?= 1
 ROUNDS ?= 12
 chaos: build
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -203,6 +203,7 @@
   Platform.millis("config_poll_ms", Out.ConfigPoll, 10, 5'000);
   Platform.millis("heartbeat_ms", Out.Heartbeat, 50, OneMinuteMs);
   Platform.millis("takeover_after_ms", Out.TakeoverAfter, 200, OneHourMs);
+  Platform.millis("zone_lost_after_ms", Out.ZoneLostAfter, 1'000, OneHourMs);
   Platform.integer("shards_per_zone", Out.ShardsPerZone, 1, 64);
   Section Workers(Root, "workers", File, Problems);
   Workers.millis("sync_ms", Out.WorkerSync, 50, OneMinuteMs);
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -43,6 +43,9 @@
   Millis Heartbeat{1'000};
   Millis TakeoverAfter{4'000}; ///< Silence after which shards are taken.
 
+  /// Silence of a whole zone after which its movable work is moved.
+  Millis ZoneLostAfter{10'000};
+
   uint32_t ShardsPerZone = 1;
 
   Millis WorkerSync{1'000};  ///< Between two syncs of an idle worker.
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -4,6 +4,7 @@
 #include "common/Log.h"
 #include "entry/CreditLoop.h"
 #include "entry/FrontLoop.h"
+#include "entry/RescueLoop.h"
 #include "entry/ShardLoop.h"
 #include "entry/SyncLoop.h"
 #include "operator/OperatorApi.h"
@@ -63,6 +64,7 @@
   FrontLoop Front;
   CreditLoop Credits;
   ShardLoop Shards;
+  RescueLoop Rescue;
   peer::PeerLoop Peers;
   op::OperatorApi Operators;
   http::Server OperatorServer;
@@ -71,7 +73,7 @@
 
 EntryProcess::EntryProcess(const config::Settings &Options)
     : Shared(Options, newIncarnation()), Sync(Shared), Front(Shared),
-      Credits(Shared, Front.CreditRows), Shards(Shared),
+      Credits(Shared, Front.CreditRows), Shards(Shared), Rescue(Shared),
       Peers(Shared, peerHooks()), Operators(Shared, Shards, Peers),
       OperatorServer(operatorServer(Options), Operators),
       Callers(Shared, [this](FrontRequest In) {
@@ -115,6 +117,7 @@
   Shards.start();
   Front.start();
   Credits.start();
+  Rescue.start();
   if (auto Failure = Peers.start())
     return Failure;
   Operators.start();
@@ -140,6 +143,7 @@
   Front.stop(Shared.Options.DrainLimit);
   Callers.stop(Shared.Options.DrainLimit);
   Credits.stop();
+  Rescue.stop();
   OperatorServer.stop(BalancerGrace);
   Operators.stop();
   Peers.stop();
--- a/src/entry/JournalStore.cpp
+++ b/src/entry/JournalStore.cpp
@@ -16,11 +16,16 @@
   return fmt::format("inbox/{}/", Shard);
 }
 
-std::string inboxText(const config::JobSpec *Accept, std::string_view StopJob,
-                      int64_t WallMicros) {
-  json Out = {{"stop", StopJob}, {"wall", WallMicros}};
-  if (Accept)
-    Out["accept"] = config::jobSpecToJson(*Accept);
+std::string inboxAccept(const shard::JobAccepted &Job) {
+  json Out = {{"accept", config::jobSpecToJson(Job.Spec)},
+              {"wall", Job.WallMicros},
+              {"done", Job.Done},
+              {"attempt_base", Job.AttemptBase}};
+  return Out.dump();
+}
+
+std::string inboxStop(std::string_view Job) {
+  json Out = {{"stop", Job}};
   return Out.dump();
 }
 
@@ -29,15 +34,16 @@
     json Source = json::parse(Row.Value);
     shard::InboxItem Out{.Key = Row.Key,
                          .Version = Row.Version,
-                         .Stop = Source.at("stop"),
-                         .WallMicros = Source.at("wall")};
-    if (Source.contains("accept")) {
-      config::InputProblem Problem;
-      auto Spec = config::jobSpecFromJson(Source.at("accept"), Problem);
-      if (!Spec)
-        return Spec.error();
-      Out.Accept = std::move(*Spec);
-    }
+                         .Stop = Source.value("stop", "")};
+    if (!Source.contains("accept"))
+      return Out;
+    config::InputProblem Problem;
+    auto Spec = config::jobSpecFromJson(Source.at("accept"), Problem);
+    if (!Spec)
+      return Spec.error();
+    Out.Accept =
+        shard::JobAccepted{std::move(*Spec), Source.at("wall"),
+                           Source.at("done"), Source.at("attempt_base")};
     return Out;
   } catch (const json::exception &) {
     return Errc::Malformed;
@@ -151,6 +157,24 @@
   return {};
 }
 
+/// Adds the writes that hand the group's moved jobs to other shards.
+std::error_code
+JournalStore::moveJobs(const shard::JournalGroup &Group,
+                       std::vector<platform::Mutation> &Mutations) {
+  for (const shard::JobMove &Each : Group.Moves) {
+    const config::JobSpec &Spec = Each.Job.Spec;
+    auto Row = Store.read(jobRowKey(Spec.Id));
+    if (!Row)
+      return Row.error();
+    Mutations.push_back({.Key = Row->Key,
+                         .Value = jobRowText(Each.Target, Spec, "accepted"),
+                         .Expected = Row->Version});
+    Mutations.push_back({.Key = inboxPrefix(Each.Target) + Spec.Id + ":accept",
+                         .Value = inboxAccept(Each.Job)});
+  }
+  return {};
+}
+
 std::error_code JournalStore::append(const shard::JournalGroup &Group) {
   if (Group.Sequence <= Last)
     return {};
@@ -163,6 +187,8 @@
                          .Expected = Each.Version});
   if (auto Failure = closeJobs(Group, Mutations))
     return Failure;
+  if (auto Failure = moveJobs(Group, Mutations))
+    return Failure;
   auto Outcome = Store.commit(Mutations);
   if (Outcome && Outcome->Committed) {
     RowVersions[Group.Sequence] = Outcome->Versions[1];
--- a/src/entry/JournalStore.h
+++ b/src/entry/JournalStore.h
@@ -13,8 +13,8 @@
 namespace daisylanding::entry {
 
 std::string inboxPrefix(std::string_view Shard);
-std::string inboxText(const config::JobSpec *Accept, std::string_view StopJob,
-                      int64_t WallMicros);
+std::string inboxAccept(const shard::JobAccepted &Job);
+std::string inboxStop(std::string_view Job);
 Result<shard::InboxItem> inboxFromRow(const platform::Row &Row);
 std::string jobRowKey(std::string_view Job);
 std::string jobRowText(std::string_view Shard, const config::JobSpec &Spec,
@@ -60,6 +60,8 @@
   platform::Mutation ownershipCheck() const;
   std::error_code refreshOwnership();
   Result<bool> alreadyWritten(const shard::JournalGroup &Group);
+  std::error_code moveJobs(const shard::JournalGroup &Group,
+                           std::vector<platform::Mutation> &Mutations);
   std::error_code closeJobs(const shard::JournalGroup &Group,
                             std::vector<platform::Mutation> &Mutations);
 
--- a/src/entry/Ownership.cpp
+++ b/src/entry/Ownership.cpp
@@ -1,10 +1,14 @@
 #include "entry/Ownership.h"
 
+#include "policy/Placement.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 
 namespace daisylanding::entry {
 
@@ -90,6 +94,55 @@
   return Best;
 }
 
+std::optional<std::string>
+chooseShard(std::span<const platform::Instance> Instances,
+            const config::JobSpec &Spec, uint32_t ShardsPerZone,
+            const std::set<std::string> &ExcludedZones) {
+  std::map<std::string, uint64_t> Room; ///< Tasks that fit when empty.
+  for (const platform::Instance &Each : Instances) {
+    bool InZone = Spec.AvailabilityZone.empty() ||
+                  Spec.AvailabilityZone == Each.AvailabilityZone;
+    if (Each.Kind != platform::Role::Worker || Each.Leaving || !InZone ||
+        ExcludedZones.count(Each.AvailabilityZone))
+      continue;
+    uint32_t Index = shardOfRack(Each.Rack, ShardsPerZone);
+    Room[fmt::format("{}.{}", Each.AvailabilityZone, Index)] +=
+        policy::fittingTasks(Each.Capacity, Spec.Size, Spec.Tasks);
+  }
+  uint64_t AtOnce = Spec.Kind == config::JobKind::Batch ? 1 : Spec.Tasks;
+  std::optional<std::string> Best;
+  double Highest = 0;
+  for (const auto &[Shard, Fitting] : Room) {
+    if (Fitting < AtOnce)
+      continue;
+    std::string Name = Shard + Spec.Id;
+    constexpr double Buckets = 1'024;
+    auto Draw = static_cast<double>(XXH64(Name.data(), Name.size(), 0) %
+                                    static_cast<uint64_t>(Buckets));
+    // Weighted rendezvous: the chance of each grows with its room.
+    double Score =
+        -static_cast<double>(Fitting) / std::log((Draw + 0.5) / Buckets);
+    if (Best && Score <= Highest)
+      continue;
+    Best = Shard;
+    Highest = Score;
+  }
+  return Best;
+}
+
+bool zoneLost(std::string_view Zone, std::span<const Member> Members,
+              Micros After, TimePoint Now) {
+  bool Known = false;
+  for (const Member &Each : Members) {
+    if (Each.AvailabilityZone != Zone)
+      continue;
+    Known = true;
+    if (Each.Alive || Now - Each.LastChange < After)
+      return false;
+  }
+  return Known;
+}
+
 bool shouldClaim(const Shard &Each, const Member &Self, const View &Seen) {
   if (Each.Owner == Self.Name && Each.OwnerIncarnation == Self.Incarnation)
     return false;
--- a/src/entry/Ownership.h
+++ b/src/entry/Ownership.h
@@ -1,10 +1,13 @@
 #ifndef DAISYLANDING_ENTRY_OWNERSHIP_H
 #define DAISYLANDING_ENTRY_OWNERSHIP_H
 
+#include "config/JobSpec.h"
 #include "entry/View.h"
 #include "platform/Table.h"
 
 #include <optional>
+#include <set>
+#include <span>
 
 namespace daisylanding::entry {
 
@@ -19,6 +22,19 @@
 /// rack is never split.
 uint32_t shardOfRack(std::string_view Rack, uint32_t ShardsPerZone);
 
+/// A shard whose instances, when empty, could hold \p Spec: all its tasks at
+/// once, or one of a batch. Of several the job's id chooses, weighted by their
+/// room, so that jobs spread. None when there is no such shard.
+std::optional<std::string>
+chooseShard(std::span<const platform::Instance> Instances,
+            const config::JobSpec &Spec, uint32_t ShardsPerZone,
+            const std::set<std::string> &ExcludedZones);
+
+/// Whether \p Zone is lost: it has entries, and none was heard of for
+/// \p After beyond the time after which one counts as silent.
+bool zoneLost(std::string_view Zone, std::span<const Member> Members,
+              Micros After, TimePoint Now);
+
 /// Whether \p Self should take \p Each over: nobody owns it, its owner's
 /// process is replaced, gone or silent, and of the zone's live entries
 /// \p Self comes first for it.
--- a/src/entry/SyncLoop.cpp
+++ b/src/entry/SyncLoop.cpp
@@ -193,7 +193,10 @@
     Shared.Events.add("shard-released", Gone);
   Draft.Owned.clear();
   for (const Shard &Each : All) {
-    if (Each.Owner == Self.Name && Each.OwnerIncarnation == Self.Incarnation)
+    bool Mine =
+        Each.Owner == Self.Name && Each.OwnerIncarnation == Self.Incarnation;
+    // A shard of another zone is held only to move its work away.
+    if (Mine && Each.Id.starts_with(Zone + "."))
       Draft.Owned.push_back(Each);
   }
   Draft.Shards = std::move(All);
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -261,40 +261,15 @@
   return Fits;
 }
 
-/// The shard with the most room that could ever hold the job. A job that no
-/// shard could hold is told so now, with the reason.
+/// A job that no shard could ever hold is told so now, with the reason.
 Result<std::string>
 OperatorApi::chooseShard(const config::JobSpec &Spec,
                          config::InputProblem &Problem) const {
   auto View = Shared.Views.current();
-  std::map<std::string, uint64_t> Room; ///< Tasks that fit when empty.
-  for (const platform::Instance &Each : View->List.Instances) {
-    bool InZone = Spec.AvailabilityZone.empty() ||
-                  Spec.AvailabilityZone == Each.AvailabilityZone;
-    if (Each.Kind != platform::Role::Worker || Each.Leaving || !InZone)
-      continue;
-    uint32_t Index =
-        entry::shardOfRack(Each.Rack, Shared.Options.ShardsPerZone);
-    Room[fmt::format("{}.{}", Each.AvailabilityZone, Index)] +=
-        policy::fittingTasks(Each.Capacity, Spec.Size, Spec.Tasks);
-  }
-  uint64_t AtOnce = Spec.Kind == config::JobKind::Batch ? 1 : Spec.Tasks;
-  std::string Best;
-  double BestRoom = 0;
-  for (const auto &[Shard, Fitting] : Room) {
-    if (Fitting < AtOnce)
-      continue;
-    // Of equal shards the submitted ids choose, so that load spreads.
-    double Spread =
-        static_cast<double>(std::hash<std::string>()(Shard + Spec.Id) % 1'024);
-    double Score = static_cast<double>(Fitting) * (1 + Spread);
-    if (!Best.empty() && Score <= BestRoom)
-      continue;
-    Best = Shard;
-    BestRoom = Score;
-  }
-  if (!Best.empty())
-    return Best;
+  auto Shard = entry::chooseShard(View->List.Instances, Spec,
+                                  Shared.Options.ShardsPerZone, {});
+  if (Shard)
+    return *Shard;
   Problem = {Errc::Infeasible, "tasks",
              "a size and number of tasks that the instances of one shard "
              "could hold when empty"};
@@ -334,7 +309,7 @@
       {.Key = entry::jobRowKey(Spec.Id),
        .Value = entry::jobRowText(Shard, Spec, "accepted")},
       {.Key = entry::inboxPrefix(Shard) + Spec.Id + ":accept",
-       .Value = entry::inboxText(&Spec, "", wallMicros())}};
+       .Value = entry::inboxAccept({Spec, wallMicros()})}};
   auto Outcome = Platform->commit(Mutations);
   if (Outcome && Outcome->Committed) {
     Shared.Events.add("job-accepted", Spec.Id, "shard=" + Shard);
@@ -402,7 +377,7 @@
     return answer(http::StatusOk, {{"id", Id}, {"state", Known["state"]}});
   std::string Shard = Known["shard"];
   platform::Mutation Put{.Key = entry::inboxPrefix(Shard) + Id + ":stop",
-                         .Value = entry::inboxText(nullptr, Id, wallMicros())};
+                         .Value = entry::inboxStop(Id)};
   auto Outcome = Platform->commit({&Put, 1});
   // A conflict means that the same command waits there already.
   if (!Outcome)
--- a/src/shard/Journal.cpp
+++ b/src/shard/Journal.cpp
@@ -17,6 +17,7 @@
   TaskEnded = 3,
   JobStopped = 4,
   JobEnded = 5,
+  JobMoved = 6,
 };
 
 json resources(const platform::Resources &Amount) {
@@ -35,8 +36,8 @@
 
 struct Writer {
   json operator()(const JobAccepted &Each) const {
-    return json::array(
-        {Tag::JobAccepted, config::jobSpecToJson(Each.Spec), Each.WallMicros});
+    return json::array({Tag::JobAccepted, config::jobSpecToJson(Each.Spec),
+                        Each.WallMicros, Each.Done, Each.AttemptBase});
   }
   json operator()(const TaskStarted &Each) const {
     return json::array({Tag::TaskStarted, Each.Id.Job, Each.Id.Index,
@@ -54,6 +55,9 @@
   json operator()(const JobEnded &Each) const {
     return json::array({Tag::JobEnded, Each.Job, Each.Outcome});
   }
+  json operator()(const JobMoved &Each) const {
+    return json::array({Tag::JobMoved, Each.Job});
+  }
 };
 
 Result<Record> readRecord(const json &Source) {
@@ -63,7 +67,7 @@
     auto Spec = config::jobSpecFromJson(Source.at(1), Problem);
     if (!Spec)
       return Spec.error();
-    return Record(JobAccepted{*Spec, Source.at(2)});
+    return Record(JobAccepted{*Spec, Source.at(2), Source.at(3), Source.at(4)});
   }
   case Tag::TaskStarted:
     return Record(TaskStarted{attempt(Source), Source.at(4),
@@ -77,6 +81,8 @@
   case Tag::JobEnded:
     return Record(JobEnded{Source.at(1),
                            static_cast<JobOutcome>(Source.at(2).get<int>())});
+  case Tag::JobMoved:
+    return Record(JobMoved{Source.at(1)});
   }
   return Errc::Malformed;
 }
--- a/src/shard/Journal.h
+++ b/src/shard/Journal.h
@@ -28,6 +28,10 @@
 struct JobAccepted {
   config::JobSpec Spec;
   int64_t WallMicros = 0;
+  /// For a job that moved here: tasks that had succeeded before, and the
+  /// highest attempt number used for any of its tasks.
+  std::vector<uint32_t> Done;
+  uint32_t AttemptBase = 0;
 };
 
 struct TaskStarted {
@@ -55,8 +59,13 @@
   JobOutcome Outcome = JobOutcome::Succeeded;
 };
 
-using Record =
-    std::variant<JobAccepted, TaskStarted, TaskEnded, JobStopped, JobEnded>;
+/// The job goes on in another zone's shard; nothing of it runs here.
+struct JobMoved {
+  std::string Job;
+};
+
+using Record = std::variant<JobAccepted, TaskStarted, TaskEnded, JobStopped,
+                            JobEnded, JobMoved>;
 
 /// One journal row: a group of records and the token of its writer.
 struct JournalRow {
--- a/src/shard/ShardOwner.cpp
+++ b/src/shard/ShardOwner.cpp
@@ -151,7 +151,7 @@
   std::swap(Consumed, QueuedInbox);
   for (const InboxItem &Each : Consumed) {
     if (Each.Accept)
-      record(JobAccepted{*Each.Accept, Each.WallMicros}, Now);
+      record(*Each.Accept, Now);
     else
       record(JobStopped{Each.Stop}, Now);
   }
--- a/src/shard/ShardOwner.h
+++ b/src/shard/ShardOwner.h
@@ -25,9 +25,14 @@
 struct InboxItem {
   std::string Key;
   uint64_t Version = 0;
-  std::optional<config::JobSpec> Accept;
+  std::optional<JobAccepted> Accept;
   std::string Stop; ///< The job to stop, when nothing is to be accepted.
-  int64_t WallMicros = 0;
+};
+
+/// A job that goes to another zone's shard.
+struct JobMove {
+  JobAccepted Job;
+  std::string Target;
 };
 
 /// A group of records to be written under the next sequence number.
@@ -36,6 +41,7 @@
   JournalRow Row;
   std::vector<InboxItem> Consumed; ///< Deleted in the same transaction.
   std::vector<JobEnded> Ended;     ///< Their job rows are closed with it.
+  std::vector<JobMove> Moves;      ///< Put into other shards' inboxes with it.
 };
 
 /// One exchange with one worker.
--- a/src/shard/ShardState.cpp
+++ b/src/shard/ShardState.cpp
@@ -51,12 +51,24 @@
     onStopped(*Each);
   else if (const auto *Each = std::get_if<JobEnded>(&Change))
     Jobs.erase(Each->Job);
+  else if (const auto *Each = std::get_if<JobMoved>(&Change))
+    Jobs.erase(Each->Job);
 }
 
 void ShardState::onAccepted(const JobAccepted &Change, TimePoint Now) {
   auto &Slot = Jobs[Change.Spec.Id];
-  if (!Slot)
-    Slot = std::make_unique<Job>(Change.Spec, Now);
+  if (Slot)
+    return;
+  Slot = std::make_unique<Job>(Change.Spec, Now);
+  for (Task &Each : Slot->Tasks)
+    Each.Attempt = Change.AttemptBase;
+  for (uint32_t Index : Change.Done) {
+    if (Index >= Slot->Tasks.size())
+      continue;
+    Slot->Tasks[Index].Phase = TaskPhase::Over;
+    Slot->Tasks[Index].Succeeded = true;
+    --Slot->Pending;
+  }
 }
 
 uint32_t ShardState::instanceIndex(std::string_view Name) {
--- a/tests/harness/ChaosMain.cpp
+++ b/tests/harness/ChaosMain.cpp
@@ -14,6 +14,7 @@
 
 constexpr Millis FaultTime{4'000};
 constexpr Millis LongPause{6'000}; ///< Longer than the takeover time.
+constexpr Millis ZoneLoss{32'000}; ///< Long enough for work to be moved.
 constexpr Millis HealTime{2'000};
 constexpr Millis JobLimit{120'000};
 constexpr Millis ForceLimit{14'000};
@@ -24,12 +25,15 @@
   std::function<void()> Begin;
   std::function<void()> End;
   Millis Lasts = FaultTime;
+  bool StopsEntries = false;
 };
 
 /// Draws faults from a seed and applies them to a deployment under load.
 class Chaos {
 public:
-  Chaos(Deployment &Target, uint64_t Seed) : Target(Target), Generator(Seed) {}
+  /// \p Only, if not empty, limits the faults to those whose name has it.
+  Chaos(Deployment &Target, uint64_t Seed, std::string Only)
+      : Target(Target), Generator(Seed), Only(std::move(Only)) {}
 
   void round(uint32_t Number);
   void finish(Histories &Past) { Past.AcceptedVersions = AcceptedVersions; }
@@ -48,6 +52,7 @@
 
   Deployment &Target;
   Random Generator;
+  std::string Only;
   std::vector<uint64_t> AcceptedVersions;
   bool Drained = false;
 };
@@ -110,6 +115,8 @@
 
 std::vector<Fault> Chaos::faults() {
   std::vector<Fault> Out = entryFaults();
+  for (Fault &Each : Out)
+    Each.StopsEntries = true;
   for (Fault &Each : placeFaults())
     Out.push_back(std::move(Each));
   auto Heal = [this] { Target.setPlatformFaults({}); };
@@ -128,6 +135,24 @@
                    Target.setPlatformFaults({{"lose_answer_rate", 0.3}});
                  },
                  Heal});
+  size_t Zone = Generator.below(Target.What.Zones.size());
+  const std::string &ZoneName = Target.What.Zones[Zone];
+  Out.push_back({"loss of " + ZoneName, [=, this] { Target.loseZone(Zone); },
+                 [=, this] { Target.restoreZone(Zone); }, ZoneLoss, true});
+  Out.push_back({"long cut of " + ZoneName,
+                 [=, this] {
+                   Target.setPlatformFaults({{"cut_zones", {ZoneName}}});
+                 },
+                 Heal, ZoneLoss});
+  Out.push_back({"replace every entry",
+                 [this] {
+                   for (size_t I = 0; I < Target.Entries.size(); ++I) {
+                     Target.killEntry(I);
+                     Target.restartEntry(I);
+                     std::this_thread::sleep_for(Millis(500));
+                   }
+                 },
+                 [] {}, FaultTime, true});
   Out.push_back({"cancellations", [this] { cancelSome(); }, [] {}});
   if (!Drained)
     Out.push_back({"drain " + Target.Endpoints[1],
@@ -207,12 +232,15 @@
 
 void Chaos::round(uint32_t Number) {
   auto Drawn = faults();
+  std::erase_if(Drawn, [&](const Fault &Each) {
+    return Each.Name.find(Only) == std::string::npos;
+  });
   size_t First = Generator.below(Drawn.size());
   size_t Second = Generator.below(Drawn.size());
   std::vector<Fault> Chosen = {Drawn[First]};
-  // Two faults of one entry can't be undone side by side.
-  constexpr size_t EntryFaults = 3;
-  if (Second != First && (First >= EntryFaults || Second >= EntryFaults))
+  // Two faults that stop the same processes can't be undone side by side.
+  if (Second != First &&
+      !(Drawn[First].StopsEntries && Drawn[Second].StopsEntries))
     Chosen.push_back(Drawn[Second]);
   Millis Lasts{0};
   std::string Names;
@@ -250,8 +278,9 @@
 } // namespace
 
 int main(int Count, char **Words) {
-  if (Count != 6) {
-    fmt::print(stderr, "usage: chaos PROGRAMS FOLDER SCENARIO SEED ROUNDS\n");
+  if (Count < 6) {
+    fmt::print(stderr,
+               "usage: chaos PROGRAMS FOLDER SCENARIO SEED ROUNDS [FAULT]\n");
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
@@ -271,7 +300,7 @@
   }
   LoadClient Load(Target, Seed);
   Load.start();
-  Chaos Faults(Target, Seed);
+  Chaos Faults(Target, Seed, Count > 6 ? Words[6] : "");
   for (uint32_t I = 1; I <= Rounds; ++I)
     Faults.round(I);
   Load.stop();
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -124,11 +124,7 @@
     }
   }
   for (size_t I = 0; I < Hosts.size(); ++I)
-    Hosts[I].Child = Process(
-        {Programs + "/standin-worker", "--port", std::to_string(Hosts[I].Port),
-         "--name", What.Zones[I] + "-worker-", "--count",
-         std::to_string(Hosts[I].Count), "--history", historyFile()},
-        logFile("workers-" + What.Zones[I]));
+    startWorkers(I);
 }
 
 std::string Deployment::settingsFor(const EntryProcess &Entry) const {
@@ -228,6 +224,14 @@
   return false;
 }
 
+/// Whether an entry holds slots of each service that its zone has endpoints of.
+bool Deployment::hasSlots(const EntryProcess &Entry, const json &Spare) const {
+  return std::all_of(List.begin(), List.end(), [&](const json &Each) {
+    bool InZone = Each["role"] == "endpoint" && Each["zone"] == Entry.Zone;
+    return !InZone || Spare.value(Each["service"].get<std::string>(), 0) > 0;
+  });
+}
+
 bool Deployment::waitReady(Millis Longest) {
   TimePoint Until = monotonicNow() + Longest;
   auto Want = operate("GET", "/v1/config?newest=yes");
@@ -236,8 +240,11 @@
     bool All = std::all_of(Entries.begin(), Entries.end(), [&](auto &Each) {
       auto Status = call("GET", "http://" + Each->operators() + "/v1/status",
                          "", ControlTimeout);
-      return Each->Healthy && Status &&
-             json::parse(Status->Body)["config_version"] == (*Want)["version"];
+      if (!Each->Healthy || !Status)
+        return false;
+      json Document = json::parse(Status->Body);
+      return Document["config_version"] == (*Want)["version"] &&
+             hasSlots(*Each, Document["spare_slots"]);
     });
     if (All)
       return true;
@@ -340,13 +347,15 @@
   Hosts[Zone].Child.signal(Frozen ? SIGSTOP : SIGCONT);
 }
 
-/// All workers of a zone die with what they run, and start anew.
-void Deployment::killWorkers(size_t Zone) {
-  WorkerHost &Host = Hosts[Zone];
-  Host.Child.signal(SIGKILL);
-  Host.Child.wait(ControlTimeout);
+void Deployment::endWorkers(size_t Zone) {
+  Hosts[Zone].Child.signal(SIGKILL);
+  Hosts[Zone].Child.wait(ControlTimeout);
   std::ofstream(historyFile(), std::ios::app)
       << nowMicros() << " killed " << What.Zones[Zone] << "-worker- -\n";
+}
+
+void Deployment::startWorkers(size_t Zone) {
+  WorkerHost &Host = Hosts[Zone];
   Host.Child = Process({Programs + "/standin-worker", "--port",
                         std::to_string(Host.Port), "--name",
                         What.Zones[Zone] + "-worker-", "--count",
@@ -354,6 +363,28 @@
                        logFile("workers-" + What.Zones[Zone]));
 }
 
+/// All workers of a zone die with what they run, and start anew.
+void Deployment::killWorkers(size_t Zone) {
+  endWorkers(Zone);
+  startWorkers(Zone);
+}
+
+void Deployment::loseZone(size_t Zone) {
+  for (size_t I = 0; I < Entries.size(); ++I) {
+    if (Entries[I]->Zone == What.Zones[Zone])
+      killEntry(I);
+  }
+  endWorkers(Zone);
+}
+
+void Deployment::restoreZone(size_t Zone) {
+  startWorkers(Zone);
+  for (size_t I = 0; I < Entries.size(); ++I) {
+    if (Entries[I]->Zone == What.Zones[Zone])
+      restartEntry(I);
+  }
+}
+
 void Deployment::drainEndpoint(size_t Index) {
   for (json &Each : List) {
     if (Each["name"] == Endpoints[Index])
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -58,6 +58,9 @@
                        const nlohmann::json &Faults);
   void freezeWorkers(size_t Zone, bool Frozen);
   void killWorkers(size_t Zone);
+  /// Everything in a zone dies, and comes back with `restoreZone`.
+  void loseZone(size_t Zone);
+  void restoreZone(size_t Zone);
   /// Lists an endpoint as leaving; the drain is kept for the checker.
   void drainEndpoint(size_t Index);
 
@@ -93,8 +96,11 @@
 private:
   void layOut();
   void startStandIns();
+  void endWorkers(size_t Zone);
+  void startWorkers(size_t Zone);
   void startEntry(EntryProcess &Entry);
   std::string settingsFor(const EntryProcess &Entry) const;
+  bool hasSlots(const EntryProcess &Entry, const nlohmann::json &Spare) const;
   bool waitReady(Millis Longest);
   bool configure();
   void callControl(const std::string &Address, const std::string &Path,
--- a/tests/unit/ShardFixture.h
+++ b/tests/unit/ShardFixture.h
@@ -87,7 +87,8 @@
   }
 
   void submit(const config::JobSpec &Spec) {
-    shard::InboxItem Item{.Key = "inbox/" + Spec.Id, .Accept = Spec};
+    shard::InboxItem Item{.Key = "inbox/" + Spec.Id,
+                          .Accept = shard::JobAccepted{Spec}};
     Owner->onInbox({&Item, 1});
   }
 
