Heartbeats overdraw the write budget; ends are heard of when expected; capacity

Cause: (1) bulk writes that use up the budget would have failed the heartbeat, and a busy entry would have looked dead and lost its shards. (2) A task's end was heard of at the next interval: tasks of 200 ms came to one start a second for each place. Change: a heartbeat may overdraw by one second's budget, which bulk writes pay back; the next exchange with a worker is due when a task there is expected to end.

--- a/src/entry/Context.h
+++ b/src/entry/Context.h
@@ -32,12 +32,14 @@
   std::string holder() const { return Options.Name + "/" + Incarnation; }
 
   /// A platform client for the calling thread's own use.
-  std::unique_ptr<platform::HttpPlatform> connectPlatform() {
+  std::unique_ptr<platform::HttpPlatform> connectPlatform(
+      platform::WritePriority Priority = platform::WritePriority::Bulk) {
     return std::make_unique<platform::HttpPlatform>(
         platform::HttpPlatformOptions{.Url = Options.PlatformUrl,
                                       .AvailabilityZone =
                                           Options.AvailabilityZone,
-                                      .Timeout = Options.PlatformTimeout},
+                                      .Timeout = Options.PlatformTimeout,
+                                      .Priority = Priority},
         Budget);
   }
 
--- a/src/entry/ShardLoop.cpp
+++ b/src/entry/ShardLoop.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <sys/resource.h>
+
 namespace daisylanding::entry {
 
 namespace {
@@ -278,10 +280,31 @@
   Query.Answer(std::move(Out));
 }
 
+/// What control costs: this process, and its exchanges with workers.
+void ShardLoop::publishCost() {
+  rusage Usage{};
+  getrusage(RUSAGE_SELF, &Usage);
+  auto Seconds = [](const timeval &Time) {
+    constexpr double MicrosPerSecond = 1e6;
+    return static_cast<double>(Time.tv_sec) +
+           static_cast<double>(Time.tv_usec) / MicrosPerSecond;
+  };
+  constexpr double BytesPerKilobyte = 1'024;
+  Shared.Numbers.gauge("process_cpu_seconds_total",
+                       Seconds(Usage.ru_utime) + Seconds(Usage.ru_stime));
+  Shared.Numbers.gauge("process_peak_resident_bytes",
+                       static_cast<double>(Usage.ru_maxrss) * BytesPerKilobyte);
+  Shared.Numbers.gauge("worker_sync_bytes_total",
+                       static_cast<double>(Workers.bytes()));
+  Shared.Numbers.gauge("worker_syncs_total",
+                       static_cast<double>(Workers.syncs()));
+}
+
 void ShardLoop::publishMetrics(TimePoint Now) {
   if (Now < NextMetrics)
     return;
   NextMetrics = Now + MetricsInterval;
+  publishCost();
   for (const auto &Each : Shards) {
     ShardReport Now = report(Each.second);
     auto Name = [&](std::string_view Base) {
--- a/src/entry/ShardLoop.h
+++ b/src/entry/ShardLoop.h
@@ -71,6 +71,7 @@
   void answer(const ShardQuery &Query);
   ShardReport report(const Running &Each) const;
   void publishMetrics(TimePoint Now);
+  void publishCost();
   void release(Running &Each);
 
   Context &Shared;
--- a/src/entry/SyncLoop.cpp
+++ b/src/entry/SyncLoop.cpp
@@ -22,7 +22,7 @@
       Released(RingCapacity, [this] { Wake.wake(); }), Shared(Shared) {}
 
 void SyncLoop::run() {
-  auto Platform = Shared.connectPlatform();
+  auto Platform = Shared.connectPlatform(platform::WritePriority::Heartbeat);
   while (!Loop.stopping()) {
     TimePoint Now = monotonicNow();
     std::string Text;
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -66,7 +66,7 @@
 }
 
 Result<CommitResult> HttpPlatform::commit(std::span<const Mutation> Mutations) {
-  if (!Budget.take(monotonicNow()))
+  if (!Budget.take(monotonicNow(), Options.Priority))
     return Errc::BudgetExhausted;
   auto Answer =
       call("POST", "/v1/table/commit", mutationsToJson(Mutations).dump());
--- a/src/platform/HttpPlatform.h
+++ b/src/platform/HttpPlatform.h
@@ -12,6 +12,7 @@
   std::string Url;              ///< Base URL of the platform's service.
   std::string AvailabilityZone; ///< Sent along, for the platform's routing.
   Millis Timeout{2'000};
+  WritePriority Priority = WritePriority::Bulk;
 };
 
 /// The platform's service over HTTP. One thread at a time; each thread that
--- a/src/platform/WriteBudget.h
+++ b/src/platform/WriteBudget.h
@@ -8,6 +8,10 @@
 
 namespace daisylanding::platform {
 
+/// Who writes: heartbeats must not fail because bulk writes used the budget,
+/// or a busy entry would look dead.
+enum class WritePriority : uint8_t { Bulk, Heartbeat };
+
 /// A process's share of the table's writes a second, as a token bucket that
 /// holds one second's worth.
 class WriteBudget {
@@ -15,11 +19,13 @@
   explicit WriteBudget(double WritesPerSecond)
       : Rate(WritesPerSecond), Tokens(WritesPerSecond) {}
 
-  /// Takes one write; false when the share is used up.
-  bool take(TimePoint Now) {
+  /// Takes one write; false when the share is used up. A heartbeat may
+  /// overdraw, which bulk writes then pay back.
+  bool take(TimePoint Now, WritePriority Priority = WritePriority::Bulk) {
     std::lock_guard<std::mutex> Lock(Mutex);
     refill(Now);
-    if (Tokens < 1)
+    double Lowest = Priority == WritePriority::Heartbeat ? 1 - Rate : 1;
+    if (Tokens < Lowest)
       return false;
     Tokens -= 1;
     return true;
@@ -29,7 +35,7 @@
   double level(TimePoint Now) {
     std::lock_guard<std::mutex> Lock(Mutex);
     refill(Now);
-    return Tokens / Rate;
+    return std::max(0.0, Tokens / Rate);
   }
 
 private:
--- a/src/shard/ShardOwner.cpp
+++ b/src/shard/ShardOwner.cpp
@@ -14,6 +14,9 @@
 
 constexpr Millis AdjustInterval{1'000};
 
+/// Between two exchanges with one worker that only look for ended tasks.
+constexpr Millis ShortestInterval{100};
+
 EndReason endReason(worker::AttemptResult Result) {
   switch (Result) {
   case worker::AttemptResult::Succeeded:
@@ -251,6 +254,21 @@
   return Request;
 }
 
+/// The next exchange that nothing else asks for: when a task there is expected
+/// to end, so that its place is not idle until the interval is over.
+TimePoint ShardOwner::nextSync(uint32_t Index, TimePoint Now) const {
+  TimePoint Next = Now + Options.SyncInterval;
+  for (const auto &[JobId, TaskIndex] : State.Instances[Index].Tasks) {
+    const Job &Owner = *State.Jobs.find(JobId)->second;
+    if (Owner.Spec.Kind == config::JobKind::Service)
+      continue;
+    TimePoint End = Owner.Tasks[TaskIndex].StartedAt + Owner.Estimate.runTime();
+    if (End > Now)
+      Next = std::min(Next, std::max<TimePoint>(End, Now + ShortestInterval));
+  }
+  return Next;
+}
+
 std::vector<WorkerCall> ShardOwner::dueSyncs(TimePoint Now) {
   std::vector<WorkerCall> Out;
   for (uint32_t I = 0; I < Links.size(); ++I) {
@@ -262,7 +280,7 @@
       continue;
     Each.InFlight = true;
     Each.Dirty = false;
-    Each.NextSync = Now + Options.SyncInterval;
+    Each.NextSync = nextSync(I, Now);
     Out.push_back({I, State.Instances[I].Address, buildSync(I, Now)});
   }
   return Out;
--- a/src/shard/ShardOwner.h
+++ b/src/shard/ShardOwner.h
@@ -137,6 +137,7 @@
   void renewLease(Link &To, worker::SyncRequest &Request, TimePoint Now);
   void recordEndings(TimePoint Now);
   void planStarts(TimePoint Now);
+  TimePoint nextSync(uint32_t Index, TimePoint Now) const;
   worker::SyncRequest buildSync(uint32_t Index, TimePoint Now);
   void onReport(uint32_t Index, const worker::SyncReport &Report,
                 TimePoint Now);
--- a/src/worker/WorkerLoop.cpp
+++ b/src/worker/WorkerLoop.cpp
@@ -31,12 +31,16 @@
   Request.Url = "http://" + Call.Address + "/v1/sync";
   Request.Body = toText(Call.Request);
   Request.Timeout = Timeout;
+  Bytes += Request.Body.size();
+  ++Syncs;
   Request.ConnectTimeout = Timeout;
   Request.MaxAnswerBytes = MaxReportBytes;
   SyncDone Reply{
       .Shard = Call.Shard, .Epoch = Call.Epoch, .Instance = Call.Instance};
   Client.start(std::move(Request), [this, Reply = std::move(Reply)](
                                        const http::Outcome &Answer) mutable {
+    if (Answer)
+      Bytes += Answer->Body.size();
     Reply.Report = readAnswer(Answer);
     Finished.push_back(std::move(Reply));
   });
--- a/src/worker/WorkerLoop.h
+++ b/src/worker/WorkerLoop.h
@@ -6,6 +6,7 @@
 #include "http/Client.h"
 #include "worker/Protocol.h"
 
+#include <atomic>
 #include <deque>
 
 namespace daisylanding::worker {
@@ -45,6 +46,10 @@
   Ring<SyncCall> Calls;
   Ring<SyncDone> Done;
 
+  /// Bodies sent to and received from workers so far, for the control cost.
+  uint64_t bytes() const { return Bytes.load(); }
+  uint64_t syncs() const { return Syncs.load(); }
+
 private:
   void run();
   void begin(const SyncCall &Call);
@@ -52,6 +57,8 @@
   Millis Timeout;
   http::MultiClient Client;
   std::deque<SyncDone> Finished;
+  std::atomic<uint64_t> Bytes{0};
+  std::atomic<uint64_t> Syncs{0};
   Thread Loop;
 };
 
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -440,6 +440,13 @@
   return Lowest;
 }
 
+json Deployment::platformStats() {
+  auto Answer = call(
+      "GET", fmt::format("http://127.0.0.1:{}/control/stats", PlatformPort), "",
+      ControlTimeout);
+  return Answer ? json::parse(Answer->Body) : json::object();
+}
+
 json Deployment::jobRow(const std::string &Id) {
   auto Row = operate("GET", "/v1/jobs/" + Id);
   return Row ? *Row : json::object();
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -82,6 +82,7 @@
   uint64_t lowestConfigVersion();
   /// Waits until no accepted batch or gang job is open; false at the limit.
   bool waitForJobs(Millis Longest);
+  nlohmann::json platformStats();
   nlohmann::json jobRow(const std::string &Id);
   std::map<std::string, double> metricsOf(const EntryProcess &Entry);
 
--- a/tests/process/CallerTest.cpp
+++ b/tests/process/CallerTest.cpp
@@ -110,6 +110,14 @@
   LONGS_EQUAL(1, Runs);
 }
 
+TEST(ACallerOfASmallDeployment, IsNotToldNotRunOfAKeyThatRan) {
+  post({{"Idempotency-Key", "ran-1"}}, "ran-1", 0);
+  http::Response Second =
+      post({{"Idempotency-Key", "ran-1"}, {"Daisylanding-Deadline-Ms", "1"}},
+           "ran-1", 1);
+  CHECK(outcome(Second) != "not-run");
+}
+
 TEST(ACallerOfASmallDeployment, MayNotReuseAKeyForAnotherBody) {
   post({{"Idempotency-Key", "reused-1"}}, "reused-1");
   http::Response Second = post({{"Idempotency-Key", "reused-1"}}, "other");
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -202,3 +202,10 @@
   LONGS_EQUAL(0, World.runningOn("w1"));
   LONGS_EQUAL(2, World.runningOn("w2"));
 }
+
+TEST(AShardOfTwoWorkersOfFourCores, AnEndIsHeardOfWhenItIsExpected) {
+  World.submit(
+      jobOf(config::JobKind::Batch, "short", "bulk", 1, 1, Millis(300)));
+  World.run(Millis(700));
+  CHECK_FALSE(World.Owner->status("short").has_value());
+}
