Front loop: what it knows of holders and peers stands in classes of its own

Change: HolderWatch and PeerLoads, with stories; one quantile for all scenarios. Conclusion: behaviour as before.

--- a/bench/CreditScenario.cpp
+++ b/bench/CreditScenario.cpp
@@ -1,4 +1,5 @@
 #include "bench/Scenarios.h"
+#include "bench/Statistics.h"
 
 #include "common/Random.h"
 #include <fmt/format.h>
@@ -195,12 +196,6 @@
   CreditResult Out;
 };
 
-double quantile(std::vector<double> Values, double Share) {
-  std::sort(Values.begin(), Values.end());
-  return Values[static_cast<size_t>(Share *
-                                    static_cast<double>(Values.size() - 1))];
-}
-
 } // namespace
 
 void runCreditScenarios() {
--- a/bench/RequestScenario.cpp
+++ b/bench/RequestScenario.cpp
@@ -1,4 +1,5 @@
 #include "bench/Scenarios.h"
+#include "bench/Statistics.h"
 
 #include "common/Random.h"
 #include "entry/ServiceState.h"
@@ -430,15 +431,6 @@
   return Out;
 }
 
-double quantile(std::vector<double> Values, double Share) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  auto Index =
-      static_cast<size_t>(Share * static_cast<double>(Values.size() - 1));
-  return Values[Index];
-}
-
 void print(const std::string &Policy, const LoadMix &Mix,
            const RunResult &Result) {
   for (size_t I = 0; I < Mix.Classes.size(); ++I) {
--- /dev/null
+++ b/bench/Statistics.h
@@ -0,0 +1,20 @@
+#ifndef DAISYLANDING_BENCH_STATISTICS_H
+#define DAISYLANDING_BENCH_STATISTICS_H
+
+#include <algorithm>
+#include <vector>
+
+namespace daisylanding::bench {
+
+/// The value below which \p Share (0 to 1) of \p Values lie; 0 if empty.
+inline double quantile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  auto Last = static_cast<double>(Values.size() - 1);
+  return Values[static_cast<size_t>(Share * Last)];
+}
+
+} // namespace daisylanding::bench
+
+#endif
--- a/bench/TaskScenario.cpp
+++ b/bench/TaskScenario.cpp
@@ -1,4 +1,5 @@
 #include "bench/Scenarios.h"
+#include "bench/Statistics.h"
 
 #include "policy/OutlierDetector.h"
 #include "shard/Scheduler.h"
@@ -403,14 +404,6 @@
   return std::move(Out);
 }
 
-double quantile(std::vector<double> Values, double Share) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  return Values[static_cast<size_t>(Share *
-                                    static_cast<double>(Values.size() - 1))];
-}
-
 void print(const std::string &Name, const TaskMix &Mix,
            const TaskResult &Result) {
   auto Mean = [&](double Sum) {
--- a/src/entry/FrontLoop.cpp
+++ b/src/entry/FrontLoop.cpp
@@ -19,13 +19,9 @@
 constexpr size_t RingCapacity = 4'096;
 constexpr Millis TickInterval{5};
 constexpr Millis PublishInterval{100};
-constexpr Millis DigestMaxAge{3'000};
 constexpr Millis ReleasePatience{3'000};
 constexpr uint32_t MaxTries = 3;
 
-/// A holder's work counts as over this long after its run limit.
-constexpr Millis HolderOverMargin{1'000};
-
 /// How many more spare slots a peer must have for a request to go there; what
 /// is known of it is a little old.
 constexpr int64_t BalanceMargin = 2;
@@ -51,6 +47,8 @@
       CreditRows(RingCapacity, [this] { Wake.wake(); }), Shared(Shared),
       Endpoints({}, [this] { Wake.wake(); }),
       Records(Shared, [this] { Wake.wake(); }),
+      Holders(Shared.Options.AvailabilityZone),
+      Loads(Shared.Options.AvailabilityZone),
       Generator(
           XXH64(Shared.Incarnation.data(), Shared.Incarnation.size(), 0)) {}
 
@@ -78,6 +76,7 @@
 void FrontLoop::run() {
   while (!Loop.stopping()) {
     applyView();
+    Loads.refresh(Shared.Digests);
     takeMessages();
     dispatch(monotonicNow());
     publishLoad(monotonicNow());
@@ -195,30 +194,6 @@
   giveUp(Id, Each, ProblemCode::Overloaded, Answer.ExpectedWait);
 }
 
-/// The peer with the most spare slots for \p Service, by its newest digest and
-/// what was forwarded to it since.
-LoadDigest *FrontLoop::bestPeer(std::string_view Service, bool HomeZoneOnly,
-                                TimePoint Now) {
-  if (PeerChanges != Shared.Digests.changes()) {
-    PeerChanges = Shared.Digests.changes();
-    Peers = Shared.Digests.peers();
-  }
-  LoadDigest *Best = nullptr;
-  int64_t Most = 0;
-  for (LoadDigest &Peer : Peers) {
-    bool Home = Peer.AvailabilityZone == Shared.Options.AvailabilityZone;
-    auto Spare = Peer.Spare.find(Service);
-    if (Spare == Peer.Spare.end() || (HomeZoneOnly && !Home) ||
-        Now - Peer.Received > DigestMaxAge)
-      continue;
-    if (Best && Spare->second <= Most)
-      continue;
-    Most = Spare->second;
-    Best = &Peer;
-  }
-  return Best;
-}
-
 /// Hands the request to \p Peer; false when it can't be handed over.
 bool FrontLoop::forwardTo(LoadDigest &Peer, uint64_t Id, Active &Each,
                           TimePoint Now) {
@@ -226,7 +201,7 @@
   Body.TimeLeft = Millis(std::max<int64_t>(1, toMillis(Each.Deadline - Now)));
   if (!Forward({Id, Peer.PeerAddress, std::move(Body)}))
     return false;
-  --Peer.Spare.find(Each.In.Body.Service)->second;
+  PeerLoads::forwardedTo(Peer, Each.In.Body.Service);
   Each.At = Stage::Forwarding;
   Shared.Numbers.count("requests_forwarded_total");
   return true;
@@ -238,10 +213,10 @@
   int64_t Own = Each.Service->spareSlots(Now);
   if (Each.In.Forwarded || Own > 0)
     return false;
-  LoadDigest *Peer = bestPeer(Each.In.Body.Service, true, Now);
+  LoadDigest *Peer = Loads.best(Each.In.Body.Service, true, Now);
   if (!Peer)
     return false;
-  int64_t Theirs = Peer->Spare.find(Each.In.Body.Service)->second;
+  int64_t Theirs = PeerLoads::spareOf(*Peer, Each.In.Body.Service);
   return Theirs > Own + BalanceMargin && forwardTo(*Peer, Id, Each, Now);
 }
 
@@ -250,8 +225,8 @@
 bool FrontLoop::tryRescue(uint64_t Id, Active &Each, TimePoint Now) {
   if (Each.In.Forwarded)
     return false;
-  LoadDigest *Peer = bestPeer(Each.In.Body.Service, false, Now);
-  if (!Peer || Peer->Spare.find(Each.In.Body.Service)->second <= 0)
+  LoadDigest *Peer = Loads.best(Each.In.Body.Service, false, Now);
+  if (!Peer || PeerLoads::spareOf(*Peer, Each.In.Body.Service) <= 0)
     return false;
   return forwardTo(*Peer, Id, Each, Now);
 }
@@ -536,39 +511,6 @@
   Respond(std::move(Answer));
 }
 
-policy::CreditZone FrontLoop::creditZone(const ServiceState &Service,
-                                         const policy::CreditTable &Table,
-                                         TimePoint Now) {
-  policy::CreditZone Zone{.ListVersion = Seen->List.Version,
-                          .Slots = Service.slotsInList()};
-  std::set<std::string, std::less<>> Listed;
-  for (const platform::Instance &Each : Seen->List.Instances)
-    Listed.insert(Each.Name);
-  std::set<std::string> Gone;
-  for (const Member &Each : Seen->Members) {
-    bool Current =
-        Listed.count(Each.Name) || Seen->List.Version < Each.ListVersion;
-    if (Current && Each.Alive && !Each.Draining &&
-        Each.AvailabilityZone == Shared.Options.AvailabilityZone)
-      Zone.Live.insert(Each.holder());
-    for (const auto &[Name, Endpoint] : Table.Endpoints) {
-      for (const auto &Held : Endpoint.Held) {
-        bool SameName = Held.first.starts_with(Each.Name + "/");
-        if (SameName && (!Current || Held.first != Each.holder()))
-          Gone.insert(Held.first);
-      }
-    }
-  }
-  std::erase_if(HolderGoneSince,
-                [&](const auto &Each) { return !Gone.count(Each.first); });
-  for (const std::string &Holder : Gone) {
-    TimePoint Since = HolderGoneSince.try_emplace(Holder, Now).first->second;
-    if (Now - Since > Service.Spec.RunLimit + HolderOverMargin)
-      Zone.Over.insert(Holder);
-  }
-  return Zone;
-}
-
 void FrontLoop::onCredits(const CreditRow &Row) {
   ServiceState *Service = findService(Row.Service);
   if (!Service || !Seen || Row.WritesSettled != Service->CreditWrites)
@@ -576,7 +518,8 @@
   TimePoint Now = monotonicNow();
   std::string Holder = Shared.holder();
   Service->applyCredits(Row.Table, Holder);
-  policy::CreditZone Zone = creditZone(*Service, Row.Table, Now);
+  policy::CreditZone Zone = Holders.zone(
+      *Seen, Row.Table, Service->slotsInList(), Service->Spec.RunLimit, Now);
   if (!Zone.Live.count(Holder) && !Shared.Draining.load())
     return; // Not in the list yet: it may not hold credits.
   policy::CreditDemand Demand = Service->demand(Holder);
--- a/src/entry/FrontLoop.h
+++ b/src/entry/FrontLoop.h
@@ -7,6 +7,8 @@
 #include "endpoint/EndpointLoop.h"
 #include "entry/Context.h"
 #include "entry/FrontMessages.h"
+#include "entry/HolderWatch.h"
+#include "entry/PeerLoads.h"
 #include "entry/RecordLoop.h"
 #include "entry/ServiceState.h"
 
@@ -78,8 +80,6 @@
   void admit(FrontRequest In);
   std::optional<http::Response> refusal(const FrontRequest &In) const;
   void enqueue(uint64_t Id, Active &Each, TimePoint Now);
-  LoadDigest *bestPeer(std::string_view Service, bool HomeZoneOnly,
-                       TimePoint Now);
   bool forwardTo(LoadDigest &Peer, uint64_t Id, Active &Each, TimePoint Now);
   bool tryBalance(uint64_t Id, Active &Each, TimePoint Now);
   bool tryRescue(uint64_t Id, Active &Each, TimePoint Now);
@@ -113,25 +113,19 @@
   Waker Wake;
   endpoint::EndpointLoop Endpoints;
   RecordLoop Records;
+  HolderWatch Holders;
+  PeerLoads Loads;
   Random Generator;
   std::shared_ptr<const View> Seen;
   std::shared_ptr<const config::ClusterConfig> Config;
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> Services;
   std::unordered_map<uint64_t, Active> Requests;
   uint64_t NextId = 1;
-  std::vector<LoadDigest> Peers;
-  uint64_t PeerChanges = 0;
   TimePoint NextPublish{};
   TimePoint NextExpiry{};
-  /// When this process first knew that a holder's work would be over.
-  std::map<std::string, TimePoint> HolderGoneSince;
   std::atomic<size_t> ActiveCount{0};
   std::atomic<uint64_t> HeldSlots{0};
   Thread Loop;
-
-  policy::CreditZone creditZone(const ServiceState &Service,
-                                const policy::CreditTable &Table,
-                                TimePoint Now);
 };
 
 } // namespace daisylanding::entry
