--- a/bench/CapacityMain.cpp
+++ b/bench/CapacityMain.cpp
@@ -164,8 +164,8 @@
     double Writes = rate(Before.TableWrites, After.TableWrites);
     double Cpu = rate(Before.CpuSeconds, After.CpuSeconds);
     fmt::print("| {} | {:.0f} | {:.1f} | {:.0f} | {:.1f} | {:.1f} | {:.1f} |\n",
-               AtOnce, Starts, 100 * Cpu, Starts ? 1e6 * Cpu / Starts : 0,
-               Writes, Writes ? Starts / Writes : 0, After.ResidentMb);
+               AtOnce, Starts, 100 * Cpu, Starts > 0 ? 1e6 * Cpu / Starts : 0,
+               Writes, Writes > 0 ? Starts / Writes : 0, After.ResidentMb);
     std::fflush(stdout);
   }
 }
@@ -198,7 +198,7 @@
       double Cpu = rate(Before.CpuSeconds, After.CpuSeconds);
       fmt::print("| {:.0f} | {:.0f} % | {:.0f} | {:.1f} | {:.0f} | {:.1f} |\n",
                  Offered, 100 * NonRepeatable, Done, 100 * Cpu,
-                 Done ? 1e6 * Cpu / Done : 0,
+                 Done > 0 ? 1e6 * Cpu / Done : 0,
                  rate(Before.TableWrites, After.TableWrites));
       std::fflush(stdout);
     }
--- a/bench/RequestScenario.cpp
+++ b/bench/RequestScenario.cpp
@@ -20,7 +20,7 @@
 
 constexpr uint32_t SlotsPerEndpoint = 8;
 constexpr double SecondsOfLoad = 30;
-constexpr size_t MaxWaiting = 8 * 2'048; // As eight entries hold.
+constexpr size_t MaxWaiting = 16'384; // As eight entries hold.
 constexpr Millis RunLimit{5'000};
 
 struct Request {
--- a/src/shard/ShardOwner.cpp
+++ b/src/shard/ShardOwner.cpp
@@ -1,5 +1,7 @@
 #include "shard/ShardOwner.h"
 
+#include "policy/Throttle.h"
+
 #include <algorithm>
 
 namespace daisylanding::shard {
@@ -221,7 +223,8 @@
   worker::SyncRequest Request{.Shard = Options.Id,
                               .Epoch = Options.Epoch,
                               .Sequence = ++SyncSequence,
-                              .Boot = To.Boot};
+                              .Boot = To.Boot,
+                              .ThrottlePercent = To.ThrottlePercent};
   renewLease(To, Request, Now);
   To.Told.clear();
   if (To.Boot.empty())
@@ -312,6 +315,33 @@
   for (const worker::RunningReport &Each : Report.Running)
     onRunningReport(Index, Each);
   recordMissing(Index, Report, Rebooted, Now);
+  relieve(Index, Report);
+}
+
+/// Tasks that use more than they declared are throttled to the instance's
+/// cores; when they use more memory than it has, the youngest batch task is
+/// stopped with its checkpoint.
+void ShardOwner::relieve(uint32_t Index, const worker::SyncReport &Report) {
+  uint64_t Cores = 0;
+  uint64_t Memory = 0;
+  Task *Youngest = nullptr;
+  for (const worker::RunningReport &Each : Report.Running) {
+    Cores += Each.Used.MilliCores;
+    Memory += Each.Used.MemoryMb;
+    Task *One = State.activeAttempt(Each.Id);
+    bool MayStop =
+        One && State.find(Each.Id.Job)->Spec.Kind == config::JobKind::Batch;
+    if (MayStop && (!Youngest || One->StartedAt > Youngest->StartedAt))
+      Youngest = One;
+  }
+  const platform::Resources &Capacity = State.Pool.capacity(Index);
+  Links[Index].ThrottlePercent =
+      policy::throttlePercent(Cores, Capacity.MilliCores);
+  bool OutOfMemory = Memory > Capacity.MemoryMb;
+  if (!OutOfMemory || !Youngest || Youngest->StopAsked)
+    return;
+  Youngest->StopAsked = true;
+  Links[Index].Dirty = true;
 }
 
 void ShardOwner::onEndedReport(uint32_t Index, const worker::EndedReport &Each,
--- a/src/shard/ShardOwner.h
+++ b/src/shard/ShardOwner.h
@@ -120,6 +120,7 @@
     bool Dirty = true; ///< Something is to be said before the interval ends.
     TimePoint NextSync{};
     uint32_t SilentSyncs = 0;
+    uint32_t ThrottlePercent = 100;
     std::string Boot; ///< Empty before the first report.
     /// The worker's clock less this owner's, at the latest possible moment
     /// of the report; a lease converted with it ends early, never late.
@@ -144,6 +145,7 @@
   void onEndedReport(uint32_t Index, const worker::EndedReport &Each,
                      TimePoint Now);
   void onRunningReport(uint32_t Index, const worker::RunningReport &Each);
+  void relieve(uint32_t Index, const worker::SyncReport &Report);
   void recordMissing(uint32_t Index, const worker::SyncReport &Report,
                      bool Rebooted, TimePoint Now);
   void noteHealth(uint32_t Index, EndReason Reason, Millis Ran, TimePoint Now);
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -13,6 +13,7 @@
 
 Process::Process(std::vector<std::string> Words, const std::string &LogFile) {
   std::vector<char *> Arguments;
+  Arguments.reserve(Words.size() + 1);
   for (std::string &Each : Words)
     Arguments.push_back(Each.data());
   Arguments.push_back(nullptr);
--- a/tests/standin/WorkerService.cpp
+++ b/tests/standin/WorkerService.cpp
@@ -69,10 +69,20 @@
     end(Id, Outcome, Now, Log);
 }
 
+platform::Resources WorkerModel::usedBy(const Running &Each) const {
+  auto Scaled = [&](uint32_t Amount) {
+    return static_cast<uint32_t>(Amount * UseFactor);
+  };
+  return {.MilliCores = Scaled(Each.Size.MilliCores),
+          .MemoryMb = Scaled(Each.Size.MemoryMb),
+          .Accelerators = Each.Size.Accelerators};
+}
+
 void WorkerModel::obey(const SyncRequest &Request, TimePoint Now,
                        History &Log) {
   TimePoint Renewed(Millis(Request.LeaseUntilMs));
   LeaseUntil = std::max(LeaseUntil, Renewed);
+  ThrottlePercent = Request.ThrottlePercent;
   for (const AttemptId &Id : Request.Acknowledge)
     Ended.erase(Id);
   for (const StopCommand &Each : Request.Stop)
@@ -95,7 +105,7 @@
                     .ClockMs = toMillis(Now.time_since_epoch()),
                     .Epoch = Request.Epoch};
   for (const auto &[Id, Each] : Tasks)
-    Report.Running.push_back({.Id = Id, .Used = Each.Size});
+    Report.Running.push_back({.Id = Id, .Used = usedBy(Each)});
   for (const auto &[Id, Each] : Ended)
     Report.Ended.push_back(Each);
   return Report;
--- a/tests/standin/WorkerService.h
+++ b/tests/standin/WorkerService.h
@@ -26,7 +26,9 @@
   void advance(TimePoint Now, History &Log);
 
   bool FailEverything = false;
-  double RunTimeFactor = 1; ///< True run time over the declared one.
+  double RunTimeFactor = 1;       ///< True run time over the declared one.
+  double UseFactor = 1;           ///< True use over the declared size.
+  uint32_t ThrottlePercent = 100; ///< As last told.
 
 private:
   struct Running {
@@ -36,6 +38,7 @@
     bool Leased = false;
   };
 
+  platform::Resources usedBy(const Running &Each) const;
   void obey(const worker::SyncRequest &Request, TimePoint Now, History &Log);
   void start(const worker::StartCommand &Command, TimePoint Now, History &Log);
   void end(const worker::AttemptId &Id, worker::AttemptResult Result,
--- a/tests/unit/ShardFixture.h
+++ b/tests/unit/ShardFixture.h
@@ -97,8 +97,10 @@
     Owner->onInbox({&Item, 1});
   }
 
-  /// Writes the next group, if there is one.
+  /// Writes the next group, if there is one and the table can be reached.
   bool write() {
+    if (PlatformAway)
+      return false;
     auto Group = Owner->nextGroup(Now);
     if (!Group)
       return false;
@@ -129,7 +131,8 @@
       Now += Step;
       for (auto &Each : Models)
         Each.second.advance(Now, Log);
-      Owner->confirmOwnership(Now);
+      if (!PlatformAway)
+        Owner->confirmOwnership(Now);
       while (write()) {
       }
       sync();
@@ -153,6 +156,7 @@
   uint64_t Epoch = 0;
   uint64_t ListVersion = 1;
   uint64_t Observations = 0;
+  bool PlatformAway = false;
   std::vector<platform::Instance> List;
   std::vector<shard::JournalRow> Journal;
   std::map<std::string, standin::WorkerModel> Models;
--- a/tests/unit/ShardOwnerTest.cpp
+++ b/tests/unit/ShardOwnerTest.cpp
@@ -28,6 +28,37 @@
   }
 };
 
+TEST_GROUP_BASE(WhenThePlatformIsAwayForTenMinutes, TEST_GROUP_CppUTestGroupWithABatchOfThreeTasks) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupWithABatchOfThreeTasks::setup();
+    World.run(Millis(300));
+    World.PlatformAway = true;
+    World.run(Millis(300'000));
+  }
+  size_t written(const std::string &Job) const {
+    size_t Starts = 0;
+    for (const auto &Row : World.Journal) {
+      for (const auto &Each : Row.Records) {
+        const auto *Started = std::get_if<shard::TaskStarted>(&Each);
+        Starts += Started && Started->Id.Job == Job;
+      }
+    }
+    return Starts;
+  }
+};
+
+TEST_GROUP_BASE(AndItsOwnerDiesInside, TEST_GROUP_CppUTestGroupWhenThePlatformIsAwayForTenMinutes) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupWhenThePlatformIsAwayForTenMinutes::setup();
+    World.Owner.reset();
+    World.Now += std::chrono::minutes(5);
+    for (auto &Each : World.Models)
+      Each.second.advance(World.Now, World.Log);
+    World.PlatformAway = false;
+    World.takeOver();
+  }
+};
+
 TEST_GROUP_BASE(WithALeasedTaskOnAPausedWorker, TEST_GROUP_CppUTestGroupAnOwnerWithTwoWorkers) {
   std::string Paused;
   void setup() override {
@@ -196,3 +227,42 @@
   CHECK(StartedElsewhere);
   LONGS_EQUAL(0, World.runningOn(Paused));
 }
+
+TEST(WhenThePlatformIsAwayForTenMinutes, NothingNewStartsAndNothingIsLost) {
+  World.submit(batchJob("later", 2));
+  World.run(Millis(300'000));
+  LONGS_EQUAL(0, World.runningEverywhere());
+  World.PlatformAway = false;
+  World.run(Millis(4'000));
+  LONGS_EQUAL(0, World.Owner->State.Jobs.size());
+  LONGS_EQUAL(3, written("j1"));
+  LONGS_EQUAL(2, written("later"));
+}
+
+TEST(AndItsOwnerDiesInside, TheNextOwnerHearsOfTheEndsAndRunsNothingAgain) {
+  World.run(Millis(300));
+  LONGS_EQUAL(0, World.runningEverywhere());
+  World.run(Millis(3'000));
+  LONGS_EQUAL(0, World.Owner->State.Jobs.size());
+  LONGS_EQUAL(3, written("j1"));
+}
+
+TEST(AnOwnerWithTwoWorkers, TasksThatUseMoreCoresThanThereAreAreThrottled) {
+  config::JobSpec Spec = batchJob("greedy", 6);
+  Spec.RunTime = Millis(60'000);
+  World.submit(Spec);
+  World.Models.at("w1").UseFactor = 8;
+  World.run(Millis(3'500));
+  CHECK(World.Models.at("w1").ThrottlePercent < 100);
+  LONGS_EQUAL(100, World.Models.at("w2").ThrottlePercent);
+}
+
+TEST(AnOwnerWithTwoWorkers, ATaskStopsWhereMemoryDoesNotHoldAllOfThem) {
+  config::JobSpec Spec = batchJob("fat", 6);
+  Spec.RunTime = Millis(60'000);
+  Spec.Size.MemoryMb = 2'000;
+  World.submit(Spec);
+  World.Models.at("w1").UseFactor = 2;
+  World.run(Millis(8'000));
+  CHECK(World.runningOn("w1") < 3);
+}
