A repeatable request that may have run is not told not-run

Cause: found by reading. When the first try's answer was lost and the second could not start in time, the request was given up as not-run, though the first try may have run. Besides, a request waiting in a class that was removed used an index that was out of range, and jobs of such a class never started again. Change: a request with a try of open fate ends as unknown; classes are looked up by name; jobs whose class is gone go on as lax work.

--- a/src/entry/FrontLoop.cpp
+++ b/src/entry/FrontLoop.cpp
@@ -156,9 +156,8 @@
   Each.Service = findService(In.Body.Service);
   if (In.Body.Class.empty())
     In.Body.Class = Each.Service->Spec.Class;
-  Each.Class = Each.Service->classIndex(In.Body.Class).value_or(0);
   Micros Allowed = Each.Service->Spec.RunLimit +
-                   Each.Service->Targets[Each.Class] * DefaultWaitFactor;
+                   Each.Service->targetOf(In.Body.Class) * DefaultWaitFactor;
   if (In.Body.TimeLeft)
     Allowed = *In.Body.TimeLeft;
   Each.Deadline = In.Arrived + Allowed;
@@ -177,7 +176,8 @@
   if (!Each.Service->hasCredits() && tryRescue(Id, Each, Now))
     return;
   policy::QueuedRequest Queued{.Id = Id,
-                               .Class = Each.Class,
+                               .Class =
+                                   Each.Service->classOf(Each.In.Body.Class),
                                .Arrived = Each.In.Arrived,
                                .Deadline = Each.Deadline};
   auto Answer =
@@ -254,7 +254,7 @@
       Problem = ProblemCode::DeadlineTooShort;
     else if (!Service.hasCredits())
       Problem = ProblemCode::NoEndpoint;
-    giveUp(Id, Each, Problem, Service.Targets[Each.Class]);
+    giveUp(Id, Each, Problem, Service.targetOf(Each.In.Body.Class));
   }
 }
 
@@ -359,6 +359,7 @@
   freeSlot(Each, Now - Each.SentAt, Good, Now);
   if (Each.In.Body.Repeatable && isTransientStatus(Done.Answer->Status)) {
     Each.Excluded = Endpoint;
+    Each.MayHaveRun = true;
     if (retry(Done.Id, Each, Now))
       return;
   }
@@ -375,6 +376,7 @@
     return;
   }
   // The endpoint may still be at it, so its slot is not free yet.
+  Each.MayHaveRun = true;
   TimePoint Until = Each.SentAt + Each.Service->Spec.RunLimit;
   Each.Service->unresolved(*Each.Endpoint, Until, Now);
   Each.Endpoint.reset();
@@ -390,11 +392,11 @@
       !Each.Service->Retries.takeRetry())
     return false;
   Each.At = Stage::Queued;
-  Each.Class = Each.Service->classIndex(Each.In.Body.Class).value_or(0);
-  Each.Service->Queue.putBack({.Id = Id,
-                               .Class = Each.Class,
-                               .Arrived = Each.In.Arrived,
-                               .Deadline = Each.Deadline});
+  Each.Service->Queue.putBack(
+      {.Id = Id,
+       .Class = Each.Service->classOf(Each.In.Body.Class),
+       .Arrived = Each.In.Arrived,
+       .Deadline = Each.Deadline});
   Shared.Numbers.count("request_retries_total");
   return true;
 }
@@ -469,10 +471,15 @@
   finish(Done.Id, Each, caller::unknown(ProblemCode::AnswerLost, 1));
 }
 
-/// Ends a request that surely did not run. What is recorded is released
-/// first; a key that may have been used earlier is looked up first.
+/// Ends a request that is not tried any further. If it surely did not run,
+/// what is recorded is released first, and a key that may have been used
+/// earlier is looked up.
 void FrontLoop::giveUp(uint64_t Id, Active &Each, ProblemCode Problem,
                        Micros ExpectedWait) {
+  if (Each.MayHaveRun) {
+    finish(Id, Each, caller::unknown(ProblemCode::AnswerLost, 1));
+    return;
+  }
   Each.Problem = Problem;
   Each.RetryAfter = policy::retryAfterSeconds(ExpectedWait, Generator);
   if (Each.Recorded) {
--- a/src/entry/FrontLoop.h
+++ b/src/entry/FrontLoop.h
@@ -62,13 +62,15 @@
     FrontRequest In;
     Stage At = Stage::Queued;
     ServiceState *Service = nullptr;
-    uint32_t Class = 0;
     TimePoint Deadline;
     TimePoint SentAt;
     std::optional<size_t> Endpoint;
     std::optional<size_t> Excluded;
     uint32_t Tries = 0;
     bool Recorded = false; ///< Its record exists in the table.
+    /// A try was sent and its fate is open, or it was answered: whatever
+    /// becomes of further tries, it can't be told as not run.
+    bool MayHaveRun = false;
     std::string Token;
     caller::ProblemCode Problem;
     int64_t RetryAfter = 1;
--- a/src/entry/ServiceState.cpp
+++ b/src/entry/ServiceState.cpp
@@ -39,18 +39,18 @@
   Queue = policy::RequestQueue(
       {.WaitingTargets = Targets, .MaxWaiting = MaxWaiting});
   for (policy::QueuedRequest &Each : Kept) {
-    auto Index = classIndex(OldNames[Each.Class]);
-    Each.Class = Index ? *Index : classIndex(Spec.Class).value_or(0);
+    Each.Class = classOf(OldNames[Each.Class]);
     Queue.restore(Each);
   }
 }
 
-std::optional<uint32_t> ServiceState::classIndex(std::string_view Name) const {
-  for (uint32_t I = 0; I < ClassNames.size(); ++I) {
-    if (ClassNames[I] == Name)
-      return I;
+uint32_t ServiceState::classOf(std::string_view Name) const {
+  for (std::string_view Wanted : {Name, std::string_view(Spec.Class)}) {
+    auto Found = std::find(ClassNames.begin(), ClassNames.end(), Wanted);
+    if (Found != ClassNames.end())
+      return static_cast<uint32_t>(Found - ClassNames.begin());
   }
-  return std::nullopt;
+  return 0;
 }
 
 size_t ServiceState::indexOf(const platform::Instance &Each) {
--- a/src/entry/ServiceState.h
+++ b/src/entry/ServiceState.h
@@ -41,7 +41,11 @@
   /// Reduces credits that a plan gives away, before it is written.
   void reduce(const std::map<std::string, uint32_t> &Given);
 
-  std::optional<uint32_t> classIndex(std::string_view Name) const;
+  /// The index of a class; that of the default class if it is gone.
+  uint32_t classOf(std::string_view Name) const;
+  Millis targetOf(std::string_view Class) const {
+    return Targets[classOf(Class)];
+  }
   std::optional<size_t> pick(std::optional<size_t> Exclude, TimePoint Now,
                              Random &Generator);
   void sent(size_t Endpoint, TimePoint Now);
--- a/src/shard/Scheduler.cpp
+++ b/src/shard/Scheduler.cpp
@@ -33,6 +33,15 @@
           .Accelerators = Size.Accelerators * Count};
 }
 
+/// The class of a job; jobs whose class was removed go on as lax work.
+const config::WorkClass &classOf(const config::ClusterConfig &Config,
+                                 const Job &Owner) {
+  static const config::WorkClass Removed = {
+      .Name = "(removed)", .WaitingTarget = std::chrono::minutes(1)};
+  const config::WorkClass *Found = Config.findClass(Owner.Spec.Class);
+  return Found ? *Found : Removed;
+}
+
 TimePoint oldestReady(const Job &Owner, TimePoint Now) {
   TimePoint Oldest = TimePoint::max();
   for (const Task &Each : Owner.Tasks) {
@@ -53,9 +62,9 @@
     Job &Owner = *Each.second;
     if (Owner.Pending == 0)
       continue;
-    const config::WorkClass *Class = Config.findClass(Owner.Spec.Class);
+    const config::WorkClass *Class = &classOf(Config, Owner);
     TimePoint Ready = oldestReady(Owner, Now);
-    if (!Class || Ready == TimePoint::max())
+    if (Ready == TimePoint::max())
       continue;
     Waiting.insert(Class->Name);
     Out.push_back(
@@ -230,7 +239,7 @@
 void Scheduler::start(Job &Owner, uint32_t Index, uint32_t Instance,
                       TimePoint Now) {
   Task &One = Owner.Tasks[Index];
-  const config::WorkClass *Class = Current->findClass(Owner.Spec.Class);
+  const config::WorkClass *Class = &classOf(*Current, Owner);
   Tightness[Class->Name].sawWaiting(Now - One.ReadySince, Class->WaitingTarget);
   TaskStarted Started{.Id = {Owner.Spec.Id, Index, One.Attempt + 1},
                       .Instance = State.Instances[Instance].Name,
@@ -361,9 +370,8 @@
   std::vector<policy::PreemptionCandidate> Candidates;
   std::vector<Task *> Tasks;
   for (const auto &Other : State.Jobs) {
-    const config::WorkClass *Class =
-        Current->findClass(Other.second->Spec.Class);
-    if (!Class || Other.second->Spec.Kind != config::JobKind::Batch)
+    const config::WorkClass *Class = &classOf(*Current, *Other.second);
+    if (Other.second->Spec.Kind != config::JobKind::Batch)
       continue;
     for (Task &One : Other.second->Tasks) {
       if (One.Phase != TaskPhase::Running || One.StopAsked)
--- a/tests/harness/DemoMain.cpp
+++ b/tests/harness/DemoMain.cpp
@@ -19,12 +19,34 @@
 constexpr Millis JobLimit{60'000};
 constexpr Millis StopLimit{40'000};
 
-/// Lets the load go on, and watches versions and drains meanwhile.
-void watch(Deployment &Target, Millis Span) {
+/// The packing of each shard over the run.
+struct PackingSamples {
+  double Sum = 0;
+  double Highest = 0;
+  size_t Count = 0;
+};
+
+void samplePacking(Deployment &Target, PackingSamples &Out) {
+  for (auto &Each : Target.Entries) {
+    if (!Each->Healthy)
+      continue;
+    for (const auto &[Name, Value] : Target.metricsOf(*Each)) {
+      if (!Name.starts_with("daisylanding_shard_packing"))
+        continue;
+      Out.Sum += Value;
+      Out.Highest = std::max(Out.Highest, Value);
+      ++Out.Count;
+    }
+  }
+}
+
+/// Lets the load go on, and watches versions, drains and packing meanwhile.
+void watch(Deployment &Target, Millis Span, PackingSamples &Packing) {
   constexpr Millis Step{250};
   TimePoint Until = monotonicNow() + Span;
   while (monotonicNow() < Until) {
     Target.observe();
+    samplePacking(Target, Packing);
     std::this_thread::sleep_for(Step);
   }
 }
@@ -41,28 +63,22 @@
 }
 
 /// The largest value over all entries of each waiting-time series.
-void printWaiting(Deployment &Target) {
+void printWaiting(Deployment &Target, const PackingSamples &Packing) {
   std::map<std::string, double> Worst;
-  double Packing = 0;
-  size_t Shards = 0;
   for (auto &Each : Target.Entries) {
     for (const auto &[Name, Value] : Target.metricsOf(*Each)) {
       if (Name.find("waiting_ms{") != std::string::npos &&
           Name.find("quantile") != std::string::npos)
         Worst[Name] = std::max(Worst[Name], Value);
-      if (Name.starts_with("daisylanding_shard_packing")) {
-        Packing += Value;
-        ++Shards;
-      }
     }
   }
   fmt::print("  waiting time, the worst entry's quantiles:\n");
   for (const auto &[Name, Value] : Worst)
     fmt::print("    {:<72} {:9.1f} ms\n",
                Name.substr(std::string("daisylanding_").size()), Value);
-  if (Shards)
-    fmt::print("  packing, mean over {} shards: {:.2f}\n", Shards,
-               Packing / static_cast<double>(Shards));
+  auto Samples = static_cast<double>(std::max<size_t>(1, Packing.Count));
+  fmt::print("  packing of a shard: mean {:.2f}, highest {:.2f}\n",
+             Packing.Sum / Samples, Packing.Highest);
 }
 
 /// Processor time and memory of an entry process, from /proc.
@@ -117,25 +133,26 @@
     fmt::print("  it did not come up; see {}\n", Folder);
     return false;
   }
+  PackingSamples Packing;
   LoadClient Load(Target, 1);
   Load.start();
   submitJobs(Target);
-  watch(Target, QuarterOfLoad);
+  watch(Target, QuarterOfLoad, Packing);
   fmt::print("  killing {}\n", Target.Entries[0]->Name);
   Target.killEntry(0);
-  watch(Target, QuarterOfLoad);
+  watch(Target, QuarterOfLoad, Packing);
   fmt::print("  draining {}\n", Target.Endpoints[0]);
   Target.drainEndpoint(0);
   Target.restartEntry(0);
-  watch(Target, QuarterOfLoad);
+  watch(Target, QuarterOfLoad, Packing);
   fmt::print("  stopping {} gracefully\n", Target.Entries[1]->Name);
   Target.stopEntry(1);
-  watch(Target, QuarterOfLoad);
+  watch(Target, QuarterOfLoad, Packing);
   Load.stop();
   int StopCode = Target.Entries[1]->Child.wait(StopLimit);
   bool JobsDone = Target.waitForJobs(JobLimit);
   printControlCost(Target, toSeconds(monotonicNow() - Began));
-  printWaiting(Target);
+  printWaiting(Target, Packing);
   Histories Past = Target.histories();
   Past.Answers = Load.Answers;
   std::map<std::string, size_t> Outcomes;
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -209,3 +209,12 @@
   World.run(Millis(700));
   CHECK_FALSE(World.Owner->status("short").has_value());
 }
+
+TEST(AShardOfTwoWorkersOfFourCores, AJobWhoseClassIsRemovedGoesOn) {
+  World.submit(jobOf(config::JobKind::Batch, "orphan", "bulk", 10, 1));
+  World.run(Millis(300));
+  World.Config = std::make_shared<config::ClusterConfig>();
+  World.listChanged();
+  World.run(Millis(8'000));
+  CHECK_FALSE(World.Owner->status("orphan").has_value());
+}
