Reading: the sync loop in steps, refusals said, no orphans of aborted tests

Cause: claimShards did three things, a ring was never filled, a refused peer was silent, and a test program that aborted left its children on their ports, which made the next run's deployment fail to come up. Change: steps of their own; a refusal is logged once a peer with its code; changes are refused while an entry drains; children die with the harness. Conclusion: behaviour as before otherwise.

--- a/src/entry/SyncLoop.cpp
+++ b/src/entry/SyncLoop.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace daisylanding::entry {
 
@@ -18,8 +19,7 @@
 } // namespace
 
 SyncLoop::SyncLoop(Context &Shared)
-    : FromPeers(RingCapacity, [this] { Wake.wake(); }),
-      Released(RingCapacity, [this] { Wake.wake(); }), Shared(Shared) {}
+    : FromPeers(RingCapacity, [this] { Wake.wake(); }), Shared(Shared) {}
 
 void SyncLoop::run() {
   auto Platform = Shared.connectPlatform(platform::WritePriority::Heartbeat);
@@ -156,51 +156,59 @@
   Draft.Members = std::move(Next);
 }
 
-void SyncLoop::claimShards(platform::Table &Store, TimePoint Now) {
-  const std::string &Zone = Shared.Options.AvailabilityZone;
+/// All shards in the table, and those of the home zone that it has no row of.
+std::optional<std::vector<Shard>>
+SyncLoop::readShards(platform::Table &Store) const {
   auto Rows = Store.scan("shard/");
   if (!Rows)
-    return;
+    return std::nullopt;
   std::vector<Shard> All;
+  std::set<std::string> Known;
   for (const platform::Row &Row : *Rows) {
     auto Each = shardFromRow(Row);
-    if (Each)
-      All.push_back(std::move(*Each));
+    if (!Each)
+      continue;
+    Known.insert(Each->Id);
+    All.push_back(std::move(*Each));
   }
   for (uint32_t I = 0; I < Shared.Options.ShardsPerZone; ++I) {
-    std::string Id = fmt::format("{}.{}", Zone, I);
-    bool Exists = std::any_of(All.begin(), All.end(),
-                              [&](const Shard &Each) { return Each.Id == Id; });
-    if (!Exists)
+    std::string Id = fmt::format("{}.{}", Shared.Options.AvailabilityZone, I);
+    if (!Known.count(Id))
       All.push_back({.Id = Id});
   }
+  return All;
+}
+
+void SyncLoop::claimShards(platform::Table &Store, TimePoint Now) {
+  auto All = readShards(Store);
+  if (!All)
+    return;
+  std::string HomePrefix = Shared.Options.AvailabilityZone + ".";
   Member Self{.Name = Shared.Options.Name,
               .Incarnation = Shared.Incarnation,
-              .AvailabilityZone = Zone};
-  for (Shard &Each : All) {
-    if (!Each.Id.starts_with(Zone + ".") || Shared.Draining.load() ||
-        !shouldClaim(Each, Self, Draft))
-      continue;
-    if (auto Taken = claimShard(Store, Each, Self)) {
-      Each = *Taken;
-      Shared.Events.add("shard-taken", Each.Id,
-                        fmt::format("epoch={}", Each.Epoch));
-      logInfo("shard-taken", "shard={} epoch={}", Each.Id, Each.Epoch);
-    }
-  }
-  std::string Gone;
-  while (Released.pop(Gone))
-    Shared.Events.add("shard-released", Gone);
+              .AvailabilityZone = Shared.Options.AvailabilityZone};
   Draft.Owned.clear();
-  for (const Shard &Each : All) {
-    bool Mine =
-        Each.Owner == Self.Name && Each.OwnerIncarnation == Self.Incarnation;
+  for (Shard &Each : *All) {
     // A shard of another zone is held only to move its work away.
-    if (Mine && Each.Id.starts_with(Zone + "."))
+    if (!Each.Id.starts_with(HomePrefix))
+      continue;
+    if (!Shared.Draining.load() && shouldClaim(Each, Self, Draft))
+      claim(Store, Each, Self);
+    if (Each.Owner == Self.Name && Each.OwnerIncarnation == Self.Incarnation)
       Draft.Owned.push_back(Each);
   }
-  Draft.Shards = std::move(All);
+  Draft.Shards = std::move(*All);
   Draft.Confirmed = Now;
 }
 
+void SyncLoop::claim(platform::Table &Store, Shard &Each, const Member &Self) {
+  auto Taken = claimShard(Store, Each, Self);
+  if (!Taken)
+    return;
+  Each = *Taken;
+  Shared.Events.add("shard-taken", Each.Id,
+                    fmt::format("epoch={}", Each.Epoch));
+  logInfo("shard-taken", "shard={} epoch={}", Each.Id, Each.Epoch);
+}
+
 } // namespace daisylanding::entry
--- a/src/entry/SyncLoop.h
+++ b/src/entry/SyncLoop.h
@@ -6,6 +6,8 @@
 #include "entry/Context.h"
 #include "entry/Ownership.h"
 
+#include <optional>
+
 namespace daisylanding::entry {
 
 /// Keeps this process's view of the platform: the instance list, the
@@ -25,8 +27,6 @@
   /// A configuration heard from a peer; it was committed, so a higher version
   /// may be applied. Callable from one thread.
   Ring<std::string> FromPeers;
-  /// Shards that the journal loop found fenced or has handed over.
-  Ring<std::string> Released;
 
 private:
   void run();
@@ -36,7 +36,9 @@
   void beat(platform::Table &Store, TimePoint Now);
   bool writeHeartbeat(platform::Table &Store);
   void readMembers(platform::Table &Store, TimePoint Now);
+  std::optional<std::vector<Shard>> readShards(platform::Table &Store) const;
   void claimShards(platform::Table &Store, TimePoint Now);
+  void claim(platform::Table &Store, Shard &Each, const Member &Self);
   void publish();
 
   Context &Shared;
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -107,6 +107,8 @@
 http::Response OperatorApi::route(const http::Request &Incoming) {
   std::string_view Path = http::pathOf(Incoming.Target);
   bool Posts = Incoming.Method == "POST";
+  if (Posts && Shared.Draining.load())
+    return problem(Errc::ShuttingDown);
   std::string Name;
   if (Path == "/v1/status")
     return status();
--- a/src/peer/PeerLoop.cpp
+++ b/src/peer/PeerLoop.cpp
@@ -57,6 +57,8 @@
   std::set<std::string> peerAddresses(bool HomeZoneOnly = false) const;
   kj::Promise<wire::Peer::Client> connect(const std::string &Address);
   void drop(const std::string &Address) { Links.erase(Address); }
+  [[noreturn]] void onRefused(const std::string &Address,
+                              wire::Verdict Verdict);
   void fillGossip(wire::Gossip::Builder Out, uint64_t PeerConfig);
   void takeGossip(wire::Gossip::Reader Source);
   void forward(entry::ForwardCall Call);
@@ -71,6 +73,7 @@
   kj::AsyncIoContext Io;
   kj::TaskSet Tasks;
   std::map<std::string, Link> Links;
+  std::set<std::string> RefusedBy;
   kj::Own<kj::AsyncInputStream> WakePipe;
   char WakeBuffer[64] = {};
   unsigned GossipRound = 0;
@@ -250,8 +253,7 @@
           })
           .then([this, Address](auto &&Answer) -> wire::Peer::Client {
             if (Answer.getVerdict() != wire::Verdict::ACCEPTED)
-              kj::throwFatalException(
-                  KJ_EXCEPTION(FAILED, "the peer refused this entry"));
+              onRefused(Address, Answer.getVerdict());
             wire::Peer::Client Peer = Answer.getPeer();
             Links[Address].Peer = Peer;
             return Peer;
@@ -263,6 +265,17 @@
       });
 }
 
+/// Said once for each peer; every later round is refused alike.
+void PeerLoop::Impl::onRefused(const std::string &Address,
+                               wire::Verdict Verdict) {
+  std::error_code Failure = Verdict == wire::Verdict::WRONG_VERSION
+                                ? Errc::WrongVersion
+                                : Errc::WrongDeployment;
+  if (RefusedBy.insert(Address).second)
+    logWarn("peer-refused", "peer={} error={}", Address, Failure.message());
+  kj::throwFatalException(KJ_EXCEPTION(FAILED, "the peer refused this entry"));
+}
+
 kj::Promise<void> PeerLoop::Impl::gossipForever() {
   return Io.provider->getTimer()
       .afterDelay(HomeGossipMillis * kj::MILLISECONDS)
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,17 +17,20 @@
   for (std::string &Each : Words)
     Arguments.push_back(Each.data());
   Arguments.push_back(nullptr);
-  posix_spawn_file_actions_t Actions;
-  posix_spawn_file_actions_init(&Actions);
+  Pid = fork();
+  if (Pid != 0)
+    return;
+  // In the child: only calls that are safe after a fork of many threads. It
+  // dies with the harness, so that an aborted run leaves nothing behind.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   constexpr int Mode = 0644;
-  posix_spawn_file_actions_addopen(&Actions, STDERR_FILENO, LogFile.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, Mode);
-  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, "/dev/null",
-                                   O_WRONLY, 0);
-  if (posix_spawn(&Pid, Arguments[0], &Actions, nullptr, Arguments.data(),
-                  environ) != 0)
-    Pid = -1;
-  posix_spawn_file_actions_destroy(&Actions);
+  int Log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, Mode);
+  int Null = open("/dev/null", O_WRONLY);
+  dup2(Log, STDERR_FILENO);
+  dup2(Null, STDOUT_FILENO);
+  execv(Arguments[0], Arguments.data());
+  constexpr int CannotExecute = 127;
+  _exit(CannotExecute);
 }
 
 Process::~Process() {
