Peers are asked by one function; a time line over all entries is tested

Cause: two collections from all peers stood twice. Change: each promise gets a copy; a process test asks for the time line of both entries.

--- a/src/peer/PeerLoop.cpp
+++ b/src/peer/PeerLoop.cpp
@@ -62,6 +62,8 @@
   void fillGossip(wire::Gossip::Builder Out, uint64_t PeerConfig);
   void takeGossip(wire::Gossip::Reader Source);
   void forward(entry::ForwardCall Call);
+  template <typename Ask, typename Take>
+  kj::Promise<void> askAll(Ask Request, Take OnAnswer);
   void collectEvents(const EventsCall &Call);
   void collectJobs(const JobsCall &Call);
   kj::Promise<std::string> ownJobs(const std::string &Job);
@@ -381,31 +383,39 @@
                 }));
 }
 
+/// Asks every peer at once. A peer that does not answer in time is left out.
+/// Each promise gets a copy of the functions: kj keeps what it is given by
+/// reference as a reference.
+template <typename Ask, typename Take>
+kj::Promise<void> PeerLoop::Impl::askAll(Ask Request, Take OnAnswer) {
+  auto Addresses = peerAddresses();
+  auto Pending = kj::heapArrayBuilder<kj::Promise<void>>(Addresses.size());
+  for (const std::string &Address : Addresses)
+    Pending.add(Io.provider->getTimer()
+                    .timeoutAfter(CallMillis * kj::MILLISECONDS,
+                                  connect(Address).then(Ask(Request)))
+                    .then(Take(OnAnswer))
+                    .catch_([](kj::Exception &&) {}));
+  return kj::joinPromises(Pending.finish());
+}
+
 void PeerLoop::Impl::collectEvents(const EventsCall &Call) {
   auto Merged = std::make_shared<std::vector<Event>>(
       Shared.Events.since(Call.After, Call.Limit));
-  auto Pending =
-      kj::heapArrayBuilder<kj::Promise<void>>(peerAddresses().size());
-  for (const std::string &Address : peerAddresses()) {
-    auto Asked = connect(Address).then(
-        [After = Call.After, Limit = Call.Limit](wire::Peer::Client Peer) {
-          auto Request = Peer.eventsRequest();
-          Request.setAfter(After);
-          Request.setLimit(Limit);
-          return Request.send();
-        });
-    Pending.add(Io.provider->getTimer()
-                    .timeoutAfter(CallMillis * kj::MILLISECONDS, kj::mv(Asked))
-                    .then([Merged](auto &&Answer) {
-                      for (auto Each : Answer.getEvents())
-                        Merged->push_back(read(Each));
-                    })
-                    .catch_([](kj::Exception &&) {}));
-  }
-  Tasks.add(
-      kj::joinPromises(Pending.finish()).then([Merged, Answer = Call.Answer] {
-        Answer->set_value(std::move(*Merged));
-      }));
+  auto Request = [After = Call.After,
+                  Limit = Call.Limit](wire::Peer::Client Peer) {
+    auto Question = Peer.eventsRequest();
+    Question.setAfter(After);
+    Question.setLimit(Limit);
+    return Question.send();
+  };
+  auto OnAnswer = [Merged](auto &&Answer) {
+    for (auto Each : Answer.getEvents())
+      Merged->push_back(read(Each));
+  };
+  Tasks.add(askAll(Request, OnAnswer).then([Merged, Answer = Call.Answer] {
+    Answer->set_value(std::move(*Merged));
+  }));
 }
 
 kj::Promise<std::string> PeerLoop::Impl::ownJobs(const std::string &Job) {
@@ -424,31 +434,24 @@
 
 void PeerLoop::Impl::collectJobs(const JobsCall &Call) {
   auto Merged = std::make_shared<std::vector<std::string>>();
-  auto Pending =
-      kj::heapArrayBuilder<kj::Promise<void>>(peerAddresses().size() + 1);
-  Pending.add(ownJobs(Call.Job)
-                  .then([Merged](std::string Document) {
-                    Merged->push_back(std::move(Document));
-                  })
-                  .catch_([](kj::Exception &&) {}));
-  for (const std::string &Address : peerAddresses()) {
-    auto Asked =
-        connect(Address).then([Job = Call.Job](wire::Peer::Client Peer) {
-          auto Request = Peer.jobsRequest();
-          Request.setId(Job);
-          return Request.send();
-        });
-    Pending.add(Io.provider->getTimer()
-                    .timeoutAfter(CallMillis * kj::MILLISECONDS, kj::mv(Asked))
-                    .then([Merged](auto &&Answer) {
-                      Merged->push_back(toString(Answer.getDocument()));
-                    })
-                    .catch_([](kj::Exception &&) {}));
-  }
-  Tasks.add(
-      kj::joinPromises(Pending.finish()).then([Merged, Answer = Call.Answer] {
-        Answer->set_value(std::move(*Merged));
-      }));
+  auto Own = ownJobs(Call.Job)
+                 .then([Merged](std::string Document) {
+                   Merged->push_back(std::move(Document));
+                 })
+                 .catch_([](kj::Exception &&) {});
+  auto Request = [Job = Call.Job](wire::Peer::Client Peer) {
+    auto Question = Peer.jobsRequest();
+    Question.setId(Job);
+    return Question.send();
+  };
+  auto OnAnswer = [Merged](auto &&Answer) {
+    Merged->push_back(toString(Answer.getDocument()));
+  };
+  Tasks.add(askAll(Request, OnAnswer)
+                .then([Own = kj::mv(Own)]() mutable { return kj::mv(Own); })
+                .then([Merged, Answer = Call.Answer] {
+                  Answer->set_value(std::move(*Merged));
+                }));
 }
 
 PeerLoop::PeerLoop(entry::Context &Shared, PeerHooks Hooks)
--- a/tests/process/CallerTest.cpp
+++ b/tests/process/CallerTest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <fstream>
 #include <memory>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -254,6 +255,24 @@
   CHECK(http::findHeader(Answer->Headers, "Retry-After") != nullptr);
 }
 
+TEST(ACallerOfASmallDeployment, HasOneTimeLineOverAllEntries) {
+  http::Call Request;
+  Request.Url = "http://" + Target.Entries[0]->operators() + "/v1/timeline";
+  std::set<std::string> Entries;
+  TimePoint Until = monotonicNow() + Millis(30'000);
+  while (Entries.size() < 2 && monotonicNow() < Until) {
+    auto Answer = Client.perform(Request);
+    CHECK(static_cast<bool>(Answer));
+    uint64_t Last = 0;
+    for (const json &Each : json::parse(Answer->Body)["events"]) {
+      Entries.insert(Each["entry"].get<std::string>());
+      CHECK(Each["stamp"].get<uint64_t>() >= Last);
+      Last = Each["stamp"];
+    }
+  }
+  LONGS_EQUAL(2, Entries.size());
+}
+
 TEST(ACallerOfASmallDeployment, AnEntryOfAnotherDeploymentIsTurnedAway) {
   std::ofstream("process-run/stranger.toml")
       << fmt::format("[entry]\ndeployment = \"stranger\"\nname = \"s\"\n"
