Status and job lists show what the shards say

Cause: three loops ran over a list inside a JSON document that had ended with the expression that parsed it; status showed no shards, and what was read was undefined. The new test of the time line made the same mistake and showed it. Ruled out: the collection from peers, whose answer was whole when asked by hand. Change: one function keeps each document while its list is read.

--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -58,6 +58,19 @@
           {"operator", Each.OperatorAddress}};
 }
 
+/// The elements of one list in all documents.
+json gathered(const std::vector<std::string> &Documents, const char *List) {
+  json Out = json::array();
+  for (const std::string &Text : Documents) {
+    json Document = json::parse(Text, nullptr, false);
+    if (!Document.is_object())
+      continue;
+    for (json &Each : Document[List])
+      Out.push_back(std::move(Each));
+  }
+  return Out;
+}
+
 bool matches(std::string_view Path, std::string_view Start,
              std::string_view End, std::string &Middle) {
   if (Path.size() <= Start.size() + End.size() || !Path.starts_with(Start) ||
@@ -155,10 +168,7 @@
   for (const entry::Shard &Each : View->Shards)
     Out["shard_owners"][Each.Id] = {{"owner", Each.Owner},
                                     {"epoch", Each.Epoch}};
-  for (const std::string &Text : jobDocuments("(none)")) {
-    for (json &Each : json::parse(Text)["shards"])
-      Out["shards"].push_back(std::move(Each));
-  }
+  Out["shards"] = gathered(jobDocuments("(none)"), "shards");
   return answer(http::StatusOk, Out);
 }
 
@@ -352,20 +362,14 @@
   if (Row->Version == platform::AbsentVersion)
     return problem(Errc::NotFound, "id", "the id of an accepted job");
   json Out = json::parse(Row->Value);
-  for (const std::string &Text : jobDocuments(Id)) {
-    for (json &Each : json::parse(Text)["jobs"])
-      Out["progress"] = std::move(Each);
-  }
+  json Progress = gathered(jobDocuments(Id), "jobs");
+  if (!Progress.empty())
+    Out["progress"] = std::move(Progress.front());
   return answer(http::StatusOk, Out);
 }
 
 http::Response OperatorApi::listJobs() {
-  json Out = {{"jobs", json::array()}};
-  for (const std::string &Text : jobDocuments("")) {
-    for (json &Each : json::parse(Text)["jobs"])
-      Out["jobs"].push_back(std::move(Each));
-  }
-  return answer(http::StatusOk, Out);
+  return answer(http::StatusOk, {{"jobs", gathered(jobDocuments(""), "jobs")}});
 }
 
 http::Response OperatorApi::stopJob(const std::string &Id) {
--- a/tests/process/CallerTest.cpp
+++ b/tests/process/CallerTest.cpp
@@ -255,6 +255,18 @@
   CHECK(http::findHeader(Answer->Headers, "Retry-After") != nullptr);
 }
 
+TEST(ACallerOfASmallDeployment, HasAStatusThatShowsTheShard) {
+  for (auto &Each : Target.Entries) {
+    http::Call Request;
+    Request.Url = "http://" + Each->operators() + "/v1/status";
+    auto Answer = Client.perform(Request);
+    CHECK(static_cast<bool>(Answer));
+    json Status = json::parse(Answer->Body);
+    LONGS_EQUAL(1, Status["shards"].size());
+    STRCMP_EQUAL("za.0", Status["shards"][0].value("id", "").c_str());
+  }
+}
+
 TEST(ACallerOfASmallDeployment, HasOneTimeLineOverAllEntries) {
   http::Call Request;
   Request.Url = "http://" + Target.Entries[0]->operators() + "/v1/timeline";
@@ -264,7 +276,8 @@
     auto Answer = Client.perform(Request);
     CHECK(static_cast<bool>(Answer));
     uint64_t Last = 0;
-    for (const json &Each : json::parse(Answer->Body)["events"]) {
+    json Document = json::parse(Answer->Body);
+    for (const json &Each : Document["events"]) {
       Entries.insert(Each["entry"].get<std::string>());
       CHECK(Each["stamp"].get<uint64_t>() >= Last);
       Last = Each["stamp"];
