--- a/src/entry/Main.cpp
+++ b/src/entry/Main.cpp
@@ -64,10 +64,16 @@
   return entry::serve(*Options);
 }
 
+bool is(std::span<char *> Words, size_t Index, std::string_view Text) {
+  return Index < Words.size() && Words[Index] == Text;
+}
+
 int runCheck(std::span<char *> Words) {
-  if (Words.size() != 1) {
-    fmt::print(stderr, "usage: daisylanding config check FILE\n");
-    return UsageError;
+  bool Help = is(Words, 0, "--help");
+  if (Words.size() != 1 || Help) {
+    fmt::print(Help ? stdout : stderr,
+               "usage: daisylanding config check FILE\n");
+    return Help ? 0 : UsageError;
   }
   if (!load(Words[0]))
     return 1;
@@ -75,10 +81,6 @@
   return 0;
 }
 
-bool is(std::span<char *> Words, size_t Index, std::string_view Text) {
-  return Index < Words.size() && Words[Index] == Text;
-}
-
 } // namespace
 
 int run(std::span<char *> Words) {
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -71,6 +71,22 @@
   return Out;
 }
 
+/// Each zone's entries, and whether none of them was heard of lately.
+json zonesToJson(std::span<const entry::Member> Members) {
+  std::map<std::string, std::pair<size_t, size_t>> Counts; ///< All, alive.
+  for (const entry::Member &Each : Members) {
+    auto &[All, Alive] = Counts[Each.AvailabilityZone];
+    ++All;
+    Alive += Each.Alive;
+  }
+  json Out = json::object();
+  for (const auto &[Zone, Count] : Counts)
+    Out[Zone] = {{"entries", Count.first},
+                 {"alive", Count.second},
+                 {"cut_off", Count.second == 0}};
+  return Out;
+}
+
 bool matches(std::string_view Path, std::string_view Start,
              std::string_view End, std::string &Middle) {
   if (Path.size() <= Start.size() + End.size() || !Path.starts_with(Start) ||
@@ -160,6 +176,7 @@
               {"list_version", View->List.Version},
               {"draining", Shared.Draining.load()},
               {"spare_slots", Shared.Digests.own()},
+              {"zones", zonesToJson(View->Members)},
               {"entries", json::array()},
               {"shards", json::array()},
               {"shard_owners", json::object()}};
--- a/tests/process/CallerTest.cpp
+++ b/tests/process/CallerTest.cpp
@@ -263,6 +263,7 @@
     CHECK(static_cast<bool>(Answer));
     json Status = json::parse(Answer->Body);
     LONGS_EQUAL(1, Status["shards"].size());
+    CHECK_FALSE(Status["zones"]["za"]["cut_off"].get<bool>());
     STRCMP_EQUAL("za.0", Status["shards"][0].value("id", "").c_str());
   }
 }
