Reading: one function for commands and one for a live owner; dead members out

Cause: how a command in an inbox becomes a record stood in three places, and whether a shard's owner lives in two; three members were never used; a rescue that was stopped before its write said that it had moved jobs. Change: recordOf and ownerAlive serve all; the members are gone; the stopped rescue ends without that line. Conclusion: behaviour as before but for the false line.

--- a/src/entry/Ownership.cpp
+++ b/src/entry/Ownership.cpp
@@ -143,18 +143,20 @@
   return Known;
 }
 
+bool ownerAlive(const Shard &Each, std::span<const Member> Members) {
+  return std::any_of(Members.begin(), Members.end(), [&](const Member &Other) {
+    return Other.Alive && Other.Name == Each.Owner &&
+           Other.Incarnation == Each.OwnerIncarnation;
+  });
+}
+
 bool shouldClaim(const Shard &Each, const Member &Self, const View &Seen) {
   if (Each.Owner == Self.Name && Each.OwnerIncarnation == Self.Incarnation)
     return false;
-  auto Owner = std::find_if(Seen.Members.begin(), Seen.Members.end(),
-                            [&](const Member &Other) {
-                              return Other.Name == Each.Owner &&
-                                     Other.Incarnation == Each.OwnerIncarnation;
-                            });
-  bool Orphaned = Owner == Seen.Members.end() || !Owner->Alive;
   const Member *Preferred =
       preferredOwner(Each.Id, Self.AvailabilityZone, Seen.Members);
-  return Orphaned && Preferred && Preferred->Name == Self.Name;
+  return Preferred && Preferred->Name == Self.Name &&
+         !ownerAlive(Each, Seen.Members);
 }
 
 std::optional<Shard> claimShard(platform::Table &Store, const Shard &Each,
--- a/src/entry/Ownership.h
+++ b/src/entry/Ownership.h
@@ -35,6 +35,9 @@
 bool zoneLost(std::string_view Zone, std::span<const Member> Members,
               Micros After, TimePoint Now);
 
+/// Whether the process that owns \p Each was heard of lately.
+bool ownerAlive(const Shard &Each, std::span<const Member> Members);
+
 /// Whether \p Self should take \p Each over: nobody owns it, its owner's
 /// process is replaced, gone or silent, and of the zone's live entries
 /// \p Self comes first for it.
--- a/src/entry/RescueLoop.cpp
+++ b/src/entry/RescueLoop.cpp
@@ -90,12 +90,8 @@
       !zoneLost(Zone, Seen.Members, Shared.Options.ZoneLostAfter, Now))
     return std::nullopt;
   const Member *First = preferredOwner(Each.Id, Home, Seen.Members);
-  bool OwnerAlive = std::any_of(
-      Seen.Members.begin(), Seen.Members.end(), [&](const Member &Other) {
-        return Other.Alive && Other.Name == Each.Owner &&
-               Other.Incarnation == Each.OwnerIncarnation;
-      });
-  bool Mine = First && First->Name == Shared.Options.Name && !OwnerAlive;
+  bool Mine = First && First->Name == Shared.Options.Name &&
+              !ownerAlive(Each, Seen.Members);
   return Mine ? std::optional(Zone) : std::nullopt;
 }
 
@@ -154,24 +150,16 @@
   auto Inbox = Journal.readInbox();
   if (!Inbox)
     return false;
+  std::vector<shard::Record> Commands;
   for (const shard::InboxItem &Each : *Inbox) {
-    if (Each.Accept)
-      Owner.State.apply(*Each.Accept, Now);
-    else
-      Owner.State.apply(shard::JobStopped{Each.Stop}, Now);
+    Commands.push_back(shard::recordOf(Each));
+    Owner.State.apply(Commands.back(), Now);
   }
   shard::JournalGroup Group =
       planRescue(Owner.State, Seen->List.Instances, *Seen->Config, Zone,
                  Shared.Options.ShardsPerZone, Now);
-  std::vector<shard::Record> Moves = std::move(Group.Row.Records);
-  for (const shard::InboxItem &Each : *Inbox) {
-    if (Each.Accept)
-      Group.Row.Records.emplace_back(*Each.Accept);
-    else
-      Group.Row.Records.emplace_back(shard::JobStopped{Each.Stop});
-  }
-  for (shard::Record &Each : Moves)
-    Group.Row.Records.push_back(std::move(Each));
+  Group.Row.Records.insert(Group.Row.Records.begin(), Commands.begin(),
+                           Commands.end());
   if (Group.Row.Records.empty())
     return true;
   Group.Consumed = std::move(*Inbox);
@@ -179,11 +167,8 @@
   Group.Row.Token =
       fmt::format("{}:rescue:{}", Shared.Incarnation, Group.Sequence);
   Group.Row.ListVersion = Seen->List.Version;
-  while (!Loop.stopping()) {
-    std::error_code Failure = Journal.append(Group);
-    if (!Failure)
-      break;
-    if (Failure == Errc::Fenced)
+  while (std::error_code Failure = Journal.append(Group)) {
+    if (Failure == Errc::Fenced || Loop.stopping())
       return false;
     Wake.wait(LookInterval);
   }
--- a/src/policy/TightnessController.h
+++ b/src/policy/TightnessController.h
@@ -34,7 +34,6 @@
   }
 
   double tightness() const { return Tightness; }
-  double waitRatio() const { return WaitRatio; }
 
 private:
   static constexpr double MaxRatio = 10;
--- a/src/shard/ShardOwner.cpp
+++ b/src/shard/ShardOwner.cpp
@@ -35,6 +35,12 @@
 
 } // namespace
 
+Record recordOf(const InboxItem &Item) {
+  if (Item.Accept)
+    return *Item.Accept;
+  return JobStopped{Item.Stop};
+}
+
 ShardOwner::ShardOwner(ShardOwnerOptions NewOptions)
     : State(NewOptions.Seed), Options(std::move(NewOptions)),
       Health({.FailuresToEject = 3}) {}
@@ -154,12 +160,8 @@
     return std::nullopt;
   std::vector<InboxItem> Consumed;
   std::swap(Consumed, QueuedInbox);
-  for (const InboxItem &Each : Consumed) {
-    if (Each.Accept)
-      record(*Each.Accept, Now);
-    else
-      record(JobStopped{Each.Stop}, Now);
-  }
+  for (const InboxItem &Each : Consumed)
+    record(recordOf(Each), Now);
   recordLosses(Now);
   recordLapses(Now);
   recordEndings(Now);
--- a/src/shard/ShardOwner.h
+++ b/src/shard/ShardOwner.h
@@ -29,6 +29,9 @@
   std::string Stop; ///< The job to stop, when nothing is to be accepted.
 };
 
+/// The record by which a command takes effect.
+Record recordOf(const InboxItem &Item);
+
 /// A job that goes to another zone's shard.
 struct JobMove {
   JobAccepted Job;
@@ -103,7 +106,6 @@
   std::optional<JobStatus> status(std::string_view JobId) const;
   std::vector<StartNotice> takeNotices() { return std::move(Notices); }
   std::string snapshotText() const;
-  uint64_t lastSequence() const { return Sequence; }
   bool writing() const { return InFlight.has_value(); }
   /// Whether everything applied is written.
   bool settled() const { return !InFlight && Queue.empty(); }
--- a/src/shard/ShardState.h
+++ b/src/shard/ShardState.h
@@ -52,7 +52,6 @@
   uint32_t Active = 0; ///< Starting or running.
   bool Stopping = false;
   bool FailedForGood = false;
-  bool Ended = false;
 
   AttemptId attemptOf(uint32_t Index) const {
     return {Spec.Id, Index, Tasks[Index].Attempt};
