--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -130,7 +130,7 @@
   for (auto Round : State) {
     State.PauseTiming();
     shard::ShardState Shard(1);
-    std::vector<platform::Instance> List;
+    std::vector<table::Instance> List;
     for (int64_t I = 0; I < Instances; ++I)
       List.push_back({.Name = fmt::format("w{}", I),
                       .Rack = fmt::format("r{}", I / 4),
--- a/bench/RequestScenario.cpp
+++ b/bench/RequestScenario.cpp
@@ -72,12 +72,12 @@
   SlackPolicy(const config::ClusterConfig &Config, size_t Endpoints,
               std::map<uint64_t, Request> &Requests)
       : State(Config.Services.front(), Config, MaxWaiting), Requests(Requests) {
-    platform::InstanceSnapshot List;
+    table::InstanceSnapshot List;
     policy::CreditTable Credits;
     for (size_t I = 0; I < Endpoints; ++I) {
       std::string Name = fmt::format("e{}", I);
       List.Instances.push_back({.Name = Name,
-                                .Kind = platform::Role::Endpoint,
+                                .Kind = table::Role::Endpoint,
                                 .AvailabilityZone = "z",
                                 .Address = Name,
                                 .Service = State.Spec.Name});
--- a/bench/TaskScenario.cpp
+++ b/bench/TaskScenario.cpp
@@ -31,7 +31,7 @@
 
 struct TaskMix {
   std::string Name;
-  std::vector<std::pair<uint32_t, platform::Resources>> Workers;
+  std::vector<std::pair<uint32_t, table::Resources>> Workers;
   std::vector<config::WorkClass> Classes;
   std::vector<JobMix> Jobs;
 };
@@ -110,11 +110,11 @@
     }
   }
 
-  bool fits(uint32_t Index, const platform::Resources &Size) const {
+  bool fits(uint32_t Index, const table::Resources &Size) const {
     return State.Pool.usable(Index) && Size.fitsIn(State.Pool.free(Index));
   }
 
-  std::optional<uint32_t> firstFit(const platform::Resources &Size) const {
+  std::optional<uint32_t> firstFit(const table::Resources &Size) const {
     for (uint32_t I = 0; I < State.Pool.size(); ++I) {
       if (fits(I, Size))
         return I;
@@ -122,7 +122,7 @@
     return std::nullopt;
   }
 
-  std::optional<uint32_t> fullerOfTwo(const platform::Resources &Size) {
+  std::optional<uint32_t> fullerOfTwo(const table::Resources &Size) {
     auto One = static_cast<uint32_t>(Generator.below(State.Pool.size()));
     auto Other = static_cast<uint32_t>(Generator.below(State.Pool.size()));
     if (!fits(One, Size) && !fits(Other, Size))
@@ -179,7 +179,7 @@
   config::ClusterConfig Config;
   ShardState State{1};
   policy::OutlierDetector Health{{.FailuresToEject = 3}};
-  std::vector<platform::Instance> List;
+  std::vector<table::Instance> List;
   Random Generator{11};
   double JobsPerSecond = 0;
   TimePoint Now{Micros(std::chrono::hours(1))};
@@ -202,7 +202,7 @@
     for (uint32_t I = 0; I < Count; ++I) {
       std::string Name = fmt::format("w{}", Number);
       List.push_back({.Name = Name,
-                      .Kind = platform::Role::Worker,
+                      .Kind = table::Role::Worker,
                       .Rack = fmt::format("r{}", Number++ / PerRack),
                       .Address = Name,
                       .Capacity = Capacity});
@@ -218,7 +218,7 @@
 double TaskRun::declaredRate(double Load) const {
   double Cores = 0;
   double Accelerators = 0;
-  for (const platform::Instance &Each : List) {
+  for (const table::Instance &Each : List) {
     Cores += Each.Capacity.MilliCores;
     Accelerators += Each.Capacity.Accelerators;
   }
--- /dev/null
+++ b/schema/relay.capnp
@@ -0,0 +1,27 @@
+@0xb1f6b6fd0c3e9a47;
+# Calls between the entries of one cell. A change that an older entry would
+# misread raises `protocolVersion`.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("daisylanding::relay::wire");
+
+const protocolVersion :UInt32 = 1;
+
+interface Relay {
+  advise @0 (version :UInt32, step :Text, executors :List(Text),
+             timeoutMs :UInt32)
+         -> (status :Status, allowed :List(Ticket), validityMs :UInt32);
+  # Asks the policy service on the other entry's line.
+}
+
+enum Status {
+  ok @0;
+  busy @1;         # Too many calls wait on that line.
+  failed @2;       # No answer, or none that can be read.
+  wrongVersion @3; # The other entry speaks another protocol version.
+}
+
+struct Ticket {
+  executor @0 :Text;
+  text @1 :Text;
+}
--- /dev/null
+++ b/src/cell/CellOwner.h
@@ -0,0 +1,251 @@
+#ifndef DAISYLANDING_CELL_CELLOWNER_H
+#define DAISYLANDING_CELL_CELLOWNER_H
+
+#include "cell/CellConfig.h"
+#include "cell/ExecutorPool.h"
+#include "cell/LiveJob.h"
+#include "cell/OwnerRow.h"
+#include "cell/Placement.h"
+#include "executor/AdvicePort.h"
+#include "store/RowStore.h"
+
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace daisylanding::cell {
+
+struct OwnerOptions {
+  std::string Service;     ///< Also the partition of all its rows.
+  OwnerRow Mine;           ///< As written when the service was taken.
+  uint64_t RowVersion = 0; ///< Of the ownership row.
+  ContactOptions Contact;
+  Millis Heartbeat{400};      ///< Longest time between two commits.
+  Millis StatusKept{120'000}; ///< How long ended jobs can be asked for.
+};
+
+/// A start that may now be sent.
+struct StartCommand {
+  ExecutorIndex On = NoExecutor;
+  executor::StartOrder Order;
+};
+
+struct StopCommand {
+  ExecutorIndex On = NoExecutor;
+  executor::StopOrder Order;
+};
+
+struct HoldCommand {
+  ExecutorIndex Index = 0;
+  executor::HoldCall Call;
+};
+
+struct PaceCommand {
+  ExecutorIndex On = NoExecutor;
+  executor::PaceOrder Order;
+};
+
+/// A call for advice, not yet given to a line.
+struct AdviceCommand {
+  uint64_t Id = 0;
+  executor::AdviceCall Call;
+  TimePoint Due{};       ///< When the step should be done.
+  double ExpectedMs = 0; ///< What the call takes once it is served.
+};
+
+/// What the owner wants done; its loop carries it out.
+struct Outbox {
+  std::vector<StartCommand> Starts;
+  std::vector<StopCommand> Stops;
+  std::vector<HoldCommand> Holds;
+  std::vector<PaceCommand> Paces;
+  std::vector<AdviceCommand> Advices;
+
+  bool empty() const {
+    return Starts.empty() && Stops.empty() && Holds.empty() && Paces.empty() &&
+           Advices.empty();
+  }
+};
+
+/// Counts since the owner began, for metrics.
+struct OwnerCounts {
+  uint64_t Starts = 0;
+  uint64_t EndsDone = 0;
+  uint64_t EndsFailed = 0;
+  uint64_t EndsOther = 0;
+  uint64_t TicketRefusals = 0;
+  uint64_t RoomRefusals = 0;
+  uint64_t Lapses = 0;
+  uint64_t JobsCompleted = 0;
+  uint64_t JobsFailed = 0;
+  uint64_t JobsCancelled = 0;
+};
+
+/// Decides for all jobs of one service: places tasks on executors, follows
+/// their runs, and keeps the stored record ahead of what executors are told
+/// and behind nothing that they may forget. No I/O; one thread.
+class CellOwner {
+public:
+  CellOwner(OwnerOptions Options, std::shared_ptr<const CellConfig> Config);
+
+  void setConfig(std::shared_ptr<const CellConfig> Next);
+  /// Takes over a job as it is stored. Called before anything else.
+  void restore(JobSpec Job, const std::optional<JobProgress> &Progress,
+               bool Cancelled, TimePoint AcceptedAt, TimePoint Now);
+  /// A job that was handed in; known ids are left as they are.
+  void accept(JobSpec Job, TimePoint AcceptedAt, TimePoint Now);
+  void cancel(std::string_view JobId, TimePoint Now);
+  void setExecutors(std::span<const executor::ExecutorInfo> List,
+                    TimePoint Now);
+
+  /// Moves everything on. \p WallMs is the wall clock, for timed jobs.
+  Outbox advance(TimePoint Now, int64_t WallMs);
+
+  /// The next transaction, if there is one to send now. One at a time; each
+  /// is answered by `onCommit`.
+  std::optional<store::Transaction> nextCommit(TimePoint Now,
+                                               int64_t StoreMillis);
+  void onCommit(const store::TransactionResult &Result, TimePoint Now);
+
+  void onStart(const executor::RunId &What, ExecutorIndex On,
+               const executor::OrderAnswer &Answer, TimePoint Now);
+  void onStop(const executor::RunId &What, ExecutorIndex On,
+              const executor::OrderAnswer &Answer, TimePoint Now);
+  void onPace(const executor::RunId &What, ExecutorIndex On,
+              const executor::OrderAnswer &Answer, TimePoint Now);
+  void onHold(ExecutorIndex Index, const executor::HoldAnswer &Answer,
+              TimePoint Now);
+  void onAdvice(uint64_t Id, const Result<executor::Advice> &Answer,
+                TimePoint Now);
+
+  /// Another owner has taken the service; nothing more may be done.
+  bool deposed() const { return Deposed; }
+  /// Whether a store write of this owner is under way or due.
+  bool settled() const { return !InFlight && DirtyJobs.empty(); }
+  /// Writes, with the next commit, that any entry may take the service.
+  void release() { Releasing = true; }
+  bool released() const { return Released; }
+
+  const OwnerCounts &counts() const { return Counts; }
+  size_t liveJobs() const { return Jobs.size(); }
+  ExecutorIndex indexOf(std::string_view ExecutorId) {
+    return Pool.intern(ExecutorId);
+  }
+
+private:
+  struct CommitInFlight {
+    store::Transaction Content;
+    OwnerRow Row;
+    std::vector<std::pair<std::string, uint64_t>> Jobs; ///< With their marks.
+    std::vector<executor::RunId> Starts;
+    std::vector<std::string> Removed; ///< Jobs whose rows it removes.
+  };
+
+  struct AdviceOpen {
+    std::string JobId;
+    TaskIndex At; ///< Its index is unused.
+    std::vector<ExecutorIndex> Asked;
+  };
+
+  struct PaceState {
+    uint32_t Percent = 100;
+    TimePoint Changed{};
+  };
+
+  // Jobs and their steps.
+  LiveJob &add(JobSpec Job, TimePoint AcceptedAt);
+  void beginOccurrence(LiveJob &Job, uint32_t Number, TimePoint Begin);
+  void beginDue(TimePoint Now, int64_t WallMs);
+  bool ready(const LiveJob &Job, const LiveOccurrence &In, uint32_t Step) const;
+  Millis chainOf(const LiveJob &Job) const;
+  void changed(LiveJob &Job);
+  void checkEnd(LiveJob &Job, uint32_t Occurrence, TimePoint Now);
+  void finish(LiveJob &Job, JobPhase Phase);
+  void dropEnded(LiveJob &Job, TimePoint Now);
+  LiveJob *find(std::string_view JobId);
+  std::optional<TaskKey> find(const executor::RunId &What);
+
+  // Runs.
+  void place(const TaskKey &Key, ExecutorIndex On);
+  void unplace(const TaskKey &Key);
+  void record(const TaskKey &Key);
+  void openRun(const TaskKey &Key);
+  void closeRun(const TaskKey &Key, TaskPhase Next);
+  void abandon(const TaskKey &Key, TimePoint Now);
+  void beginStop(const TaskKey &Key, TimePoint Now);
+  void stopAll(LiveJob &Job, TimePoint Now);
+  void onEnd(ExecutorIndex Index, const executor::EndedTask &End,
+             TimePoint Now);
+  void endRun(const TaskKey &Key, executor::EndKind How, TimePoint Now);
+  void onGangEnd(const TaskKey &Key, executor::EndKind How, TimePoint Now);
+  void countFailure(const TaskKey &Key, TimePoint Now);
+  void onRunning(ExecutorIndex Index, const executor::RunningTask &Each,
+                 TimePoint Now);
+  void settleAbsent(ExecutorIndex Index, const executor::HoldAnswer &Answer,
+                    TimePoint HoldSent, TimePoint Now);
+  void releaseLingering(ExecutorIndex Index,
+                        const executor::HoldAnswer &Answer);
+  void onLifeOver(ExecutorIndex Index, TimePoint Now);
+  void lapseRuns(TimePoint Now);
+
+  // Planning.
+  struct Waiting {
+    LiveJob *Job = nullptr;
+    uint32_t Occurrence = 0;
+    uint32_t Step = 0;
+    double SlackMs = 0;
+  };
+  std::vector<Waiting> waitingSteps(TimePoint Now) const;
+  void plan(TimePoint Now);
+  void planTasks(const Waiting &Which, const Queue *From, TimePoint Now);
+  void planGang(const Waiting &Which, const Queue *From, TimePoint Now);
+  void recordPlaced(const Waiting &Which, const Queue *From, TimePoint Now);
+  void askAdvice(const Waiting &Which, const Queue &From, bool Renew,
+                 TimePoint Now);
+  void keepForGang(const Waiting &Which, TimePoint Now);
+  PlacementAsk askFor(const Waiting &Which, const Queue *From,
+                      std::map<ExecutorIndex, uint32_t> &OfStep) const;
+  std::vector<ExecutorLoad> loads() const;
+
+  // Orders.
+  void emitOrders(TimePoint Now);
+  void emitStart(const TaskKey &Key, TimePoint Now);
+  void emitStop(const TaskKey &Key, TimePoint Now);
+  void emitHolds(TimePoint Now);
+  void controlPace(ExecutorIndex Index, TimePoint Now);
+  executor::ExecutorTarget targetOf(ExecutorIndex Index) const;
+
+  // Commits.
+  void onCommitted(uint64_t Version, TimePoint Now);
+  void onConflict(const store::TransactionResult &Result, TimePoint Now);
+  void acknowledgeEnds();
+  JobProgress progressOf(const LiveJob &Job) const;
+
+  OwnerOptions Options;
+  std::shared_ptr<const CellConfig> Config;
+  ExecutorPool Pool;
+  std::map<std::string, LiveJob, std::less<>> Jobs;
+  std::unordered_set<std::string> EndedJobs;
+  std::deque<std::pair<TimePoint, std::string>> Removals;
+  std::vector<std::vector<TaskKey>> OpenOn; ///< By executor.
+  std::vector<PaceState> Paces;             ///< By executor.
+  std::vector<uint8_t> Kept;                ///< By executor; for gangs.
+  std::set<std::string> DirtyJobs;
+  std::optional<CommitInFlight> InFlight;
+  std::unordered_map<uint64_t, AdviceOpen> Advices;
+  uint64_t NextAdviceId = 0;
+  uint64_t RowVersion = 0;
+  OwnerRow Row;
+  TimePoint LastCommit{};
+  TimePoint LastConfirmed{};
+  TimePoint RetryCommitAt{};
+  bool Deposed = false;
+  bool Releasing = false;
+  bool Released = false;
+  Outbox Out;
+  OwnerCounts Counts;
+};
+
+} // namespace daisylanding::cell
+
+#endif
--- /dev/null
+++ b/src/cell/ExecutorPool.h
@@ -0,0 +1,133 @@
+#ifndef DAISYLANDING_CELL_EXECUTORPOOL_H
+#define DAISYLANDING_CELL_EXECUTORPOOL_H
+
+#include "common/Time.h"
+#include "executor/ExecutorPort.h"
+
+#include <deque>
+#include <limits>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace daisylanding::cell {
+
+using ExecutorIndex = uint32_t;
+constexpr ExecutorIndex NoExecutor = std::numeric_limits<uint32_t>::max();
+
+/// How an owner keeps in touch with executors.
+struct ContactOptions {
+  /// Of a renewal: long enough to outlive a change of owner, short enough
+  /// that work of a lost executor is soon run elsewhere.
+  Millis Lease{6'500};
+  /// The longest lease that an executor grants, from its settings.
+  Millis MaxLease{10'000};
+  /// An executor's clock may run this much slower than true time.
+  double ClockDrift = 0.02;
+  /// No starts go to an executor that was not heard of for so long beyond
+  /// the wait of a hold.
+  Millis Silence{900};
+  /// How long an owner renews leases without a confirmation of its ownership.
+  Millis OwnershipHorizon{10'000};
+  Millis BusyHoldWait{1'000};
+  Millis IdleHoldWait{2'000};
+  /// Between two holds of one executor, so that ends are heard in groups.
+  Millis HoldGap{30};
+};
+
+/// An end that the executor has listed; it may be forgotten there once the
+/// job's record up to `RecordMark` is stored.
+struct ListedEnd {
+  uint64_t Number = 0;
+  std::string JobId;
+  uint64_t RecordMark = 0;
+};
+
+/// The room of a run that is over but not yet seen to be gone.
+struct LingeringRun {
+  executor::RunId What;
+  Resources Size;
+};
+
+/// One life of an executor, with what the owner knows of it.
+struct Executor {
+  executor::ExecutorInfo Info;
+  bool Listed = false;   ///< In the newest instance list.
+  bool Over = false;     ///< This life has ended for sure.
+  bool Greeted = false;  ///< Has answered under the present fencing token.
+  bool HoldOpen = false; ///< A hold is under way.
+  TimePoint HoldSent{};
+  TimePoint NextHold{};
+  TimePoint Heard{};
+
+  /// A lower bound: the clock read `ClockMs` at `ClockAt` or later.
+  int64_t ClockMs = 0;
+  TimePoint ClockAt{};
+  bool ClockKnown = false;
+  int64_t LeaseSent = 0;  ///< The highest lease end in any order.
+  int64_t LeaseBound = 0; ///< No lease of an earlier owner ends later.
+  /// When inherited leases have ended for sure, if it is never heard of.
+  TimePoint InheritedEnd{};
+
+  Resources Used;        ///< By open and placed runs.
+  uint32_t OpenRuns = 0; ///< Runs that were recorded and are not over.
+  uint64_t SeenEnd = 0;  ///< The highest end processed.
+  uint64_t AcknowledgedEnd = 0;
+  std::deque<ListedEnd> Ends;
+  std::vector<LingeringRun> Lingering;
+
+  uint32_t FailuresInRow = 0;
+  uint32_t Ejections = 0;
+  TimePoint AvoidUntil{};
+};
+
+/// The executors of one service: what they hold and have free, whether they
+/// are in touch, and when their leases have ended for sure.
+class ExecutorPool {
+public:
+  explicit ExecutorPool(ContactOptions Options) : Options(Options) {}
+
+  /// Takes a new instance list. Returns those that are new.
+  std::vector<ExecutorIndex>
+  update(std::span<const executor::ExecutorInfo> List, TimePoint Now);
+  /// The index of a life, added as unlisted if it is not known.
+  ExecutorIndex intern(std::string_view Id);
+
+  size_t size() const { return Members.size(); }
+  Executor &operator[](ExecutorIndex Index) { return Members[Index]; }
+  const Executor &operator[](ExecutorIndex Index) const {
+    return Members[Index];
+  }
+
+  /// Whether a task may be started there now.
+  bool usable(ExecutorIndex Index, TimePoint Now) const;
+  bool fits(ExecutorIndex Index, const Resources &Size) const;
+  void take(ExecutorIndex Index, const Resources &Size);
+  void give(ExecutorIndex Index, const Resources &Size);
+  Resources free(ExecutorIndex Index) const;
+
+  void heard(ExecutorIndex Index, const std::optional<int64_t> &ClockMs,
+             TimePoint Now);
+  /// The end of a lease to ask for now; none before the clock is known.
+  std::optional<int64_t> leaseEnd(ExecutorIndex Index, TimePoint Now);
+  /// Whether every lease there has ended, whatever orders are under way.
+  bool lapsed(ExecutorIndex Index, TimePoint Now) const;
+
+  void succeeded(ExecutorIndex Index);
+  void failed(ExecutorIndex Index, TimePoint Now);
+
+  const ContactOptions &options() const { return Options; }
+
+private:
+  size_t avoided(TimePoint Now) const;
+
+  ContactOptions Options;
+  std::vector<Executor> Members;
+  std::unordered_map<std::string, ExecutorIndex> ById;
+};
+
+} // namespace daisylanding::cell
+
+#endif
--- /dev/null
+++ b/src/cell/OwnerCommit.cpp
@@ -0,0 +1,220 @@
+#include "cell/CellOwner.h"
+
+#include "common/Log.h"
+
+#include <algorithm>
+
+/// What is written before anyone is told, one transaction at a time. Each is
+/// conditioned on the one before it, so a write that is carried out late
+/// finds its condition gone.
+namespace daisylanding::cell {
+
+namespace {
+
+constexpr Millis CommitRetry{60};
+/// Rows of ended jobs that one transaction removes.
+constexpr size_t MaxRemovals = 5;
+
+} // namespace
+
+JobProgress CellOwner::progressOf(const LiveJob &Job) const {
+  JobProgress Out;
+  Out.Phase = Job.Phase;
+  Out.EndedMs = Job.EndedMs;
+  Out.DoneOccurrences = Job.DoneOccurrences;
+  for (const auto &[Number, In] : Job.Occurrences) {
+    for (uint32_t S = 0; S < In.Steps.size(); ++S) {
+      for (uint32_t I = 0; I < In.Steps[S].Tasks.size(); ++I) {
+        const LiveTask &Task = In.Steps[S].Tasks[I];
+        if (Task.Run == 0 && Task.Failures == 0)
+          continue;
+        TaskProgress &Row = Out.Tasks[{Number, S, I}];
+        Row.Phase = Task.Phase;
+        Row.Run = Task.Run;
+        Row.Failures = Task.Failures;
+        Row.Checkpoint = Task.Checkpoint;
+        if (isOpen(Task.Phase))
+          Row.Executor = Pool[Task.On].Info.Id;
+      }
+    }
+  }
+  return Out;
+}
+
+std::optional<store::Transaction> CellOwner::nextCommit(TimePoint Now,
+                                                        int64_t StoreMillis) {
+  if (Deposed || Released || Now < RetryCommitAt)
+    return std::nullopt;
+  if (InFlight) {
+    // Sent again as it was: its fate is not known.
+    if (RetryCommitAt == TimePoint{})
+      return std::nullopt;
+    RetryCommitAt = {};
+    return InFlight->Content;
+  }
+  bool RemovalDue = !Removals.empty() && Removals.front().first <= Now;
+  bool Due = !DirtyJobs.empty() || Releasing || RemovalDue ||
+             Now >= LastCommit + Options.Heartbeat;
+  if (!Due)
+    return std::nullopt;
+  RetryCommitAt = {};
+  CommitInFlight Next;
+  Next.Row = Row;
+  ++Next.Row.Sequence;
+  Next.Row.Pending.clear();
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job.Phase == JobPhase::Queued && Job.Spec.RepeatCount == 0)
+      ++Next.Row.Pending[Job.Spec.Queue];
+  }
+  store::Transaction &Tx = Next.Content;
+  Tx.Partition = Options.Service;
+  Tx.Expected.push_back(
+      {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
+  size_t Entries = 2;
+  for (const std::string &Id : DirtyJobs) {
+    LiveJob &Job = Jobs.at(Id);
+    constexpr size_t EntriesOfJob = 2;
+    if (Entries + EntriesOfJob > store::MaxTransactionEntries)
+      break;
+    if (isFinal(Job.Phase) && Job.EndedMs == 0)
+      Job.EndedMs = std::max<int64_t>(1, StoreMillis);
+    bool Starting = false;
+    for (const auto &[Number, In] : Job.Occurrences) {
+      for (uint32_t S = 0; S < In.Steps.size(); ++S) {
+        for (uint32_t I = 0; I < In.Steps[S].Tasks.size(); ++I) {
+          const LiveTask &Task = In.Steps[S].Tasks[I];
+          if (Task.Phase != TaskPhase::Recording)
+            continue;
+          Starting = true;
+          Next.Starts.push_back(
+              {TaskKey{&Job, {Number, S, I}}.name(), Task.Run});
+        }
+      }
+    }
+    if (Starting) {
+      Tx.Expected.push_back({.Table = JobTable, .Key = cancelKey(Id)});
+      ++Entries;
+    }
+    Tx.Writes.push_back({.Table = ProgressTable,
+                         .Key = Id,
+                         .Value = encodeProgress(progressOf(Job))});
+    ++Entries;
+    Next.Jobs.emplace_back(Id, Job.Changed);
+  }
+  while (RemovalDue && Next.Removed.size() < MaxRemovals &&
+         Entries + 3 <= store::MaxTransactionEntries) {
+    const std::string &Id = Removals.front().second;
+    Tx.Removals.push_back({.Table = JobTable, .Key = Id});
+    Tx.Removals.push_back({.Table = JobTable, .Key = cancelKey(Id)});
+    Tx.Removals.push_back({.Table = ProgressTable, .Key = Id});
+    Entries += 3;
+    Next.Removed.push_back(Id);
+    Removals.pop_front();
+    RemovalDue = !Removals.empty() && Removals.front().first <= Now;
+  }
+  Next.Row.Released = Releasing && Next.Jobs.size() == DirtyJobs.size();
+  Tx.Writes.push_back(
+      {.Table = OwnerTable, .Key = OwnerKey, .Value = encodeOwner(Next.Row)});
+  LastCommit = Now;
+  InFlight = std::move(Next);
+  return InFlight->Content;
+}
+
+void CellOwner::acknowledgeEnds() {
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    Executor &Each = Pool[I];
+    while (!Each.Ends.empty()) {
+      const ListedEnd &First = Each.Ends.front();
+      const LiveJob *Job = find(First.JobId);
+      if (Job && Job->Recorded < First.RecordMark)
+        break;
+      Each.AcknowledgedEnd = First.Number;
+      Each.Ends.pop_front();
+    }
+  }
+}
+
+void CellOwner::onCommitted(uint64_t Version, TimePoint Now) {
+  CommitInFlight Done = std::move(*InFlight);
+  InFlight.reset();
+  Row = Done.Row;
+  RowVersion = Version;
+  LastConfirmed = Now;
+  Released = Row.Released;
+  for (const auto &[Id, Mark] : Done.Jobs) {
+    LiveJob &Job = Jobs.at(Id);
+    Job.Recorded = Mark;
+    if (Job.Changed == Mark)
+      DirtyJobs.erase(Id);
+  }
+  for (const executor::RunId &Each : Done.Starts) {
+    auto Key = find(Each);
+    bool Current = Key && Key->task().Phase == TaskPhase::Recording &&
+                   Key->task().Run == Each.Run;
+    if (!Current)
+      continue;
+    Key->task().Phase = TaskPhase::Starting;
+    logInfo("start-recorded", "task={} run={} executor={} epoch={} commit={}",
+            Each.Task, Each.Run, Pool[Key->task().On].Info.Id, Row.Epoch,
+            Row.Sequence);
+  }
+  acknowledgeEnds();
+  for (const auto &Each : Done.Jobs)
+    dropEnded(Jobs.at(Each.first), Now);
+  for (const std::string &Each : Done.Removed)
+    EndedJobs.erase(Each);
+}
+
+/// Finds out from the rows as they stand why a commit was refused: an earlier
+/// try of it went through, a job was cancelled, or another owner took over.
+void CellOwner::onConflict(const store::TransactionResult &Result,
+                           TimePoint Now) {
+  const store::Row *Found = nullptr;
+  std::vector<std::string> Cancelled;
+  for (const store::Row &Each : Result.Current) {
+    if (Each.Table == OwnerTable)
+      Found = &Each;
+    else if (Each.Table == JobTable && Each.Version != store::AbsentVersion)
+      Cancelled.push_back(Each.Key);
+  }
+  auto Present = Found ? decodeOwner(Found->Value)
+                       : daisylanding::Result<OwnerRow>(Errc::NotFound);
+  if (!Present || Present->Epoch != Row.Epoch ||
+      Present->Holder != Row.Holder) {
+    logWarn("ownership-lost", "service={} epoch={} now={}", Options.Service,
+            Row.Epoch, Present ? Present->Holder : "nobody");
+    Deposed = true;
+    return;
+  }
+  if (Present->Sequence == InFlight->Row.Sequence) {
+    onCommitted(Found->Version, Now);
+    return;
+  }
+  RowVersion = Found->Version;
+  for (const std::string &Id : InFlight->Removed)
+    Removals.emplace_front(Now, Id);
+  InFlight.reset();
+  for (const std::string &Key : Cancelled)
+    cancel(Key.substr(0, Key.find('/')), Now);
+}
+
+void CellOwner::onCommit(const store::TransactionResult &Result,
+                         TimePoint Now) {
+  if (!InFlight || Deposed)
+    return;
+  switch (Result.Outcome) {
+  case store::TransactionOutcome::Committed:
+    onCommitted(Result.Version, Now);
+    break;
+  case store::TransactionOutcome::Conflict:
+    onConflict(Result, Now);
+    break;
+  case store::TransactionOutcome::NotDone:
+  case store::TransactionOutcome::Unknown:
+    // An earlier try of it may still be carried out, so it is never rebuilt.
+    RetryCommitAt = Now + CommitRetry;
+    break;
+  }
+}
+
+} // namespace daisylanding::cell
--- /dev/null
+++ b/src/cell/OwnerPlan.cpp
@@ -0,0 +1,415 @@
+#include "cell/CellOwner.h"
+
+#include "common/Log.h"
+
+#include <algorithm>
+
+/// Who waits and where work goes: least slack first, among jobs that can
+/// still be in time, then the others.
+namespace daisylanding::cell {
+
+namespace {
+
+/// A ticket must outlast the write of a start and the order itself.
+constexpr Millis TicketMargin{150};
+/// Allowance for the way of an answer from the policy service.
+constexpr Millis TicketTransit{50};
+constexpr Millis AdviceRetry{300};
+/// Jobs past their time come after all that can be in time.
+constexpr double LateMs = 1e7;
+/// A job this many times its allowance after its begin earns nothing more.
+constexpr double HopelessSpans = 3;
+constexpr double HopelessMs = 1e9;
+/// The share of executors that may be kept for waiting gangs.
+constexpr double MaxKeptShare = 0.5;
+
+bool hasWaiting(const LiveStep &Step) {
+  return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                     [](const LiveTask &Each) {
+                       return Each.Phase == TaskPhase::Waiting ||
+                              Each.Phase == TaskPhase::Placed;
+                     });
+}
+
+bool allWaiting(const LiveStep &Step) {
+  return std::all_of(
+      Step.Tasks.begin(), Step.Tasks.end(),
+      [](const LiveTask &Each) { return Each.Phase == TaskPhase::Waiting; });
+}
+
+/// Estimates of the longest chain that begins with \p From.
+Millis remainingFrom(const JobSpec &Job, uint32_t From) {
+  std::vector<Millis> Ends(Job.Steps.size(), Millis(0));
+  Millis Longest{0};
+  for (uint32_t I = From; I < Job.Steps.size(); ++I) {
+    Millis Begin{0};
+    bool After = I == From;
+    for (uint32_t Before : Job.Steps[I].After) {
+      if (Before < From || Ends[Before].count() == 0)
+        continue;
+      Begin = std::max(Begin, Ends[Before]);
+      After = true;
+    }
+    if (!After)
+      continue;
+    Ends[I] = Begin + std::max(Job.Steps[I].Estimate, Millis(1));
+    Longest = std::max(Longest, Ends[I]);
+  }
+  return Longest;
+}
+
+double slackOf(const LiveJob &Job, const LiveOccurrence &In, uint32_t Step,
+               TimePoint Now) {
+  double Left = static_cast<double>(toMillis(In.Due - Now));
+  double Slack =
+      Left - static_cast<double>(remainingFrom(Job.Spec, Step).count());
+  double Span = static_cast<double>(toMillis(In.Due - In.Begin));
+  if (Job.Spec.Steps[Step].LongRunning)
+    return Slack;
+  if (Left < -(HopelessSpans - 1) * Span)
+    return Slack + HopelessMs;
+  if (Left < 0)
+    return Slack + LateMs;
+  return Slack;
+}
+
+} // namespace
+
+std::vector<CellOwner::Waiting> CellOwner::waitingSteps(TimePoint Now) const {
+  std::vector<Waiting> Out;
+  for (const auto &[Id, Job] : Jobs) {
+    if (isFinal(Job.Phase))
+      continue;
+    for (const auto &[Number, In] : Job.Occurrences) {
+      for (uint32_t S = 0; S < In.Steps.size(); ++S) {
+        if (!hasWaiting(In.Steps[S]) || !ready(Job, In, S))
+          continue;
+        Out.push_back({.Job = const_cast<LiveJob *>(&Job),
+                       .Occurrence = Number,
+                       .Step = S,
+                       .SlackMs = slackOf(Job, In, S, Now)});
+      }
+    }
+  }
+  std::stable_sort(Out.begin(), Out.end(),
+                   [](const Waiting &Left, const Waiting &Right) {
+                     return Left.SlackMs < Right.SlackMs;
+                   });
+  return Out;
+}
+
+std::vector<ExecutorLoad> CellOwner::loads() const {
+  std::vector<ExecutorLoad> Out(Pool.size());
+  for (ExecutorIndex I = 0; I < OpenOn.size(); ++I) {
+    for (const TaskKey &Key : OpenOn[I]) {
+      const StepSpec &Spec = Key.spec();
+      if (Spec.ServingTarget.count() > 0)
+        ++Out[I].ServingTasks;
+      if (!Spec.Filler)
+        continue;
+      ++Out[I].Fillers;
+      Out[I].FillerMilliCores += Spec.Size.MilliCores;
+    }
+  }
+  return Out;
+}
+
+PlacementAsk
+CellOwner::askFor(const Waiting &Which, const Queue *From,
+                  std::map<ExecutorIndex, uint32_t> &OfStep) const {
+  const LiveStep &Step =
+      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  for (const LiveTask &Each : Step.Tasks) {
+    if (Each.On != NoExecutor)
+      ++OfStep[Each.On];
+  }
+  return {.Step = &Which.Job->Spec.Steps[Which.Step],
+          .Permissions = From && From->Advice ? &Step.Permissions : nullptr,
+          .OfStep = &OfStep,
+          .Kept = Kept};
+}
+
+void CellOwner::plan(TimePoint Now) {
+  OpenOn.resize(Pool.size());
+  Paces.resize(Pool.size());
+  Kept.assign(Pool.size(), 0);
+  for (const Waiting &Each : waitingSteps(Now)) {
+    const Queue *From = Config->queue(Each.Job->Spec.Queue);
+    const LiveStep &Step =
+        Each.Job->Occurrences.at(Each.Occurrence).Steps[Each.Step];
+    if (From && From->Advice && Step.Permissions.empty()) {
+      askAdvice(Each, *From, false, Now);
+      continue;
+    }
+    if (Each.Job->Spec.Steps[Each.Step].Gang)
+      planGang(Each, From, Now);
+    else
+      planTasks(Each, From, Now);
+    recordPlaced(Each, From, Now);
+  }
+}
+
+void CellOwner::planTasks(const Waiting &Which, const Queue *From,
+                          TimePoint Now) {
+  std::map<ExecutorIndex, uint32_t> OfStep;
+  PlacementAsk Ask = askFor(Which, From, OfStep);
+  LiveStep &Step =
+      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  std::vector<ExecutorLoad> Loads = loads();
+  bool Full = false;
+  for (uint32_t I = 0; I < Step.Tasks.size() && !Full; ++I) {
+    if (Step.Tasks[I].Phase != TaskPhase::Waiting)
+      continue;
+    auto Best = choose(Pool, Loads, Ask, Now);
+    Full = !Best;
+    if (Full)
+      break;
+    TaskKey Key{Which.Job, {Which.Occurrence, Which.Step, I}};
+    place(Key, *Best);
+    ++OfStep[*Best];
+    if (Ask.Step->Filler)
+      Loads[*Best].FillerMilliCores += Ask.Step->Size.MilliCores;
+  }
+  // Executors that were not asked about may have room.
+  if (Full && From && From->Advice)
+    askAdvice(Which, *From, false, Now);
+}
+
+void CellOwner::planGang(const Waiting &Which, const Queue *From,
+                         TimePoint Now) {
+  LiveStep &Step =
+      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  if (!allWaiting(Step))
+    return;
+  std::map<ExecutorIndex, uint32_t> OfStep;
+  PlacementAsk Ask = askFor(Which, From, OfStep);
+  auto Count = static_cast<uint32_t>(Step.Tasks.size());
+  auto Places = chooseGang(Pool, loads(), Ask, Count, Now);
+  if (!Places) {
+    keepForGang(Which, Now);
+    if (From && From->Advice)
+      askAdvice(Which, *From, false, Now);
+    return;
+  }
+  for (uint32_t I = 0; I < Count; ++I)
+    place({Which.Job, {Which.Occurrence, Which.Step, I}}, (*Places)[I]);
+}
+
+/// Keeps the executors that will soonest have room for a waiting gang from
+/// less urgent work, so that a stream of small tasks does not starve it.
+void CellOwner::keepForGang(const Waiting &Which, TimePoint Now) {
+  const LiveStep &Step =
+      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  auto Limit =
+      static_cast<size_t>(MaxKeptShare * static_cast<double>(Pool.size()));
+  auto Taken = static_cast<size_t>(std::count(Kept.begin(), Kept.end(), 1));
+  std::vector<std::pair<int64_t, ExecutorIndex>> Soonest;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    bool Allowed = Step.Permissions.empty();
+    auto Found = Step.Permissions.find(I);
+    if (Found != Step.Permissions.end())
+      Allowed = Found->second.Allowed;
+    if (!Allowed || Kept[I] || !Pool.usable(I, Now) || !suits(Pool[I], Spec))
+      continue;
+    Resources Free = Pool.free(I);
+    std::vector<std::pair<int64_t, Resources>> Ends;
+    for (const TaskKey &Key : OpenOn[I]) {
+      const LiveTask &Task = Key.task();
+      int64_t Ran = Task.Confirmed ? toMillis(Now - Task.RunningSince) : 0;
+      int64_t Left =
+          Key.spec().LongRunning
+              ? std::numeric_limits<int64_t>::max()
+              : std::max<int64_t>(0, Key.spec().Estimate.count() - Ran);
+      Ends.emplace_back(Left, chargeOf(Key.spec()));
+    }
+    std::sort(Ends.begin(), Ends.end(),
+              [](const auto &Left, const auto &Right) {
+                return Left.first < Right.first;
+              });
+    int64_t At = 0;
+    for (const auto &[Left, Size] : Ends) {
+      if (chargeOf(Spec).fitsIn(Free))
+        break;
+      At = Left;
+      Free += Size;
+    }
+    Soonest.emplace_back(At, I);
+  }
+  std::sort(Soonest.begin(), Soonest.end());
+  size_t Wanted = Step.Tasks.size();
+  for (size_t N = 0; N < Soonest.size() && N < Wanted && Taken < Limit; ++N) {
+    Kept[Soonest[N].second] = 1;
+    ++Taken;
+  }
+}
+
+/// Turns placed tasks into recorded starts once their tickets hold; asks for
+/// new tickets where they don't. A gang goes as a whole.
+void CellOwner::recordPlaced(const Waiting &Which, const Queue *From,
+                             TimePoint Now) {
+  LiveStep &Step =
+      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  bool NeedsTicket = From && From->Advice;
+  auto Valid = [&](const LiveTask &Each) {
+    if (!NeedsTicket)
+      return true;
+    auto Found = Step.Permissions.find(Each.On);
+    return Found != Step.Permissions.end() &&
+           Found->second.ValidUntil > Now + TicketMargin;
+  };
+  bool AllValid = true;
+  uint32_t HighestRun = 0;
+  for (const LiveTask &Each : Step.Tasks) {
+    HighestRun = std::max(HighestRun, Each.Run);
+    if (Each.Phase == TaskPhase::Placed)
+      AllValid = AllValid && Valid(Each);
+  }
+  if (!AllValid)
+    askAdvice(Which, *From, true, Now);
+  if (Spec.Gang && !AllValid)
+    return;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    LiveTask &Task = Step.Tasks[I];
+    if (Task.Phase != TaskPhase::Placed || !Valid(Task))
+      continue;
+    // Members of a gang share their run's number.
+    Task.Run = Spec.Gang ? HighestRun + 1 : Task.Run + 1;
+    record({Which.Job, {Which.Occurrence, Which.Step, I}});
+  }
+}
+
+/// Asks about all executors that were not asked about, or, to \p Renew, about
+/// those whose tickets are needed again.
+void CellOwner::askAdvice(const Waiting &Which, const Queue &From, bool Renew,
+                          TimePoint Now) {
+  LiveOccurrence &In = Which.Job->Occurrences.at(Which.Occurrence);
+  LiveStep &Step = In.Steps[Which.Step];
+  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  if (Step.AdviceOpen || Now < Step.NextAdvice)
+    return;
+  std::vector<ExecutorIndex> Asked;
+  if (Renew) {
+    for (const LiveTask &Each : Step.Tasks) {
+      if (Each.Phase == TaskPhase::Placed &&
+          std::find(Asked.begin(), Asked.end(), Each.On) == Asked.end())
+        Asked.push_back(Each.On);
+    }
+  } else {
+    for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+      const Executor &Each = Pool[I];
+      bool Candidate = Each.Listed && !Each.Over && !Each.Info.Draining &&
+                       suits(Each, Spec) && !Step.Permissions.count(I);
+      if (Candidate && Asked.size() < executor::MaxAdviceExecutors)
+        Asked.push_back(I);
+    }
+  }
+  if (Asked.empty())
+    return;
+  Step.AdviceOpen = true;
+  AdviceCommand Command{.Id = ++NextAdviceId, .Due = In.Due};
+  Command.Call.Step = stepName({.Job = Which.Job->Spec.Id,
+                                .Occurrence = Which.Occurrence,
+                                .Step = Which.Step});
+  for (ExecutorIndex Each : Asked)
+    Command.Call.Executors.push_back(Pool[Each].Info.Id);
+  Command.ExpectedMs =
+      From.Advice->BaseMs +
+      From.Advice->PerExecutorMs * static_cast<double>(Asked.size());
+  Advices[Command.Id] = {.JobId = Which.Job->Spec.Id,
+                         .At = {Which.Occurrence, Which.Step, 0},
+                         .Asked = std::move(Asked)};
+  Out.Advices.push_back(std::move(Command));
+}
+
+void CellOwner::onAdvice(uint64_t Id, const Result<executor::Advice> &Answer,
+                         TimePoint Now) {
+  auto Found = Advices.find(Id);
+  if (Found == Advices.end())
+    return;
+  AdviceOpen Open = std::move(Found->second);
+  Advices.erase(Found);
+  LiveJob *Job = find(Open.JobId);
+  if (!Job || !Job->Occurrences.count(Open.At.Occurrence))
+    return;
+  LiveStep &Step = TaskKey{Job, Open.At}.step();
+  Step.AdviceOpen = false;
+  if (!Answer) {
+    Step.NextAdvice = Now + AdviceRetry;
+    logInfo("advice-failed", "job={} step={} error={}", Open.JobId,
+            Open.At.Step, Answer.error().message());
+    return;
+  }
+  for (ExecutorIndex Each : Open.Asked)
+    Step.Permissions.try_emplace(Each);
+  for (const executor::Ticket &Each : Answer->Allowed) {
+    ExecutorIndex Index = Pool.intern(Each.Executor);
+    Step.Permissions[Index] = {.Allowed = true,
+                               .Ticket = Each.Text,
+                               .ValidUntil =
+                                   Now + Answer->Validity - TicketTransit};
+  }
+}
+
+/// Slows what fills beside tasks that serve users: down at once when their
+/// tail nears its target, slowly up when it is far below.
+void CellOwner::controlPace(ExecutorIndex Index, TimePoint Now) {
+  constexpr double DownAt = 0.8; ///< Tail as a share of its target.
+  constexpr double UpAt = 0.55;
+  constexpr uint32_t LowestPace = 10;
+  constexpr uint32_t UpStep = 15;
+  constexpr Millis DownGap{250};
+  constexpr Millis UpGap{700};
+  double Worst = 0;
+  bool Serving = false;
+  for (const TaskKey &Key : OpenOn[Index]) {
+    const StepSpec &Spec = Key.spec();
+    const LiveTask &Task = Key.task();
+    if (Spec.ServingTarget.count() <= 0 || Task.Phase != TaskPhase::Running)
+      continue;
+    Serving = true;
+    Worst = std::max(
+        Worst, Task.Usage / static_cast<double>(Spec.ServingTarget.count()));
+  }
+  PaceState &State = Paces[Index];
+  if (!Serving) {
+    State.Percent = 100;
+  } else if (Worst > DownAt && Now >= State.Changed + DownGap) {
+    uint32_t Half = State.Percent / 2;
+    State.Percent = Half < LowestPace ? 0 : Half;
+    State.Changed = Now;
+  } else if (Worst < UpAt && State.Percent < 100 &&
+             Now >= State.Changed + UpGap) {
+    State.Percent = std::min(100U, State.Percent + UpStep);
+    State.Changed = Now;
+  }
+  for (const TaskKey &Key : OpenOn[Index]) {
+    LiveTask &Task = Key.task();
+    bool Wanted = Key.spec().Filler && Task.Phase == TaskPhase::Running &&
+                  Task.Pace != State.Percent;
+    if (!Wanted)
+      continue;
+    Task.Pace = State.Percent;
+    Out.Paces.push_back({.On = Index,
+                         .Order = {.To = targetOf(Index),
+                                   .What = {Key.name(), Task.Run},
+                                   .Percent = State.Percent,
+                                   .FencingToken = Row.Epoch}});
+  }
+}
+
+void CellOwner::onPace(const executor::RunId &What, ExecutorIndex On,
+                       const executor::OrderAnswer &Answer, TimePoint Now) {
+  /// Told again with the next list of the executor.
+  constexpr uint32_t UnknownPace = 101;
+  if (Answer.Outcome == executor::OrderOutcome::Done) {
+    Pool.heard(On, Answer.ClockMs, Now);
+    return;
+  }
+  auto Key = find(What);
+  if (Key && Key->task().Run == What.Run)
+    Key->task().Pace = UnknownPace;
+}
+
+} // namespace daisylanding::cell
--- /dev/null
+++ b/src/cell/OwnerRuns.cpp
@@ -0,0 +1,549 @@
+#include "cell/CellOwner.h"
+
+#include "common/Log.h"
+
+#include <algorithm>
+#include <array>
+
+/// The runs of tasks: from their place to their known end.
+namespace daisylanding::cell {
+
+using executor::EndKind;
+using executor::OrderOutcome;
+
+namespace {
+
+/// Between two tries of an order that got no answer or was refused for now.
+constexpr Millis OrderRetry{60};
+constexpr Millis StopRetry{300};
+/// A start that can't be sent so often in a row is given up.
+constexpr uint32_t MaxStartTries = 6;
+/// How long an executor that refused a start is left alone.
+constexpr Millis RefusalPause{300};
+
+std::string_view endName(EndKind How) {
+  constexpr std::array<std::string_view, 6> Names = {
+      "done", "failed", "stopped", "lapsed", "broken", "alone"};
+  return Names[static_cast<size_t>(How)];
+}
+
+} // namespace
+
+void CellOwner::place(const TaskKey &Key, ExecutorIndex On) {
+  LiveTask &Task = Key.task();
+  Task.Phase = TaskPhase::Placed;
+  Task.On = On;
+  Task.Charged = true;
+  Pool.take(On, chargeOf(Key.spec()));
+}
+
+void CellOwner::unplace(const TaskKey &Key) {
+  LiveTask &Task = Key.task();
+  if (Task.Charged)
+    Pool.give(Task.On, chargeOf(Key.spec()));
+  Task.Charged = false;
+  Task.Phase = TaskPhase::Waiting;
+  Task.On = NoExecutor;
+}
+
+void CellOwner::openRun(const TaskKey &Key) {
+  OpenOn.resize(Pool.size());
+  Paces.resize(Pool.size());
+  Kept.resize(Pool.size());
+  LiveTask &Task = Key.task();
+  OpenOn[Task.On].push_back(Key);
+  ++Pool[Task.On].OpenRuns;
+  ++Key.Job->OpenRuns;
+}
+
+/// Decides on a run that is then written; `Run` is set by the caller.
+void CellOwner::record(const TaskKey &Key) {
+  LiveTask &Task = Key.task();
+  Task.Phase = TaskPhase::Recording;
+  Task.OrderOut = false;
+  Task.Unanswered = false;
+  Task.Confirmed = false;
+  Task.Inherited = false;
+  Task.StopConfirmed = false;
+  Task.Tries = 0;
+  Task.Percent = 0;
+  Task.Usage = 0;
+  Task.Pace = 100;
+  Task.NextTry = {};
+  if (Key.Job->Phase == JobPhase::Queued)
+    Key.Job->Phase = JobPhase::Running;
+  openRun(Key);
+  changed(*Key.Job);
+}
+
+void CellOwner::closeRun(const TaskKey &Key, TaskPhase Next) {
+  LiveTask &Task = Key.task();
+  std::erase(OpenOn[Task.On], Key);
+  --Pool[Task.On].OpenRuns;
+  --Key.Job->OpenRuns;
+  if (Task.Charged)
+    Pool.give(Task.On, chargeOf(Key.spec()));
+  Task.Charged = false;
+  Task.Phase = Next;
+  Task.On = NoExecutor;
+  changed(*Key.Job);
+}
+
+/// Gives a start up that the executor refused. If an earlier try of it may
+/// still be carried out, the run must be stopped first.
+void CellOwner::abandon(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  if (Task.Unanswered) {
+    beginStop(Key, Now);
+    return;
+  }
+  endRun(Key, EndKind::Stopped, Now);
+}
+
+void CellOwner::beginStop(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  switch (Task.Phase) {
+  case TaskPhase::Placed:
+    unplace(Key);
+    break;
+  case TaskPhase::Recording:
+    // Nobody was told of it yet.
+    closeRun(Key, TaskPhase::Waiting);
+    break;
+  case TaskPhase::Starting:
+  case TaskPhase::Running:
+    Task.Phase = TaskPhase::Stopping;
+    Task.StopConfirmed = false;
+    Task.NextTry = Now;
+    break;
+  default:
+    break;
+  }
+}
+
+void CellOwner::onStart(const executor::RunId &What, ExecutorIndex On,
+                        const executor::OrderAnswer &Answer, TimePoint Now) {
+  if (Answer.Outcome != OrderOutcome::NotSent &&
+      Answer.Outcome != OrderOutcome::Unknown &&
+      Answer.Outcome != OrderOutcome::Replaced)
+    Pool.heard(On, Answer.ClockMs, Now);
+  if (Answer.Outcome == OrderOutcome::Fenced)
+    Deposed = true;
+  if (Answer.Outcome == OrderOutcome::Replaced)
+    onLifeOver(On, Now);
+  auto Found = find(What);
+  if (!Found)
+    return;
+  const TaskKey &Key = *Found;
+  LiveTask &Task = Key.task();
+  if (Task.Run != What.Run || Task.On != On || !isOpen(Task.Phase))
+    return;
+  Task.OrderOut = false;
+  if (Answer.Outcome != OrderOutcome::Done)
+    logInfo("start-not-confirmed", "task={} run={} executor={} outcome={}",
+            What.Task, What.Run, Pool[On].Info.Id,
+            executor::outcomeName(Answer.Outcome));
+  switch (Answer.Outcome) {
+  case OrderOutcome::Done:
+    Task.Unanswered = false;
+    Task.Confirmed = true;
+    Task.ConfirmedAt = Now;
+    Task.RunningSince = Now;
+    if (Task.Phase == TaskPhase::Starting)
+      Task.Phase = TaskPhase::Running;
+    break;
+  case OrderOutcome::RunTooLow:
+    // It ended there already; the next list of the executor tells how.
+    Task.Confirmed = true;
+    Task.ConfirmedAt = Now;
+    Task.NextTry = TimePoint::max();
+    break;
+  case OrderOutcome::LeaseTooLate:
+    Task.NextTry = Now + OrderRetry;
+    break;
+  case OrderOutcome::NoRoom:
+    ++Counts.RoomRefusals;
+    Pool[On].AvoidUntil = std::max(Pool[On].AvoidUntil, Now + RefusalPause);
+    abandon(Key, Now);
+    break;
+  case OrderOutcome::TicketInvalid: {
+    ++Counts.TicketRefusals;
+    Key.step().Permissions[On].ValidUntil = {};
+    abandon(Key, Now);
+    break;
+  }
+  case OrderOutcome::Rejected:
+  case OrderOutcome::Unhealthy:
+    Pool.failed(On, Now);
+    Pool[On].AvoidUntil = std::max(Pool[On].AvoidUntil, Now + RefusalPause);
+    abandon(Key, Now);
+    break;
+  case OrderOutcome::NotSent:
+    Task.NextTry = Now + OrderRetry;
+    if (++Task.Tries >= MaxStartTries) {
+      Pool.failed(On, Now);
+      abandon(Key, Now);
+    }
+    break;
+  case OrderOutcome::Unknown:
+    Task.Unanswered = true;
+    Task.NextTry = Now + OrderRetry;
+    break;
+  case OrderOutcome::Fenced:
+  case OrderOutcome::Replaced:
+    break;
+  }
+}
+
+void CellOwner::onStop(const executor::RunId &What, ExecutorIndex On,
+                       const executor::OrderAnswer &Answer, TimePoint Now) {
+  if (Answer.Outcome == OrderOutcome::Done)
+    Pool.heard(On, Answer.ClockMs, Now);
+  if (Answer.Outcome == OrderOutcome::Fenced)
+    Deposed = true;
+  if (Answer.Outcome == OrderOutcome::Replaced)
+    onLifeOver(On, Now);
+  auto Key = find(What);
+  if (!Key)
+    return;
+  LiveTask &Task = Key->task();
+  if (Task.Phase != TaskPhase::Stopping || Task.Run != What.Run ||
+      Task.On != On)
+    return;
+  Task.OrderOut = false;
+  Task.NextTry = Now + StopRetry;
+  if (Answer.Outcome != OrderOutcome::Done)
+    return;
+  Task.StopConfirmed = true;
+  Task.StopConfirmedAt = Now;
+  // The stop's end shows in the next list; don't wait out a long hold.
+  Pool[On].NextHold = std::min(Pool[On].NextHold, Now);
+}
+
+void CellOwner::countFailure(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  ++Task.Failures;
+  ++Counts.EndsFailed;
+  if (Key.spec().LongRunning || isFinal(Key.Job->Phase))
+    return;
+  const Queue *From = Config->queue(Key.Job->Spec.Queue);
+  uint32_t Allowed = From ? From->MaxAttempts : 1;
+  if (Task.Failures < Allowed)
+    return;
+  ++Counts.JobsFailed;
+  logInfo("job-failed", "job={} task={} failures={} allowed={}",
+          Key.Job->Spec.Id, Key.name(), Task.Failures, Allowed);
+  finish(*Key.Job, JobPhase::Failed);
+  stopAll(*Key.Job, Now);
+}
+
+/// A member's end decides for the whole gang: `done` for all, anything else
+/// ends the run of all.
+void CellOwner::onGangEnd(const TaskKey &Key, EndKind How, TimePoint Now) {
+  LiveStep &Step = Key.step();
+  uint32_t Run = Key.task().Run;
+  if (How == EndKind::Failed && Step.GangFailedRun < Run) {
+    Step.GangFailedRun = Run;
+    TaskKey First = Key;
+    First.At.Index = 0;
+    countFailure(First, Now);
+  }
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    TaskKey Other = Key;
+    Other.At.Index = I;
+    LiveTask &Member = Step.Tasks[I];
+    if (I == Key.At.Index)
+      continue;
+    if (How != EndKind::Done) {
+      beginStop(Other, Now);
+      continue;
+    }
+    if (!isOpen(Member.Phase)) {
+      Member.Phase = TaskPhase::Done;
+      continue;
+    }
+    // Its room is given back when its executor no longer lists it.
+    Pool[Member.On].Lingering.push_back(
+        {{Other.name(), Member.Run}, chargeOf(Other.spec())});
+    Member.Charged = false;
+    closeRun(Other, TaskPhase::Done);
+  }
+}
+
+void CellOwner::endRun(const TaskKey &Key, EndKind How, TimePoint Now) {
+  const StepSpec &Spec = Key.spec();
+  ExecutorIndex On = Key.task().On;
+  if (How == EndKind::Done) {
+    ++Counts.EndsDone;
+    Pool.succeeded(On);
+  } else if (How == EndKind::Failed) {
+    Pool.failed(On, Now);
+  } else {
+    ++Counts.EndsOther;
+  }
+  bool Over = How == EndKind::Done && !Spec.LongRunning;
+  closeRun(Key, Over ? TaskPhase::Done : TaskPhase::Waiting);
+  if (Spec.Gang)
+    onGangEnd(Key, How, Now);
+  else if (How == EndKind::Failed)
+    countFailure(Key, Now);
+  if (Over)
+    checkEnd(*Key.Job, Key.At.Occurrence, Now);
+}
+
+void CellOwner::onEnd(ExecutorIndex Index, const executor::EndedTask &End,
+                      TimePoint Now) {
+  Executor &Each = Pool[Index];
+  if (End.Number <= Each.SeenEnd)
+    return;
+  Each.SeenEnd = End.Number;
+  ListedEnd Listed{.Number = End.Number};
+  auto Key = find(End.What);
+  bool Mine = Key && isOpen(Key->task().Phase) && Key->task().On == Index &&
+              Key->task().Run == End.What.Run;
+  if (Mine) {
+    LiveTask &Task = Key->task();
+    if (!End.Checkpoint.empty())
+      Task.Checkpoint = End.Checkpoint;
+    logInfo("run-ended", "task={} run={} executor={} how={} after_ms={}",
+            End.What.Task, End.What.Run, Each.Info.Id, endName(End.How),
+            Task.Confirmed ? toMillis(Now - Task.RunningSince) : -1);
+    endRun(*Key, End.How, Now);
+    Listed.JobId = Key->Job->Spec.Id;
+    Listed.RecordMark = Key->Job->Changed;
+  }
+  Pool[Index].Ends.push_back(std::move(Listed));
+}
+
+void CellOwner::onRunning(ExecutorIndex Index,
+                          const executor::RunningTask &Each, TimePoint Now) {
+  auto Key = find(Each.What);
+  bool Mine = Key && isOpen(Key->task().Phase) && Key->task().On == Index &&
+              Key->task().Run == Each.What.Run;
+  if (!Mine) {
+    Out.Stops.push_back({.On = Index,
+                         .Order = {.To = targetOf(Index),
+                                   .What = Each.What,
+                                   .FencingToken = Row.Epoch}});
+    return;
+  }
+  LiveTask &Task = Key->task();
+  Task.Percent = Each.Percent;
+  Task.Usage = Each.Usage;
+  if (!Task.Confirmed) {
+    Task.Confirmed = true;
+    Task.ConfirmedAt = Now;
+    Task.RunningSince = Now;
+  }
+  Task.Inherited = false;
+  if (Task.Phase == TaskPhase::Starting)
+    Task.Phase = TaskPhase::Running;
+  if (Each.Checkpoint.empty())
+    return;
+  if (!Key->spec().Gang) {
+    Task.Checkpoint = Each.Checkpoint;
+    return;
+  }
+  // All members of a gang must resume from the same point.
+  for (LiveTask &Member : Key->step().Tasks)
+    Member.Checkpoint = Each.Checkpoint;
+}
+
+/// Closes runs that the executor no longer has, by a list that was asked for
+/// after it had confirmed them or their stop.
+void CellOwner::settleAbsent(ExecutorIndex Index,
+                             const executor::HoldAnswer &Answer,
+                             TimePoint HoldSent, TimePoint Now) {
+  std::vector<TaskKey> Gone;
+  for (const TaskKey &Key : OpenOn[Index]) {
+    LiveTask &Task = Key.task();
+    bool Confirmed = Task.Confirmed && Task.ConfirmedAt < HoldSent;
+    bool Stopped = Task.Phase == TaskPhase::Stopping && Task.StopConfirmed &&
+                   Task.StopConfirmedAt < HoldSent;
+    // Orders of earlier owners are fenced off by this hold.
+    if (!Confirmed && !Stopped && !Task.Inherited)
+      continue;
+    std::string Name = Key.name();
+    bool Listed = std::any_of(
+        Answer.Running.begin(), Answer.Running.end(), [&](const auto &Each) {
+          return Each.What.Run == Task.Run && Each.What.Task == Name;
+        });
+    if (!Listed)
+      Gone.push_back(Key);
+  }
+  for (const TaskKey &Key : Gone) {
+    if (!isOpen(Key.task().Phase) || Key.task().On != Index)
+      continue; // Ended along with another of its gang.
+    logInfo("run-absent", "task={} run={} executor={}", Key.name(),
+            Key.task().Run, Pool[Index].Info.Id);
+    endRun(Key, EndKind::Lapsed, Now);
+  }
+}
+
+void CellOwner::releaseLingering(ExecutorIndex Index,
+                                 const executor::HoldAnswer &Answer) {
+  auto &Lingering = Pool[Index].Lingering;
+  std::erase_if(Lingering, [&](const LingeringRun &Each) {
+    bool Listed = std::any_of(Answer.Running.begin(), Answer.Running.end(),
+                              [&](const auto &Other) {
+                                return Other.What.Run == Each.What.Run &&
+                                       Other.What.Task == Each.What.Task;
+                              });
+    if (!Listed)
+      Pool.give(Index, Each.Size);
+    return !Listed;
+  });
+}
+
+void CellOwner::onHold(ExecutorIndex Index, const executor::HoldAnswer &Answer,
+                       TimePoint Now) {
+  Executor &Each = Pool[Index];
+  Each.HoldOpen = false;
+  Each.NextHold = Now + Options.Contact.HoldGap;
+  if (Answer.Outcome == OrderOutcome::Fenced) {
+    Deposed = true;
+    return;
+  }
+  if (Answer.Outcome == OrderOutcome::Replaced) {
+    onLifeOver(Index, Now);
+    return;
+  }
+  if (Answer.Outcome != OrderOutcome::Done) {
+    constexpr Millis HoldRetry{150};
+    Each.NextHold = Now + HoldRetry;
+    return;
+  }
+  Pool.heard(Index, Answer.ClockMs, Now);
+  if (!Each.Greeted) {
+    Each.Greeted = true;
+    Each.InheritedEnd = {};
+    // Leases given by earlier owners reach no further than this.
+    Each.LeaseBound = Each.ClockMs + Options.Contact.MaxLease.count();
+    logInfo("executor-greeted", "executor={} running={} ended={}", Each.Info.Id,
+            Answer.Running.size(), Answer.Ended.size());
+  }
+  TimePoint HoldSent = Each.HoldSent;
+  for (const executor::EndedTask &End : Answer.Ended)
+    onEnd(Index, End, Now);
+  for (const executor::RunningTask &Running : Answer.Running)
+    onRunning(Index, Running, Now);
+  if (Answer.Ended.size() < executor::MaxEndsInAnswer)
+    settleAbsent(Index, Answer, HoldSent, Now);
+  releaseLingering(Index, Answer);
+  controlPace(Index, Now);
+}
+
+void CellOwner::onLifeOver(ExecutorIndex Index, TimePoint Now) {
+  Executor &Each = Pool[Index];
+  if (!Each.Over)
+    logInfo("executor-over", "executor={} open_runs={}", Each.Info.Id,
+            Each.OpenRuns);
+  Each.Over = true;
+  for (const LingeringRun &Run : Each.Lingering)
+    Pool.give(Index, Run.Size);
+  Each.Lingering.clear();
+  Each.Ends.clear();
+  std::vector<TaskKey> Lost = OpenOn[Index];
+  for (const TaskKey &Key : Lost) {
+    if (isOpen(Key.task().Phase) && Key.task().On == Index)
+      endRun(Key, EndKind::Lapsed, Now);
+  }
+}
+
+void CellOwner::lapseRuns(TimePoint Now) {
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (Pool[I].OpenRuns == 0 || !Pool.lapsed(I, Now))
+      continue;
+    std::vector<TaskKey> Lost = OpenOn[I];
+    for (const TaskKey &Key : Lost) {
+      // What was not told to the executor has no lease that could end.
+      if (!isOpen(Key.task().Phase) || Key.task().On != I ||
+          Key.task().Phase == TaskPhase::Recording)
+        continue;
+      ++Counts.Lapses;
+      logInfo("run-lapsed", "task={} run={} executor={} heard_ms_ago={}",
+              Key.name(), Key.task().Run, Pool[I].Info.Id,
+              toMillis(Now - Pool[I].Heard));
+      endRun(Key, EndKind::Lapsed, Now);
+    }
+  }
+}
+
+executor::ExecutorTarget CellOwner::targetOf(ExecutorIndex Index) const {
+  return {.Address = Pool[Index].Info.Address, .Id = Pool[Index].Info.Id};
+}
+
+void CellOwner::emitStart(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  auto LeaseEnd = Pool.leaseEnd(Task.On, Now);
+  if (!LeaseEnd)
+    return;
+  Task.OrderOut = true;
+  ++Counts.Starts;
+  StartCommand Command{.On = Task.On};
+  Command.Order = {.To = targetOf(Task.On),
+                   .What = {Key.name(), Task.Run},
+                   .Spec = Key.Job->Spec.Spec,
+                   .LeaseEndMs = *LeaseEnd,
+                   .FencingToken = Row.Epoch,
+                   .Checkpoint = Task.Checkpoint};
+  auto Permitted = Key.step().Permissions.find(Task.On);
+  if (Permitted != Key.step().Permissions.end())
+    Command.Order.Ticket = Permitted->second.Ticket;
+  Out.Starts.push_back(std::move(Command));
+}
+
+void CellOwner::emitStop(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  Task.OrderOut = true;
+  Task.NextTry = Now + StopRetry;
+  Out.Stops.push_back({.On = Task.On,
+                       .Order = {.To = targetOf(Task.On),
+                                 .What = {Key.name(), Task.Run},
+                                 .FencingToken = Row.Epoch}});
+}
+
+void CellOwner::emitOrders(TimePoint Now) {
+  for (ExecutorIndex I = 0; I < OpenOn.size(); ++I) {
+    if (Pool[I].Info.Address.empty() || Pool[I].Over)
+      continue;
+    for (const TaskKey &Key : OpenOn[I]) {
+      LiveTask &Task = Key.task();
+      if (Task.OrderOut || Now < Task.NextTry)
+        continue;
+      if (Task.Phase == TaskPhase::Starting && !Task.Inherited)
+        emitStart(Key, Now);
+      else if (Task.Phase == TaskPhase::Stopping && !Task.StopConfirmed)
+        emitStop(Key, Now);
+    }
+  }
+}
+
+void CellOwner::emitHolds(TimePoint Now) {
+  /// While ends can't be recorded, an executor would answer each hold at once.
+  constexpr Millis UnrecordedGap{300};
+  bool Renewing = Now < LastConfirmed + Options.Contact.OwnershipHorizon;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    Executor &Each = Pool[I];
+    bool Wanted = Each.Listed || Each.OpenRuns > 0;
+    if (!Wanted || Each.Over || Each.HoldOpen || Each.Info.Address.empty() ||
+        Now < Each.NextHold)
+      continue;
+    if (!Each.Ends.empty() && Now < Each.Heard + UnrecordedGap)
+      continue;
+    HoldCommand Command{.Index = I};
+    Command.Call = {.To = targetOf(I),
+                    .FencingToken = Row.Epoch,
+                    .AcknowledgedEnd = Each.AcknowledgedEnd};
+    if (Renewing)
+      Command.Call.LeaseEndMs = Pool.leaseEnd(I, Now);
+    if (Each.Greeted)
+      Command.Call.Wait = Each.OpenRuns > 0 ? Options.Contact.BusyHoldWait
+                                            : Options.Contact.IdleHoldWait;
+    Each.HoldOpen = true;
+    Each.HoldSent = Now;
+    Out.Holds.push_back(std::move(Command));
+  }
+}
+
+} // namespace daisylanding::cell
--- /dev/null
+++ b/src/cell/Placement.h
@@ -0,0 +1,51 @@
+#ifndef DAISYLANDING_CELL_PLACEMENT_H
+#define DAISYLANDING_CELL_PLACEMENT_H
+
+#include "cell/ExecutorPool.h"
+#include "cell/LiveJob.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+/// Where tasks go, given what executors have free. Pure; answers many small
+/// tasks, wide gangs and whole-executor tasks on the same executors.
+namespace daisylanding::cell {
+
+/// What stands on an executor besides room.
+struct ExecutorLoad {
+  uint32_t ServingTasks = 0; ///< With a promise to users of their own.
+  uint32_t Fillers = 0;
+  uint32_t FillerMilliCores = 0;
+};
+
+struct PlacementAsk {
+  const StepSpec *Step = nullptr;
+  /// Null where no policy restricts the step.
+  const std::map<ExecutorIndex, Permission> *Permissions = nullptr;
+  /// Tasks of the step by executor, for anti-affinity.
+  const std::map<ExecutorIndex, uint32_t> *OfStep = nullptr;
+  /// Only this rack, if set.
+  std::string_view Rack;
+  /// Executors kept for more urgent work; indexed by executor.
+  std::span<const uint8_t> Kept;
+};
+
+/// Whether the executor could ever run the step's tasks, room aside.
+bool suits(const Executor &Each, const StepSpec &Step);
+
+/// The best executor with room, or none.
+std::optional<ExecutorIndex> choose(const ExecutorPool &Pool,
+                                    std::span<const ExecutorLoad> Loads,
+                                    const PlacementAsk &Ask, TimePoint Now);
+
+/// Executors for \p Count tasks at once, or none if they don't all fit. The
+/// pool is left as it was.
+std::optional<std::vector<ExecutorIndex>>
+chooseGang(ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
+           const PlacementAsk &Ask, uint32_t Count, TimePoint Now);
+
+} // namespace daisylanding::cell
+
+#endif
--- a/src/common/Error.cpp
+++ b/src/common/Error.cpp
@@ -48,6 +48,8 @@
     return "not-ready";
   case Errc::ShuttingDown:
     return "shutting-down";
+  case Errc::HistoryGone:
+    return "history-gone";
   case Errc::SystemFailure:
     return "system-failure";
   }
--- a/src/common/Error.h
+++ b/src/common/Error.h
@@ -28,6 +28,7 @@
   OverQuota,       ///< The team's quota does not allow the work.
   NotReady,        ///< No configuration is in force yet.
   ShuttingDown,    ///< The process refuses new work while it stops.
+  HistoryGone,     ///< The changes asked for are no longer kept.
   SystemFailure,   ///< The operating system refused a call.
 };
 
--- a/src/common/Log.cpp
+++ b/src/common/Log.cpp
@@ -5,7 +5,8 @@
 #include <fmt/chrono.h>
 
 #include <atomic>
-#include <cstdio>
+
+#include <unistd.h>
 
 namespace daisylanding {
 
@@ -42,7 +43,7 @@
       fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:06}Z level={} event={} {}\n",
                   fmt::gmtime(Seconds), Wall % MicrosPerSecond,
                   levelName(Level), Event, Fields);
-  std::fwrite(Line.data(), 1, Line.size(), stderr);
+  (void)!::write(STDOUT_FILENO, Line.data(), Line.size());
 }
 
 } // namespace daisylanding
--- a/src/config/ClusterConfig.cpp
+++ b/src/config/ClusterConfig.cpp
@@ -1,7 +1,7 @@
 #include "config/ClusterConfig.h"
 
 #include "config/Fields.h"
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <algorithm>
 #include <array>
@@ -57,7 +57,7 @@
 }
 
 json teamToJson(const Team &Each) {
-  json Out = platform::resourcesToJson(Each.Quota);
+  json Out = table::resourcesToJson(Each.Quota);
   Out["name"] = Each.Name;
   return Out;
 }
--- a/src/config/ClusterConfig.h
+++ b/src/config/ClusterConfig.h
@@ -3,7 +3,7 @@
 
 #include "common/Error.h"
 #include "common/Time.h"
-#include "platform/InstanceList.h"
+#include "table/InstanceList.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -39,7 +39,7 @@
 
 struct Team {
   std::string Name;
-  platform::Resources Quota;
+  table::Resources Quota;
 };
 
 /// One version of what operators have set. Versions grow by one.
--- a/src/config/Fields.cpp
+++ b/src/config/Fields.cpp
@@ -132,7 +132,7 @@
   }
 }
 
-platform::Resources readResources(FieldReader &Fields, int64_t MaxAmount) {
+table::Resources readResources(FieldReader &Fields, int64_t MaxAmount) {
   auto Amount = [&](std::string_view Key) {
     return static_cast<uint32_t>(Fields.integer(Key, 0, 0, MaxAmount));
   };
--- a/src/config/Fields.h
+++ b/src/config/Fields.h
@@ -43,7 +43,7 @@
   std::set<std::string, std::less<>> Known;
 };
 
-platform::Resources readResources(FieldReader &Fields, int64_t MaxAmount);
+table::Resources readResources(FieldReader &Fields, int64_t MaxAmount);
 
 /// Whether \p Text is a name as `FieldReader::name` accepts it.
 bool isName(std::string_view Text);
--- a/src/config/JobSpec.cpp
+++ b/src/config/JobSpec.cpp
@@ -1,7 +1,7 @@
 #include "config/JobSpec.h"
 
 #include "config/Fields.h"
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 namespace daisylanding::config {
 
@@ -30,7 +30,7 @@
 }
 
 json jobSpecToJson(const JobSpec &Spec) {
-  json Out = platform::resourcesToJson(Spec.Size);
+  json Out = table::resourcesToJson(Spec.Size);
   Out["id"] = Spec.Id;
   Out["kind"] = jobKindName(Spec.Kind);
   Out["class"] = Spec.Class;
--- a/src/config/JobSpec.h
+++ b/src/config/JobSpec.h
@@ -19,7 +19,7 @@
   std::string Team;
   std::string AvailabilityZone; ///< Empty: the system chooses.
   uint32_t Tasks = 1;
-  platform::Resources Size; ///< Of each task, as declared.
+  table::Resources Size;    ///< Of each task, as declared.
   Millis RunTime{60'000};   ///< Of each task, as declared.
   uint32_t MaxFailures = 3; ///< A task that fails more often ends its job.
   std::string Payload;      ///< Passed to the worker as it is.
--- a/src/entry/Context.h
+++ b/src/entry/Context.h
@@ -5,8 +5,8 @@
 #include "common/Metrics.h"
 #include "config/Settings.h"
 #include "entry/View.h"
-#include "platform/HttpPlatform.h"
-#include "platform/WriteBudget.h"
+#include "table/HttpPlatform.h"
+#include "table/WriteBudget.h"
 
 #include <atomic>
 #include <memory>
@@ -22,7 +22,7 @@
 
   config::Settings Options;
   std::string Incarnation;
-  platform::WriteBudget Budget;
+  table::WriteBudget Budget;
   EventLog Events;
   Metrics Numbers;
   ViewBox Views;
@@ -32,14 +32,13 @@
   std::string holder() const { return Options.Name + "/" + Incarnation; }
 
   /// A platform client for the calling thread's own use.
-  std::unique_ptr<platform::HttpPlatform> connectPlatform(
-      platform::WritePriority Priority = platform::WritePriority::Bulk) {
-    return std::make_unique<platform::HttpPlatform>(
-        platform::HttpPlatformOptions{.Url = Options.PlatformUrl,
-                                      .AvailabilityZone =
-                                          Options.AvailabilityZone,
-                                      .Timeout = Options.PlatformTimeout,
-                                      .Priority = Priority},
+  std::unique_ptr<table::HttpPlatform>
+  connectPlatform(table::WritePriority Priority = table::WritePriority::Bulk) {
+    return std::make_unique<table::HttpPlatform>(
+        table::HttpPlatformOptions{.Url = Options.PlatformUrl,
+                                   .AvailabilityZone = Options.AvailabilityZone,
+                                   .Timeout = Options.PlatformTimeout,
+                                   .Priority = Priority},
         Budget);
   }
 
--- a/src/entry/CreditLoop.cpp
+++ b/src/entry/CreditLoop.cpp
@@ -56,15 +56,15 @@
   return fmt::format("credits/{}/{}", Shared.Options.AvailabilityZone, Service);
 }
 
-Result<platform::Row> settleCreditWrite(platform::Table &Store,
-                                        const std::string &Key,
-                                        const policy::CreditTable &Next,
-                                        uint64_t Version) {
-  platform::Mutation Put{
+Result<table::Row> settleCreditWrite(table::Table &Store,
+                                     const std::string &Key,
+                                     const policy::CreditTable &Next,
+                                     uint64_t Version) {
+  table::Mutation Put{
       .Key = Key, .Value = creditTableToText(Next), .Expected = Version};
   auto Outcome = Store.commit({&Put, 1});
   if (Outcome && Outcome->Committed)
-    return platform::Row{Key, Put.Value, Outcome->Versions.front()};
+    return table::Row{Key, Put.Value, Outcome->Versions.front()};
   if (Outcome)
     return Outcome->Conflicts.front();
   if (Outcome.error() == Errc::BudgetExhausted)
@@ -74,14 +74,14 @@
     return Current;
   // Our write may still arrive. Rewriting the row as it is moves its version
   // on, and a write that expects the old one is then refused.
-  platform::Mutation Fence{
+  table::Mutation Fence{
       .Key = Key, .Value = Current->Value, .Expected = Version};
   auto Fenced = Store.commit({&Fence, 1});
   if (!Fenced)
     return Fenced.error();
   if (!Fenced->Committed)
     return Fenced->Conflicts.front();
-  return platform::Row{Key, Current->Value, Fenced->Versions.front()};
+  return table::Row{Key, Current->Value, Fenced->Versions.front()};
 }
 
 void CreditLoop::run() {
@@ -101,7 +101,7 @@
   }
 }
 
-void CreditLoop::settle(platform::Table &Store) {
+void CreditLoop::settle(table::Table &Store) {
   for (auto Each = Open.begin(); Each != Open.end();) {
     auto Row = settleCreditWrite(Store, rowKey(Each->first), Each->second.Next,
                                  Each->second.Version);
@@ -133,7 +133,7 @@
   return Now - BasisSince > CalmAfter ? CalmInterval : BusyInterval;
 }
 
-void CreditLoop::poll(platform::Table &Store) {
+void CreditLoop::poll(table::Table &Store) {
   auto Config = Shared.Views.current()->Config;
   if (!Config)
     return;
@@ -143,13 +143,13 @@
   }
 }
 
-void CreditLoop::readRow(platform::Table &Store, const std::string &Service) {
+void CreditLoop::readRow(table::Table &Store, const std::string &Service) {
   auto Row = Store.read(rowKey(Service));
   if (Row)
     report(Service, *Row);
 }
 
-void CreditLoop::report(const std::string &Service, const platform::Row &Row) {
+void CreditLoop::report(const std::string &Service, const table::Row &Row) {
   auto Table = creditTableFromText(Row.Value);
   if (Table)
     (void)ToFront.push(
--- a/src/entry/CreditLoop.h
+++ b/src/entry/CreditLoop.h
@@ -17,10 +17,10 @@
 /// afterwards, ours or another's. A write whose answer was lost may still be
 /// under way; the row is then moved past its version, so that it can't take
 /// effect after the return. Errors: the table's; the write stays open.
-Result<platform::Row> settleCreditWrite(platform::Table &Store,
-                                        const std::string &Key,
-                                        const policy::CreditTable &Next,
-                                        uint64_t Version);
+Result<table::Row> settleCreditWrite(table::Table &Store,
+                                     const std::string &Key,
+                                     const policy::CreditTable &Next,
+                                     uint64_t Version);
 
 /// Reads the escrow rows of the home zone for the front loop, and writes its
 /// plans. The front hears of a row only when no write of its own is open.
@@ -40,11 +40,11 @@
 
 private:
   void run();
-  void poll(platform::Table &Store);
+  void poll(table::Table &Store);
   Millis pollInterval(TimePoint Now);
-  void settle(platform::Table &Store);
-  void readRow(platform::Table &Store, const std::string &Service);
-  void report(const std::string &Service, const platform::Row &Row);
+  void settle(table::Table &Store);
+  void readRow(table::Table &Store, const std::string &Service);
+  void report(const std::string &Service, const table::Row &Row);
   std::string rowKey(const std::string &Service) const;
 
   Context &Shared;
--- a/src/entry/HolderWatch.cpp
+++ b/src/entry/HolderWatch.cpp
@@ -17,7 +17,7 @@
     return true;
   return std::any_of(
       Seen.List.Instances.begin(), Seen.List.Instances.end(),
-      [&](const platform::Instance &Other) { return Other.Name == Each.Name; });
+      [&](const table::Instance &Other) { return Other.Name == Each.Name; });
 }
 
 /// Holders in the table that belong to a process of \p Each that is gone.
--- a/src/entry/JournalLoop.h
+++ b/src/entry/JournalLoop.h
@@ -32,7 +32,7 @@
   std::string Shard;
   uint64_t Epoch = 0;
   std::string Team;
-  platform::Resources Quota;
+  table::Resources Quota;
   shard::QuotaDemand Demand;
 };
 struct ReleaseJournal {
@@ -55,7 +55,7 @@
 };
 struct ShareMoved {
   std::string Team;
-  Result<platform::Resources> Share = Errc::Unreachable;
+  Result<table::Resources> Share = Errc::Unreachable;
 };
 struct JournalFenced {}; ///< Another owner has the shard, or it was released.
 struct JournalReply {
@@ -114,7 +114,7 @@
   Context &Shared;
   Waker Wake;
   std::atomic<bool> PollNow{false};
-  std::unique_ptr<platform::HttpPlatform> Platform;
+  std::unique_ptr<table::HttpPlatform> Platform;
   policy::CommitPacer Pacer;
   std::map<std::string, OpenShard> Shards;
   std::deque<JournalReply> Undelivered;
--- a/src/entry/JournalStore.cpp
+++ b/src/entry/JournalStore.cpp
@@ -1,7 +1,7 @@
 #include "entry/JournalStore.h"
 
 #include "entry/Ownership.h"
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -29,7 +29,7 @@
   return Out.dump();
 }
 
-Result<shard::InboxItem> inboxFromRow(const platform::Row &Row) {
+Result<shard::InboxItem> inboxFromRow(const table::Row &Row) {
   try {
     json Source = json::parse(Row.Value);
     shard::InboxItem Out{.Key = Row.Key,
@@ -62,16 +62,16 @@
   return Out.dump();
 }
 
-JournalStore::JournalStore(platform::Table &Store,
-                           platform::ObjectStore &Objects, Shard Owned)
+JournalStore::JournalStore(table::Table &Store, table::ObjectStore &Objects,
+                           Shard Owned)
     : Store(Store), Objects(Objects), Owned(std::move(Owned)) {}
 
 std::string JournalStore::rowKey(uint64_t Sequence) const {
   return fmt::format("journal/{}/{:012}", Owned.Id, Sequence);
 }
 
-platform::Mutation JournalStore::ownershipCheck() const {
-  return {.Kind = platform::Operation::Check,
+table::Mutation JournalStore::ownershipCheck() const {
+  return {.Kind = table::Operation::Check,
           .Key = shardRowKey(Owned.Id),
           .Expected = Owned.RowVersion};
 }
@@ -106,7 +106,7 @@
   auto Rows = Store.scan(Prefix);
   if (!Rows)
     return Rows.error();
-  for (const platform::Row &Row : *Rows) {
+  for (const table::Row &Row : *Rows) {
     uint64_t Sequence = 0;
     const char *End = Row.Key.data() + Row.Key.size();
     std::from_chars(Row.Key.data() + Prefix.size(), End, Sequence);
@@ -128,7 +128,7 @@
   auto Row = Store.read(rowKey(Group.Sequence));
   if (!Row)
     return Row.error();
-  if (Row->Version == platform::AbsentVersion)
+  if (Row->Version == table::AbsentVersion)
     return false;
   auto Parsed = shard::journalRowFromText(Row->Value);
   if (!Parsed)
@@ -142,7 +142,7 @@
 /// Adds the writes that mark the group's ended jobs in their own rows.
 std::error_code
 JournalStore::closeJobs(const shard::JournalGroup &Group,
-                        std::vector<platform::Mutation> &Mutations) {
+                        std::vector<table::Mutation> &Mutations) {
   for (const shard::JobEnded &Each : Group.Ended) {
     auto Row = Store.read(jobRowKey(Each.Job));
     if (!Row)
@@ -160,7 +160,7 @@
 /// Adds the writes that hand the group's moved jobs to other shards.
 std::error_code
 JournalStore::moveJobs(const shard::JournalGroup &Group,
-                       std::vector<platform::Mutation> &Mutations) {
+                       std::vector<table::Mutation> &Mutations) {
   for (const shard::JobMove &Each : Group.Moves) {
     const config::JobSpec &Spec = Each.Job.Spec;
     auto Row = Store.read(jobRowKey(Spec.Id));
@@ -178,11 +178,11 @@
 std::error_code JournalStore::append(const shard::JournalGroup &Group) {
   if (Group.Sequence <= Last)
     return {};
-  std::vector<platform::Mutation> Mutations = {ownershipCheck()};
+  std::vector<table::Mutation> Mutations = {ownershipCheck()};
   Mutations.push_back({.Key = rowKey(Group.Sequence),
                        .Value = shard::journalRowToText(Group.Row)});
   for (const shard::InboxItem &Each : Group.Consumed)
-    Mutations.push_back({.Kind = platform::Operation::Delete,
+    Mutations.push_back({.Kind = table::Operation::Delete,
                          .Key = Each.Key,
                          .Expected = Each.Version});
   if (auto Failure = closeJobs(Group, Mutations))
@@ -220,12 +220,12 @@
   Shard Next = Owned;
   Next.Snapshot = Key;
   Next.SnapshotSequence = Sequence;
-  std::vector<platform::Mutation> Mutations = {{.Key = shardRowKey(Owned.Id),
-                                                .Value = shardToText(Next),
-                                                .Expected = Owned.RowVersion}};
+  std::vector<table::Mutation> Mutations = {{.Key = shardRowKey(Owned.Id),
+                                             .Value = shardToText(Next),
+                                             .Expected = Owned.RowVersion}};
   for (const auto &[Covered, Version] : RowVersions) {
     if (Covered <= Sequence)
-      Mutations.push_back({.Kind = platform::Operation::Delete,
+      Mutations.push_back({.Kind = table::Operation::Delete,
                            .Key = rowKey(Covered),
                            .Expected = Version});
   }
@@ -244,7 +244,7 @@
   if (!Rows)
     return Rows.error();
   std::vector<shard::InboxItem> Out;
-  for (const platform::Row &Row : *Rows) {
+  for (const table::Row &Row : *Rows) {
     auto Item = inboxFromRow(Row);
     if (Item)
       Out.push_back(std::move(*Item));
@@ -252,9 +252,8 @@
   return Out;
 }
 
-Result<platform::Resources>
-JournalStore::moveShare(const std::string &Team,
-                        const platform::Resources &Quota,
+Result<table::Resources>
+JournalStore::moveShare(const std::string &Team, const table::Resources &Quota,
                         const shard::QuotaDemand &Demand) {
   std::string Key = fmt::format("quota/{}", Team);
   auto Row = Store.read(Key);
@@ -265,14 +264,14 @@
   if (!Document.is_object())
     Document = json::object();
   for (const auto &Each : Document.items())
-    Shares[Each.key()] = platform::resourcesFromJson(Each.value());
-  platform::Resources Held = Shares[Owned.Id];
-  platform::Resources Next =
+    Shares[Each.key()] = table::resourcesFromJson(Each.value());
+  table::Resources Held = Shares[Owned.Id];
+  table::Resources Next =
       policy::planShare(Shares, Quota, Owned.Id, Demand.Used, Demand.Wanted);
   if (Next == Held && !OpenShares.count(Team))
     return Held;
-  Document[Owned.Id] = platform::resourcesToJson(Next);
-  std::vector<platform::Mutation> Mutations = {
+  Document[Owned.Id] = table::resourcesToJson(Next);
+  std::vector<table::Mutation> Mutations = {
       ownershipCheck(),
       {.Key = Key, .Value = Document.dump(), .Expected = Row->Version}};
   auto Outcome = Store.commit(Mutations);
--- a/src/entry/JournalStore.h
+++ b/src/entry/JournalStore.h
@@ -2,9 +2,9 @@
 #define DAISYLANDING_ENTRY_JOURNALSTORE_H
 
 #include "entry/View.h"
-#include "platform/Table.h"
 #include "policy/QuotaPlanner.h"
 #include "shard/ShardOwner.h"
+#include "table/Table.h"
 
 #include <map>
 #include <optional>
@@ -15,7 +15,7 @@
 std::string inboxPrefix(std::string_view Shard);
 std::string inboxAccept(const shard::JobAccepted &Job);
 std::string inboxStop(std::string_view Job);
-Result<shard::InboxItem> inboxFromRow(const platform::Row &Row);
+Result<shard::InboxItem> inboxFromRow(const table::Row &Row);
 std::string jobRowKey(std::string_view Job);
 std::string jobRowText(std::string_view Shard, const config::JobSpec &Spec,
                        std::string_view State);
@@ -31,8 +31,7 @@
 /// transaction that the ownership row still carries this owner's epoch.
 class JournalStore {
 public:
-  JournalStore(platform::Table &Store, platform::ObjectStore &Objects,
-               Shard Owned);
+  JournalStore(table::Table &Store, table::ObjectStore &Objects, Shard Owned);
 
   /// Errors: the table's; Fenced when the shard has another owner; Malformed.
   Result<LoadedShard> load();
@@ -49,24 +48,24 @@
   Result<std::vector<shard::InboxItem>> readInbox();
 
   /// Moves this shard's share of a team's quota towards \p Demand.
-  Result<platform::Resources> moveShare(const std::string &Team,
-                                        const platform::Resources &Quota,
-                                        const shard::QuotaDemand &Demand);
+  Result<table::Resources> moveShare(const std::string &Team,
+                                     const table::Resources &Quota,
+                                     const shard::QuotaDemand &Demand);
 
   std::error_code release();
 
 private:
   std::string rowKey(uint64_t Sequence) const;
-  platform::Mutation ownershipCheck() const;
+  table::Mutation ownershipCheck() const;
   std::error_code refreshOwnership();
   Result<bool> alreadyWritten(const shard::JournalGroup &Group);
   std::error_code moveJobs(const shard::JournalGroup &Group,
-                           std::vector<platform::Mutation> &Mutations);
+                           std::vector<table::Mutation> &Mutations);
   std::error_code closeJobs(const shard::JournalGroup &Group,
-                            std::vector<platform::Mutation> &Mutations);
+                            std::vector<table::Mutation> &Mutations);
 
-  platform::Table &Store;
-  platform::ObjectStore &Objects;
+  table::Table &Store;
+  table::ObjectStore &Objects;
   Shard Owned;
   uint64_t Last = 0;
   std::map<uint64_t, uint64_t> RowVersions; ///< By sequence, for deletion.
--- a/src/entry/Main.cpp
+++ b/src/entry/Main.cpp
@@ -1,7 +1,9 @@
 #include "common/Log.h"
-#include "config/Settings.h"
+#include "config/CellSettings.h"
 #include "entry/Entry.h"
+#include "node/Node.h"
 #include "operator/Client.h"
+#include "platform/PlatformPorts.h"
 
 #include <fmt/format.h>
 #include <popt.h>
@@ -17,11 +19,15 @@
 
 constexpr int UsageError = 2;
 
+void printProblems(std::span<const config::SettingsProblem> Problems) {
+  for (const config::SettingsProblem &Each : Problems)
+    fmt::print(stderr, "{}\n", Each.text());
+}
+
 std::optional<config::Settings> load(const std::string &File) {
   std::vector<config::SettingsProblem> Problems;
   auto Options = config::loadSettings(File, Problems);
-  for (const config::SettingsProblem &Each : Problems)
-    fmt::print(stderr, "{}\n", Each.text());
+  printProblems(Problems);
   if (!Options)
     return std::nullopt;
   return *Options;
@@ -35,6 +41,25 @@
   return Name == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
+std::optional<config::CellSettings> loadCell(const std::string &File) {
+  std::vector<config::SettingsProblem> Problems;
+  auto Options = config::loadCellSettings(File, Problems);
+  printProblems(Problems);
+  if (!Options)
+    return std::nullopt;
+  return *Options;
+}
+
+int runCell(const std::string &File) {
+  auto Options = loadCell(File);
+  if (!Options)
+    return 1;
+  setLogLevel(levelOf(Options->LogLevel));
+  platform::PlatformPorts Around(
+      {.Store = Options->StoreAddress, .Advice = Options->AdviceAddress});
+  return node::serveCell(*Options, Around);
+}
+
 int runServe(std::span<char *> Words) {
   char *File = nullptr;
   const poptOption Table[] = {{"config", 'c', POPT_ARG_STRING,
@@ -57,6 +82,8 @@
     fmt::print(stderr, "usage: daisylanding serve --config FILE\n");
     return UsageError;
   }
+  if (config::isCellSettings(Config))
+    return runCell(Config);
   auto Options = load(Config);
   if (!Options)
     return 1;
@@ -75,7 +102,9 @@
                "usage: daisylanding config check FILE\n");
     return Help ? 0 : UsageError;
   }
-  if (!load(Words[0]))
+  bool Valid = config::isCellSettings(Words[0]) ? loadCell(Words[0]).has_value()
+                                                : load(Words[0]).has_value();
+  if (!Valid)
     return 1;
   fmt::print("{}: ok\n", Words[0]);
   return 0;
--- a/src/entry/Ownership.cpp
+++ b/src/entry/Ownership.cpp
@@ -57,7 +57,7 @@
   return Out.dump();
 }
 
-Result<Shard> shardFromRow(const platform::Row &Row) {
+Result<Shard> shardFromRow(const table::Row &Row) {
   try {
     json Source = json::parse(Row.Value);
     return Shard{.Id = Source.at("id"),
@@ -95,14 +95,14 @@
 }
 
 std::optional<std::string>
-chooseShard(std::span<const platform::Instance> Instances,
+chooseShard(std::span<const table::Instance> Instances,
             const config::JobSpec &Spec, uint32_t ShardsPerZone,
             const std::set<std::string> &ExcludedZones) {
   std::map<std::string, uint64_t> Room; ///< Tasks that fit when empty.
-  for (const platform::Instance &Each : Instances) {
+  for (const table::Instance &Each : Instances) {
     bool InZone = Spec.AvailabilityZone.empty() ||
                   Spec.AvailabilityZone == Each.AvailabilityZone;
-    if (Each.Kind != platform::Role::Worker || Each.Leaving || !InZone ||
+    if (Each.Kind != table::Role::Worker || Each.Leaving || !InZone ||
         ExcludedZones.count(Each.AvailabilityZone))
       continue;
     uint32_t Index = shardOfRack(Each.Rack, ShardsPerZone);
@@ -159,15 +159,15 @@
          !ownerAlive(Each, Seen.Members);
 }
 
-std::optional<Shard> claimShard(platform::Table &Store, const Shard &Each,
+std::optional<Shard> claimShard(table::Table &Store, const Shard &Each,
                                 const Member &Self) {
   Shard Next = Each;
   Next.Owner = Self.Name;
   Next.OwnerIncarnation = Self.Incarnation;
   Next.Epoch = Each.Epoch + 1;
-  platform::Mutation Put{.Key = shardRowKey(Each.Id),
-                         .Value = shardToText(Next),
-                         .Expected = Each.RowVersion};
+  table::Mutation Put{.Key = shardRowKey(Each.Id),
+                      .Value = shardToText(Next),
+                      .Expected = Each.RowVersion};
   auto Outcome = Store.commit({&Put, 1});
   // A lost answer is resolved by the next round, which reads the row.
   if (!Outcome || !Outcome->Committed)
@@ -176,13 +176,13 @@
   return Next;
 }
 
-bool releaseShard(platform::Table &Store, const Shard &Each) {
+bool releaseShard(table::Table &Store, const Shard &Each) {
   Shard Next = Each;
   Next.Owner.clear();
   Next.OwnerIncarnation.clear();
-  platform::Mutation Put{.Key = shardRowKey(Each.Id),
-                         .Value = shardToText(Next),
-                         .Expected = Each.RowVersion};
+  table::Mutation Put{.Key = shardRowKey(Each.Id),
+                      .Value = shardToText(Next),
+                      .Expected = Each.RowVersion};
   auto Outcome = Store.commit({&Put, 1});
   return Outcome && Outcome->Committed;
 }
--- a/src/entry/Ownership.h
+++ b/src/entry/Ownership.h
@@ -3,7 +3,7 @@
 
 #include "config/JobSpec.h"
 #include "entry/View.h"
-#include "platform/Table.h"
+#include "table/Table.h"
 
 #include <optional>
 #include <set>
@@ -15,7 +15,7 @@
 Result<Member> memberFromText(std::string_view Text);
 
 std::string shardToText(const Shard &Each);
-Result<Shard> shardFromRow(const platform::Row &Row);
+Result<Shard> shardFromRow(const table::Row &Row);
 std::string shardRowKey(std::string_view Id);
 
 /// The shard of a zone that an instance belongs to, by its rack, so that a
@@ -26,7 +26,7 @@
 /// once, or one of a batch. Of several the job's id chooses, weighted by their
 /// room, so that jobs spread. None when there is no such shard.
 std::optional<std::string>
-chooseShard(std::span<const platform::Instance> Instances,
+chooseShard(std::span<const table::Instance> Instances,
             const config::JobSpec &Spec, uint32_t ShardsPerZone,
             const std::set<std::string> &ExcludedZones);
 
@@ -50,11 +50,11 @@
 
 /// Takes \p Each over by compare-and-set with the next epoch. Nothing when
 /// another won or the table could not say.
-std::optional<Shard> claimShard(platform::Table &Store, const Shard &Each,
+std::optional<Shard> claimShard(table::Table &Store, const Shard &Each,
                                 const Member &Self);
 
 /// Gives an owned shard up, so that another may take it at once.
-bool releaseShard(platform::Table &Store, const Shard &Each);
+bool releaseShard(table::Table &Store, const Shard &Each);
 
 } // namespace daisylanding::entry
 
--- a/src/entry/RecordLoop.cpp
+++ b/src/entry/RecordLoop.cpp
@@ -110,19 +110,19 @@
 
 namespace {
 
-platform::Mutation mutationOf(const RecordCall &Call, uint64_t Version) {
-  platform::Mutation Out{.Key = Call.Key, .Expected = Version};
+table::Mutation mutationOf(const RecordCall &Call, uint64_t Version) {
+  table::Mutation Out{.Key = Call.Key, .Expected = Version};
   switch (Call.Kind) {
   case RecordKind::Reserve:
   case RecordKind::Complete:
-    Out.Kind = platform::Operation::Put;
+    Out.Kind = table::Operation::Put;
     Out.Value = recordToText(Call.Record);
     break;
   case RecordKind::Release:
-    Out.Kind = platform::Operation::Delete;
+    Out.Kind = table::Operation::Delete;
     break;
   case RecordKind::Lookup:
-    Out.Kind = platform::Operation::Check;
+    Out.Kind = table::Operation::Check;
     break;
   }
   return Out;
@@ -134,7 +134,7 @@
 /// nothing more can be done now.
 bool RecordWriter::attempt(std::vector<Pending> &Group,
                            std::vector<RecordReply> &Replies) {
-  std::vector<platform::Mutation> Mutations;
+  std::vector<table::Mutation> Mutations;
   std::vector<Pending *> Order;
   for (Pending &Each : Group) {
     if (Each.Settled)
@@ -159,7 +159,7 @@
     }
     return true;
   }
-  for (const platform::Row &Row : Outcome->Conflicts) {
+  for (const table::Row &Row : Outcome->Conflicts) {
     for (Pending *Each : Order) {
       if (Each->Call.Key == Row.Key && !Each->Settled)
         settle(*Each, RecordStatus::Exists, Row.Value, Replies);
--- a/src/entry/RecordLoop.h
+++ b/src/entry/RecordLoop.h
@@ -55,7 +55,7 @@
 /// reading its rows back.
 class RecordWriter {
 public:
-  explicit RecordWriter(platform::Table &Store) : Store(Store) {}
+  explicit RecordWriter(table::Table &Store) : Store(Store) {}
 
   /// Carries out \p Calls and reports each once. Completions and releases
   /// that can't be written yet are kept for a later call.
@@ -80,7 +80,7 @@
               std::vector<RecordReply> &Replies);
   void remember(const std::string &Key, uint64_t Version);
 
-  platform::Table &Store;
+  table::Table &Store;
   std::deque<RecordCall> Unwritten;
   /// Row versions of reservations that await their completion.
   std::map<std::string, uint64_t> Versions;
--- a/src/entry/RescueLoop.cpp
+++ b/src/entry/RescueLoop.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 shard::JournalGroup planRescue(shard::ShardState &State,
-                               std::span<const platform::Instance> Instances,
+                               std::span<const table::Instance> Instances,
                                const config::ClusterConfig &Config,
                                std::string_view LostZone,
                                uint32_t ShardsPerZone, TimePoint Now) {
@@ -95,7 +95,7 @@
   return Mine ? std::optional(Zone) : std::nullopt;
 }
 
-void RescueLoop::lookForLostShards(platform::HttpPlatform &Platform) {
+void RescueLoop::lookForLostShards(table::HttpPlatform &Platform) {
   auto Seen = Shared.Views.current();
   if (!Seen->Config || !Seen->PlatformReachable)
     return;
--- a/src/entry/RescueLoop.h
+++ b/src/entry/RescueLoop.h
@@ -11,7 +11,7 @@
 /// The group that moves a lost shard's movable jobs to other zones. Its leased
 /// tasks must be over when this is called. Jobs bound to the zone stay.
 shard::JournalGroup planRescue(shard::ShardState &State,
-                               std::span<const platform::Instance> Instances,
+                               std::span<const table::Instance> Instances,
                                const config::ClusterConfig &Config,
                                std::string_view LostZone,
                                uint32_t ShardsPerZone, TimePoint Now);
@@ -35,7 +35,7 @@
 
 private:
   void run();
-  void lookForLostShards(platform::HttpPlatform &Platform);
+  void lookForLostShards(table::HttpPlatform &Platform);
   bool moveJobs(JournalStore &Journal, const std::string &Zone);
   std::optional<std::string> lostZoneOf(const Shard &Each, const View &Seen,
                                         TimePoint Now) const;
--- a/src/entry/ServiceState.cpp
+++ b/src/entry/ServiceState.cpp
@@ -53,7 +53,7 @@
   return 0;
 }
 
-size_t ServiceState::indexOf(const platform::Instance &Each) {
+size_t ServiceState::indexOf(const table::Instance &Each) {
   for (size_t I = 0; I < Slots.size(); ++I) {
     if (Slots[I].Name != Each.Name)
       continue;
@@ -71,13 +71,13 @@
   return Slots.size() - 1;
 }
 
-void ServiceState::applyList(const platform::InstanceSnapshot &List,
+void ServiceState::applyList(const table::InstanceSnapshot &List,
                              const std::set<std::string> &Drained,
                              std::string_view Zone) {
   for (EndpointSlot &Each : Slots)
     Each.Listed = false;
-  for (const platform::Instance &Each : List.Instances) {
-    if (Each.Kind != platform::Role::Endpoint || Each.Service != Spec.Name ||
+  for (const table::Instance &Each : List.Instances) {
+    if (Each.Kind != table::Role::Endpoint || Each.Service != Spec.Name ||
         Each.AvailabilityZone != Zone || Each.Leaving ||
         Drained.count(Each.Name))
       continue;
--- a/src/entry/ServiceState.h
+++ b/src/entry/ServiceState.h
@@ -33,7 +33,7 @@
   void configure(const config::ServiceSpec &Spec,
                  const config::ClusterConfig &Config);
   /// Takes over the instance list: new endpoints, addresses, leaving ones.
-  void applyList(const platform::InstanceSnapshot &List,
+  void applyList(const table::InstanceSnapshot &List,
                  const std::set<std::string> &Drained, std::string_view Zone);
   /// Takes over the escrow row as \p Holder finds it.
   void applyCredits(const policy::CreditTable &Table,
@@ -76,7 +76,7 @@
   uint64_t CreditWrites = 0; ///< Handed to the credit loop so far.
 
 private:
-  size_t indexOf(const platform::Instance &Each);
+  size_t indexOf(const table::Instance &Each);
   void refreshUsable(TimePoint Now);
 
   std::multimap<TimePoint, size_t> Unresolved;
--- a/src/entry/ShardLoop.cpp
+++ b/src/entry/ShardLoop.cpp
@@ -22,9 +22,9 @@
 /// A share is given back only when it was unchanged for this long.
 constexpr Millis ShareSettleTime{10'000};
 
-bool belongsTo(const platform::Instance &Each, const Shard &Owned,
+bool belongsTo(const table::Instance &Each, const Shard &Owned,
                const config::Settings &Options) {
-  if (Each.Kind != platform::Role::Worker ||
+  if (Each.Kind != table::Role::Worker ||
       Each.AvailabilityZone != Options.AvailabilityZone)
     return false;
   uint32_t Index = shardOfRack(Each.Rack, Options.ShardsPerZone);
@@ -95,8 +95,8 @@
 void ShardLoop::feedView(Running &Each, TimePoint Now) {
   if (!Each.Owner)
     return;
-  std::vector<platform::Instance> Mine;
-  for (const platform::Instance &Instance : Seen->List.Instances) {
+  std::vector<table::Instance> Mine;
+  for (const table::Instance &Instance : Seen->List.Instances) {
     if (belongsTo(Instance, Each.Owned, Shared.Options))
       Mine.push_back(Instance);
   }
@@ -230,7 +230,7 @@
 void ShardLoop::askShares(Running &Each, TimePoint Now) {
   auto &Decisions = Each.Owner->Decisions;
   for (const auto &[Team, Demand] : Decisions.QuotaDemands) {
-    platform::Resources &Share = Decisions.QuotaShares[Team];
+    table::Resources &Share = Decisions.QuotaShares[Team];
     bool Short = !Demand.Wanted.fitsIn(Share);
     bool Spare = Demand.Wanted != Share && !Short;
     TimePoint &Changed = Each.ShareChanged[Team];
--- a/src/entry/SyncLoop.cpp
+++ b/src/entry/SyncLoop.cpp
@@ -22,7 +22,7 @@
     : FromPeers(RingCapacity, [this] { Wake.wake(); }), Shared(Shared) {}
 
 void SyncLoop::run() {
-  auto Platform = Shared.connectPlatform(platform::WritePriority::Heartbeat);
+  auto Platform = Shared.connectPlatform(table::WritePriority::Heartbeat);
   while (!Loop.stopping()) {
     TimePoint Now = monotonicNow();
     std::string Text;
@@ -48,7 +48,7 @@
   Shared.Views.publish(std::make_shared<View>(Draft));
 }
 
-void SyncLoop::pollList(platform::InstanceList &List) {
+void SyncLoop::pollList(table::InstanceList &List) {
   auto Snapshot = List.snapshot();
   bool Reachable = static_cast<bool>(Snapshot);
   if (Reachable != Draft.PlatformReachable) {
@@ -66,9 +66,9 @@
   publish();
 }
 
-void SyncLoop::pollConfig(platform::Table &Store) {
+void SyncLoop::pollConfig(table::Table &Store) {
   auto Row = Store.read(ConfigKey);
-  if (Row && Row->Version != platform::AbsentVersion)
+  if (Row && Row->Version != table::AbsentVersion)
     offerConfig(Row->Value);
 }
 
@@ -91,7 +91,7 @@
 }
 
 /// One round: tell that we live, see who does, take what is orphaned.
-void SyncLoop::beat(platform::Table &Store, TimePoint Now) {
+void SyncLoop::beat(table::Table &Store, TimePoint Now) {
   if (!writeHeartbeat(Store))
     return;
   readMembers(Store, Now);
@@ -99,7 +99,7 @@
   publish();
 }
 
-bool SyncLoop::writeHeartbeat(platform::Table &Store) {
+bool SyncLoop::writeHeartbeat(table::Table &Store) {
   Member Self{.Name = Shared.Options.Name,
               .Incarnation = Shared.Incarnation,
               .AvailabilityZone = Shared.Options.AvailabilityZone,
@@ -108,9 +108,9 @@
               .ConfigVersion = Draft.Config ? Draft.Config->Version : 0,
               .ListVersion = Draft.List.Version,
               .Draining = Shared.Draining.load()};
-  platform::Mutation Put{.Key = std::string(MemberPrefix) + Self.Name,
-                         .Value = memberToText(Self, ++HeartbeatCount),
-                         .Expected = HeartbeatVersion};
+  table::Mutation Put{.Key = std::string(MemberPrefix) + Self.Name,
+                      .Value = memberToText(Self, ++HeartbeatCount),
+                      .Expected = HeartbeatVersion};
   auto Outcome = Store.commit({&Put, 1});
   if (!Outcome)
     return false;
@@ -128,7 +128,7 @@
   return true;
 }
 
-void SyncLoop::readMembers(platform::Table &Store, TimePoint Now) {
+void SyncLoop::readMembers(table::Table &Store, TimePoint Now) {
   auto Rows = Store.scan(MemberPrefix);
   if (!Rows)
     return;
@@ -138,7 +138,7 @@
                   Shared.Options.TakeoverAfter / 2 + Shared.Options.Heartbeat;
   LastRound = Now;
   std::vector<Member> Next;
-  for (const platform::Row &Row : *Rows) {
+  for (const table::Row &Row : *Rows) {
     auto Each = memberFromText(Row.Value);
     if (!Each)
       continue;
@@ -158,13 +158,13 @@
 
 /// All shards in the table, and those of the home zone that it has no row of.
 std::optional<std::vector<Shard>>
-SyncLoop::readShards(platform::Table &Store) const {
+SyncLoop::readShards(table::Table &Store) const {
   auto Rows = Store.scan("shard/");
   if (!Rows)
     return std::nullopt;
   std::vector<Shard> All;
   std::set<std::string> Known;
-  for (const platform::Row &Row : *Rows) {
+  for (const table::Row &Row : *Rows) {
     auto Each = shardFromRow(Row);
     if (!Each)
       continue;
@@ -179,7 +179,7 @@
   return All;
 }
 
-void SyncLoop::claimShards(platform::Table &Store, TimePoint Now) {
+void SyncLoop::claimShards(table::Table &Store, TimePoint Now) {
   auto All = readShards(Store);
   if (!All)
     return;
@@ -201,7 +201,7 @@
   Draft.Confirmed = Now;
 }
 
-void SyncLoop::claim(platform::Table &Store, Shard &Each, const Member &Self) {
+void SyncLoop::claim(table::Table &Store, Shard &Each, const Member &Self) {
   auto Taken = claimShard(Store, Each, Self);
   if (!Taken)
     return;
--- a/src/entry/SyncLoop.h
+++ b/src/entry/SyncLoop.h
@@ -30,15 +30,15 @@
 
 private:
   void run();
-  void pollList(platform::InstanceList &List);
-  void pollConfig(platform::Table &Store);
+  void pollList(table::InstanceList &List);
+  void pollConfig(table::Table &Store);
   void offerConfig(std::string_view Text);
-  void beat(platform::Table &Store, TimePoint Now);
-  bool writeHeartbeat(platform::Table &Store);
-  void readMembers(platform::Table &Store, TimePoint Now);
-  std::optional<std::vector<Shard>> readShards(platform::Table &Store) const;
-  void claimShards(platform::Table &Store, TimePoint Now);
-  void claim(platform::Table &Store, Shard &Each, const Member &Self);
+  void beat(table::Table &Store, TimePoint Now);
+  bool writeHeartbeat(table::Table &Store);
+  void readMembers(table::Table &Store, TimePoint Now);
+  std::optional<std::vector<Shard>> readShards(table::Table &Store) const;
+  void claimShards(table::Table &Store, TimePoint Now);
+  void claim(table::Table &Store, Shard &Each, const Member &Self);
   void publish();
 
   Context &Shared;
--- a/src/entry/View.h
+++ b/src/entry/View.h
@@ -3,7 +3,7 @@
 
 #include "common/Time.h"
 #include "config/ClusterConfig.h"
-#include "platform/InstanceList.h"
+#include "table/InstanceList.h"
 
 #include <atomic>
 #include <map>
@@ -45,7 +45,7 @@
 /// What the sync loop knows, published as a whole and never changed.
 struct View {
   std::shared_ptr<const config::ClusterConfig> Config; ///< Null at first.
-  platform::InstanceSnapshot List;
+  table::InstanceSnapshot List;
   std::vector<Member> Members;
   std::vector<Shard> Shards;
   std::vector<Shard> Owned; ///< Those that this process owns.
--- /dev/null
+++ b/src/node/CellLoop.cpp
@@ -0,0 +1,403 @@
+#include "node/CellLoop.h"
+
+#include "common/Log.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace daisylanding::node {
+
+namespace {
+
+/// The longest time between two looks at what is due.
+constexpr Millis LongestPoll{20};
+/// How long a feed waits for a first change: bounds how old a belief gets
+/// when a feed hears nothing.
+constexpr Millis FeedWait{800};
+constexpr Millis ReadRetry{100};
+constexpr Millis MembersInterval{3'000};
+constexpr Millis PublishInterval{1'000};
+constexpr size_t AnswerCapacity = 512;
+
+} // namespace
+
+CellLoop::CellLoop(Shared &Common, AdviceDesk &Desk, relay::RelayLoop &Relay,
+                   std::string Service, cell::OwnerRow Mine,
+                   uint64_t RowVersion)
+    : Common(Common), Desk(Desk), Relay(Relay), Service(std::move(Service)),
+      Mine(std::move(Mine)), RowVersion(RowVersion),
+      Calls({.MaxConnectionsPerHost = 32, .MaxIdleConnections = 600}),
+      Answers(AnswerCapacity, [this] { Calls.wake(); }) {}
+
+CellLoop::~CellLoop() {
+  Loop.requestStop();
+  Calls.wake();
+  Loop.join();
+}
+
+void CellLoop::start() {
+  Loop.start("cell", [this] {
+    run();
+    Finished.store(true);
+  });
+}
+
+void CellLoop::release() {
+  Releasing.store(true);
+  Calls.wake();
+}
+
+void CellLoop::run() {
+  logInfo("service-taken", "service={} epoch={} holder={}", Service, Mine.Epoch,
+          Mine.Holder);
+  Store = Common.Around.store(Calls);
+  Executors = Common.Around.executors(Calls);
+  loadRows(cell::JobTable, "");
+  reloadExecutors();
+  while (!Loop.stopping()) {
+    Later.run(monotonicNow());
+    if (Owner) {
+      step();
+      if (Owner->deposed() || Owner->released())
+        break;
+    } else if (Loaded) {
+      begin();
+      continue;
+    } else if (Releasing.load()) {
+      break;
+    }
+    Calls.poll(LongestPoll);
+  }
+  logInfo("service-left", "service={} epoch={} deposed={}", Service, Mine.Epoch,
+          Owner && Owner->deposed());
+}
+
+void CellLoop::retry(std::function<void()> Run) {
+  Later.at(monotonicNow() + ReadRetry, std::move(Run));
+}
+
+void CellLoop::sawStore(int64_t StoreMillis) {
+  TimePoint Now = monotonicNow();
+  Common.Store.answered(Now);
+  if (StoreMillis <= LastStoreMillis)
+    return;
+  LastStoreMillis = StoreMillis;
+  LastStoreAt = Now;
+}
+
+int64_t CellLoop::storeMillis(TimePoint Now) const {
+  return LastStoreMillis + toMillis(Now - LastStoreAt);
+}
+
+TimePoint CellLoop::acceptedAt(const cell::JobSpec &Job, TimePoint Now) const {
+  int64_t Age = std::max<int64_t>(0, storeMillis(Now) - Job.AcceptedMs);
+  return Now - Millis(Age);
+}
+
+/// Reads a whole table of the service, page by page, jobs before progress.
+void CellLoop::loadRows(const std::string &Table, std::string From) {
+  store::RangeRead Range{.Table = Table, .Partition = Service, .From = From};
+  Store->read(Range, [this, Table, From](const Result<store::RowPage> &Page) {
+    if (!Page) {
+      logWarn("load-failed", "service={} table={} error={}", Service, Table,
+              Page.error().message());
+      retry([this, Table, From] { loadRows(Table, From); });
+      return;
+    }
+    sawStore(Page->StoreMillis);
+    bool Jobs = Table == cell::JobTable;
+    if (Jobs && JobsVersion == 0)
+      JobsVersion = Page->Version;
+    for (const store::Row &Each : Page->Rows) {
+      size_t Mark = Each.Key.find('/');
+      if (Jobs && Mark != std::string::npos) {
+        LoadedCancels.insert(Each.Key.substr(0, Mark));
+      } else if (Jobs) {
+        if (auto Job = cell::decodeJob(Each.Value))
+          LoadedJobs.emplace(Each.Key, std::move(*Job));
+        else
+          logError("job-unreadable", "job={}", Each.Key);
+      } else {
+        if (auto Progress = cell::decodeProgress(Each.Value))
+          LoadedProgress.emplace(Each.Key, std::move(*Progress));
+        else
+          logError("progress-unreadable", "job={}", Each.Key);
+      }
+    }
+    if (Page->More && !Page->Rows.empty())
+      loadRows(Table, Page->Rows.back().Key + '\0');
+    else if (Jobs)
+      loadRows(cell::ProgressTable, "");
+    else
+      Loaded = true;
+  });
+}
+
+void CellLoop::begin() {
+  auto Config = Common.Config.current();
+  ConfigVersion = Config->Version;
+  cell::OwnerOptions Options{.Service = Service,
+                             .Mine = Mine,
+                             .RowVersion = RowVersion,
+                             .StatusKept = Common.Options.StatusKept};
+  Options.Contact.MaxLease = Common.Options.MaxLease;
+  Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
+  TimePoint Now = monotonicNow();
+  for (auto &[Id, Job] : LoadedJobs) {
+    std::optional<cell::JobProgress> Progress;
+    auto Found = LoadedProgress.find(Id);
+    if (Found != LoadedProgress.end())
+      Progress = std::move(Found->second);
+    TimePoint Accepted = acceptedAt(Job, Now);
+    Owner->restore(std::move(Job), Progress, LoadedCancels.count(Id) > 0,
+                   Accepted, Now);
+  }
+  logInfo("service-loaded", "service={} epoch={} jobs={} live={}", Service,
+          Mine.Epoch, LoadedJobs.size(), Owner->liveJobs());
+  LoadedJobs.clear();
+  LoadedProgress.clear();
+  LoadedCancels.clear();
+  ListChanged = true;
+  followJobs();
+}
+
+void CellLoop::step() {
+  TimePoint Now = monotonicNow();
+  AdviceAnswer Each;
+  while (Answers.pop(Each)) {
+    bool Failed = !Each.Answer && Each.Answer.error() != Errc::BudgetExhausted;
+    Lines.done(Each.Line, Each.ExpectedMs, Failed, Now);
+    Owner->onAdvice(Each.Id, Each.Answer, Now);
+  }
+  auto Config = Common.Config.current();
+  if (Config->Version != ConfigVersion) {
+    ConfigVersion = Config->Version;
+    Owner->setConfig(Config);
+  }
+  if (ListChanged) {
+    ListChanged = false;
+    std::vector<executor::ExecutorInfo> All;
+    for (const auto &Executor : List)
+      All.push_back(Executor.second);
+    Owner->setExecutors(All, Now);
+  }
+  if (Releasing.load())
+    Owner->release();
+  if (!MembersOpen && Now >= NextMembers)
+    readMembers();
+  constexpr int64_t MicrosPerMilli = 1'000;
+  carryOut(Owner->advance(Now, wallMicros() / MicrosPerMilli));
+  askLines(Now);
+  commitNext(Now);
+  if (Now >= NextPublish)
+    publish(Now);
+}
+
+void CellLoop::carryOut(cell::Outbox Out) {
+  for (cell::StartCommand &Each : Out.Starts)
+    Executors->start(Each.Order, [this, What = Each.Order.What,
+                                  On = Each.On](const auto &Answer) {
+      Owner->onStart(What, On, Answer, monotonicNow());
+    });
+  for (cell::StopCommand &Each : Out.Stops)
+    Executors->stop(Each.Order, [this, What = Each.Order.What,
+                                 On = Each.On](const auto &Answer) {
+      Owner->onStop(What, On, Answer, monotonicNow());
+    });
+  for (cell::PaceCommand &Each : Out.Paces)
+    Executors->pace(Each.Order, [this, What = Each.Order.What,
+                                 On = Each.On](const auto &Answer) {
+      Owner->onPace(What, On, Answer, monotonicNow());
+    });
+  for (cell::HoldCommand &Each : Out.Holds)
+    Executors->hold(Each.Call, [this, On = Each.Index](const auto &Answer) {
+      Owner->onHold(On, Answer, monotonicNow());
+    });
+  for (cell::AdviceCommand &Each : Out.Advices)
+    Lines.add(std::move(Each));
+}
+
+void CellLoop::askLines(TimePoint Now) {
+  while (auto Next = Lines.next(Now)) {
+    uint64_t Id = Next->Command.Id;
+    double ExpectedMs = Next->Command.ExpectedMs;
+    std::string Line = Next->Line;
+    auto Done = [this, Id, Line, ExpectedMs](Result<executor::Advice> Answer) {
+      AdviceAnswer Item{.Id = Id,
+                        .Line = Line,
+                        .ExpectedMs = ExpectedMs,
+                        .Answer = std::move(Answer)};
+      if (!Answers.push(std::move(Item)))
+        logWarn("advice-answer-dropped", "service={} call={}", Service, Id);
+    };
+    bool Queued =
+        Line.empty()
+            ? Desk.ask(std::move(Next->Command.Call), Done)
+            : Relay.Calls.push({Line, std::move(Next->Command.Call), Done});
+    if (!Queued)
+      Done(Errc::BudgetExhausted);
+  }
+}
+
+void CellLoop::commitNext(TimePoint Now) {
+  auto Next = Owner->nextCommit(Now, storeMillis(Now));
+  if (!Next)
+    return;
+  Store->commit(*Next, [this, Now](const store::TransactionResult &Result) {
+    TimePoint Then = monotonicNow();
+    if (Result.StoreMillis)
+      sawStore(Result.StoreMillis);
+    Common.Numbers.observe("commit_ms", toSeconds(Then - Now) * 1e3);
+    Owner->onCommit(Result, Then);
+  });
+}
+
+void CellLoop::followJobs() {
+  store::ChangeQuery Query{
+      .Table = cell::JobTable, .After = JobsVersion, .Wait = FeedWait};
+  Store->changes(Query, [this](const Result<store::ChangePage> &Page) {
+    if (Page) {
+      sawStore(Page->StoreMillis);
+      onJobRows(Page->Rows);
+      JobsVersion = std::max(JobsVersion, Page->Version);
+      followJobs();
+      return;
+    }
+    logInfo("job-feed-lost", "service={} error={}", Service,
+            Page.error().message());
+    JobsVersion = 0;
+    retry([this] { reloadJobs(""); });
+  });
+}
+
+/// What was missed while the feed was away; known jobs are left as they are.
+void CellLoop::reloadJobs(const std::string &From) {
+  store::RangeRead Range{
+      .Table = cell::JobTable, .Partition = Service, .From = From};
+  Store->read(Range, [this, From](const Result<store::RowPage> &Page) {
+    if (!Page) {
+      retry([this, From] { reloadJobs(From); });
+      return;
+    }
+    sawStore(Page->StoreMillis);
+    if (JobsVersion == 0)
+      JobsVersion = Page->Version;
+    onJobRows(Page->Rows);
+    if (Page->More && !Page->Rows.empty())
+      reloadJobs(Page->Rows.back().Key + '\0');
+    else
+      followJobs();
+  });
+}
+
+void CellLoop::onJobRows(const std::vector<store::Row> &Rows) {
+  TimePoint Now = monotonicNow();
+  for (const store::Row &Each : Rows) {
+    if (Each.Partition != Service || Each.Deleted)
+      continue;
+    size_t Mark = Each.Key.find('/');
+    if (Mark != std::string::npos) {
+      Owner->cancel(Each.Key.substr(0, Mark), Now);
+      continue;
+    }
+    auto Job = cell::decodeJob(Each.Value);
+    if (!Job) {
+      logError("job-unreadable", "job={}", Each.Key);
+      continue;
+    }
+    TimePoint Accepted = acceptedAt(*Job, Now);
+    Owner->accept(std::move(*Job), Accepted, Now);
+  }
+}
+
+void CellLoop::onExecutorRow(const store::Row &Row) {
+  ListChanged = true;
+  if (Row.Deleted) {
+    List.erase(Row.Key);
+    return;
+  }
+  auto Info = Common.Around.documents().executor(Row.Key, Row.Value);
+  if (Info) {
+    List[Row.Key] = std::move(*Info);
+    return;
+  }
+  logWarn("executor-entry-unreadable", "executor={} version={}", Row.Key,
+          Row.Version);
+  List.erase(Row.Key);
+}
+
+void CellLoop::reloadExecutors() {
+  store::RangeRead Range{.Table = Common.Around.documents().executorTable()};
+  Store->read(Range, [this](const Result<store::RowPage> &Page) {
+    if (!Page) {
+      retry([this] { reloadExecutors(); });
+      return;
+    }
+    sawStore(Page->StoreMillis);
+    List.clear();
+    ListChanged = true;
+    for (const store::Row &Each : Page->Rows)
+      onExecutorRow(Each);
+    ExecutorsVersion = Page->Version;
+    followExecutors();
+  });
+}
+
+void CellLoop::followExecutors() {
+  store::ChangeQuery Query{.Table = Common.Around.documents().executorTable(),
+                           .After = ExecutorsVersion,
+                           .Wait = FeedWait};
+  Store->changes(Query, [this](const Result<store::ChangePage> &Page) {
+    if (!Page) {
+      retry([this] { reloadExecutors(); });
+      return;
+    }
+    sawStore(Page->StoreMillis);
+    for (const store::Row &Each : Page->Rows)
+      onExecutorRow(Each);
+    ExecutorsVersion = std::max(ExecutorsVersion, Page->Version);
+    followExecutors();
+  });
+}
+
+/// The other entries' relays: their lines to the policy service.
+void CellLoop::readMembers() {
+  MembersOpen = true;
+  Store->read({.Table = cell::MemberTable},
+              [this](const Result<store::RowPage> &Page) {
+                MembersOpen = false;
+                NextMembers = monotonicNow() + MembersInterval;
+                if (!Page)
+                  return;
+                sawStore(Page->StoreMillis);
+                std::vector<std::string> Addresses = {""};
+                for (const store::Row &Each : Page->Rows) {
+                  if (Each.Key != Common.Options.Name)
+                    Addresses.push_back(Each.Value);
+                }
+                Lines.setLines(Addresses);
+              });
+}
+
+void CellLoop::publish(TimePoint Now) {
+  NextPublish = Now + PublishInterval;
+  const cell::OwnerCounts &Counts = Owner->counts();
+  auto Gauge = [&](const char *Name, uint64_t Value) {
+    Common.Numbers.gauge(fmt::format("{}{{service=\"{}\"}}", Name, Service),
+                         static_cast<double>(Value));
+  };
+  Gauge("starts", Counts.Starts);
+  Gauge("ends_done", Counts.EndsDone);
+  Gauge("ends_failed", Counts.EndsFailed);
+  Gauge("ends_other", Counts.EndsOther);
+  Gauge("ticket_refusals", Counts.TicketRefusals);
+  Gauge("room_refusals", Counts.RoomRefusals);
+  Gauge("lapses", Counts.Lapses);
+  Gauge("jobs_completed", Counts.JobsCompleted);
+  Gauge("jobs_failed", Counts.JobsFailed);
+  Gauge("jobs_cancelled", Counts.JobsCancelled);
+  Gauge("live_jobs", Owner->liveJobs());
+  Gauge("advice_waiting", Lines.waiting());
+}
+
+} // namespace daisylanding::node
--- /dev/null
+++ b/src/node/IntakeLoop.cpp
@@ -0,0 +1,352 @@
+#include "node/IntakeLoop.h"
+
+#include "cell/OwnerRow.h"
+#include "cell/Progress.h"
+#include "common/Log.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace daisylanding::node {
+
+namespace {
+
+constexpr size_t ArrivalCapacity = 4'096;
+constexpr Millis LongestPoll{500};
+/// How long callers wait for an answer if they don't say.
+constexpr Millis DefaultDeadline{3'000};
+constexpr Millis LongestDeadline{30'000};
+/// A final answer must still reach the caller in time.
+constexpr Millis AnswerMargin{150};
+constexpr Millis WriteRetry{80};
+/// When the store refuses, it is asked again by the caller, not from here.
+constexpr const char *RetryAfterSeconds = "1";
+
+constexpr uint16_t StatusGone = 410;
+
+std::string_view hostOf(const http::Request &Incoming) {
+  const std::string *Host = http::findHeader(Incoming.Headers, "Host");
+  if (!Host)
+    return {};
+  std::string_view Out = *Host;
+  return Out.substr(0, Out.find(':'));
+}
+
+TimePoint deadlineOf(const http::Request &Incoming, const std::string &Name,
+                     TimePoint Arrived) {
+  const std::string *Text = http::findHeader(Incoming.Headers, Name);
+  int64_t Number = DefaultDeadline.count();
+  if (Text)
+    std::from_chars(Text->data(), Text->data() + Text->size(), Number);
+  Number = std::clamp<int64_t>(Number, 1, LongestDeadline.count());
+  return Arrived + Millis(Number);
+}
+
+} // namespace
+
+IntakeLoop::IntakeLoop(Shared &Common)
+    : Common(Common), Calls({.MaxConnectionsPerHost = 32}),
+      Arrivals(ArrivalCapacity, [this] { Calls.wake(); }) {}
+
+void IntakeLoop::start() {
+  Loop.start("intake", [this] { run(); });
+}
+
+void IntakeLoop::stop() {
+  Loop.requestStop();
+  Calls.wake();
+  Loop.join();
+}
+
+void IntakeLoop::handle(http::Request Incoming, http::Responder Respond) {
+  auto Next = std::make_shared<Visit>();
+  Next->Incoming = std::move(Incoming);
+  Next->Respond = std::move(Respond);
+  Next->Arrived = monotonicNow();
+  Open.fetch_add(1);
+  if (!Arrivals.push(Next))
+    refuse(Next, "queue-full");
+}
+
+void IntakeLoop::run() {
+  Store = Common.Around.store(Calls);
+  while (!Loop.stopping()) {
+    VisitPtr Next;
+    while (Arrivals.pop(Next))
+      route(Next);
+    Later.run(monotonicNow());
+    Calls.poll(Open.load() > 0 ? WriteRetry : LongestPoll);
+  }
+}
+
+void IntakeLoop::answer(const VisitPtr &Of, uint16_t Status, std::string Body,
+                        std::string_view Why) {
+  TimePoint Now = monotonicNow();
+  double Ms = toSeconds(Now - Of->Arrived) * 1e3;
+  Common.Numbers.count(fmt::format("answers{{method=\"{}\",status=\"{}\"}}",
+                                   Of->Incoming.Method, Status));
+  Common.Numbers.observe(
+      fmt::format("answer_ms{{method=\"{}\"}}", Of->Incoming.Method), Ms);
+  logInfo("answered", "method={} job={} queue={} status={} why={} ms={:.0f}",
+          Of->Incoming.Method, Of->JobId, Of->From ? Of->From->Name : "-",
+          Status, Why, Ms);
+  http::Response Out{.Status = Status, .Body = std::move(Body)};
+  Out.Headers.emplace_back("Content-Type", "application/json");
+  if (Status == http::StatusUnavailable ||
+      Status == http::StatusTooManyRequests)
+    Out.Headers.emplace_back("Retry-After", RetryAfterSeconds);
+  if (Common.Draining.load())
+    Out.Headers.emplace_back("Connection", "close");
+  Open.fetch_sub(1);
+  Of->Respond(std::move(Out));
+}
+
+void IntakeLoop::refuse(const VisitPtr &Of, std::string_view Why) {
+  answer(Of, http::StatusUnavailable, nlohmann::json{{"error", Why}}.dump(),
+         Why);
+}
+
+void IntakeLoop::problem(const VisitPtr &Of, uint16_t Status,
+                         std::string_view Field, std::string_view Allowed) {
+  nlohmann::json Body = {
+      {"error", "invalid"}, {"field", Field}, {"allowed", Allowed}};
+  answer(Of, Status, Body.dump(), Field);
+}
+
+void IntakeLoop::route(const VisitPtr &Of) {
+  Of->Deadline = deadlineOf(
+      Of->Incoming, Common.Around.documents().deadlineHeader(), Of->Arrived);
+  Of->Config = Common.Config.current();
+  if (!Of->Config) {
+    refuse(Of, "no-configuration");
+    return;
+  }
+  std::string_view Path = http::pathOf(Of->Incoming.Target);
+  Of->From = Of->Config->match(hostOf(Of->Incoming), Path);
+  if (!Of->From) {
+    answer(Of, http::StatusNotFound, "{}", "no-such-queue");
+    return;
+  }
+  std::string_view Rest = Path.substr(Of->From->PathPrefix.size());
+  const std::string &Method = Of->Incoming.Method;
+  if (Rest.empty() && Method == "GET") {
+    uint64_t Count = Common.Pending.of(Of->From->Name);
+    answer(Of, http::StatusOk, Common.Around.documents().pending(Count),
+           "pending");
+    return;
+  }
+  if (!cell::isJobId(Rest)) {
+    problem(Of, http::StatusBadRequest, "id", "16 hexadecimal digits");
+    return;
+  }
+  Of->JobId = Rest;
+  Of->Partitions.push_back(Of->From->Service);
+  for (const std::string &Each : Of->Config->Services) {
+    // A job stays where it was accepted when its queue is sent elsewhere.
+    if (Each != Of->From->Service)
+      Of->Partitions.push_back(Each);
+  }
+  if (Method == "POST")
+    submit(Of);
+  else if (Method == "GET")
+    query(Of);
+  else if (Method == "DELETE")
+    cancel(Of);
+  else
+    problem(Of, http::StatusMethodNotAllowed, "method", "POST, GET, DELETE");
+}
+
+void IntakeLoop::submit(const VisitPtr &Of) {
+  size_t MaxBody = Of->Config->Bounds.MaxBodyBytes;
+  if (Of->Incoming.Body.size() > MaxBody) {
+    problem(Of, http::StatusPayloadTooLarge, "body",
+            fmt::format("at most {} bytes", MaxBody));
+    return;
+  }
+  BodyProblem Problem;
+  auto Job = Common.Around.documents().job(Of->Incoming.Body, Problem);
+  if (!Job) {
+    problem(Of, http::StatusBadRequest, Problem.Field, Problem.Allowed);
+    return;
+  }
+  Job->Id = Of->JobId;
+  Job->Queue = Of->From->Name;
+  Job->AcceptedMs = LastStoreMillis + toMillis(monotonicNow() - LastStoreAt);
+  writeJob(Of, *Job);
+}
+
+void IntakeLoop::writeJob(const VisitPtr &Of, const cell::JobSpec &Job) {
+  store::Transaction Tx;
+  Tx.Partition = Of->From->Service;
+  Tx.Expected.push_back({.Table = cell::JobTable, .Key = Of->JobId});
+  Tx.Writes.push_back({.Table = cell::JobTable,
+                       .Key = Of->JobId,
+                       .Value = cell::encodeJob(Job)});
+  Store->commit(Tx, [this, Of, Job](const store::TransactionResult &Result) {
+    onJobWritten(Of, Job, Result);
+  });
+}
+
+void IntakeLoop::onJobWritten(const VisitPtr &Of, const cell::JobSpec &Job,
+                              const store::TransactionResult &Result) {
+  if (Result.StoreMillis > LastStoreMillis) {
+    LastStoreMillis = Result.StoreMillis;
+    LastStoreAt = monotonicNow();
+    Common.Store.answered(LastStoreAt);
+  }
+  switch (Result.Outcome) {
+  case store::TransactionOutcome::Committed:
+    answer(Of, http::StatusOk, "{}", "stored");
+    return;
+  case store::TransactionOutcome::Conflict: {
+    auto Known = Result.Current.empty()
+                     ? daisylanding::Result<cell::JobSpec>(Errc::NotFound)
+                     : cell::decodeJob(Result.Current.front().Value);
+    if (Known && cell::sameWork(*Known, Job))
+      answer(Of, http::StatusOk, "{}", "stored-before");
+    else
+      problem(Of, http::StatusConflict, "id", "not used for another job");
+    return;
+  }
+  case store::TransactionOutcome::NotDone:
+    if (!Of->Unknown) {
+      refuse(Of, "store-unavailable");
+      return;
+    }
+    break;
+  case store::TransactionOutcome::Unknown:
+    Of->Unknown = true;
+    break;
+  }
+  retryOrGiveUp(Of, [this, Of, Job] { writeJob(Of, Job); });
+}
+
+/// After a write that may be carried out only its own outcome may be told.
+void IntakeLoop::retryOrGiveUp(const VisitPtr &Of,
+                               std::function<void()> Again) {
+  TimePoint Next = monotonicNow() + WriteRetry;
+  if (Next + AnswerMargin < Of->Deadline) {
+    Later.at(Next, std::move(Again));
+    return;
+  }
+  answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+}
+
+void IntakeLoop::query(const VisitPtr &Of) {
+  if (Of->Partitions.empty()) {
+    answer(Of, StatusGone, "{}", "no-such-job");
+    return;
+  }
+  std::string Partition = Of->Partitions.front();
+  Of->Partitions.erase(Of->Partitions.begin());
+  store::RangeRead Range{.Table = cell::ProgressTable,
+                         .Partition = Partition,
+                         .From = Of->JobId,
+                         .To = Of->JobId + '!',
+                         .Limit = 1};
+  Store->read(Range, [this, Of, Partition](const Result<store::RowPage> &Page) {
+    if (!Page) {
+      refuse(Of, "store-unavailable");
+      return;
+    }
+    Common.Store.answered(monotonicNow());
+    if (Page->Rows.empty()) {
+      queryJobRow(Of, Partition);
+      return;
+    }
+    auto Phase = cell::decodePhase(Page->Rows.front().Value);
+    if (!Phase) {
+      logError("progress-unreadable", "job={}", Of->JobId);
+      refuse(Of, "record-unreadable");
+      return;
+    }
+    std::string_view Name = cell::phaseName(*Phase);
+    answer(Of, http::StatusOk, Common.Around.documents().state(Name), Name);
+  });
+}
+
+/// A job that its owner has not yet begun has no progress, only its own row.
+void IntakeLoop::queryJobRow(const VisitPtr &Of, const std::string &Partition) {
+  store::RangeRead Range{.Table = cell::JobTable,
+                         .Partition = Partition,
+                         .From = Of->JobId,
+                         .To = Of->JobId + '0'};
+  Store->read(Range, [this, Of](const Result<store::RowPage> &Page) {
+    if (!Page) {
+      refuse(Of, "store-unavailable");
+      return;
+    }
+    if (Page->Rows.empty()) {
+      query(Of);
+      return;
+    }
+    bool Cancelled = Page->Rows.size() > 1;
+    std::string_view Name = cell::phaseName(
+        Cancelled ? cell::JobPhase::Cancelled : cell::JobPhase::Queued);
+    answer(Of, http::StatusOk, Common.Around.documents().state(Name), Name);
+  });
+}
+
+void IntakeLoop::cancel(const VisitPtr &Of) {
+  if (Of->Partitions.empty()) {
+    answer(Of, StatusGone, "{}", "no-such-job");
+    return;
+  }
+  std::string Partition = Of->Partitions.front();
+  Of->Partitions.erase(Of->Partitions.begin());
+  store::RangeRead Range{.Table = cell::JobTable,
+                         .Partition = Partition,
+                         .From = Of->JobId,
+                         .To = Of->JobId + '0'};
+  Store->read(Range, [this, Of, Partition](const Result<store::RowPage> &Page) {
+    if (!Page) {
+      refuse(Of, "store-unavailable");
+      return;
+    }
+    if (Page->Rows.empty())
+      cancel(Of);
+    else if (Page->Rows.size() > 1)
+      answer(Of, http::StatusOk, "{}", "cancelled-before");
+    else
+      writeCancel(Of, Partition, Page->Rows.front().Version);
+  });
+}
+
+void IntakeLoop::writeCancel(const VisitPtr &Of, const std::string &Partition,
+                             uint64_t JobVersion) {
+  store::Transaction Tx;
+  Tx.Partition = Partition;
+  Tx.Expected.push_back(
+      {.Table = cell::JobTable, .Key = Of->JobId, .Version = JobVersion});
+  Tx.Writes.push_back({.Table = cell::JobTable,
+                       .Key = cell::cancelKey(Of->JobId),
+                       .Value = "cancelled"});
+  Store->commit(Tx, [this, Of, Partition,
+                     JobVersion](const store::TransactionResult &Result) {
+    switch (Result.Outcome) {
+    case store::TransactionOutcome::Committed:
+      answer(Of, http::StatusOk, "{}", "cancelled");
+      return;
+    case store::TransactionOutcome::Conflict:
+      // The job's rows were removed meanwhile: it ended long ago.
+      answer(Of, StatusGone, "{}", "no-such-job");
+      return;
+    case store::TransactionOutcome::NotDone:
+      if (!Of->Unknown) {
+        refuse(Of, "store-unavailable");
+        return;
+      }
+      break;
+    case store::TransactionOutcome::Unknown:
+      Of->Unknown = true;
+      break;
+    }
+    retryOrGiveUp(Of, [this, Of, Partition, JobVersion] {
+      writeCancel(Of, Partition, JobVersion);
+    });
+  });
+}
+
+} // namespace daisylanding::node
--- /dev/null
+++ b/src/node/IntakeLoop.h
@@ -0,0 +1,72 @@
+#ifndef DAISYLANDING_NODE_INTAKELOOP_H
+#define DAISYLANDING_NODE_INTAKELOOP_H
+
+#include "common/Ring.h"
+#include "common/Thread.h"
+#include "common/Timers.h"
+#include "http/Server.h"
+#include "node/Shared.h"
+
+namespace daisylanding::node {
+
+/// Serves callers: takes jobs in, tells their state, cancels them. What it
+/// answers as accepted is stored; what may have been stored gets no definite
+/// answer; what can't be stored is refused at once.
+class IntakeLoop final : public http::Handler {
+public:
+  explicit IntakeLoop(Shared &Common);
+  ~IntakeLoop() override { stop(); }
+
+  void handle(http::Request Incoming, http::Responder Respond) override;
+  void start();
+  void stop();
+  /// Requests that were read and are not answered.
+  size_t open() const { return Open.load(); }
+
+private:
+  /// One request on its way.
+  struct Visit {
+    http::Request Incoming;
+    http::Responder Respond;
+    TimePoint Arrived;
+    TimePoint Deadline;
+    const cell::Queue *From = nullptr;
+    std::shared_ptr<const cell::CellConfig> Config; ///< Keeps `From` alive.
+    std::string JobId;
+    std::vector<std::string> Partitions; ///< Still to be searched.
+    bool Unknown = false; ///< A write got no answer; it may be carried out.
+  };
+  using VisitPtr = std::shared_ptr<Visit>;
+
+  void run();
+  void route(const VisitPtr &Of);
+  void submit(const VisitPtr &Of);
+  void writeJob(const VisitPtr &Of, const cell::JobSpec &Job);
+  void onJobWritten(const VisitPtr &Of, const cell::JobSpec &Job,
+                    const store::TransactionResult &Result);
+  void query(const VisitPtr &Of);
+  void queryJobRow(const VisitPtr &Of, const std::string &Partition);
+  void cancel(const VisitPtr &Of);
+  void writeCancel(const VisitPtr &Of, const std::string &Partition,
+                   uint64_t JobVersion);
+  void answer(const VisitPtr &Of, uint16_t Status, std::string Body,
+              std::string_view Why);
+  void refuse(const VisitPtr &Of, std::string_view Why);
+  void problem(const VisitPtr &Of, uint16_t Status, std::string_view Field,
+               std::string_view Allowed);
+  void retryOrGiveUp(const VisitPtr &Of, std::function<void()> Again);
+
+  Shared &Common;
+  http::MultiClient Calls;
+  SharedQueue<VisitPtr> Arrivals;
+  std::unique_ptr<store::RowStore> Store;
+  Timers Later;
+  std::atomic<size_t> Open{0};
+  int64_t LastStoreMillis = 0;
+  TimePoint LastStoreAt{};
+  Thread Loop;
+};
+
+} // namespace daisylanding::node
+
+#endif
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,183 @@
+#include "node/Node.h"
+
+#include "common/Log.h"
+#include "node/AdviceDesk.h"
+#include "node/IntakeLoop.h"
+#include "node/WatchLoop.h"
+#include "relay/RelayLoop.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <random>
+
+#include <unistd.h>
+
+namespace daisylanding::node {
+
+namespace {
+
+/// An entry that has not heard of the store for so long sends callers away.
+constexpr Millis StoreSilence{1'500};
+/// How long the balancer may go on sending after readiness has turned.
+constexpr Millis BalancerGrace{2'200};
+constexpr Millis ReleaseLimit{1'500};
+
+std::string newIncarnation() {
+  std::random_device Source;
+  return fmt::format("{:08x}{:08x}", Source(), Source());
+}
+
+http::ServerOptions serverOptions(const config::Listen &At,
+                                  std::string ThreadName, size_t Connections) {
+  http::ServerOptions Out;
+  Out.Address = At.Address;
+  Out.Port = At.Port;
+  Out.ThreadName = std::move(ThreadName);
+  Out.MaxConnections = Connections;
+  return Out;
+}
+
+/// Tells the balancer whether this entry should get callers.
+class ReadinessHandler final : public http::Handler {
+public:
+  explicit ReadinessHandler(Shared &Common) : Common(Common) {}
+
+  void handle(http::Request, http::Responder Respond) override {
+    TimePoint Now = monotonicNow();
+    bool Heard = Now < Common.Store.lastAnswer() + StoreSilence;
+    bool Ready = Common.Config.current() && Heard && !Common.Draining.load();
+    if (Ready != WasReady) {
+      WasReady = Ready;
+      logInfo("readiness", "ready={} configured={} store_silent_ms={}", Ready,
+              Common.Config.current() != nullptr,
+              toMillis(Now - Common.Store.lastAnswer()));
+    }
+    Respond({.Status = Ready ? http::StatusOk : http::StatusUnavailable,
+             .Body = Ready ? "ready\n" : "not ready\n"});
+  }
+
+private:
+  Shared &Common;
+  bool WasReady = false; ///< Used on the server's thread only.
+};
+
+/// Metrics for operators.
+class OperatorHandler final : public http::Handler {
+public:
+  explicit OperatorHandler(Shared &Common) : Common(Common) {}
+
+  void handle(http::Request Incoming, http::Responder Respond) override {
+    if (http::pathOf(Incoming.Target) != "/metrics") {
+      Respond({.Status = http::StatusNotFound, .Body = "no such path\n"});
+      return;
+    }
+    Respond({.Status = http::StatusOk,
+             .Headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+             .Body = Common.Numbers.render()});
+  }
+
+private:
+  Shared &Common;
+};
+
+class CellProcess {
+public:
+  CellProcess(const config::CellSettings &Options, const Ports &Around)
+      : Common(Options, newIncarnation(), Around), Desk(Common),
+        Relay({.Listen = Options.Relay},
+              [this](executor::AdviceCall Call, executor::AdviceDone Done) {
+                return Desk.ask(std::move(Call), std::move(Done));
+              }),
+        Watch(Common, Desk, Relay), Intake(Common), Readiness(Common),
+        Operators(Common), Callers(serverOptions(Options.Callers, "callers",
+                                                 Options.MaxConnections),
+                                   Intake),
+        ReadinessServer(serverOptions(Options.Readiness, "readiness", 64),
+                        Readiness),
+        OperatorServer(serverOptions(Options.Operators, "operators", 64),
+                       Operators) {}
+
+  std::error_code start() {
+    Desk.start();
+    if (auto Failure = Relay.start())
+      return Failure;
+    Intake.start();
+    Watch.start();
+    if (auto Failure = OperatorServer.start())
+      return Failure;
+    if (auto Failure = Callers.start())
+      return Failure;
+    if (auto Failure = ReadinessServer.start())
+      return Failure;
+    logInfo("started", "entry={} zone={} incarnation={} callers={} relay={}",
+            Common.Options.Name, Common.Options.AvailabilityZone,
+            Common.Incarnation, Common.Options.Callers.text(),
+            Common.Options.Relay.text());
+    return {};
+  }
+
+  void shutDown() {
+    TimePoint Begun = monotonicNow();
+    logInfo("stopping", "entry={} open={}", Common.Options.Name, Intake.open());
+    Common.Draining.store(true);
+    Watch.release(ReleaseLimit);
+    Micros Spent = monotonicNow() - Begun;
+    if (Spent < BalancerGrace)
+      std::this_thread::sleep_for(BalancerGrace - Spent);
+    Millis Left = Common.Options.DrainLimit -
+                  std::chrono::duration_cast<Millis>(monotonicNow() - Begun);
+    constexpr Millis Reserve{1'000};
+    Callers.stop(std::max(Millis(0), Left - Reserve));
+    logInfo("stopped", "entry={} took_ms={}", Common.Options.Name,
+            toMillis(monotonicNow() - Begun));
+  }
+
+private:
+  Shared Common;
+  AdviceDesk Desk;
+  relay::RelayLoop Relay;
+  WatchLoop Watch;
+  IntakeLoop Intake;
+  ReadinessHandler Readiness;
+  OperatorHandler Operators;
+  http::Server Callers;
+  http::Server ReadinessServer;
+  http::Server OperatorServer;
+};
+
+sigset_t handledSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
+  return Signals;
+}
+
+} // namespace
+
+int serveCell(const config::CellSettings &Options, const Ports &Around) {
+  // All threads inherit the mask; this one takes the signals.
+  sigset_t Signals = handledSignals();
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  CellProcess Process(Options, Around);
+  if (auto Failure = Process.start()) {
+    logError("start-failed", "error={}", Failure.message());
+    // Half-started loops hold nothing that must be handed over.
+    std::_Exit(1);
+  }
+  int Received = SIGHUP;
+  while (Received == SIGHUP) {
+    sigwait(&Signals, &Received);
+    if (Received == SIGHUP)
+      logInfo("reload", "entry={} changed=none", Options.Name);
+  }
+  Process.shutDown();
+  // What is left holds nothing that must be handed over or answered.
+  std::fflush(stdout);
+  std::_Exit(0);
+}
+
+} // namespace daisylanding::node
--- /dev/null
+++ b/src/node/OwnerWatch.h
@@ -0,0 +1,52 @@
+#ifndef DAISYLANDING_NODE_OWNERWATCH_H
+#define DAISYLANDING_NODE_OWNERWATCH_H
+
+#include "cell/OwnerRow.h"
+#include "common/Time.h"
+
+#include <optional>
+#include <string>
+
+/// When a service without a living owner is taken. Pure; answers owners that
+/// die, pause or are cut off, with many entries watching.
+namespace daisylanding::node {
+
+struct OwnerWatchOptions {
+  /// An owner whose row has not changed for so long is taken to be dead. It
+  /// rewrites the row several times in that time.
+  Millis Silence{1'600};
+  /// Waits of entries differ by their preference, so that one tries first.
+  Millis PreferenceStep{120};
+};
+
+/// What one entry knows of the owner of one service.
+class OwnerWatch {
+public:
+  explicit OwnerWatch(OwnerWatchOptions Options) : Options(Options) {}
+
+  /// The row as read; version 0 if there is none.
+  void sawRow(uint64_t Version, const std::optional<cell::OwnerRow> &Row,
+              TimePoint Now);
+  /// A read failed: silence is not counted across it, as the owner may have
+  /// been kept from writing, too.
+  void readFailed() { Known = false; }
+
+  /// Whether to take the service now. \p Preference is 0 for the entry that
+  /// should try first, and grows.
+  bool shouldTake(uint32_t Preference, TimePoint Now) const;
+
+  uint64_t version() const { return Version; }
+  /// The row that a taker writes.
+  cell::OwnerRow successor(std::string Holder) const;
+
+private:
+  OwnerWatchOptions Options;
+  bool Known = false;
+  uint64_t Version = 0;
+  std::optional<cell::OwnerRow> Row;
+  TimePoint Since{}; ///< When the present version was first seen.
+};
+
+} // namespace daisylanding::node
+
+#endif
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -4,7 +4,7 @@
 #include "entry/JournalStore.h"
 #include "entry/Ownership.h"
 #include "operator/Problems.h"
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -222,7 +222,7 @@
   if (!Row)
     return problem(Row.error());
   config::ClusterConfig Config;
-  if (Row->Version != platform::AbsentVersion) {
+  if (Row->Version != table::AbsentVersion) {
     auto Parsed = config::configFromText(Row->Value);
     if (!Parsed)
       return problem(Parsed.error());
@@ -244,9 +244,9 @@
   Config.RecentChanges.push_back(ChangeId);
   if (Config.RecentChanges.size() > RememberedChanges)
     Config.RecentChanges.erase(Config.RecentChanges.begin());
-  platform::Mutation Put{.Key = std::string(ConfigKey),
-                         .Value = config::configToJson(Config).dump(),
-                         .Expected = Row->Version};
+  table::Mutation Put{.Key = std::string(ConfigKey),
+                      .Value = config::configToJson(Config).dump(),
+                      .Expected = Row->Version};
   auto Outcome = Platform->commit({&Put, 1});
   if (Outcome && Outcome->Committed) {
     Shared.Events.add("config-accepted", "config",
@@ -322,7 +322,7 @@
 }
 
 http::Response OperatorApi::acceptedOrConflict(const config::JobSpec &Spec,
-                                               const platform::Row &Row) const {
+                                               const table::Row &Row) const {
   json Known = json::parse(Row.Value, nullptr, false);
   if (Known.is_object() && Known["spec"] == config::jobSpecToJson(Spec))
     return answer(http::StatusAccepted,
@@ -334,7 +334,7 @@
 /// owner are written in one transaction.
 http::Response OperatorApi::writeJob(const config::JobSpec &Spec,
                                      const std::string &Shard) {
-  std::vector<platform::Mutation> Mutations = {
+  std::vector<table::Mutation> Mutations = {
       {.Key = entry::jobRowKey(Spec.Id),
        .Value = entry::jobRowText(Shard, Spec, "accepted")},
       {.Key = entry::inboxPrefix(Shard) + Spec.Id + ":accept",
@@ -351,7 +351,7 @@
   auto Row = Platform->read(entry::jobRowKey(Spec.Id));
   if (!Row)
     return problem(Errc::AnswerLost);
-  if (Row->Version == platform::AbsentVersion)
+  if (Row->Version == table::AbsentVersion)
     return problem(Outcome ? make_error_code(Errc::Conflict) : Outcome.error());
   return acceptedOrConflict(Spec, *Row);
 }
@@ -376,7 +376,7 @@
   auto Row = Platform->read(entry::jobRowKey(Id));
   if (!Row)
     return problem(Row.error());
-  if (Row->Version == platform::AbsentVersion)
+  if (Row->Version == table::AbsentVersion)
     return problem(Errc::NotFound, "id", "the id of an accepted job");
   json Out = json::parse(Row->Value);
   json Progress = gathered(jobDocuments(Id), "jobs");
@@ -393,14 +393,14 @@
   auto Row = Platform->read(entry::jobRowKey(Id));
   if (!Row)
     return problem(Row.error());
-  if (Row->Version == platform::AbsentVersion)
+  if (Row->Version == table::AbsentVersion)
     return problem(Errc::NotFound, "id", "the id of an accepted job");
   json Known = json::parse(Row->Value);
   if (Known["state"] != "accepted")
     return answer(http::StatusOk, {{"id", Id}, {"state", Known["state"]}});
   std::string Shard = Known["shard"];
-  platform::Mutation Put{.Key = entry::inboxPrefix(Shard) + Id + ":stop",
-                         .Value = entry::inboxStop(Id)};
+  table::Mutation Put{.Key = entry::inboxPrefix(Shard) + Id + ":stop",
+                      .Value = entry::inboxStop(Id)};
   auto Outcome = Platform->commit({&Put, 1});
   // A conflict means that the same command waits there already.
   if (!Outcome)
--- a/src/operator/OperatorApi.h
+++ b/src/operator/OperatorApi.h
@@ -53,7 +53,7 @@
   http::Response writeJob(const config::JobSpec &Spec,
                           const std::string &Shard);
   http::Response acceptedOrConflict(const config::JobSpec &Spec,
-                                    const platform::Row &Row) const;
+                                    const table::Row &Row) const;
   void wakeOwner(const std::string &Shard);
   std::vector<std::string> jobDocuments(const std::string &Job);
 
@@ -62,7 +62,7 @@
   peer::PeerLoop &Peers;
   Waker Wake;
   SharedQueue<Call> Calls;
-  std::unique_ptr<platform::HttpPlatform> Platform;
+  std::unique_ptr<table::HttpPlatform> Platform;
   uint64_t ChangeCount = 0;
   Thread Loop;
 };
--- a/src/policy/Placement.h
+++ b/src/policy/Placement.h
@@ -2,7 +2,7 @@
 #define DAISYLANDING_POLICY_PLACEMENT_H
 
 #include "common/Time.h"
-#include "platform/InstanceList.h"
+#include "table/InstanceList.h"
 
 #include <cstdint>
 #include <optional>
@@ -11,7 +11,7 @@
 
 namespace daisylanding::policy {
 
-using platform::Resources;
+using table::Resources;
 
 /// What a task asks of its place.
 struct PlacementRequest {
--- a/src/policy/QuotaPlanner.cpp
+++ b/src/policy/QuotaPlanner.cpp
@@ -15,12 +15,12 @@
 
 } // namespace
 
-platform::Resources planShare(const QuotaShares &Shares,
-                              const platform::Resources &Quota,
-                              const std::string &Shard,
-                              const platform::Resources &Used,
-                              const platform::Resources &Wanted) {
-  platform::Resources Others;
+table::Resources planShare(const QuotaShares &Shares,
+                           const table::Resources &Quota,
+                           const std::string &Shard,
+                           const table::Resources &Used,
+                           const table::Resources &Wanted) {
+  table::Resources Others;
   for (const auto &[Name, Share] : Shares) {
     if (Name != Shard)
       Others += Share;
--- a/src/policy/QuotaPlanner.h
+++ b/src/policy/QuotaPlanner.h
@@ -1,7 +1,7 @@
 #ifndef DAISYLANDING_POLICY_QUOTAPLANNER_H
 #define DAISYLANDING_POLICY_QUOTAPLANNER_H
 
-#include "platform/InstanceList.h"
+#include "table/InstanceList.h"
 
 #include <map>
 #include <string>
@@ -10,16 +10,16 @@
 
 /// A team's quota as it is shared out between shards. The sum of shares never
 /// exceeds the quota, so that a shard spends its own share without asking.
-using QuotaShares = std::map<std::string, platform::Resources>;
+using QuotaShares = std::map<std::string, table::Resources>;
 
 /// The share that \p Shard gets when it wants \p Wanted in all and uses
 /// \p Used: what it wants if the quota leaves that, else the most that is
 /// left, and never less than what it uses.
-platform::Resources planShare(const QuotaShares &Shares,
-                              const platform::Resources &Quota,
-                              const std::string &Shard,
-                              const platform::Resources &Used,
-                              const platform::Resources &Wanted);
+table::Resources planShare(const QuotaShares &Shares,
+                           const table::Resources &Quota,
+                           const std::string &Shard,
+                           const table::Resources &Used,
+                           const table::Resources &Wanted);
 
 } // namespace daisylanding::policy
 
--- a/src/policy/SizeEstimator.h
+++ b/src/policy/SizeEstimator.h
@@ -2,7 +2,7 @@
 #define DAISYLANDING_POLICY_SIZEESTIMATOR_H
 
 #include "common/Time.h"
-#include "platform/InstanceList.h"
+#include "table/InstanceList.h"
 
 #include <algorithm>
 
@@ -13,11 +13,11 @@
 /// run times follow the observations both ways, since they only order work.
 class SizeEstimator {
 public:
-  SizeEstimator(platform::Resources Declared, Millis RunTime)
+  SizeEstimator(table::Resources Declared, Millis RunTime)
       : Size(Declared), RunTimeMs(static_cast<double>(RunTime.count())) {}
 
   /// Takes the peak use that a worker reported.
-  void sawUse(const platform::Resources &Peak) {
+  void sawUse(const table::Resources &Peak) {
     Size.MilliCores = std::max(Size.MilliCores, Peak.MilliCores);
     Size.MemoryMb = std::max(Size.MemoryMb, Peak.MemoryMb);
     Size.Accelerators = std::max(Size.Accelerators, Peak.Accelerators);
@@ -29,11 +29,11 @@
     RunTimeMs += Weight * (static_cast<double>(Ran.count()) - RunTimeMs);
   }
 
-  const platform::Resources &size() const { return Size; }
+  const table::Resources &size() const { return Size; }
   Millis runTime() const { return Millis(static_cast<int64_t>(RunTimeMs)); }
 
 private:
-  platform::Resources Size;
+  table::Resources Size;
   double RunTimeMs;
 };
 
--- /dev/null
+++ b/src/relay/RelayLoop.cpp
@@ -0,0 +1,254 @@
+#include "relay/RelayLoop.h"
+
+#include "common/Log.h"
+#include "schema/relay.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <map>
+#include <optional>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace daisylanding::relay {
+
+namespace {
+
+constexpr size_t QueueCapacity = 512;
+/// Beyond a call's own time: for the way there and back.
+constexpr Millis CallGrace{200};
+
+executor::Advice readAdvice(wire::Relay::AdviseResults::Reader Source) {
+  executor::Advice Out;
+  Out.Validity = Millis(Source.getValidityMs());
+  for (auto Each : Source.getAllowed())
+    Out.Allowed.push_back({Each.getExecutor().cStr(), Each.getText().cStr()});
+  return Out;
+}
+
+void writeAdvice(wire::Relay::AdviseResults::Builder Out,
+                 const Result<executor::Advice> &Answer) {
+  if (!Answer) {
+    bool Busy = Answer.error() == Errc::BudgetExhausted;
+    Out.setStatus(Busy ? wire::Status::BUSY : wire::Status::FAILED);
+    return;
+  }
+  Out.setStatus(wire::Status::OK);
+  Out.setValidityMs(static_cast<uint32_t>(Answer->Validity.count()));
+  auto Rows = Out.initAllowed(static_cast<unsigned>(Answer->Allowed.size()));
+  for (unsigned I = 0; I < Rows.size(); ++I) {
+    Rows[I].setExecutor(Answer->Allowed[I].Executor);
+    Rows[I].setText(Answer->Allowed[I].Text);
+  }
+}
+
+} // namespace
+
+/// Everything that lives on the loop's thread.
+struct RelayLoop::Impl : private kj::TaskSet::ErrorHandler {
+  explicit Impl(RelayLoop &Owner)
+      : Owner(Owner), Io(kj::setupAsyncIo()), Tasks(*this) {}
+
+  class Service;
+
+  struct Link {
+    kj::Own<kj::AsyncIoStream> Stream;
+    kj::Own<capnp::TwoPartyClient> Client;
+    std::optional<wire::Relay::Client> Peer;
+  };
+
+  void run();
+  kj::Promise<void> watchWakeups();
+  void drainCalls();
+  void ask(RelayCall Call);
+  kj::Promise<wire::Relay::Client> connect(const std::string &Address);
+  void taskFailed(kj::Exception &&Failure) override {
+    logWarn("relay-task-failed", "reason=\"{}\"",
+            Failure.getDescription().cStr());
+  }
+
+  RelayLoop &Owner;
+  kj::AsyncIoContext Io;
+  kj::TaskSet Tasks;
+  std::map<std::string, Link> Links;
+  kj::Own<kj::AsyncInputStream> WakePipe;
+  char WakeBuffer[64] = {};
+  kj::Own<kj::PromiseFulfiller<void>> StopFulfiller;
+};
+
+class RelayLoop::Impl::Service final : public wire::Relay::Server {
+public:
+  explicit Service(RelayLoop &Owner) : Owner(Owner) {}
+
+  kj::Promise<void> advise(AdviseContext Context) override {
+    auto Params = Context.getParams();
+    if (Params.getVersion() != wire::PROTOCOL_VERSION) {
+      Context.getResults().setStatus(wire::Status::WRONG_VERSION);
+      return kj::READY_NOW;
+    }
+    executor::AdviceCall Call{.Step = Params.getStep().cStr(),
+                              .Timeout = Millis(Params.getTimeoutMs())};
+    for (auto Each : Params.getExecutors())
+      Call.Executors.emplace_back(Each.cStr());
+    auto Pair =
+        kj::newPromiseAndCrossThreadFulfiller<Result<executor::Advice>>();
+    auto Fulfiller = std::make_shared<
+        kj::Own<kj::CrossThreadPromiseFulfiller<Result<executor::Advice>>>>(
+        kj::mv(Pair.fulfiller));
+    bool Queued = Owner.Line(std::move(Call), [Fulfiller](auto Answer) {
+      (*Fulfiller)->fulfill(std::move(Answer));
+    });
+    if (!Queued) {
+      Context.getResults().setStatus(wire::Status::BUSY);
+      return kj::READY_NOW;
+    }
+    return Pair.promise.then([Context](const Result<executor::Advice> &Answer) mutable {
+      writeAdvice(Context.getResults(), Answer);
+    });
+  }
+
+private:
+  RelayLoop &Owner;
+};
+
+void RelayLoop::Impl::run() {
+  auto Address =
+      Io.provider->getNetwork()
+          .parseAddress(Owner.Options.Listen.Address, Owner.Options.Listen.Port)
+          .wait(Io.waitScope);
+  auto Listener = Address->listen();
+  Owner.Ready.set_value(true);
+  capnp::TwoPartyServer Server(kj::heap<Service>(Owner));
+  Tasks.add(Server.listen(*Listener));
+  WakePipe = Io.lowLevelProvider->wrapInputFd(
+      Owner.WakeRead, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+  Tasks.add(watchWakeups());
+  auto Stop = kj::newPromiseAndFulfiller<void>();
+  StopFulfiller = kj::mv(Stop.fulfiller);
+  Stop.promise.wait(Io.waitScope);
+}
+
+kj::Promise<void> RelayLoop::Impl::watchWakeups() {
+  return WakePipe->tryRead(WakeBuffer, 1, sizeof(WakeBuffer))
+      .then([this](size_t) -> kj::Promise<void> {
+        if (Owner.Loop.stopping()) {
+          StopFulfiller->fulfill();
+          return kj::READY_NOW;
+        }
+        drainCalls();
+        return watchWakeups();
+      });
+}
+
+void RelayLoop::Impl::drainCalls() {
+  RelayCall Next;
+  while (Owner.Calls.pop(Next))
+    ask(std::move(Next));
+}
+
+kj::Promise<wire::Relay::Client>
+RelayLoop::Impl::connect(const std::string &Address) {
+  Link &Known = Links[Address];
+  if (Known.Peer)
+    return *Known.Peer;
+  auto Opened =
+      Io.provider->getNetwork()
+          .parseAddress(Address)
+          .then([](kj::Own<kj::NetworkAddress> Parsed) {
+            auto Connected = Parsed->connect();
+            return Connected.attach(kj::mv(Parsed));
+          })
+          .then([this, Address](
+                    kj::Own<kj::AsyncIoStream> Stream) -> wire::Relay::Client {
+            Link &Each = Links[Address];
+            if (Each.Peer)
+              return *Each.Peer;
+            Each.Stream = kj::mv(Stream);
+            Each.Client = kj::heap<capnp::TwoPartyClient>(*Each.Stream);
+            Each.Peer = Each.Client->bootstrap().castAs<wire::Relay>();
+            return *Each.Peer;
+          });
+  return Io.provider->getTimer().timeoutAfter(
+      Owner.Options.ConnectTimeout.count() * kj::MILLISECONDS, kj::mv(Opened));
+}
+
+void RelayLoop::Impl::ask(RelayCall Call) {
+  auto Done = std::make_shared<executor::AdviceDone>(std::move(Call.Done));
+  auto Limit = (Call.Call.Timeout + CallGrace).count() * kj::MILLISECONDS;
+  std::string Address = Call.Address;
+  auto Answered = connect(Address).then([Question = std::move(Call.Call)](
+                                            wire::Relay::Client Peer) {
+    auto Request = Peer.adviseRequest();
+    Request.setVersion(wire::PROTOCOL_VERSION);
+    Request.setStep(Question.Step);
+    Request.setTimeoutMs(static_cast<uint32_t>(Question.Timeout.count()));
+    auto Names =
+        Request.initExecutors(static_cast<unsigned>(Question.Executors.size()));
+    for (unsigned I = 0; I < Names.size(); ++I)
+      Names.set(I, Question.Executors[I]);
+    return Request.send();
+  });
+  Tasks.add(Io.provider->getTimer()
+                .timeoutAfter(Limit, kj::mv(Answered))
+                .then([Done](auto &&Answer) {
+                  if (Answer.getStatus() == wire::Status::OK)
+                    (*Done)(readAdvice(Answer));
+                  else if (Answer.getStatus() == wire::Status::BUSY)
+                    (*Done)(Errc::BudgetExhausted);
+                  else
+                    (*Done)(Errc::AnswerLost);
+                })
+                .catch_([this, Done, Address](kj::Exception &&) {
+                  // A silent connection is left; the next call opens anew.
+                  Links.erase(Address);
+                  (*Done)(Errc::Unreachable);
+                }));
+}
+
+RelayLoop::RelayLoop(RelayOptions Options, OwnLine Line)
+    : Calls(QueueCapacity, [this] { wake(); }), Options(std::move(Options)),
+      Line(std::move(Line)) {}
+
+RelayLoop::~RelayLoop() {
+  stop();
+  if (WakeWrite >= 0)
+    ::close(WakeWrite);
+  if (WakeRead >= 0)
+    ::close(WakeRead);
+}
+
+void RelayLoop::wake() const {
+  // A full pipe means that a wake-up is under way already.
+  char Byte = 0;
+  if (WakeWrite >= 0)
+    (void)!::write(WakeWrite, &Byte, 1);
+}
+
+std::error_code RelayLoop::start() {
+  int Ends[2];
+  if (::pipe2(Ends, O_NONBLOCK | O_CLOEXEC) != 0)
+    return Errc::SystemFailure;
+  WakeRead = Ends[0];
+  WakeWrite = Ends[1];
+  Loop.start("relay", [this] {
+    try {
+      Impl Inner(*this);
+      Inner.run();
+    } catch (const kj::Exception &Failure) {
+      logError("relay-stopped", "reason=\"{}\"",
+               Failure.getDescription().cStr());
+      Ready.set_value(false);
+    }
+  });
+  return Ready.get_future().get() ? std::error_code() : Errc::SystemFailure;
+}
+
+void RelayLoop::stop() {
+  Loop.requestStop();
+  wake();
+  Loop.join();
+}
+
+} // namespace daisylanding::relay
--- /dev/null
+++ b/src/relay/RelayLoop.h
@@ -0,0 +1,60 @@
+#ifndef DAISYLANDING_RELAY_RELAYLOOP_H
+#define DAISYLANDING_RELAY_RELAYLOOP_H
+
+#include "common/Ring.h"
+#include "common/Thread.h"
+#include "config/Settings.h"
+#include "executor/AdvicePort.h"
+
+#include <future>
+
+/// Calls between the entries of one cell, by Cap'n Proto RPC.
+namespace daisylanding::relay {
+
+/// A call for advice on another entry's line. `Done` runs on the relay's
+/// thread.
+struct RelayCall {
+  std::string Address; ///< host:port of the other entry's relay.
+  executor::AdviceCall Call;
+  executor::AdviceDone Done;
+};
+
+struct RelayOptions {
+  config::Listen Listen;
+  Millis ConnectTimeout{300};
+};
+
+/// One thread that serves other entries' calls on this entry's line, and
+/// makes calls on theirs.
+class RelayLoop {
+public:
+  /// Passes a call to this entry's own line; false when its queue is full.
+  using OwnLine =
+      std::function<bool(executor::AdviceCall, executor::AdviceDone)>;
+
+  RelayLoop(RelayOptions Options, OwnLine Line);
+  ~RelayLoop();
+  RelayLoop(const RelayLoop &) = delete;
+  RelayLoop &operator=(const RelayLoop &) = delete;
+
+  /// Errors: SystemFailure, when the address can't be bound.
+  std::error_code start();
+  void stop();
+
+  SharedQueue<RelayCall> Calls;
+
+private:
+  struct Impl;
+  void wake() const;
+
+  RelayOptions Options;
+  OwnLine Line;
+  int WakeRead = -1;
+  int WakeWrite = -1;
+  std::promise<bool> Ready;
+  Thread Loop;
+};
+
+} // namespace daisylanding::relay
+
+#endif
--- a/src/shard/Journal.cpp
+++ b/src/shard/Journal.cpp
@@ -1,6 +1,6 @@
 #include "shard/Journal.h"
 
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,11 +20,11 @@
   JobMoved = 6,
 };
 
-json resources(const platform::Resources &Amount) {
+json resources(const table::Resources &Amount) {
   return json::array({Amount.MilliCores, Amount.MemoryMb, Amount.Accelerators});
 }
 
-platform::Resources resources(const json &Source) {
+table::Resources resources(const json &Source) {
   return {.MilliCores = Source.at(0),
           .MemoryMb = Source.at(1),
           .Accelerators = Source.at(2)};
--- a/src/shard/Journal.h
+++ b/src/shard/Journal.h
@@ -37,14 +37,14 @@
 struct TaskStarted {
   AttemptId Id;
   std::string Instance;
-  platform::Resources Size; ///< As taken from the instance.
-  bool Leased = false;      ///< It stops by itself when its lease lapses.
+  table::Resources Size; ///< As taken from the instance.
+  bool Leased = false;   ///< It stops by itself when its lease lapses.
 };
 
 struct TaskEnded {
   AttemptId Id;
   EndReason Reason = EndReason::Lost;
-  platform::Resources Peak;
+  table::Resources Peak;
   Millis Ran{0};
 };
 
--- a/src/shard/Scheduler.cpp
+++ b/src/shard/Scheduler.cpp
@@ -27,7 +27,7 @@
 /// How many jobs one plan looks at.
 constexpr size_t MaxCandidates = 4'096;
 
-platform::Resources times(const platform::Resources &Size, uint32_t Count) {
+table::Resources times(const table::Resources &Size, uint32_t Count) {
   return {.MilliCores = Size.MilliCores * Count,
           .MemoryMb = Size.MemoryMb * Count,
           .Accelerators = Size.Accelerators * Count};
@@ -100,7 +100,7 @@
   for (const auto &Each : State.Jobs) {
     const Job &Owner = *Each.second;
     auto &Sum = Held[Owner.Spec.Class];
-    const platform::Resources &Size = Owner.Estimate.size();
+    const table::Resources &Size = Owner.Estimate.size();
     Sum[0] += static_cast<double>(Size.MilliCores) * Owner.Active;
     Sum[1] += static_cast<double>(Size.MemoryMb) * Owner.Active;
     Sum[2] += static_cast<double>(Size.Accelerators) * Owner.Active;
@@ -114,13 +114,13 @@
 
 /// What tasks with accelerators need beside each, on the average of those that
 /// wait or run; nothing when there are none.
-platform::Resources Scheduler::needPerAccelerator() const {
+table::Resources Scheduler::needPerAccelerator() const {
   uint64_t Cores = 0;
   uint64_t Memory = 0;
   uint64_t Accelerators = 0;
   for (const auto &Each : State.Jobs) {
     const Job &Owner = *Each.second;
-    const platform::Resources &Size = Owner.Estimate.size();
+    const table::Resources &Size = Owner.Estimate.size();
     uint64_t Tasks = Owner.Pending + Owner.Active;
     if (!Size.Accelerators)
       continue;
@@ -289,8 +289,8 @@
   auto Demand = QuotaDemands.find(Each.Owner->Spec.Team);
   if (Demand == QuotaDemands.end())
     return Each.Owner->Spec.Team.empty();
-  platform::Resources Size = Each.Owner->Estimate.size();
-  platform::Resources Total = Demand->second.Used;
+  table::Resources Size = Each.Owner->Estimate.size();
+  table::Resources Total = Demand->second.Used;
   Total += times(Size, Tasks);
   if (Total.fitsIn(QuotaShares[Each.Owner->Spec.Team]))
     return true;
--- a/src/shard/Scheduler.h
+++ b/src/shard/Scheduler.h
@@ -12,8 +12,8 @@
 
 /// What is wanted of a team's quota beyond the share held.
 struct QuotaDemand {
-  platform::Resources Used;
-  platform::Resources Wanted;
+  table::Resources Used;
+  table::Resources Wanted;
 };
 
 /// Decides which pending tasks of a shard start where: classes that hold less
@@ -32,7 +32,7 @@
   void adjustTargets(const config::ClusterConfig &Config);
 
   /// The shares of team quotas that this shard holds, by team.
-  std::map<std::string, platform::Resources> QuotaShares;
+  std::map<std::string, table::Resources> QuotaShares;
   /// What the last plan lacked or could give back, by team.
   std::map<std::string, QuotaDemand> QuotaDemands;
 
@@ -55,7 +55,7 @@
   std::vector<uint32_t> rackLoad(const Job &Owner) const;
   bool withinQuota(const Candidate &Each, uint32_t Tasks);
   std::map<std::string_view, double> classShares() const;
-  platform::Resources needPerAccelerator() const;
+  table::Resources needPerAccelerator() const;
   bool fitsInTime(const Candidate &Each, TimePoint Now) const;
   void countQuotaUse(const config::ClusterConfig &Config);
   void blocked(const Candidate &Each, uint32_t Tasks, TimePoint ReadySince,
@@ -77,7 +77,7 @@
   std::map<std::string, TimePoint> PreemptingUntil;
   std::vector<policy::PlacementRequest> Blocked; ///< In this plan.
   std::vector<uint32_t> RackCounts;
-  platform::Resources KeepPerAccelerator;
+  table::Resources KeepPerAccelerator;
   std::vector<Record> Planned;
   const config::ClusterConfig *Current = nullptr;
 };
--- a/src/shard/ShardOwner.cpp
+++ b/src/shard/ShardOwner.cpp
@@ -68,7 +68,7 @@
   return {};
 }
 
-void ShardOwner::applyView(std::span<const platform::Instance> Listed,
+void ShardOwner::applyView(std::span<const table::Instance> Listed,
                            uint64_t NewListVersion,
                            std::shared_ptr<const config::ClusterConfig> Next,
                            TimePoint Now) {
@@ -336,7 +336,7 @@
     if (MayStop && (!Youngest || One->StartedAt > Youngest->StartedAt))
       Youngest = One;
   }
-  const platform::Resources &Capacity = State.Pool.capacity(Index);
+  const table::Resources &Capacity = State.Pool.capacity(Index);
   Links[Index].ThrottlePercent =
       policy::throttlePercent(Cores, Capacity.MilliCores);
   bool OutOfMemory = Memory > Capacity.MemoryMb;
--- a/src/shard/ShardOwner.h
+++ b/src/shard/ShardOwner.h
@@ -86,8 +86,7 @@
                        TimePoint Now);
 
   /// The shard's part of the instance list and the configuration in force.
-  void applyView(std::span<const platform::Instance> Listed,
-                 uint64_t ListVersion,
+  void applyView(std::span<const table::Instance> Listed, uint64_t ListVersion,
                  std::shared_ptr<const config::ClusterConfig> Config,
                  TimePoint Now);
   /// How long leases may be renewed: the ownership was confirmed at \p At.
--- a/src/shard/ShardState.cpp
+++ b/src/shard/ShardState.cpp
@@ -1,7 +1,7 @@
 #include "shard/ShardState.h"
 
-#include "platform/Wire.h"
 #include "policy/Backoff.h"
+#include "table/Wire.h"
 
 #include <nlohmann/json.hpp>
 
@@ -220,7 +220,7 @@
   return RackIndexes.emplace(Rack, Next).first->second;
 }
 
-uint32_t ShardState::addListed(const platform::Instance &Each) {
+uint32_t ShardState::addListed(const table::Instance &Each) {
   uint32_t Index = Pool.add(Each.Capacity, rackIndex(Each.Rack));
   Instances.push_back({.Name = Each.Name, .Address = Each.Address});
   auto Known = IndexByName.find(Each.Name);
@@ -244,10 +244,10 @@
   }
 }
 
-void ShardState::applyInstances(std::span<const platform::Instance> Listed,
+void ShardState::applyInstances(std::span<const table::Instance> Listed,
                                 const std::set<std::string> &Drained) {
   std::set<uint32_t> Present;
-  for (const platform::Instance &Each : Listed) {
+  for (const table::Instance &Each : Listed) {
     auto Known = IndexByName.find(Each.Name);
     // Another address under the same name is another machine.
     bool Same = Known != IndexByName.end() &&
@@ -267,8 +267,8 @@
   for (uint32_t I = 0; I < Instances.size(); ++I) {
     if (Instances[I].Gone || Instances[I].Draining)
       continue;
-    const platform::Resources &Capacity = Pool.capacity(I);
-    const platform::Resources &Free = Pool.free(I);
+    const table::Resources &Capacity = Pool.capacity(I);
+    const table::Resources &Free = Pool.free(I);
     Whole[0] += Capacity.MilliCores;
     Whole[1] += Capacity.MemoryMb;
     Whole[2] += Capacity.Accelerators;
@@ -294,7 +294,7 @@
                             One.Preemptions, One.Succeeded};
       if (isActive(One)) {
         Row.push_back(Instances[One.Instance].Name);
-        Row.push_back(platform::resourcesToJson(One.Recorded));
+        Row.push_back(table::resourcesToJson(One.Recorded));
         Row.push_back(One.Leased);
       }
       Tasks.push_back(std::move(Row));
@@ -325,7 +325,7 @@
     if (Phase == TaskPhase::Starting || Phase == TaskPhase::Running)
       onStarted({.Id = {Id, I, Row.at(1)},
                  .Instance = Row.at(5),
-                 .Size = platform::resourcesFromJson(Row.at(6)),
+                 .Size = table::resourcesFromJson(Row.at(6)),
                  .Leased = Row.at(7)},
                 Now);
     One.Attempt = Row.at(1);
--- a/src/shard/ShardState.h
+++ b/src/shard/ShardState.h
@@ -34,8 +34,8 @@
   uint32_t Failures = 0;
   uint32_t Preemptions = 0;
   uint32_t Instance = NoInstance;
-  platform::Resources Recorded; ///< Its size as its start was written.
-  platform::Resources Taken;    ///< From the instance's ledger.
+  table::Resources Recorded; ///< Its size as its start was written.
+  table::Resources Taken;    ///< From the instance's ledger.
   TimePoint ReadySince;
   TimePoint NotBefore; ///< Back-off after a failure.
   TimePoint StartedAt;
@@ -78,7 +78,7 @@
 
   /// Adds, drains and removes instances as the list says. Gone instances keep
   /// their tasks until those are recorded as lost.
-  void applyInstances(std::span<const platform::Instance> Listed,
+  void applyInstances(std::span<const table::Instance> Listed,
                       const std::set<std::string> &Drained);
 
   /// Tells that the start of an attempt is written.
@@ -116,7 +116,7 @@
   void afterGangEnd(Job &Owner, TimePoint Now);
   void makePending(Job &Owner, Task &Each, TimePoint Now);
   uint32_t instanceIndex(std::string_view Name);
-  uint32_t addListed(const platform::Instance &Each);
+  uint32_t addListed(const table::Instance &Each);
   void adopt(uint32_t From, uint32_t To);
   uint32_t rackIndex(const std::string &Rack);
 
--- a/src/platform/HttpPlatform.cpp
+++ b/src/table/HttpPlatform.cpp
@@ -1,10 +1,10 @@
-#include "platform/HttpPlatform.h"
+#include "table/HttpPlatform.h"
 
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <nlohmann/json.hpp>
 
-namespace daisylanding::platform {
+namespace daisylanding::table {
 
 namespace {
 
@@ -112,4 +112,4 @@
   });
 }
 
-} // namespace daisylanding::platform
+} // namespace daisylanding::table
--- a/src/platform/HttpPlatform.h
+++ b/src/table/HttpPlatform.h
@@ -1,12 +1,12 @@
-#ifndef DAISYLANDING_PLATFORM_HTTPPLATFORM_H
-#define DAISYLANDING_PLATFORM_HTTPPLATFORM_H
+#ifndef DAISYLANDING_TABLE_HTTPPLATFORM_H
+#define DAISYLANDING_TABLE_HTTPPLATFORM_H
 
 #include "http/Client.h"
-#include "platform/InstanceList.h"
-#include "platform/Table.h"
-#include "platform/WriteBudget.h"
+#include "table/InstanceList.h"
+#include "table/Table.h"
+#include "table/WriteBudget.h"
 
-namespace daisylanding::platform {
+namespace daisylanding::table {
 
 struct HttpPlatformOptions {
   std::string Url;              ///< Base URL of the platform's service.
@@ -39,6 +39,6 @@
   http::Client Client;
 };
 
-} // namespace daisylanding::platform
+} // namespace daisylanding::table
 
 #endif
--- a/src/platform/Table.h
+++ b/src/table/Table.h
@@ -1,5 +1,5 @@
-#ifndef DAISYLANDING_PLATFORM_TABLE_H
-#define DAISYLANDING_PLATFORM_TABLE_H
+#ifndef DAISYLANDING_TABLE_TABLE_H
+#define DAISYLANDING_TABLE_TABLE_H
 
 #include "common/Error.h"
 
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace daisylanding::platform {
+namespace daisylanding::table {
 
 /// The version of a row that does not exist.
 constexpr uint64_t AbsentVersion = 0;
@@ -65,6 +65,6 @@
   virtual Result<std::string> fetch(std::string_view Key) = 0;
 };
 
-} // namespace daisylanding::platform
+} // namespace daisylanding::table
 
 #endif
--- a/src/platform/Wire.cpp
+++ b/src/table/Wire.cpp
@@ -1,8 +1,8 @@
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <nlohmann/json.hpp>
 
-namespace daisylanding::platform {
+namespace daisylanding::table {
 
 using nlohmann::json;
 
@@ -135,4 +135,4 @@
   return Out;
 }
 
-} // namespace daisylanding::platform
+} // namespace daisylanding::table
--- a/src/platform/Wire.h
+++ b/src/table/Wire.h
@@ -1,14 +1,14 @@
-#ifndef DAISYLANDING_PLATFORM_WIRE_H
-#define DAISYLANDING_PLATFORM_WIRE_H
+#ifndef DAISYLANDING_TABLE_WIRE_H
+#define DAISYLANDING_TABLE_WIRE_H
 
-#include "platform/InstanceList.h"
-#include "platform/Table.h"
+#include "table/InstanceList.h"
+#include "table/Table.h"
 
 #include <nlohmann/json_fwd.hpp>
 
 /// The JSON of the platform's service, both ways. Functions that read throw
 /// the JSON library's exceptions on malformed input.
-namespace daisylanding::platform {
+namespace daisylanding::table {
 
 nlohmann::json mutationsToJson(std::span<const Mutation> Mutations);
 std::vector<Mutation> mutationsFromJson(const nlohmann::json &Source);
@@ -25,6 +25,6 @@
 nlohmann::json resourcesToJson(const Resources &Amount);
 Resources resourcesFromJson(const nlohmann::json &Source);
 
-} // namespace daisylanding::platform
+} // namespace daisylanding::table
 
 #endif
--- a/src/platform/WriteBudget.h
+++ b/src/table/WriteBudget.h
@@ -1,12 +1,12 @@
-#ifndef DAISYLANDING_PLATFORM_WRITEBUDGET_H
-#define DAISYLANDING_PLATFORM_WRITEBUDGET_H
+#ifndef DAISYLANDING_TABLE_WRITEBUDGET_H
+#define DAISYLANDING_TABLE_WRITEBUDGET_H
 
 #include "common/Time.h"
 
 #include <algorithm>
 #include <mutex>
 
-namespace daisylanding::platform {
+namespace daisylanding::table {
 
 /// Who writes: heartbeats must not fail because bulk writes used the budget,
 /// or a busy entry would look dead.
@@ -51,6 +51,6 @@
   TimePoint Last{};
 };
 
-} // namespace daisylanding::platform
+} // namespace daisylanding::table
 
 #endif
--- a/src/worker/Protocol.cpp
+++ b/src/worker/Protocol.cpp
@@ -1,6 +1,6 @@
 #include "worker/Protocol.h"
 
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,7 +20,7 @@
 
 json startToJson(const StartCommand &Each) {
   return {{"id", idToJson(Each.Id)},
-          {"size", platform::resourcesToJson(Each.Size)},
+          {"size", table::resourcesToJson(Each.Size)},
           {"run_ms", Each.RunTime.count()},
           {"leased", Each.Leased},
           {"payload", Each.Payload}};
@@ -28,7 +28,7 @@
 
 StartCommand startFromJson(const json &Source) {
   return {.Id = idFromJson(Source.at("id")),
-          .Size = platform::resourcesFromJson(Source.at("size")),
+          .Size = table::resourcesFromJson(Source.at("size")),
           .RunTime = Millis(Source.at("run_ms").get<int64_t>()),
           .Leased = Source.at("leased"),
           .Payload = Source.at("payload")};
@@ -37,14 +37,14 @@
 json endedToJson(const EndedReport &Each) {
   return {{"id", idToJson(Each.Id)},
           {"result", static_cast<int>(Each.Result)},
-          {"peak", platform::resourcesToJson(Each.Peak)},
+          {"peak", table::resourcesToJson(Each.Peak)},
           {"ran_ms", Each.Ran.count()}};
 }
 
 EndedReport endedFromJson(const json &Source) {
   return {.Id = idFromJson(Source.at("id")),
           .Result = static_cast<AttemptResult>(Source.at("result").get<int>()),
-          .Peak = platform::resourcesFromJson(Source.at("peak")),
+          .Peak = table::resourcesFromJson(Source.at("peak")),
           .Ran = Millis(Source.at("ran_ms").get<int64_t>())};
 }
 
@@ -72,9 +72,8 @@
   Out.ClockMs = Source.at("clock_ms");
   Out.Epoch = Source.at("epoch");
   for (const json &Each : Source.at("running"))
-    Out.Running.push_back(
-        {.Id = idFromJson(Each.at("id")),
-         .Used = platform::resourcesFromJson(Each.at("used"))});
+    Out.Running.push_back({.Id = idFromJson(Each.at("id")),
+                           .Used = table::resourcesFromJson(Each.at("used"))});
   for (const json &Each : Source.at("ended"))
     Out.Ended.push_back(endedFromJson(Each));
   return Out;
@@ -110,7 +109,7 @@
               {"ended", json::array()}};
   for (const RunningReport &Each : Report.Running)
     Out["running"].push_back({{"id", idToJson(Each.Id)},
-                              {"used", platform::resourcesToJson(Each.Used)}});
+                              {"used", table::resourcesToJson(Each.Used)}});
   for (const EndedReport &Each : Report.Ended)
     Out["ended"].push_back(endedToJson(Each));
   return Out.dump();
--- a/src/worker/Protocol.h
+++ b/src/worker/Protocol.h
@@ -3,7 +3,7 @@
 
 #include "common/Error.h"
 #include "common/Time.h"
-#include "platform/InstanceList.h"
+#include "table/InstanceList.h"
 
 #include <cstdint>
 #include <string>
@@ -27,7 +27,7 @@
 
 struct StartCommand {
   AttemptId Id;
-  platform::Resources Size;
+  table::Resources Size;
   Millis RunTime{0};   ///< As declared; 0 for services.
   bool Leased = false; ///< Stops when its lease lapses.
   std::string Payload;
@@ -62,13 +62,13 @@
 
 struct RunningReport {
   AttemptId Id;
-  platform::Resources Used;
+  table::Resources Used;
 };
 
 struct EndedReport {
   AttemptId Id;
   AttemptResult Result = AttemptResult::Failed;
-  platform::Resources Peak;
+  table::Resources Peak;
   Millis Ran{0};
 };
 
--- a/tests/harness/Checker.cpp
+++ b/tests/harness/Checker.cpp
@@ -130,7 +130,7 @@
     auto Capacity = Past.Capacities.find(Started.Worker);
     if (Capacity == Past.Capacities.end())
       return;
-    platform::Resources Sum;
+    table::Resources Sum;
     for (const auto &One : Running) {
       if (One.second.Worker == Started.Worker)
         Sum += One.second.Size;
--- a/tests/harness/Checker.h
+++ b/tests/harness/Checker.h
@@ -1,7 +1,7 @@
 #ifndef DAISYLANDING_TESTS_HARNESS_CHECKER_H
 #define DAISYLANDING_TESTS_HARNESS_CHECKER_H
 
-#include "platform/InstanceList.h"
+#include "table/InstanceList.h"
 
 #include <cstdint>
 #include <map>
@@ -41,7 +41,7 @@
   std::string Task;   ///< job/index
   uint32_t Attempt = 0;
   std::string Result;
-  platform::Resources Size;
+  table::Resources Size;
 };
 
 /// An endpoint was listed as leaving, and every live entry had applied that
@@ -76,7 +76,7 @@
   std::vector<JobFate> Jobs;
   /// Accepted changes by the version they made; each has one.
   std::vector<uint64_t> AcceptedVersions;
-  std::map<std::string, platform::Resources> Capacities;
+  std::map<std::string, table::Resources> Capacities;
   uint32_t SlotsPerEndpoint = 8;
 };
 
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -1,6 +1,6 @@
 #include "harness/Deployment.h"
 
-#include "platform/Wire.h"
+#include "table/Wire.h"
 
 #include <fmt/format.h>
 
@@ -103,7 +103,7 @@
            {"zone", What.Zones[I % Zones]},
            {"rack", fmt::format("{}-{}", Kind.Name, I / Zones / Kind.PerRack)},
            {"address", fmt::format("127.0.0.1:{}/w{}", Host.Port, Number)},
-           {"capacity", platform::resourcesToJson(Kind.Capacity)}});
+           {"capacity", table::resourcesToJson(Kind.Capacity)}});
     }
   }
 }
@@ -209,7 +209,7 @@
       return false;
   }
   for (const config::Team &Each : What.Teams) {
-    json Change = platform::resourcesToJson(Each.Quota);
+    json Change = table::resourcesToJson(Each.Quota);
     Change["kind"] = "set-team";
     Change["name"] = Each.Name;
     if (!changeConfig(Change))
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -129,7 +129,7 @@
   std::vector<WorkerHost> Hosts; ///< One a zone.
   nlohmann::json List;           ///< The instances as listed.
   uint64_t ListVersion = 0;
-  std::map<std::string, platform::Resources> Capacities;
+  std::map<std::string, table::Resources> Capacities;
   std::mutex ObservedMutex;
   std::vector<VersionSeen> Versions;
   std::vector<Leaving> Drains;
--- a/tests/harness/Scenario.cpp
+++ b/tests/harness/Scenario.cpp
@@ -18,7 +18,7 @@
   return From[Key].value_or(std::string());
 }
 
-platform::Resources resources(const toml::table &From) {
+table::Resources resources(const toml::table &From) {
   return {.MilliCores = number(From, "milli_cores"),
           .MemoryMb = number(From, "memory_mb"),
           .Accelerators = number(From, "accelerators")};
--- a/tests/harness/Scenario.h
+++ b/tests/harness/Scenario.h
@@ -19,7 +19,7 @@
 struct WorkerScenario {
   std::string Name;
   uint32_t Count = 1;
-  platform::Resources Capacity;
+  table::Resources Capacity;
   uint32_t PerRack = 4;
 };
 
--- a/tests/standin/MemoryTable.cpp
+++ b/tests/standin/MemoryTable.cpp
@@ -2,7 +2,7 @@
 
 namespace daisylanding::standin {
 
-using namespace platform;
+using namespace table;
 
 Result<Row> MemoryTable::read(std::string_view Key) {
   if (Faults.Down)
--- a/tests/standin/MemoryTable.h
+++ b/tests/standin/MemoryTable.h
@@ -1,7 +1,7 @@
 #ifndef DAISYLANDING_TESTS_STANDIN_MEMORYTABLE_H
 #define DAISYLANDING_TESTS_STANDIN_MEMORYTABLE_H
 
-#include "platform/Table.h"
+#include "table/Table.h"
 
 #include <map>
 
@@ -15,12 +15,12 @@
 
 /// The one fake of the platform's table and object store: in the tests'
 /// process directly, and behind the stand-in's HTTP server.
-class MemoryTable final : public platform::Table, public platform::ObjectStore {
+class MemoryTable final : public table::Table, public table::ObjectStore {
 public:
-  Result<platform::Row> read(std::string_view Key) override;
-  Result<std::vector<platform::Row>> scan(std::string_view Prefix) override;
-  Result<platform::CommitResult>
-  commit(std::span<const platform::Mutation> Mutations) override;
+  Result<table::Row> read(std::string_view Key) override;
+  Result<std::vector<table::Row>> scan(std::string_view Prefix) override;
+  Result<table::CommitResult>
+  commit(std::span<const table::Mutation> Mutations) override;
   std::error_code put(std::string_view Key, std::string_view Value) override;
   Result<std::string> fetch(std::string_view Key) override;
 
@@ -29,7 +29,7 @@
   uint64_t Reads = 0;
 
 private:
-  std::map<std::string, platform::Row, std::less<>> Rows;
+  std::map<std::string, table::Row, std::less<>> Rows;
   std::map<std::string, std::string, std::less<>> Objects;
   uint64_t LastVersion = 0;
 };
--- a/tests/standin/PlatformService.cpp
+++ b/tests/standin/PlatformService.cpp
@@ -1,7 +1,7 @@
 #include "standin/PlatformService.h"
 
-#include "platform/Wire.h"
 #include "standin/Program.h"
+#include "table/Wire.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,7 +49,7 @@
 http::Response PlatformService::control(const http::Request &Incoming) {
   std::string_view Path = http::pathOf(Incoming.Target);
   if (Path == "/control/instances") {
-    List = platform::instancesFromJson(json::parse(Incoming.Body));
+    List = table::instancesFromJson(json::parse(Incoming.Body));
     return jsonResponse(http::StatusOk, "{}");
   }
   if (Path == "/control/instance")
@@ -68,18 +68,16 @@
   json Change = json::parse(Incoming.Body);
   std::string Name = Change.at("name");
   std::string Action = Change.at("action");
-  auto IsNamed = [&](const platform::Instance &Each) {
-    return Each.Name == Name;
-  };
+  auto IsNamed = [&](const table::Instance &Each) { return Each.Name == Name; };
   if (Action == "leave") {
-    for (platform::Instance &Each : List.Instances)
+    for (table::Instance &Each : List.Instances)
       Each.Leaving = Each.Leaving || IsNamed(Each);
   } else {
     std::erase_if(List.Instances, IsNamed);
   }
   if (Action == "put") {
     json One = {{"version", 0}, {"instances", {Change.at("instance")}}};
-    List.Instances.push_back(platform::instancesFromJson(One).Instances[0]);
+    List.Instances.push_back(table::instancesFromJson(One).Instances[0]);
   }
   ++List.Version;
   return jsonResponse(http::StatusOk, "{}");
@@ -104,31 +102,31 @@
   if (Path == "/v1/objects")
     return objects(Incoming);
   if (Path == "/v1/instances")
-    return jsonResponse(http::StatusOk, platform::instancesToJson(List).dump());
+    return jsonResponse(http::StatusOk, table::instancesToJson(List).dump());
   return jsonResponse(http::StatusNotFound, "{}");
 }
 
 http::Response PlatformService::commit(const http::Request &Incoming,
                                        bool &LoseAnswer) {
-  auto Mutations = platform::mutationsFromJson(json::parse(Incoming.Body));
+  auto Mutations = table::mutationsFromJson(json::parse(Incoming.Body));
   ++Writes;
-  platform::CommitResult Outcome = *Store.commit(Mutations);
+  table::CommitResult Outcome = *Store.commit(Mutations);
   LoseAnswer = Generator.unit() < LoseAnswerRate;
   return jsonResponse(Outcome.Committed ? http::StatusOk : http::StatusConflict,
-                      platform::commitResultToJson(Outcome).dump());
+                      table::commitResultToJson(Outcome).dump());
 }
 
 http::Response PlatformService::rows(const http::Request &Incoming) {
   std::string Key = http::queryValue(Incoming.Target, "key");
-  std::vector<platform::Row> Found;
+  std::vector<table::Row> Found;
   if (Key.empty()) {
     Found = *Store.scan(http::queryValue(Incoming.Target, "prefix"));
   } else {
-    platform::Row One = *Store.read(Key);
-    if (One.Version != platform::AbsentVersion)
+    table::Row One = *Store.read(Key);
+    if (One.Version != table::AbsentVersion)
       Found.push_back(std::move(One));
   }
-  json Out = {{"rows", platform::rowsToJson(Found)}};
+  json Out = {{"rows", table::rowsToJson(Found)}};
   return jsonResponse(http::StatusOk, Out["rows"].dump());
 }
 
--- a/tests/standin/PlatformService.h
+++ b/tests/standin/PlatformService.h
@@ -3,9 +3,9 @@
 
 #include "common/Random.h"
 #include "http/Server.h"
-#include "platform/InstanceList.h"
 #include "standin/DelayQueue.h"
 #include "standin/MemoryTable.h"
+#include "table/InstanceList.h"
 
 #include <mutex>
 #include <set>
@@ -30,7 +30,7 @@
 
   std::mutex Mutex;
   MemoryTable Store;
-  platform::InstanceSnapshot List;
+  table::InstanceSnapshot List;
   Random Generator;
   std::set<std::string> CutZones;
   bool Down = false;
--- a/tests/standin/WorkerService.cpp
+++ b/tests/standin/WorkerService.cpp
@@ -69,7 +69,7 @@
     end(Id, Outcome, Now, Log);
 }
 
-platform::Resources WorkerModel::usedBy(const Running &Each) const {
+table::Resources WorkerModel::usedBy(const Running &Each) const {
   auto Scaled = [&](uint32_t Amount) {
     return static_cast<uint32_t>(Amount * UseFactor);
   };
--- a/tests/standin/WorkerService.h
+++ b/tests/standin/WorkerService.h
@@ -32,13 +32,13 @@
 
 private:
   struct Running {
-    platform::Resources Size;
+    table::Resources Size;
     TimePoint Started;
     std::optional<TimePoint> Ends;
     bool Leased = false;
   };
 
-  platform::Resources usedBy(const Running &Each) const;
+  table::Resources usedBy(const Running &Each) const;
   void obey(const worker::SyncRequest &Request, TimePoint Now, History &Log);
   void start(const worker::StartCommand &Command, TimePoint Now, History &Log);
   void end(const worker::AttemptId &Id, worker::AttemptResult Result,
--- a/tests/unit/EndpointTest.cpp
+++ b/tests/unit/EndpointTest.cpp
@@ -32,12 +32,12 @@
   Random Generator{1};
   config::ClusterConfig Config;
   std::unique_ptr<entry::ServiceState> Service;
-  platform::InstanceSnapshot List;
+  table::InstanceSnapshot List;
   void setup() override {
     Config.Classes = {{.Name = "c"}};
     Service = std::make_unique<entry::ServiceState>(
         config::ServiceSpec{.Name = "s", .Class = "c", .RunLimit = Millis(5'000)}, Config, 100);
-    List.Instances.push_back({.Name = "e", .Kind = platform::Role::Endpoint, .AvailabilityZone = "za",
+    List.Instances.push_back({.Name = "e", .Kind = table::Role::Endpoint, .AvailabilityZone = "za",
                               .Address = "a", .Service = "s"});
     Service->applyList(List, {}, "za");
     policy::CreditTable Table;
--- a/tests/unit/FrontLoopTest.cpp
+++ b/tests/unit/FrontLoopTest.cpp
@@ -43,7 +43,7 @@
     Next->Config = Config;
     Next->List = {.Version = 1,
                   .Instances = {{.Name = "ep",
-                                 .Kind = platform::Role::Endpoint,
+                                 .Kind = table::Role::Endpoint,
                                  .AvailabilityZone = "za",
                                  .Address = Endpoint.address(),
                                  .Service = "s"}}};
--- a/tests/unit/JournalStoreTest.cpp
+++ b/tests/unit/JournalStoreTest.cpp
@@ -46,7 +46,7 @@
 };
 
 TEST_GROUP_BASE(WithATeamsQuota, TEST_GROUP_CppUTestGroupAnOwnedShard) {
-  platform::Resources Quota{.MilliCores = 1'000, .MemoryMb = 1'000};
+  table::Resources Quota{.MilliCores = 1'000, .MemoryMb = 1'000};
   shard::QuotaDemand Demand{.Wanted = {.MilliCores = 600, .MemoryMb = 10}};
 };
 // clang-format on
--- a/tests/unit/OwnershipTest.cpp
+++ b/tests/unit/OwnershipTest.cpp
@@ -1,6 +1,6 @@
 #include "entry/Ownership.h"
-#include "platform/WriteBudget.h"
 #include "policy/CommitPacer.h"
+#include "table/WriteBudget.h"
 
 #include <set>
 
@@ -39,7 +39,7 @@
 
 TEST_GROUP(ABudgetOfTenWrites) {
   TimePoint Now{Micros(std::chrono::hours(1))};
-  platform::WriteBudget Budget{10};
+  table::WriteBudget Budget{10};
   void useUp() {
     while (Budget.take(Now)) {
     }
@@ -100,7 +100,7 @@
 
 TEST(ABudgetOfTenWrites, LetsAHeartbeatThroughWhenBulkWritesUsedIt) {
   useUp();
-  CHECK(Budget.take(Now, platform::WritePriority::Heartbeat));
+  CHECK(Budget.take(Now, table::WritePriority::Heartbeat));
   Now += Millis(100);
   CHECK_FALSE(Budget.take(Now)); // The overdraft is paid back first.
 }
--- a/tests/unit/RecordTest.cpp
+++ b/tests/unit/RecordTest.cpp
@@ -39,7 +39,7 @@
   standin::MemoryTable Table;
   policy::CreditTable Next;
   void setup() override {
-    platform::Mutation Put{.Key = "c", .Value = "old"};
+    table::Mutation Put{.Key = "c", .Value = "old"};
     CHECK(static_cast<bool>(Table.commit({&Put, 1})));
     Next.Endpoints["e"].Slots = 8;
   }
@@ -117,17 +117,17 @@
 namespace {
 
 /// A table whose first write is under way until the test lets it arrive.
-class LateTable final : public platform::Table {
+class LateTable final : public table::Table {
 public:
   explicit LateTable(standin::MemoryTable &Inner) : Inner(Inner) {}
-  Result<platform::Row> read(std::string_view Key) override {
+  Result<table::Row> read(std::string_view Key) override {
     return Inner.read(Key);
   }
-  Result<std::vector<platform::Row>> scan(std::string_view Prefix) override {
+  Result<std::vector<table::Row>> scan(std::string_view Prefix) override {
     return Inner.scan(Prefix);
   }
-  Result<platform::CommitResult>
-  commit(std::span<const platform::Mutation> Mutations) override {
+  Result<table::CommitResult>
+  commit(std::span<const table::Mutation> Mutations) override {
     if (!Held.empty())
       return Inner.commit(Mutations);
     Held.assign(Mutations.begin(), Mutations.end());
@@ -137,7 +137,7 @@
 
 private:
   standin::MemoryTable &Inner;
-  std::vector<platform::Mutation> Held;
+  std::vector<table::Mutation> Held;
 };
 
 } // namespace
--- a/tests/unit/RescueTest.cpp
+++ b/tests/unit/RescueTest.cpp
@@ -9,7 +9,7 @@
 // clang-format off
 TEST_GROUP(AZoneThatIsLost) {
   ShardWorld World;
-  std::vector<platform::Instance> Everywhere;
+  std::vector<table::Instance> Everywhere;
   void setup() override {
     World.addWorker("w1");
     config::JobSpec Movable = batchJob("m", 3, 1);
@@ -20,7 +20,7 @@
     World.submit(Held);
     World.run(Millis(2'500));
     Everywhere = World.List;
-    platform::Instance Other = workerInstance("other");
+    table::Instance Other = workerInstance("other");
     Other.AvailabilityZone = "zb";
     Everywhere.push_back(Other);
   }
--- a/tests/unit/ShardFixture.h
+++ b/tests/unit/ShardFixture.h
@@ -10,11 +10,11 @@
 
 namespace daisylanding::test {
 
-inline platform::Instance workerInstance(const std::string &Name,
-                                         uint32_t Cores = 4,
-                                         uint32_t Accelerators = 0) {
+inline table::Instance workerInstance(const std::string &Name,
+                                      uint32_t Cores = 4,
+                                      uint32_t Accelerators = 0) {
   return {.Name = Name,
-          .Kind = platform::Role::Worker,
+          .Kind = table::Role::Worker,
           .AvailabilityZone = "za",
           .Rack = "r-" + Name,
           .Address = "address-" + Name,
@@ -157,7 +157,7 @@
   uint64_t ListVersion = 1;
   uint64_t Observations = 0;
   bool PlatformAway = false;
-  std::vector<platform::Instance> List;
+  std::vector<table::Instance> List;
   std::vector<shard::JournalRow> Journal;
   std::map<std::string, standin::WorkerModel> Models;
   std::unique_ptr<shard::ShardOwner> Owner;
