Leases of unreachable executors end; a left service takes no answers

Ruled out: missing entries of the instance list as the end of a run (a cut-off executor is missing, too). Change: a lease reaches at most RenewWindow beyond what was last heard; owners renew only 2 s past their last commit and their row carries what is unmet; the mailbox of answers closes with its loop.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -16,6 +16,17 @@
   Config = std::move(Next);
 }
 
+/// When leases of earlier owners have ended on an executor that this owner
+/// has not heard of. One that the last owner had not heard of either keeps
+/// its earlier end.
+TimePoint CellOwner::inheritedEnd(const std::string &ExecutorId) const {
+  auto Known = Options.Mine.Unmet.find(ExecutorId);
+  if (Known == Options.Mine.Unmet.end())
+    return Options.InheritedLeaseEnd;
+  TimePoint End = Options.Began + Millis(Known->second - Options.StoreMillis);
+  return std::min(End, Options.InheritedLeaseEnd);
+}
+
 LiveJob *CellOwner::find(std::string_view JobId) {
   auto Found = Jobs.find(JobId);
   return Found == Jobs.end() ? nullptr : &Found->second;
@@ -148,8 +159,7 @@
         continue;
       Mine.On = Pool.intern(Task.Executor);
       Mine.Inherited = true;
-      Pool[Mine.On].InheritedEnd =
-          Now + Options.Contact.OwnershipHorizon + Options.Contact.MaxLease;
+      Pool[Mine.On].InheritedEnd = inheritedEnd(Task.Executor);
       Pool.take(Mine.On, chargeOf(Key.spec()));
       Mine.Charged = true;
       openRun(Key);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -20,6 +20,11 @@
   OwnerRow Mine;           ///< As written when the service was taken.
   uint64_t RowVersion = 0; ///< Of the ownership row.
   ContactOptions Contact;
+  /// When every lease of earlier owners has ended, on executors that are
+  /// never heard of.
+  TimePoint InheritedLeaseEnd{};
+  int64_t StoreMillis = 0; ///< The store's clock at `Began`.
+  TimePoint Began{};
   Millis Heartbeat{400};      ///< Longest time between two commits.
   Millis StatusKept{120'000}; ///< How long ended jobs can be asked for.
 };
@@ -138,6 +143,7 @@
     OwnerRow Row;
     std::vector<std::pair<std::string, uint64_t>> Jobs; ///< With their marks.
     std::vector<executor::RunId> Starts;
+    TimePoint FirstSent{};
     std::vector<std::string> Removed; ///< Jobs whose rows it removes.
   };
 
@@ -157,6 +163,7 @@
   void beginOccurrence(LiveJob &Job, uint32_t Number, TimePoint Begin);
   void beginDue(TimePoint Now, int64_t WallMs);
   bool ready(const LiveJob &Job, const LiveOccurrence &In, uint32_t Step) const;
+  TimePoint inheritedEnd(const std::string &ExecutorId) const;
   Millis chainOf(const LiveJob &Job) const;
   void changed(LiveJob &Job);
   void checkEnd(LiveJob &Job, uint32_t Occurrence, TimePoint Now);
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -15,6 +15,16 @@
 
 } // namespace
 
+TimePoint inheritedLeaseEnd(const ContactOptions &Options,
+                            TimePoint LastRenewal) {
+  /// An order is on its way for so long at most; its lease is an absolute
+  /// time, but was reckoned when it was sent.
+  constexpr Millis Transit{300};
+  auto Lease = static_cast<int64_t>(static_cast<double>(Options.Lease.count()) /
+                                    (1 - Options.ClockDrift));
+  return LastRenewal + Options.OwnershipHorizon + Millis(Lease) + Transit;
+}
+
 ExecutorIndex ExecutorPool::intern(std::string_view Id) {
   auto Found = ById.find(std::string(Id));
   if (Found != ById.end())
@@ -96,8 +106,9 @@
   Executor &Each = Members[Index];
   if (!Each.ClockKnown)
     return std::nullopt;
-  int64_t End =
-      Each.ClockMs + toMillis(Now - Each.ClockAt) + Options.Lease.count();
+  int64_t Elapsed =
+      std::min(toMillis(Now - Each.ClockAt), Options.RenewWindow.count());
+  int64_t End = Each.ClockMs + Elapsed + Options.Lease.count();
   Each.LeaseSent = std::max(Each.LeaseSent, End);
   return Each.LeaseSent;
 }
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -21,7 +21,11 @@
 struct ContactOptions {
   /// Of a renewal: long enough to outlive a change of owner, short enough
   /// that work of a lost executor is soon run elsewhere.
-  Millis Lease{6'500};
+  Millis Lease{5'000};
+  /// A lease reaches no further beyond what was last heard of the executor,
+  /// so that tries to reach it don't put off the end. Longer than a busy hold
+  /// takes.
+  Millis RenewWindow{1'400};
   /// The longest lease that an executor grants, from its settings.
   Millis MaxLease{10'000};
   /// An executor's clock may run this much slower than true time.
@@ -30,13 +34,18 @@
   /// the wait of a hold.
   Millis Silence{900};
   /// How long an owner renews leases without a confirmation of its ownership.
-  Millis OwnershipHorizon{10'000};
+  Millis OwnershipHorizon{2'000};
   Millis BusyHoldWait{1'000};
   Millis IdleHoldWait{2'000};
   /// Between two holds of one executor, so that ends are heard in groups.
   Millis HoldGap{30};
 };
 
+/// When the leases have ended that an owner gave whose last renewal of its
+/// ownership was at \p LastRenewal at the latest.
+TimePoint inheritedLeaseEnd(const ContactOptions &Options,
+                            TimePoint LastRenewal);
+
 /// An end that the executor has listed; it may be forgotten there once the
 /// job's record up to `RecordMark` is stored.
 struct ListedEnd {
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -59,9 +59,17 @@
     return std::nullopt;
   RetryCommitAt = {};
   CommitInFlight Next;
+  Next.FirstSent = Now;
   Next.Row = Row;
   ++Next.Row.Sequence;
   Next.Row.Pending.clear();
+  Next.Row.Unmet.clear();
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    const Executor &Each = Pool[I];
+    if (Each.OpenRuns > 0 && !Each.Greeted)
+      Next.Row.Unmet[Each.Info.Id] =
+          StoreMillis + toMillis(Each.InheritedEnd - Now);
+  }
   for (const auto &[Id, Job] : Jobs) {
     if (Job.Phase == JobPhase::Queued && Job.Spec.RepeatCount == 0)
       ++Next.Row.Pending[Job.Spec.Queue];
@@ -139,7 +147,7 @@
   InFlight.reset();
   Row = Done.Row;
   RowVersion = Version;
-  LastConfirmed = Now;
+  LastConfirmed = Done.FirstSent;
   Released = Row.Released;
   for (const auto &[Id, Mark] : Done.Jobs) {
     LiveJob &Job = Jobs.at(Id);
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -7,11 +7,9 @@
 using nlohmann::json;
 
 std::string encodeOwner(const OwnerRow &Row) {
-  json Out = {{"holder", Row.Holder},
-              {"epoch", Row.Epoch},
-              {"sequence", Row.Sequence},
-              {"released", Row.Released},
-              {"pending", Row.Pending}};
+  json Out = {{"holder", Row.Holder},     {"epoch", Row.Epoch},
+              {"sequence", Row.Sequence}, {"released", Row.Released},
+              {"pending", Row.Pending},   {"unmet", Row.Unmet}};
   return Out.dump();
 }
 
@@ -24,6 +22,7 @@
     Out.Sequence = Source.at("sequence").get<uint64_t>();
     Out.Released = Source.at("released").get<bool>();
     Out.Pending = Source.at("pending").get<std::map<std::string, uint64_t>>();
+    Out.Unmet = Source.value("unmet", std::map<std::string, int64_t>());
     return Out;
   } catch (const json::exception &) {
     return Errc::Malformed;
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -31,6 +31,9 @@
   uint64_t Sequence = 0; ///< Counts one owner's commits.
   bool Released = false; ///< Any entry may take it at once.
   std::map<std::string, uint64_t> Pending; ///< Jobs not begun, by queue.
+  /// Executors with open runs that this owner has not heard of: when the
+  /// leases that earlier owners gave them have ended, on the store's clock.
+  std::map<std::string, int64_t> Unmet;
 };
 
 std::string encodeOwner(const OwnerRow &Row);
--- a/src/common/Ring.h
+++ b/src/common/Ring.h
@@ -92,6 +92,44 @@
   std::function<void()> Wake;
 };
 
+/// A bounded queue whose reader may end before its writers: once closed it
+/// refuses items and wakes nobody.
+template <typename T> class Mailbox {
+public:
+  Mailbox(size_t Capacity, std::function<void()> Wake)
+      : Capacity(Capacity), Wake(std::move(Wake)) {}
+
+  [[nodiscard]] bool push(T Item) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    if (Closed || Items.size() >= Capacity)
+      return false;
+    Items.push_back(std::move(Item));
+    Wake(); // Under the lock: the reader can't go away meanwhile.
+    return true;
+  }
+
+  bool pop(T &Item) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    if (Items.empty())
+      return false;
+    Item = std::move(Items.front());
+    Items.pop_front();
+    return true;
+  }
+
+  void close() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Closed = true;
+  }
+
+private:
+  std::mutex Mutex;
+  std::deque<T> Items;
+  size_t Capacity;
+  std::function<void()> Wake;
+  bool Closed = false;
+};
+
 } // namespace daisylanding
 
 #endif
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -23,13 +23,15 @@
 
 CellLoop::CellLoop(Shared &Common, AdviceDesk &Desk, relay::RelayLoop &Relay,
                    std::string Service, cell::OwnerRow Mine,
-                   uint64_t RowVersion)
+                   uint64_t RowVersion, TimePoint LastRenewal)
     : Common(Common), Desk(Desk), Relay(Relay), Service(std::move(Service)),
-      Mine(std::move(Mine)), RowVersion(RowVersion),
+      Mine(std::move(Mine)), RowVersion(RowVersion), LastRenewal(LastRenewal),
       Calls({.MaxConnectionsPerHost = 32, .MaxIdleConnections = 600}),
-      Answers(AnswerCapacity, [this] { Calls.wake(); }) {}
+      Answers(std::make_shared<Mailbox<AdviceAnswer>>(
+          AnswerCapacity, [this] { Calls.wake(); })) {}
 
 CellLoop::~CellLoop() {
+  Answers->close();
   Loop.requestStop();
   Calls.wake();
   Loop.join();
@@ -139,8 +141,12 @@
   cell::OwnerOptions Options{.Service = Service,
                              .Mine = Mine,
                              .RowVersion = RowVersion,
+                             .StoreMillis = LastStoreMillis,
+                             .Began = LastStoreAt,
                              .StatusKept = Common.Options.StatusKept};
   Options.Contact.MaxLease = Common.Options.MaxLease;
+  Options.InheritedLeaseEnd =
+      cell::inheritedLeaseEnd(Options.Contact, LastRenewal);
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
   TimePoint Now = monotonicNow();
   for (auto &[Id, Job] : LoadedJobs) {
@@ -164,7 +170,7 @@
 void CellLoop::step() {
   TimePoint Now = monotonicNow();
   AdviceAnswer Each;
-  while (Answers.pop(Each)) {
+  while (Answers->pop(Each)) {
     bool Failed = !Each.Answer && Each.Answer.error() != Errc::BudgetExhausted;
     Lines.done(Each.Line, Each.ExpectedMs, Failed, Now);
     Owner->onAdvice(Each.Id, Each.Answer, Now);
@@ -222,13 +228,15 @@
     uint64_t Id = Next->Command.Id;
     double ExpectedMs = Next->Command.ExpectedMs;
     std::string Line = Next->Line;
-    auto Done = [this, Id, Line, ExpectedMs](Result<executor::Advice> Answer) {
+    // Calls may end after this loop has left the service.
+    auto Done = [Box = Answers, Id, Line,
+                 ExpectedMs](Result<executor::Advice> Answer) {
       AdviceAnswer Item{.Id = Id,
                         .Line = Line,
                         .ExpectedMs = ExpectedMs,
                         .Answer = std::move(Answer)};
-      if (!Answers.push(std::move(Item)))
-        logWarn("advice-answer-dropped", "service={} call={}", Service, Id);
+      if (!Box->push(std::move(Item)))
+        logInfo("advice-answer-dropped", "call={}", Id);
     };
     bool Queued =
         Line.empty()
--- a/src/node/CellLoop.h
+++ b/src/node/CellLoop.h
@@ -19,7 +19,8 @@
 class CellLoop {
 public:
   CellLoop(Shared &Common, AdviceDesk &Desk, relay::RelayLoop &Relay,
-           std::string Service, cell::OwnerRow Mine, uint64_t RowVersion);
+           std::string Service, cell::OwnerRow Mine, uint64_t RowVersion,
+           TimePoint LastRenewal);
   ~CellLoop();
 
   void start();
@@ -62,9 +63,10 @@
   std::string Service;
   cell::OwnerRow Mine;
   uint64_t RowVersion;
+  TimePoint LastRenewal; ///< The earlier owner had not renewed since.
 
   http::MultiClient Calls;
-  SharedQueue<AdviceAnswer> Answers;
+  std::shared_ptr<Mailbox<AdviceAnswer>> Answers;
   std::unique_ptr<store::RowStore> Store;
   std::unique_ptr<executor::ExecutorPort> Executors;
   std::unique_ptr<cell::CellOwner> Owner;
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -22,8 +22,19 @@
   return Now >= Since + Wait + Preference * Options.PreferenceStep;
 }
 
+Millis OwnerWatch::silentFor(TimePoint Now) const {
+  if (!Row || Row->Released)
+    return Millis(0);
+  return std::chrono::duration_cast<Millis>(Now - Since);
+}
+
 cell::OwnerRow OwnerWatch::successor(std::string Holder) const {
-  return {.Holder = std::move(Holder), .Epoch = Row ? Row->Epoch + 1 : 1};
+  cell::OwnerRow Out{.Holder = std::move(Holder), .Epoch = 1};
+  if (Row) {
+    Out.Epoch = Row->Epoch + 1;
+    Out.Unmet = Row->Unmet;
+  }
+  return Out;
 }
 
 } // namespace daisylanding::node
--- a/src/node/OwnerWatch.h
+++ b/src/node/OwnerWatch.h
@@ -35,6 +35,10 @@
   /// should try first, and grows.
   bool shouldTake(uint32_t Preference, TimePoint Now) const;
 
+  /// For how long the owner has not renewed at least; 0 if it has given the
+  /// service up, since it may have done so just now.
+  Millis silentFor(TimePoint Now) const;
+
   uint64_t version() const { return Version; }
   /// The row that a taker writes.
   cell::OwnerRow successor(std::string Holder) const;
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -192,26 +192,27 @@
   Tx.Writes.push_back({.Table = cell::OwnerTable,
                        .Key = cell::OwnerKey,
                        .Value = cell::encodeOwner(Mine)});
-  Store->commit(
-      Tx, [this, Service, Mine, Now](const store::TransactionResult &Result) {
-        Watched &Known = Owners[Service];
-        Known.TakeOpen = false;
-        Known.NextRead = {};
-        Known.Watch.readFailed();
-        if (Result.Outcome != store::TransactionOutcome::Committed) {
-          // An unanswered try that went through is never used: its epoch ends
-          // when this entry, or another, takes the service again.
-          logInfo("service-not-taken", "service={} epoch={} outcome={}",
-                  Service, Mine.Epoch, static_cast<int>(Result.Outcome));
-          return;
-        }
-        logInfo("takeover", "service={} epoch={} took_ms={}", Service,
-                Mine.Epoch, toMillis(monotonicNow() - Now));
-        Cells.push_back(std::make_unique<CellLoop>(Common, Desk, Relay, Service,
-                                                   Mine, Result.Version));
-        CellCount.store(Cells.size());
-        Cells.back()->start();
-      });
+  TimePoint LastRenewal = Now - Each.Watch.silentFor(Now);
+  Store->commit(Tx, [this, Service, Mine, Now,
+                     LastRenewal](const store::TransactionResult &Result) {
+    Watched &Known = Owners[Service];
+    Known.TakeOpen = false;
+    Known.NextRead = {};
+    Known.Watch.readFailed();
+    if (Result.Outcome != store::TransactionOutcome::Committed) {
+      // An unanswered try that went through is never used: its epoch ends
+      // when this entry, or another, takes the service again.
+      logInfo("service-not-taken", "service={} epoch={} outcome={}", Service,
+              Mine.Epoch, static_cast<int>(Result.Outcome));
+      return;
+    }
+    logInfo("takeover", "service={} epoch={} took_ms={}", Service, Mine.Epoch,
+            toMillis(monotonicNow() - Now));
+    Cells.push_back(std::make_unique<CellLoop>(
+        Common, Desk, Relay, Service, Mine, Result.Version, LastRenewal));
+    CellCount.store(Cells.size());
+    Cells.back()->start();
+  });
 }
 
 void WatchLoop::dropFinished() {
