Executors' speeds learned, stragglers begun anew, own earlier life taken over at once

Change: SpeedTracker, stragglers stopped and begun elsewhere, addresses stored with runs, OwnerWatch knows its own earlier life.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -159,6 +159,7 @@
         continue;
       Mine.On = Pool.intern(Task.Executor);
       Mine.Inherited = true;
+      Pool[Mine.On].Info.Address = Task.Address;
       Pool[Mine.On].InheritedEnd = inheritedEnd(Task.Executor);
       Pool.take(Mine.On, chargeOf(Key.spec()));
       Mine.Charged = true;
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -6,6 +6,7 @@
 #include "cell/LiveJob.h"
 #include "cell/OwnerRow.h"
 #include "cell/Placement.h"
+#include "cell/SpeedTracker.h"
 #include "executor/AdvicePort.h"
 #include "store/RowStore.h"
 
@@ -81,6 +82,7 @@
   uint64_t TicketRefusals = 0;
   uint64_t RoomRefusals = 0;
   uint64_t Lapses = 0;
+  uint64_t Stragglers = 0;
   uint64_t JobsCompleted = 0;
   uint64_t JobsFailed = 0;
   uint64_t JobsCancelled = 0;
@@ -192,6 +194,9 @@
                     TimePoint HoldSent, TimePoint Now);
   void releaseLingering(ExecutorIndex Index,
                         const executor::HoldAnswer &Answer);
+  void learnEnd(const TaskKey &Key, TimePoint Now);
+  void restartStragglers(ExecutorIndex Index, TimePoint Now);
+  bool isStraggler(const TaskKey &Key, TimePoint Now);
   void onLifeOver(ExecutorIndex Index, TimePoint Now);
   void lapseRuns(TimePoint Now);
 
@@ -212,7 +217,7 @@
   void keepForGang(const Waiting &Which, TimePoint Now);
   PlacementAsk askFor(const Waiting &Which, const Queue *From,
                       std::map<ExecutorIndex, uint32_t> &OfStep) const;
-  std::vector<ExecutorLoad> loads() const;
+  std::vector<ExecutorLoad> loads(TimePoint Now) const;
 
   // Orders.
   void emitOrders(TimePoint Now);
@@ -231,6 +236,7 @@
   OwnerOptions Options;
   std::shared_ptr<const CellConfig> Config;
   ExecutorPool Pool;
+  SpeedTracker Speeds;
   std::map<std::string, LiveJob, std::less<>> Jobs;
   std::unordered_set<std::string> EndedJobs;
   std::deque<std::pair<TimePoint, std::string>> Removals;
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -45,10 +45,11 @@
   for (const executor::ExecutorInfo &Info : List) {
     ExecutorIndex Index = intern(Info.Id);
     Executor &Each = Members[Index];
-    if (Each.Info.Address.empty()) {
+    if (!Each.Seen) {
       Added.push_back(Index);
       Each.NextHold = Now;
     }
+    Each.Seen = true;
     Each.Info = Info;
     Each.Listed = true;
   }
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -64,6 +64,7 @@
 struct Executor {
   executor::ExecutorInfo Info;
   bool Listed = false;   ///< In the newest instance list.
+  bool Seen = false;     ///< Was in some instance list.
   bool Over = false;     ///< This life has ended for sure.
   bool Greeted = false;  ///< Has answered under the present fencing token.
   bool HoldOpen = false; ///< A hold is under way.
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -35,6 +35,8 @@
   uint32_t Percent = 0; ///< Of the work, as last reported.
   double Usage = 0;
   uint32_t Pace = 100;
+  bool SpeedSeen = false; ///< Its slowness was taken note of.
+  Millis Took{0};         ///< Run time of a run that ended as done.
 };
 
 /// What is known of the policy's word on a step for one executor.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -33,8 +33,10 @@
         Row.Run = Task.Run;
         Row.Failures = Task.Failures;
         Row.Checkpoint = Task.Checkpoint;
-        if (isOpen(Task.Phase))
+        if (isOpen(Task.Phase)) {
           Row.Executor = Pool[Task.On].Info.Id;
+          Row.Address = Pool[Task.On].Info.Address;
+        }
       }
     }
   }
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -38,7 +38,8 @@
 }
 
 /// Estimates of the longest chain that begins with \p From.
-Millis remainingFrom(const JobSpec &Job, uint32_t From) {
+Millis remainingFrom(const SpeedTracker &Speeds, const JobSpec &Job,
+                     uint32_t From) {
   std::vector<Millis> Ends(Job.Steps.size(), Millis(0));
   Millis Longest{0};
   for (uint32_t I = From; I < Job.Steps.size(); ++I) {
@@ -52,17 +53,18 @@
     }
     if (!After)
       continue;
-    Ends[I] = Begin + std::max(Job.Steps[I].Estimate, Millis(1));
+    Millis Took = Speeds.expected(Job.Queue, Job.Steps[I].Estimate);
+    Ends[I] = Begin + std::max(Took, Millis(1));
     Longest = std::max(Longest, Ends[I]);
   }
   return Longest;
 }
 
-double slackOf(const LiveJob &Job, const LiveOccurrence &In, uint32_t Step,
-               TimePoint Now) {
+double slackOf(const SpeedTracker &Speeds, const LiveJob &Job,
+               const LiveOccurrence &In, uint32_t Step, TimePoint Now) {
   double Left = static_cast<double>(toMillis(In.Due - Now));
   double Slack =
-      Left - static_cast<double>(remainingFrom(Job.Spec, Step).count());
+      Left - static_cast<double>(remainingFrom(Speeds, Job.Spec, Step).count());
   double Span = static_cast<double>(toMillis(In.Due - In.Begin));
   if (Job.Spec.Steps[Step].LongRunning)
     return Slack;
@@ -87,7 +89,7 @@
         Out.push_back({.Job = const_cast<LiveJob *>(&Job),
                        .Occurrence = Number,
                        .Step = S,
-                       .SlackMs = slackOf(Job, In, S, Now)});
+                       .SlackMs = slackOf(Speeds, Job, In, S, Now)});
       }
     }
   }
@@ -98,9 +100,10 @@
   return Out;
 }
 
-std::vector<ExecutorLoad> CellOwner::loads() const {
+std::vector<ExecutorLoad> CellOwner::loads(TimePoint Now) const {
   std::vector<ExecutorLoad> Out(Pool.size());
   for (ExecutorIndex I = 0; I < OpenOn.size(); ++I) {
+    Out[I].Slowness = Speeds.slowness(I, Now);
     for (const TaskKey &Key : OpenOn[I]) {
       const StepSpec &Spec = Key.spec();
       if (Spec.ServingTarget.count() > 0)
@@ -155,7 +158,7 @@
   PlacementAsk Ask = askFor(Which, From, OfStep);
   LiveStep &Step =
       Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
-  std::vector<ExecutorLoad> Loads = loads();
+  std::vector<ExecutorLoad> Loads = loads(Now);
   bool Full = false;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Full; ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
@@ -184,7 +187,7 @@
   std::map<ExecutorIndex, uint32_t> OfStep;
   PlacementAsk Ask = askFor(Which, From, OfStep);
   auto Count = static_cast<uint32_t>(Step.Tasks.size());
-  auto Places = chooseGang(Pool, loads(), Ask, Count, Now);
+  auto Places = chooseGang(Pool, loads(Now), Ask, Count, Now);
   if (!Places) {
     keepForGang(Which, Now);
     if (From && From->Advice)
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -69,6 +69,7 @@
   Task.Percent = 0;
   Task.Usage = 0;
   Task.Pace = 100;
+  Task.SpeedSeen = false;
   Task.NextTry = {};
   if (Key.Job->Phase == JobPhase::Queued)
     Key.Job->Phase = JobPhase::Running;
@@ -275,6 +276,7 @@
   ExecutorIndex On = Key.task().On;
   if (How == EndKind::Done) {
     ++Counts.EndsDone;
+    learnEnd(Key, Now);
     Pool.succeeded(On);
   } else if (How == EndKind::Failed) {
     Pool.failed(On, Now);
@@ -430,9 +432,79 @@
   if (Answer.Ended.size() < executor::MaxEndsInAnswer)
     settleAbsent(Index, Answer, HoldSent, Now);
   releaseLingering(Index, Answer);
+  restartStragglers(Index, Now);
   controlPace(Index, Now);
 }
 
+/// Fillers run on what is left, so their run times tell nothing.
+void CellOwner::learnEnd(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  const StepSpec &Spec = Key.spec();
+  if (!Task.Confirmed || Task.Run > 1 || Spec.LongRunning || Spec.Filler)
+    return;
+  Task.Took = Millis(toMillis(Now - Task.RunningSince));
+  if (!Task.SpeedSeen)
+    Speeds.saw(Task.On, Key.Job->Spec.Queue, Spec.Estimate, Task.Took, Now);
+}
+
+/// Whether the run would be over sooner if it began anew elsewhere.
+bool CellOwner::isStraggler(const TaskKey &Key, TimePoint Now) {
+  constexpr uint32_t MaxRestarts = 2;
+  constexpr double SlowFactor = 2;    ///< Of an executor, against others.
+  constexpr double SuspectFactor = 2; ///< Of a run, against its expectation.
+  constexpr double GainFactor = 1.5;
+  constexpr int64_t RestartMs = 300; ///< A stop, advice, a write and a start.
+  LiveTask &Task = Key.task();
+  const StepSpec &Spec = Key.spec();
+  bool Eligible = Task.Phase == TaskPhase::Running && Task.Confirmed &&
+                  !Task.Inherited && !Spec.Gang && !Spec.LongRunning &&
+                  !Spec.Filler && Task.Run <= MaxRestarts;
+  if (!Eligible)
+    return false;
+  double Elapsed = static_cast<double>(toMillis(Now - Task.RunningSince));
+  auto Expected = static_cast<double>(
+      Speeds.expected(Key.Job->Spec.Queue, Spec.Estimate).count());
+  if (Elapsed < SuspectFactor * Expected)
+    return false;
+  double Percent = std::max(1.0, static_cast<double>(Task.Percent));
+  double Total = Elapsed * 100 / Percent;
+  if (!Task.SpeedSeen && Task.Run == 1) {
+    Task.SpeedSeen = true;
+    Speeds.saw(Task.On, Key.Job->Spec.Queue, Spec.Estimate,
+               Millis(static_cast<int64_t>(Total)), Now);
+  }
+  double Elsewhere = Expected;
+  bool Known = false;
+  for (const LiveTask &Other : Key.step().Tasks) {
+    double Took = static_cast<double>(Other.Took.count());
+    if (Other.Phase == TaskPhase::Running && Other.On != Task.On &&
+        Other.Percent > 0)
+      Took = static_cast<double>(toMillis(Now - Other.RunningSince)) * 100 /
+             Other.Percent;
+    if (Took <= 0)
+      continue;
+    Elsewhere = Known ? std::min(Elsewhere, Took) : Took;
+    Known = true;
+  }
+  if (!Known && Speeds.slowness(Task.On, Now) < SlowFactor)
+    return false;
+  double Left = Total - Elapsed;
+  return Left > GainFactor * Elsewhere + RestartMs;
+}
+
+void CellOwner::restartStragglers(ExecutorIndex Index, TimePoint Now) {
+  for (const TaskKey &Key : OpenOn[Index]) {
+    if (isFinal(Key.Job->Phase) || !isStraggler(Key, Now))
+      continue;
+    ++Counts.Stragglers;
+    logInfo("straggler",
+            "task={} run={} executor={} percent={} slowness={:.1f}", Key.name(),
+            Key.task().Run, Pool[Index].Info.Id, Key.task().Percent,
+            Speeds.slowness(Index, Now));
+    beginStop(Key, Now);
+  }
+}
+
 void CellOwner::onLifeOver(ExecutorIndex Index, TimePoint Now) {
   Executor &Each = Pool[Index];
   if (!Each.Over)
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -1,6 +1,7 @@
 #include "cell/Placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace daisylanding::cell {
@@ -10,18 +11,24 @@
 /// Score of putting users' tasks and fillers on one executor: any other place
 /// with room goes first.
 constexpr double MixPenalty = 10;
+/// Work waits rather than go to an executor that takes so many times as long.
+constexpr double MaxSlowness = 2.5;
+/// Score of each doubling of run times.
+constexpr double SlownessWeight = 1.5;
 /// Score of leaving the rack near the step's data.
 constexpr double FarPenalty = 4;
 /// Score of taking accelerators' executors for work that needs none.
 constexpr double AcceleratorPenalty = 2;
 
-bool open(const ExecutorPool &Pool, const PlacementAsk &Ask,
-          ExecutorIndex Index, TimePoint Now) {
+bool open(const ExecutorPool &Pool, const ExecutorLoad &Load,
+          const PlacementAsk &Ask, ExecutorIndex Index, TimePoint Now) {
   const Executor &Each = Pool[Index];
   if (!Pool.usable(Index, Now) || !suits(Each, *Ask.Step))
     return false;
   if (Index < Ask.Kept.size() && Ask.Kept[Index])
     return false;
+  if (Load.Slowness > MaxSlowness)
+    return false;
   if (!Ask.Rack.empty() && Each.Info.Rack != Ask.Rack)
     return false;
   if (Ask.Permissions) {
@@ -64,6 +71,8 @@
     if (Step.ServingTarget.count() > 0 && Load.Fillers)
       Out += MixPenalty;
   }
+  if (!Step.Filler)
+    Out += SlownessWeight * std::log2(std::max(Load.Slowness, 0.25));
   if (Step.Size.Accelerators)
     Out +=
         2 * shareLeft(Free.Accelerators, Size.Accelerators, Total.Accelerators);
@@ -115,7 +124,7 @@
   std::optional<ExecutorIndex> Best;
   double BestScore = 0;
   auto Consider = [&](ExecutorIndex Index) {
-    if (!open(Pool, Ask, Index, Now))
+    if (!open(Pool, Loads[Index], Ask, Index, Now))
       return;
     double Score = score(Pool, Loads[Index], *Ask.Step, Index);
     if (Best && Score >= BestScore)
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -18,6 +18,7 @@
   uint32_t ServingTasks = 0; ///< With a promise to users of their own.
   uint32_t Fillers = 0;
   uint32_t FillerMilliCores = 0;
+  double Slowness = 1; ///< Of its tasks, against other executors'.
 };
 
 struct PlacementAsk {
--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -23,9 +23,10 @@
     Kept = 'd';
   else if (isOpen(Task.Phase))
     Kept = 'o';
-  Out += fmt::format("[{},{},{},\"{}\",{},{},{},{}]", At.Occurrence, At.Step,
+  Out += fmt::format("[{},{},{},\"{}\",{},{},{},{},{}]", At.Occurrence, At.Step,
                      At.Index, Kept, Task.Run, Task.Failures,
-                     json(Task.Executor).dump(), json(Task.Checkpoint).dump());
+                     json(Task.Executor).dump(), json(Task.Checkpoint).dump(),
+                     json(Task.Address).dump());
 }
 
 TaskPhase phaseOfTask(std::string_view Kept) {
@@ -88,6 +89,7 @@
       Task.Failures = Row.at(5).get<uint32_t>();
       Task.Executor = Row.at(6).get<std::string>();
       Task.Checkpoint = Row.at(7).get<std::string>();
+      Task.Address = Row.at(8).get<std::string>();
       Out.Tasks.emplace(At, std::move(Task));
     }
     for (const json &Each : Source.value("done", json::array()))
--- a/src/cell/Progress.h
+++ b/src/cell/Progress.h
@@ -44,6 +44,8 @@
   uint32_t Run = 0;      ///< Of the newest run; 0 before the first.
   uint32_t Failures = 0; ///< Runs that ended as failed.
   std::string Executor;  ///< Of the open run.
+  std::string Address;   ///< Of that executor, which may be missing from the
+                         ///< instance list when another owner takes over.
   std::string Checkpoint;
 
   bool operator==(const TaskProgress &) const = default;
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -401,6 +401,7 @@
   Gauge("ticket_refusals", Counts.TicketRefusals);
   Gauge("room_refusals", Counts.RoomRefusals);
   Gauge("lapses", Counts.Lapses);
+  Gauge("stragglers", Counts.Stragglers);
   Gauge("jobs_completed", Counts.JobsCompleted);
   Gauge("jobs_failed", Counts.JobsFailed);
   Gauge("jobs_cancelled", Counts.JobsCancelled);
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -1,9 +1,21 @@
 #include "node/OwnerWatch.h"
 
+#include <string_view>
 #include <utility>
 
 namespace daisylanding::node {
 
+namespace {
+
+/// Whether both are the same entry, of different incarnations: the earlier
+/// one is surely dead.
+bool isEarlierLife(std::string_view Row, std::string_view Mine) {
+  return Row != Mine &&
+         Row.substr(0, Row.rfind('/')) == Mine.substr(0, Mine.rfind('/'));
+}
+
+} // namespace
+
 void OwnerWatch::sawRow(uint64_t NewVersion,
                         const std::optional<cell::OwnerRow> &NewRow,
                         TimePoint Now) {
@@ -14,9 +26,12 @@
   Row = NewRow;
 }
 
-bool OwnerWatch::shouldTake(uint32_t Preference, TimePoint Now) const {
+bool OwnerWatch::shouldTake(const std::string &Holder, uint32_t Preference,
+                            TimePoint Now) const {
   if (!Known)
     return false;
+  if (Row && isEarlierLife(Row->Holder, Holder))
+    return true;
   bool Free = Version == 0 || !Row || Row->Released;
   Millis Wait = Free ? Millis(0) : Options.Silence;
   return Now >= Since + Wait + Preference * Options.PreferenceStep;
--- a/src/node/OwnerWatch.h
+++ b/src/node/OwnerWatch.h
@@ -32,8 +32,10 @@
   void readFailed() { Known = false; }
 
   /// Whether to take the service now. \p Preference is 0 for the entry that
-  /// should try first, and grows.
-  bool shouldTake(uint32_t Preference, TimePoint Now) const;
+  /// should try first, and grows. \p Holder is how this process names itself
+  /// as owner.
+  bool shouldTake(const std::string &Holder, uint32_t Preference,
+                  TimePoint Now) const;
 
   /// For how long the owner has not renewed at least; 0 if it has given the
   /// service up, since it may have done so just now.
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -145,7 +145,7 @@
     auto Owned = static_cast<uint32_t>(Cells.size());
     uint32_t Preference = JitterSteps * Owned + Each.Jitter;
     if (!Each.TakeOpen && !owns(Service) &&
-        Each.Watch.shouldTake(Preference, Now))
+        Each.Watch.shouldTake(Common.holder(), Preference, Now))
       take(Service, Now);
   }
 }
