Late jobs give way, a silent store is refused at once, commits are hedged

Cause: under overload the jobs nearest to their due time went first although they could no longer make it, so that nearly all were late; entries that the store had fallen silent to held callers until their deadline; a lost answer stalled all starts of a service for 1.5 s. A record of progress that could not be read was taken for none. Change: slack counts to the time at which worth is lost, late jobs with a penalty, hopeless ones last; StoreHealth decides at arrival; writes and commits are sent once more after a multiple of their usual time; jobs with an unreadable record are withheld; rows without an address are read.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -112,7 +112,13 @@
   /// is answered by `onCommit`.
   std::optional<store::Transaction> nextCommit(TimePoint Now,
                                                int64_t StoreMillis);
-  void onCommit(const store::TransactionResult &Result, TimePoint Now);
+  /// \p Sequence is that of `commitSequence` when the transaction was taken;
+  /// answers to older ones tell nothing new.
+  void onCommit(uint64_t Sequence, const store::TransactionResult &Result,
+                TimePoint Now);
+  uint64_t commitSequence() const {
+    return InFlight ? InFlight->Row.Sequence : 0;
+  }
 
   void onStart(const executor::RunId &What, ExecutorIndex On,
                const executor::OrderAnswer &Answer, TimePoint Now);
@@ -146,6 +152,7 @@
     std::vector<std::pair<std::string, uint64_t>> Jobs; ///< With their marks.
     std::vector<executor::RunId> Starts;
     TimePoint FirstSent{};
+    TimePoint LastSent{};
     std::vector<std::string> Removed; ///< Jobs whose rows it removes.
   };
 
@@ -230,6 +237,7 @@
   // Commits.
   void onCommitted(uint64_t Version, TimePoint Now);
   void onConflict(const store::TransactionResult &Result, TimePoint Now);
+  Micros hedgeDelay() const;
   void acknowledgeEnds();
   JobProgress progressOf(const LiveJob &Job) const;
 
@@ -252,6 +260,7 @@
   TimePoint LastCommit{};
   TimePoint LastConfirmed{};
   TimePoint RetryCommitAt{};
+  double CommitMs = 20; ///< Moving average of answered commits.
   bool Deposed = false;
   bool Releasing = false;
   bool Released = false;
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -48,10 +48,12 @@
   if (Deposed || Released || Now < RetryCommitAt)
     return std::nullopt;
   if (InFlight) {
-    // Sent again as it was: its fate is not known.
-    if (RetryCommitAt == TimePoint{})
+    // Sent again as it was: the first answer of either decides.
+    bool Refused = RetryCommitAt != TimePoint{};
+    if (!Refused && Now < InFlight->LastSent + hedgeDelay())
       return std::nullopt;
     RetryCommitAt = {};
+    InFlight->LastSent = Now;
     return InFlight->Content;
   }
   bool RemovalDue = !Removals.empty() && Removals.front().first <= Now;
@@ -62,6 +64,7 @@
   RetryCommitAt = {};
   CommitInFlight Next;
   Next.FirstSent = Now;
+  Next.LastSent = Now;
   Next.Row = Row;
   ++Next.Row.Sequence;
   Next.Row.Pending.clear();
@@ -147,6 +150,9 @@
 void CellOwner::onCommitted(uint64_t Version, TimePoint Now) {
   CommitInFlight Done = std::move(*InFlight);
   InFlight.reset();
+  constexpr double LatencyWeight = 0.2;
+  CommitMs +=
+      LatencyWeight * (toSeconds(Now - Done.FirstSent) * 1e3 - CommitMs);
   Row = Done.Row;
   RowVersion = Version;
   LastConfirmed = Done.FirstSent;
@@ -208,9 +214,20 @@
     cancel(Key.substr(0, Key.find('/')), Now);
 }
 
-void CellOwner::onCommit(const store::TransactionResult &Result,
+/// After how long without an answer a commit is sent once more: answers get
+/// lost, and all starts wait for it.
+Micros CellOwner::hedgeDelay() const {
+  constexpr double Factor = 4;
+  constexpr double LeastMs = 80;
+  constexpr double MostMs = 1'000;
+  double Ms = std::clamp(Factor * CommitMs, LeastMs, MostMs);
+  return Millis(static_cast<int64_t>(Ms));
+}
+
+void CellOwner::onCommit(uint64_t Sequence,
+                         const store::TransactionResult &Result,
                          TimePoint Now) {
-  if (!InFlight || Deposed)
+  if (!InFlight || Deposed || Sequence != InFlight->Row.Sequence)
     return;
   switch (Result.Outcome) {
   case store::TransactionOutcome::Committed:
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -15,10 +15,12 @@
 /// Allowance for the way of an answer from the policy service.
 constexpr Millis TicketTransit{50};
 constexpr Millis AdviceRetry{300};
-/// Jobs past their time come after all that can be in time.
-constexpr double LateMs = 1e7;
+/// Of the work left, by which estimates may be too long.
+constexpr double EstimateTolerance = 0.25;
 /// A job this many times its allowance after its begin earns nothing more.
-constexpr double HopelessSpans = 3;
+constexpr double WorthlessSpans = 3;
+/// What late jobs still earn is less, so they give way a little.
+constexpr double LatePenaltyMs = 1'500;
 constexpr double HopelessMs = 1e9;
 /// The share of executors that may be kept for waiting gangs.
 constexpr double MaxKeptShare = 0.5;
@@ -60,19 +62,24 @@
   return Longest;
 }
 
+/// Time until the step loses worth by waiting on, in ms. A job that can still
+/// be in time loses most of its worth at its due time; one that can't loses
+/// the rest at a multiple of its allowance. What can't be helped any more
+/// comes last, so that it does not push out what can.
 double slackOf(const SpeedTracker &Speeds, const LiveJob &Job,
                const LiveOccurrence &In, uint32_t Step, TimePoint Now) {
-  double Left = static_cast<double>(toMillis(In.Due - Now));
-  double Slack =
-      Left - static_cast<double>(remainingFrom(Speeds, Job.Spec, Step).count());
-  double Span = static_cast<double>(toMillis(In.Due - In.Begin));
-  if (Job.Spec.Steps[Step].LongRunning)
+  auto Left = static_cast<double>(toMillis(In.Due - Now));
+  auto Work =
+      static_cast<double>(remainingFrom(Speeds, Job.Spec, Step).count());
+  auto Span = static_cast<double>(toMillis(In.Due - In.Begin));
+  double Slack = Left - Work;
+  bool InTime = Slack >= -EstimateTolerance * Work;
+  if (InTime || Job.Spec.Steps[Step].LongRunning)
     return Slack;
-  if (Left < -(HopelessSpans - 1) * Span)
-    return Slack + HopelessMs;
-  if (Left < 0)
-    return Slack + LateMs;
-  return Slack;
+  double LastSlack = Slack + (WorthlessSpans - 1) * Span;
+  if (LastSlack >= 0)
+    return LastSlack + LatePenaltyMs;
+  return HopelessMs - LastSlack;
 }
 
 } // namespace
--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -89,7 +89,9 @@
       Task.Failures = Row.at(5).get<uint32_t>();
       Task.Executor = Row.at(6).get<std::string>();
       Task.Checkpoint = Row.at(7).get<std::string>();
-      Task.Address = Row.at(8).get<std::string>();
+      // Rows of an earlier version have no address.
+      if (Row.size() > 8)
+        Task.Address = Row.at(8).get<std::string>();
       Out.Tasks.emplace(At, std::move(Task));
     }
     for (const json &Each : Source.value("done", json::array()))
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -120,10 +120,16 @@
         else
           logError("job-unreadable", "job={}", Each.Key);
       } else {
-        if (auto Progress = cell::decodeProgress(Each.Value))
+        if (auto Progress = cell::decodeProgress(Each.Value)) {
           LoadedProgress.emplace(Each.Key, std::move(*Progress));
-        else
-          logError("progress-unreadable", "job={}", Each.Key);
+          continue;
+        }
+        // Begun anew, the job's tasks could run twice. It waits for an owner
+        // that can read its record.
+        logError("progress-unreadable", "job={} version={}", Each.Key,
+                 Each.Version);
+        Common.Numbers.count("progress_unreadable");
+        Withheld.insert(Each.Key);
       }
     }
     if (Page->More && !Page->Rows.empty())
@@ -150,6 +156,8 @@
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
   TimePoint Now = monotonicNow();
   for (auto &[Id, Job] : LoadedJobs) {
+    if (Withheld.count(Id))
+      continue;
     std::optional<cell::JobProgress> Progress;
     auto Found = LoadedProgress.find(Id);
     if (Found != LoadedProgress.end())
@@ -251,13 +259,15 @@
   auto Next = Owner->nextCommit(Now, storeMillis(Now));
   if (!Next)
     return;
-  Store->commit(*Next, [this, Now](const store::TransactionResult &Result) {
-    TimePoint Then = monotonicNow();
-    if (Result.StoreMillis)
-      sawStore(Result.StoreMillis);
-    Common.Numbers.observe("commit_ms", toSeconds(Then - Now) * 1e3);
-    Owner->onCommit(Result, Then);
-  });
+  uint64_t Sequence = Owner->commitSequence();
+  Store->commit(
+      *Next, [this, Now, Sequence](const store::TransactionResult &Result) {
+        TimePoint Then = monotonicNow();
+        if (Result.StoreMillis)
+          sawStore(Result.StoreMillis);
+        Common.Numbers.observe("commit_ms", toSeconds(Then - Now) * 1e3);
+        Owner->onCommit(Sequence, Result, Then);
+      });
 }
 
 void CellLoop::followJobs() {
@@ -308,6 +318,8 @@
       Owner->cancel(Each.Key.substr(0, Mark), Now);
       continue;
     }
+    if (Withheld.count(Each.Key))
+      continue;
     auto Job = cell::decodeJob(Each.Value);
     if (!Job) {
       logError("job-unreadable", "job={}", Each.Key);
--- a/src/node/CellLoop.h
+++ b/src/node/CellLoop.h
@@ -77,6 +77,7 @@
   std::map<std::string, cell::JobSpec> LoadedJobs;
   std::set<std::string> LoadedCancels;
   std::map<std::string, cell::JobProgress> LoadedProgress;
+  std::set<std::string> Withheld; ///< Jobs whose progress can't be read.
   uint64_t JobsVersion = 0;
   bool Loaded = false;
 
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -21,6 +21,10 @@
 /// A final answer must still reach the caller in time.
 constexpr Millis AnswerMargin{150};
 constexpr Millis WriteRetry{80};
+/// A write without an answer for so long is sent once more.
+constexpr Millis WriteHedge{250};
+/// The store answers some loop of this process several times in this time.
+constexpr Millis StoreSilence{1'000};
 /// When the store refuses, it is asked again by the caller, not from here.
 constexpr const char *RetryAfterSeconds = "1";
 
@@ -100,9 +104,14 @@
   if (Common.Draining.load())
     Out.Headers.emplace_back("Connection", "close");
   Open.fetch_sub(1);
+  Of->Answered = true;
   Of->Respond(std::move(Out));
 }
 
+bool IntakeLoop::storeSilent(TimePoint Now) const {
+  return Now > Common.Store.lastAnswer() + StoreSilence;
+}
+
 void IntakeLoop::refuse(const VisitPtr &Of, std::string_view Why) {
   answer(Of, http::StatusUnavailable, nlohmann::json{{"error", Why}}.dump(),
          Why);
@@ -142,6 +151,11 @@
     return;
   }
   Of->JobId = Rest;
+  // Nothing was sent for it, so the caller can be told at once to go elsewhere.
+  if (storeSilent(Of->Arrived)) {
+    refuse(Of, "store-silent");
+    return;
+  }
   Of->Partitions.push_back(Of->From->Service);
   for (const std::string &Each : Of->Config->Services) {
     // A job stays where it was accepted when its queue is sent elsewhere.
@@ -184,54 +198,72 @@
   Tx.Writes.push_back({.Table = cell::JobTable,
                        .Key = Of->JobId,
                        .Value = cell::encodeJob(Job)});
-  Store->commit(Tx, [this, Of, Job](const store::TransactionResult &Result) {
-    onJobWritten(Of, Job, Result);
+  auto Conflict = [this, Of, Job](const store::TransactionResult &Result) {
+    auto Known = Result.Current.empty()
+                     ? daisylanding::Result<cell::JobSpec>(Errc::NotFound)
+                     : cell::decodeJob(Result.Current.front().Value);
+    if (Known && cell::sameWork(*Known, Job))
+      answer(Of, http::StatusOk, "{}", "stored-before");
+    else
+      problem(Of, http::StatusConflict, "id", "not used for another job");
+  };
+  write(Of, std::make_shared<const store::Transaction>(std::move(Tx)),
+        std::move(Conflict));
+}
+
+/// Sends the write, and once more if no answer comes: it is conditioned, so
+/// that only one copy takes effect.
+void IntakeLoop::write(const VisitPtr &Of, const WritePtr &What,
+                       OnConflict Conflict) {
+  ++Of->Sent;
+  Store->commit(*What, [this, Of, What,
+                        Conflict](const store::TransactionResult &Result) {
+    --Of->Sent;
+    onWritten(Of, What, Conflict, Result);
+  });
+  TimePoint Next = monotonicNow() + WriteHedge;
+  if (Next + AnswerMargin >= Of->Deadline)
+    return;
+  Later.at(Next, [this, Of, What, Conflict] {
+    if (!Of->Answered && Of->Sent == 1)
+      write(Of, What, Conflict);
   });
 }
 
-void IntakeLoop::onJobWritten(const VisitPtr &Of, const cell::JobSpec &Job,
-                              const store::TransactionResult &Result) {
+/// After a write that may be carried out only its own outcome may be told.
+void IntakeLoop::onWritten(const VisitPtr &Of, const WritePtr &What,
+                           const OnConflict &Conflict,
+                           const store::TransactionResult &Result) {
+  TimePoint Now = monotonicNow();
   if (Result.StoreMillis > LastStoreMillis) {
     LastStoreMillis = Result.StoreMillis;
-    LastStoreAt = monotonicNow();
-    Common.Store.answered(LastStoreAt);
+    LastStoreAt = Now;
+    Common.Store.answered(Now);
   }
-  switch (Result.Outcome) {
-  case store::TransactionOutcome::Committed:
+  if (Of->Answered)
+    return;
+  if (Result.Outcome == store::TransactionOutcome::Committed) {
     answer(Of, http::StatusOk, "{}", "stored");
     return;
-  case store::TransactionOutcome::Conflict: {
-    auto Known = Result.Current.empty()
-                     ? daisylanding::Result<cell::JobSpec>(Errc::NotFound)
-                     : cell::decodeJob(Result.Current.front().Value);
-    if (Known && cell::sameWork(*Known, Job))
-      answer(Of, http::StatusOk, "{}", "stored-before");
-    else
-      problem(Of, http::StatusConflict, "id", "not used for another job");
+  }
+  if (Result.Outcome == store::TransactionOutcome::Conflict) {
+    Conflict(Result);
     return;
   }
-  case store::TransactionOutcome::NotDone:
-    if (!Of->Unknown) {
-      refuse(Of, "store-unavailable");
-      return;
-    }
-    break;
-  case store::TransactionOutcome::Unknown:
+  if (Result.Outcome == store::TransactionOutcome::Unknown)
     Of->Unknown = true;
-    break;
+  if (Of->Sent > 0)
+    return;
+  if (!Of->Unknown) {
+    refuse(Of, "store-unavailable");
+    return;
   }
-  retryOrGiveUp(Of, [this, Of, Job] { writeJob(Of, Job); });
-}
-
-/// After a write that may be carried out only its own outcome may be told.
-void IntakeLoop::retryOrGiveUp(const VisitPtr &Of,
-                               std::function<void()> Again) {
-  TimePoint Next = monotonicNow() + WriteRetry;
-  if (Next + AnswerMargin < Of->Deadline) {
-    Later.at(Next, std::move(Again));
+  TimePoint Next = Now + WriteRetry;
+  if (storeSilent(Now) || Next + AnswerMargin >= Of->Deadline) {
+    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
     return;
   }
-  answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+  Later.at(Next, [this, Of, What, Conflict] { write(Of, What, Conflict); });
 }
 
 void IntakeLoop::query(const VisitPtr &Of) {
@@ -323,30 +355,14 @@
   Tx.Writes.push_back({.Table = cell::JobTable,
                        .Key = cell::cancelKey(Of->JobId),
                        .Value = "cancelled"});
-  Store->commit(Tx, [this, Of, Partition,
-                     JobVersion](const store::TransactionResult &Result) {
-    switch (Result.Outcome) {
-    case store::TransactionOutcome::Committed:
-      answer(Of, http::StatusOk, "{}", "cancelled");
-      return;
-    case store::TransactionOutcome::Conflict:
-      // The job's rows were removed meanwhile: it ended long ago.
-      answer(Of, StatusGone, "{}", "no-such-job");
-      return;
-    case store::TransactionOutcome::NotDone:
-      if (!Of->Unknown) {
-        refuse(Of, "store-unavailable");
-        return;
-      }
-      break;
-    case store::TransactionOutcome::Unknown:
-      Of->Unknown = true;
-      break;
-    }
-    retryOrGiveUp(Of, [this, Of, Partition, JobVersion] {
-      writeCancel(Of, Partition, JobVersion);
-    });
-  });
+  write(Of, std::make_shared<const store::Transaction>(std::move(Tx)),
+        [this, Of](const store::TransactionResult &Result) {
+          // An earlier copy of the write went through, or the job's rows were
+          // removed meanwhile: it ended long ago.
+          bool Known = !Result.Current.empty();
+          answer(Of, Known ? http::StatusOk : StatusGone, "{}",
+                 Known ? "cancelled" : "no-such-job");
+        });
 }
 
 } // namespace daisylanding::node
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -35,15 +35,21 @@
     std::string JobId;
     std::vector<std::string> Partitions; ///< Still to be searched.
     bool Unknown = false; ///< A write got no answer; it may be carried out.
+    bool Answered = false;
+    uint32_t Sent = 0; ///< Copies of its write under way.
   };
   using VisitPtr = std::shared_ptr<Visit>;
 
   void run();
   void route(const VisitPtr &Of);
   void submit(const VisitPtr &Of);
+  using WritePtr = std::shared_ptr<const store::Transaction>;
+  using OnConflict = std::function<void(const store::TransactionResult &)>;
+  void write(const VisitPtr &Of, const WritePtr &What, OnConflict Conflict);
+  void onWritten(const VisitPtr &Of, const WritePtr &What,
+                 const OnConflict &Conflict,
+                 const store::TransactionResult &Result);
   void writeJob(const VisitPtr &Of, const cell::JobSpec &Job);
-  void onJobWritten(const VisitPtr &Of, const cell::JobSpec &Job,
-                    const store::TransactionResult &Result);
   void query(const VisitPtr &Of);
   void queryJobRow(const VisitPtr &Of, const std::string &Partition);
   void cancel(const VisitPtr &Of);
@@ -54,7 +60,7 @@
   void refuse(const VisitPtr &Of, std::string_view Why);
   void problem(const VisitPtr &Of, uint16_t Status, std::string_view Field,
                std::string_view Allowed);
-  void retryOrGiveUp(const VisitPtr &Of, std::function<void()> Again);
+  bool storeSilent(TimePoint Now) const;
 
   Shared &Common;
   http::MultiClient Calls;
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -7,11 +7,10 @@
 
 namespace {
 
-/// Whether both are the same entry, of different incarnations: the earlier
-/// one is surely dead.
-bool isEarlierLife(std::string_view Row, std::string_view Mine) {
-  return Row != Mine &&
-         Row.substr(0, Row.rfind('/')) == Mine.substr(0, Mine.rfind('/'));
+/// Whether both are the same entry. An earlier incarnation is surely dead; of
+/// this one, the answer to its take was lost.
+bool isSameEntry(std::string_view Row, std::string_view Mine) {
+  return Row.substr(0, Row.rfind('/')) == Mine.substr(0, Mine.rfind('/'));
 }
 
 } // namespace
@@ -30,7 +29,7 @@
                             TimePoint Now) const {
   if (!Known)
     return false;
-  if (Row && isEarlierLife(Row->Holder, Holder))
+  if (Row && isSameEntry(Row->Holder, Holder))
     return true;
   bool Free = Version == 0 || !Row || Row->Released;
   Millis Wait = Free ? Millis(0) : Options.Silence;
