Short calls for advice have lines of their own; silent zones noticed sooner

Change: AdviceLines keeps lines for short calls, ordered by slack; an unanswered call takes its executor, several their zone, out of use until heard; lease 4 s; owners renew and are watched more often; a line each second tells what an owner is at.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -26,7 +26,7 @@
   TimePoint InheritedLeaseEnd{};
   int64_t StoreMillis = 0; ///< The store's clock at `Began`.
   TimePoint Began{};
-  Millis Heartbeat{400};      ///< Longest time between two commits.
+  Millis Heartbeat{300};      ///< Longest time between two commits.
   Millis StatusKept{120'000}; ///< How long ended jobs can be asked for.
 };
 
@@ -55,7 +55,7 @@
 struct AdviceCommand {
   uint64_t Id = 0;
   executor::AdviceCall Call;
-  TimePoint Due{};       ///< When the step should be done.
+  TimePoint Due{};       ///< When its step begins to lose worth.
   double ExpectedMs = 0; ///< What the call takes once it is served.
 };
 
@@ -88,6 +88,17 @@
   uint64_t JobsCancelled = 0;
 };
 
+/// A summary of what an owner is at.
+struct OwnerState {
+  size_t LiveJobs = 0;
+  size_t WaitingSteps = 0;
+  size_t StepsWithoutAdvice = 0;
+  size_t OpenRuns = 0;
+  size_t Executors = 0; ///< In the instance list.
+  size_t Usable = 0;    ///< Of those, the ones that may get work now.
+  double CommitMs = 0;
+};
+
 /// Decides for all jobs of one service: places tasks on executors, follows
 /// their runs, and keeps the stored record ahead of what executors are told
 /// and behind nothing that they may forget. No I/O; one thread.
@@ -141,6 +152,8 @@
 
   const OwnerCounts &counts() const { return Counts; }
   size_t liveJobs() const { return Jobs.size(); }
+  /// What the owner is at, for logs and metrics.
+  OwnerState state(TimePoint Now) const;
   ExecutorIndex indexOf(std::string_view ExecutorId) {
     return Pool.intern(ExecutorId);
   }
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -60,7 +60,9 @@
   const Executor &Each = Members[Index];
   if (!Each.Listed || Each.Over || !Each.Greeted || Each.Info.Draining)
     return false;
-  if (Each.AvoidUntil > Now)
+  if (Each.AvoidUntil > Now || Each.Unanswered > Each.Heard)
+    return false;
+  if (zoneSuspectSince(Each.Info.AvailabilityZone) > Each.Heard)
     return false;
   return Now < Each.Heard + Options.IdleHoldWait + Options.Silence;
 }
@@ -88,6 +90,26 @@
           .Accelerators = Left(All.Accelerators, Each.Used.Accelerators)};
 }
 
+TimePoint ExecutorPool::zoneSuspectSince(const std::string &Zone) const {
+  auto Found = SuspectZones.find(Zone);
+  return Found == SuspectZones.end() ? TimePoint{} : Found->second;
+}
+
+void ExecutorPool::unanswered(ExecutorIndex Index, TimePoint Now) {
+  constexpr Millis Together{800};
+  constexpr size_t ManyInZone = 3;
+  Members[Index].Unanswered = Now;
+  const std::string &Zone = Members[Index].Info.AvailabilityZone;
+  size_t Silent = 0;
+  for (const Executor &Each : Members) {
+    if (Each.Listed && Each.Info.AvailabilityZone == Zone &&
+        Each.Unanswered > Each.Heard && Each.Unanswered + Together > Now)
+      ++Silent;
+  }
+  if (Silent >= ManyInZone)
+    SuspectZones[Zone] = Now - Together;
+}
+
 void ExecutorPool::heard(ExecutorIndex Index,
                          const std::optional<int64_t> &ClockMs, TimePoint Now) {
   Executor &Each = Members[Index];
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -21,11 +21,11 @@
 struct ContactOptions {
   /// Of a renewal: long enough to outlive a change of owner, short enough
   /// that work of a lost executor is soon run elsewhere.
-  Millis Lease{5'000};
+  Millis Lease{4'000};
   /// A lease reaches no further beyond what was last heard of the executor,
   /// so that tries to reach it don't put off the end. Longer than a busy hold
   /// takes.
-  Millis RenewWindow{1'400};
+  Millis RenewWindow{900};
   /// The longest lease that an executor grants, from its settings.
   Millis MaxLease{10'000};
   /// An executor's clock may run this much slower than true time.
@@ -35,7 +35,7 @@
   Millis Silence{900};
   /// How long an owner renews leases without a confirmation of its ownership.
   Millis OwnershipHorizon{2'000};
-  Millis BusyHoldWait{1'000};
+  Millis BusyHoldWait{700};
   Millis IdleHoldWait{2'000};
   /// Between two holds of one executor, so that ends are heard in groups.
   Millis HoldGap{30};
@@ -71,6 +71,8 @@
   TimePoint HoldSent{};
   TimePoint NextHold{};
   TimePoint Heard{};
+  /// When a call to it last got no answer.
+  TimePoint Unanswered{};
 
   /// A lower bound: the clock read `ClockMs` at `ClockAt` or later.
   int64_t ClockMs = 0;
@@ -118,6 +120,10 @@
   void give(ExecutorIndex Index, const Resources &Size);
   Resources free(ExecutorIndex Index) const;
 
+  /// A call got no answer: nothing is started there until it is heard again.
+  /// If several of an availability zone fall silent at once, none of the zone
+  /// is trusted that was not heard since.
+  void unanswered(ExecutorIndex Index, TimePoint Now);
   void heard(ExecutorIndex Index, const std::optional<int64_t> &ClockMs,
              TimePoint Now);
   /// The end of a lease to ask for now; none before the clock is known.
@@ -132,10 +138,12 @@
 
 private:
   size_t avoided(TimePoint Now) const;
+  TimePoint zoneSuspectSince(const std::string &Zone) const;
 
   ContactOptions Options;
   std::vector<Executor> Members;
   std::unordered_map<std::string, ExecutorIndex> ById;
+  std::unordered_map<std::string, TimePoint> SuspectZones;
 };
 
 } // namespace daisylanding::cell
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -14,7 +14,8 @@
 constexpr Millis TicketMargin{150};
 /// Allowance for the way of an answer from the policy service.
 constexpr Millis TicketTransit{50};
-constexpr Millis AdviceRetry{300};
+constexpr Millis AdviceRetry{50};
+constexpr Millis AdviceSlack{1'000};
 /// Of the work left, by which estimates may be too long.
 constexpr double EstimateTolerance = 0.25;
 /// A job this many times its allowance after its begin earns nothing more.
@@ -318,7 +319,8 @@
   if (Asked.empty())
     return;
   Step.AdviceOpen = true;
-  AdviceCommand Command{.Id = ++NextAdviceId, .Due = In.Due};
+  auto Slack = Micros(static_cast<int64_t>(Which.SlackMs * 1e3));
+  AdviceCommand Command{.Id = ++NextAdviceId, .Due = Now + Slack};
   Command.Call.Step = stepName({.Job = Which.Job->Spec.Id,
                                 .Occurrence = Which.Occurrence,
                                 .Step = Which.Step});
@@ -327,6 +329,10 @@
   Command.ExpectedMs =
       From.Advice->BaseMs +
       From.Advice->PerExecutorMs * static_cast<double>(Asked.size());
+  // Other owners' calls may be ahead on the line, but a lost one must not hold
+  // the step up for long.
+  Command.Call.Timeout =
+      AdviceSlack + Millis(static_cast<int64_t>(2 * Command.ExpectedMs));
   Advices[Command.Id] = {.JobId = Which.Job->Spec.Id,
                          .At = {Which.Occurrence, Which.Step, 0},
                          .Asked = std::move(Asked)};
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -180,6 +180,7 @@
     abandon(Key, Now);
     break;
   case OrderOutcome::NotSent:
+    Pool.unanswered(On, Now);
     Task.NextTry = Now + OrderRetry;
     if (++Task.Tries >= MaxStartTries) {
       Pool.failed(On, Now);
@@ -187,6 +188,7 @@
     }
     break;
   case OrderOutcome::Unknown:
+    Pool.unanswered(On, Now);
     Task.Unanswered = true;
     Task.NextTry = Now + OrderRetry;
     break;
@@ -412,6 +414,9 @@
   }
   if (Answer.Outcome != OrderOutcome::Done) {
     constexpr Millis HoldRetry{150};
+    if (Answer.Outcome == OrderOutcome::NotSent ||
+        Answer.Outcome == OrderOutcome::Unknown)
+      Pool.unanswered(Index, Now);
     Each.NextHold = Now + HoldRetry;
     return;
   }
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -383,25 +383,32 @@
 /// The other entries' relays: their lines to the policy service.
 void CellLoop::readMembers() {
   MembersOpen = true;
-  Store->read({.Table = cell::MemberTable},
-              [this](const Result<store::RowPage> &Page) {
-                MembersOpen = false;
-                NextMembers = monotonicNow() + MembersInterval;
-                if (!Page)
-                  return;
-                sawStore(Page->StoreMillis);
-                std::vector<std::string> Addresses = {""};
-                for (const store::Row &Each : Page->Rows) {
-                  if (Each.Key != Common.Options.Name)
-                    Addresses.push_back(Each.Value);
-                }
-                Lines.setLines(Addresses);
-              });
+  Store->read(
+      {.Table = cell::MemberTable}, [this](const Result<store::RowPage> &Page) {
+        MembersOpen = false;
+        NextMembers = monotonicNow() + MembersInterval;
+        if (!Page)
+          return;
+        sawStore(Page->StoreMillis);
+        std::vector<cell::LineInfo> Present = {{.Entry = Common.Options.Name}};
+        for (const store::Row &Each : Page->Rows) {
+          if (Each.Key != Common.Options.Name)
+            Present.push_back({.Entry = Each.Key, .Address = Each.Value});
+        }
+        Lines.setLines(Present);
+      });
 }
 
 void CellLoop::publish(TimePoint Now) {
   NextPublish = Now + PublishInterval;
   const cell::OwnerCounts &Counts = Owner->counts();
+  cell::OwnerState State = Owner->state(Now);
+  logInfo("service-state",
+          "service={} live={} waiting={} unadvised={} advice_queue={} open={} "
+          "executors={} usable={} commit_ms={:.0f}",
+          Service, State.LiveJobs, State.WaitingSteps, State.StepsWithoutAdvice,
+          Lines.waiting(), State.OpenRuns, State.Executors, State.Usable,
+          State.CommitMs);
   auto Gauge = [&](const char *Name, uint64_t Value) {
     Common.Numbers.gauge(fmt::format("{}{{service=\"{}\"}}", Name, Service),
                          static_cast<double>(Value));
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -17,7 +17,8 @@
 
 void OwnerWatch::sawRow(uint64_t NewVersion,
                         const std::optional<cell::OwnerRow> &NewRow,
-                        TimePoint Now) {
+                        Micros Took, TimePoint Now) {
+  ReadTook = Took;
   if (!Known || Version != NewVersion)
     Since = Now;
   Known = true;
@@ -32,7 +33,9 @@
   if (Row && isSameEntry(Row->Holder, Holder))
     return true;
   bool Free = Version == 0 || !Row || Row->Released;
-  Millis Wait = Free ? Millis(0) : Options.Silence;
+  Micros Wait = Micros(0);
+  if (!Free)
+    Wait = Options.Silence + Options.SilencePerRead * ReadTook;
   return Now >= Since + Wait + Preference * Options.PreferenceStep;
 }
 
--- a/src/node/OwnerWatch.h
+++ b/src/node/OwnerWatch.h
@@ -14,7 +14,10 @@
 struct OwnerWatchOptions {
   /// An owner whose row has not changed for so long is taken to be dead. It
   /// rewrites the row several times in that time.
-  Millis Silence{1'600};
+  Millis Silence{1'300};
+  /// A slow store slows the owner's commits, too: silence counts for longer by
+  /// this multiple of what a read takes.
+  int64_t SilencePerRead = 5;
   /// Waits of entries differ by their preference, so that one tries first.
   Millis PreferenceStep{120};
 };
@@ -26,7 +29,7 @@
 
   /// The row as read; version 0 if there is none.
   void sawRow(uint64_t Version, const std::optional<cell::OwnerRow> &Row,
-              TimePoint Now);
+              Micros ReadTook, TimePoint Now);
   /// A read failed: silence is not counted across it, as the owner may have
   /// been kept from writing, too.
   void readFailed() { Known = false; }
@@ -50,6 +53,7 @@
   bool Known = false;
   uint64_t Version = 0;
   std::optional<cell::OwnerRow> Row;
+  Micros ReadTook{0};
   TimePoint Since{}; ///< When the present version was first seen.
 };
 
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -13,7 +13,7 @@
 /// keeps the configuration within its bound of two seconds.
 constexpr Millis ConfigFeedWait{700};
 constexpr Millis ReadRetry{100};
-constexpr Millis OwnerInterval{450};
+constexpr Millis OwnerInterval{300};
 /// Spreads the tries of entries that are alike.
 constexpr uint32_t JitterSteps = 3;
 
@@ -156,28 +156,30 @@
   Each.Jitter = static_cast<uint32_t>(Dice.below(JitterSteps));
   store::RangeRead Range{
       .Table = cell::OwnerTable, .Partition = Service, .Limit = 1};
-  Store->read(Range, [this, Service](const Result<store::RowPage> &Page) {
-    Watched &Known = Owners[Service];
-    TimePoint Now = monotonicNow();
-    Known.ReadOpen = false;
-    Known.NextRead = Now + OwnerInterval;
-    if (!Page) {
-      Known.Watch.readFailed();
-      return;
-    }
-    Common.Store.answered(Now);
-    if (Page->Rows.empty()) {
-      Known.Watch.sawRow(0, std::nullopt, Now);
-      return;
-    }
-    auto Row = cell::decodeOwner(Page->Rows.front().Value);
-    if (!Row) {
-      logError("owner-row-unreadable", "service={}", Service);
-      return;
-    }
-    Common.Pending.set(Service, Row->Pending);
-    Known.Watch.sawRow(Page->Rows.front().Version, *Row, Now);
-  });
+  TimePoint Asked = monotonicNow();
+  Store->read(
+      Range, [this, Service, Asked](const Result<store::RowPage> &Page) {
+        Watched &Known = Owners[Service];
+        TimePoint Now = monotonicNow();
+        Known.ReadOpen = false;
+        Known.NextRead = Now + OwnerInterval;
+        if (!Page) {
+          Known.Watch.readFailed();
+          return;
+        }
+        Common.Store.answered(Now);
+        if (Page->Rows.empty()) {
+          Known.Watch.sawRow(0, std::nullopt, Now - Asked, Now);
+          return;
+        }
+        auto Row = cell::decodeOwner(Page->Rows.front().Value);
+        if (!Row) {
+          logError("owner-row-unreadable", "service={}", Service);
+          return;
+        }
+        Common.Pending.set(Service, Row->Pending);
+        Known.Watch.sawRow(Page->Rows.front().Version, *Row, Now - Asked, Now);
+      });
 }
 
 void WatchLoop::take(const std::string &Service, TimePoint Now) {
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -18,7 +18,7 @@
 
 constexpr size_t QueueCapacity = 512;
 /// Beyond a call's own time: for the way there and back.
-constexpr Millis CallGrace{200};
+constexpr Millis CallGrace{100};
 
 executor::Advice readAdvice(wire::Relay::AdviseResults::Reader Source) {
   executor::Advice Out;
