--- a/schema/relay.capnp
+++ b/schema/relay.capnp
@@ -12,6 +12,21 @@
              timeoutMs :UInt32)
          -> (status :Status, allowed :List(Ticket), validityMs :UInt32);
   # Asks the policy service on the other entry's line.
+
+  offer @1 (version :UInt32, service :Text, job :Text)
+        -> (verdict :Verdict);
+  # Hands a job to the owner of its service, which stores it with its next
+  # commit.
+}
+
+enum Verdict {
+  stored @0;
+  storedBefore @1;
+  otherWork @2;    # The id is used for another job.
+  notOwner @3;     # The other entry does not own the service.
+  busy @4;         # Too many jobs wait there to be stored.
+  unknown @5;      # It may have been stored, or may be.
+  wrongVersion @6;
 }
 
 enum Status {
--- a/schema/relay.capnp.c++
+++ b/schema/relay.capnp.c++
@@ -38,7 +38,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_e06b16c33dbcb383, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<28> b_80590cec8252cdbd = {
+static const ::capnp::_::AlignedData<38> b_80590cec8252cdbd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     189, 205,  82, 130, 236,  12,  89, 128,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -48,24 +48,34 @@
      21,   0,   0,   0, 146,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 135,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 101, 108,  97, 121,  46,  99,  97,
     112, 110, 112,  58,  82, 101, 108,  97,
     121,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   5,   0,
+      8,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     125,  23, 149, 107, 200,  56,  91, 139,
     220, 177,  79,   3, 107, 161, 252, 135,
-     17,   0,   0,   0,  58,   0,   0,   0,
+     49,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   7,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+    194, 223, 188, 187, 129,  75, 137, 164,
+    154, 142,  21,  48,  19, 190, 184, 150,
+     25,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   7,   0,   0,   0,
      97, 100, 118, 105, 115, 101,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    111, 102, 102, 101, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_80590cec8252cdbd = b_80590cec8252cdbd.words;
@@ -73,11 +83,13 @@
 static const ::capnp::_::RawSchema* const d_80590cec8252cdbd[] = {
   &s_87fca16b034fb1dc,
   &s_8b5b38c86b95177d,
+  &s_96b8be1330158e9a,
+  &s_a4894b81bbbcdfc2,
 };
-static const uint16_t m_80590cec8252cdbd[] = {0};
+static const uint16_t m_80590cec8252cdbd[] = {0, 1};
 const ::capnp::_::RawSchema s_80590cec8252cdbd = {
-  0x80590cec8252cdbd, b_80590cec8252cdbd.words, 28, d_80590cec8252cdbd, m_80590cec8252cdbd,
-  2, 1, nullptr, nullptr, nullptr, { &s_80590cec8252cdbd, nullptr, nullptr, 0, 0, nullptr }
+  0x80590cec8252cdbd, b_80590cec8252cdbd.words, 38, d_80590cec8252cdbd, m_80590cec8252cdbd,
+  4, 2, nullptr, nullptr, nullptr, { &s_80590cec8252cdbd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<83> b_8b5b38c86b95177d = {
@@ -257,6 +269,185 @@
   2, 3, i_87fca16b034fb1dc, nullptr, nullptr, { &s_87fca16b034fb1dc, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<62> b_a4894b81bbbcdfc2 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    194, 223, 188, 187, 129,  75, 137, 164,
+     18,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 108,  97, 121,  46,  99,  97,
+    112, 110, 112,  58,  82, 101, 108,  97,
+    121,  46, 111, 102, 102, 101, 114,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    106, 111,  98,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a4894b81bbbcdfc2 = b_a4894b81bbbcdfc2.words;
+#if !CAPNP_LITE
+static const uint16_t m_a4894b81bbbcdfc2[] = {2, 1, 0};
+static const uint16_t i_a4894b81bbbcdfc2[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a4894b81bbbcdfc2 = {
+  0xa4894b81bbbcdfc2, b_a4894b81bbbcdfc2.words, 62, nullptr, m_a4894b81bbbcdfc2,
+  0, 3, i_a4894b81bbbcdfc2, nullptr, nullptr, { &s_a4894b81bbbcdfc2, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_96b8be1330158e9a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    154, 142,  21,  48,  19, 190, 184, 150,
+     18,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 108,  97, 121,  46,  99,  97,
+    112, 110, 112,  58,  82, 101, 108,  97,
+    121,  46, 111, 102, 102, 101, 114,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    118, 101, 114, 100, 105,  99, 116,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+     97,  92, 129,   5, 162, 150,  36, 172,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_96b8be1330158e9a = b_96b8be1330158e9a.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_96b8be1330158e9a[] = {
+  &s_ac2496a205815c61,
+};
+static const uint16_t m_96b8be1330158e9a[] = {0};
+static const uint16_t i_96b8be1330158e9a[] = {0};
+const ::capnp::_::RawSchema s_96b8be1330158e9a = {
+  0x96b8be1330158e9a, b_96b8be1330158e9a.words, 32, d_96b8be1330158e9a, m_96b8be1330158e9a,
+  1, 1, i_96b8be1330158e9a, nullptr, nullptr, { &s_96b8be1330158e9a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_ac2496a205815c61 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     97,  92, 129,   5, 162, 150,  36, 172,
+     12,   0,   0,   0,   2,   0,   0,   0,
+     71, 154,  62,  12, 253, 182, 246, 177,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 108,  97, 121,  46,  99,  97,
+    112, 110, 112,  58,  86, 101, 114, 100,
+    105,  99, 116,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     28,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+     65,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+     57,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116, 111, 114, 101, 100,   0,   0,
+    115, 116, 111, 114, 101, 100,  66, 101,
+    102, 111, 114, 101,   0,   0,   0,   0,
+    111, 116, 104, 101, 114,  87, 111, 114,
+    107,   0,   0,   0,   0,   0,   0,   0,
+    110, 111, 116,  79, 119, 110, 101, 114,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 117, 115, 121,   0,   0,   0,   0,
+    117, 110, 107, 110, 111, 119, 110,   0,
+    119, 114, 111, 110, 103,  86, 101, 114,
+    115, 105, 111, 110,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ac2496a205815c61 = b_ac2496a205815c61.words;
+#if !CAPNP_LITE
+static const uint16_t m_ac2496a205815c61[] = {4, 3, 2, 0, 1, 5, 6};
+const ::capnp::_::RawSchema s_ac2496a205815c61 = {
+  0xac2496a205815c61, b_ac2496a205815c61.words, 49, nullptr, m_ac2496a205815c61,
+  0, 7, nullptr, nullptr, nullptr, { &s_ac2496a205815c61, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+CAPNP_DEFINE_ENUM(Verdict_ac2496a205815c61, ac2496a205815c61);
 static const ::capnp::_::AlignedData<34> b_b9939cb2f4778b5a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      90, 139, 119, 244, 178, 156, 147, 185,
@@ -381,6 +572,16 @@
       "relay.capnp:Relay", "advise",
       0x80590cec8252cdbdull, 0);
 }
+::capnp::Request< ::daisylanding::relay::wire::Relay::OfferParams,  ::daisylanding::relay::wire::Relay::OfferResults>
+Relay::Client::offerRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::daisylanding::relay::wire::Relay::OfferParams,  ::daisylanding::relay::wire::Relay::OfferResults>(
+      0x80590cec8252cdbdull, 1, sizeHint);
+}
+::kj::Promise<void> Relay::Server::offer(OfferContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "relay.capnp:Relay", "offer",
+      0x80590cec8252cdbdull, 1);
+}
 ::capnp::Capability::Server::DispatchCallResult Relay::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -401,6 +602,12 @@
              ::daisylanding::relay::wire::Relay::AdviseParams,  ::daisylanding::relay::wire::Relay::AdviseResults>(context)),
         false
       };
+    case 1:
+      return {
+        offer(::capnp::Capability::Server::internalGetTypedContext<
+             ::daisylanding::relay::wire::Relay::OfferParams,  ::daisylanding::relay::wire::Relay::OfferResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -432,6 +639,22 @@
 constexpr ::capnp::_::RawSchema const* Relay::AdviseResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Relay::OfferParams
+constexpr uint16_t Relay::OfferParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Relay::OfferParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Relay::OfferParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Relay::OfferParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Relay::OfferResults
+constexpr uint16_t Relay::OfferResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Relay::OfferResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Relay::OfferResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Relay::OfferResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Ticket
 constexpr uint16_t Ticket::_capnpPrivate::dataWordSize;
 constexpr uint16_t Ticket::_capnpPrivate::pointerCount;
--- a/schema/relay.capnp.h
+++ b/schema/relay.capnp.h
@@ -23,6 +23,19 @@
 CAPNP_DECLARE_SCHEMA(80590cec8252cdbd);
 CAPNP_DECLARE_SCHEMA(8b5b38c86b95177d);
 CAPNP_DECLARE_SCHEMA(87fca16b034fb1dc);
+CAPNP_DECLARE_SCHEMA(a4894b81bbbcdfc2);
+CAPNP_DECLARE_SCHEMA(96b8be1330158e9a);
+CAPNP_DECLARE_SCHEMA(ac2496a205815c61);
+enum class Verdict_ac2496a205815c61: uint16_t {
+  STORED,
+  STORED_BEFORE,
+  OTHER_WORK,
+  NOT_OWNER,
+  BUSY,
+  UNKNOWN,
+  WRONG_VERSION,
+};
+CAPNP_DECLARE_ENUM(Verdict, ac2496a205815c61);
 CAPNP_DECLARE_SCHEMA(b9939cb2f4778b5a);
 enum class Status_b9939cb2f4778b5a: uint16_t {
   OK,
@@ -51,6 +64,8 @@
 
   struct AdviseParams;
   struct AdviseResults;
+  struct OfferParams;
+  struct OfferResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -90,6 +105,38 @@
   };
 };
 
+struct Relay::OfferParams {
+  OfferParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a4894b81bbbcdfc2, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Relay::OfferResults {
+  OfferResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(96b8be1330158e9a, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::Verdict_ac2496a205815c61 Verdict;
+
 typedef ::capnp::schemas::Status_b9939cb2f4778b5a Status;
 
 struct Ticket {
@@ -130,6 +177,8 @@
 
   ::capnp::Request< ::daisylanding::relay::wire::Relay::AdviseParams,  ::daisylanding::relay::wire::Relay::AdviseResults> adviseRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::daisylanding::relay::wire::Relay::OfferParams,  ::daisylanding::relay::wire::Relay::OfferResults> offerRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -150,6 +199,10 @@
   typedef  ::daisylanding::relay::wire::Relay::AdviseResults AdviseResults;
   typedef ::capnp::CallContext<AdviseParams, AdviseResults> AdviseContext;
   virtual ::kj::Promise<void> advise(AdviseContext context);
+  typedef  ::daisylanding::relay::wire::Relay::OfferParams OfferParams;
+  typedef  ::daisylanding::relay::wire::Relay::OfferResults OfferResults;
+  typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
+  virtual ::kj::Promise<void> offer(OfferContext context);
 
   inline  ::daisylanding::relay::wire::Relay::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -355,6 +408,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class Relay::OfferParams::Reader {
+public:
+  typedef OfferParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getVersion() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasJob() const;
+  inline  ::capnp::Text::Reader getJob() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Relay::OfferParams::Builder {
+public:
+  typedef OfferParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasJob();
+  inline  ::capnp::Text::Builder getJob();
+  inline void setJob( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJob(unsigned int size);
+  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJob();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Relay::OfferParams::Pipeline {
+public:
+  typedef OfferParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Relay::OfferResults::Reader {
+public:
+  typedef OfferResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::daisylanding::relay::wire::Verdict getVerdict() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Relay::OfferResults::Builder {
+public:
+  typedef OfferResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::daisylanding::relay::wire::Verdict getVerdict();
+  inline void setVerdict( ::daisylanding::relay::wire::Verdict value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Relay::OfferResults::Pipeline {
+public:
+  typedef OfferResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Ticket::Reader {
 public:
   typedef Ticket Reads;
@@ -634,6 +859,102 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Relay::OfferParams::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Relay::OfferParams::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Relay::OfferParams::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Relay::OfferParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Relay::OfferParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Relay::OfferParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Relay::OfferParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Relay::OfferParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Relay::OfferParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Relay::OfferParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Relay::OfferParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Relay::OfferParams::Reader::hasJob() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Relay::OfferParams::Builder::hasJob() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Relay::OfferParams::Reader::getJob() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Relay::OfferParams::Builder::getJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Relay::OfferParams::Builder::setJob( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Relay::OfferParams::Builder::initJob(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Relay::OfferParams::Builder::adoptJob(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Relay::OfferParams::Builder::disownJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::daisylanding::relay::wire::Verdict Relay::OfferResults::Reader::getVerdict() const {
+  return _reader.getDataField< ::daisylanding::relay::wire::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::daisylanding::relay::wire::Verdict Relay::OfferResults::Builder::getVerdict() {
+  return _builder.getDataField< ::daisylanding::relay::wire::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Relay::OfferResults::Builder::setVerdict( ::daisylanding::relay::wire::Verdict value) {
+  _builder.setDataField< ::daisylanding::relay::wire::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Ticket::Reader::hasExecutor() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -125,6 +125,38 @@
           toMillis(Now - AcceptedAt));
 }
 
+void CellOwner::offer(JobSpec Job, VerdictDone Done, TimePoint AcceptedAt,
+                      TimePoint Now) {
+  std::string Id = Job.Id;
+  if (Releasing || Deposed) {
+    Done(Verdict::NotOwner);
+    return;
+  }
+  if (EndedJobs.count(Id)) {
+    Done(Verdict::StoredBefore);
+    return;
+  }
+  if (LiveJob *Known = find(Id)) {
+    if (!sameWork(Known->Spec, Job))
+      Done(Verdict::OtherWork);
+    else if (Known->Stored)
+      Done(Verdict::StoredBefore);
+    else
+      Offers[Id].push_back(std::move(Done));
+    return;
+  }
+  accept(std::move(Job), AcceptedAt, Now);
+  LiveJob &Added = Jobs.at(Id);
+  Added.Stored = false;
+  changed(Added);
+  Offers[Id].push_back(std::move(Done));
+}
+
+void CellOwner::giveUpOffers() {
+  while (!Offers.empty())
+    answerOffers(Offers.begin()->first, Verdict::Unknown);
+}
+
 void CellOwner::restore(JobSpec Job, const std::optional<JobProgress> &Progress,
                         bool Cancelled, TimePoint AcceptedAt, TimePoint Now) {
   if (Progress && isFinal(Progress->Phase)) {
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -4,6 +4,7 @@
 #include "cell/CellConfig.h"
 #include "cell/ExecutorPool.h"
 #include "cell/LiveJob.h"
+#include "cell/Offer.h"
 #include "cell/OwnerRow.h"
 #include "cell/Placement.h"
 #include "cell/SpeedTracker.h"
@@ -112,6 +113,11 @@
                bool Cancelled, TimePoint AcceptedAt, TimePoint Now);
   /// A job that was handed in; known ids are left as they are.
   void accept(JobSpec Job, TimePoint AcceptedAt, TimePoint Now);
+  /// A job that is not stored yet; \p Done is told once it is.
+  void offer(JobSpec Job, VerdictDone Done, TimePoint AcceptedAt,
+             TimePoint Now);
+  /// Answers all offers whose commit is not known to have gone through.
+  void giveUpOffers();
   void cancel(std::string_view JobId, TimePoint Now);
   void setExecutors(std::span<const executor::ExecutorInfo> List,
                     TimePoint Now);
@@ -127,6 +133,8 @@
   /// answers to older ones tell nothing new.
   void onCommit(uint64_t Sequence, const store::TransactionResult &Result,
                 TimePoint Now);
+  /// What a read of the store takes at present, in ms.
+  void setStoreReadMs(double Ms) { StoreReadMs = Ms; }
   uint64_t commitSequence() const {
     return InFlight ? InFlight->Row.Sequence : 0;
   }
@@ -166,6 +174,7 @@
     std::vector<executor::RunId> Starts;
     TimePoint FirstSent{};
     TimePoint LastSent{};
+    std::vector<std::string> Offered; ///< Jobs that it stores.
     std::vector<std::string> Removed; ///< Jobs whose rows it removes.
   };
 
@@ -251,6 +260,9 @@
   void onCommitted(uint64_t Version, TimePoint Now);
   void onConflict(const store::TransactionResult &Result, TimePoint Now);
   Micros hedgeDelay() const;
+  void answerOffers(const std::string &JobId, Verdict With);
+  void dropOffered(const std::string &JobId, const store::Row &Present,
+                   TimePoint Now);
   void acknowledgeEnds();
   JobProgress progressOf(const LiveJob &Job) const;
 
@@ -265,6 +277,7 @@
   std::vector<PaceState> Paces;             ///< By executor.
   std::vector<uint8_t> Kept;                ///< By executor; for gangs.
   std::set<std::string> DirtyJobs;
+  std::map<std::string, std::vector<VerdictDone>> Offers; ///< By job.
   std::optional<CommitInFlight> InFlight;
   std::unordered_map<uint64_t, AdviceOpen> Advices;
   uint64_t NextAdviceId = 0;
@@ -274,6 +287,7 @@
   TimePoint LastConfirmed{};
   TimePoint RetryCommitAt{};
   double CommitMs = 20; ///< Moving average of answered commits.
+  double StoreReadMs = 5;
   bool Deposed = false;
   bool Releasing = false;
   bool Released = false;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -63,6 +63,7 @@
 struct LiveJob {
   JobSpec Spec;
   JobPhase Phase = JobPhase::Queued;
+  bool Stored = true; ///< Its own row is in the store.
   bool Cancelled = false;
   bool Failing = false; ///< Some task has used its attempts.
   TimePoint AcceptedAt{};
--- /dev/null
+++ b/src/cell/Offer.h
@@ -0,0 +1,78 @@
+#ifndef DAISYLANDING_CELL_OFFER_H
+#define DAISYLANDING_CELL_OFFER_H
+
+#include "cell/JobSpec.h"
+#include "common/Error.h"
+#include "common/Ring.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+/// Jobs that entries hand to the owner of a service, to be stored with its
+/// next commit: a slow store then takes them all in one transaction.
+namespace daisylanding::cell {
+
+enum class Verdict : uint8_t {
+  Stored,
+  StoredBefore,
+  OtherWork, ///< The id is used for another job.
+  NotOwner,  ///< Nothing was done; another entry owns the service.
+  Busy,      ///< Nothing was done; too many jobs wait.
+  Unknown    ///< The owner lost the service with the job on its way.
+};
+
+using VerdictDone = std::function<void(Verdict)>;
+
+struct Offer {
+  JobSpec Job;
+  VerdictDone Done; ///< Runs on the owner's thread.
+};
+
+using OfferBox = Mailbox<Offer>;
+
+/// Where the owners that live in this process take offers.
+class OfferDesk {
+public:
+  void open(const std::string &Service, std::shared_ptr<OfferBox> Box) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Boxes[Service] = std::move(Box);
+  }
+  /// Only if \p Box is still the service's.
+  void close(const std::string &Service, const std::shared_ptr<OfferBox> &Box) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    auto Found = Boxes.find(Service);
+    if (Found != Boxes.end() && Found->second == Box)
+      Boxes.erase(Found);
+  }
+  bool owns(const std::string &Service) const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Boxes.count(Service) > 0;
+  }
+  /// Callable from any thread. \p Done may run before it returns.
+  void hand(const std::string &Service, JobSpec Job, VerdictDone Done) {
+    std::shared_ptr<OfferBox> Box;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      auto Found = Boxes.find(Service);
+      if (Found != Boxes.end())
+        Box = Found->second;
+    }
+    if (!Box) {
+      Done(Verdict::NotOwner);
+      return;
+    }
+    if (!Box->push({.Job = std::move(Job), .Done = Done}))
+      Done(Verdict::Busy);
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, std::shared_ptr<OfferBox>> Boxes;
+};
+
+} // namespace daisylanding::cell
+
+#endif
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -86,7 +86,7 @@
   size_t Entries = 2;
   for (const std::string &Id : DirtyJobs) {
     LiveJob &Job = Jobs.at(Id);
-    constexpr size_t EntriesOfJob = 2;
+    constexpr size_t EntriesOfJob = 4;
     if (Entries + EntriesOfJob > store::MaxTransactionEntries)
       break;
     if (isFinal(Job.Phase) && Job.EndedMs == 0)
@@ -108,10 +108,20 @@
       Tx.Expected.push_back({.Table = JobTable, .Key = cancelKey(Id)});
       ++Entries;
     }
-    Tx.Writes.push_back({.Table = ProgressTable,
-                         .Key = Id,
-                         .Value = encodeProgress(progressOf(Job))});
-    ++Entries;
+    if (!Job.Stored) {
+      Tx.Expected.push_back({.Table = JobTable, .Key = Id});
+      Tx.Writes.push_back(
+          {.Table = JobTable, .Key = Id, .Value = encodeJob(Job.Spec)});
+      Entries += 2;
+      Next.Offered.push_back(Id);
+    }
+    // A job that was only offered has no progress to tell of.
+    if (Job.Phase != JobPhase::Queued) {
+      Tx.Writes.push_back({.Table = ProgressTable,
+                           .Key = Id,
+                           .Value = encodeProgress(progressOf(Job))});
+      ++Entries;
+    }
     Next.Jobs.emplace_back(Id, Job.Changed);
   }
   while (RemovalDue && Next.Removed.size() < MaxRemovals &&
@@ -174,6 +184,10 @@
             Each.Task, Each.Run, Pool[Key->task().On].Info.Id, Row.Epoch,
             Row.Sequence);
   }
+  for (const std::string &Id : Done.Offered) {
+    Jobs.at(Id).Stored = true;
+    answerOffers(Id, Verdict::Stored);
+  }
   acknowledgeEnds();
   for (const auto &Each : Done.Jobs)
     dropEnded(Jobs.at(Each.first), Now);
@@ -181,16 +195,49 @@
     EndedJobs.erase(Each);
 }
 
+void CellOwner::answerOffers(const std::string &JobId, Verdict With) {
+  auto Found = Offers.find(JobId);
+  if (Found == Offers.end())
+    return;
+  std::vector<VerdictDone> Waiting = std::move(Found->second);
+  Offers.erase(Found);
+  for (const VerdictDone &Each : Waiting)
+    Each(With);
+}
+
+/// An offered job turned out to be stored already, by another entry or owner.
+/// Nothing of the offered copy was told to anyone; the stored one is taken.
+void CellOwner::dropOffered(const std::string &JobId, const store::Row &Present,
+                            TimePoint Now) {
+  LiveJob &Mine = Jobs.at(JobId);
+  auto Stored = decodeJob(Present.Value);
+  bool Same = Stored && sameWork(*Stored, Mine.Spec);
+  stopAll(Mine, Now);
+  TimePoint AcceptedAt = Mine.AcceptedAt;
+  DirtyJobs.erase(JobId);
+  Jobs.erase(JobId);
+  if (Stored)
+    accept(std::move(*Stored), AcceptedAt, Now);
+  else
+    logError("job-unreadable", "job={} version={}", JobId, Present.Version);
+  answerOffers(JobId, Same ? Verdict::StoredBefore : Verdict::OtherWork);
+}
+
 /// Finds out from the rows as they stand why a commit was refused: an earlier
 /// try of it went through, a job was cancelled, or another owner took over.
 void CellOwner::onConflict(const store::TransactionResult &Result,
                            TimePoint Now) {
   const store::Row *Found = nullptr;
   std::vector<std::string> Cancelled;
+  std::vector<const store::Row *> StoredBefore;
   for (const store::Row &Each : Result.Current) {
     if (Each.Table == OwnerTable)
       Found = &Each;
-    else if (Each.Table == JobTable && Each.Version != store::AbsentVersion)
+    if (Each.Table != JobTable || Each.Version == store::AbsentVersion)
+      continue;
+    if (Each.Key.find('/') == std::string::npos)
+      StoredBefore.push_back(&Each);
+    else
       Cancelled.push_back(Each.Key);
   }
   auto Present = Found ? decodeOwner(Found->Value)
@@ -210,6 +257,8 @@
   for (const std::string &Id : InFlight->Removed)
     Removals.emplace_front(Now, Id);
   InFlight.reset();
+  for (const store::Row *Each : StoredBefore)
+    dropOffered(Each->Key, *Each, Now);
   for (const std::string &Key : Cancelled)
     cancel(Key.substr(0, Key.find('/')), Now);
 }
@@ -218,9 +267,11 @@
 /// lost, and all starts wait for it.
 Micros CellOwner::hedgeDelay() const {
   constexpr double Factor = 4;
+  constexpr double ReadFactor = 15; ///< A commit takes a few reads' time.
   constexpr double LeastMs = 80;
-  constexpr double MostMs = 1'000;
-  double Ms = std::clamp(Factor * CommitMs, LeastMs, MostMs);
+  constexpr double MostMs = 2'000;
+  double Usual = std::max(Factor * CommitMs, ReadFactor * StoreReadMs);
+  double Ms = std::clamp(Usual, LeastMs, MostMs);
   return Millis(static_cast<int64_t>(Ms));
 }
 
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -7,9 +7,10 @@
 using nlohmann::json;
 
 std::string encodeOwner(const OwnerRow &Row) {
-  json Out = {{"holder", Row.Holder},     {"epoch", Row.Epoch},
-              {"sequence", Row.Sequence}, {"released", Row.Released},
-              {"pending", Row.Pending},   {"unmet", Row.Unmet}};
+  json Out = {{"holder", Row.Holder},     {"relay", Row.Relay},
+              {"epoch", Row.Epoch},       {"sequence", Row.Sequence},
+              {"released", Row.Released}, {"pending", Row.Pending},
+              {"unmet", Row.Unmet}};
   return Out.dump();
 }
 
@@ -18,6 +19,7 @@
     json Source = json::parse(Text);
     OwnerRow Out;
     Out.Holder = Source.at("holder").get<std::string>();
+    Out.Relay = Source.value("relay", std::string());
     Out.Epoch = Source.at("epoch").get<uint64_t>();
     Out.Sequence = Source.at("sequence").get<uint64_t>();
     Out.Released = Source.at("released").get<bool>();
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -27,6 +27,7 @@
 /// that each commit is conditioned on the one before it.
 struct OwnerRow {
   std::string Holder;    ///< Entry name and incarnation.
+  std::string Relay;     ///< Where the holder takes calls; host:port.
   uint64_t Epoch = 0;    ///< The fencing token; grows with each owner.
   uint64_t Sequence = 0; ///< Counts one owner's commits.
   bool Released = false; ///< Any entry may take it at once.
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -18,6 +18,8 @@
 constexpr Millis MembersInterval{3'000};
 constexpr Millis PublishInterval{1'000};
 constexpr size_t AnswerCapacity = 512;
+/// Jobs that wait to be looked at; more are stored by their entries.
+constexpr size_t OfferCapacity = 256;
 
 } // namespace
 
@@ -28,10 +30,13 @@
       Mine(std::move(Mine)), RowVersion(RowVersion), LastRenewal(LastRenewal),
       Calls({.MaxConnectionsPerHost = 32, .MaxIdleConnections = 600}),
       Answers(std::make_shared<Mailbox<AdviceAnswer>>(
-          AnswerCapacity, [this] { Calls.wake(); })) {}
+          AnswerCapacity, [this] { Calls.wake(); })),
+      Offers(std::make_shared<cell::OfferBox>(OfferCapacity,
+                                              [this] { Calls.wake(); })) {}
 
 CellLoop::~CellLoop() {
   Answers->close();
+  Offers->close();
   Loop.requestStop();
   Calls.wake();
   Loop.join();
@@ -70,6 +75,12 @@
     }
     Calls.poll(LongestPoll);
   }
+  Common.Offers.close(Service, Offers);
+  if (Owner)
+    Owner->giveUpOffers();
+  // Their entries store them themselves.
+  for (cell::Offer Each; Offers->pop(Each);)
+    Each.Done(cell::Verdict::NotOwner);
   logInfo("service-left", "service={} epoch={} deposed={}", Service, Mine.Epoch,
           Owner && Owner->deposed());
 }
@@ -79,20 +90,12 @@
 }
 
 void CellLoop::sawStore(int64_t StoreMillis) {
-  TimePoint Now = monotonicNow();
-  Common.Store.answered(Now);
-  if (StoreMillis <= LastStoreMillis)
-    return;
-  LastStoreMillis = StoreMillis;
-  LastStoreAt = Now;
-}
-
-int64_t CellLoop::storeMillis(TimePoint Now) const {
-  return LastStoreMillis + toMillis(Now - LastStoreAt);
+  Common.Store.answered(monotonicNow(), StoreMillis);
 }
 
 TimePoint CellLoop::acceptedAt(const cell::JobSpec &Job, TimePoint Now) const {
-  int64_t Age = std::max<int64_t>(0, storeMillis(Now) - Job.AcceptedMs);
+  int64_t Age =
+      std::max<int64_t>(0, Common.Store.clockMillis(Now) - Job.AcceptedMs);
   return Now - Millis(Age);
 }
 
@@ -142,19 +145,19 @@
 }
 
 void CellLoop::begin() {
+  TimePoint Now = monotonicNow();
   auto Config = Common.Config.current();
   ConfigVersion = Config->Version;
   cell::OwnerOptions Options{.Service = Service,
                              .Mine = Mine,
                              .RowVersion = RowVersion,
-                             .StoreMillis = LastStoreMillis,
-                             .Began = LastStoreAt,
+                             .StoreMillis = Common.Store.clockMillis(Now),
+                             .Began = Now,
                              .StatusKept = Common.Options.StatusKept};
   Options.Contact.MaxLease = Common.Options.MaxLease;
   Options.InheritedLeaseEnd =
       cell::inheritedLeaseEnd(Options.Contact, LastRenewal);
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
-  TimePoint Now = monotonicNow();
   for (auto &[Id, Job] : LoadedJobs) {
     if (Withheld.count(Id))
       continue;
@@ -172,6 +175,7 @@
   LoadedProgress.clear();
   LoadedCancels.clear();
   ListChanged = true;
+  Common.Offers.open(Service, Offers);
   followJobs();
 }
 
@@ -183,6 +187,14 @@
     Lines.done(Each.Line, Each.ExpectedMs, Failed, Now);
     Owner->onAdvice(Each.Id, Each.Answer, Now);
   }
+  for (cell::Offer Next; Offers->pop(Next);) {
+    if (Withheld.count(Next.Job.Id)) {
+      Next.Done(cell::Verdict::StoredBefore);
+      continue;
+    }
+    TimePoint Accepted = acceptedAt(Next.Job, Now);
+    Owner->offer(std::move(Next.Job), std::move(Next.Done), Accepted, Now);
+  }
   auto Config = Common.Config.current();
   if (Config->Version != ConfigVersion) {
     ConfigVersion = Config->Version;
@@ -256,7 +268,8 @@
 }
 
 void CellLoop::commitNext(TimePoint Now) {
-  auto Next = Owner->nextCommit(Now, storeMillis(Now));
+  Owner->setStoreReadMs(Common.Store.readMillis());
+  auto Next = Owner->nextCommit(Now, Common.Store.clockMillis(Now));
   if (!Next)
     return;
   uint64_t Sequence = Owner->commitSequence();
--- a/src/node/CellLoop.h
+++ b/src/node/CellLoop.h
@@ -54,7 +54,6 @@
   void readMembers();
   TimePoint acceptedAt(const cell::JobSpec &Job, TimePoint Now) const;
   void sawStore(int64_t StoreMillis);
-  int64_t storeMillis(TimePoint Now) const;
   void publish(TimePoint Now);
 
   Shared &Common;
@@ -67,6 +66,7 @@
 
   http::MultiClient Calls;
   std::shared_ptr<Mailbox<AdviceAnswer>> Answers;
+  std::shared_ptr<cell::OfferBox> Offers;
   std::unique_ptr<store::RowStore> Store;
   std::unique_ptr<executor::ExecutorPort> Executors;
   std::unique_ptr<cell::CellOwner> Owner;
@@ -85,8 +85,6 @@
   uint64_t ExecutorsVersion = 0;
   bool ListChanged = false;
   uint64_t ConfigVersion = 0;
-  int64_t LastStoreMillis = 0;
-  TimePoint LastStoreAt{};
   TimePoint NextMembers{};
   TimePoint NextPublish{};
   bool MembersOpen = false;
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -21,8 +21,12 @@
 /// A final answer must still reach the caller in time.
 constexpr Millis AnswerMargin{150};
 constexpr Millis WriteRetry{80};
-/// A write without an answer for so long is sent once more.
-constexpr Millis WriteHedge{250};
+/// A write without an answer for so many times a read's time, but not sooner
+/// than that, is sent once more.
+constexpr double WriteHedgeReads = 25;
+constexpr Millis LeastHedge{200};
+/// An owner may take so many times a read's time to store a job.
+constexpr double OfferReads = 20;
 /// The store answers some loop of this process several times in this time.
 constexpr Millis StoreSilence{1'000};
 /// When the store refuses, it is asked again by the caller, not from here.
@@ -38,6 +42,12 @@
   return Out.substr(0, Out.find(':'));
 }
 
+/// A wait for the store that grows when it is slow for everyone.
+Millis storeWait(const StoreHealth &Store, double Reads, Millis Least) {
+  return std::max(Least,
+                  Millis(static_cast<int64_t>(Reads * Store.readMillis())));
+}
+
 TimePoint deadlineOf(const http::Request &Incoming, const std::string &Name,
                      TimePoint Arrived) {
   const std::string *Text = http::findHeader(Incoming.Headers, Name);
@@ -50,9 +60,10 @@
 
 } // namespace
 
-IntakeLoop::IntakeLoop(Shared &Common)
-    : Common(Common), Calls({.MaxConnectionsPerHost = 32}),
-      Arrivals(ArrivalCapacity, [this] { Calls.wake(); }) {}
+IntakeLoop::IntakeLoop(Shared &Common, relay::RelayLoop &Relay)
+    : Common(Common), Calls({.MaxConnectionsPerHost = 32}), Relay(Relay),
+      Arrivals(ArrivalCapacity, [this] { Calls.wake(); }),
+      Verdicts(ArrivalCapacity, [this] { Calls.wake(); }) {}
 
 void IntakeLoop::start() {
   Loop.start("intake", [this] { run(); });
@@ -80,6 +91,9 @@
     VisitPtr Next;
     while (Arrivals.pop(Next))
       route(Next);
+    std::function<void()> Verdict;
+    while (Verdicts.pop(Verdict))
+      Verdict();
     Later.run(monotonicNow());
     Calls.poll(Open.load() > 0 ? WriteRetry : LongestPoll);
   }
@@ -187,8 +201,62 @@
   }
   Job->Id = Of->JobId;
   Job->Queue = Of->From->Name;
-  Job->AcceptedMs = LastStoreMillis + toMillis(monotonicNow() - LastStoreAt);
-  writeJob(Of, *Job);
+  Job->AcceptedMs = Common.Store.clockMillis(monotonicNow());
+  offer(Of, *Job);
+}
+
+/// To the owner first, which stores many jobs in one commit; itself if there
+/// is no owner, or no word of it in time.
+void IntakeLoop::offer(const VisitPtr &Of, const cell::JobSpec &Job) {
+  const std::string &Service = Of->From->Service;
+  auto Done = [this, Of, Job](const Result<cell::Verdict> &Answer) {
+    (void)Verdicts.push(
+        [this, Of, Job, Answer] { onVerdict(Of, Job, Answer); });
+  };
+  if (Common.Offers.owns(Service)) {
+    Common.Offers.hand(Service, Job, Done);
+    return;
+  }
+  TimePoint Now = monotonicNow();
+  std::string Address = Common.Owners.of(Service);
+  if (!Offering.mayOffer(Now))
+    Address.clear();
+  Millis Left = std::chrono::duration_cast<Millis>(Of->Deadline - Now);
+  Millis Patience = storeWait(Common.Store, OfferReads, Offering.timeout());
+  relay::OfferCall Call{.Address = Address,
+                        .Service = Service,
+                        .Job = cell::encodeJob(Job),
+                        .Timeout = std::min(Patience, Left / 2),
+                        .Done = Done};
+  if (Address.empty() || !Relay.OfferCalls.push(std::move(Call)))
+    writeJob(Of, Job);
+}
+
+void IntakeLoop::onVerdict(const VisitPtr &Of, const cell::JobSpec &Job,
+                           const Result<cell::Verdict> &Answer) {
+  TimePoint Now = monotonicNow();
+  if (!Answer) {
+    Offering.failed(Now);
+    Of->Unknown = Of->Unknown || Answer.error() != Errc::Unreachable;
+    writeJob(Of, Job);
+    return;
+  }
+  Offering.answered(Now - Of->Arrived);
+  switch (*Answer) {
+  case cell::Verdict::Stored:
+    answer(Of, http::StatusOk, "{}", "stored-by-owner");
+    return;
+  case cell::Verdict::StoredBefore:
+    answer(Of, http::StatusOk, "{}", "stored-before");
+    return;
+  case cell::Verdict::OtherWork:
+    problem(Of, http::StatusConflict, "id", "not used for another job");
+    return;
+  case cell::Verdict::NotOwner:
+  case cell::Verdict::Busy:
+    writeJob(Of, Job);
+    return;
+  }
 }
 
 void IntakeLoop::writeJob(const VisitPtr &Of, const cell::JobSpec &Job) {
@@ -221,7 +289,8 @@
     --Of->Sent;
     onWritten(Of, What, Conflict, Result);
   });
-  TimePoint Next = monotonicNow() + WriteHedge;
+  TimePoint Next =
+      monotonicNow() + storeWait(Common.Store, WriteHedgeReads, LeastHedge);
   if (Next + AnswerMargin >= Of->Deadline)
     return;
   Later.at(Next, [this, Of, What, Conflict] {
@@ -235,11 +304,8 @@
                            const OnConflict &Conflict,
                            const store::TransactionResult &Result) {
   TimePoint Now = monotonicNow();
-  if (Result.StoreMillis > LastStoreMillis) {
-    LastStoreMillis = Result.StoreMillis;
-    LastStoreAt = Now;
-    Common.Store.answered(Now);
-  }
+  if (Result.StoreMillis)
+    Common.Store.answered(Now, Result.StoreMillis);
   if (Of->Answered)
     return;
   if (Result.Outcome == store::TransactionOutcome::Committed) {
@@ -283,7 +349,7 @@
       refuse(Of, "store-unavailable");
       return;
     }
-    Common.Store.answered(monotonicNow());
+    Common.Store.answered(monotonicNow(), Page->StoreMillis);
     if (Page->Rows.empty()) {
       queryJobRow(Of, Partition);
       return;
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -5,7 +5,9 @@
 #include "common/Thread.h"
 #include "common/Timers.h"
 #include "http/Server.h"
+#include "node/OfferPacer.h"
 #include "node/Shared.h"
+#include "relay/RelayLoop.h"
 
 namespace daisylanding::node {
 
@@ -14,7 +16,7 @@
 /// answer; what can't be stored is refused at once.
 class IntakeLoop final : public http::Handler {
 public:
-  explicit IntakeLoop(Shared &Common);
+  IntakeLoop(Shared &Common, relay::RelayLoop &Relay);
   ~IntakeLoop() override { stop(); }
 
   void handle(http::Request Incoming, http::Responder Respond) override;
@@ -43,6 +45,9 @@
   void run();
   void route(const VisitPtr &Of);
   void submit(const VisitPtr &Of);
+  void offer(const VisitPtr &Of, const cell::JobSpec &Job);
+  void onVerdict(const VisitPtr &Of, const cell::JobSpec &Job,
+                 const Result<cell::Verdict> &Answer);
   using WritePtr = std::shared_ptr<const store::Transaction>;
   using OnConflict = std::function<void(const store::TransactionResult &)>;
   void write(const VisitPtr &Of, const WritePtr &What, OnConflict Conflict);
@@ -64,12 +69,13 @@
 
   Shared &Common;
   http::MultiClient Calls;
+  relay::RelayLoop &Relay;
+  OfferPacer Offering;
   SharedQueue<VisitPtr> Arrivals;
+  SharedQueue<std::function<void()>> Verdicts;
   std::unique_ptr<store::RowStore> Store;
   Timers Later;
   std::atomic<size_t> Open{0};
-  int64_t LastStoreMillis = 0;
-  TimePoint LastStoreAt{};
   Thread Loop;
 };
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -85,11 +85,13 @@
 public:
   CellProcess(const config::CellSettings &Options, const Ports &Around)
       : Common(Options, newIncarnation(), Around), Desk(Common),
-        Relay({.Listen = Options.Relay},
-              [this](executor::AdviceCall Call, executor::AdviceDone Done) {
-                return Desk.ask(std::move(Call), std::move(Done));
-              }),
-        Watch(Common, Desk, Relay), Intake(Common), Readiness(Common),
+        Relay(
+            {.Listen = Options.Relay},
+            [this](executor::AdviceCall Call, executor::AdviceDone Done) {
+              return Desk.ask(std::move(Call), std::move(Done));
+            },
+            Common.Offers),
+        Watch(Common, Desk, Relay), Intake(Common, Relay), Readiness(Common),
         Operators(Common), Callers(serverOptions(Options.Callers, "callers",
                                                  Options.MaxConnections),
                                    Intake),
--- a/src/node/Shared.h
+++ b/src/node/Shared.h
@@ -2,10 +2,12 @@
 #define DAISYLANDING_NODE_SHARED_H
 
 #include "cell/CellConfig.h"
+#include "cell/Offer.h"
 #include "common/Metrics.h"
 #include "config/CellSettings.h"
 #include "node/Ports.h"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -34,18 +36,62 @@
   std::map<std::string, std::map<std::string, uint64_t>> Services;
 };
 
-/// When the store last answered, as any loop saw it.
+/// Where the owners of services take offers, as their rows last told.
+class OwnerBox {
+public:
+  void set(const std::string &Service, std::string Relay) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Relays[Service] = std::move(Relay);
+  }
+  /// Empty when no owner is known.
+  std::string of(const std::string &Service) const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    auto Found = Relays.find(Service);
+    return Found == Relays.end() ? std::string() : Found->second;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, std::string> Relays;
+};
+
+/// When the store last answered, and its clock, as any loop saw them.
 class StoreHealth {
 public:
-  void answered(TimePoint Now) {
-    Last.store(Now.time_since_epoch().count(), std::memory_order_relaxed);
+  void answered(TimePoint Now, int64_t StoreMillis) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Last = std::max(Last, Now);
+    if (StoreMillis <= Clock)
+      return;
+    Clock = StoreMillis;
+    ClockAt = Now;
   }
   TimePoint lastAnswer() const {
-    return TimePoint(Micros(Last.load(std::memory_order_relaxed)));
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Last;
+  }
+  /// A read took so long; tells a slow store from a lost answer.
+  void readTook(Micros Took) {
+    constexpr double Weight = 0.4;
+    std::lock_guard<std::mutex> Lock(Mutex);
+    ReadMs += Weight * (toSeconds(Took) * 1e3 - ReadMs);
+  }
+  double readMillis() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return ReadMs;
+  }
+  /// The store's steady clock, by its newest answer.
+  int64_t clockMillis(TimePoint Now) const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Clock + toMillis(Now - ClockAt);
   }
 
 private:
-  std::atomic<int64_t> Last{0};
+  mutable std::mutex Mutex;
+  TimePoint Last{};
+  double ReadMs = 5; ///< Moving average.
+  int64_t Clock = 0;
+  TimePoint ClockAt{};
 };
 
 /// What all loops of one process share.
@@ -60,6 +106,8 @@
   const Ports &Around;
   cell::ConfigBox Config;
   PendingBox Pending;
+  OwnerBox Owners;
+  cell::OfferDesk Offers;
   StoreHealth Store;
   Metrics Numbers;
   std::atomic<bool> Draining{false};
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -103,7 +103,7 @@
       Later.at(monotonicNow() + ReadRetry, [this] { readConfig(); });
       return;
     }
-    Common.Store.answered(monotonicNow());
+    Common.Store.answered(monotonicNow(), Page->StoreMillis);
     for (const store::Row &Each : Page->Rows)
       takeConfig(Each);
     ConfigVersion = Page->Version;
@@ -121,7 +121,7 @@
       Later.at(monotonicNow() + ReadRetry, [this] { readConfig(); });
       return;
     }
-    Common.Store.answered(monotonicNow());
+    Common.Store.answered(monotonicNow(), Page->StoreMillis);
     for (const store::Row &Each : Page->Rows)
       takeConfig(Each);
     ConfigVersion = std::max(ConfigVersion, Page->Version);
@@ -167,7 +167,8 @@
           Known.Watch.readFailed();
           return;
         }
-        Common.Store.answered(Now);
+        Common.Store.answered(Now, Page->StoreMillis);
+        Common.Store.readTook(Now - Asked);
         if (Page->Rows.empty()) {
           Known.Watch.sawRow(0, std::nullopt, Now - Asked, Now);
           return;
@@ -178,6 +179,7 @@
           return;
         }
         Common.Pending.set(Service, Row->Pending);
+        Common.Owners.set(Service, Row->Released ? "" : Row->Relay);
         Known.Watch.sawRow(Page->Rows.front().Version, *Row, Now - Asked, Now);
       });
 }
@@ -186,6 +188,7 @@
   Watched &Each = Owners[Service];
   Each.TakeOpen = true;
   cell::OwnerRow Mine = Each.Watch.successor(Common.holder());
+  Mine.Relay = Common.Options.Relay.text();
   store::Transaction Tx;
   Tx.Partition = Service;
   Tx.Expected.push_back({.Table = cell::OwnerTable,
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -63,6 +63,7 @@
   kj::Promise<void> watchWakeups();
   void drainCalls();
   void ask(RelayCall Call);
+  void offer(OfferCall Call);
   kj::Promise<wire::Relay::Client> connect(const std::string &Address);
   void taskFailed(kj::Exception &&Failure) override {
     logWarn("relay-task-failed", "reason=\"{}\"",
@@ -104,8 +105,31 @@
       Context.getResults().setStatus(wire::Status::BUSY);
       return kj::READY_NOW;
     }
-    return Pair.promise.then([Context](const Result<executor::Advice> &Answer) mutable {
-      writeAdvice(Context.getResults(), Answer);
+    return Pair.promise.then(
+        [Context](const Result<executor::Advice> &Answer) mutable {
+          writeAdvice(Context.getResults(), Answer);
+        });
+  }
+
+  kj::Promise<void> offer(OfferContext Context) override {
+    auto Params = Context.getParams();
+    if (Params.getVersion() != wire::PROTOCOL_VERSION) {
+      Context.getResults().setVerdict(wire::Verdict::WRONG_VERSION);
+      return kj::READY_NOW;
+    }
+    auto Job = cell::decodeJob(Params.getJob().cStr());
+    if (!Job)
+      return KJ_EXCEPTION(FAILED, "the job can't be read");
+    auto Pair = kj::newPromiseAndCrossThreadFulfiller<cell::Verdict>();
+    auto Fulfiller = std::make_shared<
+        kj::Own<kj::CrossThreadPromiseFulfiller<cell::Verdict>>>(
+        kj::mv(Pair.fulfiller));
+    Owner.Offers.hand(Params.getService().cStr(), std::move(*Job),
+                      [Fulfiller](cell::Verdict With) {
+                        (*Fulfiller)->fulfill(cell::Verdict(With));
+                      });
+    return Pair.promise.then([Context](cell::Verdict With) mutable {
+      Context.getResults().setVerdict(static_cast<wire::Verdict>(With));
     });
   }
 
@@ -146,6 +170,9 @@
   RelayCall Next;
   while (Owner.Calls.pop(Next))
     ask(std::move(Next));
+  OfferCall Offered;
+  while (Owner.OfferCalls.pop(Offered))
+    offer(std::move(Offered));
 }
 
 kj::Promise<wire::Relay::Client>
@@ -207,9 +234,41 @@
                 }));
 }
 
-RelayLoop::RelayLoop(RelayOptions Options, OwnLine Line)
-    : Calls(QueueCapacity, [this] { wake(); }), Options(std::move(Options)),
-      Line(std::move(Line)) {}
+void RelayLoop::Impl::offer(OfferCall Call) {
+  auto Done = std::make_shared<std::function<void(Result<cell::Verdict>)>>(
+      std::move(Call.Done));
+  auto Sent = std::make_shared<bool>(false);
+  std::string Address = Call.Address;
+  auto Limit = Call.Timeout.count() * kj::MILLISECONDS;
+  auto Answered = connect(Address).then(
+      [Sent, Service = std::move(Call.Service),
+       Job = std::move(Call.Job)](wire::Relay::Client Peer) {
+        auto Request = Peer.offerRequest();
+        Request.setVersion(wire::PROTOCOL_VERSION);
+        Request.setService(Service);
+        Request.setJob(Job);
+        *Sent = true;
+        return Request.send();
+      });
+  Tasks.add(Io.provider->getTimer()
+                .timeoutAfter(Limit, kj::mv(Answered))
+                .then([Done](auto &&Answer) {
+                  bool Known = Answer.getVerdict() <= wire::Verdict::UNKNOWN;
+                  (*Done)(Known
+                              ? static_cast<cell::Verdict>(Answer.getVerdict())
+                              : cell::Verdict::NotOwner);
+                })
+                .catch_([this, Done, Sent, Address](kj::Exception &&) {
+                  Links.erase(Address);
+                  (*Done)(*Sent ? Errc::AnswerLost : Errc::Unreachable);
+                }));
+}
+
+RelayLoop::RelayLoop(RelayOptions Options, OwnLine Line,
+                     cell::OfferDesk &Offers)
+    : Calls(QueueCapacity, [this] { wake(); }),
+      OfferCalls(QueueCapacity, [this] { wake(); }),
+      Options(std::move(Options)), Line(std::move(Line)), Offers(Offers) {}
 
 RelayLoop::~RelayLoop() {
   stop();
--- a/src/relay/RelayLoop.h
+++ b/src/relay/RelayLoop.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_RELAY_RELAYLOOP_H
 #define DAISYLANDING_RELAY_RELAYLOOP_H
 
+#include "cell/Offer.h"
 #include "common/Ring.h"
 #include "common/Thread.h"
 #include "config/Settings.h"
@@ -19,6 +20,17 @@
   executor::AdviceDone Done;
 };
 
+/// Hands a job to the owner of its service in another entry. `Done` runs on
+/// the relay's thread. Errors: Unreachable, when it surely was not stored;
+/// AnswerLost, when it may have been, or will be.
+struct OfferCall {
+  std::string Address;
+  std::string Service;
+  std::string Job; ///< Its stored form.
+  Millis Timeout{0};
+  std::function<void(Result<cell::Verdict>)> Done;
+};
+
 struct RelayOptions {
   config::Listen Listen;
   Millis ConnectTimeout{300};
@@ -32,7 +44,7 @@
   using OwnLine =
       std::function<bool(executor::AdviceCall, executor::AdviceDone)>;
 
-  RelayLoop(RelayOptions Options, OwnLine Line);
+  RelayLoop(RelayOptions Options, OwnLine Line, cell::OfferDesk &Offers);
   ~RelayLoop();
   RelayLoop(const RelayLoop &) = delete;
   RelayLoop &operator=(const RelayLoop &) = delete;
@@ -42,6 +54,7 @@
   void stop();
 
   SharedQueue<RelayCall> Calls;
+  SharedQueue<OfferCall> OfferCalls;
 
 private:
   struct Impl;
@@ -49,6 +62,7 @@
 
   RelayOptions Options;
   OwnLine Line;
+  cell::OfferDesk &Offers;
   int WakeRead = -1;
   int WakeWrite = -1;
   std::promise<bool> Ready;
