Tests of the cell in virtual time; leases of earlier owners bound by their end

Found: after a change of owner every lease counted for ten seconds from the first contact, so that work of a lost executor waited longer than any lease could run.

--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -425,7 +425,8 @@
     Each.Greeted = true;
     Each.InheritedEnd = {};
     // Leases given by earlier owners reach no further than this.
-    Each.LeaseBound = Each.ClockMs + Options.Contact.MaxLease.count();
+    Micros Left = std::max(Micros(0), Options.InheritedLeaseEnd - Now);
+    Each.LeaseBound = Each.ClockMs + toMillis(Left);
     logInfo("executor-greeted", "executor={} running={} ended={}", Each.Info.Id,
             Answer.Running.size(), Answer.Ended.size());
   }
--- /dev/null
+++ b/tests/unit/CellOwnerTest.cpp
@@ -0,0 +1,309 @@
+#include "unit/CellSim.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisylanding;
+using namespace daisylanding::cell;
+using namespace daisylanding::cellsim;
+using executor::EndKind;
+
+namespace {
+
+constexpr Resources Small{.MilliCores = 1'000, .MemoryMb = 100};
+constexpr Resources Wide{.MilliCores = 4'000, .MemoryMb = 4'000};
+constexpr const char *Job = "00000000000000a1";
+
+std::string task(uint32_t Index, uint32_t Step = 0) {
+  return taskName({.Job = Job, .Step = Step, .Index = Index});
+}
+
+void noViolation(const Sim &World) {
+  for (const std::string &Each : World.violations())
+    FAIL(Each.c_str());
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(AnOwnerOfTwoExecutors) {
+  Sim World;
+  std::string A = World.addExecutor(Wide);
+  std::string B = World.addExecutor(Wide);
+
+  void setup() override {
+    World.takeOver();
+    World.pass(200);
+  }
+  void teardown() override { noViolation(World); }
+  bool completes(int64_t WithinMs) {
+    return World.passUntil(
+        [&] { return World.storedPhase(Job) == JobPhase::Completed; }, WithinMs);
+  }
+};
+
+TEST_GROUP_BASE(WithAJobOfThreeTasks, TEST_GROUP_CppUTestGroupAnOwnerOfTwoExecutors) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerOfTwoExecutors::setup();
+    World.submit(Sim::job(Job, 3, Small, 400));
+  }
+};
+
+TEST_GROUP_BASE(WhenItRuns, TEST_GROUP_CppUTestGroupWithAJobOfThreeTasks) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupWithAJobOfThreeTasks::setup();
+    World.passUntil([&] { return World.Started.size() == 3; }, 500);
+  }
+};
+
+TEST_GROUP_BASE(WithAGangOfTwoWholeExecutors, TEST_GROUP_CppUTestGroupAnOwnerOfTwoExecutors) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerOfTwoExecutors::setup();
+    JobSpec Gang = Sim::job(Job, 2, Wide, 400);
+    Gang.Steps[0].Gang = true;
+    World.submit(Gang);
+  }
+};
+// clang-format on
+
+TEST(WithAJobOfThreeTasks, ItIsDoneAndShownSo) {
+  CHECK_TRUE(completes(1'000));
+  LONGS_EQUAL(3, World.Started.size());
+}
+
+TEST(WithAJobOfThreeTasks, NothingStartsWhileTheStoreIsDown) {
+  World.StoreDown = true;
+  World.pass(500);
+  LONGS_EQUAL(0, World.Started.size());
+  World.StoreDown = false;
+  CHECK_TRUE(completes(1'500));
+}
+
+TEST(WithAJobOfThreeTasks, CancelledBeforeTheFirstCommitItNeverStarts) {
+  World.cancel(Job);
+  World.pass(500);
+  LONGS_EQUAL(0, World.Started.size());
+  CHECK(World.storedPhase(Job) == JobPhase::Cancelled);
+}
+
+TEST(WhenItRuns, AnEndIsAcknowledgedOnlyOnceItIsStored) {
+  World.StoreDown = true;
+  World.pass(1'500);
+  CHECK_EQUAL(size_t{3},
+              World.executor(A).Ended.size() + World.executor(B).Ended.size());
+  World.StoreDown = false;
+  CHECK_TRUE(completes(500));
+  World.pass(300);
+  CHECK_TRUE(World.executor(A).Ended.empty());
+  CHECK_TRUE(World.executor(B).Ended.empty());
+}
+
+TEST(WhenItRuns, CancelledItsRunsAreStopped) {
+  World.cancel(Job);
+  World.Owner->cancel(Job, World.Now);
+  World.pass(100);
+  CHECK_FALSE(World.isOpen(task(0)));
+  World.pass(1'000);
+  CHECK(World.storedPhase(Job) == JobPhase::Cancelled);
+}
+
+TEST(WhenItRuns, ALostAnswerToACommitIsResolvedByItsRow) {
+  World.Trouble.CommitAnswerLost = 0.7;
+  CHECK_TRUE(completes(8'000));
+  LONGS_EQUAL(3, World.Started.size());
+}
+
+TEST(WhenItRuns, TheNextOwnerGoesOnWithWhatRuns) {
+  World.takeOver();
+  CHECK_TRUE(completes(1'500));
+  LONGS_EQUAL(3, World.Started.size());
+}
+
+TEST(WhenItRuns, TheEarlierOwnersLateOrdersAreFencedOff) {
+  World.Trouble.OrderLate = 1;
+  World.submit(Sim::job("00000000000000b2", 2, Small, 300));
+  World.pass(100);
+  World.Trouble.OrderLate = 0;
+  World.takeOver();
+  World.pass(6'000);
+  CHECK(World.storedPhase("00000000000000b2") == JobPhase::Completed);
+}
+
+TEST(WhenItRuns, WhatACutOffExecutorRunsWaitsForTheEndOfItsLease) {
+  World.Takes = [](const std::string &, int64_t) { return 60'000; };
+  JobSpec Long = Sim::job("00000000000000c3", 1, Wide, 60'000);
+  World.submit(Long);
+  World.passUntil([&] { return World.isOpen("00000000000000c3.0.0.0"); },
+                  1'500);
+  std::string On =
+      World.executor(A).Running.count("00000000000000c3.0.0.0") ? A : B;
+  World.executor(On).Cut = true;
+  World.pass(2'500);
+  LONGS_EQUAL(1, World.runsOf("00000000000000c3.0.0.0"));
+  World.pass(5'000);
+  LONGS_EQUAL(2, World.runsOf("00000000000000c3.0.0.0"));
+}
+
+TEST(WhenItRuns, AnOwnerThatMeetsAnotherEpochStops) {
+  auto Old = std::move(World.Owner);
+  World.takeOver();
+  std::swap(Old, World.Owner);
+  World.pass(500);
+  CHECK_TRUE(World.Owner->deposed());
+}
+
+TEST(AnOwnerOfTwoExecutors, AStartWithoutAnAnswerIsTriedAgainInTheSamePlace) {
+  World.Trouble.OrderAnswerLost = 0.6;
+  World.submit(Sim::job(Job, 4, Small, 300));
+  CHECK_TRUE(completes(8'000));
+  LONGS_EQUAL(4, World.Started.size());
+}
+
+TEST(AnOwnerOfTwoExecutors, StepsRunInTheirOrder) {
+  JobSpec Two = Sim::job(Job, 2, Small, 200);
+  Two.Steps.push_back(
+      {.Count = 2, .Size = Small, .Estimate = Millis(200), .After = {0}});
+  World.submit(Two);
+  CHECK_TRUE(completes(1'500));
+}
+
+TEST(AnOwnerOfTwoExecutors, ATaskThatFailsTooOftenFailsItsJob) {
+  World.HowEnds = [](const std::string &Task) {
+    return Task == task(1) ? EndKind::Failed : EndKind::Done;
+  };
+  World.submit(Sim::job(Job, 3, Small, 100));
+  World.pass(2'000);
+  CHECK(World.storedPhase(Job) == JobPhase::Failed);
+  LONGS_EQUAL(2, World.runsOf(task(1)));
+}
+
+TEST(AnOwnerOfTwoExecutors, ATaskThatLastsIsStartedAgainHoweverItEnds) {
+  JobSpec Lasting = Sim::job(Job, 1, Small, 300);
+  Lasting.Steps[0].LongRunning = true;
+  World.submit(Lasting);
+  World.pass(2'000);
+  CHECK(World.runsOf(task(0)) >= 3);
+  CHECK(World.storedPhase(Job) == JobPhase::Running);
+}
+
+TEST(AnOwnerOfTwoExecutors, NoMoreTasksOfAStepOnOneThanItsLimit) {
+  JobSpec Apart = Sim::job(Job, 2, Small, 500);
+  Apart.Steps[0].AntiAffinity = 1;
+  World.submit(Apart);
+  World.pass(200);
+  LONGS_EQUAL(1, World.executor(A).Running.size());
+  LONGS_EQUAL(1, World.executor(B).Running.size());
+}
+
+TEST(AnOwnerOfTwoExecutors, AnOfferedJobIsToldOnceItIsStored) {
+  std::optional<Verdict> Told;
+  JobSpec Offered = Sim::job(Job, 1, Small, 100);
+  World.submit(Sim::job("00000000000000d4", 1, Small, 100));
+  World.know(Offered);
+  World.StoreDown = true;
+  World.Owner->offer(
+      Offered, [&](Verdict With) { Told = With; }, World.Now, World.Now);
+  World.pass(300);
+  CHECK_FALSE(Told.has_value());
+  World.StoreDown = false;
+  World.pass(200);
+  CHECK(Told == Verdict::Stored);
+  CHECK_FALSE(World.stored(JobTable, Job).empty());
+}
+
+TEST(AnOwnerOfTwoExecutors, AnOfferOfAJobThatIsStoredAlreadyRunsOnce) {
+  std::optional<Verdict> Told;
+  JobSpec Same = Sim::job(Job, 1, Small, 100);
+  auto Owner = std::move(World.Owner);
+  World.submit(Same); // Stored by an entry; the owner has not heard of it.
+  World.Owner = std::move(Owner);
+  World.Owner->offer(
+      Same, [&](Verdict With) { Told = With; }, World.Now, World.Now);
+  CHECK_TRUE(completes(1'000));
+  CHECK(Told == Verdict::StoredBefore);
+  LONGS_EQUAL(1, World.Started.size());
+}
+
+TEST(WithAGangOfTwoWholeExecutors, ItRunsAllAtOnceUnderOneNumber) {
+  CHECK_TRUE(completes(1'500));
+  LONGS_EQUAL(2, World.Started.size());
+  LONGS_EQUAL(World.Started[0].What.Run, World.Started[1].What.Run);
+}
+
+TEST(WithAGangOfTwoWholeExecutors, AMembersFailureStartsAllAnew) {
+  bool First = true;
+  World.HowEnds = [&](const std::string &) {
+    return std::exchange(First, false) ? EndKind::Failed : EndKind::Done;
+  };
+  CHECK_TRUE(completes(4'000));
+  LONGS_EQUAL(4, World.Started.size());
+  LONGS_EQUAL(2, World.Started.back().What.Run);
+}
+
+TEST(WithAGangOfTwoWholeExecutors, ItWaitsWholeWhileOneExecutorIsTaken) {
+  JobSpec Filling = Sim::job("00000000000000e5", 1, Small, 800);
+  World.pass(1'000);
+  World.submit(Filling);
+  World.pass(50);
+  World.submit([] {
+    JobSpec Gang = Sim::job("00000000000000f6", 2, Wide, 200);
+    Gang.Steps[0].Gang = true;
+    return Gang;
+  }());
+  World.pass(300);
+  LONGS_EQUAL(0, World.runsOf("00000000000000f6.0.0.0"));
+  World.pass(2'000);
+  CHECK(World.storedPhase("00000000000000f6") == JobPhase::Completed);
+}
+
+/// Lost and late orders and commits, dead and cut executors and owners that
+/// take over from each other: no task twice, none overbooked, none unrecorded,
+/// and nothing lost.
+TEST_GROUP(AStormOfFaults){};
+
+namespace {
+
+void playStorm(uint64_t Seed) {
+  Sim World(Seed);
+  Random Dice(Seed * 7 + 1);
+  for (int I = 0; I < 6; ++I)
+    World.addExecutor(Wide, I % 2 ? "r1" : "r2");
+  World.takeOver();
+  World.Trouble = {.OrderAnswerLost = 0.1,
+                   .OrderLate = 0.05,
+                   .CommitAnswerLost = 0.1,
+                   .CommitLate = 0.05};
+  std::vector<std::string> Ids;
+  for (uint64_t Round = 0; Round < 40; ++Round) {
+    std::string Id = "00000000000000" + std::to_string(10 + Round);
+    JobSpec Next =
+        Sim::job(Id, 1 + Dice.below(4), Small, 100 + Dice.below(900));
+    if (Dice.below(3) == 0)
+      Next.Steps.push_back(
+          {.Count = 2, .Size = Small, .Estimate = Millis(150), .After = {0}});
+    Next.Steps[0].Gang = Dice.below(4) == 0;
+    World.submit(Next);
+    Ids.push_back(Id);
+    if (Dice.below(6) == 0)
+      World.takeOver();
+    std::string Some = "i-" + std::to_string(Dice.below(6));
+    World.executor(Some).Cut = Dice.below(3) == 0;
+    World.StoreDown = Dice.below(8) == 0;
+    World.pass(200 + static_cast<int64_t>(Dice.below(400)));
+  }
+  World.Trouble = {};
+  World.StoreDown = false;
+  for (int I = 0; I < 6; ++I)
+    World.executor("i-" + std::to_string(I)).Cut = false;
+  World.pass(25'000);
+  for (const std::string &Each : World.violations())
+    FAIL(("seed " + std::to_string(Seed) + ": " + Each).c_str());
+  for (const std::string &Each : Ids)
+    CHECK_TEXT(World.storedPhase(Each) == JobPhase::Completed, Each.c_str());
+}
+
+} // namespace
+
+TEST(AStormOfFaults, BreaksNoPromise) {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed)
+    playStorm(Seed);
+}
