--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -209,24 +209,27 @@
 /// is no owner, or no word of it in time.
 void IntakeLoop::offer(const VisitPtr &Of, const cell::JobSpec &Job) {
   const std::string &Service = Of->From->Service;
+  TimePoint Now = monotonicNow();
+  Millis Left = std::chrono::duration_cast<Millis>(Of->Deadline - Now);
+  Millis Patience = storeWait(Common.Store, OfferReads, Offering.timeout());
+  Patience = std::min(Patience, Left / 2);
   auto Done = [this, Of, Job](const Result<cell::Verdict> &Answer) {
     (void)Verdicts.push(
         [this, Of, Job, Answer] { onVerdict(Of, Job, Answer); });
   };
   if (Common.Offers.owns(Service)) {
     Common.Offers.hand(Service, Job, Done);
+    Later.at(Now + Patience,
+             [this, Of, Job] { onVerdict(Of, Job, Errc::AnswerLost); });
     return;
   }
-  TimePoint Now = monotonicNow();
   std::string Address = Common.Owners.of(Service);
   if (!Offering.mayOffer(Now))
     Address.clear();
-  Millis Left = std::chrono::duration_cast<Millis>(Of->Deadline - Now);
-  Millis Patience = storeWait(Common.Store, OfferReads, Offering.timeout());
   relay::OfferCall Call{.Address = Address,
                         .Service = Service,
                         .Job = cell::encodeJob(Job),
-                        .Timeout = std::min(Patience, Left / 2),
+                        .Timeout = Patience,
                         .Done = Done};
   if (Address.empty() || !Relay.OfferCalls.push(std::move(Call)))
     writeJob(Of, Job);
@@ -235,6 +238,12 @@
 void IntakeLoop::onVerdict(const VisitPtr &Of, const cell::JobSpec &Job,
                            const Result<cell::Verdict> &Answer) {
   TimePoint Now = monotonicNow();
+  // A late word still tells that the job is stored.
+  bool IsStored = Answer && (*Answer == cell::Verdict::Stored ||
+                             *Answer == cell::Verdict::StoredBefore);
+  if (Of->Answered || (Of->OfferOver && !IsStored))
+    return;
+  Of->OfferOver = true;
   if (!Answer) {
     Offering.failed(Now);
     Of->Unknown = Of->Unknown || Answer.error() != Errc::Unreachable;
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -38,7 +38,8 @@
     std::vector<std::string> Partitions; ///< Still to be searched.
     bool Unknown = false; ///< A write got no answer; it may be carried out.
     bool Answered = false;
-    uint32_t Sent = 0; ///< Copies of its write under way.
+    bool OfferOver = false; ///< The owner has answered, or is not waited for.
+    uint32_t Sent = 0;      ///< Copies of its write under way.
   };
   using VisitPtr = std::shared_ptr<Visit>;
 
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -25,9 +25,8 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   constexpr int Mode = 0644;
   int Log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, Mode);
-  int Null = open("/dev/null", O_WRONLY);
+  dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
-  dup2(Null, STDOUT_FILENO);
   execv(Arguments[0], Arguments.data());
   constexpr int CannotExecute = 127;
   _exit(CannotExecute);
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -14,7 +14,7 @@
 class Process {
 public:
   Process() = default;
-  /// Starts \p Words; standard error goes to \p LogFile, appended.
+  /// Starts \p Words; its output goes to \p LogFile, appended.
   Process(std::vector<std::string> Words, const std::string &LogFile);
   ~Process();
   Process(Process &&Other) noexcept;
--- /dev/null
+++ b/tests/process/CellTest.cpp
@@ -0,0 +1,229 @@
+#include "harness/Process.h"
+#include "http/Client.h"
+#include "standin/CellPlatform.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisylanding;
+using nlohmann::json;
+
+namespace {
+
+constexpr uint16_t PlatformPort = 7'940;
+constexpr uint16_t FirstEntryPort = 7'950;
+constexpr uint16_t PortsOfEntry = 4;
+constexpr const char *Folder = "cell-run";
+constexpr Millis LongestWait{20'000};
+
+std::string jobId(int Number) { return fmt::format("{:016x}", Number); }
+
+std::string body(int Tasks) {
+  return json{{"spec", "work"},
+              {"steps",
+               {{{"count", Tasks},
+                 {"cpu", 500},
+                 {"mem-mb", 10},
+                 {"est-runtime-ms", 250}}}}}
+      .dump();
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(ACellOfTwoEntries) {
+  standin::CellPlatform Platform;
+  std::optional<http::Server> Server;
+  std::vector<harness::Process> Entries;
+  http::Client Client;
+
+  void setup() override {
+    std::filesystem::create_directories(Folder);
+    http::ServerOptions Options;
+    Options.Port = PlatformPort;
+    Options.MaxBodyBytes = 4 << 20;
+    Server.emplace(Options, Platform);
+    CHECK_FALSE(Server->start());
+    Platform.configure(1, true);
+    for (int I = 0; I < 3; ++I)
+      Platform.addExecutor(fmt::format("i-{}", I), fmt::format("127.0.0.1:{}", PlatformPort), 8'000);
+    for (int I = 0; I < 2; ++I)
+      startEntry(I);
+    for (int I = 0; I < 2; ++I)
+      CHECK(eventually([&] { return get(I, 1, "/ready") == 200; }));
+  }
+  void teardown() override {
+    Entries.clear();
+    Server.reset();
+    for (const std::string &Each : Platform.violations())
+      FAIL(Each.c_str());
+  }
+
+  static uint16_t port(int Entry, int Which) {
+    return static_cast<uint16_t>(FirstEntryPort + Entry * PortsOfEntry + Which);
+  }
+  void startEntry(int Entry) {
+    std::string File = fmt::format("{}/entry{}.toml", Folder, Entry);
+    std::ofstream(File) << fmt::format(
+        "[entry]\nname = \"e{}\"\nzone = \"za\"\n[listen]\ncallers = \"127.0.0.1:{}\"\n"
+        "readiness = \"127.0.0.1:{}\"\nrelay = \"127.0.0.1:{}\"\noperators = \"127.0.0.1:{}\"\n"
+        "[services]\nstore = \"127.0.0.1:{}\"\nadvice = \"127.0.0.1:{}\"\n",
+        Entry, port(Entry, 0), port(Entry, 1), port(Entry, 2), port(Entry, 3), PlatformPort, PlatformPort);
+    harness::Process Child({"./daisylanding", "serve", "--config", File}, fmt::format("{}/entry{}.log", Folder, Entry));
+    if (static_cast<size_t>(Entry) < Entries.size())
+      Entries[static_cast<size_t>(Entry)] = std::move(Child);
+    else
+      Entries.push_back(std::move(Child));
+  }
+  template <typename Condition> bool eventually(Condition Holds) {
+    TimePoint Until = monotonicNow() + LongestWait;
+    while (!Holds() && monotonicNow() < Until)
+      std::this_thread::sleep_for(Millis(20));
+    return Holds();
+  }
+  http::Outcome call(int Entry, int Which, const std::string &Method, const std::string &Path, const std::string &Body = "") {
+    http::Call Request;
+    Request.Method = Method;
+    Request.Url = fmt::format("http://127.0.0.1:{}{}", port(Entry, Which), Path);
+    Request.Headers = {{"Host", "jobs.example"}};
+    Request.Body = Body;
+    Request.FreshConnection = true;
+    return Client.perform(Request);
+  }
+  int get(int Entry, int Which, const std::string &Path) {
+    auto Answer = call(Entry, Which, "GET", Path);
+    return Answer ? Answer->Status : 0;
+  }
+  int submit(int Entry, int Number, int Tasks) {
+    auto Answer = call(Entry, 0, "POST", "/q/" + jobId(Number), body(Tasks));
+    return Answer ? Answer->Status : 0;
+  }
+  std::string state(int Entry, int Number) {
+    auto Answer = call(Entry, 0, "GET", "/q/" + jobId(Number));
+    if (!Answer || Answer->Status != 200)
+      return "none";
+    return json::parse(Answer->Body).value("state", "none");
+  }
+};
+
+TEST_GROUP_BASE(WithTenJobs, TEST_GROUP_CppUTestGroupACellOfTwoEntries) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupACellOfTwoEntries::setup();
+    for (int I = 1; I <= 10; ++I)
+      LONGS_EQUAL(200, submit(I % 2, I, 4));
+  }
+  bool allDone(int Entry) {
+    return eventually([&] {
+      for (int I = 1; I <= 10; ++I) {
+        if (state(Entry, I) != "completed")
+          return false;
+      }
+      return true;
+    });
+  }
+};
+// clang-format on
+
+TEST(WithTenJobs, AllAreDoneOnceAndAnyEntryTells) {
+  CHECK(allDone(0));
+  CHECK(allDone(1));
+  LONGS_EQUAL(40, Platform.starts());
+}
+
+TEST(WithTenJobs, ARetryOfOneIsTheSameJob) {
+  LONGS_EQUAL(200, submit(0, 3, 4));
+  LONGS_EQUAL(409, submit(1, 3, 5));
+  CHECK(allDone(1));
+  LONGS_EQUAL(200, submit(1, 3, 4));
+  LONGS_EQUAL(40, Platform.starts());
+}
+
+TEST(WithTenJobs, AnEntryThatIsKilledIsReplacedAndNothingRunsTwice) {
+  Entries[0].signal(SIGKILL);
+  CHECK(allDone(1));
+  startEntry(0);
+  CHECK(eventually([&] { return get(0, 1, "/ready") == 200; }));
+  Entries[1].signal(SIGKILL);
+  LONGS_EQUAL(200, submit(0, 100, 4));
+  CHECK(eventually([&] { return state(0, 100) == "completed"; }));
+}
+
+TEST(WithTenJobs, APlannedStopHandsTheServiceOver) {
+  Entries[0].signal(SIGTERM);
+  LONGS_EQUAL(0, Entries[0].wait(Millis(8'000)));
+  CHECK(allDone(1));
+}
+
+TEST(WithTenJobs, ADeadExecutorsTasksRunElsewhere) {
+  Platform.killExecutor("i-1");
+  CHECK(allDone(0));
+}
+
+TEST(ACellOfTwoEntries, LostAnswersAndLateWritesDoubleNothing) {
+  Platform.setFaults({.LostAnswers = 2, .LateWrites = 1});
+  for (int I = 1; I <= 10; ++I) {
+    int Status = submit(I % 2, I, 3);
+    CHECK(Status == 200 || Status == 504);
+  }
+  Platform.setFaults({});
+  for (int I = 1; I <= 10; ++I)
+    CHECK(eventually([&] { return submit(0, I, 3) == 200; }));
+  for (int I = 1; I <= 10; ++I)
+    CHECK(eventually([&] { return state(1, I) == "completed"; }));
+  LONGS_EQUAL(30, Platform.starts());
+}
+
+TEST(ACellOfTwoEntries, ASilentStoreIsToldAtOnceAndBackSoon) {
+  Platform.setFaults({.StoreSilent = true});
+  std::this_thread::sleep_for(Millis(2'200));
+  TimePoint Begun = monotonicNow();
+  LONGS_EQUAL(503, submit(0, 1, 1));
+  CHECK(monotonicNow() - Begun < Millis(500));
+  Platform.setFaults({});
+  CHECK(eventually([&] { return submit(0, 1, 1) == 200; }));
+  CHECK(eventually([&] { return state(0, 1) == "completed"; }));
+}
+
+TEST(ACellOfTwoEntries, AJobOnItsWayAsTheStoreFallsSilentGetsAnAnswerInTime) {
+  Platform.setFaults({.StoreSilent = true});
+  TimePoint Begun = monotonicNow();
+  LONGS_EQUAL(504, submit(0, 1, 1));
+  CHECK(monotonicNow() - Begun < Millis(3'000));
+  // By now the other entry knows that the store is silent.
+  LONGS_EQUAL(503, submit(1, 2, 1));
+}
+
+TEST(ACellOfTwoEntries, BadInputGetsAClearAnswerAtOnce) {
+  LONGS_EQUAL(404, call(0, 0, "POST", "/other/" + jobId(1), body(1))->Status);
+  LONGS_EQUAL(400, call(0, 0, "POST", "/q/xyz", body(1))->Status);
+  LONGS_EQUAL(400, call(0, 0, "POST", "/q/" + jobId(1), "{")->Status);
+  LONGS_EQUAL(400, call(0, 0, "POST", "/q/" + jobId(1), body(-3))->Status);
+  LONGS_EQUAL(405, call(0, 0, "PUT", "/q/" + jobId(1), body(1))->Status);
+  LONGS_EQUAL(410, call(0, 0, "GET", "/q/" + jobId(1))->Status);
+  LONGS_EQUAL(410, call(0, 0, "DELETE", "/q/" + jobId(1))->Status);
+  LONGS_EQUAL(200, call(0, 0, "GET", "/q/")->Status);
+  LONGS_EQUAL(
+      413,
+      call(0, 0, "POST", "/q/" + jobId(1), std::string(300'000, ' '))->Status);
+}
+
+TEST(ACellOfTwoEntries, ACancelledJobIsShownSoByAnyEntry) {
+  LONGS_EQUAL(200, submit(0, 7, 40));
+  LONGS_EQUAL(200, call(1, 0, "DELETE", "/q/" + jobId(7))->Status);
+  CHECK(eventually([&] { return state(0, 7) == "cancelled"; }));
+}
+
+TEST(ACellOfTwoEntries, ServesItsMetrics) {
+  LONGS_EQUAL(200, submit(0, 9, 1));
+  auto Answer = call(0, 3, "GET", "/metrics");
+  CHECK(Answer &&
+        Answer->Body.find("daisylanding_answer_ms") != std::string::npos);
+}
