No start on a list of instances or a feed of cancels that is too old

Change: the owner decides and sends starts only while the list, and the feed of jobs, were confirmed within what the settings' bounds leave; both bounds are settings; the list's feed is asked anew every 0.4 s. Also: findings of the linter; the stand-in drops what is on its way before its server goes (process-tests died once with a segmentation fault: answers were given through a server that was gone).

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -317,7 +317,7 @@
     return std::move(Out);
   beginDue(Now, WallMs);
   lapseRuns(Now);
-  if (!Releasing)
+  if (!Releasing && mayStart(Now))
     plan(Now);
   emitOrders(Now);
   emitHolds(Now);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -27,6 +27,11 @@
   TimePoint InheritedLeaseEnd{};
   int64_t StoreMillis = 0; ///< The store's clock at `Began`.
   TimePoint Began{};
+  /// No start is decided or sent on an instance list that was confirmed longer
+  /// ago: an executor may be leaving.
+  Millis MaxListAge{900};
+  /// No start is sent when cancels may have been missed for longer.
+  Millis MaxJobsAge{1'900};
   Millis Heartbeat{300};      ///< Longest time between two commits.
   Millis StatusKept{120'000}; ///< How long ended jobs can be asked for.
 };
@@ -122,6 +127,10 @@
   void setExecutors(std::span<const executor::ExecutorInfo> List,
                     TimePoint Now);
 
+  /// The instance list, or the feed of jobs, is known to be up to date.
+  void confirmExecutors(TimePoint Now) { ListConfirmed = Now; }
+  void confirmJobs(TimePoint Now) { JobsConfirmed = Now; }
+
   /// Moves everything on. \p WallMs is the wall clock, for timed jobs.
   Outbox advance(TimePoint Now, int64_t WallMs);
 
@@ -249,6 +258,10 @@
   std::vector<ExecutorLoad> loads(TimePoint Now) const;
 
   // Orders.
+  bool mayStart(TimePoint Now) const {
+    return Now < ListConfirmed + Options.MaxListAge &&
+           Now < JobsConfirmed + Options.MaxJobsAge;
+  }
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
@@ -288,6 +301,8 @@
   TimePoint RetryCommitAt{};
   double CommitMs = 20; ///< Moving average of answered commits.
   double StoreReadMs = 5;
+  TimePoint ListConfirmed{};
+  TimePoint JobsConfirmed{};
   bool Deposed = false;
   bool Releasing = false;
   bool Released = false;
--- a/src/cell/Offer.h
+++ b/src/cell/Offer.h
@@ -52,7 +52,7 @@
     return Boxes.count(Service) > 0;
   }
   /// Callable from any thread. \p Done may run before it returns.
-  void hand(const std::string &Service, JobSpec Job, VerdictDone Done) {
+  void hand(const std::string &Service, JobSpec Job, const VerdictDone &Done) {
     std::shared_ptr<OfferBox> Box;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -589,9 +589,10 @@
       LiveTask &Task = Key.task();
       if (Task.OrderOut || Now < Task.NextTry)
         continue;
-      if (Task.Phase == TaskPhase::Starting && !Task.Inherited)
+      bool Startable = Task.Phase == TaskPhase::Starting && !Task.Inherited;
+      if (Startable && mayStart(Now))
         emitStart(Key, Now);
-      else if (Task.Phase == TaskPhase::Stopping && !Task.StopConfirmed)
+      if (Task.Phase == TaskPhase::Stopping && !Task.StopConfirmed)
         emitStop(Key, Now);
     }
   }
--- a/src/cell/Progress.h
+++ b/src/cell/Progress.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace daisylanding::cell {
@@ -57,7 +58,11 @@
   uint32_t Step = 0;
   uint32_t Index = 0;
 
-  auto operator<=>(const TaskIndex &) const = default;
+  bool operator==(const TaskIndex &) const = default;
+  bool operator<(const TaskIndex &Other) const {
+    return std::tie(Occurrence, Step, Index) <
+           std::tie(Other.Occurrence, Other.Step, Other.Index);
+  }
 };
 
 /// The stored form of a job's progress; tasks without one are waiting.
--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -29,6 +29,8 @@
   Services.address("store", Out.StoreAddress);
   Services.optionalAddress("advice", Out.AdviceAddress);
   Section Bounds(Root, "bounds", File, Problems);
+  Bounds.millis("drain_ms", Out.DrainBound, 1'300, OneDayMs);
+  Bounds.millis("cancel_ms", Out.CancelBound, 1'300, OneDayMs);
   Bounds.millis("max_lease_ms", Out.MaxLease, 1'000, OneDayMs);
   Bounds.millis("status_kept_ms", Out.StatusKept, 0, OneDayMs);
 }
--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -21,6 +21,8 @@
   std::string StoreAddress;  ///< host:port.
   std::string AdviceAddress; ///< host:port; empty where there is no policy.
 
+  Millis DrainBound{2'000};   ///< A leaving executor gets work no longer.
+  Millis CancelBound{3'000};  ///< A cancelled job is started no longer.
   Millis MaxLease{10'000};    ///< The longest that an executor grants.
   Millis StatusKept{120'000}; ///< How long ended jobs can be asked for.
 };
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -14,6 +14,12 @@
 /// How long a feed waits for a first change: bounds how old a belief gets
 /// when a feed hears nothing.
 constexpr Millis FeedWait{800};
+/// Shorter, as starts wait for a list that is up to date.
+constexpr Millis ListFeedWait{400};
+/// A feed may hear nothing for so long while changes are made.
+constexpr Millis FeedSilence{1'000};
+/// From a decision to its order's arrival.
+constexpr Millis OrderWay{100};
 constexpr Millis ReadRetry{100};
 constexpr Millis MembersInterval{3'000};
 constexpr Millis PublishInterval{1'000};
@@ -100,7 +106,7 @@
 }
 
 /// Reads a whole table of the service, page by page, jobs before progress.
-void CellLoop::loadRows(const std::string &Table, std::string From) {
+void CellLoop::loadRows(const std::string &Table, const std::string &From) {
   store::RangeRead Range{.Table = Table, .Partition = Service, .From = From};
   Store->read(Range, [this, Table, From](const Result<store::RowPage> &Page) {
     if (!Page) {
@@ -155,6 +161,8 @@
                              .Began = Now,
                              .StatusKept = Common.Options.StatusKept};
   Options.Contact.MaxLease = Common.Options.MaxLease;
+  Options.MaxListAge = Common.Options.DrainBound - FeedSilence - OrderWay;
+  Options.MaxJobsAge = Common.Options.CancelBound - FeedSilence - OrderWay;
   Options.InheritedLeaseEnd =
       cell::inheritedLeaseEnd(Options.Contact, LastRenewal);
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
@@ -176,6 +184,7 @@
   LoadedCancels.clear();
   ListChanged = true;
   Common.Offers.open(Service, Offers);
+  Owner->confirmJobs(Now);
   followJobs();
 }
 
@@ -207,6 +216,7 @@
       All.push_back(Executor.second);
     Owner->setExecutors(All, Now);
   }
+  Owner->confirmExecutors(ListConfirmed);
   if (Releasing.load())
     Owner->release();
   if (!MembersOpen && Now >= NextMembers)
@@ -290,6 +300,7 @@
     if (Page) {
       sawStore(Page->StoreMillis);
       onJobRows(Page->Rows);
+      Owner->confirmJobs(monotonicNow());
       JobsVersion = std::max(JobsVersion, Page->Version);
       followJobs();
       return;
@@ -372,6 +383,7 @@
     for (const store::Row &Each : Page->Rows)
       onExecutorRow(Each);
     ExecutorsVersion = Page->Version;
+    ListConfirmed = monotonicNow();
     followExecutors();
   });
 }
@@ -379,7 +391,7 @@
 void CellLoop::followExecutors() {
   store::ChangeQuery Query{.Table = Common.Around.documents().executorTable(),
                            .After = ExecutorsVersion,
-                           .Wait = FeedWait};
+                           .Wait = ListFeedWait};
   Store->changes(Query, [this](const Result<store::ChangePage> &Page) {
     if (!Page) {
       retry([this] { reloadExecutors(); });
@@ -389,6 +401,7 @@
     for (const store::Row &Each : Page->Rows)
       onExecutorRow(Each);
     ExecutorsVersion = std::max(ExecutorsVersion, Page->Version);
+    ListConfirmed = monotonicNow();
     followExecutors();
   });
 }
--- a/src/node/CellLoop.h
+++ b/src/node/CellLoop.h
@@ -39,7 +39,7 @@
 
   void run();
   void retry(std::function<void()> Run);
-  void loadRows(const std::string &Table, std::string From);
+  void loadRows(const std::string &Table, const std::string &From);
   void begin();
   void step();
   void carryOut(cell::Outbox Out);
@@ -84,6 +84,7 @@
   std::map<std::string, executor::ExecutorInfo> List;
   uint64_t ExecutorsVersion = 0;
   bool ListChanged = false;
+  TimePoint ListConfirmed{};
   uint64_t ConfigVersion = 0;
   TimePoint NextMembers{};
   TimePoint NextPublish{};
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -285,13 +285,13 @@
       problem(Of, http::StatusConflict, "id", "not used for another job");
   };
   write(Of, std::make_shared<const store::Transaction>(std::move(Tx)),
-        std::move(Conflict));
+        Conflict);
 }
 
 /// Sends the write, and once more if no answer comes: it is conditioned, so
 /// that only one copy takes effect.
 void IntakeLoop::write(const VisitPtr &Of, const WritePtr &What,
-                       OnConflict Conflict) {
+                       const OnConflict &Conflict) {
   ++Of->Sent;
   Store->commit(*What, [this, Of, What,
                         Conflict](const store::TransactionResult &Result) {
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -51,7 +51,8 @@
                  const Result<cell::Verdict> &Answer);
   using WritePtr = std::shared_ptr<const store::Transaction>;
   using OnConflict = std::function<void(const store::TransactionResult &)>;
-  void write(const VisitPtr &Of, const WritePtr &What, OnConflict Conflict);
+  void write(const VisitPtr &Of, const WritePtr &What,
+             const OnConflict &Conflict);
   void onWritten(const VisitPtr &Of, const WritePtr &What,
                  const OnConflict &Conflict,
                  const store::TransactionResult &Result);
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -62,6 +62,7 @@
   }
   void teardown() override {
     Entries.clear();
+    Platform.shutDown();
     Server.reset();
     for (const std::string &Each : Platform.violations())
       FAIL(Each.c_str());
--- a/tests/standin/CellMain.cpp
+++ b/tests/standin/CellMain.cpp
@@ -19,5 +19,7 @@
   for (int I = 0; I < Executors; ++I)
     Platform.addExecutor(fmt::format("i-{}", I),
                          fmt::format("127.0.0.1:{}", Options.Port), MilliCores);
-  return standin::serveUntilSignal(Options, Platform);
+  int Code = standin::serveUntilSignal(Options, Platform);
+  Platform.shutDown();
+  return Code;
 }
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -31,6 +31,8 @@
 
 void CellPlatform::handle(http::Request Incoming, http::Responder Respond) {
   std::lock_guard<std::mutex> Lock(Mutex);
+  if (!Later)
+    return;
   std::string_view Path = http::pathOf(Incoming.Target);
   if (Path.starts_with("/-/rows-"))
     store(Incoming, std::move(Respond));
@@ -40,6 +42,17 @@
     executor(Incoming, std::move(Respond));
 }
 
+void CellPlatform::shutDown() {
+  std::unique_ptr<DelayQueue> Ending;
+  std::vector<std::shared_ptr<Waiter>> Unanswered;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Ending = std::move(Later);
+    Unanswered = std::move(Waiters);
+    Waiters.clear();
+  }
+}
+
 void CellPlatform::setFaults(CellPlatformFaults Next) {
   std::lock_guard<std::mutex> Lock(Mutex);
   Faults = Next;
@@ -55,17 +68,18 @@
   }
   std::string_view Path = http::pathOf(Incoming.Target);
   if (Path == "/-/rows-tx")
-    transaction(Json::parse(Incoming.Body), std::move(Respond));
+    transaction(Json::parse(Incoming.Body), Respond);
   else if (Path == "/-/rows-get")
     reply(Respond, http::StatusOk, rowsOf(Incoming));
   else
     feed(Incoming, std::move(Respond));
 }
 
-void CellPlatform::transaction(const Json &Body, http::Responder Respond) {
+void CellPlatform::transaction(const Json &Body,
+                               const http::Responder &Respond) {
   uint32_t Dice = static_cast<uint32_t>(Writes++ % DiceSides);
   if (Dice < Faults.LateWrites) {
-    Later.after(LateBy, [this, Body] {
+    Later->after(LateBy, [this, Body] {
       std::lock_guard<std::mutex> Lock(Mutex);
       bool Held = false;
       apply(Body, Held);
@@ -171,7 +185,7 @@
       std::make_shared<Waiter>(Waiter{Table, After, std::move(Respond), false});
   Waiters.push_back(Each);
   Millis Wait(std::stoll(http::queryValue(Incoming.Target, "wait-ms")));
-  Later.after(Wait, [this, Each] {
+  Later->after(Wait, [this, Each] {
     std::lock_guard<std::mutex> Lock(Mutex);
     if (std::exchange(Each->Answered, true))
       return;
@@ -246,7 +260,7 @@
   Json Allowed = Json::array();
   for (const Json &Each : Body.at("workers"))
     Allowed.push_back({Each, "ticket-" + Each.get<std::string>()});
-  Later.after(Millis(5), [Allowed, Respond = std::move(Respond)] {
+  Later->after(Millis(5), [Allowed, Respond = std::move(Respond)] {
     reply(Respond, http::StatusOk,
           {{"allowed", Allowed}, {"validity-ms", 1'500}});
   });
@@ -277,15 +291,15 @@
     At.LeaseEnd = std::max(At.LeaseEnd, Body.at("expiry-ms").get<int64_t>());
   std::string_view Path = http::pathOf(Incoming.Target);
   if (Path == "/-/run-start")
-    start(At, Body, std::move(Respond));
+    start(At, Body, Respond);
   else if (Path == "/-/run-stop")
-    stop(At, Body, std::move(Respond));
+    stop(At, Body, Respond);
   else
     hold(At, Body, std::move(Respond));
 }
 
 void CellPlatform::start(Executor &At, const Json &Body,
-                         http::Responder Respond) {
+                         const http::Responder &Respond) {
   auto Task = Body.at("task").get<std::string>();
   auto Number = Body.at("run-id").get<uint32_t>();
   auto Running = At.Running.find(Task);
@@ -309,7 +323,7 @@
 }
 
 void CellPlatform::stop(Executor &At, const Json &Body,
-                        http::Responder Respond) {
+                        const http::Responder &Respond) {
   auto Task = Body.at("task").get<std::string>();
   auto Number = Body.at("run-id").get<uint32_t>();
   if (At.Running.count(Task) && At.Running[Task].Number == Number)
@@ -343,7 +357,7 @@
   // Short of the wait asked for, so that ends are heard soon.
   constexpr Millis Longest{100};
   Millis Wait(Left.empty() ? Body.value("wait-ms", int64_t{0}) : 0);
-  Later.after(std::min(Wait, Longest), Answer);
+  Later->after(std::min(Wait, Longest), Answer);
 }
 
 void CellPlatform::end(Executor &At, const std::string &Task, const char *How) {
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -42,6 +42,10 @@
   void killExecutor(const std::string &Id);
   void setFaults(CellPlatformFaults Next);
 
+  /// Drops what is on its way. Called before the server that it answers
+  /// through goes away.
+  void shutDown();
+
   size_t starts() const;
   /// What went against the protocol, or ran twice.
   std::vector<std::string> violations() const;
@@ -80,15 +84,15 @@
   };
 
   void store(const http::Request &Incoming, http::Responder Respond);
-  void transaction(const Json &Body, http::Responder Respond);
+  void transaction(const Json &Body, const http::Responder &Respond);
   Json apply(const Json &Body, bool &Held);
   Json rowsOf(const http::Request &Incoming) const;
   void feed(const http::Request &Incoming, http::Responder Respond);
   Json changesOf(const std::string &Table, uint64_t After) const;
   void wakeFeeds(const std::string &Table);
   void executor(const http::Request &Incoming, http::Responder Respond);
-  void start(Executor &At, const Json &Body, http::Responder Respond);
-  void stop(Executor &At, const Json &Body, http::Responder Respond);
+  void start(Executor &At, const Json &Body, const http::Responder &Respond);
+  void stop(Executor &At, const Json &Body, const http::Responder &Respond);
   void hold(Executor &At, const Json &Body, http::Responder Respond);
   void advise(const Json &Body, http::Responder Respond);
   void move(Executor &At);
@@ -108,7 +112,7 @@
   size_t Started = 0;
   std::map<std::string, bool> NotedDone;
   std::vector<std::string> Broken;
-  DelayQueue Later;
+  std::unique_ptr<DelayQueue> Later = std::make_unique<DelayQueue>();
 };
 
 } // namespace daisylanding::standin
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -158,6 +158,16 @@
   LONGS_EQUAL(4, World.Started.size());
 }
 
+TEST(AnOwnerOfTwoExecutors, NothingStartsOnBeliefsThatAreTooOld) {
+  World.FeedsSilent = true;
+  World.pass(1'500);
+  World.submit(Sim::job(Job, 2, Small, 100));
+  World.pass(1'000);
+  LONGS_EQUAL(0, World.Started.size());
+  World.FeedsSilent = false;
+  CHECK_TRUE(completes(500));
+}
+
 TEST(AnOwnerOfTwoExecutors, StepsRunInTheirOrder) {
   JobSpec Two = Sim::job(Job, 2, Small, 200);
   Two.Steps.push_back(
@@ -275,8 +285,8 @@
   std::vector<std::string> Ids;
   for (uint64_t Round = 0; Round < 40; ++Round) {
     std::string Id = "00000000000000" + std::to_string(10 + Round);
-    JobSpec Next =
-        Sim::job(Id, 1 + Dice.below(4), Small, 100 + Dice.below(900));
+    JobSpec Next = Sim::job(Id, 1 + static_cast<uint32_t>(Dice.below(4)), Small,
+                            100 + static_cast<int64_t>(Dice.below(900)));
     if (Dice.below(3) == 0)
       Next.Steps.push_back(
           {.Count = 2, .Size = Small, .Estimate = Millis(150), .After = {0}});
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -194,6 +194,7 @@
   StepSpec Step{.Count = 1, .Size = {.MilliCores = 1'000, .MemoryMb = 100}};
   void setup() override {
     std::vector<executor::ExecutorInfo> List;
+    List.reserve(10);
     for (int I = 0; I < 3; ++I)
       List.push_back({.Id = "i-" + std::to_string(I),
                       .Service = "s",
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -121,6 +121,10 @@
     Each.Run();
   if (!Owner || Owner->deposed())
     return;
+  if (!FeedsSilent) {
+    Owner->confirmExecutors(Now);
+    Owner->confirmJobs(Now);
+  }
   carryOut(Owner->advance(Now, clockOf()));
   sendCommit();
 }
@@ -193,7 +197,7 @@
   });
 }
 
-void Sim::carryOut(cell::Outbox Out) {
+void Sim::carryOut(const cell::Outbox &Out) {
   cell::CellOwner *To = Owner.get();
   for (const cell::StartCommand &Each : Out.Starts)
     start(Each.Order, Each.On);
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -71,6 +71,7 @@
 
   Faults Trouble;
   bool StoreDown = false;
+  bool FeedsSilent = false; ///< The owner hears of no list and no jobs.
   bool StoreSilent = false; ///< Commits get no answer and aren't done.
   /// How a run of a task ends, and after how long.
   std::function<executor::EndKind(const std::string &)> HowEnds;
@@ -95,7 +96,7 @@
   void later(int64_t Ms, std::function<void()> Run);
   store::TransactionResult apply(const store::Transaction &Tx);
   void sendCommit();
-  void carryOut(cell::Outbox Out);
+  void carryOut(const cell::Outbox &Out);
   void start(const executor::StartOrder &Order, cell::ExecutorIndex On);
   executor::OrderAnswer doStart(SimExecutor &At,
                                 const executor::StartOrder &Order);
--- a/tests/unit/ExecutorPoolTest.cpp
+++ b/tests/unit/ExecutorPoolTest.cpp
@@ -75,6 +75,7 @@
 
   void setup() override {
     std::vector<executor::ExecutorInfo> List;
+    List.reserve(10);
     for (int I = 0; I < 10; ++I)
       List.push_back({.Id = "i-" + std::to_string(I),
                       .Service = "s",
