Operators' address of the cell; the log is bounded and never blocks

Cause: the command line could only ask a cell's entry for metrics, and a reader of the log that stops could stop the entry. Change: StatusApi serves status, configuration, jobs and time line as the command line reads them; lines a second are bounded and what is dropped is counted; standard output does not block.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -169,6 +169,11 @@
 
   const OwnerCounts &counts() const { return Counts; }
   size_t liveJobs() const { return Jobs.size(); }
+  /// Calls \p Each with every live job.
+  template <typename Function> void forEachJob(Function Each) const {
+    for (const auto &Entry : Jobs)
+      Each(Entry.second);
+  }
   /// What the owner is at, for logs and metrics.
   OwnerState state(TimePoint Now) const;
   ExecutorIndex indexOf(std::string_view ExecutorId) {
--- a/src/common/Log.cpp
+++ b/src/common/Log.cpp
@@ -1,11 +1,14 @@
 #include "common/Log.h"
 
+#include "common/LogLimiter.h"
 #include "common/Time.h"
 
 #include <fmt/chrono.h>
 
 #include <atomic>
+#include <mutex>
 
+#include <fcntl.h>
 #include <unistd.h>
 
 namespace daisylanding {
@@ -28,22 +31,47 @@
   return "error";
 }
 
-} // namespace
+/// Above what a busy entry writes when nothing is wrong.
+constexpr uint64_t MaxLinesPerSecond = 3'000;
 
-void setLogLevel(LogLevel Level) { Lowest.store(Level); }
+std::mutex Mutex;
+LogLimiter Limiter(MaxLinesPerSecond);
 
-void logLine(LogLevel Level, std::string_view Event, std::string_view Fields) {
-  if (Level < Lowest.load(std::memory_order_relaxed))
-    return;
+/// One write a line, so that lines of several processes do not mix.
+void writeLine(LogLevel Level, std::string_view Event,
+               std::string_view Fields) {
   constexpr int64_t MicrosPerSecond = 1'000'000;
   int64_t Wall = wallMicros();
   std::time_t Seconds = Wall / MicrosPerSecond;
-  // One write a line, so that lines of several threads do not mix.
   std::string Line =
       fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:06}Z level={} event={} {}\n",
                   fmt::gmtime(Seconds), Wall % MicrosPerSecond,
                   levelName(Level), Event, Fields);
-  (void)!::write(STDOUT_FILENO, Line.data(), Line.size());
+  if (::write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
+    Limiter.lost();
+}
+
+} // namespace
+
+void setLogLevel(LogLevel Level) { Lowest.store(Level); }
+
+void makeLogNonBlocking() {
+  int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags >= 0)
+    ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+}
+
+void logLine(LogLevel Level, std::string_view Event, std::string_view Fields) {
+  if (Level < Lowest.load(std::memory_order_relaxed))
+    return;
+  std::lock_guard<std::mutex> Lock(Mutex);
+  uint64_t Dropped = 0;
+  bool Admitted = Limiter.admit(monotonicNow(), Dropped);
+  if (Dropped > 0)
+    writeLine(LogLevel::Warn, "log-lines-dropped",
+              fmt::format("count={}", Dropped));
+  if (Admitted)
+    writeLine(Level, Event, Fields);
 }
 
 } // namespace daisylanding
--- a/src/common/Log.h
+++ b/src/common/Log.h
@@ -12,8 +12,12 @@
 /// Sets the lowest level written; may be called at any time.
 void setLogLevel(LogLevel Lowest);
 
-/// Writes one line to standard error: time, level, event, then \p Fields,
-/// which hold `key=value` pairs.
+/// A reader that does not keep up then costs lines, which are counted, and
+/// never holds a thread up.
+void makeLogNonBlocking();
+
+/// Writes one line to standard output: time, level, event, then \p Fields,
+/// which hold `key=value` pairs. The lines of a second are bounded.
 void logLine(LogLevel Level, std::string_view Event, std::string_view Fields);
 
 template <typename... Args>
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -63,6 +63,8 @@
 void CellLoop::run() {
   logInfo("service-taken", "service={} epoch={} holder={}", Service, Mine.Epoch,
           Mine.Holder);
+  Common.Events.add("service-taken", Service,
+                    fmt::format("epoch={}", Mine.Epoch));
   Store = Common.Around.store(Calls);
   Executors = Common.Around.executors(Calls);
   loadRows(cell::JobTable, "");
@@ -82,6 +84,9 @@
     Calls.poll(LongestPoll);
   }
   Common.Offers.close(Service, Offers);
+  Common.Board.remove(Service);
+  Common.Events.add("service-left", Service,
+                    fmt::format("epoch={}", Mine.Epoch));
   if (Owner)
     Owner->giveUpOffers();
   // Their entries store them themselves.
@@ -435,6 +440,15 @@
           Service, State.LiveJobs, State.WaitingSteps, State.StepsWithoutAdvice,
           Lines.waiting(), State.OpenRuns, State.Executors, State.Usable,
           State.CommitMs);
+  OwnedService Told{.Epoch = Mine.Epoch, .State = State};
+  Owner->forEachJob([&](const cell::LiveJob &Job) {
+    Told.Jobs.push_back({.Id = Job.Spec.Id,
+                         .Queue = Job.Spec.Queue,
+                         .Phase = std::string(cell::phaseName(Job.Phase)),
+                         .OpenRuns = Job.OpenRuns,
+                         .AgeMs = toMillis(Now - Job.AcceptedAt)});
+  });
+  Common.Board.set(Service, std::move(Told));
   auto Gauge = [&](const char *Name, uint64_t Value) {
     Common.Numbers.gauge(fmt::format("{}{{service=\"{}\"}}", Name, Service),
                          static_cast<double>(Value));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "node/AdviceDesk.h"
 #include "node/IntakeLoop.h"
+#include "node/StatusApi.h"
 #include "node/WatchLoop.h"
 #include "relay/RelayLoop.h"
 
@@ -62,25 +63,6 @@
   bool WasReady = false; ///< Used on the server's thread only.
 };
 
-/// Metrics for operators.
-class OperatorHandler final : public http::Handler {
-public:
-  explicit OperatorHandler(Shared &Common) : Common(Common) {}
-
-  void handle(http::Request Incoming, http::Responder Respond) override {
-    if (http::pathOf(Incoming.Target) != "/metrics") {
-      Respond({.Status = http::StatusNotFound, .Body = "no such path\n"});
-      return;
-    }
-    Respond({.Status = http::StatusOk,
-             .Headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-             .Body = Common.Numbers.render()});
-  }
-
-private:
-  Shared &Common;
-};
-
 class CellProcess {
 public:
   CellProcess(const config::CellSettings &Options, const Ports &Around)
@@ -116,6 +98,8 @@
             Common.Options.Name, Common.Options.AvailabilityZone,
             Common.Incarnation, Common.Options.Callers.text(),
             Common.Options.Relay.text());
+    Common.Events.add("entry-started", Common.Options.Name,
+                      "incarnation=" + Common.Incarnation);
     return {};
   }
 
@@ -142,7 +126,7 @@
   WatchLoop Watch;
   IntakeLoop Intake;
   ReadinessHandler Readiness;
-  OperatorHandler Operators;
+  StatusApi Operators;
   http::Server Callers;
   http::Server ReadinessServer;
   http::Server OperatorServer;
@@ -164,6 +148,7 @@
   sigset_t Signals = handledSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  makeLogNonBlocking();
   CellProcess Process(Options, Around);
   if (auto Failure = Process.start()) {
     logError("start-failed", "error={}", Failure.message());
--- a/src/node/Shared.h
+++ b/src/node/Shared.h
@@ -2,7 +2,9 @@
 #define DAISYLANDING_NODE_SHARED_H
 
 #include "cell/CellConfig.h"
+#include "cell/CellOwner.h"
 #include "cell/Offer.h"
+#include "common/EventLog.h"
 #include "common/Metrics.h"
 #include "config/CellSettings.h"
 #include "node/Ports.h"
@@ -94,12 +96,49 @@
   TimePoint ClockAt{};
 };
 
+/// A live job as its owner last told.
+struct OwnedJob {
+  std::string Id;
+  std::string Queue;
+  std::string Phase;
+  uint32_t OpenRuns = 0;
+  int64_t AgeMs = 0;
+};
+
+/// A service that this process owns, for operators.
+struct OwnedService {
+  uint64_t Epoch = 0;
+  cell::OwnerState State;
+  std::vector<OwnedJob> Jobs;
+};
+
+/// What the owners in this process last told of themselves.
+class StatusBoard {
+public:
+  void set(const std::string &Service, OwnedService Told) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Services[Service] = std::move(Told);
+  }
+  void remove(const std::string &Service) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Services.erase(Service);
+  }
+  std::map<std::string, OwnedService> all() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Services;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, OwnedService> Services;
+};
+
 /// What all loops of one process share.
 struct Shared {
   Shared(config::CellSettings Options, std::string Incarnation,
          const Ports &Around)
       : Options(std::move(Options)), Incarnation(std::move(Incarnation)),
-        Around(Around) {}
+        Around(Around), Events(this->Options.Name, EventCapacity) {}
 
   config::CellSettings Options;
   std::string Incarnation;
@@ -109,9 +148,13 @@
   OwnerBox Owners;
   cell::OfferDesk Offers;
   StoreHealth Store;
+  StatusBoard Board;
   Metrics Numbers;
+  EventLog Events;
   std::atomic<bool> Draining{false};
 
+  static constexpr size_t EventCapacity = 5'000;
+
   std::string holder() const { return Options.Name + "/" + Incarnation; }
 };
 
--- /dev/null
+++ b/src/node/StatusApi.h
@@ -0,0 +1,30 @@
+#ifndef DAISYLANDING_NODE_STATUSAPI_H
+#define DAISYLANDING_NODE_STATUSAPI_H
+
+#include "http/Server.h"
+#include "node/Shared.h"
+
+namespace daisylanding::node {
+
+/// The operators' address of a cell's process: status, configuration, jobs of
+/// the services owned here, this entry's time line, metrics. Documents as the
+/// command line reads them.
+class StatusApi final : public http::Handler {
+public:
+  explicit StatusApi(Shared &Common) : Common(Common) {}
+
+  void handle(http::Request Incoming, http::Responder Respond) override;
+
+private:
+  http::Response answer(const http::Request &Incoming) const;
+  http::Response status() const;
+  http::Response config() const;
+  http::Response jobs(std::string_view Id) const;
+  http::Response timeline(const http::Request &Incoming) const;
+
+  Shared &Common;
+};
+
+} // namespace daisylanding::node
+
+#endif
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -89,9 +89,11 @@
   uint64_t Version = Next->Version;
   size_t Queues = Next->Queues.size();
   if (Common.Config.offer(
-          std::make_shared<const cell::CellConfig>(std::move(*Next))))
+          std::make_shared<const cell::CellConfig>(std::move(*Next)))) {
     logInfo("config-in-force", "version={} queues={} row={}", Version, Queues,
             Row.Version);
+    Common.Events.add("config-in-force", std::to_string(Version));
+  }
 }
 
 void WatchLoop::readConfig() {
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -222,6 +222,18 @@
   CHECK(eventually([&] { return state(0, 7) == "cancelled"; }));
 }
 
+TEST(ACellOfTwoEntries, TellsOperatorsWhatItIsAt) {
+  CHECK(eventually([&] {
+    auto Status = call(0, 3, "GET", "/v1/status");
+    return Status && json::parse(Status->Body)["services"].size() == 1;
+  }));
+  LONGS_EQUAL(200, get(0, 3, "/v1/config"));
+  LONGS_EQUAL(200, get(0, 3, "/v1/jobs"));
+  LONGS_EQUAL(404, get(0, 3, "/v1/jobs/" + jobId(1)));
+  auto Line = call(0, 3, "GET", "/v1/timeline");
+  CHECK(Line && !json::parse(Line->Body)["events"].empty());
+}
+
 TEST(ACellOfTwoEntries, ServesItsMetrics) {
   LONGS_EQUAL(200, submit(0, 9, 1));
   auto Answer = call(0, 3, "GET", "/metrics");
--- a/tests/unit/MailboxTest.cpp
+++ b/tests/unit/MailboxTest.cpp
@@ -1,3 +1,4 @@
+#include "common/LogLimiter.h"
 #include "common/Ring.h"
 
 #include <memory>
@@ -30,3 +31,17 @@
   CHECK_FALSE(Box->push(1));
   LONGS_EQUAL(0, Wakes);
 }
+
+TEST_GROUP(ALogOfTenLinesASecond){};
+
+TEST(ALogOfTenLinesASecond, DropsTheRestAndTellsHowMany) {
+  LogLimiter Limiter(10);
+  TimePoint Now(Millis(5'000));
+  uint64_t Dropped = 0;
+  int Written = 0;
+  for (int I = 0; I < 25; ++I)
+    Written += Limiter.admit(Now, Dropped) ? 1 : 0;
+  LONGS_EQUAL(10, Written);
+  CHECK_TRUE(Limiter.admit(Now + Millis(1'000), Dropped));
+  LONGS_EQUAL(15, Dropped);
+}
