--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 
 #include <algorithm>
+#include <cmath>
 
 /// What is written before anyone is told, one transaction at a time. Each is
 /// conditioned on the one before it, so a write that is carried out late
@@ -54,6 +55,7 @@
       return std::nullopt;
     RetryCommitAt = {};
     InFlight->LastSent = Now;
+    ++InFlight->Copies;
     return InFlight->Content;
   }
   bool RemovalDue = !Removals.empty() && Removals.front().first <= Now;
@@ -269,9 +271,13 @@
   constexpr double Factor = 4;
   constexpr double ReadFactor = 15; ///< A commit takes a few reads' time.
   constexpr double LeastMs = 80;
-  constexpr double MostMs = 2'000;
+  constexpr uint32_t MaxDoublings = 6;
+  constexpr double MostMs = 1'500;
   double Usual = std::max(Factor * CommitMs, ReadFactor * StoreReadMs);
-  double Ms = std::clamp(Usual, LeastMs, MostMs);
+  // A store that has gone silent is not flooded with copies.
+  uint32_t Doublings = InFlight ? std::min(InFlight->Copies, MaxDoublings) : 0;
+  double Ms = std::clamp(std::ldexp(Usual, static_cast<int>(Doublings)),
+                         LeastMs, MostMs);
   return Millis(static_cast<int64_t>(Ms));
 }
 
--- a/src/common/Ring.h
+++ b/src/common/Ring.h
@@ -58,42 +58,9 @@
   std::function<void()> Wake;
 };
 
-/// A bounded queue that several threads fill and one thread drains, for
-/// cold paths where the producers are not known beforehand.
-template <typename T> class SharedQueue {
-public:
-  SharedQueue(size_t Capacity, std::function<void()> Wake)
-      : Capacity(Capacity), Wake(std::move(Wake)) {}
-
-  [[nodiscard]] bool push(T Item) {
-    {
-      std::lock_guard<std::mutex> Lock(Mutex);
-      if (Items.size() >= Capacity)
-        return false;
-      Items.push_back(std::move(Item));
-    }
-    Wake();
-    return true;
-  }
-
-  bool pop(T &Item) {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    if (Items.empty())
-      return false;
-    Item = std::move(Items.front());
-    Items.pop_front();
-    return true;
-  }
-
-private:
-  std::mutex Mutex;
-  std::deque<T> Items;
-  size_t Capacity;
-  std::function<void()> Wake;
-};
-
-/// A bounded queue whose reader may end before its writers: once closed it
-/// refuses items and wakes nobody.
+/// A bounded queue that several threads fill and one thread drains, for cold
+/// paths where the producers are not known beforehand. Its reader may end
+/// before its writers: once closed it refuses items and wakes nobody.
 template <typename T> class Mailbox {
 public:
   Mailbox(size_t Capacity, std::function<void()> Wake)
@@ -130,6 +97,9 @@
   bool Closed = false;
 };
 
+/// The same where the reader lives as long as its writers.
+template <typename T> using SharedQueue = Mailbox<T>;
+
 } // namespace daisylanding
 
 #endif
--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -2,9 +2,6 @@
 
 #include "config/Section.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace daisylanding::config {
 
 namespace {
@@ -35,15 +32,6 @@
   Bounds.millis("status_kept_ms", Out.StatusKept, 0, OneDayMs);
 }
 
-Result<std::string> readFile(const std::string &File) {
-  std::ifstream Stream(File);
-  if (!Stream)
-    return Errc::NotFound;
-  std::stringstream Text;
-  Text << Stream.rdbuf();
-  return Text.str();
-}
-
 } // namespace
 
 Result<CellSettings> parseCellSettings(std::string_view Text,
@@ -62,19 +50,15 @@
 
 Result<CellSettings> loadCellSettings(const std::string &File,
                                       std::vector<SettingsProblem> &Problems) {
-  auto Text = readFile(File);
-  if (!Text) {
-    Problems.push_back({.Code = Errc::NotFound,
-                        .File = File,
-                        .Key = "(file)",
-                        .Allowed = "a readable file"});
+  auto Text = readFile(File, Problems);
+  if (!Text)
     return Errc::NotFound;
-  }
   return parseCellSettings(*Text, File, Problems);
 }
 
 bool isCellSettings(const std::string &File) {
-  auto Text = readFile(File);
+  std::vector<SettingsProblem> Ignored;
+  auto Text = readFile(File, Ignored);
   return Text && Text->find("[services]") != std::string::npos;
 }
 
--- a/src/config/Section.h
+++ b/src/config/Section.h
@@ -8,6 +8,7 @@
 #include <toml++/toml.h>
 
 #include <charconv>
+#include <optional>
 #include <set>
 
 namespace daisylanding::config {
@@ -18,6 +19,10 @@
                const std::set<std::string_view> &Sections, toml::table &Root,
                std::vector<SettingsProblem> &Problems);
 
+/// The text of a settings file; a file that can't be read is a problem.
+std::optional<std::string> readFile(const std::string &File,
+                                    std::vector<SettingsProblem> &Problems);
+
 /// Reads one table of the file; keys that nobody asked for are problems.
 class Section {
 public:
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -111,19 +111,27 @@
   return Out;
 }
 
-Result<Settings> loadSettings(const std::string &File,
-                              std::vector<SettingsProblem> &Problems) {
+std::optional<std::string> readFile(const std::string &File,
+                                    std::vector<SettingsProblem> &Problems) {
   std::ifstream Stream(File);
   if (!Stream) {
     Problems.push_back({.Code = Errc::NotFound,
                         .File = File,
                         .Key = "(file)",
                         .Allowed = "a readable file"});
-    return Errc::NotFound;
+    return std::nullopt;
   }
   std::stringstream Text;
   Text << Stream.rdbuf();
-  return parseSettings(Text.str(), File, Problems);
+  return Text.str();
+}
+
+Result<Settings> loadSettings(const std::string &File,
+                              std::vector<SettingsProblem> &Problems) {
+  auto Text = readFile(File, Problems);
+  if (!Text)
+    return Errc::NotFound;
+  return parseSettings(*Text, File, Problems);
 }
 
 } // namespace daisylanding::config
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -37,6 +37,36 @@
 
 } // namespace
 
+std::string_view reasonPhrase(uint16_t Status) {
+  struct Phrase {
+    uint16_t Status;
+    std::string_view Text;
+  };
+  static constexpr Phrase Phrases[] = {{200, "OK"},
+                                       {202, "Accepted"},
+                                       {400, "Bad Request"},
+                                       {404, "Not Found"},
+                                       {405, "Method Not Allowed"},
+                                       {408, "Request Timeout"},
+                                       {409, "Conflict"},
+                                       {410, "Gone"},
+                                       {412, "Precondition Failed"},
+                                       {413, "Payload Too Large"},
+                                       {421, "Misdirected Request"},
+                                       {422, "Unprocessable Entity"},
+                                       {429, "Too Many Requests"},
+                                       {431, "Request Header Fields Too Large"},
+                                       {500, "Internal Server Error"},
+                                       {502, "Bad Gateway"},
+                                       {503, "Service Unavailable"},
+                                       {504, "Gateway Timeout"}};
+  for (const Phrase &Each : Phrases) {
+    if (Each.Status == Status)
+      return Each.Text;
+  }
+  return "Unassigned";
+}
+
 const std::string *findHeader(const std::vector<Header> &Headers,
                               std::string_view Name) {
   for (const Header &Each : Headers) {
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -42,6 +42,9 @@
   StatusGatewayTimeout = 504,
 };
 
+/// The standard's phrase for a status; "Unassigned" for one that is not known.
+std::string_view reasonPhrase(uint16_t Status);
+
 /// The first header of that name, compared without case; null if absent.
 const std::string *findHeader(const std::vector<Header> &Headers,
                               std::string_view Name);
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -52,7 +52,8 @@
 }
 
 restinio::http_status_line_t statusLine(uint16_t Status) {
-  return {restinio::http_status_code_t{Status}, Status < 400 ? "OK" : "Error"};
+  return {restinio::http_status_code_t{Status},
+          std::string(reasonPhrase(Status))};
 }
 
 } // namespace
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -2,6 +2,7 @@
 #include "http/Client.h"
 #include "standin/CellPlatform.h"
 
+#include <asio.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -222,6 +223,17 @@
   CHECK(eventually([&] { return state(0, 7) == "cancelled"; }));
 }
 
+TEST(ACellOfTwoEntries, ARefusalHasItsPhrase) {
+  asio::io_context Io;
+  asio::ip::tcp::socket Socket(Io);
+  Socket.connect({asio::ip::address_v4::loopback(), port(0, 0)});
+  asio::write(Socket, asio::buffer(std::string("GET /q/x HTTP/1.1\r\nHost: "
+                                               "jobs.example\r\n\r\n")));
+  std::string Line;
+  asio::read_until(Socket, asio::dynamic_buffer(Line), "\r\n");
+  CHECK_EQUAL(size_t{0}, Line.find("HTTP/1.1 400 Bad Request"));
+}
+
 TEST(ACellOfTwoEntries, TellsOperatorsWhatItIsAt) {
   CHECK(eventually([&] {
     auto Status = call(0, 3, "GET", "/v1/status");
