--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 	./spec/check
 
 format:
-	git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp' \
-	  'bench/*.h' | xargs clang-format --dry-run -Werror
+	git ls-files 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' \
+	  'tests/*.h' 'tests/*.cpp' 'bench/*.cpp' 'bench/*.h' | xargs clang-format --dry-run -Werror
 
 tidy: build
 	./.ci/tidy $(BUILD)
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -188,7 +188,7 @@
     std::vector<executor::RunId> Starts;
     TimePoint FirstSent{};
     TimePoint LastSent{};
-    uint32_t Copies = 0; ///< Sent besides the first.
+    uint32_t Copies = 0;              ///< Sent besides the first.
     std::vector<std::string> Offered; ///< Jobs that it stores.
     std::vector<std::string> Removed; ///< Jobs whose rows it removes.
   };
