A commit's number is never used twice

A commit that is refused is built anew, under the same number; answers to copies of the refused one, sent while the store was slow, were taken for the new one's. A job that an entry had stored as well was then dropped twice with its runs, and ends were acknowledged that no row told of. Ruled out: the order of records and acknowledgements (the model's commits had no copies), rows of another version. Change: numbers only grow; a verdict that the owner lost the job on its way is handled (the compiler's warning showed that it was not).

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -301,6 +301,7 @@
   std::unordered_map<uint64_t, AdviceOpen> Advices;
   uint64_t NextAdviceId = 0;
   uint64_t RowVersion = 0;
+  uint64_t BuiltSequence = 0; ///< Of the newest commit that was built.
   OwnerRow Row;
   TimePoint LastCommit{};
   TimePoint LastConfirmed{};
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -68,7 +68,9 @@
   Next.FirstSent = Now;
   Next.LastSent = Now;
   Next.Row = Row;
-  ++Next.Row.Sequence;
+  // Never used twice, also if this one is refused and built anew: answers to
+  // copies of older ones must not be taken for its own.
+  Next.Row.Sequence = ++BuiltSequence;
   Next.Row.Pending.clear();
   Next.Row.Unmet.clear();
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -272,6 +272,10 @@
   case cell::Verdict::OtherWork:
     problem(Of, http::StatusConflict, "id", "not used for another job");
     return;
+  case cell::Verdict::Unknown:
+    Of->Unknown = true;
+    writeJob(Of, Job);
+    return;
   case cell::Verdict::NotOwner:
   case cell::Verdict::Busy:
     writeJob(Of, Job);
@@ -485,7 +489,7 @@
           // An earlier copy of the write went through, or the job's rows were
           // removed meanwhile: it ended long ago.
           bool Known = !Result.Current.empty();
-          answer(Of, Known ? http::StatusOk : StatusGone, "{}",
+          answer(Of, Known ? uint16_t{http::StatusOk} : StatusGone, "{}",
                  Known ? "cancelled" : "no-such-job");
         });
 }
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -327,8 +327,43 @@
     CHECK_TEXT(World.storedPhase(Each) == JobPhase::Completed, Each.c_str());
 }
 
+/// Entries and owners store the same jobs while the store is slow, so that
+/// commits are sent in copies, and many of them are refused.
+void playSlowStore(uint64_t Seed) {
+  Sim World(Seed);
+  Random Dice(Seed * 13 + 5);
+  for (int I = 0; I < 6; ++I)
+    World.addExecutor(Wide);
+  World.takeOver();
+  std::vector<std::string> Ids;
+  for (uint64_t Round = 0; Round < 40; ++Round) {
+    World.CommitTakesMs = 10 + static_cast<int64_t>(Dice.below(400));
+    std::string Id = "00000000000000" + std::to_string(10 + Round);
+    JobSpec Next = Sim::job(Id, 1 + static_cast<uint32_t>(Dice.below(3)), Small,
+                            100 + static_cast<int64_t>(Dice.below(600)));
+    World.know(Next);
+    Ids.push_back(Id);
+    World.Owner->offer(
+        Next, [](Verdict) {}, World.Now, World.Now);
+    if (Dice.below(2) == 0)
+      World.storeOnly(Next);
+    World.pass(20 + static_cast<int64_t>(Dice.below(200)));
+  }
+  World.CommitTakesMs = 10;
+  World.pass(15'000);
+  for (const std::string &Each : World.violations())
+    FAIL(("seed " + std::to_string(Seed) + ": " + Each).c_str());
+  for (const std::string &Each : Ids)
+    CHECK_TEXT(World.storedPhase(Each) == JobPhase::Completed, Each.c_str());
+}
+
 } // namespace
 
+TEST(AStormOfFaults, OnASlowStoreBreaksNoPromise) {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed)
+    playSlowStore(Seed);
+}
+
 TEST(AStormOfFaults, BreaksNoPromise) {
   for (uint64_t Seed = 1; Seed <= 20; ++Seed)
     playStorm(Seed);
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -11,7 +11,6 @@
 
 constexpr int64_t StepMs = 5;
 constexpr int64_t TransitMs = 2;
-constexpr int64_t CommitTakesMs = 10;
 constexpr int64_t CommitTimeoutMs = 400;
 constexpr int64_t OrderTimeoutMs = 500;
 constexpr int64_t MaxLateMs = 3'000;
@@ -468,6 +467,11 @@
     Owner->accept(std::move(Job), Now, Now);
 }
 
+void Sim::storeOnly(const cell::JobSpec &Job) {
+  if (!Rows.count({cell::JobTable, Job.Id}))
+    Rows[{cell::JobTable, Job.Id}] = {cell::encodeJob(Job), ++Version};
+}
+
 void Sim::cancel(const std::string &JobId) {
   Rows[{cell::JobTable, cell::cancelKey(JobId)}] = {"cancelled", ++Version};
 }
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -57,6 +57,8 @@
 
   /// Stores a job as an entry would, and tells the owner.
   void submit(cell::JobSpec Job);
+  /// Stores a job that the owner does not hear of.
+  void storeOnly(const cell::JobSpec &Job);
   /// Makes a job known to the checks that is handed to the owner directly.
   void know(const cell::JobSpec &Job) { Specs[Job.Id] = Job; }
   void cancel(const std::string &JobId);
@@ -71,6 +73,7 @@
   size_t runsOf(const std::string &Task) const;
 
   Faults Trouble;
+  int64_t CommitTakesMs = 10;
   bool StoreDown = false;
   bool FeedsSilent = false; ///< The owner hears of no list and no jobs.
   bool StoreSilent = false; ///< Commits get no answer and aren't done.
