--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -293,7 +293,7 @@
   Jobs.erase(Id);
 }
 
-OwnerState CellOwner::state(TimePoint Now) const {
+OwnerState CellOwner::state(TimePoint Now) {
   OwnerState Out{.LiveJobs = Jobs.size(), .CommitMs = CommitMs};
   for (const Waiting &Each : waitingSteps(Now)) {
     const LiveStep &Step =
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -175,7 +175,7 @@
       Each(Entry.second);
   }
   /// What the owner is at, for logs and metrics.
-  OwnerState state(TimePoint Now) const;
+  OwnerState state(TimePoint Now);
   ExecutorIndex indexOf(std::string_view ExecutorId) {
     return Pool.intern(ExecutorId);
   }
@@ -251,7 +251,7 @@
     uint32_t Step = 0;
     double SlackMs = 0;
   };
-  std::vector<Waiting> waitingSteps(TimePoint Now) const;
+  std::vector<Waiting> waitingSteps(TimePoint Now);
   void plan(TimePoint Now);
   void planTasks(const Waiting &Which, const Queue *From, TimePoint Now);
   void planGang(const Waiting &Which, const Queue *From, TimePoint Now);
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -85,16 +85,16 @@
 
 } // namespace
 
-std::vector<CellOwner::Waiting> CellOwner::waitingSteps(TimePoint Now) const {
+std::vector<CellOwner::Waiting> CellOwner::waitingSteps(TimePoint Now) {
   std::vector<Waiting> Out;
-  for (const auto &[Id, Job] : Jobs) {
+  for (auto &[Id, Job] : Jobs) {
     if (isFinal(Job.Phase))
       continue;
     for (const auto &[Number, In] : Job.Occurrences) {
       for (uint32_t S = 0; S < In.Steps.size(); ++S) {
         if (!hasWaiting(In.Steps[S]) || !ready(Job, In, S))
           continue;
-        Out.push_back({.Job = const_cast<LiveJob *>(&Job),
+        Out.push_back({.Job = &Job,
                        .Occurrence = Number,
                        .Step = S,
                        .SlackMs = slackOf(Speeds, Job, In, S, Now)});
