--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -35,8 +35,6 @@
 /// When the store refuses, it is asked again by the caller, not from here.
 constexpr const char *RetryAfterSeconds = "1";
 
-constexpr uint16_t StatusGone = 410;
-
 std::string_view hostOf(const http::Request &Incoming) {
   const std::string *Host = http::findHeader(Incoming.Headers, "Host");
   if (!Host)
@@ -397,7 +395,7 @@
 
 void IntakeLoop::query(const VisitPtr &Of) {
   if (Of->Partitions.empty()) {
-    answer(Of, StatusGone, "{}", "no-such-job");
+    answer(Of, http::StatusGone, "{}", "no-such-job");
     return;
   }
   std::string Partition = Of->Partitions.front();
@@ -452,7 +450,7 @@
 
 void IntakeLoop::cancel(const VisitPtr &Of) {
   if (Of->Partitions.empty()) {
-    answer(Of, StatusGone, "{}", "no-such-job");
+    answer(Of, http::StatusGone, "{}", "no-such-job");
     return;
   }
   std::string Partition = Of->Partitions.front();
@@ -489,7 +487,7 @@
           // An earlier copy of the write went through, or the job's rows were
           // removed meanwhile: it ended long ago.
           bool Known = !Result.Current.empty();
-          answer(Of, Known ? uint16_t{http::StatusOk} : StatusGone, "{}",
+          answer(Of, Known ? http::StatusOk : http::StatusGone, "{}",
                  Known ? "cancelled" : "no-such-job");
         });
 }
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr uint16_t StatusPreconditionFailed = 412;
-constexpr uint16_t StatusMisdirected = 421;
 constexpr Millis LateBy{1'000};
 constexpr Millis RunTime{250};
 constexpr uint32_t DiceSides = 10;
@@ -90,7 +88,8 @@
   Json Answer = apply(Body, Held);
   if (DiceSides - 1 - Dice < Faults.LostAnswers)
     return;
-  reply(Respond, Held ? http::StatusOk : StatusPreconditionFailed, Answer);
+  reply(Respond, Held ? http::StatusOk : http::StatusPreconditionFailed,
+        Answer);
 }
 
 CellPlatform::Json CellPlatform::apply(const Json &Body, bool &Held) {
@@ -272,7 +271,7 @@
       http::findHeader(Incoming.Headers, "X-Daisylanding-Expect-Instance");
   auto Found = Life ? Executors.find(*Life) : Executors.end();
   if (Found == Executors.end()) {
-    reply(Respond, StatusMisdirected, Json::object());
+    reply(Respond, http::StatusMisdirected, Json::object());
     return;
   }
   if (Found->second.Dead)
