--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -48,6 +48,22 @@
   return TaskKey{Job, {Ref->Occurrence, Ref->Step, Ref->Index}};
 }
 
+/// The task of a run that is open on that executor.
+std::optional<TaskKey> CellOwner::findOpen(const executor::RunId &What,
+                                           ExecutorIndex On) {
+  auto Key = find(What);
+  bool Open = Key && isOpen(Key->task().Phase) && Key->task().On == On &&
+              Key->task().Run == What.Run;
+  return Open ? Key : std::nullopt;
+}
+
+/// What is kept by executor has a place for each.
+void CellOwner::growWithPool() {
+  OpenOn.resize(Pool.size());
+  Paces.resize(Pool.size());
+  Kept.resize(Pool.size());
+}
+
 void CellOwner::changed(LiveJob &Job) {
   ++Job.Changed;
   DirtyJobs.insert(Job.Spec.Id);
@@ -215,9 +231,7 @@
     logInfo("executor-listed", "executor={} address={} zone={}",
             Pool[Each].Info.Id, Pool[Each].Info.Address,
             Pool[Each].Info.AvailabilityZone);
-  OpenOn.resize(Pool.size());
-  Paces.resize(Pool.size());
-  Kept.resize(Pool.size());
+  growWithPool();
 }
 
 void CellOwner::cancel(std::string_view JobId, TimePoint Now) {
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -72,11 +72,6 @@
   std::vector<HoldCommand> Holds;
   std::vector<PaceCommand> Paces;
   std::vector<AdviceCommand> Advices;
-
-  bool empty() const {
-    return Starts.empty() && Stops.empty() && Holds.empty() && Paces.empty() &&
-           Advices.empty();
-  }
 };
 
 /// Counts since the owner began, for metrics.
@@ -161,8 +156,6 @@
 
   /// Another owner has taken the service; nothing more may be done.
   bool deposed() const { return Deposed; }
-  /// Whether a store write of this owner is under way or due.
-  bool settled() const { return !InFlight && DirtyJobs.empty(); }
   /// Writes, with the next commit, that any entry may take the service.
   void release() { Releasing = true; }
   bool released() const { return Released; }
@@ -176,9 +169,6 @@
   }
   /// What the owner is at, for logs and metrics.
   OwnerState state(TimePoint Now);
-  ExecutorIndex indexOf(std::string_view ExecutorId) {
-    return Pool.intern(ExecutorId);
-  }
 
 private:
   struct CommitInFlight {
@@ -217,6 +207,9 @@
   void dropEnded(LiveJob &Job, TimePoint Now);
   LiveJob *find(std::string_view JobId);
   std::optional<TaskKey> find(const executor::RunId &What);
+  std::optional<TaskKey> findOpen(const executor::RunId &What,
+                                  ExecutorIndex On);
+  void growWithPool();
 
   // Runs.
   void place(const TaskKey &Key, ExecutorIndex On);
@@ -253,9 +246,11 @@
   };
   std::vector<Waiting> waitingSteps(TimePoint Now);
   void plan(TimePoint Now);
-  void planTasks(const Waiting &Which, const Queue *From, TimePoint Now);
-  void planGang(const Waiting &Which, const Queue *From, TimePoint Now);
-  void recordPlaced(const Waiting &Which, const Queue *From, TimePoint Now);
+  void planTasks(const Waiting &Which, const Queue *From,
+                 std::vector<ExecutorLoad> Loads, TimePoint Now);
+  void planGang(const Waiting &Which, const Queue *From,
+                std::span<const ExecutorLoad> Loads, TimePoint Now);
+  bool recordPlaced(const Waiting &Which, const Queue *From, TimePoint Now);
   void askAdvice(const Waiting &Which, const Queue &From, bool Renew,
                  TimePoint Now);
   void keepForGang(const Waiting &Which, TimePoint Now);
@@ -276,6 +271,13 @@
   executor::ExecutorTarget targetOf(ExecutorIndex Index) const;
 
   // Commits.
+  CommitInFlight buildCommit(TimePoint Now, int64_t StoreMillis);
+  OwnerRow nextRow(TimePoint Now, int64_t StoreMillis);
+  void addJob(CommitInFlight &To, LiveJob &Job, int64_t StoreMillis);
+  void addRemovals(CommitInFlight &To, TimePoint Now);
+  bool removalDue(TimePoint Now) const {
+    return !Removals.empty() && Removals.front().first <= Now;
+  }
   void onCommitted(uint64_t Version, TimePoint Now);
   void onConflict(const store::TransactionResult &Result, TimePoint Now);
   Micros hedgeDelay() const;
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -26,8 +26,6 @@
   /// so that tries to reach it don't put off the end. Longer than a busy hold
   /// takes.
   Millis RenewWindow{900};
-  /// The longest lease that an executor grants, from its settings.
-  Millis MaxLease{10'000};
   /// An executor's clock may run this much slower than true time.
   double ClockDrift = 0.02;
   /// No starts go to an executor that was not heard of for so long beyond
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -42,8 +42,6 @@
   int64_t FirstRunMs = 0;   ///< Wall time of the first occurrence.
   int64_t IntervalMs = 0;
   int64_t AcceptedMs = 0; ///< On the store's clock.
-
-  uint32_t occurrences() const { return RepeatCount ? RepeatCount : 1; }
 };
 
 /// Bounds on what a caller may hand in.
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -65,7 +65,6 @@
   JobPhase Phase = JobPhase::Queued;
   bool Stored = true; ///< Its own row is in the store.
   bool Cancelled = false;
-  bool Failing = false; ///< Some task has used its attempts.
   TimePoint AcceptedAt{};
   int64_t EndedMs = 0;
   std::map<uint32_t, LiveOccurrence> Occurrences; ///< Begun and not done.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -15,6 +15,8 @@
 constexpr Millis CommitRetry{60};
 /// Rows of ended jobs that one transaction removes.
 constexpr size_t MaxRemovals = 5;
+/// The owner's row, which each commit writes last.
+constexpr size_t EntriesOfRow = 1;
 
 } // namespace
 
@@ -58,93 +60,103 @@
     ++InFlight->Copies;
     return InFlight->Content;
   }
-  bool RemovalDue = !Removals.empty() && Removals.front().first <= Now;
-  bool Due = !DirtyJobs.empty() || Releasing || RemovalDue ||
+  bool Due = !DirtyJobs.empty() || Releasing || removalDue(Now) ||
              Now >= LastCommit + Options.Heartbeat;
   if (!Due)
     return std::nullopt;
   RetryCommitAt = {};
-  CommitInFlight Next;
-  Next.FirstSent = Now;
-  Next.LastSent = Now;
-  Next.Row = Row;
+  LastCommit = Now;
+  InFlight = buildCommit(Now, StoreMillis);
+  return InFlight->Content;
+}
+
+CellOwner::CommitInFlight CellOwner::buildCommit(TimePoint Now,
+                                                 int64_t StoreMillis) {
+  constexpr size_t EntriesOfJob = 4; ///< The most that one takes.
+  CommitInFlight Out;
+  Out.FirstSent = Now;
+  Out.LastSent = Now;
+  Out.Row = nextRow(Now, StoreMillis);
+  store::Transaction &Tx = Out.Content;
+  Tx.Partition = Options.Service;
+  Tx.Expected.push_back(
+      {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
+  for (const std::string &Id : DirtyJobs) {
+    if (Tx.entries() + EntriesOfRow + EntriesOfJob >
+        store::MaxTransactionEntries)
+      break;
+    addJob(Out, Jobs.at(Id), StoreMillis);
+  }
+  addRemovals(Out, Now);
+  Out.Row.Released = Releasing && Out.Jobs.size() == DirtyJobs.size();
+  Tx.Writes.push_back(
+      {.Table = OwnerTable, .Key = OwnerKey, .Value = encodeOwner(Out.Row)});
+  return Out;
+}
+
+OwnerRow CellOwner::nextRow(TimePoint Now, int64_t StoreMillis) {
+  OwnerRow Out = Row;
   // Never used twice, also if this one is refused and built anew: answers to
   // copies of older ones must not be taken for its own.
-  Next.Row.Sequence = ++BuiltSequence;
-  Next.Row.Pending.clear();
-  Next.Row.Unmet.clear();
+  Out.Sequence = ++BuiltSequence;
+  Out.Pending.clear();
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job.Phase == JobPhase::Queued && Job.Spec.RepeatCount == 0)
+      ++Out.Pending[Job.Spec.Queue];
+  }
+  Out.Unmet.clear();
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     const Executor &Each = Pool[I];
     if (Each.OpenRuns > 0 && !Each.Greeted)
-      Next.Row.Unmet[Each.Info.Id] =
-          StoreMillis + toMillis(Each.InheritedEnd - Now);
+      Out.Unmet[Each.Info.Id] = StoreMillis + toMillis(Each.InheritedEnd - Now);
   }
-  for (const auto &[Id, Job] : Jobs) {
-    if (Job.Phase == JobPhase::Queued && Job.Spec.RepeatCount == 0)
-      ++Next.Row.Pending[Job.Spec.Queue];
-  }
-  store::Transaction &Tx = Next.Content;
-  Tx.Partition = Options.Service;
-  Tx.Expected.push_back(
-      {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
-  size_t Entries = 2;
-  for (const std::string &Id : DirtyJobs) {
-    LiveJob &Job = Jobs.at(Id);
-    constexpr size_t EntriesOfJob = 4;
-    if (Entries + EntriesOfJob > store::MaxTransactionEntries)
-      break;
-    if (isFinal(Job.Phase) && Job.EndedMs == 0)
-      Job.EndedMs = std::max<int64_t>(1, StoreMillis);
-    bool Starting = false;
-    for (const auto &[Number, In] : Job.Occurrences) {
-      for (uint32_t S = 0; S < In.Steps.size(); ++S) {
-        for (uint32_t I = 0; I < In.Steps[S].Tasks.size(); ++I) {
-          const LiveTask &Task = In.Steps[S].Tasks[I];
-          if (Task.Phase != TaskPhase::Recording)
-            continue;
-          Starting = true;
-          Next.Starts.push_back(
-              {TaskKey{&Job, {Number, S, I}}.name(), Task.Run});
-        }
+  return Out;
+}
+
+void CellOwner::addJob(CommitInFlight &To, LiveJob &Job, int64_t StoreMillis) {
+  const std::string &Id = Job.Spec.Id;
+  store::Transaction &Tx = To.Content;
+  if (isFinal(Job.Phase) && Job.EndedMs == 0)
+    Job.EndedMs = std::max<int64_t>(1, StoreMillis);
+  size_t StartsBefore = To.Starts.size();
+  for (const auto &[Number, In] : Job.Occurrences) {
+    for (uint32_t S = 0; S < In.Steps.size(); ++S) {
+      for (uint32_t I = 0; I < In.Steps[S].Tasks.size(); ++I) {
+        const LiveTask &Task = In.Steps[S].Tasks[I];
+        if (Task.Phase == TaskPhase::Recording)
+          To.Starts.push_back({TaskKey{&Job, {Number, S, I}}.name(), Task.Run});
       }
     }
-    if (Starting) {
-      Tx.Expected.push_back({.Table = JobTable, .Key = cancelKey(Id)});
-      ++Entries;
-    }
-    if (!Job.Stored) {
-      Tx.Expected.push_back({.Table = JobTable, .Key = Id});
-      Tx.Writes.push_back(
-          {.Table = JobTable, .Key = Id, .Value = encodeJob(Job.Spec)});
-      Entries += 2;
-      Next.Offered.push_back(Id);
-    }
-    // A job that was only offered has no progress to tell of.
-    if (Job.Phase != JobPhase::Queued) {
-      Tx.Writes.push_back({.Table = ProgressTable,
-                           .Key = Id,
-                           .Value = encodeProgress(progressOf(Job))});
-      ++Entries;
-    }
-    Next.Jobs.emplace_back(Id, Job.Changed);
   }
-  while (RemovalDue && Next.Removed.size() < MaxRemovals &&
-         Entries + 3 <= store::MaxTransactionEntries) {
-    const std::string &Id = Removals.front().second;
+  if (To.Starts.size() > StartsBefore)
+    Tx.Expected.push_back({.Table = JobTable, .Key = cancelKey(Id)});
+  if (!Job.Stored) {
+    Tx.Expected.push_back({.Table = JobTable, .Key = Id});
+    Tx.Writes.push_back(
+        {.Table = JobTable, .Key = Id, .Value = encodeJob(Job.Spec)});
+    To.Offered.push_back(Id);
+  }
+  // A job that was only offered has no progress to tell of.
+  if (Job.Phase != JobPhase::Queued)
+    Tx.Writes.push_back({.Table = ProgressTable,
+                         .Key = Id,
+                         .Value = encodeProgress(progressOf(Job))});
+  To.Jobs.emplace_back(Id, Job.Changed);
+}
+
+void CellOwner::addRemovals(CommitInFlight &To, TimePoint Now) {
+  constexpr size_t EntriesOfRemoval = 3;
+  store::Transaction &Tx = To.Content;
+  while (removalDue(Now) && To.Removed.size() < MaxRemovals &&
+         Tx.entries() + EntriesOfRow + EntriesOfRemoval <=
+             store::MaxTransactionEntries) {
+    std::string Id = std::move(Removals.front().second);
+    Removals.pop_front();
     Tx.Removals.push_back({.Table = JobTable, .Key = Id});
     Tx.Removals.push_back({.Table = JobTable, .Key = cancelKey(Id)});
     Tx.Removals.push_back({.Table = ProgressTable, .Key = Id});
-    Entries += 3;
-    Next.Removed.push_back(Id);
-    Removals.pop_front();
-    RemovalDue = !Removals.empty() && Removals.front().first <= Now;
+    To.Removed.push_back(std::move(Id));
   }
-  Next.Row.Released = Releasing && Next.Jobs.size() == DirtyJobs.size();
-  Tx.Writes.push_back(
-      {.Table = OwnerTable, .Key = OwnerKey, .Value = encodeOwner(Next.Row)});
-  LastCommit = Now;
-  InFlight = std::move(Next);
-  return InFlight->Content;
 }
 
 void CellOwner::acknowledgeEnds() {
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -141,9 +141,9 @@
 }
 
 void CellOwner::plan(TimePoint Now) {
-  OpenOn.resize(Pool.size());
-  Paces.resize(Pool.size());
-  Kept.assign(Pool.size(), 0);
+  growWithPool();
+  std::fill(Kept.begin(), Kept.end(), 0);
+  std::vector<ExecutorLoad> Loads = loads(Now);
   for (const Waiting &Each : waitingSteps(Now)) {
     const Queue *From = Config->queue(Each.Job->Spec.Queue);
     const LiveStep &Step =
@@ -153,20 +153,20 @@
       continue;
     }
     if (Each.Job->Spec.Steps[Each.Step].Gang)
-      planGang(Each, From, Now);
+      planGang(Each, From, Loads, Now);
     else
-      planTasks(Each, From, Now);
-    recordPlaced(Each, From, Now);
+      planTasks(Each, From, Loads, Now);
+    if (recordPlaced(Each, From, Now))
+      Loads = loads(Now);
   }
 }
 
 void CellOwner::planTasks(const Waiting &Which, const Queue *From,
-                          TimePoint Now) {
+                          std::vector<ExecutorLoad> Loads, TimePoint Now) {
   std::map<ExecutorIndex, uint32_t> OfStep;
   PlacementAsk Ask = askFor(Which, From, OfStep);
   LiveStep &Step =
       Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
-  std::vector<ExecutorLoad> Loads = loads(Now);
   bool Full = false;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Full; ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
@@ -187,7 +187,7 @@
 }
 
 void CellOwner::planGang(const Waiting &Which, const Queue *From,
-                         TimePoint Now) {
+                         std::span<const ExecutorLoad> Loads, TimePoint Now) {
   LiveStep &Step =
       Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
   if (!allWaiting(Step))
@@ -195,7 +195,7 @@
   std::map<ExecutorIndex, uint32_t> OfStep;
   PlacementAsk Ask = askFor(Which, From, OfStep);
   auto Count = static_cast<uint32_t>(Step.Tasks.size());
-  auto Places = chooseGang(Pool, loads(Now), Ask, Count, Now);
+  auto Places = chooseGang(Pool, Loads, Ask, Count, Now);
   if (!Places) {
     keepForGang(Which, Now);
     if (From && From->Advice)
@@ -256,8 +256,9 @@
 }
 
 /// Turns placed tasks into recorded starts once their tickets hold; asks for
-/// new tickets where they don't. A gang goes as a whole.
-void CellOwner::recordPlaced(const Waiting &Which, const Queue *From,
+/// new tickets where they don't. A gang goes as a whole. Whether any was
+/// recorded.
+bool CellOwner::recordPlaced(const Waiting &Which, const Queue *From,
                              TimePoint Now) {
   LiveStep &Step =
       Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
@@ -280,7 +281,8 @@
   if (!AllValid)
     askAdvice(Which, *From, true, Now);
   if (Spec.Gang && !AllValid)
-    return;
+    return false;
+  bool Recorded = false;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     LiveTask &Task = Step.Tasks[I];
     if (Task.Phase != TaskPhase::Placed || !Valid(Task))
@@ -288,7 +290,9 @@
     // Members of a gang share their run's number.
     Task.Run = Spec.Gang ? HighestRun + 1 : Task.Run + 1;
     record({Which.Job, {Which.Occurrence, Which.Step, I}});
+    Recorded = true;
   }
+  return Recorded;
 }
 
 /// Asks about all executors that were not asked about, or, to \p Renew, about
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -165,7 +165,8 @@
                              .StoreMillis = Common.Store.clockMillis(Now),
                              .Began = Now,
                              .StatusKept = Common.Options.StatusKept};
-  Options.Contact.MaxLease = Common.Options.MaxLease;
+  Options.Contact.Lease =
+      std::min(Options.Contact.Lease, Common.Options.MaxLease);
   Options.MaxListAge = Common.Options.DrainBound - FeedSilence - OrderWay;
   Options.MaxJobsAge = Common.Options.CancelBound - FeedSilence - OrderWay;
   Options.InheritedLeaseEnd =
