Reading: one write path for cancels in the intake

Cause: since jobs are written by JobWriter, the intake's general write with its handler for conflicts served cancels alone; the search through services and the read of a job's rows stood twice; two thresholds were both called StoreSilence; a verdict that found its ring full was dropped without a line.

Change: sendCancel/onCancelSent in place of write/onWritten/OnConflict; nextPartition and readJobRows serve query and cancel alike; Node's threshold is ReadinessSilence; a dropped verdict is logged. Callers are answered as before. In the log a cancel's reason is now "cancelled", formerly "stored".

--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -223,8 +223,8 @@
   Patience = std::min(Patience, Slow ? Left - 2 * AnswerMargin : Left / 2);
   Patience = std::max(Patience, Millis(1));
   auto Done = [this, Of, Job](const Result<cell::Verdict> &Answer) {
-    (void)Verdicts.push(
-        [this, Of, Job, Answer] { onVerdict(Of, Job, Answer); });
+    if (!Verdicts.push([this, Of, Job, Answer] { onVerdict(Of, Job, Answer); }))
+      logWarn("verdict-dropped", "job={}", Job.Id);
   };
   if (Common.Offers.owns(Service)) {
     Common.Offers.hand(Service, Job, Done);
@@ -326,82 +326,42 @@
   }
 }
 
-/// Sends the write, and once more if no answer comes: it is conditioned, so
-/// that only one copy takes effect.
-void IntakeLoop::write(const VisitPtr &Of, const WritePtr &What,
-                       const OnConflict &Conflict) {
-  ++Of->Sent;
-  Store->commit(*What, [this, Of, What,
-                        Conflict](const store::TransactionResult &Result) {
-    --Of->Sent;
-    onWritten(Of, What, Conflict, Result);
-  });
-  TimePoint Next =
-      monotonicNow() + storeWait(Common.Store, WriteHedgeReads, LeastHedge);
-  if (Next + AnswerMargin >= Of->Deadline)
-    return;
-  Later.at(Next, [this, Of, What, Conflict] {
-    if (!Of->Answered && Of->Sent == 1)
-      write(Of, What, Conflict);
-    watchSilence(Of);
-  });
-}
-
-/// A caller whose write may be on its way is told so as soon as the store is
-/// known to be silent here: another entry may still reach it.
-void IntakeLoop::watchSilence(const VisitPtr &Of) {
-  TimePoint Now = monotonicNow();
-  if (Of->Answered || Now >= Of->Deadline)
-    return;
-  if (storeSilent(Now)) {
-    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
-    return;
+/// The next service whose rows may hold the job; none, and the caller is told
+/// so, when all were searched.
+std::optional<std::string> IntakeLoop::nextPartition(const VisitPtr &Of) {
+  if (Of->Partitions.empty()) {
+    answer(Of, http::StatusGone, "{}", "no-such-job");
+    return std::nullopt;
   }
-  Later.at(Now + SilenceCheck, [this, Of] { watchSilence(Of); });
+  std::string Out = std::move(Of->Partitions.front());
+  Of->Partitions.erase(Of->Partitions.begin());
+  return Out;
 }
 
-/// After a write that may be carried out only its own outcome may be told.
-void IntakeLoop::onWritten(const VisitPtr &Of, const WritePtr &What,
-                           const OnConflict &Conflict,
-                           const store::TransactionResult &Result) {
-  TimePoint Now = monotonicNow();
-  if (Result.StoreMillis)
-    Common.Store.answered(Now, Result.StoreMillis);
-  if (Of->Answered)
-    return;
-  if (Result.Outcome == store::TransactionOutcome::Committed) {
-    answer(Of, http::StatusOk, "{}", "stored");
-    return;
-  }
-  if (Result.Outcome == store::TransactionOutcome::Conflict) {
-    Conflict(Result);
-    return;
-  }
-  if (Result.Outcome == store::TransactionOutcome::Unknown)
-    Of->Unknown = true;
-  if (Of->Sent > 0)
-    return;
-  if (!Of->Unknown) {
-    refuse(Of, "store-unavailable");
-    return;
-  }
-  TimePoint Next = Now + WriteRetry;
-  if (storeSilent(Now) || Next + AnswerMargin >= Of->Deadline) {
-    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
-    return;
-  }
-  Later.at(Next, [this, Of, What, Conflict] { write(Of, What, Conflict); });
+/// Reads the job's own row and, behind it, that of its cancel; both or the
+/// second may be absent. A store that refuses is told to the caller.
+void IntakeLoop::readJobRows(
+    const VisitPtr &Of, const std::string &Partition,
+    std::function<void(const std::vector<store::Row> &)> OnRows) {
+  store::RangeRead Range{.Table = cell::JobTable,
+                         .Partition = Partition,
+                         .From = Of->JobId,
+                         .To = Of->JobId + '0'};
+  Store->read(Range, [this, Of, OnRows = std::move(OnRows)](
+                         const Result<store::RowPage> &Page) {
+    if (Page)
+      OnRows(Page->Rows);
+    else
+      refuse(Of, "store-unavailable");
+  });
 }
 
 void IntakeLoop::query(const VisitPtr &Of) {
-  if (Of->Partitions.empty()) {
-    answer(Of, http::StatusGone, "{}", "no-such-job");
+  auto Partition = nextPartition(Of);
+  if (!Partition)
     return;
-  }
-  std::string Partition = Of->Partitions.front();
-  Of->Partitions.erase(Of->Partitions.begin());
   store::RangeRead Range{.Table = cell::ProgressTable,
-                         .Partition = Partition,
+                         .Partition = *Partition,
                          .From = Of->JobId,
                          .To = Of->JobId + '!',
                          .Limit = 1};
@@ -412,7 +372,7 @@
     }
     Common.Store.answered(monotonicNow(), Page->StoreMillis);
     if (Page->Rows.empty()) {
-      queryJobRow(Of, Partition);
+      queryJobRow(Of, *Partition);
       return;
     }
     auto Phase = cell::decodePhase(Page->Rows.front().Value);
@@ -428,20 +388,12 @@
 
 /// A job that its owner has not yet begun has no progress, only its own row.
 void IntakeLoop::queryJobRow(const VisitPtr &Of, const std::string &Partition) {
-  store::RangeRead Range{.Table = cell::JobTable,
-                         .Partition = Partition,
-                         .From = Of->JobId,
-                         .To = Of->JobId + '0'};
-  Store->read(Range, [this, Of](const Result<store::RowPage> &Page) {
-    if (!Page) {
-      refuse(Of, "store-unavailable");
-      return;
-    }
-    if (Page->Rows.empty()) {
+  readJobRows(Of, Partition, [this, Of](const std::vector<store::Row> &Rows) {
+    if (Rows.empty()) {
       query(Of);
       return;
     }
-    bool Cancelled = Page->Rows.size() > 1;
+    bool Cancelled = Rows.size() > 1;
     std::string_view Name = cell::phaseName(
         Cancelled ? cell::JobPhase::Cancelled : cell::JobPhase::Queued);
     answer(Of, http::StatusOk, Common.Around.documents().state(Name), Name);
@@ -449,28 +401,18 @@
 }
 
 void IntakeLoop::cancel(const VisitPtr &Of) {
-  if (Of->Partitions.empty()) {
-    answer(Of, http::StatusGone, "{}", "no-such-job");
-    return;
-  }
-  std::string Partition = Of->Partitions.front();
-  Of->Partitions.erase(Of->Partitions.begin());
-  store::RangeRead Range{.Table = cell::JobTable,
-                         .Partition = Partition,
-                         .From = Of->JobId,
-                         .To = Of->JobId + '0'};
-  Store->read(Range, [this, Of, Partition](const Result<store::RowPage> &Page) {
-    if (!Page) {
-      refuse(Of, "store-unavailable");
-      return;
-    }
-    if (Page->Rows.empty())
-      cancel(Of);
-    else if (Page->Rows.size() > 1)
-      answer(Of, http::StatusOk, "{}", "cancelled-before");
-    else
-      writeCancel(Of, Partition, Page->Rows.front().Version);
-  });
+  auto Partition = nextPartition(Of);
+  if (!Partition)
+    return;
+  readJobRows(Of, *Partition,
+              [this, Of, Partition](const std::vector<store::Row> &Rows) {
+                if (Rows.empty())
+                  cancel(Of);
+                else if (Rows.size() > 1)
+                  answer(Of, http::StatusOk, "{}", "cancelled-before");
+                else
+                  writeCancel(Of, *Partition, Rows.front().Version);
+              });
 }
 
 void IntakeLoop::writeCancel(const VisitPtr &Of, const std::string &Partition,
@@ -482,14 +424,74 @@
   Tx.Writes.push_back({.Table = cell::JobTable,
                        .Key = cell::cancelKey(Of->JobId),
                        .Value = "cancelled"});
-  write(Of, std::make_shared<const store::Transaction>(std::move(Tx)),
-        [this, Of](const store::TransactionResult &Result) {
-          // An earlier copy of the write went through, or the job's rows were
-          // removed meanwhile: it ended long ago.
-          bool Known = !Result.Current.empty();
-          answer(Of, Known ? http::StatusOk : http::StatusGone, "{}",
-                 Known ? "cancelled" : "no-such-job");
-        });
+  sendCancel(Of, std::make_shared<const store::Transaction>(std::move(Tx)));
+}
+
+/// Sends the write, and once more if no answer comes: both ask for the same.
+void IntakeLoop::sendCancel(const VisitPtr &Of, const WritePtr &What) {
+  ++Of->Sent;
+  Store->commit(*What,
+                [this, Of, What](const store::TransactionResult &Result) {
+                  --Of->Sent;
+                  onCancelSent(Of, What, Result);
+                });
+  TimePoint Next =
+      monotonicNow() + storeWait(Common.Store, WriteHedgeReads, LeastHedge);
+  if (Next + AnswerMargin >= Of->Deadline)
+    return;
+  Later.at(Next, [this, Of, What] {
+    if (!Of->Answered && Of->Sent == 1)
+      sendCancel(Of, What);
+    watchSilence(Of);
+  });
+}
+
+/// A caller whose write may be on its way is told so as soon as the store is
+/// known to be silent here: another entry may still reach it.
+void IntakeLoop::watchSilence(const VisitPtr &Of) {
+  TimePoint Now = monotonicNow();
+  if (Of->Answered || Now >= Of->Deadline)
+    return;
+  if (storeSilent(Now)) {
+    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+    return;
+  }
+  Later.at(Now + SilenceCheck, [this, Of] { watchSilence(Of); });
+}
+
+/// After a write that may be carried out only its own outcome may be told.
+void IntakeLoop::onCancelSent(const VisitPtr &Of, const WritePtr &What,
+                              const store::TransactionResult &Result) {
+  TimePoint Now = monotonicNow();
+  if (Result.StoreMillis)
+    Common.Store.answered(Now, Result.StoreMillis);
+  if (Of->Answered)
+    return;
+  // A conflict with rows there: an earlier copy went through. Without rows the
+  // job ended long ago and they were removed meanwhile.
+  bool Conflict = Result.Outcome == store::TransactionOutcome::Conflict;
+  if (Conflict && Result.Current.empty()) {
+    answer(Of, http::StatusGone, "{}", "no-such-job");
+    return;
+  }
+  if (Conflict || Result.Outcome == store::TransactionOutcome::Committed) {
+    answer(Of, http::StatusOk, "{}", "cancelled");
+    return;
+  }
+  if (Result.Outcome == store::TransactionOutcome::Unknown)
+    Of->Unknown = true;
+  if (Of->Sent > 0)
+    return;
+  if (!Of->Unknown) {
+    refuse(Of, "store-unavailable");
+    return;
+  }
+  TimePoint Next = Now + WriteRetry;
+  if (storeSilent(Now) || Next + AnswerMargin >= Of->Deadline) {
+    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+    return;
+  }
+  Later.at(Next, [this, Of, What] { sendCancel(Of, What); });
 }
 
 } // namespace daisylanding::node
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -10,6 +10,8 @@
 #include "node/Shared.h"
 #include "relay/RelayLoop.h"
 
+#include <optional>
+
 namespace daisylanding::node {
 
 /// Serves callers: takes jobs in, tells their state, cancels them. What it
@@ -40,7 +42,7 @@
     bool Unknown = false; ///< A write got no answer; it may be carried out.
     bool Answered = false;
     bool OfferOver = false; ///< The owner has answered, or is not waited for.
-    uint32_t Sent = 0;      ///< Copies of its write under way.
+    uint32_t Sent = 0;      ///< Copies of its cancel under way.
   };
   using VisitPtr = std::shared_ptr<Visit>;
 
@@ -51,12 +53,6 @@
   void onVerdict(const VisitPtr &Of, const cell::JobSpec &Job,
                  const Result<cell::Verdict> &Answer);
   using WritePtr = std::shared_ptr<const store::Transaction>;
-  using OnConflict = std::function<void(const store::TransactionResult &)>;
-  void write(const VisitPtr &Of, const WritePtr &What,
-             const OnConflict &Conflict);
-  void onWritten(const VisitPtr &Of, const WritePtr &What,
-                 const OnConflict &Conflict,
-                 const store::TransactionResult &Result);
   void writeJob(const VisitPtr &Of, const cell::JobSpec &Job);
   void onJobWritten(const VisitPtr &Of, WriteOutcome How);
   void query(const VisitPtr &Of);
@@ -64,6 +60,12 @@
   void cancel(const VisitPtr &Of);
   void writeCancel(const VisitPtr &Of, const std::string &Partition,
                    uint64_t JobVersion);
+  void sendCancel(const VisitPtr &Of, const WritePtr &What);
+  void onCancelSent(const VisitPtr &Of, const WritePtr &What,
+                    const store::TransactionResult &Result);
+  std::optional<std::string> nextPartition(const VisitPtr &Of);
+  void readJobRows(const VisitPtr &Of, const std::string &Partition,
+                   std::function<void(const std::vector<store::Row> &)> OnRows);
   void answer(const VisitPtr &Of, uint16_t Status, std::string Body,
               std::string_view Why);
   void refuse(const VisitPtr &Of, std::string_view Why);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /// An entry that has not heard of the store for so long sends callers away.
-constexpr Millis StoreSilence{1'500};
+constexpr Millis ReadinessSilence{1'500};
 /// How long the balancer may go on sending after readiness has turned.
 constexpr Millis BalancerGrace{2'200};
 constexpr Millis ReleaseLimit{1'500};
@@ -46,7 +46,7 @@
 
   void handle(http::Request, http::Responder Respond) override {
     TimePoint Now = monotonicNow();
-    bool Heard = Now < Common.Store.lastAnswer() + StoreSilence;
+    bool Heard = Now < Common.Store.lastAnswer() + ReadinessSilence;
     bool Ready = Common.Config.current() && Heard && !Common.Draining.load();
     if (Ready != WasReady) {
       WasReady = Ready;
