The executors' list is confirmed by whole reads, not by its feed

The owner took each answer of the feed, without rows too, as proof that the list was up to date at the time at which the answer was processed. Change: node/ExecutorList reads the list whole every 0.7 s, page by page, and confirms it as of the time at which the read was asked; the feed only brings news early. store/FeedCursor: an answer without rows moves a feed on only after 3 s, for the jobs' and the configuration's feeds as well. Log lines for executors that drain or leave; feed-skipped, should a feed go past a change. Starts need a list younger than 1.8 s (0.9 s before, as a silent feed had to be allowed for).

--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -14,12 +14,10 @@
 /// How long a feed waits for a first change: bounds how old a belief gets
 /// when a feed hears nothing.
 constexpr Millis FeedWait{800};
-/// Shorter, as starts wait for a list that is up to date.
-constexpr Millis ListFeedWait{400};
 /// A feed may hear nothing for so long while changes are made.
 constexpr Millis FeedSilence{1'000};
 /// From a decision to its order's arrival.
-constexpr Millis OrderWay{100};
+constexpr Millis OrderWay{200};
 constexpr Millis ReadRetry{100};
 constexpr Millis MembersInterval{3'000};
 constexpr Millis PublishInterval{1'000};
@@ -35,6 +33,7 @@
     : Common(Common), Desk(Desk), Relay(Relay), Service(std::move(Service)),
       Mine(std::move(Mine)), RowVersion(RowVersion), LastRenewal(LastRenewal),
       Calls({.MaxConnectionsPerHost = 32, .MaxIdleConnections = 600}),
+      JobFeed(store::LongestFeedSilence),
       Answers(std::make_shared<Mailbox<AdviceAnswer>>(
           AnswerCapacity, [this] { Calls.wake(); })),
       Offers(std::make_shared<cell::OfferBox>(OfferCapacity,
@@ -68,7 +67,10 @@
   Store = Common.Around.store(Calls);
   Executors = Common.Around.executors(Calls);
   loadRows(cell::JobTable, "");
-  reloadExecutors();
+  List = std::make_unique<ExecutorList>(
+      *Store, Common.Around.documents(), Later,
+      [this](int64_t StoreMillis) { sawStore(StoreMillis); });
+  List->start();
   while (!Loop.stopping()) {
     Later.run(monotonicNow());
     if (Owner) {
@@ -122,8 +124,8 @@
     }
     sawStore(Page->StoreMillis);
     bool Jobs = Table == cell::JobTable;
-    if (Jobs && JobsVersion == 0)
-      JobsVersion = Page->Version;
+    if (Jobs && From.empty())
+      JobFeed.restart(Page->Version);
     for (const store::Row &Each : Page->Rows) {
       size_t Mark = Each.Key.find('/');
       if (Jobs && Mark != std::string::npos) {
@@ -167,7 +169,7 @@
                              .StatusKept = Common.Options.StatusKept};
   Options.Contact.Lease =
       std::min(Options.Contact.Lease, Common.Options.MaxLease);
-  Options.MaxListAge = Common.Options.DrainBound - FeedSilence - OrderWay;
+  Options.MaxListAge = Common.Options.DrainBound - OrderWay;
   Options.MaxJobsAge = Common.Options.CancelBound - FeedSilence - OrderWay;
   Options.InheritedLeaseEnd =
       cell::inheritedLeaseEnd(Options.Contact, LastRenewal);
@@ -188,7 +190,6 @@
   LoadedJobs.clear();
   LoadedProgress.clear();
   LoadedCancels.clear();
-  ListChanged = true;
   Common.Offers.open(Service, Offers);
   Owner->confirmJobs(Now);
   followJobs();
@@ -215,14 +216,9 @@
     ConfigVersion = Config->Version;
     Owner->setConfig(Config);
   }
-  if (ListChanged) {
-    ListChanged = false;
-    std::vector<executor::ExecutorInfo> All;
-    for (const auto &Executor : List)
-      All.push_back(Executor.second);
-    Owner->setExecutors(All, Now);
-  }
-  Owner->confirmExecutors(ListConfirmed);
+  if (auto Changed = List->changes())
+    Owner->setExecutors(*Changed, Now);
+  Owner->confirmExecutors(List->confirmed());
   if (Releasing.load())
     Owner->release();
   if (!MembersOpen && Now >= NextMembers)
@@ -301,19 +297,19 @@
 
 void CellLoop::followJobs() {
   store::ChangeQuery Query{
-      .Table = cell::JobTable, .After = JobsVersion, .Wait = FeedWait};
+      .Table = cell::JobTable, .After = JobFeed.after(), .Wait = FeedWait};
   Store->changes(Query, [this](const Result<store::ChangePage> &Page) {
     if (Page) {
       sawStore(Page->StoreMillis);
       onJobRows(Page->Rows);
-      Owner->confirmJobs(monotonicNow());
-      JobsVersion = std::max(JobsVersion, Page->Version);
+      TimePoint Now = monotonicNow();
+      Owner->confirmJobs(Now);
+      JobFeed.took(*Page, Now);
       followJobs();
       return;
     }
     logInfo("job-feed-lost", "service={} error={}", Service,
             Page.error().message());
-    JobsVersion = 0;
     retry([this] { reloadJobs(""); });
   });
 }
@@ -328,8 +324,8 @@
       return;
     }
     sawStore(Page->StoreMillis);
-    if (JobsVersion == 0)
-      JobsVersion = Page->Version;
+    if (From.empty())
+      JobFeed.restart(Page->Version);
     onJobRows(Page->Rows);
     if (Page->More && !Page->Rows.empty())
       reloadJobs(Page->Rows.back().Key + '\0');
@@ -360,58 +356,6 @@
   }
 }
 
-void CellLoop::onExecutorRow(const store::Row &Row) {
-  ListChanged = true;
-  if (Row.Deleted) {
-    List.erase(Row.Key);
-    return;
-  }
-  auto Info = Common.Around.documents().executor(Row.Key, Row.Value);
-  if (Info) {
-    List[Row.Key] = std::move(*Info);
-    return;
-  }
-  logWarn("executor-entry-unreadable", "executor={} version={}", Row.Key,
-          Row.Version);
-  List.erase(Row.Key);
-}
-
-void CellLoop::reloadExecutors() {
-  store::RangeRead Range{.Table = Common.Around.documents().executorTable()};
-  Store->read(Range, [this](const Result<store::RowPage> &Page) {
-    if (!Page) {
-      retry([this] { reloadExecutors(); });
-      return;
-    }
-    sawStore(Page->StoreMillis);
-    List.clear();
-    ListChanged = true;
-    for (const store::Row &Each : Page->Rows)
-      onExecutorRow(Each);
-    ExecutorsVersion = Page->Version;
-    ListConfirmed = monotonicNow();
-    followExecutors();
-  });
-}
-
-void CellLoop::followExecutors() {
-  store::ChangeQuery Query{.Table = Common.Around.documents().executorTable(),
-                           .After = ExecutorsVersion,
-                           .Wait = ListFeedWait};
-  Store->changes(Query, [this](const Result<store::ChangePage> &Page) {
-    if (!Page) {
-      retry([this] { reloadExecutors(); });
-      return;
-    }
-    sawStore(Page->StoreMillis);
-    for (const store::Row &Each : Page->Rows)
-      onExecutorRow(Each);
-    ExecutorsVersion = std::max(ExecutorsVersion, Page->Version);
-    ListConfirmed = monotonicNow();
-    followExecutors();
-  });
-}
-
 /// The other entries' relays: their lines to the policy service.
 void CellLoop::readMembers() {
   MembersOpen = true;
@@ -466,6 +410,7 @@
   Gauge("jobs_failed", Counts.JobsFailed);
   Gauge("jobs_cancelled", Counts.JobsCancelled);
   Gauge("live_jobs", Owner->liveJobs());
+  Gauge("feed_skipped", List->skipped());
   Gauge("advice_waiting", Lines.waiting());
 }
 
--- a/src/node/CellLoop.h
+++ b/src/node/CellLoop.h
@@ -7,6 +7,7 @@
 #include "common/Thread.h"
 #include "common/Timers.h"
 #include "node/AdviceDesk.h"
+#include "node/ExecutorList.h"
 #include "node/Shared.h"
 #include "relay/RelayLoop.h"
 
@@ -48,9 +49,6 @@
   void followJobs();
   void onJobRows(const std::vector<store::Row> &Rows);
   void reloadJobs(const std::string &From);
-  void followExecutors();
-  void reloadExecutors();
-  void onExecutorRow(const store::Row &Row);
   void readMembers();
   TimePoint acceptedAt(const cell::JobSpec &Job, TimePoint Now) const;
   void sawStore(int64_t StoreMillis);
@@ -65,6 +63,7 @@
   TimePoint LastRenewal; ///< The earlier owner had not renewed since.
 
   http::MultiClient Calls;
+  store::FeedCursor JobFeed;
   std::shared_ptr<Mailbox<AdviceAnswer>> Answers;
   std::shared_ptr<cell::OfferBox> Offers;
   std::unique_ptr<store::RowStore> Store;
@@ -78,13 +77,9 @@
   std::set<std::string> LoadedCancels;
   std::map<std::string, cell::JobProgress> LoadedProgress;
   std::set<std::string> Withheld; ///< Jobs whose progress can't be read.
-  uint64_t JobsVersion = 0;
   bool Loaded = false;
 
-  std::map<std::string, executor::ExecutorInfo> List;
-  uint64_t ExecutorsVersion = 0;
-  bool ListChanged = false;
-  TimePoint ListConfirmed{};
+  std::unique_ptr<ExecutorList> List;
   uint64_t ConfigVersion = 0;
   TimePoint NextMembers{};
   TimePoint NextPublish{};
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -108,14 +108,14 @@
     Common.Store.answered(monotonicNow(), Page->StoreMillis);
     for (const store::Row &Each : Page->Rows)
       takeConfig(Each);
-    ConfigVersion = Page->Version;
+    ConfigFeed.restart(Page->Version);
     followConfig();
   });
 }
 
 void WatchLoop::followConfig() {
   store::ChangeQuery Query{.Table = Common.Around.documents().configTable(),
-                           .After = ConfigVersion,
+                           .After = ConfigFeed.after(),
                            .Wait = ConfigFeedWait};
   Store->changes(Query, [this](const Result<store::ChangePage> &Page) {
     if (!Page) {
@@ -126,7 +126,7 @@
     Common.Store.answered(monotonicNow(), Page->StoreMillis);
     for (const store::Row &Each : Page->Rows)
       takeConfig(Each);
-    ConfigVersion = std::max(ConfigVersion, Page->Version);
+    ConfigFeed.took(*Page, monotonicNow());
     followConfig();
   });
 }
--- a/src/node/WatchLoop.h
+++ b/src/node/WatchLoop.h
@@ -7,6 +7,7 @@
 #include "node/CellLoop.h"
 #include "node/OwnerWatch.h"
 #include "node/Shared.h"
+#include "store/FeedCursor.h"
 
 #include <map>
 
@@ -51,7 +52,7 @@
   std::unique_ptr<store::RowStore> Store;
   Timers Later;
   Random Dice;
-  uint64_t ConfigVersion = 0; ///< Of the feed, not of the configuration.
+  store::FeedCursor ConfigFeed{store::LongestFeedSilence};
   std::map<std::string, Watched> Owners;
   std::vector<std::unique_ptr<CellLoop>> Cells;
   std::atomic<bool> Releasing{false};
