Offers on a slow store go by their callers' time; counts outlive a take-over

Offers timed out after 0.6 s, before the store was known to be slow, and each of eight entries wrote for itself; an offer that timed out cut the connection of all others to the owner, which then wrote, too; entries wrote in their callers' last moment; the owner sent copies of commits after 1.5 s; commits took jobs in the order of their ids. So the owner had two commits in 4 s, 59 callers were told 504, and at the end it was replaced for silence. Ruled out: that the store was full of reads. Change: a store is slow as soon as a read has no answer for 50 ms; then only the owner writes. Offers carry the time in which their word is of use: a commit takes those with the least first, in half of its entries, and what has changed for longest next; what can't be told in time is answered at once and never stored. A calls' connection lives as long as its calls. Copies wait for 15 (commits) and 25 (batches) times a read's time. Take-overs remember that the store was slow just now. An offered job that another entry stored meanwhile is taken from the feed, so that an expired offer can't lose it. A job that is not stored needs no condition on its cancel.

The row keeps the counts of the last owner; a job has begun when a start is known. Entries that ask for both services at once now count the first as theirs.

--- a/schema/relay.capnp
+++ b/schema/relay.capnp
@@ -5,7 +5,7 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("daisylanding::relay::wire");
 
-const protocolVersion :UInt32 = 1;
+const protocolVersion :UInt32 = 2;
 
 interface Relay {
   advise @0 (version :UInt32, step :Text, executors :List(Text),
@@ -13,10 +13,10 @@
          -> (status :Status, allowed :List(Ticket), validityMs :UInt32);
   # Asks the policy service on the other entry's line.
 
-  offer @1 (version :UInt32, service :Text, job :Text)
+  offer @1 (version :UInt32, service :Text, job :Text, withinMs :UInt32)
         -> (verdict :Verdict);
   # Hands a job to the owner of its service, which stores it with its next
-  # commit.
+  # commit, or tells that it can't within that time.
 }
 
 enum Verdict {
@@ -27,6 +27,7 @@
   busy @4;         # Too many jobs wait there to be stored.
   unknown @5;      # It may have been stored, or may be.
   wrongVersion @6;
+  expired @7;      # It could not have been stored in time, and never will be.
 }
 
 enum Status {
--- a/schema/relay.capnp.h
+++ b/schema/relay.capnp.h
@@ -34,6 +34,7 @@
   BUSY,
   UNKNOWN,
   WRONG_VERSION,
+  EXPIRED,
 };
 CAPNP_DECLARE_ENUM(Verdict, ac2496a205815c61);
 CAPNP_DECLARE_SCHEMA(b9939cb2f4778b5a);
@@ -53,7 +54,7 @@
 namespace relay {
 namespace wire {
 
-static constexpr  ::uint32_t PROTOCOL_VERSION = 1u;
+static constexpr  ::uint32_t PROTOCOL_VERSION = 2u;
 struct Relay {
   Relay() = delete;
 
@@ -433,6 +434,8 @@
   inline bool hasJob() const;
   inline  ::capnp::Text::Reader getJob() const;
 
+  inline  ::uint32_t getWithinMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -478,6 +481,9 @@
   inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownJob();
 
+  inline  ::uint32_t getWithinMs();
+  inline void setWithinMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -941,6 +947,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Relay::OfferParams::Reader::getWithinMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Relay::OfferParams::Builder::getWithinMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Relay::OfferParams::Builder::setWithinMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::daisylanding::relay::wire::Verdict Relay::OfferResults::Reader::getVerdict() const {
   return _reader.getDataField< ::daisylanding::relay::wire::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -66,7 +66,8 @@
 
 void CellOwner::changed(LiveJob &Job) {
   ++Job.Changed;
-  DirtyJobs.insert(Job.Spec.Id);
+  if (DirtyJobs.try_emplace(Job.Spec.Id, NextDirty).second)
+    ++NextDirty;
 }
 
 LiveJob &CellOwner::add(JobSpec Job, TimePoint AcceptedAt) {
@@ -128,8 +129,14 @@
 }
 
 void CellOwner::accept(JobSpec Job, TimePoint AcceptedAt, TimePoint Now) {
-  if (find(Job.Id) || EndedJobs.count(Job.Id))
+  if (EndedJobs.count(Job.Id))
     return;
+  if (const LiveJob *Known = find(Job.Id)) {
+    // One that is on its way to the store is settled by that commit's answer.
+    if (!Known->Stored && !isOnItsWay(Job.Id))
+      adoptStored(std::move(Job), Now);
+    return;
+  }
   bool Timed = Job.RepeatCount > 0;
   LiveJob &Added = add(std::move(Job), AcceptedAt);
   if (!Timed) {
@@ -141,31 +148,33 @@
           toMillis(Now - AcceptedAt));
 }
 
-void CellOwner::offer(JobSpec Job, VerdictDone Done, TimePoint AcceptedAt,
-                      TimePoint Now) {
-  std::string Id = Job.Id;
+void CellOwner::offer(Offer What, TimePoint AcceptedAt, TimePoint Now) {
+  std::string Id = What.Job.Id;
   if (Releasing || Deposed) {
-    Done(Verdict::NotOwner);
+    What.Done(Verdict::NotOwner);
     return;
   }
   if (EndedJobs.count(Id)) {
-    Done(Verdict::StoredBefore);
+    What.Done(Verdict::StoredBefore);
     return;
   }
-  if (LiveJob *Known = find(Id)) {
-    if (!sameWork(Known->Spec, Job))
-      Done(Verdict::OtherWork);
-    else if (Known->Stored)
-      Done(Verdict::StoredBefore);
-    else
-      Offers[Id].push_back(std::move(Done));
+  LiveJob *Known = find(Id);
+  if (Known && !sameWork(Known->Spec, What.Job)) {
+    What.Done(Verdict::OtherWork);
     return;
   }
-  accept(std::move(Job), AcceptedAt, Now);
-  LiveJob &Added = Jobs.at(Id);
-  Added.Stored = false;
-  changed(Added);
-  Offers[Id].push_back(std::move(Done));
+  if (Known && Known->Stored) {
+    What.Done(Verdict::StoredBefore);
+    return;
+  }
+  if (!Known) {
+    accept(std::move(What.Job), AcceptedAt, Now);
+    Known = find(Id);
+    Known->Stored = false;
+    changed(*Known);
+  }
+  Known->OfferedUntil = std::max(Known->OfferedUntil, Now + What.Within);
+  Offers[Id].push_back(std::move(What.Done));
 }
 
 void CellOwner::giveUpOffers() {
@@ -203,6 +212,9 @@
       Mine.Failures = Task.Failures;
       Mine.Checkpoint = Task.Checkpoint;
       Mine.Phase = Task.Phase;
+      bool Pending = Task.Phase == TaskPhase::Recording ||
+                     Task.Phase == TaskPhase::Starting;
+      Added.Begun = Added.Begun || !Pending || Task.Failures > 0;
       if (!isOpen(Task.Phase))
         continue;
       Mine.On = Pool.intern(Task.Executor);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -113,9 +113,8 @@
                bool Cancelled, TimePoint AcceptedAt, TimePoint Now);
   /// A job that was handed in; known ids are left as they are.
   void accept(JobSpec Job, TimePoint AcceptedAt, TimePoint Now);
-  /// A job that is not stored yet; \p Done is told once it is.
-  void offer(JobSpec Job, VerdictDone Done, TimePoint AcceptedAt,
-             TimePoint Now);
+  /// A job that is not stored yet; its entry is told once it is.
+  void offer(Offer What, TimePoint AcceptedAt, TimePoint Now);
   /// Answers all offers whose commit is not known to have gone through.
   void giveUpOffers();
   void cancel(std::string_view JobId, TimePoint Now);
@@ -272,6 +271,7 @@
 
   // Commits.
   CommitInFlight buildCommit(TimePoint Now, int64_t StoreMillis);
+  void addJobs(CommitInFlight &To, int64_t StoreMillis);
   OwnerRow nextRow(TimePoint Now, int64_t StoreMillis);
   void addJob(CommitInFlight &To, LiveJob &Job, int64_t StoreMillis);
   void addRemovals(CommitInFlight &To, TimePoint Now);
@@ -282,8 +282,11 @@
   void onConflict(const store::TransactionResult &Result, TimePoint Now);
   Micros hedgeDelay() const;
   void answerOffers(const std::string &JobId, Verdict With);
-  void dropOffered(const std::string &JobId, const store::Row &Present,
-                   TimePoint Now);
+  bool isOnItsWay(const std::string &JobId) const;
+  void onStoredBefore(const store::Row &Present, TimePoint Now);
+  void adoptStored(JobSpec Stored, TimePoint Now);
+  void expireOffers(TimePoint Now);
+  void forgetOffered(const std::string &JobId, TimePoint Now);
   void acknowledgeEnds();
   JobProgress progressOf(const LiveJob &Job) const;
 
@@ -297,7 +300,9 @@
   std::vector<std::vector<TaskKey>> OpenOn; ///< By executor.
   std::vector<PaceState> Paces;             ///< By executor.
   std::vector<uint8_t> Kept;                ///< By executor; for gangs.
-  std::set<std::string> DirtyJobs;
+  /// Jobs with changes to store, by when the oldest of these came.
+  std::map<std::string, uint64_t> DirtyJobs;
+  uint64_t NextDirty = 0;
   std::map<std::string, std::vector<VerdictDone>> Offers; ///< By job.
   std::optional<CommitInFlight> InFlight;
   std::unordered_map<uint64_t, AdviceOpen> Advices;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -63,7 +63,9 @@
 struct LiveJob {
   JobSpec Spec;
   JobPhase Phase = JobPhase::Queued;
-  bool Stored = true; ///< Its own row is in the store.
+  bool Stored = true;       ///< Its own row is in the store.
+  TimePoint OfferedUntil{}; ///< If not stored: until when its entry waits.
+  bool Begun = false;       ///< A task is known to have been started.
   bool Cancelled = false;
   TimePoint AcceptedAt{};
   int64_t EndedMs = 0;
--- a/src/cell/Offer.h
+++ b/src/cell/Offer.h
@@ -4,6 +4,7 @@
 #include "cell/JobSpec.h"
 #include "common/Error.h"
 #include "common/Ring.h"
+#include "common/Time.h"
 
 #include <functional>
 #include <map>
@@ -21,13 +22,15 @@
   OtherWork, ///< The id is used for another job.
   NotOwner,  ///< Nothing was done; another entry owns the service.
   Busy,      ///< Nothing was done; too many jobs wait.
-  Unknown    ///< The owner lost the service with the job on its way.
+  Unknown,   ///< The owner lost the service with the job on its way.
+  Expired    ///< Nothing was done; it could not have been told in time.
 };
 
 using VerdictDone = std::function<void(Verdict)>;
 
 struct Offer {
   JobSpec Job;
+  Millis Within{0}; ///< Of being handed over; then nobody waits for it.
   VerdictDone Done; ///< Runs on the owner's thread.
 };
 
@@ -51,8 +54,8 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     return Boxes.count(Service) > 0;
   }
-  /// Callable from any thread. \p Done may run before it returns.
-  void hand(const std::string &Service, JobSpec Job, const VerdictDone &Done) {
+  /// Callable from any thread. Its `Done` may run before this returns.
+  void hand(const std::string &Service, Offer What) {
     std::shared_ptr<OfferBox> Box;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
@@ -60,11 +63,10 @@
       if (Found != Boxes.end())
         Box = Found->second;
     }
-    if (!Box) {
+    VerdictDone Done = What.Done;
+    if (!Box)
       Done(Verdict::NotOwner);
-      return;
-    }
-    if (!Box->push({.Job = std::move(Job), .Done = Done}))
+    else if (!Box->push(std::move(What)))
       Done(Verdict::Busy);
   }
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Millis CommitRetry{60};
+/// A commit that takes longer is told of.
+constexpr Millis SlowCommit{200};
 /// Rows of ended jobs that one transaction removes.
 constexpr size_t MaxRemovals = 5;
 /// The owner's row, which each commit writes last.
@@ -72,7 +74,6 @@
 
 CellOwner::CommitInFlight CellOwner::buildCommit(TimePoint Now,
                                                  int64_t StoreMillis) {
-  constexpr size_t EntriesOfJob = 4; ///< The most that one takes.
   CommitInFlight Out;
   Out.FirstSent = Now;
   Out.LastSent = Now;
@@ -81,12 +82,8 @@
   Tx.Partition = Options.Service;
   Tx.Expected.push_back(
       {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
-  for (const std::string &Id : DirtyJobs) {
-    if (Tx.entries() + EntriesOfRow + EntriesOfJob >
-        store::MaxTransactionEntries)
-      break;
-    addJob(Out, Jobs.at(Id), StoreMillis);
-  }
+  expireOffers(Now);
+  addJobs(Out, StoreMillis);
   addRemovals(Out, Now);
   Out.Row.Released = Releasing && Out.Jobs.size() == DirtyJobs.size();
   Tx.Writes.push_back(
@@ -94,6 +91,42 @@
   return Out;
 }
 
+/// Offers come first, as their callers wait, those with the least time before
+/// the others; but half of the entries are kept for what has waited longest.
+void CellOwner::addJobs(CommitInFlight &To, int64_t StoreMillis) {
+  constexpr size_t EntriesOfJob = 4; ///< The most that one takes.
+  static constexpr size_t MostJobs = store::MaxTransactionEntries;
+  std::vector<std::pair<TimePoint, LiveJob *>> Offered;
+  std::vector<std::pair<uint64_t, LiveJob *>> Known;
+  for (const auto &[Id, Since] : DirtyJobs) {
+    LiveJob &Job = Jobs.at(Id);
+    if (Job.Stored)
+      Known.emplace_back(Since, &Job);
+    else
+      Offered.emplace_back(Job.OfferedUntil, &Job);
+  }
+  auto Sort = [](auto &Which) {
+    auto End = Which.begin() +
+               static_cast<ptrdiff_t>(std::min(Which.size(), MostJobs));
+    std::partial_sort(
+        Which.begin(), End, Which.end(),
+        [](const auto &A, const auto &B) { return A.first < B.first; });
+    Which.erase(End, Which.end());
+  };
+  Sort(Offered);
+  Sort(Known);
+  auto Add = [&](const auto &Which, size_t From, size_t Entries) {
+    size_t Next = From;
+    while (Next < Which.size() &&
+           To.Content.entries() + EntriesOfRow + EntriesOfJob <= Entries)
+      addJob(To, *Which[Next++].second, StoreMillis);
+    return Next;
+  };
+  size_t Next = Add(Offered, 0, store::MaxTransactionEntries / 2);
+  Add(Known, 0, store::MaxTransactionEntries);
+  Add(Offered, Next, store::MaxTransactionEntries);
+}
+
 OwnerRow CellOwner::nextRow(TimePoint Now, int64_t StoreMillis) {
   OwnerRow Out = Row;
   // Never used twice, also if this one is refused and built anew: answers to
@@ -101,7 +134,7 @@
   Out.Sequence = ++BuiltSequence;
   Out.Pending.clear();
   for (const auto &[Id, Job] : Jobs) {
-    if (Job.Phase == JobPhase::Queued && Job.Spec.RepeatCount == 0)
+    if (Job.Spec.RepeatCount == 0 && !isFinal(Job.Phase) && !Job.Begun)
       ++Out.Pending[Job.Spec.Queue];
   }
   Out.Unmet.clear();
@@ -128,7 +161,8 @@
       }
     }
   }
-  if (To.Starts.size() > StartsBefore)
+  // A job that is not stored can't have been cancelled.
+  if (To.Starts.size() > StartsBefore && Job.Stored)
     Tx.Expected.push_back({.Table = JobTable, .Key = cancelKey(Id)});
   if (!Job.Stored) {
     Tx.Expected.push_back({.Table = JobTable, .Key = Id});
@@ -181,13 +215,20 @@
       LatencyWeight * (toSeconds(Now - Done.FirstSent) * 1e3 - CommitMs);
   Row = Done.Row;
   RowVersion = Version;
+  if (Now > Done.FirstSent + SlowCommit)
+    logInfo("commit-slow",
+            "service={} commit={} jobs={} entries={} copies={} ms={}",
+            Options.Service, Row.Sequence, Done.Jobs.size(),
+            Done.Content.entries(), Done.Copies,
+            toMillis(Now - Done.FirstSent));
   LastConfirmed = Done.FirstSent;
   Released = Row.Released;
   for (const auto &[Id, Mark] : Done.Jobs) {
     LiveJob &Job = Jobs.at(Id);
     Job.Recorded = Mark;
-    if (Job.Changed == Mark)
-      DirtyJobs.erase(Id);
+    DirtyJobs.erase(Id);
+    if (Job.Changed != Mark)
+      DirtyJobs.emplace(Id, NextDirty++);
   }
   for (const executor::RunId &Each : Done.Starts) {
     auto Key = find(Each);
@@ -221,22 +262,63 @@
     Each(With);
 }
 
+/// Takes an offered job back whose row was never written.
+void CellOwner::forgetOffered(const std::string &JobId, TimePoint Now) {
+  stopAll(Jobs.at(JobId), Now);
+  std::erase_if(Advices,
+                [&](const auto &Each) { return Each.second.JobId == JobId; });
+  DirtyJobs.erase(JobId);
+  Jobs.erase(JobId);
+}
+
+/// With no commit on its way: offers whose entries will have stopped waiting
+/// when the next one is answered make room for those that can be told.
+void CellOwner::expireOffers(TimePoint Now) {
+  /// A commit takes about so many times what a read takes.
+  constexpr double CommitReads = 2.5;
+  auto Takes = Millis(static_cast<int64_t>(CommitReads * StoreReadMs));
+  std::vector<std::string> Late;
+  for (const auto &Each : Offers) {
+    const LiveJob *Job = find(Each.first);
+    if (Job && !Job->Stored && Job->OfferedUntil < Now + Takes)
+      Late.push_back(Each.first);
+  }
+  for (const std::string &Id : Late) {
+    logInfo("offer-expired", "job={} store_read_ms={:.0f}", Id, StoreReadMs);
+    forgetOffered(Id, Now);
+    answerOffers(Id, Verdict::Expired);
+  }
+}
+
+/// Whether the commit in flight stores that job.
+bool CellOwner::isOnItsWay(const std::string &JobId) const {
+  if (!InFlight)
+    return false;
+  const std::vector<std::string> &Sent = InFlight->Offered;
+  return std::find(Sent.begin(), Sent.end(), JobId) != Sent.end();
+}
+
 /// An offered job turned out to be stored already, by another entry or owner.
 /// Nothing of the offered copy was told to anyone; the stored one is taken.
-void CellOwner::dropOffered(const std::string &JobId, const store::Row &Present,
-                            TimePoint Now) {
-  LiveJob &Mine = Jobs.at(JobId);
-  auto Stored = decodeJob(Present.Value);
-  bool Same = Stored && sameWork(*Stored, Mine.Spec);
-  stopAll(Mine, Now);
+void CellOwner::adoptStored(JobSpec Stored, TimePoint Now) {
+  std::string Id = Stored.Id;
+  const LiveJob &Mine = Jobs.at(Id);
+  bool Same = sameWork(Stored, Mine.Spec);
   TimePoint AcceptedAt = Mine.AcceptedAt;
-  DirtyJobs.erase(JobId);
-  Jobs.erase(JobId);
-  if (Stored)
-    accept(std::move(*Stored), AcceptedAt, Now);
-  else
-    logError("job-unreadable", "job={} version={}", JobId, Present.Version);
-  answerOffers(JobId, Same ? Verdict::StoredBefore : Verdict::OtherWork);
+  forgetOffered(Id, Now);
+  accept(std::move(Stored), AcceptedAt, Now);
+  answerOffers(Id, Same ? Verdict::StoredBefore : Verdict::OtherWork);
+}
+
+void CellOwner::onStoredBefore(const store::Row &Present, TimePoint Now) {
+  auto Stored = decodeJob(Present.Value);
+  if (Stored) {
+    adoptStored(std::move(*Stored), Now);
+    return;
+  }
+  logError("job-unreadable", "job={} version={}", Present.Key, Present.Version);
+  forgetOffered(Present.Key, Now);
+  answerOffers(Present.Key, Verdict::OtherWork);
 }
 
 /// Finds out from the rows as they stand why a commit was refused: an earlier
@@ -274,7 +356,7 @@
     Removals.emplace_front(Now, Id);
   InFlight.reset();
   for (const store::Row *Each : StoredBefore)
-    dropOffered(Each->Key, *Each, Now);
+    onStoredBefore(*Each, Now);
   for (const std::string &Key : Cancelled)
     cancel(Key.substr(0, Key.find('/')), Now);
 }
@@ -291,7 +373,7 @@
   // A store that has gone silent is not flooded with copies.
   uint32_t Doublings = InFlight ? std::min(InFlight->Copies, MaxDoublings) : 0;
   double Ms = std::clamp(std::ldexp(Usual, static_cast<int>(Doublings)),
-                         LeastMs, MostMs);
+                         LeastMs, std::max(MostMs, Usual));
   return Millis(static_cast<int64_t>(Ms));
 }
 
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -123,6 +123,7 @@
   case OrderOutcome::Done:
     Task.Unanswered = false;
     Task.Confirmed = true;
+    Key.Job->Begun = true;
     Task.ConfirmedAt = Now;
     Task.RunningSince = Now;
     if (Task.Phase == TaskPhase::Starting)
@@ -131,6 +132,7 @@
   case OrderOutcome::RunTooLow:
     // It ended there already; the next list of the executor tells how.
     Task.Confirmed = true;
+    Key.Job->Begun = true;
     Task.ConfirmedAt = Now;
     Task.NextTry = TimePoint::max();
     break;
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -206,6 +206,7 @@
     logInfo("run-ended", "task={} run={} executor={} how={} after_ms={}",
             End.What.Task, End.What.Run, Each.Info.Id, endName(End.How),
             Task.Confirmed ? toMillis(Now - Task.RunningSince) : -1);
+    Key->Job->Begun = true;
     endRun(*Key, End.How, Now);
     Listed.JobId = Key->Job->Spec.Id;
     Listed.RecordMark = Key->Job->Changed;
@@ -230,6 +231,7 @@
     Task.Confirmed = true;
     Task.ConfirmedAt = Now;
     Task.RunningSince = Now;
+    Key->Job->Begun = true;
   }
   Task.Inherited = false;
   if (Task.Phase == TaskPhase::Starting)
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -209,7 +209,7 @@
       continue;
     }
     TimePoint Accepted = acceptedAt(Next.Job, Now);
-    Owner->offer(std::move(Next.Job), std::move(Next.Done), Accepted, Now);
+    Owner->offer(std::move(Next), Accepted, Now);
   }
   auto Config = Common.Config.current();
   if (Config->Version != ConfigVersion) {
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -26,10 +26,6 @@
 constexpr double WriteHedgeReads = 25;
 constexpr Millis LeastHedge{200};
 constexpr Millis SilenceCheck{150};
-/// A store whose reads take longer serves few transactions a second.
-constexpr double SlowReadMs = 50;
-/// An owner may take so many times a read's time to store a job.
-constexpr double OfferReads = 20;
 /// The store answers some loop of this process several times in this time.
 constexpr Millis StoreSilence{1'000};
 /// When the store refuses, it is asked again by the caller, not from here.
@@ -191,6 +187,11 @@
     problem(Of, http::StatusMethodNotAllowed, "method", "POST, GET, DELETE");
 }
 
+/// Until the last moment at which an answer still reaches the caller.
+Millis IntakeLoop::timeLeft(const VisitPtr &Of, TimePoint Now) {
+  return std::chrono::duration_cast<Millis>(Of->Deadline - AnswerMargin - Now);
+}
+
 void IntakeLoop::submit(const VisitPtr &Of) {
   size_t MaxBody = Of->Config->Bounds.MaxBodyBytes;
   if (Of->Incoming.Body.size() > MaxBody) {
@@ -215,29 +216,26 @@
 void IntakeLoop::offer(const VisitPtr &Of, const cell::JobSpec &Job) {
   const std::string &Service = Of->From->Service;
   TimePoint Now = monotonicNow();
-  Millis Left = std::chrono::duration_cast<Millis>(Of->Deadline - Now);
-  Millis Patience = storeWait(Common.Store, OfferReads, Offering.timeout());
-  // On a slow store the owner's commit is the quickest way for all; each
-  // write beside it would only make it wait.
-  bool Slow = Common.Store.readMillis() > SlowReadMs;
-  Patience = std::min(Patience, Slow ? Left - 2 * AnswerMargin : Left / 2);
-  Patience = std::max(Patience, Millis(1));
+  double ReadMs = Common.Store.readMillis();
+  Millis Left = timeLeft(Of, Now);
+  Millis Patience = Offering.patience(Left, ReadMs);
   auto Done = [this, Of, Job](const Result<cell::Verdict> &Answer) {
     if (!Verdicts.push([this, Of, Job, Answer] { onVerdict(Of, Job, Answer); }))
       logWarn("verdict-dropped", "job={}", Job.Id);
   };
   if (Common.Offers.owns(Service)) {
-    Common.Offers.hand(Service, Job, Done);
+    Common.Offers.hand(Service, {.Job = Job, .Within = Left, .Done = Done});
     Later.at(Now + Patience,
              [this, Of, Job] { onVerdict(Of, Job, Errc::AnswerLost); });
     return;
   }
   std::string Address = Common.Owners.of(Service);
-  if (!Slow && !Offering.mayOffer(Now))
+  if (!OfferPacer::onlyByOwner(ReadMs) && !Offering.mayOffer(Now))
     Address.clear();
   relay::OfferCall Call{.Address = Address,
                         .Service = Service,
                         .Job = cell::encodeJob(Job),
+                        .Within = Left,
                         .Timeout = Patience,
                         .Done = Done};
   if (Address.empty() || !Relay.OfferCalls.push(std::move(Call)))
@@ -254,9 +252,8 @@
     return;
   Of->OfferOver = true;
   if (!Answer) {
-    Offering.failed(Now);
     Of->Unknown = Of->Unknown || Answer.error() != Errc::Unreachable;
-    writeJob(Of, Job);
+    onNoWord(Of, Job, Answer.error(), Now);
     return;
   }
   Offering.answered(Now - Of->Arrived);
@@ -274,6 +271,9 @@
     Of->Unknown = true;
     writeJob(Of, Job);
     return;
+  case cell::Verdict::Expired:
+    giveUp(Of, "store-slow");
+    return;
   case cell::Verdict::NotOwner:
   case cell::Verdict::Busy:
     writeJob(Of, Job);
@@ -281,7 +281,36 @@
   }
 }
 
+/// The owner may be gone, or the store have turned slow meanwhile; then it is
+/// asked once more for as long as the caller waits.
+void IntakeLoop::onNoWord(const VisitPtr &Of, const cell::JobSpec &Job,
+                          std::error_code Why, TimePoint Now) {
+  bool Slow = OfferPacer::onlyByOwner(Common.Store.readMillis());
+  if (Slow && Why != Errc::Unreachable && !Of->OfferedAgain &&
+      timeLeft(Of, Now) > Millis(0)) {
+    Of->OfferedAgain = true;
+    Of->OfferOver = false;
+    offer(Of, Job);
+    return;
+  }
+  Offering.failed(Now);
+  writeJob(Of, Job);
+}
+
+/// The final word of a job that can't be stored in time.
+void IntakeLoop::giveUp(const VisitPtr &Of, std::string_view Why) {
+  if (Of->Unknown)
+    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+  else
+    refuse(Of, Why);
+}
+
 void IntakeLoop::writeJob(const VisitPtr &Of, const cell::JobSpec &Job) {
+  TimePoint Now = monotonicNow();
+  if (!OfferPacer::mayWrite(timeLeft(Of, Now), Common.Store.readMillis())) {
+    giveUp(Of, "store-slow");
+    return;
+  }
   auto Found = Writers.find(Of->From->Service);
   if (Found == Writers.end())
     Found =
@@ -297,7 +326,7 @@
       .Deadline = Of->Deadline - AnswerMargin,
       .MayExist = Of->Unknown,
       .Done = [this, Of](WriteOutcome How) { onJobWritten(Of, How); }};
-  Found->second.add(std::move(Next), monotonicNow());
+  Found->second.add(std::move(Next), Now);
   Later.at(Of->Deadline - AnswerMargin, [this, Of] {
     if (!Of->Answered)
       answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -41,6 +41,7 @@
     std::vector<std::string> Partitions; ///< Still to be searched.
     bool Unknown = false; ///< A write got no answer; it may be carried out.
     bool Answered = false;
+    bool OfferedAgain = false;
     bool OfferOver = false; ///< The owner has answered, or is not waited for.
     uint32_t Sent = 0;      ///< Copies of its cancel under way.
   };
@@ -52,6 +53,10 @@
   void offer(const VisitPtr &Of, const cell::JobSpec &Job);
   void onVerdict(const VisitPtr &Of, const cell::JobSpec &Job,
                  const Result<cell::Verdict> &Answer);
+  void onNoWord(const VisitPtr &Of, const cell::JobSpec &Job,
+                std::error_code Why, TimePoint Now);
+  static Millis timeLeft(const VisitPtr &Of, TimePoint Now);
+  void giveUp(const VisitPtr &Of, std::string_view Why);
   using WritePtr = std::shared_ptr<const store::Transaction>;
   void writeJob(const VisitPtr &Of, const cell::JobSpec &Job);
   void onJobWritten(const VisitPtr &Of, WriteOutcome How);
--- a/src/node/JobWriter.cpp
+++ b/src/node/JobWriter.cpp
@@ -1,6 +1,7 @@
 #include "node/JobWriter.h"
 
 #include "cell/OwnerRow.h"
+#include "common/Log.h"
 
 #include <algorithm>
 
@@ -44,9 +45,20 @@
   ++Number;
   MaybeDone = false;
   sendOnce(What, Number);
-  uint64_t Mine = Number;
-  Later.at(Now + Hedge(), [this, What, Mine] {
-    if (Mine == Number && !InFlight.empty() && Copies == 1)
+  hedge(What, Number, Now, Now + Hedge());
+}
+
+/// One more copy if no answer comes; later, if the store has turned slow
+/// meanwhile.
+void JobWriter::hedge(const std::shared_ptr<const store::Transaction> &What,
+                      uint64_t Mine, TimePoint Sent, TimePoint When) {
+  Later.at(When, [this, What, Mine, Sent, When] {
+    if (Mine != Number || InFlight.empty() || Copies != 1)
+      return;
+    TimePoint Next = Sent + Hedge();
+    if (Next > When)
+      hedge(What, Mine, Sent, Next);
+    else
       sendOnce(What, Mine);
   });
 }
@@ -54,6 +66,8 @@
 void JobWriter::sendOnce(const std::shared_ptr<const store::Transaction> &What,
                          uint64_t Mine) {
   ++Copies;
+  logInfo("batch-sent", "service={} jobs={} copy={} waiting={}", Service,
+          InFlight.size(), Copies, Queue.size());
   Store.commit(*What, [this, Mine](const store::TransactionResult &Result) {
     onResult(Mine, Result);
   });
--- a/src/node/JobWriter.h
+++ b/src/node/JobWriter.h
@@ -53,6 +53,8 @@
   void send(TimePoint Now);
   void sendOnce(const std::shared_ptr<const store::Transaction> &What,
                 uint64_t Number);
+  void hedge(const std::shared_ptr<const store::Transaction> &What,
+             uint64_t Number, TimePoint Sent, TimePoint When);
   void onResult(uint64_t Number, const store::TransactionResult &Result);
   void settle(const store::TransactionResult &Result, TimePoint Now);
   void settleConflict(const store::TransactionResult &Result);
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -1,5 +1,6 @@
 #include "node/OwnerWatch.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -18,7 +19,8 @@
 void OwnerWatch::sawRow(uint64_t NewVersion,
                         const std::optional<cell::OwnerRow> &NewRow,
                         Micros Took, TimePoint Now) {
-  ReadTook = Took;
+  // A store that was slow just now still has commits of then to carry out.
+  ReadTook = std::max(Took, ReadTook * 3 / 4);
   if (!Known || Version != NewVersion)
     Since = Now;
   Known = true;
@@ -50,6 +52,7 @@
   if (Row) {
     Out.Epoch = Row->Epoch + 1;
     Out.Unmet = Row->Unmet;
+    Out.Pending = Row->Pending; // Until the new owner has counted.
   }
   return Out;
 }
--- a/src/node/OwnerWatch.h
+++ b/src/node/OwnerWatch.h
@@ -53,8 +53,8 @@
   bool Known = false;
   uint64_t Version = 0;
   std::optional<cell::OwnerRow> Row;
-  Micros ReadTook{0};
-  TimePoint Since{}; ///< When the present version was first seen.
+  Micros ReadTook{0}; ///< Of late.
+  TimePoint Since{};  ///< When the present version was first seen.
 };
 
 } // namespace daisylanding::node
--- a/src/node/Shared.h
+++ b/src/node/Shared.h
@@ -78,9 +78,15 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     ReadMs += Weight * (toSeconds(Took) * 1e3 - ReadMs);
   }
+  /// The oldest read that waits for its answer was sent so long ago: a store
+  /// that turns slow is noticed before it answers.
+  void readOpenFor(Micros Age) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    OpenMs = toSeconds(Age) * 1e3;
+  }
   double readMillis() const {
     std::lock_guard<std::mutex> Lock(Mutex);
-    return ReadMs;
+    return std::max(ReadMs, OpenMs);
   }
   /// The store's steady clock, by its newest answer.
   int64_t clockMillis(TimePoint Now) const {
@@ -92,6 +98,7 @@
   mutable std::mutex Mutex;
   TimePoint Last{};
   double ReadMs = 5; ///< Moving average.
+  double OpenMs = 0;
   int64_t Clock = 0;
   TimePoint ClockAt{};
 };
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -139,28 +139,39 @@
   return false;
 }
 
+/// Services that this entry has, or has asked for.
+uint32_t WatchLoop::ownedOrTaken() const {
+  auto Out = static_cast<uint32_t>(Cells.size());
+  for (const auto &Each : Owners)
+    Out += Each.second.TakeOpen ? 1 : 0;
+  return Out;
+}
+
 void WatchLoop::watchOwners(TimePoint Now) {
+  Micros OldestRead{0};
   for (const std::string &Service : Common.Config.current()->Services) {
     Watched &Each = Owners[Service];
     if (!Each.ReadOpen && Now >= Each.NextRead)
-      readOwner(Service);
-    auto Owned = static_cast<uint32_t>(Cells.size());
-    uint32_t Preference = JitterSteps * Owned + Each.Jitter;
+      readOwner(Service, Now);
+    if (Each.ReadOpen)
+      OldestRead = std::max(OldestRead, Micros(Now - Each.ReadSent));
+    uint32_t Preference = JitterSteps * ownedOrTaken() + Each.Jitter;
     if (!Each.TakeOpen && !owns(Service) &&
         Each.Watch.shouldTake(Common.holder(), Preference, Now))
       take(Service, Now);
   }
+  Common.Store.readOpenFor(OldestRead);
 }
 
-void WatchLoop::readOwner(const std::string &Service) {
+void WatchLoop::readOwner(const std::string &Service, TimePoint Now) {
   Watched &Each = Owners[Service];
   Each.ReadOpen = true;
+  Each.ReadSent = Now;
   Each.Jitter = static_cast<uint32_t>(Dice.below(JitterSteps));
   store::RangeRead Range{
       .Table = cell::OwnerTable, .Partition = Service, .Limit = 1};
-  TimePoint Asked = monotonicNow();
   Store->read(
-      Range, [this, Service, Asked](const Result<store::RowPage> &Page) {
+      Range, [this, Service, Asked = Now](const Result<store::RowPage> &Page) {
         Watched &Known = Owners[Service];
         TimePoint Now = monotonicNow();
         Known.ReadOpen = false;
--- a/src/node/WatchLoop.h
+++ b/src/node/WatchLoop.h
@@ -30,6 +30,7 @@
     OwnerWatch Watch{OwnerWatchOptions{}};
     bool ReadOpen = false;
     bool TakeOpen = false;
+    TimePoint ReadSent{};
     TimePoint NextRead{};
     uint32_t Jitter = 0;
   };
@@ -40,7 +41,8 @@
   void takeConfig(const store::Row &Row);
   void announce();
   void watchOwners(TimePoint Now);
-  void readOwner(const std::string &Service);
+  void readOwner(const std::string &Service, TimePoint Now);
+  uint32_t ownedOrTaken() const;
   void take(const std::string &Service, TimePoint Now);
   void dropFinished();
   bool owns(const std::string &Service) const;
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -20,6 +20,48 @@
 /// Beyond a call's own time: for the way there and back.
 constexpr Millis CallGrace{100};
 
+wire::Verdict toWire(cell::Verdict With) {
+  switch (With) {
+  case cell::Verdict::Stored:
+    return wire::Verdict::STORED;
+  case cell::Verdict::StoredBefore:
+    return wire::Verdict::STORED_BEFORE;
+  case cell::Verdict::OtherWork:
+    return wire::Verdict::OTHER_WORK;
+  case cell::Verdict::NotOwner:
+    return wire::Verdict::NOT_OWNER;
+  case cell::Verdict::Busy:
+    return wire::Verdict::BUSY;
+  case cell::Verdict::Expired:
+    return wire::Verdict::EXPIRED;
+  case cell::Verdict::Unknown:
+    break;
+  }
+  return wire::Verdict::UNKNOWN;
+}
+
+cell::Verdict fromWire(wire::Verdict With) {
+  switch (With) {
+  case wire::Verdict::STORED:
+    return cell::Verdict::Stored;
+  case wire::Verdict::STORED_BEFORE:
+    return cell::Verdict::StoredBefore;
+  case wire::Verdict::OTHER_WORK:
+    return cell::Verdict::OtherWork;
+  case wire::Verdict::NOT_OWNER:
+  case wire::Verdict::WRONG_VERSION:
+    return cell::Verdict::NotOwner;
+  case wire::Verdict::BUSY:
+    return cell::Verdict::Busy;
+  case wire::Verdict::EXPIRED:
+    return cell::Verdict::Expired;
+  case wire::Verdict::UNKNOWN:
+    break;
+  }
+  // A word that this program does not know may mean that it was stored.
+  return cell::Verdict::Unknown;
+}
+
 executor::Advice readAdvice(wire::Relay::AdviseResults::Reader Source) {
   executor::Advice Out;
   Out.Validity = Millis(Source.getValidityMs());
@@ -53,18 +95,23 @@
 
   class Service;
 
+  /// A connection; calls that are under way keep it when it is left.
   struct Link {
+    explicit Link(kj::Own<kj::AsyncIoStream> Opened)
+        : Stream(kj::mv(Opened)), Client(*Stream),
+          Peer(Client.bootstrap().castAs<wire::Relay>()) {}
     kj::Own<kj::AsyncIoStream> Stream;
-    kj::Own<capnp::TwoPartyClient> Client;
-    std::optional<wire::Relay::Client> Peer;
+    capnp::TwoPartyClient Client;
+    wire::Relay::Client Peer;
   };
+  using LinkPtr = std::shared_ptr<Link>;
 
   void run();
   kj::Promise<void> watchWakeups();
   void drainCalls();
   void ask(RelayCall Call);
   void offer(OfferCall Call);
-  kj::Promise<wire::Relay::Client> connect(const std::string &Address);
+  kj::Promise<LinkPtr> connect(const std::string &Address);
   void taskFailed(kj::Exception &&Failure) override {
     logWarn("relay-task-failed", "reason=\"{}\"",
             Failure.getDescription().cStr());
@@ -73,7 +120,7 @@
   RelayLoop &Owner;
   kj::AsyncIoContext Io;
   kj::TaskSet Tasks;
-  std::map<std::string, Link> Links;
+  std::map<std::string, LinkPtr> Links;
   kj::Own<kj::AsyncInputStream> WakePipe;
   char WakeBuffer[64] = {};
   kj::Own<kj::PromiseFulfiller<void>> StopFulfiller;
@@ -124,12 +171,14 @@
     auto Fulfiller = std::make_shared<
         kj::Own<kj::CrossThreadPromiseFulfiller<cell::Verdict>>>(
         kj::mv(Pair.fulfiller));
-    Owner.Offers.hand(Params.getService().cStr(), std::move(*Job),
-                      [Fulfiller](cell::Verdict With) {
-                        (*Fulfiller)->fulfill(cell::Verdict(With));
-                      });
+    Owner.Offers.hand(Params.getService().cStr(),
+                      {.Job = std::move(*Job),
+                       .Within = Millis(Params.getWithinMs()),
+                       .Done = [Fulfiller](cell::Verdict With) {
+                         (*Fulfiller)->fulfill(cell::Verdict(With));
+                       }});
     return Pair.promise.then([Context](cell::Verdict With) mutable {
-      Context.getResults().setVerdict(static_cast<wire::Verdict>(With));
+      Context.getResults().setVerdict(toWire(With));
     });
   }
 
@@ -175,28 +224,23 @@
     offer(std::move(Offered));
 }
 
-kj::Promise<wire::Relay::Client>
+kj::Promise<RelayLoop::Impl::LinkPtr>
 RelayLoop::Impl::connect(const std::string &Address) {
-  Link &Known = Links[Address];
-  if (Known.Peer)
-    return *Known.Peer;
-  auto Opened =
-      Io.provider->getNetwork()
-          .parseAddress(Address)
-          .then([](kj::Own<kj::NetworkAddress> Parsed) {
-            auto Connected = Parsed->connect();
-            return Connected.attach(kj::mv(Parsed));
-          })
-          .then([this, Address](
-                    kj::Own<kj::AsyncIoStream> Stream) -> wire::Relay::Client {
-            Link &Each = Links[Address];
-            if (Each.Peer)
-              return *Each.Peer;
-            Each.Stream = kj::mv(Stream);
-            Each.Client = kj::heap<capnp::TwoPartyClient>(*Each.Stream);
-            Each.Peer = Each.Client->bootstrap().castAs<wire::Relay>();
-            return *Each.Peer;
-          });
+  auto Known = Links.find(Address);
+  if (Known != Links.end())
+    return Known->second;
+  auto Opened = Io.provider->getNetwork()
+                    .parseAddress(Address)
+                    .then([](kj::Own<kj::NetworkAddress> Parsed) {
+                      auto Connected = Parsed->connect();
+                      return Connected.attach(kj::mv(Parsed));
+                    })
+                    .then([this, Address](kj::Own<kj::AsyncIoStream> Stream) {
+                      LinkPtr &Each = Links[Address];
+                      if (!Each)
+                        Each = std::make_shared<Link>(kj::mv(Stream));
+                      return Each;
+                    });
   return Io.provider->getTimer().timeoutAfter(
       Owner.Options.ConnectTimeout.count() * kj::MILLISECONDS, kj::mv(Opened));
 }
@@ -206,8 +250,8 @@
   auto Limit = (Call.Call.Timeout + CallGrace).count() * kj::MILLISECONDS;
   std::string Address = Call.Address;
   auto Answered = connect(Address).then([Question = std::move(Call.Call)](
-                                            wire::Relay::Client Peer) {
-    auto Request = Peer.adviseRequest();
+                                            const LinkPtr &Through) {
+    auto Request = Through->Peer.adviseRequest();
     Request.setVersion(wire::PROTOCOL_VERSION);
     Request.setStep(Question.Step);
     Request.setTimeoutMs(static_cast<uint32_t>(Question.Timeout.count()));
@@ -215,7 +259,7 @@
         Request.initExecutors(static_cast<unsigned>(Question.Executors.size()));
     for (unsigned I = 0; I < Names.size(); ++I)
       Names.set(I, Question.Executors[I]);
-    return Request.send();
+    return Request.send().attach(LinkPtr(Through));
   });
   Tasks.add(Io.provider->getTimer()
                 .timeoutAfter(Limit, kj::mv(Answered))
@@ -241,22 +285,20 @@
   std::string Address = Call.Address;
   auto Limit = Call.Timeout.count() * kj::MILLISECONDS;
   auto Answered = connect(Address).then(
-      [Sent, Service = std::move(Call.Service),
-       Job = std::move(Call.Job)](wire::Relay::Client Peer) {
-        auto Request = Peer.offerRequest();
+      [Sent, Service = std::move(Call.Service), Job = std::move(Call.Job),
+       Within = Call.Within](const LinkPtr &Through) {
+        auto Request = Through->Peer.offerRequest();
         Request.setVersion(wire::PROTOCOL_VERSION);
         Request.setService(Service);
         Request.setJob(Job);
+        Request.setWithinMs(static_cast<uint32_t>(Within.count()));
         *Sent = true;
-        return Request.send();
+        return Request.send().attach(LinkPtr(Through));
       });
   Tasks.add(Io.provider->getTimer()
                 .timeoutAfter(Limit, kj::mv(Answered))
                 .then([Done](auto &&Answer) {
-                  bool Known = Answer.getVerdict() <= wire::Verdict::UNKNOWN;
-                  (*Done)(Known
-                              ? static_cast<cell::Verdict>(Answer.getVerdict())
-                              : cell::Verdict::NotOwner);
+                  (*Done)(fromWire(Answer.getVerdict()));
                 })
                 .catch_([this, Done, Sent, Address](kj::Exception &&) {
                   Links.erase(Address);
--- a/src/relay/RelayLoop.h
+++ b/src/relay/RelayLoop.h
@@ -26,8 +26,9 @@
 struct OfferCall {
   std::string Address;
   std::string Service;
-  std::string Job; ///< Its stored form.
-  Millis Timeout{0};
+  std::string Job;   ///< Its stored form.
+  Millis Within{0};  ///< For the owner: until when its word is of use.
+  Millis Timeout{0}; ///< Of this call.
   std::function<void(Result<cell::Verdict>)> Done;
 };
 
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -155,10 +155,26 @@
   CHECK_TRUE(Watch.shouldTake("b/1", 0, at(2'600)));
 }
 
+TEST(AWatchedOwner, IsGivenTimeToCommitAfterASlowStore) {
+  Watch.sawRow(11, Row, Millis(400), at(1'000));
+  Watch.sawRow(11, Row, Millis(400), at(2'400));
+  Watch.sawRow(11, Row, Quick, at(2'500));
+  CHECK_FALSE(Watch.shouldTake("b/1", 0, at(2'500)));
+  for (int64_t Ms = 2'800; Ms < 4'300; Ms += 300)
+    Watch.sawRow(11, Row, Quick, at(Ms));
+  CHECK_TRUE(Watch.shouldTake("b/1", 0, at(4'300)));
+}
+
 TEST(AWatchedOwner, IsTakenAtOnceByItsOwnNextLife) {
   CHECK_TRUE(Watch.shouldTake("a/2", 0, at(10)));
 }
 
+TEST(AWatchedOwner, LeavesItsCountsToTheNext) {
+  Row.Pending["q"] = 7;
+  Watch.sawRow(11, Row, Quick, at(100));
+  LONGS_EQUAL(7, Watch.successor("b/1").Pending["q"]);
+}
+
 TEST(AWatchedOwner, ThatGaveUpIsTakenAtOnce) {
   Row.Released = true;
   Watch.sawRow(11, Row, Quick, at(100));
@@ -187,6 +203,19 @@
   CHECK(Pacer.timeout() <= Millis(1'500));
 }
 
+TEST(OffersToAnOwner, WaitForAllTheCallersTimeOnASlowStore) {
+  CHECK(Pacer.patience(Millis(2'800), 5) == Pacer.timeout());
+  CHECK(Pacer.patience(Millis(1'000), 5) == Millis(500));
+  CHECK(Pacer.patience(Millis(2'800), 160) == Millis(2'800));
+  CHECK(Pacer.patience(Millis(-50), 160) > Millis(0));
+}
+
+TEST(OffersToAnOwner, AreNotFollowedByAWriteThatCannotBeToldInTime) {
+  CHECK_TRUE(node::OfferPacer::mayWrite(Millis(300), 5));
+  CHECK_FALSE(node::OfferPacer::mayWrite(Millis(300), 160));
+  CHECK_FALSE(node::OfferPacer::mayWrite(Millis(-1), 5));
+}
+
 // clang-format off
 TEST_GROUP(ThreeExecutorsWithRoom) {
   ExecutorPool Pool{ContactOptions{}};
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -159,6 +159,7 @@
   auto Tx = Owner->nextCommit(Now, clockOf());
   if (!Tx)
     return;
+  ++CommitsSent;
   uint64_t Sequence = Owner->commitSequence();
   cell::CellOwner *To = Owner.get();
   auto Answer = [this, To, Sequence](const store::TransactionResult &Result) {
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -74,6 +74,7 @@
 
   Faults Trouble;
   int64_t CommitTakesMs = 10;
+  size_t CommitsSent = 0;
   bool StoreDown = false;
   bool FeedsSilent = false; ///< The owner hears of no list and no jobs.
   bool StoreSilent = false; ///< Commits get no answer and aren't done.
