Executors are kept for tasks that take much of one, with backfill

Only gangs kept room. Ruled out: advice (asked within 0.7 s), slow executors, order of jobs (they came first; there was no room). Change: any waiting task of more than half of an executor keeps the ones that will soonest have room, by learned run times; what is expected to end before that may run there meanwhile. Log line step-waits, at most three a second and service. Tests: AWholeExecutorsTaskIsNotStarvedByAStreamOfSmallOnes (failed first), WhatEndsBeforeAWholeExecutorIsFreeMayRunThereMeanwhile.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -319,24 +319,6 @@
   Jobs.erase(Id);
 }
 
-OwnerState CellOwner::state(TimePoint Now) {
-  OwnerState Out{.LiveJobs = Jobs.size(), .CommitMs = CommitMs};
-  for (const Waiting &Each : waitingSteps(Now)) {
-    const LiveStep &Step =
-        Each.Job->Occurrences.at(Each.Occurrence).Steps[Each.Step];
-    const Queue *From = Config->queue(Each.Job->Spec.Queue);
-    ++Out.WaitingSteps;
-    if (From && From->Advice && Step.Permissions.empty())
-      ++Out.StepsWithoutAdvice;
-  }
-  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    Out.OpenRuns += Pool[I].OpenRuns;
-    Out.Executors += Pool[I].Listed ? 1 : 0;
-    Out.Usable += Pool.usable(I, Now) ? 1 : 0;
-  }
-  return Out;
-}
-
 Outbox CellOwner::advance(TimePoint Now, int64_t WallMs) {
   Out = {};
   if (Deposed || Released)
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -100,6 +100,24 @@
   double CommitMs = 0;
 };
 
+/// A step that waits, and what it waits for: executors that could run a task
+/// of it, of these those that the policy allows, that may get work now, and
+/// that have room.
+struct WaitingStep {
+  std::string Job;
+  uint32_t Step = 0;
+  uint32_t Tasks = 0;
+  Resources Size; ///< Of one task.
+  bool Gang = false;
+  bool Colocate = false;
+  Millis Age{0};
+  double SlackMs = 0;
+  uint32_t Suitable = 0;
+  uint32_t Allowed = 0;
+  uint32_t Usable = 0;
+  uint32_t WithRoom = 0;
+};
+
 /// Decides for all jobs of one service: places tasks on executors, follows
 /// their runs, and keeps the stored record ahead of what executors are told
 /// and behind nothing that they may forget. No I/O; one thread.
@@ -168,6 +186,8 @@
   }
   /// What the owner is at, for logs and metrics.
   OwnerState state(TimePoint Now);
+  std::vector<WaitingStep> longestWaits(size_t Most, Millis AtLeast,
+                                        TimePoint Now);
 
 private:
   struct CommitInFlight {
@@ -252,7 +272,9 @@
   bool recordPlaced(const Waiting &Which, const Queue *From, TimePoint Now);
   void askAdvice(const Waiting &Which, const Queue &From, bool Renew,
                  TimePoint Now);
-  void keepForGang(const Waiting &Which, TimePoint Now);
+  void keepRoom(const Waiting &Which, size_t Wanted, TimePoint Now);
+  std::optional<Millis> roomIn(ExecutorIndex Index, const StepSpec &Spec,
+                               TimePoint Now) const;
   PlacementAsk askFor(const Waiting &Which, const Queue *From,
                       std::map<ExecutorIndex, uint32_t> &OfStep) const;
   std::vector<ExecutorLoad> loads(TimePoint Now) const;
@@ -299,7 +321,7 @@
   std::deque<std::pair<TimePoint, std::string>> Removals;
   std::vector<std::vector<TaskKey>> OpenOn; ///< By executor.
   std::vector<PaceState> Paces;             ///< By executor.
-  std::vector<uint8_t> Kept;                ///< By executor; for gangs.
+  std::vector<Reservation> Kept;            ///< By executor.
   /// Jobs with changes to store, by when the oldest of these came.
   std::map<std::string, uint64_t> DirtyJobs;
   uint64_t NextDirty = 0;
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -26,6 +26,15 @@
 /// The share of executors that may be kept for waiting gangs.
 constexpr double MaxKeptShare = 0.5;
 
+/// Whether a task takes so much of an executor that small tasks, coming one
+/// after the other, would never leave room for it.
+bool isWide(const Resources &Size, const Resources &Capacity) {
+  constexpr uint32_t Parts = 2; ///< More than one of so many.
+  return Size.MilliCores > Capacity.MilliCores / Parts ||
+         Size.MemoryMb > Capacity.MemoryMb / Parts ||
+         Size.Accelerators > Capacity.Accelerators / Parts;
+}
+
 bool hasWaiting(const LiveStep &Step) {
   return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
                      [](const LiveTask &Each) {
@@ -134,15 +143,19 @@
     if (Each.On != NoExecutor)
       ++OfStep[Each.On];
   }
-  return {.Step = &Which.Job->Spec.Steps[Which.Step],
+  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  return {.Step = &Spec,
           .Permissions = From && From->Advice ? &Step.Permissions : nullptr,
           .OfStep = &OfStep,
-          .Kept = Kept};
+          .Kept = Kept,
+          .Expected = Spec.LongRunning ? Millis::max()
+                                       : Speeds.expected(Which.Job->Spec.Queue,
+                                                         Spec.Estimate)};
 }
 
 void CellOwner::plan(TimePoint Now) {
   growWithPool();
-  std::fill(Kept.begin(), Kept.end(), 0);
+  std::fill(Kept.begin(), Kept.end(), Reservation{});
   std::vector<ExecutorLoad> Loads = loads(Now);
   for (const Waiting &Each : waitingSteps(Now)) {
     const Queue *From = Config->queue(Each.Job->Spec.Queue);
@@ -167,22 +180,27 @@
   PlacementAsk Ask = askFor(Which, From, OfStep);
   LiveStep &Step =
       Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
-  bool Full = false;
-  for (uint32_t I = 0; I < Step.Tasks.size() && !Full; ++I) {
+  size_t Left = 0; ///< Tasks without a place.
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
       continue;
-    auto Best = choose(Pool, Loads, Ask, Now);
-    Full = !Best;
-    if (Full)
-      break;
+    auto Best = Left > 0 ? std::nullopt : choose(Pool, Loads, Ask, Now);
+    if (!Best) {
+      ++Left;
+      continue;
+    }
     TaskKey Key{Which.Job, {Which.Occurrence, Which.Step, I}};
     place(Key, *Best);
     ++OfStep[*Best];
     if (Ask.Step->Filler)
       Loads[*Best].FillerMilliCores += Ask.Step->Size.MilliCores;
   }
+  if (Left == 0)
+    return;
+  if (Which.SlackMs < HopelessMs)
+    keepRoom(Which, Left, Now);
   // Executors that were not asked about may have room.
-  if (Full && From && From->Advice)
+  if (From && From->Advice)
     askAdvice(Which, *From, false, Now);
 }
 
@@ -197,7 +215,7 @@
   auto Count = static_cast<uint32_t>(Step.Tasks.size());
   auto Places = chooseGang(Pool, Loads, Ask, Count, Now);
   if (!Places) {
-    keepForGang(Which, Now);
+    keepRoom(Which, Count, Now);
     if (From && From->Advice)
       askAdvice(Which, *From, false, Now);
     return;
@@ -206,51 +224,65 @@
     place({Which.Job, {Which.Occurrence, Which.Step, I}}, (*Places)[I]);
 }
 
-/// Keeps the executors that will soonest have room for a waiting gang from
-/// less urgent work, so that a stream of small tasks does not starve it.
-void CellOwner::keepForGang(const Waiting &Which, TimePoint Now) {
+/// When the executor is expected to have room for a task of the step; none
+/// while a task that lasts is in its way.
+std::optional<Millis> CellOwner::roomIn(ExecutorIndex Index,
+                                        const StepSpec &Spec,
+                                        TimePoint Now) const {
+  Resources Free = Pool.free(Index);
+  std::vector<std::pair<Millis, Resources>> Ends;
+  for (const TaskKey &Key : OpenOn[Index]) {
+    if (Key.spec().LongRunning)
+      continue;
+    const LiveTask &Task = Key.task();
+    Millis Whole = Speeds.expected(Key.Job->Spec.Queue, Key.spec().Estimate);
+    Millis Ran(Task.Confirmed ? toMillis(Now - Task.RunningSince) : 0);
+    Ends.emplace_back(std::max(Millis(0), Whole - Ran), chargeOf(Key.spec()));
+  }
+  std::sort(Ends.begin(), Ends.end(), [](const auto &Left, const auto &Right) {
+    return Left.first < Right.first;
+  });
+  Millis At{0};
+  for (const auto &[Left, Size] : Ends) {
+    if (chargeOf(Spec).fitsIn(Free))
+      break;
+    At = Left;
+    Free += Size;
+  }
+  if (!chargeOf(Spec).fitsIn(Free))
+    return std::nullopt;
+  return At;
+}
+
+/// Keeps the executors that will soonest have room for a gang, or for tasks
+/// that take much of one, from less urgent work: a stream of small tasks would
+/// starve them.
+void CellOwner::keepRoom(const Waiting &Which, size_t Wanted, TimePoint Now) {
   const LiveStep &Step =
       Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
   const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  const Queue *From = Config->queue(Which.Job->Spec.Queue);
+  bool Restricted = From && From->Advice;
   auto Limit =
       static_cast<size_t>(MaxKeptShare * static_cast<double>(Pool.size()));
-  auto Taken = static_cast<size_t>(std::count(Kept.begin(), Kept.end(), 1));
-  std::vector<std::pair<int64_t, ExecutorIndex>> Soonest;
+  auto Taken = static_cast<size_t>(
+      std::count_if(Kept.begin(), Kept.end(),
+                    [](const Reservation &Each) { return Each.Held; }));
+  std::vector<std::pair<Millis, ExecutorIndex>> Soonest;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    bool Allowed = Step.Permissions.empty();
     auto Found = Step.Permissions.find(I);
-    if (Found != Step.Permissions.end())
-      Allowed = Found->second.Allowed;
-    if (!Allowed || Kept[I] || !Pool.usable(I, Now) || !suits(Pool[I], Spec))
+    bool Allowed =
+        Found == Step.Permissions.end() ? !Restricted : Found->second.Allowed;
+    bool Wide = Spec.Gang || isWide(chargeOf(Spec), Pool[I].Info.Capacity);
+    if (!Allowed || !Wide || Kept[I].Held || !Pool.usable(I, Now) ||
+        !suits(Pool[I], Spec))
       continue;
-    Resources Free = Pool.free(I);
-    std::vector<std::pair<int64_t, Resources>> Ends;
-    for (const TaskKey &Key : OpenOn[I]) {
-      const LiveTask &Task = Key.task();
-      int64_t Ran = Task.Confirmed ? toMillis(Now - Task.RunningSince) : 0;
-      int64_t Left =
-          Key.spec().LongRunning
-              ? std::numeric_limits<int64_t>::max()
-              : std::max<int64_t>(0, Key.spec().Estimate.count() - Ran);
-      Ends.emplace_back(Left, chargeOf(Key.spec()));
-    }
-    std::sort(Ends.begin(), Ends.end(),
-              [](const auto &Left, const auto &Right) {
-                return Left.first < Right.first;
-              });
-    int64_t At = 0;
-    for (const auto &[Left, Size] : Ends) {
-      if (chargeOf(Spec).fitsIn(Free))
-        break;
-      At = Left;
-      Free += Size;
-    }
-    Soonest.emplace_back(At, I);
+    if (auto At = roomIn(I, Spec, Now))
+      Soonest.emplace_back(*At, I);
   }
   std::sort(Soonest.begin(), Soonest.end());
-  size_t Wanted = Step.Tasks.size();
   for (size_t N = 0; N < Soonest.size() && N < Wanted && Taken < Limit; ++N) {
-    Kept[Soonest[N].second] = 1;
+    Kept[Soonest[N].second] = {.Held = true, .FreeIn = Soonest[N].first};
     ++Taken;
   }
 }
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -25,7 +25,8 @@
   const Executor &Each = Pool[Index];
   if (!Pool.usable(Index, Now) || !suits(Each, *Ask.Step))
     return false;
-  if (Index < Ask.Kept.size() && Ask.Kept[Index])
+  if (Index < Ask.Kept.size() && Ask.Kept[Index].Held &&
+      Ask.Expected > Ask.Kept[Index].FreeIn)
     return false;
   if (Load.Slowness > MaxSlowness)
     return false;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -21,6 +21,12 @@
   double Slowness = 1; ///< Of its tasks, against other executors'.
 };
 
+/// An executor that waits for room for more urgent work.
+struct Reservation {
+  bool Held = false;
+  Millis FreeIn{0}; ///< When the room is expected to be there.
+};
+
 struct PlacementAsk {
   const StepSpec *Step = nullptr;
   /// Null where no policy restricts the step.
@@ -30,7 +36,10 @@
   /// Only this rack, if set.
   std::string_view Rack;
   /// Executors kept for more urgent work; indexed by executor.
-  std::span<const uint8_t> Kept;
+  std::span<const Reservation> Kept;
+  /// What a task of the step takes; one that ends before a kept executor is
+  /// wanted may run there meanwhile.
+  Millis Expected{0};
 };
 
 /// Whether the executor could ever run the step's tasks, room aside.
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -21,6 +21,9 @@
 constexpr Millis ReadRetry{100};
 constexpr Millis MembersInterval{3'000};
 constexpr Millis PublishInterval{1'000};
+/// Steps that have waited this long are told of, some of them.
+constexpr Millis WaitTold{3'000};
+constexpr size_t MostWaitsTold = 3;
 constexpr size_t AnswerCapacity = 512;
 /// Jobs that wait to be looked at; more are stored by their entries.
 constexpr size_t OfferCapacity = 256;
@@ -385,6 +388,16 @@
           Service, State.LiveJobs, State.WaitingSteps, State.StepsWithoutAdvice,
           Lines.waiting(), State.OpenRuns, State.Executors, State.Usable,
           State.CommitMs);
+  for (const cell::WaitingStep &Each :
+       Owner->longestWaits(MostWaitsTold, WaitTold, Now))
+    logInfo("step-waits",
+            "job={} step={} tasks={} millicores={} accelerators={} gang={} "
+            "colocate={} age_ms={} slack_ms={:.0f} suitable={} allowed={} "
+            "usable={} with_room={}",
+            Each.Job, Each.Step, Each.Tasks, Each.Size.MilliCores,
+            Each.Size.Accelerators, Each.Gang, Each.Colocate, Each.Age.count(),
+            Each.SlackMs, Each.Suitable, Each.Allowed, Each.Usable,
+            Each.WithRoom);
   OwnedService Told{.Epoch = Mine.Epoch, .State = State};
   Owner->forEachJob([&](const cell::LiveJob &Job) {
     Told.Jobs.push_back({.Id = Job.Spec.Id,
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -319,6 +319,47 @@
   LONGS_EQUAL(1, World.Started.size());
 }
 
+TEST(AnOwnerOfTwoExecutors,
+     AWholeExecutorsTaskIsNotStarvedByAStreamOfSmallOnes) {
+  auto Small500 = [&](int Number) {
+    JobSpec Out =
+        Sim::job(fmt::format("{:016x}", 0x100 + Number), 2, Small, 500);
+    Out.Steps[0].Estimate = Millis(500);
+    return Out;
+  };
+  int Number = 0;
+  auto Stream = [&](int64_t ForMs) {
+    for (int64_t Ms = 0; Ms < ForMs; Ms += 150) {
+      World.submit(Small500(Number++));
+      World.pass(150);
+    }
+  };
+  Stream(900);
+  JobSpec Whole = Sim::job(Job, 1, Wide, 400);
+  Whole.Steps[0].Estimate = Millis(400);
+  World.submit(Whole);
+  Stream(1'500);
+  LONGS_EQUAL(1, World.runsOf(task(0)));
+}
+
+TEST(AnOwnerOfTwoExecutors,
+     WhatEndsBeforeAWholeExecutorIsFreeMayRunThereMeanwhile) {
+  JobSpec Long = Sim::job("00000000000000d1", 2,
+                          {.MilliCores = 3'000, .MemoryMb = 100}, 2'000);
+  Long.Steps[0].Estimate = Millis(2'000);
+  World.submit(Long);
+  World.pass(100);
+  JobSpec Whole = Sim::job(Job, 1, Wide, 400);
+  Whole.Steps[0].Estimate = Millis(400);
+  World.submit(Whole);
+  JobSpec Short = Sim::job("00000000000000d2", 2, Small, 300);
+  Short.Steps[0].Estimate = Millis(300);
+  World.submit(Short);
+  World.pass(100);
+  LONGS_EQUAL(1, World.runsOf("00000000000000d2.0.0.0"));
+  LONGS_EQUAL(1, World.runsOf("00000000000000d2.0.0.1"));
+}
+
 TEST(WithAGangOfTwoWholeExecutors, ItRunsAllAtOnceUnderOneNumber) {
   CHECK_TRUE(completes(1'500));
   LONGS_EQUAL(2, World.Started.size());
