Callers' bytes are held to the limits in force, with an answer that says why

Ruled out: the library's own limits (no hook for an answer) and a check after parsing (too late). Change: http/RequestScanner (pure) follows each connection's messages and says what is wrong; http/ConnectionGuard, behind a socket type of the library, answers 400, 405, 408, 413 or 431 with a body that names the field, in the order of requests, reads on so that the answer isn't wiped out, and lets the longest idle connection give way. Limits are those of the configuration in force. Only callers of the platform's role. A fuzzer has not been run on the scanner.

--- a/src/cell/CellConfig.h
+++ b/src/cell/CellConfig.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CELL_CELLCONFIG_H
 
 #include "common/Time.h"
+#include "http/RequestScanner.h"
 
 #include <cstdint>
 #include <memory>
@@ -33,19 +34,12 @@
   std::optional<AdviceTerms> Advice;
 };
 
-struct CallerBounds {
-  size_t MaxHeaderBytes = 16'384;
-  size_t MaxBodyBytes = 262'144;
-  Millis HeaderTimeout{3'000};
-  Millis IdleTimeout{15'000};
-};
-
 /// One version of the cell's configuration, in full.
 struct CellConfig {
   uint64_t Version = 0;
   std::vector<Queue> Queues;
   std::vector<std::string> Services;
-  CallerBounds Bounds;
+  http::RequestLimits Bounds;
 
   /// The queue of a host (without its port) with the longest prefix that
   /// \p Path begins with; null if there is none.
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -33,7 +33,7 @@
   Millis Silence{900};
   /// How long an owner renews leases without a confirmation of its ownership.
   Millis OwnershipHorizon{2'000};
-  Millis BusyHoldWait{1'000};
+  Millis BusyHoldWait{700};
   Millis IdleHoldWait{2'000};
   /// Between two holds of one executor, so that ends are heard in groups.
   Millis HoldGap{100};
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -31,6 +31,7 @@
   StatusBadRequest = 400,
   StatusNotFound = 404,
   StatusMethodNotAllowed = 405,
+  StatusRequestTimeout = 408,
   StatusConflict = 409,
   StatusGone = 410,
   StatusPreconditionFailed = 412,
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,6 +1,7 @@
 #include "http/Server.h"
 
 #include "common/Log.h"
+#include "http/GuardedSocket.h"
 
 #include <restinio/all.hpp>
 
@@ -12,9 +13,14 @@
 
 namespace {
 
+/// Connections beyond the limit that wait until an idle one has given way.
+constexpr size_t SpareConnections = 64;
+
 struct Traits : public restinio::default_single_thread_traits_t {
-  // NOLINTNEXTLINE(readability-identifier-naming): the library's name.
+  // NOLINTBEGIN(readability-identifier-naming): the library's names.
+  using stream_socket_t = GuardedSocket;
   static constexpr bool use_connection_count_limiter = true;
+  // NOLINTEND(readability-identifier-naming)
 };
 
 using RestinioServer = restinio::http_server_t<Traits>;
@@ -62,6 +68,7 @@
   ServerOptions Options;
   Handler &Target;
   std::shared_ptr<Outstanding> Pending = std::make_shared<Outstanding>();
+  ConnectionGuard *Guard = nullptr; ///< Lives in the server's I/O context.
   std::unique_ptr<restinio::running_server_instance_t<RestinioServer>> Running;
 
   Impl(ServerOptions Options, Handler &Target)
@@ -70,23 +77,34 @@
   restinio::request_handling_status_t
   accept(const restinio::request_handle_t &Source) {
     Pending->add();
-    auto Counter = Pending;
-    Target.handle(convert(Source), [Source, Counter](Response Answer) {
+    auto Written = [Counter = Pending, Watching = Guard,
+                    Peer = peerName(Source->remote_endpoint())](const auto &) {
+      Watching->answered(Peer);
+      Counter->remove();
+    };
+    Target.handle(convert(Source), [Source, Written](Response Answer) {
       auto Builder = Source->create_response(statusLine(Answer.Status));
       for (Header &Each : Answer.Headers)
         Builder.append_header(std::move(Each.first), std::move(Each.second));
       Builder.set_body(std::move(Answer.Body));
-      Builder.done([Counter](const auto &) { Counter->remove(); });
+      Builder.done(Written);
     });
     return restinio::request_accepted();
   }
 
   void run() {
+    auto Context = std::make_shared<asio::io_context>();
+    Guard = &asio::use_service<ConnectionGuard>(*Context);
+    size_t Connections = Options.MaxConnections;
+    if (Options.Limits) {
+      Guard->watch(*Context, Options.MaxConnections, Options.Limits);
+      Connections += SpareConnections;
+    }
     auto Settings =
         restinio::server_settings_t<Traits>{}
             .address(Options.Address)
             .port(Options.Port)
-            .max_parallel_connections(Options.MaxConnections)
+            .max_parallel_connections(Connections)
             .max_pipelined_requests(Options.MaxPipelined)
             .read_next_http_message_timelimit(Options.ReadTimeout)
             .handle_request_timeout(Options.HandleTimeout)
@@ -94,8 +112,8 @@
                 restinio::incoming_http_msg_limits_t{}.max_body_size(
                     Options.MaxBodyBytes))
             .request_handler([this](auto Source) { return accept(Source); });
-    Running = restinio::run_async<Traits>(restinio::own_io_context(),
-                                          std::move(Settings), 1U);
+    Running = restinio::run_async<Traits>(
+        restinio::io_context_holder_t(Context), std::move(Settings), 1U);
   }
 };
 
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -4,6 +4,7 @@
 #include "common/Error.h"
 #include "common/Time.h"
 #include "http/Message.h"
+#include "http/RequestScanner.h"
 
 #include <functional>
 #include <memory>
@@ -31,10 +32,14 @@
   size_t MaxBodyBytes = 1 << 20;
   Millis ReadTimeout{60'000};
   Millis HandleTimeout{600'000};
+  /// Asked on the server's thread for the limits in force. Without it callers
+  /// are trusted: what can't be read only ends their connection.
+  std::function<RequestLimits()> Limits;
 };
 
 /// An HTTP/1.1 server with one thread. Pipelined requests are answered in
-/// their order. Bodies over the limit are cut off by closing the connection.
+/// their order. With limits in force, what breaks them is answered with 400,
+/// 405, 408, 413 or 431 and a body that names the field.
 class Server {
 public:
   Server(ServerOptions Options, Handler &Target);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -39,6 +39,17 @@
   return Out;
 }
 
+/// Callers are held to the limits of the configuration in force.
+http::ServerOptions callerOptions(const Shared &Common) {
+  http::ServerOptions Out = serverOptions(Common.Options.Callers, "callers",
+                                          Common.Options.MaxConnections);
+  Out.Limits = [&Common] {
+    auto Config = Common.Config.current();
+    return Config ? Config->Bounds : http::RequestLimits();
+  };
+  return Out;
+}
+
 /// Tells the balancer whether this entry should get callers.
 class ReadinessHandler final : public http::Handler {
 public:
@@ -74,9 +85,7 @@
             },
             Common.Offers),
         Watch(Common, Desk, Relay), Intake(Common, Relay), Readiness(Common),
-        Operators(Common), Callers(serverOptions(Options.Callers, "callers",
-                                                 Options.MaxConnections),
-                                   Intake),
+        Operators(Common), Callers(callerOptions(Common), Intake),
         ReadinessServer(serverOptions(Options.Readiness, "readiness", 64),
                         Readiness),
         OperatorServer(serverOptions(Options.Operators, "operators", 64),
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -13,10 +13,8 @@
 /// keeps the configuration within its bound of two seconds.
 constexpr Millis ConfigFeedWait{700};
 constexpr Millis ReadRetry{100};
-/// Between two reads of an owner's row, drawn anew each time: of many entries
-/// some read it soon after any moment.
-constexpr Millis ShortestOwnerInterval{300};
-constexpr Millis LongestOwnerInterval{900};
+/// Between two reads of an owner's row; they also tell how slow the store is.
+constexpr Millis OwnerInterval{300};
 /// Spreads the tries of entries that are alike.
 constexpr uint32_t JitterSteps = 3;
 
@@ -173,33 +171,31 @@
   Each.Jitter = static_cast<uint32_t>(Dice.below(JitterSteps));
   store::RangeRead Range{
       .Table = cell::OwnerTable, .Partition = Service, .Limit = 1};
-  Store->read(Range, [this, Service,
-                      Asked = Now](const Result<store::RowPage> &Page) {
-    Watched &Known = Owners[Service];
-    TimePoint Now = monotonicNow();
-    Known.ReadOpen = false;
-    auto Spread = static_cast<uint64_t>(
-        (LongestOwnerInterval - ShortestOwnerInterval).count());
-    Known.NextRead = Now + ShortestOwnerInterval + Millis(Dice.below(Spread));
-    if (!Page) {
-      Known.Watch.readFailed();
-      return;
-    }
-    Common.Store.answered(Now, Page->StoreMillis);
-    Common.Store.readTook(Now - Asked);
-    if (Page->Rows.empty()) {
-      Known.Watch.sawRow(0, std::nullopt, Now - Asked, Now);
-      return;
-    }
-    auto Row = cell::decodeOwner(Page->Rows.front().Value);
-    if (!Row) {
-      logError("owner-row-unreadable", "service={}", Service);
-      return;
-    }
-    Common.Pending.set(Service, Row->Pending);
-    Common.Owners.set(Service, Row->Released ? "" : Row->Relay);
-    Known.Watch.sawRow(Page->Rows.front().Version, *Row, Now - Asked, Now);
-  });
+  Store->read(
+      Range, [this, Service, Asked = Now](const Result<store::RowPage> &Page) {
+        Watched &Known = Owners[Service];
+        TimePoint Now = monotonicNow();
+        Known.ReadOpen = false;
+        Known.NextRead = Now + OwnerInterval;
+        if (!Page) {
+          Known.Watch.readFailed();
+          return;
+        }
+        Common.Store.answered(Now, Page->StoreMillis);
+        Common.Store.readTook(Now - Asked);
+        if (Page->Rows.empty()) {
+          Known.Watch.sawRow(0, std::nullopt, Now - Asked, Now);
+          return;
+        }
+        auto Row = cell::decodeOwner(Page->Rows.front().Value);
+        if (!Row) {
+          logError("owner-row-unreadable", "service={}", Service);
+          return;
+        }
+        Common.Pending.set(Service, Row->Pending);
+        Common.Owners.set(Service, Row->Released ? "" : Row->Relay);
+        Known.Watch.sawRow(Page->Rows.front().Version, *Row, Now - Asked, Now);
+      });
 }
 
 void WatchLoop::take(const std::string &Service, TimePoint Now) {
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -234,6 +234,31 @@
   CHECK_EQUAL(size_t{0}, Line.find("HTTP/1.1 400 Bad Request"));
 }
 
+TEST(ACellOfTwoEntries, HostileBytesAreRefusedByTheLimitsInForce) {
+  auto Answer = [&](const std::string &Bytes) {
+    asio::io_context Io;
+    asio::ip::tcp::socket Socket(Io);
+    Socket.connect({asio::ip::address_v4::loopback(), port(0, 0)});
+    asio::write(Socket, asio::buffer(Bytes));
+    std::string Out;
+    std::error_code Failure;
+    asio::read(Socket, asio::dynamic_buffer(Out), Failure);
+    return Out.substr(9, 3);
+  };
+  std::string Post =
+      "POST /q/" + jobId(1) + " HTTP/1.1\r\nHost: jobs.example\r\n";
+  for (const char *Lengths :
+       {"Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: -2\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"})
+    STRCMP_EQUAL("400", Answer(Post + Lengths + "\r\n{}").c_str());
+  STRCMP_EQUAL("413",
+               Answer(Post + "Content-Length: 99000000000\r\n\r\n{").c_str());
+  STRCMP_EQUAL("431",
+               Answer(Post + "X: " + std::string(1'000'000, 'y')).c_str());
+  STRCMP_EQUAL("408", Answer(Post + "Content-Length: 50\r\n\r\n{").c_str());
+  LONGS_EQUAL(200, submit(0, 1, 1));
+}
+
 TEST(ACellOfTwoEntries, TellsOperatorsWhatItIsAt) {
   CHECK(eventually([&] {
     auto Status = call(0, 3, "GET", "/v1/status");
