--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -23,7 +23,7 @@
 /// What late jobs still earn is less, so they give way a little.
 constexpr double LatePenaltyMs = 1'500;
 constexpr double HopelessMs = 1e9;
-/// The share of executors that may be kept for waiting gangs.
+/// The share of executors that may be kept for steps that wait for room.
 constexpr double MaxKeptShare = 0.5;
 
 /// Whether a task takes so much of an executor that small tasks, coming one
--- a/src/peer/PeerLoop.cpp
+++ b/src/peer/PeerLoop.cpp
@@ -10,9 +10,6 @@
 
 #include <optional>
 
-#include <fcntl.h>
-#include <unistd.h>
-
 namespace daisylanding::peer {
 
 namespace {
@@ -76,7 +73,7 @@
   kj::TaskSet Tasks;
   std::map<std::string, Link> Links;
   std::set<std::string> RefusedBy;
-  kj::Own<kj::AsyncInputStream> WakePipe;
+  kj::Own<kj::AsyncInputStream> Wakeups;
   char WakeBuffer[64] = {};
   unsigned GossipRound = 0;
   kj::Own<kj::PromiseFulfiller<void>> StopFulfiller;
@@ -174,8 +171,8 @@
   Owner.Ready.set_value(true);
   capnp::TwoPartyServer Server(kj::heap<GateServer>(*this));
   Tasks.add(Server.listen(*Listener));
-  WakePipe = Io.lowLevelProvider->wrapInputFd(
-      Owner.WakeRead, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+  Wakeups = Io.lowLevelProvider->wrapInputFd(
+      Owner.Waker.readEnd(), kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
   Tasks.add(watchWakeups());
   Tasks.add(gossipForever());
   auto Stop = kj::newPromiseAndFulfiller<void>();
@@ -184,7 +181,7 @@
 }
 
 kj::Promise<void> PeerLoop::Impl::watchWakeups() {
-  return WakePipe->tryRead(WakeBuffer, 1, sizeof(WakeBuffer))
+  return Wakeups->tryRead(WakeBuffer, 1, sizeof(WakeBuffer))
       .then([this](size_t) -> kj::Promise<void> {
         if (Owner.Loop.stopping()) {
           StopFulfiller->fulfill();
@@ -461,27 +458,11 @@
       Jobs(QueueCapacity, [this] { wake(); }), Shared(Shared),
       Hooks(std::move(Hooks)) {}
 
-PeerLoop::~PeerLoop() {
-  stop();
-  if (WakeWrite >= 0)
-    ::close(WakeWrite);
-  if (WakeRead >= 0)
-    ::close(WakeRead);
-}
-
-void PeerLoop::wake() const {
-  // A full pipe means that a wake-up is under way already.
-  char Byte = 0;
-  if (WakeWrite >= 0)
-    (void)!::write(WakeWrite, &Byte, 1);
-}
+PeerLoop::~PeerLoop() { stop(); }
 
 std::error_code PeerLoop::start() {
-  int Ends[2];
-  if (::pipe2(Ends, O_NONBLOCK | O_CLOEXEC) != 0)
-    return Errc::SystemFailure;
-  WakeRead = Ends[0];
-  WakeWrite = Ends[1];
+  if (auto Failure = Waker.open())
+    return Failure;
   Loop.start("peers", [this] {
     try {
       Impl Inner(*this);
--- a/src/peer/PeerLoop.h
+++ b/src/peer/PeerLoop.h
@@ -3,6 +3,7 @@
 
 #include "common/Ring.h"
 #include "common/Thread.h"
+#include "common/WakePipe.h"
 #include "entry/Context.h"
 #include "entry/FrontMessages.h"
 
@@ -62,13 +63,12 @@
 
 private:
   struct Impl;
-  void wake() const;
+  void wake() const { Waker.wake(); }
 
   entry::Context &Shared;
   PeerHooks Hooks;
   std::promise<bool> Ready; ///< Set when the listener is bound, or can't be.
-  int WakeRead = -1;
-  int WakeWrite = -1;
+  WakePipe Waker;
   Thread Loop;
 };
 
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -9,9 +9,6 @@
 #include <map>
 #include <optional>
 
-#include <fcntl.h>
-#include <unistd.h>
-
 namespace daisylanding::relay {
 
 namespace {
@@ -121,7 +118,7 @@
   kj::AsyncIoContext Io;
   kj::TaskSet Tasks;
   std::map<std::string, LinkPtr> Links;
-  kj::Own<kj::AsyncInputStream> WakePipe;
+  kj::Own<kj::AsyncInputStream> Wakeups;
   char WakeBuffer[64] = {};
   kj::Own<kj::PromiseFulfiller<void>> StopFulfiller;
 };
@@ -195,8 +192,8 @@
   Owner.Ready.set_value(true);
   capnp::TwoPartyServer Server(kj::heap<Service>(Owner));
   Tasks.add(Server.listen(*Listener));
-  WakePipe = Io.lowLevelProvider->wrapInputFd(
-      Owner.WakeRead, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+  Wakeups = Io.lowLevelProvider->wrapInputFd(
+      Owner.Waker.readEnd(), kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
   Tasks.add(watchWakeups());
   auto Stop = kj::newPromiseAndFulfiller<void>();
   StopFulfiller = kj::mv(Stop.fulfiller);
@@ -204,7 +201,7 @@
 }
 
 kj::Promise<void> RelayLoop::Impl::watchWakeups() {
-  return WakePipe->tryRead(WakeBuffer, 1, sizeof(WakeBuffer))
+  return Wakeups->tryRead(WakeBuffer, 1, sizeof(WakeBuffer))
       .then([this](size_t) -> kj::Promise<void> {
         if (Owner.Loop.stopping()) {
           StopFulfiller->fulfill();
@@ -312,27 +309,11 @@
       OfferCalls(QueueCapacity, [this] { wake(); }),
       Options(std::move(Options)), Line(std::move(Line)), Offers(Offers) {}
 
-RelayLoop::~RelayLoop() {
-  stop();
-  if (WakeWrite >= 0)
-    ::close(WakeWrite);
-  if (WakeRead >= 0)
-    ::close(WakeRead);
-}
-
-void RelayLoop::wake() const {
-  // A full pipe means that a wake-up is under way already.
-  char Byte = 0;
-  if (WakeWrite >= 0)
-    (void)!::write(WakeWrite, &Byte, 1);
-}
+RelayLoop::~RelayLoop() { stop(); }
 
 std::error_code RelayLoop::start() {
-  int Ends[2];
-  if (::pipe2(Ends, O_NONBLOCK | O_CLOEXEC) != 0)
-    return Errc::SystemFailure;
-  WakeRead = Ends[0];
-  WakeWrite = Ends[1];
+  if (auto Failure = Waker.open())
+    return Failure;
   Loop.start("relay", [this] {
     try {
       Impl Inner(*this);
--- a/src/relay/RelayLoop.h
+++ b/src/relay/RelayLoop.h
@@ -4,6 +4,7 @@
 #include "cell/Offer.h"
 #include "common/Ring.h"
 #include "common/Thread.h"
+#include "common/WakePipe.h"
 #include "config/Settings.h"
 #include "executor/AdvicePort.h"
 
@@ -59,13 +60,12 @@
 
 private:
   struct Impl;
-  void wake() const;
+  void wake() const { Waker.wake(); }
 
   RelayOptions Options;
   OwnLine Line;
   cell::OfferDesk &Offers;
-  int WakeRead = -1;
-  int WakeWrite = -1;
+  WakePipe Waker;
   std::promise<bool> Ready;
   Thread Loop;
 };
