--- a/tests/unit/RelayLoopTest.cpp
+++ b/tests/unit/RelayLoopTest.cpp
@@ -39,8 +39,9 @@
 }
 
 RelayLoop::OwnLine noLine() {
-  return
-      [](executor::AdviceCall, const executor::AdviceDone &) { return false; };
+  return [](const executor::AdviceCall &, const executor::AdviceDone &) {
+    return false;
+  };
 }
 
 /// Used by no other test that runs beside this one.
