A silent store is told of while an offer waits for its owner

Cause: the process test AJobOnItsWayAsTheStoreFallsSilentGetsAnAnswerInTime failed once (second run of the tests on; it had passed in the whole check before). A store that falls silent looks slow first, so the offer was made again and waited for all of its caller's time; only writes were given up on silence. Whether it did so depended on which read was open when the first wait ended. Ruled out: load (traced in the code, and the test ran alone). Change: an offer on a slow store watches for silence and is then answered 504 at once. The test is the one that failed; three runs alone and all 33 process and 267 unit tests pass after it.

--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -219,6 +219,9 @@
   double ReadMs = Common.Store.readMillis();
   Millis Left = timeLeft(Of, Now);
   Millis Patience = Offering.patience(Left, ReadMs);
+  // A store that is silent rather than slow is told of sooner.
+  if (OfferPacer::onlyByOwner(ReadMs))
+    watchSilence(Of);
   auto Done = [this, Of, Job](const Result<cell::Verdict> &Answer) {
     if (!Verdicts.push([this, Of, Job, Answer] { onVerdict(Of, Job, Answer); }))
       logWarn("verdict-dropped", "job={}", Job.Id);
