Reading: one accessor for a waiting step, one view of permissions, no work thrown away

Behaviour as before, but for one corner: keepRoom now sees a queue that has lost its advice as choose does, unrestricted.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -186,6 +186,7 @@
   }
   /// What the owner is at, for logs and metrics.
   OwnerState state(TimePoint Now);
+  /// The steps that have waited longest, and for at least so long.
   std::vector<WaitingStep> longestWaits(size_t Most, Millis AtLeast,
                                         TimePoint Now);
 
@@ -263,8 +264,18 @@
     uint32_t Occurrence = 0;
     uint32_t Step = 0;
     double SlackMs = 0;
+
+    LiveOccurrence &occurrence() const {
+      return Job->Occurrences.at(Occurrence);
+    }
+    LiveStep &step() const { return occurrence().Steps[Step]; }
+    const StepSpec &spec() const { return Job->Spec.Steps[Step]; }
+    TaskKey task(uint32_t Index) const {
+      return {Job, {Occurrence, Step, Index}};
+    }
   };
   std::vector<Waiting> waitingSteps(TimePoint Now);
+  WaitingStep reasonOf(const Waiting &Which, TimePoint Now) const;
   void plan(TimePoint Now);
   void planTasks(const Waiting &Which, const Queue *From,
                  std::vector<ExecutorLoad> Loads, TimePoint Now);
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -137,15 +137,14 @@
 PlacementAsk
 CellOwner::askFor(const Waiting &Which, const Queue *From,
                   std::map<ExecutorIndex, uint32_t> &OfStep) const {
-  const LiveStep &Step =
-      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  const LiveStep &Step = Which.step();
   for (const LiveTask &Each : Step.Tasks) {
     if (Each.On != NoExecutor)
       ++OfStep[Each.On];
   }
-  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  const StepSpec &Spec = Which.spec();
   return {.Step = &Spec,
-          .Permissions = From && From->Advice ? &Step.Permissions : nullptr,
+          .Permissions = permissionsOf(Step, From),
           .OfStep = &OfStep,
           .Kept = Kept,
           .Expected = Spec.LongRunning ? Millis::max()
@@ -159,13 +158,12 @@
   std::vector<ExecutorLoad> Loads = loads(Now);
   for (const Waiting &Each : waitingSteps(Now)) {
     const Queue *From = Config->queue(Each.Job->Spec.Queue);
-    const LiveStep &Step =
-        Each.Job->Occurrences.at(Each.Occurrence).Steps[Each.Step];
+    const LiveStep &Step = Each.step();
     if (From && From->Advice && Step.Permissions.empty()) {
       askAdvice(Each, *From, false, Now);
       continue;
     }
-    if (Each.Job->Spec.Steps[Each.Step].Gang)
+    if (Each.spec().Gang)
       planGang(Each, From, Loads, Now);
     else
       planTasks(Each, From, Loads, Now);
@@ -178,8 +176,7 @@
                           std::vector<ExecutorLoad> Loads, TimePoint Now) {
   std::map<ExecutorIndex, uint32_t> OfStep;
   PlacementAsk Ask = askFor(Which, From, OfStep);
-  LiveStep &Step =
-      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  LiveStep &Step = Which.step();
   size_t Left = 0; ///< Tasks without a place.
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
@@ -189,7 +186,7 @@
       ++Left;
       continue;
     }
-    TaskKey Key{Which.Job, {Which.Occurrence, Which.Step, I}};
+    TaskKey Key = Which.task(I);
     place(Key, *Best);
     ++OfStep[*Best];
     if (Ask.Step->Filler)
@@ -206,8 +203,7 @@
 
 void CellOwner::planGang(const Waiting &Which, const Queue *From,
                          std::span<const ExecutorLoad> Loads, TimePoint Now) {
-  LiveStep &Step =
-      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
+  LiveStep &Step = Which.step();
   if (!allWaiting(Step))
     return;
   std::map<ExecutorIndex, uint32_t> OfStep;
@@ -221,7 +217,7 @@
     return;
   }
   for (uint32_t I = 0; I < Count; ++I)
-    place({Which.Job, {Which.Occurrence, Which.Step, I}}, (*Places)[I]);
+    place(Which.task(I), (*Places)[I]);
 }
 
 /// When the executor is expected to have room for a task of the step; none
@@ -258,11 +254,10 @@
 /// that take much of one, from less urgent work: a stream of small tasks would
 /// starve them.
 void CellOwner::keepRoom(const Waiting &Which, size_t Wanted, TimePoint Now) {
-  const LiveStep &Step =
-      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
-  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
-  const Queue *From = Config->queue(Which.Job->Spec.Queue);
-  bool Restricted = From && From->Advice;
+  const LiveStep &Step = Which.step();
+  const StepSpec &Spec = Which.spec();
+  const auto *Permissions =
+      permissionsOf(Step, Config->queue(Which.Job->Spec.Queue));
   auto Limit =
       static_cast<size_t>(MaxKeptShare * static_cast<double>(Pool.size()));
   auto Taken = static_cast<size_t>(
@@ -270,12 +265,9 @@
                     [](const Reservation &Each) { return Each.Held; }));
   std::vector<std::pair<Millis, ExecutorIndex>> Soonest;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    auto Found = Step.Permissions.find(I);
-    bool Allowed =
-        Found == Step.Permissions.end() ? !Restricted : Found->second.Allowed;
     bool Wide = Spec.Gang || isWide(chargeOf(Spec), Pool[I].Info.Capacity);
-    if (!Allowed || !Wide || Kept[I].Held || !Pool.usable(I, Now) ||
-        !suits(Pool[I], Spec))
+    if (!allows(Permissions, I) || !Wide || Kept[I].Held ||
+        !Pool.usable(I, Now) || !suits(Pool[I], Spec))
       continue;
     if (auto At = roomIn(I, Spec, Now))
       Soonest.emplace_back(*At, I);
@@ -292,9 +284,8 @@
 /// recorded.
 bool CellOwner::recordPlaced(const Waiting &Which, const Queue *From,
                              TimePoint Now) {
-  LiveStep &Step =
-      Which.Job->Occurrences.at(Which.Occurrence).Steps[Which.Step];
-  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  LiveStep &Step = Which.step();
+  const StepSpec &Spec = Which.spec();
   bool NeedsTicket = From && From->Advice;
   auto Valid = [&](const LiveTask &Each) {
     if (!NeedsTicket)
@@ -321,7 +312,7 @@
       continue;
     // Members of a gang share their run's number.
     Task.Run = Spec.Gang ? HighestRun + 1 : Task.Run + 1;
-    record({Which.Job, {Which.Occurrence, Which.Step, I}});
+    record(Which.task(I));
     Recorded = true;
   }
   return Recorded;
@@ -331,9 +322,8 @@
 /// those whose tickets are needed again.
 void CellOwner::askAdvice(const Waiting &Which, const Queue &From, bool Renew,
                           TimePoint Now) {
-  LiveOccurrence &In = Which.Job->Occurrences.at(Which.Occurrence);
-  LiveStep &Step = In.Steps[Which.Step];
-  const StepSpec &Spec = Which.Job->Spec.Steps[Which.Step];
+  LiveStep &Step = Which.step();
+  const StepSpec &Spec = Which.spec();
   if (Step.AdviceOpen || Now < Step.NextAdvice)
     return;
   std::vector<ExecutorIndex> Asked;
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -32,11 +32,8 @@
     return false;
   if (!Ask.Rack.empty() && Each.Info.Rack != Ask.Rack)
     return false;
-  if (Ask.Permissions) {
-    auto Found = Ask.Permissions->find(Index);
-    if (Found == Ask.Permissions->end() || !Found->second.Allowed)
-      return false;
-  }
+  if (!allows(Ask.Permissions, Index))
+    return false;
   if (Ask.Step->AntiAffinity && Ask.OfStep) {
     auto Found = Ask.OfStep->find(Index);
     if (Found != Ask.OfStep->end() && Found->second >= Ask.Step->AntiAffinity)
@@ -110,6 +107,19 @@
 
 } // namespace
 
+const std::map<ExecutorIndex, Permission> *permissionsOf(const LiveStep &Step,
+                                                         const Queue *From) {
+  return From && From->Advice ? &Step.Permissions : nullptr;
+}
+
+bool allows(const std::map<ExecutorIndex, Permission> *Permissions,
+            ExecutorIndex Index) {
+  if (!Permissions)
+    return true;
+  auto Found = Permissions->find(Index);
+  return Found != Permissions->end() && Found->second.Allowed;
+}
+
 bool suits(const Executor &Each, const StepSpec &Step) {
   if (!chargeOf(Step).fitsIn(Each.Info.Capacity))
     return false;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_CELL_PLACEMENT_H
 #define DAISYLANDING_CELL_PLACEMENT_H
 
+#include "cell/CellConfig.h"
 #include "cell/ExecutorPool.h"
 #include "cell/LiveJob.h"
 
@@ -42,6 +43,14 @@
   Millis Expected{0};
 };
 
+/// What the policy said of the step's executors; null where none restricts it.
+const std::map<ExecutorIndex, Permission> *permissionsOf(const LiveStep &Step,
+                                                         const Queue *From);
+
+/// Whether the policy lets the executor run the step.
+bool allows(const std::map<ExecutorIndex, Permission> *Permissions,
+            ExecutorIndex Index);
+
 /// Whether the executor could ever run the step's tasks, room aside.
 bool suits(const Executor &Each, const StepSpec &Step);
 
--- a/src/http/ConnectionGuard.cpp
+++ b/src/http/ConnectionGuard.cpp
@@ -17,6 +17,10 @@
 /// it still sends would wipe the answer out.
 constexpr Millis ReadAnswerIn{1'000};
 
+std::string nameOf(const Endpoint &Peer) {
+  return fmt::format("{}:{}", Peer.address().to_string(), Peer.port());
+}
+
 std::string refusalText(const Refusal &Why) {
   nlohmann::json Body = {
       {"error", "invalid"}, {"field", Why.Field}, {"allowed", Why.Allowed}};
@@ -31,11 +35,11 @@
 asio::execution_context::id ConnectionGuard::id;
 
 GuardedConnection::GuardedConnection(ConnectionGuard &Owner, int Handle,
-                                     std::string Peer, TimePoint Opened)
-    : Owner(Owner), Handle(Handle), Peer(std::move(Peer)), Scanner(Opened) {
+                                     const Endpoint &Peer, TimePoint Opened)
+    : Owner(Owner), Handle(Handle), Peer(Peer), Scanner(Opened) {
   Owner.Connections.push_back(this);
   Place = std::prev(Owner.Connections.end());
-  Owner.ByPeer[this->Peer] = this;
+  Owner.ByPeer[Peer] = this;
 }
 
 GuardedConnection::~GuardedConnection() {
@@ -62,7 +66,7 @@
 }
 
 void GuardedConnection::refuse(Refusal Reason, TimePoint Now) {
-  logInfo("message-refused", "peer={} status={} field={} open={}", Peer,
+  logInfo("message-refused", "peer={} status={} field={} open={}", nameOf(Peer),
           Reason.Status, Reason.Field, Open);
   Why = std::move(Reason);
   RefusedAt = Now;
@@ -92,14 +96,13 @@
 }
 
 std::shared_ptr<GuardedConnection>
-ConnectionGuard::open(int Handle, std::string Peer, TimePoint Now) {
+ConnectionGuard::open(int Handle, const Endpoint &Peer, TimePoint Now) {
   if (Connections.size() >= MaxConnections)
     makeRoom();
-  return std::make_shared<GuardedConnection>(*this, Handle, std::move(Peer),
-                                             Now);
+  return std::make_shared<GuardedConnection>(*this, Handle, Peer, Now);
 }
 
-void ConnectionGuard::answered(const std::string &Peer) {
+void ConnectionGuard::answered(const Endpoint &Peer) {
   auto Found = ByPeer.find(Peer);
   if (Found != ByPeer.end())
     Found->second->answered();
@@ -116,8 +119,8 @@
   }
   if (!Longest)
     return;
-  logInfo("idle-connection-ended", "peer={} connections={}", Longest->Peer,
-          Connections.size());
+  logInfo("idle-connection-ended", "peer={} connections={}",
+          nameOf(Longest->Peer), Connections.size());
   Longest->cutOff();
 }
 
--- a/src/http/ConnectionGuard.h
+++ b/src/http/ConnectionGuard.h
@@ -7,18 +7,19 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
-#include <string>
-#include <unordered_map>
 
 namespace daisylanding::http {
 
 class ConnectionGuard;
 
+using Endpoint = asio::ip::tcp::endpoint;
+
 /// One open connection as its guard sees it.
 class GuardedConnection {
 public:
-  GuardedConnection(ConnectionGuard &Owner, int Handle, std::string Peer,
+  GuardedConnection(ConnectionGuard &Owner, int Handle, const Endpoint &Peer,
                     TimePoint Opened);
   ~GuardedConnection();
   GuardedConnection(const GuardedConnection &) = delete;
@@ -34,6 +35,8 @@
 private:
   friend class ConnectionGuard;
 
+  using Endpoint = asio::ip::tcp::endpoint;
+
   bool idle() const {
     return Scanner.part() == RequestScanner::Part::Between && Open == 0;
   }
@@ -43,7 +46,7 @@
 
   ConnectionGuard &Owner;
   int Handle; ///< Of the socket, which outlives this.
-  std::string Peer;
+  Endpoint Peer;
   RequestScanner Scanner;
   uint64_t Passed = 0; ///< Messages passed on.
   uint64_t Open = 0;   ///< Of these, without an answer yet.
@@ -70,10 +73,10 @@
              std::function<RequestLimits()> Limits);
   bool watching() const { return static_cast<bool>(Limits); }
 
-  std::shared_ptr<GuardedConnection> open(int Handle, std::string Peer,
+  std::shared_ptr<GuardedConnection> open(int Handle, const Endpoint &Peer,
                                           TimePoint Now);
   /// The answer to a request of that peer was written.
-  void answered(const std::string &Peer);
+  void answered(const Endpoint &Peer);
 
 private:
   friend class GuardedConnection;
@@ -86,7 +89,7 @@
   size_t MaxConnections = 0;
   std::function<RequestLimits()> Limits;
   std::list<GuardedConnection *> Connections;
-  std::unordered_map<std::string, GuardedConnection *> ByPeer;
+  std::map<Endpoint, GuardedConnection *> ByPeer;
   std::unique_ptr<asio::steady_timer> Sweep;
 };
 
--- a/src/http/GuardedSocket.h
+++ b/src/http/GuardedSocket.h
@@ -3,16 +3,8 @@
 
 #include "http/ConnectionGuard.h"
 
-#include <sstream>
-
 namespace daisylanding::http {
 
-inline std::string peerName(const asio::ip::tcp::endpoint &Peer) {
-  std::ostringstream Out;
-  Out << Peer;
-  return Out.str();
-}
-
 /// A server's socket that shows its guard what is read before the parser gets
 /// it. Names in lower case stand in for those of the library's socket.
 class GuardedSocket : public asio::ip::tcp::socket {
@@ -60,7 +52,7 @@
     asio::error_code Failure;
     auto Peer = remote_endpoint(Failure);
     if (!Failure)
-      Known = Guard->open(native_handle(), peerName(Peer), monotonicNow());
+      Known = Guard->open(native_handle(), Peer, monotonicNow());
   }
 
   /// Reads on without passing anything on, until the caller has gone or is cut
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -67,11 +67,15 @@
   return "Unassigned";
 }
 
+bool sameHeaderName(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
 const std::string *findHeader(const std::vector<Header> &Headers,
                               std::string_view Name) {
   for (const Header &Each : Headers) {
-    if (Each.first.size() == Name.size() &&
-        strncasecmp(Each.first.data(), Name.data(), Name.size()) == 0)
+    if (sameHeaderName(Each.first, Name))
       return &Each.second;
   }
   return nullptr;
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -49,6 +49,9 @@
 /// The standard's phrase for a status; "Unassigned" for one that is not known.
 std::string_view reasonPhrase(uint16_t Status);
 
+/// Header names are compared without case.
+bool sameHeaderName(std::string_view Left, std::string_view Right);
+
 /// The first header of that name, compared without case; null if absent.
 const std::string *findHeader(const std::vector<Header> &Headers,
                               std::string_view Name);
--- a/src/http/RequestScanner.cpp
+++ b/src/http/RequestScanner.cpp
@@ -7,8 +7,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include <strings.h>
-
 namespace daisylanding::http {
 
 namespace {
@@ -23,11 +21,6 @@
   return {StatusBadRequest, std::move(Field), std::move(Allowed)};
 }
 
-bool sameName(std::string_view Left, std::string_view Right) {
-  return Left.size() == Right.size() &&
-         ::strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
-}
-
 std::string_view trimmed(std::string_view Text) {
   constexpr const char *Blanks = " \t\r";
   size_t Begin = Text.find_first_not_of(Blanks);
@@ -187,11 +180,11 @@
   if (!Named)
     return bad("headers", "NAME: VALUE in each line");
   std::string_view Value = trimmed(Line.substr(Colon + 1));
-  if (sameName(Name, "content-length"))
+  if (sameHeaderName(Name, "content-length"))
     return readLength(Value, Limits);
-  if (!sameName(Name, "transfer-encoding"))
+  if (!sameHeaderName(Name, "transfer-encoding"))
     return std::nullopt;
-  if (Chunked || !sameName(Value, "chunked"))
+  if (Chunked || !sameHeaderName(Value, "chunked"))
     return bad("transfer-encoding", "chunked, once");
   Chunked = true;
   return std::nullopt;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -78,7 +78,7 @@
   accept(const restinio::request_handle_t &Source) {
     Pending->add();
     auto Written = [Counter = Pending, Watching = Guard,
-                    Peer = peerName(Source->remote_endpoint())](const auto &) {
+                    Peer = Source->remote_endpoint()](const auto &) {
       Watching->answered(Peer);
       Counter->remove();
     };
--- a/src/node/CellLoop.cpp
+++ b/src/node/CellLoop.cpp
@@ -153,8 +153,8 @@
         Withheld.insert(Each.Key);
       }
     }
-    if (Page->More && !Page->Rows.empty())
-      loadRows(Table, Page->Rows.back().Key + '\0');
+    if (auto Next = store::nextFrom(*Page))
+      loadRows(Table, *Next);
     else if (Jobs)
       loadRows(cell::ProgressTable, "");
     else
@@ -336,8 +336,8 @@
     if (From.empty())
       JobFeed.restart(Page->Version);
     onJobRows(Page->Rows);
-    if (Page->More && !Page->Rows.empty())
-      reloadJobs(Page->Rows.back().Key + '\0');
+    if (auto Next = store::nextFrom(*Page))
+      reloadJobs(*Next);
     else
       followJobs();
   });
--- a/src/node/ExecutorList.cpp
+++ b/src/node/ExecutorList.cpp
@@ -47,8 +47,8 @@
     takePage(*Page, From);
     if (From.empty())
       WholeVersion = Page->Version;
-    if (Page->More && !Page->Rows.empty()) {
-      readPage(Page->Rows.back().Key + '\0', Asked);
+    if (auto Next = store::nextFrom(*Page)) {
+      readPage(*Next, Asked);
       return;
     }
     Confirmed = Asked;
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -132,6 +132,11 @@
          Why);
 }
 
+/// A write that got no answer may be carried out, or have been.
+void IntakeLoop::tellUnknown(const VisitPtr &Of) {
+  answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+}
+
 void IntakeLoop::problem(const VisitPtr &Of, uint16_t Status,
                          std::string_view Field, std::string_view Allowed) {
   nlohmann::json Body = {
@@ -303,7 +308,7 @@
 /// The final word of a job that can't be stored in time.
 void IntakeLoop::giveUp(const VisitPtr &Of, std::string_view Why) {
   if (Of->Unknown)
-    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+    tellUnknown(Of);
   else
     refuse(Of, Why);
 }
@@ -332,7 +337,7 @@
   Found->second.add(std::move(Next), Now);
   Later.at(Of->Deadline - AnswerMargin, [this, Of] {
     if (!Of->Answered)
-      answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+      tellUnknown(Of);
   });
 }
 
@@ -353,7 +358,7 @@
     refuse(Of, "store-unavailable");
     return;
   case WriteOutcome::Unknown:
-    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+    tellUnknown(Of);
     return;
   }
 }
@@ -485,7 +490,7 @@
   if (Of->Answered || Now >= Of->Deadline)
     return;
   if (storeSilent(Now)) {
-    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+    tellUnknown(Of);
     return;
   }
   Later.at(Now + SilenceCheck, [this, Of] { watchSilence(Of); });
@@ -520,7 +525,7 @@
   }
   TimePoint Next = Now + WriteRetry;
   if (storeSilent(Now) || Next + AnswerMargin >= Of->Deadline) {
-    answer(Of, http::StatusGatewayTimeout, "{}", "outcome-unknown");
+    tellUnknown(Of);
     return;
   }
   Later.at(Next, [this, Of, What] { sendCancel(Of, What); });
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -74,6 +74,7 @@
   void answer(const VisitPtr &Of, uint16_t Status, std::string Body,
               std::string_view Why);
   void refuse(const VisitPtr &Of, std::string_view Why);
+  void tellUnknown(const VisitPtr &Of);
   void problem(const VisitPtr &Of, uint16_t Status, std::string_view Field,
                std::string_view Allowed);
   void watchSilence(const VisitPtr &Of);
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -7,7 +7,7 @@
 #include <kj/async-io.h>
 
 #include <map>
-#include <optional>
+#include <memory>
 
 namespace daisylanding::relay {
 
--- a/src/store/RowStore.h
+++ b/src/store/RowStore.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,13 @@
   int64_t StoreMillis = 0;
 };
 
+/// Where the next page begins; none behind the last.
+inline std::optional<std::string> nextFrom(const RowPage &Page) {
+  if (!Page.More || Page.Rows.empty())
+    return std::nullopt;
+  return Page.Rows.back().Key + '\0';
+}
+
 struct ChangeQuery {
   std::string Table;
   uint64_t After = 0;
