--- a/src/cell/AdviceDispatcher.cpp
+++ b/src/cell/AdviceDispatcher.cpp
@@ -92,6 +92,11 @@
     Assignment Next{.Address = FreeQueue->Info.Address,
                     .Command = std::move(*MostUrgent)};
     FreeQueue->BacklogMs += Next.Command.ExpectedMs;
+    AdviceReasonCounts &Counts =
+        CallCounts.Reasons[static_cast<size_t>(Next.Command.Reason)];
+    ++Counts.Sent;
+    Counts.Waited += Now - Next.Command.RequestedAt;
+    CallCounts.WorkMs += Next.Command.ExpectedMs;
     WaitingCalls.erase(WaitingCalls.begin() +
                        (MostUrgent - WaitingCalls.data()));
     return Next;
@@ -99,6 +104,13 @@
   return std::nullopt;
 }
 
+size_t AdviceDispatcher::busyCount() const {
+  return static_cast<size_t>(
+      std::count_if(Queues.begin(), Queues.end(), [](const EntryQueue &Queue) {
+        return Queue.BacklogMs > 0;
+      }));
+}
+
 void AdviceDispatcher::onCallEnded(std::string_view Address, double ExpectedMs,
                                    bool Failed, TimePoint Now) {
   for (EntryQueue &Queue : Queues) {
--- a/src/cell/AdviceDispatcher.h
+++ b/src/cell/AdviceDispatcher.h
@@ -3,8 +3,10 @@
 
 #include "cell/CellOwner.h"
 
+#include <array>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Assigns advice calls to the entries' advice queues. The policy service
@@ -22,6 +24,25 @@
   std::string Address;
 };
 
+/// Calls of one reason that were assigned to queues.
+struct AdviceReasonCounts {
+  size_t Sent = 0;
+  Micros Waited{0}; ///< In total, before they were assigned.
+
+  double meanWaitMs() const {
+    return Sent == 0 ? 0 : toSeconds(Waited) * 1e3 / static_cast<double>(Sent);
+  }
+};
+
+struct AdviceCallCounts {
+  std::array<AdviceReasonCounts, 3> Reasons; ///< Indexed by AdviceReason.
+  double WorkMs = 0; ///< Expected service time of the assigned calls.
+
+  const AdviceReasonCounts &of(AdviceReason Reason) const {
+    return Reasons[static_cast<size_t>(Reason)];
+  }
+};
+
 class AdviceDispatcher {
 public:
   struct Assignment {
@@ -43,6 +64,10 @@
   /// Whether a call of \p ExpectedMs counts as short.
   static bool isShortCall(double ExpectedMs);
   size_t waitingCount() const { return WaitingCalls.size(); }
+  size_t queueCount() const { return Queues.size(); }
+  size_t busyCount() const;
+  /// The calls that were assigned since the last time this was called.
+  AdviceCallCounts takeCallCounts() { return std::exchange(CallCounts, {}); }
 
 private:
   struct EntryQueue {
@@ -57,6 +82,7 @@
 
   std::vector<EntryQueue> Queues;
   std::vector<AdviceCallCommand> WaitingCalls;
+  AdviceCallCounts CallCounts;
 };
 
 } // namespace daisylanding::cell
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -59,9 +59,15 @@
   executor::PaceOrder Order;
 };
 
+/// Why advice is requested: for a step without any, on executors that it has no
+/// permission for, or because tickets have expired.
+enum class AdviceReason : uint8_t { First, Further, Renewal };
+
 /// An advice call that has not been assigned to an entry's advice queue.
 struct AdviceCallCommand {
   uint64_t Id = 0;
+  AdviceReason Reason = AdviceReason::First;
+  TimePoint RequestedAt{};
   executor::AdviceCall Call;
   TimePoint DueAt{};     ///< When the step's slack is used up.
   double ExpectedMs = 0; ///< Service time, without waiting.
@@ -100,6 +106,10 @@
   size_t Executors = 0; ///< In the instance list.
   size_t Usable = 0;    ///< Of those, the ones that may be sent tasks.
   double CommitMs = 0;
+  uint32_t TotalCores = 0;    ///< Of listed executors.
+  uint32_t ReservedCores = 0; ///< For open and placed runs.
+  size_t PlacedTasks = 0;     ///< They wait for a valid ticket.
+  uint32_t PlacedCores = 0;   ///< Reserved for placed tasks.
 };
 
 /// A waiting step and the number of executors left after each placement check
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -370,7 +370,12 @@
     return;
   Step.AdvicePending = true;
   auto Slack = Micros(static_cast<int64_t>(Waiting.SlackMs * 1e3));
-  AdviceCallCommand Command{.Id = ++NextAdviceId, .DueAt = Now + Slack};
+  AdviceReason Reason =
+      Step.Permissions.empty() ? AdviceReason::First : AdviceReason::Further;
+  AdviceCallCommand Command{.Id = ++NextAdviceId,
+                            .Reason = Renew ? AdviceReason::Renewal : Reason,
+                            .RequestedAt = Now,
+                            .DueAt = Now + Slack};
   Command.Call.Step = stepName({.Job = Waiting.Job->Spec.Id,
                                 .Occurrence = Waiting.Occurrence,
                                 .Step = Waiting.Step});
--- a/src/cell/OwnerStatus.cpp
+++ b/src/cell/OwnerStatus.cpp
@@ -5,20 +5,43 @@
 /// Status of an owner for logs, metrics and operators.
 namespace daisylanding::cell {
 
+namespace {
+
+constexpr uint32_t MilliCoresPerCore = 1'000;
+
+} // namespace
+
 OwnerStatus CellOwner::status(TimePoint Now) {
   OwnerStatus Status{.LiveJobs = Jobs.size(), .CommitMs = AverageCommitMs};
+  uint64_t PlacedMilliCores = 0;
+  uint64_t TotalMilliCores = 0;
+  uint64_t ReservedMilliCores = 0;
   for (const WaitingStepRef &Waiting : waitingSteps(Now)) {
     const LiveStep &Step = Waiting.step();
     const Queue *JobQueue = Config->findQueue(Waiting.Job->Spec.Queue);
     ++Status.WaitingSteps;
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty())
       ++Status.StepsWithoutAdvice;
+    auto Placed = static_cast<uint32_t>(std::count_if(
+        Step.Tasks.begin(), Step.Tasks.end(),
+        [](const LiveTask &Task) { return Task.Phase == TaskPhase::Placed; }));
+    Status.PlacedTasks += Placed;
+    PlacedMilliCores += uint64_t{Placed} * demandOf(Waiting.spec()).MilliCores;
   }
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     Status.OpenRuns += Pool[I].OpenRuns;
     Status.Executors += Pool[I].Listed ? 1 : 0;
+    ReservedMilliCores += Pool[I].Reserved.MilliCores;
+    if (Pool[I].Listed)
+      TotalMilliCores += Pool[I].Info.Capacity.MilliCores;
     Status.Usable += Pool.isUsable(I, Now) ? 1 : 0;
   }
+  auto ToCores = [](uint64_t MilliCores) {
+    return static_cast<uint32_t>(MilliCores / MilliCoresPerCore);
+  };
+  Status.TotalCores = ToCores(TotalMilliCores);
+  Status.ReservedCores = ToCores(ReservedMilliCores);
+  Status.PlacedCores = ToCores(PlacedMilliCores);
   return Status;
 }
 
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -73,7 +73,11 @@
                      fmt::format("epoch={}", OwnRow.Epoch));
   Store = Context.Platform.makeRowStore(Client);
   Executors = Context.Platform.makeExecutorPort(Client);
-  loadRows(cell::JobTable, "");
+  AcquiredAt = monotonicNow();
+  Loader = std::make_unique<ServiceLoader>(
+      Service, *Store, TimerQueue,
+      [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
+  Loader->start();
   Instances = std::make_unique<ExecutorList>(
       *Store, Context.Platform.codec(), TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
@@ -84,7 +88,7 @@
       processOnce();
       if (Owner->deposed() || Owner->released())
         break;
-    } else if (Loaded) {
+    } else if (Loader->done()) {
       createOwner();
       continue;
     } else if (Releasing.load()) {
@@ -119,53 +123,6 @@
   return Now - Millis(AgeMs);
 }
 
-/// Reads all rows of the service in \p Table, page by page; progress follows
-/// jobs.
-void OwnerLoop::loadRows(const std::string &Table, const std::string &FromKey) {
-  store::RangeRead Range{.Table = Table, .Partition = Service, .From = FromKey};
-  Store->read(
-      Range, [this, Table, FromKey](const Result<store::RowPage> &Page) {
-        if (!Page) {
-          logWarn("load-failed", "service={} table={} error={}", Service, Table,
-                  Page.error().message());
-          retryLater([this, Table, FromKey] { loadRows(Table, FromKey); });
-          return;
-        }
-        recordStoreAnswer(Page->StoreClockMs);
-        bool IsJobTable = Table == cell::JobTable;
-        if (IsJobTable && FromKey.empty())
-          JobFeed.restart(Page->Version);
-        for (const store::Row &Row : Page->Rows) {
-          size_t Separator = Row.Key.find('/');
-          if (IsJobTable && Separator != std::string::npos) {
-            LoadedCancels.insert(Row.Key.substr(0, Separator));
-          } else if (IsJobTable) {
-            if (auto Job = cell::decodeJob(Row.Value))
-              LoadedJobs.emplace(Row.Key, std::move(*Job));
-            else
-              logError("job-unreadable", "job={}", Row.Key);
-          } else {
-            if (auto Progress = cell::decodeProgress(Row.Value)) {
-              LoadedProgress.emplace(Row.Key, std::move(*Progress));
-              continue;
-            }
-            // Restarting the job could run its tasks twice. It stays
-            // unscheduled until an owner can read its record.
-            logError("progress-unreadable", "job={} version={}", Row.Key,
-                     Row.Version);
-            Context.EntryMetrics.count("progress_unreadable");
-            UnreadableJobs.insert(Row.Key);
-          }
-        }
-        if (auto NextKey = store::nextPageStart(*Page))
-          loadRows(Table, *NextKey);
-        else if (IsJobTable)
-          loadRows(cell::ProgressTable, "");
-        else
-          Loaded = true;
-      });
-}
-
 void OwnerLoop::createOwner() {
   TimePoint Now = monotonicNow();
   auto Config = Context.Config.current();
@@ -185,22 +142,29 @@
   Options.InheritedLeaseEnd =
       cell::inheritedLeaseEnd(Options.Leases, LastRenewal);
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
-  for (auto &[Id, Job] : LoadedJobs) {
-    if (UnreadableJobs.count(Id))
+  StoredService Stored = Loader->take();
+  for (auto &[Id, Job] : Stored.Jobs) {
+    if (Stored.UnreadableJobs.count(Id))
       continue;
     std::optional<cell::JobProgress> Progress;
-    auto It = LoadedProgress.find(Id);
-    if (It != LoadedProgress.end())
+    auto It = Stored.Progress.find(Id);
+    if (It != Stored.Progress.end())
       Progress = std::move(It->second);
     TimePoint AcceptedAt = acceptedAt(Job, Now);
-    Owner->restore(std::move(Job), Progress, LoadedCancels.count(Id) > 0,
+    Owner->restore(std::move(Job), Progress, Stored.CancelledJobs.count(Id) > 0,
                    AcceptedAt, Now);
   }
-  logInfo("service-loaded", "service={} epoch={} jobs={} live={}", Service,
-          OwnRow.Epoch, LoadedJobs.size(), Owner->liveJobCount());
-  LoadedJobs.clear();
-  LoadedProgress.clear();
-  LoadedCancels.clear();
+  const LoadCounts &Counts = Loader->counts();
+  logInfo("service-loaded",
+          "service={} epoch={} jobs={} live={} took_ms={} pages={} rows={} "
+          "bytes={} failed_reads={}",
+          Service, OwnRow.Epoch, Stored.Jobs.size(), Owner->liveJobCount(),
+          toMillis(Now - AcquiredAt), Counts.Pages, Counts.Rows, Counts.Bytes,
+          Counts.FailedReads);
+  UnreadableJobs = std::move(Stored.UnreadableJobs);
+  Context.EntryMetrics.count("progress_unreadable",
+                             static_cast<double>(UnreadableJobs.size()));
+  JobFeed.restart(Stored.JobsVersion);
   Context.Offers.registerOwner(Service, Offers);
   Owner->confirmJobFeed(Now);
   followJobs();
@@ -303,6 +267,9 @@
   if (!Commit)
     return;
   uint64_t Sequence = Owner->commitSequence();
+  ++CommitsSent;
+  for (const store::RowWrite &Write : Commit->Writes)
+    CommitBytes += Write.Value.size();
   Store->commit(*Commit,
                 [this, Now, Sequence](const store::TransactionResult &Result) {
                   TimePoint AnsweredAt = monotonicNow();
@@ -401,16 +368,44 @@
       });
 }
 
+/// Logs what the advice calls since the last line were for and how long they
+/// waited here for a queue.
+void OwnerLoop::logAdviceCalls() {
+  cell::AdviceCallCounts Calls = AdviceQueues.takeCallCounts();
+  auto Sent = [&](cell::AdviceReason Reason) { return Calls.of(Reason).Sent; };
+  auto WaitMs = [&](cell::AdviceReason Reason) {
+    return Calls.of(Reason).meanWaitMs();
+  };
+  using cell::AdviceReason;
+  logInfo("advice-state",
+          "service={} queues={} busy={} first={} first_wait_ms={:.0f} "
+          "further={} further_wait_ms={:.0f} renewals={} "
+          "renewal_wait_ms={:.0f} work_ms={:.0f}",
+          Service, AdviceQueues.queueCount(), AdviceQueues.busyCount(),
+          Sent(AdviceReason::First), WaitMs(AdviceReason::First),
+          Sent(AdviceReason::Further), WaitMs(AdviceReason::Further),
+          Sent(AdviceReason::Renewal), WaitMs(AdviceReason::Renewal),
+          Calls.WorkMs);
+}
+
 void OwnerLoop::publishStatus(TimePoint Now) {
   NextPublish = Now + PublishInterval;
   const cell::OwnerCounts &Counts = Owner->counts();
   cell::OwnerStatus State = Owner->status(Now);
+  Micros CpuTime = threadCpuTime();
   logInfo("service-state",
           "service={} live={} waiting={} unadvised={} advice_queue={} open={} "
-          "executors={} usable={} commit_ms={:.0f}",
+          "executors={} usable={} commit_ms={:.0f} commits={} commit_bytes={} "
+          "cpu_ms={} cores={} reserved={} placed={} placed_cores={}",
           Service, State.LiveJobs, State.WaitingSteps, State.StepsWithoutAdvice,
           AdviceQueues.waitingCount(), State.OpenRuns, State.Executors,
-          State.Usable, State.CommitMs);
+          State.Usable, State.CommitMs, CommitsSent, CommitBytes,
+          toMillis(CpuTime - LastCpuTime), State.TotalCores,
+          State.ReservedCores, State.PlacedTasks, State.PlacedCores);
+  CommitsSent = 0;
+  CommitBytes = 0;
+  LastCpuTime = CpuTime;
+  logAdviceCalls();
   for (const cell::WaitingStepReport &Step :
        Owner->longestWaitingSteps(MaxReportedSteps, ReportedWait, Now))
     logInfo("step-waits",
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -9,6 +9,7 @@
 #include "node/AdviceLoop.h"
 #include "node/EntryContext.h"
 #include "node/ExecutorList.h"
+#include "node/ServiceLoader.h"
 #include "relay/RelayLoop.h"
 
 #include <atomic>
@@ -40,7 +41,6 @@
 
   void run();
   void retryLater(std::function<void()> Action);
-  void loadRows(const std::string &Table, const std::string &FromKey);
   void createOwner();
   void processOnce();
   void executeCommands(cell::OwnerCommands Commands);
@@ -53,6 +53,7 @@
   TimePoint acceptedAt(const cell::JobSpec &Job, TimePoint Now) const;
   void recordStoreAnswer(int64_t StoreMillis);
   void publishStatus(TimePoint Now);
+  void logAdviceCalls();
 
   EntryContext &Context;
   AdviceLoop &Advice;
@@ -72,18 +73,19 @@
   cell::AdviceDispatcher AdviceQueues;
   Timers TimerQueue;
 
-  // Used while loading.
-  std::map<std::string, cell::JobSpec> LoadedJobs;
-  std::set<std::string> LoadedCancels;
-  std::map<std::string, cell::JobProgress> LoadedProgress;
-  std::set<std::string> UnreadableJobs; ///< Their progress is malformed.
-  bool Loaded = false;
+  TimePoint AcquiredAt{};
+  std::unique_ptr<ServiceLoader> Loader;
+  std::set<std::string> UnreadableJobs; ///< Never scheduled.
 
   std::unique_ptr<ExecutorList> Instances;
   uint64_t ConfigVersion = 0;
   TimePoint NextRelayRead{};
   TimePoint NextPublish{};
   bool RelayReadInFlight = false;
+  // Since the last published status.
+  size_t CommitsSent = 0;
+  size_t CommitBytes = 0;
+  Micros LastCpuTime{0};
 
   std::atomic<bool> Releasing{false};
   std::atomic<bool> Finished{false};
--- /dev/null
+++ b/src/node/ServiceLoader.cpp
@@ -0,0 +1,86 @@
+#include "node/ServiceLoader.h"
+
+#include "cell/OwnerRow.h"
+#include "common/Log.h"
+
+namespace daisylanding::node {
+
+namespace {
+
+constexpr Millis ReadRetryDelay{100};
+
+} // namespace
+
+ServiceLoader::ServiceLoader(std::string Service, store::RowStore &Store,
+                             Timers &TimerQueue,
+                             std::function<void(int64_t)> OnStoreAnswer)
+    : Service(std::move(Service)), Store(Store), TimerQueue(TimerQueue),
+      OnStoreAnswer(std::move(OnStoreAnswer)) {}
+
+void ServiceLoader::start() { readPage(cell::JobTable, ""); }
+
+void ServiceLoader::readPage(const std::string &Table,
+                             const std::string &FromKey) {
+  store::RangeRead Range{.Table = Table, .Partition = Service, .From = FromKey};
+  Store.read(Range, [this, Table, FromKey](const Result<store::RowPage> &Page) {
+    if (Page) {
+      onPage(Table, FromKey, *Page);
+      return;
+    }
+    ++Counts.FailedReads;
+    logWarn("load-failed", "service={} table={} pages={} rows={} error={}",
+            Service, Table, Counts.Pages, Counts.Rows, Page.error().message());
+    TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
+                        [this, Table, FromKey] { readPage(Table, FromKey); });
+  });
+}
+
+void ServiceLoader::onPage(const std::string &Table, const std::string &FromKey,
+                           const store::RowPage &Page) {
+  OnStoreAnswer(Page.StoreClockMs);
+  bool IsJobTable = Table == cell::JobTable;
+  if (IsJobTable && FromKey.empty())
+    Loaded.JobsVersion = Page.Version;
+  ++Counts.Pages;
+  Counts.Rows += Page.Rows.size();
+  for (const store::Row &Row : Page.Rows) {
+    Counts.Bytes += Row.Value.size();
+    if (IsJobTable)
+      addJobRow(Row);
+    else
+      addProgressRow(Row);
+  }
+  if (auto NextKey = store::nextPageStart(Page))
+    readPage(Table, *NextKey);
+  else if (IsJobTable)
+    readPage(cell::ProgressTable, "");
+  else
+    Done = true;
+}
+
+void ServiceLoader::addJobRow(const store::Row &Row) {
+  size_t Separator = Row.Key.find('/');
+  if (Separator != std::string::npos) {
+    Loaded.CancelledJobs.insert(Row.Key.substr(0, Separator));
+    return;
+  }
+  auto Job = cell::decodeJob(Row.Value);
+  if (Job)
+    Loaded.Jobs.emplace(Row.Key, std::move(*Job));
+  else
+    logError("job-unreadable", "job={}", Row.Key);
+}
+
+void ServiceLoader::addProgressRow(const store::Row &Row) {
+  auto Progress = cell::decodeProgress(Row.Value);
+  if (Progress) {
+    Loaded.Progress.emplace(Row.Key, std::move(*Progress));
+    return;
+  }
+  // Restarting the job could run its tasks twice. It stays unscheduled until an
+  // owner can read its record.
+  logError("progress-unreadable", "job={} version={}", Row.Key, Row.Version);
+  Loaded.UnreadableJobs.insert(Row.Key);
+}
+
+} // namespace daisylanding::node
--- /dev/null
+++ b/src/node/ServiceLoader.h
@@ -0,0 +1,66 @@
+#ifndef DAISYLANDING_NODE_SERVICELOADER_H
+#define DAISYLANDING_NODE_SERVICELOADER_H
+
+#include "cell/JobSpec.h"
+#include "cell/Progress.h"
+#include "common/Timers.h"
+#include "store/RowStore.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+/// Reads the stored jobs of a service for an entry that has acquired it.
+namespace daisylanding::node {
+
+/// All stored rows of a service, decoded.
+struct StoredService {
+  std::map<std::string, cell::JobSpec> Jobs;
+  std::set<std::string> CancelledJobs;
+  std::map<std::string, cell::JobProgress> Progress;
+  std::set<std::string> UnreadableJobs; ///< Their progress is malformed.
+  /// The job feed continues after this version.
+  uint64_t JobsVersion = store::AbsentVersion;
+};
+
+/// What a load has read, for the log.
+struct LoadCounts {
+  size_t Pages = 0;
+  size_t FailedReads = 0;
+  size_t Rows = 0;
+  size_t Bytes = 0; ///< Of the rows' values.
+};
+
+/// Reads page by page, jobs before progress. A failed read is repeated until it
+/// succeeds. Single-threaded.
+class ServiceLoader {
+public:
+  ServiceLoader(std::string Service, store::RowStore &Store, Timers &TimerQueue,
+                std::function<void(int64_t)> OnStoreAnswer);
+
+  void start();
+  bool done() const { return Done; }
+  const LoadCounts &counts() const { return Counts; }
+  /// The rows read. To be called once, when done.
+  StoredService take() { return std::move(Loaded); }
+
+private:
+  void readPage(const std::string &Table, const std::string &FromKey);
+  void onPage(const std::string &Table, const std::string &FromKey,
+              const store::RowPage &Page);
+  void addJobRow(const store::Row &Row);
+  void addProgressRow(const store::Row &Row);
+
+  std::string Service;
+  store::RowStore &Store;
+  Timers &TimerQueue;
+  std::function<void(int64_t)> OnStoreAnswer;
+  StoredService Loaded;
+  LoadCounts Counts;
+  bool Done = false;
+};
+
+} // namespace daisylanding::node
+
+#endif
