Name few executors in an advice call, and renew tickets of placed tasks first

Cause: a backlog that feeds itself. A call named the first 100 of 252 executors whether or not they had room, so most steps asked two or three times, and a step without room asked on. Tickets last 2 s; behind a full queue they expired, and the task, placed by then, held its capacity while its renewal waited behind the step's own further call and calls of other steps. Calls kept the rank of their request, so those of hopeless jobs went first.

Ruled out: the size of the owner alone (the backlog grew under one of 0.5 core with commits of 50 ms).

Change: AdviceCandidates names executors with room first, as many as the step is expected to need by the share that the policy has allowed; a step that the allowed executors can hold asks about others only where there is room; renewals are separate calls and go first; waiting calls are ranked anew, or dropped when no longer needed, ten times a second; a queue of short calls gets the next one before it is idle.

The processor time in service-state is out again: the thread clock counted waiting as well where it was tried.

--- /dev/null
+++ b/src/cell/AdviceCandidates.cpp
@@ -0,0 +1,141 @@
+#include "cell/AdviceCandidates.h"
+
+#include "executor/AdvicePort.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace daisylanding::cell {
+
+namespace {
+
+/// Before the first answer for a queue. Low, so that its first steps get enough
+/// executors.
+constexpr double InitialAllowedShare = 0.3;
+constexpr double MinAllowedShare = 0.05;
+constexpr double ShareWeight = 0.1;
+/// Expected places named, as a multiple of the tasks: others may take some of
+/// them before the answer.
+constexpr double PlacesPerTask = 2;
+/// Part of an occupied executor's places that counts.
+constexpr double OccupiedPlaceWeight = 0.25;
+/// The fixed part of a call takes as long as tens of executors, so that fewer
+/// save nothing.
+constexpr size_t MinNamedExecutors = 16;
+
+/// Tasks of the step that fit into \p Room at once.
+uint32_t placesIn(const Resources &Room, const StepSpec &Step) {
+  constexpr uint32_t NoLimit = 1'000;
+  Resources Demand = demandOf(Step);
+  uint32_t Places = Step.AntiAffinity ? Step.AntiAffinity : NoLimit;
+  auto Limit = [&](uint32_t Free, uint32_t Needed) {
+    if (Needed > 0)
+      Places = std::min(Places, Free / Needed);
+  };
+  Limit(Room.MilliCores, Demand.MilliCores);
+  Limit(Room.MemoryMb, Demand.MemoryMb);
+  Limit(Room.Accelerators, Demand.Accelerators);
+  return Places;
+}
+
+/// One executor that may be named; lower ranks are named first.
+struct Candidate {
+  ExecutorIndex Index = 0;
+  bool IsRemote = false; ///< Not on the rack of the step's data.
+  bool IsOccupied = false;
+  uint64_t Order = 0;
+  double Places = 0;
+
+  auto rank() const { return std::tuple(IsRemote, IsOccupied, Order); }
+};
+
+/// Members of a colocated gang need executors of one rack, so whole racks are
+/// named.
+uint64_t orderOf(const ExecutorState &Executor, const AdviceNeed &Need) {
+  const std::string &Key =
+      Need.Step->Colocate ? Executor.Info.Rack : Executor.Info.Id;
+  return XXH3_64bits_withSeed(Key.data(), Key.size(), Need.Seed);
+}
+
+bool isReserved(const AdviceNeed &Need, ExecutorIndex Index) {
+  return Index < Need.Reservations.size() && Need.Reservations[Index].Active;
+}
+
+} // namespace
+
+void AllowedShares::record(const std::string &Queue, size_t Asked,
+                           size_t Allowed) {
+  if (Asked == 0)
+    return;
+  double Observed = static_cast<double>(Allowed) / static_cast<double>(Asked);
+  auto [It, IsFirst] = Shares.try_emplace(Queue, Observed);
+  if (!IsFirst)
+    It->second += ShareWeight * (Observed - It->second);
+}
+
+double AllowedShares::share(const std::string &Queue) const {
+  auto Found = Shares.find(Queue);
+  return Found == Shares.end() ? InitialAllowedShare
+                               : std::max(MinAllowedShare, Found->second);
+}
+
+std::vector<ExecutorIndex>
+chooseAdviceCandidates(const ExecutorPool &Pool,
+                       std::span<const ExecutorLoad> Loads,
+                       const AdviceNeed &Need, TimePoint Now) {
+  const StepSpec &Step = *Need.Step;
+  std::vector<Candidate> Candidates;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    const ExecutorState &Executor = Pool[I];
+    if (!Executor.Listed || Executor.Ended || Executor.Info.Draining ||
+        !isSuitable(Executor, Step) || Need.Known->count(I))
+      continue;
+    uint32_t FreePlaces = placesIn(Pool.freeCapacity(I), Step);
+    bool IsOccupied = FreePlaces == 0 || !Pool.isUsable(I, Now) ||
+                      isTooSlow(Loads[I]) || isReserved(Need, I);
+    if (IsOccupied && Need.OnlyWithFreeCapacity)
+      continue;
+    Candidate Next{.Index = I,
+                   .IsRemote = !Step.Affinity.empty() &&
+                               Executor.Info.Rack != Step.Affinity,
+                   .IsOccupied = IsOccupied,
+                   .Order = orderOf(Executor, Need)};
+    Next.Places = IsOccupied ? OccupiedPlaceWeight *
+                                   placesIn(Executor.Info.Capacity, Step)
+                             : FreePlaces;
+    Candidates.push_back(Next);
+  }
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              return Left.rank() < Right.rank();
+            });
+  double NeededPlaces = PlacesPerTask * Need.Tasks / Need.AllowedShare;
+  double Places = 0;
+  std::vector<ExecutorIndex> Named;
+  for (const Candidate &Next : Candidates) {
+    bool IsEnough = Places >= NeededPlaces && Named.size() >= MinNamedExecutors;
+    if (IsEnough || Named.size() == executor::MaxExecutorsPerAdviceCall)
+      break;
+    Named.push_back(Next.Index);
+    Places += Next.Places;
+  }
+  return Named;
+}
+
+bool canHoldStep(const ExecutorPool &Pool, const StepSpec &Step, uint32_t Tasks,
+                 const std::map<ExecutorIndex, Permission> &Permissions,
+                 TimePoint Now) {
+  uint32_t Places = 0;
+  for (const auto &[Index, Entry] : Permissions) {
+    if (Entry.Allowed && Pool.isUsable(Index, Now))
+      Places += placesIn(Pool[Index].Info.Capacity, Step);
+    if (Places >= Tasks)
+      return true;
+  }
+  return false;
+}
+
+} // namespace daisylanding::cell
--- /dev/null
+++ b/src/cell/AdviceCandidates.h
@@ -0,0 +1,54 @@
+#ifndef DAISYLANDING_CELL_ADVICECANDIDATES_H
+#define DAISYLANDING_CELL_ADVICECANDIDATES_H
+
+#include "cell/Placement.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+/// Chooses which executors an advice call names. The time that the policy
+/// service takes grows with their number, and tickets expire, so a call names
+/// no more executors than the step is expected to need, those with free
+/// capacity first. Handles fleets of more executors than one call may name and
+/// bursts that fill them. No I/O.
+namespace daisylanding::cell {
+
+/// Learns which share of the named executors the policy allows, by queue.
+class AllowedShares {
+public:
+  void record(const std::string &Queue, size_t Asked, size_t Allowed);
+  double share(const std::string &Queue) const;
+
+private:
+  std::map<std::string, double, std::less<>> Shares;
+};
+
+struct AdviceNeed {
+  const StepSpec *Step = nullptr;
+  uint32_t Tasks = 0; ///< Of the step, without an executor.
+  /// Executors that have been named before are not named again.
+  const std::map<ExecutorIndex, Permission> *Known = nullptr;
+  double AllowedShare = 1; ///< Expected.
+  /// Name only executors that can take a task of the step now.
+  bool OnlyWithFreeCapacity = false;
+  std::span<const Reservation> Reservations; ///< Indexed by executor.
+  uint64_t Seed = 0; ///< Spreads the steps over the executors.
+};
+
+/// The executors to name, at most MaxExecutorsPerAdviceCall.
+std::vector<ExecutorIndex>
+chooseAdviceCandidates(const ExecutorPool &Pool,
+                       std::span<const ExecutorLoad> Loads,
+                       const AdviceNeed &Need, TimePoint Now);
+
+/// Whether the executors that the policy allows could take the step's tasks if
+/// nothing else ran there.
+bool canHoldStep(const ExecutorPool &Pool, const StepSpec &Step, uint32_t Tasks,
+                 const std::map<ExecutorIndex, Permission> &Permissions,
+                 TimePoint Now);
+
+} // namespace daisylanding::cell
+
+#endif
--- a/src/cell/AdviceDispatcher.cpp
+++ b/src/cell/AdviceDispatcher.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-/// A queue with a smaller backlog gets another call: enough to cover the round
-/// trip to another entry.
-constexpr double MaxBacklogMs = 30;
+/// A queue of short calls gets the next one this long before it is expected to
+/// be idle: enough to cover the round trip to another entry.
+constexpr Millis MaxBacklog{30};
+/// Answers may come late, so that no more calls pile up at a queue.
+constexpr uint32_t MaxOpenShortCalls = 2;
 /// The longest call that an urgent start may wait behind.
 constexpr double ShortCallMs = 100;
 /// Share of the queues that take short calls only: there are many, but each
@@ -59,8 +61,40 @@
     Queues[I].ForShortCalls = I < ShortQueueCount;
 }
 
-/// The free queue of this kind with the smallest backlog; of any kind if all of
-/// this kind are backing off.
+bool AdviceDispatcher::isFree(const EntryQueue &Queue, TimePoint Now) {
+  if (Queue.BackoffUntil > Now)
+    return false;
+  if (Queue.OpenCalls == 0)
+    return true;
+  return Queue.ForShortCalls && Queue.OpenCalls < MaxOpenShortCalls &&
+         Queue.BusyUntil < Now + MaxBacklog;
+}
+
+void AdviceDispatcher::refreshCalls(
+    const std::function<std::optional<TimePoint>(uint64_t)> &DueAt) {
+  std::erase_if(WaitingCalls, [&](AdviceCallCommand &Command) {
+    auto NewDueAt = DueAt(Command.Id);
+    if (NewDueAt)
+      Command.DueAt = *NewDueAt;
+    return !NewDueAt;
+  });
+}
+
+AdviceCallCommand *AdviceDispatcher::findMostUrgent(bool IsShort) {
+  auto Rank = [](const AdviceCallCommand &Command) {
+    return std::pair(Command.Reason != AdviceReason::Renewal, Command.DueAt);
+  };
+  AdviceCallCommand *MostUrgent = nullptr;
+  for (AdviceCallCommand &Command : WaitingCalls) {
+    if (isShortCall(Command.ExpectedMs) == IsShort &&
+        (!MostUrgent || Rank(Command) < Rank(*MostUrgent)))
+      MostUrgent = &Command;
+  }
+  return MostUrgent;
+}
+
+/// The free queue of this kind with the fewest open calls; of any kind if all
+/// of this kind are backing off.
 AdviceDispatcher::EntryQueue *AdviceDispatcher::findFreeQueue(bool IsShort,
                                                               TimePoint Now) {
   bool AnyKind =
@@ -69,9 +103,9 @@
       });
   EntryQueue *Best = nullptr;
   for (EntryQueue &Queue : Queues) {
-    bool IsFree = (AnyKind || Queue.ForShortCalls == IsShort) &&
-                  Queue.BackoffUntil <= Now && Queue.BacklogMs < MaxBacklogMs;
-    if (IsFree && (!Best || Queue.BacklogMs < Best->BacklogMs))
+    bool IsCandidate =
+        (AnyKind || Queue.ForShortCalls == IsShort) && isFree(Queue, Now);
+    if (IsCandidate && (!Best || Queue.OpenCalls < Best->OpenCalls))
       Best = &Queue;
   }
   return Best;
@@ -80,18 +114,16 @@
 std::optional<AdviceDispatcher::Assignment>
 AdviceDispatcher::assignNext(TimePoint Now) {
   for (bool IsShort : {true, false}) {
-    AdviceCallCommand *MostUrgent = nullptr;
-    for (AdviceCallCommand &Command : WaitingCalls) {
-      if (isShortCall(Command.ExpectedMs) == IsShort &&
-          (!MostUrgent || Command.DueAt < MostUrgent->DueAt))
-        MostUrgent = &Command;
-    }
+    AdviceCallCommand *MostUrgent = findMostUrgent(IsShort);
     EntryQueue *FreeQueue = MostUrgent ? findFreeQueue(IsShort, Now) : nullptr;
     if (!FreeQueue)
       continue;
     Assignment Next{.Address = FreeQueue->Info.Address,
                     .Command = std::move(*MostUrgent)};
-    FreeQueue->BacklogMs += Next.Command.ExpectedMs;
+    ++FreeQueue->OpenCalls;
+    FreeQueue->BusyUntil =
+        std::max(FreeQueue->BusyUntil, Now) +
+        Micros(static_cast<int64_t>(Next.Command.ExpectedMs * 1e3));
     AdviceReasonCounts &Counts =
         CallCounts.Reasons[static_cast<size_t>(Next.Command.Reason)];
     ++Counts.Sent;
@@ -107,16 +139,18 @@
 size_t AdviceDispatcher::busyCount() const {
   return static_cast<size_t>(
       std::count_if(Queues.begin(), Queues.end(), [](const EntryQueue &Queue) {
-        return Queue.BacklogMs > 0;
+        return Queue.OpenCalls > 0;
       }));
 }
 
-void AdviceDispatcher::onCallEnded(std::string_view Address, double ExpectedMs,
-                                   bool Failed, TimePoint Now) {
+void AdviceDispatcher::onCallEnded(std::string_view Address, bool Failed,
+                                   TimePoint Now) {
   for (EntryQueue &Queue : Queues) {
     if (Queue.Info.Address != Address)
       continue;
-    Queue.BacklogMs = std::max(0.0, Queue.BacklogMs - ExpectedMs);
+    Queue.OpenCalls -= std::min(Queue.OpenCalls, 1U);
+    if (Queue.OpenCalls == 0)
+      Queue.BusyUntil = Now;
     if (!Failed) {
       Queue.ConsecutiveFailures = 0;
       return;
--- a/src/cell/AdviceDispatcher.h
+++ b/src/cell/AdviceDispatcher.h
@@ -4,6 +4,7 @@
 #include "cell/CellOwner.h"
 
 #include <array>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -55,12 +56,16 @@
   void add(AdviceCallCommand Command) {
     WaitingCalls.push_back(std::move(Command));
   }
-  /// Takes the most urgent call for which a queue is free, if any.
+  /// Updates the waiting calls' due times and drops those without one. A late
+  /// step ranks behind those that can still be in time, however long it waited.
+  void
+  refreshCalls(const std::function<std::optional<TimePoint>(uint64_t)> &DueAt);
+  /// Takes the most urgent call for which a queue is free, if any. Renewals go
+  /// first, as capacity is reserved for their tasks.
   std::optional<Assignment> assignNext(TimePoint Now);
   /// A call that was assigned to \p Address has ended. A queue whose call
   /// failed gets no calls for a while.
-  void onCallEnded(std::string_view Address, double ExpectedMs, bool Failed,
-                   TimePoint Now);
+  void onCallEnded(std::string_view Address, bool Failed, TimePoint Now);
   /// Whether a call of \p ExpectedMs counts as short.
   static bool isShortCall(double ExpectedMs);
   size_t waitingCount() const { return WaitingCalls.size(); }
@@ -73,12 +78,15 @@
   struct EntryQueue {
     AdviceQueueInfo Info;
     bool ForShortCalls = false;
-    double BacklogMs = 0;
+    uint32_t OpenCalls = 0;
+    TimePoint BusyUntil{}; ///< Expected.
     uint32_t ConsecutiveFailures = 0;
     TimePoint BackoffUntil{};
   };
 
+  static bool isFree(const EntryQueue &Queue, TimePoint Now);
   EntryQueue *findFreeQueue(bool IsShort, TimePoint Now);
+  AdviceCallCommand *findMostUrgent(bool IsShort);
 
   std::vector<EntryQueue> Queues;
   std::vector<AdviceCallCommand> WaitingCalls;
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_CELL_CELLOWNER_H
 #define DAISYLANDING_CELL_CELLOWNER_H
 
+#include "cell/AdviceCandidates.h"
 #include "cell/CellConfig.h"
 #include "cell/ExecutorPool.h"
 #include "cell/LiveJob.h"
@@ -188,6 +189,10 @@
   void onAdvice(uint64_t Id, const Result<executor::Advice> &Answer,
                 TimePoint Now);
 
+  /// When the step of an advice call that waits for a queue loses value, as of
+  /// \p Now; none if the step no longer needs the call, which is then dropped.
+  std::optional<TimePoint> adviceDueAt(uint64_t Id, TimePoint Now);
+
   /// Whether another owner has acquired the service; nothing more may be sent.
   bool deposed() const { return Deposed; }
   /// Marks the service as free for any entry, with the next commit that stores
@@ -227,6 +232,7 @@
   struct AdviceRequest {
     std::string JobId;
     TaskPosition Position; ///< `Index` is unused.
+    AdviceReason Reason = AdviceReason::First;
     std::vector<ExecutorIndex> AskedExecutors;
   };
 
@@ -308,7 +314,17 @@
   bool recordPlacedTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                          TimePoint Now);
   void requestAdvice(const WaitingStepRef &Waiting, const Queue &JobQueue,
-                     bool Renew, TimePoint Now);
+                     std::span<const ExecutorLoad> Loads, TimePoint Now);
+  void renewTickets(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                    TimePoint Now);
+  void emitAdviceCall(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                      AdviceReason Reason, std::vector<ExecutorIndex> Named,
+                      TimePoint Now);
+  LiveStep *stepOf(const AdviceRequest &Request);
+  static bool hasValidTicket(const LiveStep &Step, const LiveTask &Task,
+                             TimePoint Now);
+  double slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
+                 uint32_t Step, TimePoint Now) const;
   void reserveExecutors(const WaitingStepRef &Waiting, size_t Count,
                         TimePoint Now);
   std::optional<Millis> timeUntilFree(ExecutorIndex Index, const StepSpec &Spec,
@@ -369,6 +385,7 @@
   std::optional<CommitInFlight> InFlight;
   std::unordered_map<uint64_t, AdviceRequest> OpenAdviceCalls;
   uint64_t NextAdviceId = 0;
+  AllowedShares AdviceShares;
   uint64_t RowVersion = 0;
   uint64_t LastBuiltSequence = 0; ///< Of the newest commit that was built.
   OwnerRow Row;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -50,8 +50,10 @@
 struct LiveStep {
   std::vector<LiveTask> Tasks;
   std::map<ExecutorIndex, Permission> Permissions;
-  bool AdvicePending = false;
+  bool AdvicePending = false;  ///< A call that names further executors.
+  bool RenewalPending = false; ///< A call that renews tickets.
   TimePoint NextAdviceAt{};
+  TimePoint NextRenewalAt{};
   /// The newest run that was counted as failed.
   uint32_t LastFailedGangRun = 0;
 };
--- /dev/null
+++ b/src/cell/OwnerAdvice.cpp
@@ -0,0 +1,191 @@
+#include "cell/AdviceCandidates.h"
+#include "cell/CellOwner.h"
+
+#include "common/Log.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+/// Advice: which calls to the policy service a step needs, and their answers.
+namespace daisylanding::cell {
+
+namespace {
+
+/// A ticket must remain valid while its start is committed and sent.
+constexpr Millis TicketMargin{150};
+/// Allowance for the transit of an answer from the policy service.
+constexpr Millis TicketTransitTime{50};
+constexpr Millis AdviceRetryDelay{50};
+/// Between two searches for further executors with free capacity.
+constexpr Millis SearchInterval{200};
+constexpr Millis AdviceTimeoutMargin{1'000};
+
+uint32_t countTasks(const LiveStep &Step, TaskPhase Phase) {
+  return static_cast<uint32_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(),
+                    [&](const LiveTask &Task) { return Task.Phase == Phase; }));
+}
+
+} // namespace
+
+bool CellOwner::hasValidTicket(const LiveStep &Step, const LiveTask &Task,
+                               TimePoint Now) {
+  auto Found = Step.Permissions.find(Task.Executor);
+  return Found != Step.Permissions.end() &&
+         Found->second.ValidUntil > Now + TicketMargin;
+}
+
+/// Requests advice on executors that have not been asked about. A step that the
+/// allowed executors can hold asks about others only if these have free
+/// capacity: a backlog of steps would fill the advice queues with calls that
+/// place nothing.
+void CellOwner::requestAdvice(const WaitingStepRef &Waiting,
+                              const Queue &JobQueue,
+                              std::span<const ExecutorLoad> Loads,
+                              TimePoint Now) {
+  LiveStep &Step = Waiting.step();
+  if (Step.AdvicePending || Now < Step.NextAdviceAt)
+    return;
+  const StepSpec &Spec = Waiting.spec();
+  const std::string &JobId = Waiting.Job->Spec.Id;
+  uint32_t Tasks = countTasks(Step, TaskPhase::Waiting);
+  bool IsFirst = Step.Permissions.empty();
+  AdviceNeed Need{
+      .Step = &Spec,
+      .Tasks = Tasks,
+      .Known = &Step.Permissions,
+      .AllowedShare = AdviceShares.share(JobQueue.Name),
+      .OnlyWithFreeCapacity =
+          !IsFirst && canHoldStep(Pool, Spec, Tasks, Step.Permissions, Now),
+      .Reservations = Reservations,
+      .Seed = XXH3_64bits_withSeed(JobId.data(), JobId.size(), Waiting.Step)};
+  auto Named = chooseAdviceCandidates(Pool, Loads, Need, Now);
+  if (Named.empty()) {
+    Step.NextAdviceAt = Now + SearchInterval;
+    return;
+  }
+  Step.AdvicePending = true;
+  emitAdviceCall(Waiting, JobQueue,
+                 IsFirst ? AdviceReason::First : AdviceReason::Further,
+                 std::move(Named), Now);
+}
+
+/// Requests new tickets for placed tasks whose tickets have expired; for all
+/// members of a gang, which start together.
+void CellOwner::renewTickets(const WaitingStepRef &Waiting,
+                             const Queue &JobQueue, TimePoint Now) {
+  LiveStep &Step = Waiting.step();
+  if (Step.RenewalPending || Now < Step.NextRenewalAt)
+    return;
+  std::vector<ExecutorIndex> Named;
+  for (const LiveTask &Task : Step.Tasks) {
+    bool IsNeeded = Task.Phase == TaskPhase::Placed &&
+                    (Waiting.spec().Gang || !hasValidTicket(Step, Task, Now));
+    bool IsNamed =
+        std::find(Named.begin(), Named.end(), Task.Executor) != Named.end();
+    if (IsNeeded && !IsNamed &&
+        Named.size() < executor::MaxExecutorsPerAdviceCall)
+      Named.push_back(Task.Executor);
+  }
+  if (Named.empty())
+    return;
+  Step.RenewalPending = true;
+  emitAdviceCall(Waiting, JobQueue, AdviceReason::Renewal, std::move(Named),
+                 Now);
+}
+
+void CellOwner::emitAdviceCall(const WaitingStepRef &Waiting,
+                               const Queue &JobQueue, AdviceReason Reason,
+                               std::vector<ExecutorIndex> Named,
+                               TimePoint Now) {
+  AdviceCallCommand Command{
+      .Id = ++NextAdviceId,
+      .Reason = Reason,
+      .RequestedAt = Now,
+      .DueAt = Now + Micros(static_cast<int64_t>(Waiting.SlackMs * 1e3))};
+  Command.Call.Step = stepName({.Job = Waiting.Job->Spec.Id,
+                                .Occurrence = Waiting.Occurrence,
+                                .Step = Waiting.Step});
+  for (ExecutorIndex Index : Named)
+    Command.Call.ExecutorIds.push_back(Pool[Index].Info.Id);
+  Command.ExpectedMs =
+      JobQueue.Advice->BaseMs +
+      JobQueue.Advice->PerExecutorMs * static_cast<double>(Named.size());
+  // Calls of other owners may be ahead in the queue, but a lost call must not
+  // hold the step up for long.
+  Command.Call.Timeout = AdviceTimeoutMargin +
+                         Millis(static_cast<int64_t>(2 * Command.ExpectedMs));
+  OpenAdviceCalls[Command.Id] = {
+      .JobId = Waiting.Job->Spec.Id,
+      .Position = {Waiting.Occurrence, Waiting.Step, 0},
+      .Reason = Reason,
+      .AskedExecutors = std::move(Named)};
+  Commands.AdviceCalls.push_back(std::move(Command));
+}
+
+/// The step of a call that has not been answered; null if it is over.
+LiveStep *CellOwner::stepOf(const AdviceRequest &Request) {
+  LiveJob *Job = findJob(Request.JobId);
+  if (!Job || !Job->Occurrences.count(Request.Position.Occurrence))
+    return nullptr;
+  return &TaskKey{Job, Request.Position}.step();
+}
+
+std::optional<TimePoint> CellOwner::adviceDueAt(uint64_t Id, TimePoint Now) {
+  auto Found = OpenAdviceCalls.find(Id);
+  if (Found == OpenAdviceCalls.end())
+    return std::nullopt;
+  const AdviceRequest &Request = Found->second;
+  bool IsRenewal = Request.Reason == AdviceReason::Renewal;
+  LiveStep *Step = stepOf(Request);
+  bool IsNeeded =
+      Step && !isFinal(findJob(Request.JobId)->Phase) &&
+      countTasks(*Step, IsRenewal ? TaskPhase::Placed : TaskPhase::Waiting) > 0;
+  if (!IsNeeded) {
+    if (Step)
+      (IsRenewal ? Step->RenewalPending : Step->AdvicePending) = false;
+    OpenAdviceCalls.erase(Found);
+    return std::nullopt;
+  }
+  const LiveJob &Job = *findJob(Request.JobId);
+  double SlackMs = slackMs(Job, Job.Occurrences.at(Request.Position.Occurrence),
+                           Request.Position.Step, Now);
+  return Now + Micros(static_cast<int64_t>(SlackMs * 1e3));
+}
+
+void CellOwner::onAdvice(uint64_t Id, const Result<executor::Advice> &Answer,
+                         TimePoint Now) {
+  auto Found = OpenAdviceCalls.find(Id);
+  if (Found == OpenAdviceCalls.end())
+    return;
+  AdviceRequest Request = std::move(Found->second);
+  OpenAdviceCalls.erase(Found);
+  LiveStep *Step = stepOf(Request);
+  if (!Step)
+    return;
+  bool IsRenewal = Request.Reason == AdviceReason::Renewal;
+  (IsRenewal ? Step->RenewalPending : Step->AdvicePending) = false;
+  if (!Answer) {
+    (IsRenewal ? Step->NextRenewalAt : Step->NextAdviceAt) =
+        Now + AdviceRetryDelay;
+    logInfo("advice-failed", "job={} step={} error={}", Request.JobId,
+            Request.Position.Step, Answer.error().message());
+    return;
+  }
+  if (!IsRenewal)
+    AdviceShares.record(findJob(Request.JobId)->Spec.Queue,
+                        Request.AskedExecutors.size(), Answer->Tickets.size());
+  for (ExecutorIndex Index : Request.AskedExecutors)
+    Step->Permissions.try_emplace(Index);
+  for (const executor::Ticket &Ticket : Answer->Tickets) {
+    ExecutorIndex Index = Pool.findOrAdd(Ticket.ExecutorId);
+    Step->Permissions[Index] = {.Allowed = true,
+                                .Ticket = Ticket.Text,
+                                .ValidUntil =
+                                    Now + Answer->Validity - TicketTransitTime};
+  }
+}
+
+} // namespace daisylanding::cell
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-/// A ticket must remain valid while its start is committed and sent.
-constexpr Millis TicketMargin{150};
-/// Allowance for the transit of an answer from the policy service.
-constexpr Millis TicketTransitTime{50};
-constexpr Millis AdviceRetryDelay{50};
-constexpr Millis AdviceTimeoutMargin{1'000};
 /// Share of the remaining work by which estimates may be too long.
 constexpr double EstimateTolerance = 0.25;
 /// A job has no value left once this multiple of its allowed time (begin to
@@ -98,6 +92,11 @@
 
 } // namespace
 
+double CellOwner::slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
+                          uint32_t Step, TimePoint Now) const {
+  return slackOf(Speeds, Job, Occurrence, Step, Now);
+}
+
 std::vector<CellOwner::WaitingStepRef> CellOwner::waitingSteps(TimePoint Now) {
   std::vector<WaitingStepRef> Steps;
   for (auto &[Id, Job] : Jobs) {
@@ -168,7 +167,7 @@
     const Queue *JobQueue = Config->findQueue(Waiting.Job->Spec.Queue);
     const LiveStep &Step = Waiting.step();
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty()) {
-      requestAdvice(Waiting, *JobQueue, false, Now);
+      requestAdvice(Waiting, *JobQueue, Loads, Now);
       continue;
     }
     if (Waiting.spec().Gang)
@@ -209,7 +208,7 @@
   // Executors that the policy service has not been asked about may have free
   // capacity.
   if (JobQueue && JobQueue->Advice)
-    requestAdvice(Waiting, *JobQueue, false, Now);
+    requestAdvice(Waiting, *JobQueue, Loads, Now);
 }
 
 void CellOwner::planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
@@ -225,7 +224,7 @@
   if (!Executors) {
     reserveExecutors(Waiting, Count, Now);
     if (JobQueue && JobQueue->Advice)
-      requestAdvice(Waiting, *JobQueue, false, Now);
+      requestAdvice(Waiting, *JobQueue, Loads, Now);
     return;
   }
   for (uint32_t I = 0; I < Count; ++I)
@@ -306,13 +305,9 @@
                                   const Queue *JobQueue, TimePoint Now) {
   LiveStep &Step = Waiting.step();
   const StepSpec &Spec = Waiting.spec();
-  bool NeedsTicket = JobQueue && JobQueue->Advice;
   auto HasValidTicket = [&](const LiveTask &Task) {
-    if (!NeedsTicket)
-      return true;
-    auto Found = Step.Permissions.find(Task.Executor);
-    return Found != Step.Permissions.end() &&
-           Found->second.ValidUntil > Now + TicketMargin;
+    return !JobQueue || !JobQueue->Advice ||
+           CellOwner::hasValidTicket(Step, Task, Now);
   };
   bool AllTicketsValid = true;
   uint32_t HighestRun = 0;
@@ -322,7 +317,7 @@
       AllTicketsValid = AllTicketsValid && HasValidTicket(Task);
   }
   if (!AllTicketsValid)
-    requestAdvice(Waiting, *JobQueue, true, Now);
+    renewTickets(Waiting, *JobQueue, Now);
   if (Spec.Gang && !AllTicketsValid)
     return false;
   bool AnyRecorded = false;
@@ -338,92 +333,6 @@
   return AnyRecorded;
 }
 
-/// Requests advice on all suitable executors without a permission entry, or,
-/// with \p Renew, on those where placed tasks need new tickets.
-void CellOwner::requestAdvice(const WaitingStepRef &Waiting,
-                              const Queue &JobQueue, bool Renew,
-                              TimePoint Now) {
-  LiveStep &Step = Waiting.step();
-  const StepSpec &Spec = Waiting.spec();
-  if (Step.AdvicePending || Now < Step.NextAdviceAt)
-    return;
-  std::vector<ExecutorIndex> AskedExecutors;
-  if (Renew) {
-    for (const LiveTask &Task : Step.Tasks) {
-      if (Task.Phase == TaskPhase::Placed &&
-          std::find(AskedExecutors.begin(), AskedExecutors.end(),
-                    Task.Executor) == AskedExecutors.end())
-        AskedExecutors.push_back(Task.Executor);
-    }
-  } else {
-    for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-      const ExecutorState &Executor = Pool[I];
-      bool IsCandidate =
-          Executor.Listed && !Executor.Ended && !Executor.Info.Draining &&
-          isSuitable(Executor, Spec) && !Step.Permissions.count(I);
-      if (IsCandidate &&
-          AskedExecutors.size() < executor::MaxExecutorsPerAdviceCall)
-        AskedExecutors.push_back(I);
-    }
-  }
-  if (AskedExecutors.empty())
-    return;
-  Step.AdvicePending = true;
-  auto Slack = Micros(static_cast<int64_t>(Waiting.SlackMs * 1e3));
-  AdviceReason Reason =
-      Step.Permissions.empty() ? AdviceReason::First : AdviceReason::Further;
-  AdviceCallCommand Command{.Id = ++NextAdviceId,
-                            .Reason = Renew ? AdviceReason::Renewal : Reason,
-                            .RequestedAt = Now,
-                            .DueAt = Now + Slack};
-  Command.Call.Step = stepName({.Job = Waiting.Job->Spec.Id,
-                                .Occurrence = Waiting.Occurrence,
-                                .Step = Waiting.Step});
-  for (ExecutorIndex Index : AskedExecutors)
-    Command.Call.ExecutorIds.push_back(Pool[Index].Info.Id);
-  Command.ExpectedMs =
-      JobQueue.Advice->BaseMs + JobQueue.Advice->PerExecutorMs *
-                                    static_cast<double>(AskedExecutors.size());
-  // Calls of other owners may be ahead in the queue, but a lost call must not
-  // hold the step up for long.
-  Command.Call.Timeout = AdviceTimeoutMargin +
-                         Millis(static_cast<int64_t>(2 * Command.ExpectedMs));
-  OpenAdviceCalls[Command.Id] = {
-      .JobId = Waiting.Job->Spec.Id,
-      .Position = {Waiting.Occurrence, Waiting.Step, 0},
-      .AskedExecutors = std::move(AskedExecutors)};
-  Commands.AdviceCalls.push_back(std::move(Command));
-}
-
-void CellOwner::onAdvice(uint64_t Id, const Result<executor::Advice> &Answer,
-                         TimePoint Now) {
-  auto Found = OpenAdviceCalls.find(Id);
-  if (Found == OpenAdviceCalls.end())
-    return;
-  AdviceRequest Request = std::move(Found->second);
-  OpenAdviceCalls.erase(Found);
-  LiveJob *Job = findJob(Request.JobId);
-  if (!Job || !Job->Occurrences.count(Request.Position.Occurrence))
-    return;
-  LiveStep &Step = TaskKey{Job, Request.Position}.step();
-  Step.AdvicePending = false;
-  if (!Answer) {
-    Step.NextAdviceAt = Now + AdviceRetryDelay;
-    logInfo("advice-failed", "job={} step={} error={}", Request.JobId,
-            Request.Position.Step, Answer.error().message());
-    return;
-  }
-  for (ExecutorIndex Index : Request.AskedExecutors)
-    Step.Permissions.try_emplace(Index);
-  for (const executor::Ticket &Ticket : Answer->Tickets) {
-    ExecutorIndex Index = Pool.findOrAdd(Ticket.ExecutorId);
-    Step.Permissions[Index] = {.Allowed = true,
-                               .Ticket = Ticket.Text,
-                               .ValidUntil =
-                                   Now + Answer->Validity - TicketTransitTime};
-  }
-}
-
 /// Slows best-effort tasks beside tasks that serve users: at once when the
 /// users' tail latency nears its target, and back up in steps when it is far
 /// below.
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -30,7 +30,7 @@
       Request.Reservations[Index].Active &&
       Request.ExpectedRunTime > Request.Reservations[Index].FreeAfter)
     return false;
-  if (Load.Slowness > MaxSlowness)
+  if (isTooSlow(Load))
     return false;
   if (!Request.Rack.empty() && Executor.Info.Rack != Request.Rack)
     return false;
@@ -114,6 +114,8 @@
 
 } // namespace
 
+bool isTooSlow(const ExecutorLoad &Load) { return Load.Slowness > MaxSlowness; }
+
 const std::map<ExecutorIndex, Permission> *
 permissionsOf(const LiveStep &Step, const Queue *JobQueue) {
   return JobQueue && JobQueue->Advice ? &Step.Permissions : nullptr;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -22,6 +22,9 @@
   double Slowness = 1; ///< Run time of its tasks relative to other executors.
 };
 
+/// Whether the executor is so much slower than others that it gets no tasks.
+bool isTooSlow(const ExecutorLoad &Load);
+
 /// Whether an executor is reserved for more urgent work.
 struct Reservation {
   bool Active = false;
--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <ctime>
 
 namespace daisylanding {
 
@@ -19,15 +18,6 @@
   return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
 }
 
-/// Processor time that the calling thread has used.
-inline Micros threadCpuTime() {
-  timespec Used{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Used);
-  return std::chrono::duration_cast<Micros>(
-      std::chrono::seconds(Used.tv_sec) +
-      std::chrono::nanoseconds(Used.tv_nsec));
-}
-
 /// Wall-clock time in microseconds since 1970, for logs and the timeline.
 inline int64_t wallMicros() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -26,6 +26,8 @@
 /// Steps that have waited this long are logged, up to MaxReportedSteps of them.
 constexpr Millis ReportedWait{3'000};
 constexpr size_t MaxReportedSteps = 3;
+/// Between two updates of the waiting advice calls' order.
+constexpr Millis AdviceRefreshInterval{100};
 constexpr size_t AnswerCapacity = 512;
 /// Offers that wait for the owner; further ones are stored by their entries.
 constexpr size_t OfferCapacity = 256;
@@ -176,8 +178,7 @@
   while (AdviceAnswers->pop(Answer)) {
     bool Failed =
         !Answer.Outcome && Answer.Outcome.error() != Errc::BudgetExhausted;
-    AdviceQueues.onCallEnded(Answer.RelayAddress, Answer.ExpectedMs, Failed,
-                             Now);
+    AdviceQueues.onCallEnded(Answer.RelayAddress, Failed, Now);
     Owner->onAdvice(Answer.Id, Answer.Outcome, Now);
   }
   for (cell::Offer Offer; Offers->pop(Offer);) {
@@ -237,16 +238,19 @@
 }
 
 void OwnerLoop::sendAdviceCalls(TimePoint Now) {
+  if (Now >= NextAdviceRefresh) {
+    NextAdviceRefresh = Now + AdviceRefreshInterval;
+    AdviceQueues.refreshCalls(
+        [&](uint64_t Id) { return Owner->adviceDueAt(Id, Now); });
+  }
   while (auto Assignment = AdviceQueues.assignNext(Now)) {
     uint64_t Id = Assignment->Command.Id;
-    double ExpectedMs = Assignment->Command.ExpectedMs;
     std::string RelayAddress = Assignment->Address;
     // Calls may complete after this loop has ended.
-    auto Done = [Answers = AdviceAnswers, Id, RelayAddress,
-                 ExpectedMs](Result<executor::Advice> Outcome) {
+    auto Done = [Answers = AdviceAnswers, Id,
+                 RelayAddress](Result<executor::Advice> Outcome) {
       AdviceAnswer Answer{.Id = Id,
                           .RelayAddress = RelayAddress,
-                          .ExpectedMs = ExpectedMs,
                           .Outcome = std::move(Outcome)};
       if (!Answers->push(std::move(Answer)))
         logInfo("advice-answer-dropped", "call={}", Id);
@@ -392,19 +396,17 @@
   NextPublish = Now + PublishInterval;
   const cell::OwnerCounts &Counts = Owner->counts();
   cell::OwnerStatus State = Owner->status(Now);
-  Micros CpuTime = threadCpuTime();
   logInfo("service-state",
           "service={} live={} waiting={} unadvised={} advice_queue={} open={} "
           "executors={} usable={} commit_ms={:.0f} commits={} commit_bytes={} "
-          "cpu_ms={} cores={} reserved={} placed={} placed_cores={}",
+          "cores={} reserved={} placed={} placed_cores={}",
           Service, State.LiveJobs, State.WaitingSteps, State.StepsWithoutAdvice,
           AdviceQueues.waitingCount(), State.OpenRuns, State.Executors,
           State.Usable, State.CommitMs, CommitsSent, CommitBytes,
-          toMillis(CpuTime - LastCpuTime), State.TotalCores,
-          State.ReservedCores, State.PlacedTasks, State.PlacedCores);
+          State.TotalCores, State.ReservedCores, State.PlacedTasks,
+          State.PlacedCores);
   CommitsSent = 0;
   CommitBytes = 0;
-  LastCpuTime = CpuTime;
   logAdviceCalls();
   for (const cell::WaitingStepReport &Step :
        Owner->longestWaitingSteps(MaxReportedSteps, ReportedWait, Now))
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -35,7 +35,6 @@
   struct AdviceAnswer {
     uint64_t Id = 0;
     std::string RelayAddress;
-    double ExpectedMs = 0;
     Result<executor::Advice> Outcome = Errc::AnswerLost;
   };
 
@@ -81,11 +80,11 @@
   uint64_t ConfigVersion = 0;
   TimePoint NextRelayRead{};
   TimePoint NextPublish{};
+  TimePoint NextAdviceRefresh{};
   bool RelayReadInFlight = false;
   // Since the last published status.
   size_t CommitsSent = 0;
   size_t CommitBytes = 0;
-  Micros LastCpuTime{0};
 
   std::atomic<bool> Releasing{false};
   std::atomic<bool> Finished{false};
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -72,7 +72,7 @@
 TEST(EightAdviceQueues, AQueueThatFailsBacksOff) {
   Dispatcher.add(makeCall(1, 25, 10));
   std::string First = Dispatcher.assignNext(at(0))->Address;
-  Dispatcher.onCallEnded(First, 25, true, at(0));
+  Dispatcher.onCallEnded(First, true, at(0));
   for (uint64_t I = 0; I < 20; ++I)
     Dispatcher.add(makeCall(10 + I, 25, 10));
   while (auto Next = Dispatcher.assignNext(at(10)))
@@ -83,8 +83,7 @@
   constexpr int ShortQueues = 3;
   for (int Round = 0; Round < ShortQueues; ++Round) {
     Dispatcher.add(makeCall(1, 25, 10));
-    Dispatcher.onCallEnded(Dispatcher.assignNext(at(0))->Address, 25, true,
-                           at(0));
+    Dispatcher.onCallEnded(Dispatcher.assignNext(at(0))->Address, true, at(0));
   }
   Dispatcher.add(makeCall(2, 25, 10));
   CHECK_TRUE(Dispatcher.assignNext(at(0)).has_value());
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -52,6 +52,13 @@
   return Id;
 }
 
+void Simulation::requireAdvice(const SimPolicy &NewPolicy) {
+  Policy = NewPolicy;
+  auto NewConfig = std::make_shared<cell::CellConfig>(*Config);
+  NewConfig->Queues.front().Advice = NewPolicy.Settings;
+  Config = std::move(NewConfig);
+}
+
 std::vector<executor::ExecutorInfo> Simulation::instanceList() const {
   std::vector<executor::ExecutorInfo> List;
   for (const auto &Entry : Executors) {
@@ -76,6 +83,13 @@
                              .StoreClockMs = clockMs(),
                              .CreatedAt = Now};
   Options.InheritedLeaseEnd = cell::inheritedLeaseEnd(Options.Leases, Now);
+  if (Policy) {
+    std::vector<cell::AdviceQueueInfo> Queues;
+    for (size_t I = 0; I < Policy->Entries; ++I)
+      Queues.push_back({.Entry = "e" + std::to_string(I),
+                        .Address = "relay-" + std::to_string(I)});
+    AdviceQueues.setQueues(Queues);
+  }
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
   for (const auto &[Id, Job] : Specs) {
     std::string Text = storedValue(cell::ProgressTable, Id);
@@ -203,7 +217,59 @@
   });
 }
 
+executor::Advice Simulation::adviceFor(const executor::AdviceCall &Call) const {
+  executor::Advice Advice{.Validity = Policy->Settings.Validity};
+  constexpr size_t Buckets = 1'000;
+  for (const std::string &Id : Call.ExecutorIds) {
+    size_t Bucket = std::hash<std::string>()(Call.Step + "@" + Id) % Buckets;
+    if (static_cast<double>(Bucket) < Policy->AllowedShare * Buckets)
+      Advice.Tickets.push_back(
+          {.ExecutorId = Id, .Text = std::to_string(clockMs())});
+  }
+  return Advice;
+}
+
+/// Tickets carry the time of their issue.
+bool Simulation::isTicketValid(const executor::StartOrder &Order) const {
+  if (!Policy)
+    return true;
+  return !Order.Ticket.empty() &&
+         clockMs() <
+             std::stoll(Order.Ticket) + Policy->Settings.Validity.count();
+}
+
+void Simulation::sendAdviceCalls() {
+  cell::CellOwner *Target = Owner.get();
+  constexpr int64_t RefreshIntervalMs = 100;
+  if (clockMs() % RefreshIntervalMs == 0)
+    AdviceQueues.refreshCalls(
+        [&](uint64_t Id) { return Owner->adviceDueAt(Id, Now); });
+  while (auto Assignment = AdviceQueues.assignNext(Now)) {
+    TimePoint &QueueEnd = AdviceQueueEnds[Assignment->Address];
+    double ServiceMs =
+        Policy->Settings.BaseMs +
+        Policy->Settings.PerExecutorMs *
+            static_cast<double>(Assignment->Command.Call.ExecutorIds.size());
+    QueueEnd = std::max(QueueEnd, Now + Millis(TransitMs)) +
+               Micros(static_cast<int64_t>(ServiceMs * 1e3));
+    int64_t AnswerMs = toMillis(QueueEnd - Now) + TransitMs;
+    schedule(AnswerMs - TransitMs, [this, Target, AnswerAfterMs = TransitMs,
+                                    Assignment = *Assignment] {
+      executor::Advice Advice = adviceFor(Assignment.Command.Call);
+      schedule(AnswerAfterMs, [this, Target, Assignment, Advice] {
+        AdviceQueues.onCallEnded(Assignment.Address, false, Now);
+        if (Owner.get() == Target)
+          Owner->onAdvice(Assignment.Command.Id, Advice, Now);
+      });
+    });
+  }
+}
+
 void Simulation::executeCommands(const cell::OwnerCommands &Commands) {
+  for (const cell::AdviceCallCommand &Command : Commands.AdviceCalls)
+    AdviceQueues.add(Command);
+  if (Policy)
+    sendAdviceCalls();
   cell::CellOwner *Target = Owner.get();
   for (const cell::StartCommand &Command : Commands.Starts)
     sendStart(Command.Order, Command.Executor);
@@ -296,6 +362,10 @@
     Answer.Outcome = OrderOutcome::RunTooLow;
     return Answer;
   }
+  if (!isTicketValid(Order)) {
+    Answer.Outcome = OrderOutcome::TicketInvalid;
+    return Answer;
+  }
   checkStart(Executor, Order);
   Started.push_back(Order);
   auto Ref = *cell::parseTaskName(Order.Id.Task);
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_TESTS_UNIT_CELLSIM_H
 #define DAISYLANDING_TESTS_UNIT_CELLSIM_H
 
+#include "cell/AdviceDispatcher.h"
 #include "cell/CellOwner.h"
 #include "common/Random.h"
 
@@ -25,6 +26,14 @@
   double CommitLate = 0;
 };
 
+/// The policy service: allows each step on a share of the executors, and serves
+/// one call at a time for each entry.
+struct SimPolicy {
+  cell::AdviceSettings Settings;
+  double AllowedShare = 1;
+  size_t Entries = 1;
+};
+
 struct SimRun {
   uint32_t Run = 0;
   TimePoint EndsAt{};
@@ -53,6 +62,9 @@
 
   /// Adds an executor; returns its id.
   std::string addExecutor(Resources Capacity, std::string Rack = "r1");
+  /// Requires tickets of this policy from now on. To be called before the first
+  /// owner takes over.
+  void requireAdvice(const SimPolicy &NewPolicy);
   /// A new owner takes over the service.
   void takeOver();
   /// Runs \p Ms milliseconds of virtual time.
@@ -112,6 +124,9 @@
   void sendCommit();
   void executeCommands(const cell::OwnerCommands &Commands);
   void sendStart(const executor::StartOrder &Order, cell::ExecutorIndex Index);
+  void sendAdviceCalls();
+  executor::Advice adviceFor(const executor::AdviceCall &Call) const;
+  bool isTicketValid(const executor::StartOrder &Order) const;
   executor::OrderAnswer handleStart(SimExecutor &Executor,
                                     const executor::StartOrder &Order);
   executor::OrderAnswer handleStop(SimExecutor &Executor,
@@ -129,6 +144,10 @@
 
   Random Rng;
   std::shared_ptr<const cell::CellConfig> Config;
+  std::optional<SimPolicy> Policy;
+  cell::AdviceDispatcher AdviceQueues;
+  /// When the policy service has ended the calls of each entry's queue.
+  std::map<std::string, TimePoint> AdviceQueueEnds;
   std::map<std::pair<std::string, std::string>, StoredRow> Rows;
   uint64_t Version = 0;
   std::map<std::string, std::unique_ptr<SimExecutor>> Executors;
