A loading owner renews its row, and loads in pages that a slow link carries

Seen: up to five takeovers of one service, 1.4 s apart, seconds without a start, leases lapsing in between. The entries that took it never logged service-loaded.

Cause: an owner wrote its row only once it had loaded. A load longer than 1.3 s was taken for a dead owner's silence by all others, and the next entry's as well. A page of 500 rows of about 1 KB takes longer than a read's timeout of 0.9 s on a link of 10 Mbit/s, so such an entry never ended its load (load-failed, timeout, for seconds; it went on after it was deposed). Class: a failure detector fed by a signal that a legitimate phase doesn't give.

Ruled out: the store (other reads take 5 ms meanwhile).

Change: the owner exists from the acquisition on, in a loading state in which it renews its row and does nothing else; it learns that it was deposed, and can release. Jobs and progress are read side by side, 100 rows a page. A load without a page for 3 s releases the service; an entry leaves what it released itself to others first.

Tests: AServiceWhoseLoadIsSlowIsTakenOverOnce fails twice of two runs on the logic before (never loaded, 21 s) and passes in 5.4 s; WhenTheNextOwnerLoadsForSeconds, ThatThisEntryReleasedIsLeftToOthersFirst.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -10,7 +10,7 @@
                      std::shared_ptr<const CellConfig> Config)
     : Options(std::move(Options)), Config(std::move(Config)),
       Pool(this->Options.Leases), RowVersion(this->Options.RowVersion),
-      Row(this->Options.AcquiredRow) {}
+      Row(this->Options.AcquiredRow), Loading(this->Options.Loading) {}
 
 void CellOwner::setConfig(std::shared_ptr<const CellConfig> NewConfig) {
   Config = std::move(NewConfig);
@@ -351,7 +351,7 @@
 
 OwnerCommands CellOwner::advance(TimePoint Now, int64_t WallMs) {
   Commands = {};
-  if (Deposed || Released)
+  if (Deposed || Released || Loading)
     return std::move(Commands);
   beginDueOccurrences(Now, WallMs);
   expireRuns(Now);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -35,6 +35,9 @@
   /// ago: a cancellation may have been missed.
   Millis MaxJobFeedAge{1'900};
   Millis HeartbeatInterval{300}; ///< Longest time between two commits.
+  /// Whether the stored jobs are still to be read. Until `finishLoading` the
+  /// owner only renews its row.
+  bool Loading = false;
   /// How long the status of ended jobs can be read.
   Millis StatusRetention{120'000};
 };
@@ -140,6 +143,8 @@
   CellOwner(OwnerOptions Options, std::shared_ptr<const CellConfig> Config);
 
   void setConfig(std::shared_ptr<const CellConfig> NewConfig);
+  /// Ends the loading state; `restore` has been called for all stored jobs.
+  void finishLoading() { Loading = false; }
   /// Loads a stored job. Called for each stored job before anything else.
   void restore(JobSpec Spec, const std::optional<JobProgress> &Progress,
                bool Cancelled, TimePoint AcceptedAt, TimePoint Now);
@@ -396,6 +401,7 @@
   double StoreReadMs = 5;
   TimePoint InstanceListConfirmedAt{};
   TimePoint JobFeedConfirmedAt{};
+  bool Loading = false;
   bool Deposed = false;
   bool Releasing = false;
   bool Released = false;
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -139,6 +139,9 @@
   // answers to copies of older commits must not be taken for answers to this
   // one.
   NewRow.Sequence = ++LastBuiltSequence;
+  // While loading, what the last owner wrote about its jobs still holds.
+  if (Loading)
+    return NewRow;
   NewRow.PendingJobs.clear();
   for (const auto &[Id, Job] : Jobs) {
     if (Job.Spec.RepeatCount == 0 && !isFinal(Job.Phase) && !Job.Started)
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -21,6 +21,9 @@
 /// From a decision to its order's arrival at the executor.
 constexpr Millis OrderTransitTime{200};
 constexpr Millis ReadRetryDelay{100};
+/// A loading owner that reads no further rows for this long releases the
+/// service: another entry may reach the store.
+constexpr Millis MaxLoadSilence{3'000};
 constexpr Millis RelayReadInterval{3'000};
 constexpr Millis PublishInterval{1'000};
 /// Steps that have waited this long are logged, up to MaxReportedSteps of them.
@@ -75,40 +78,35 @@
                      fmt::format("epoch={}", OwnRow.Epoch));
   Store = Context.Platform.makeRowStore(Client);
   Executors = Context.Platform.makeExecutorPort(Client);
+  createOwner();
   AcquiredAt = monotonicNow();
   Loader = std::make_unique<ServiceLoader>(
       Service, *Store, TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
-  Loader->start();
+  Loader->start(AcquiredAt);
   Instances = std::make_unique<ExecutorList>(
       *Store, Context.Platform.codec(), TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
   Instances->start();
   while (!Loop.stopping()) {
     TimerQueue.runDue(monotonicNow());
-    if (Owner) {
-      processOnce();
-      if (Owner->deposed() || Owner->released())
-        break;
-    } else if (Loader->done()) {
-      createOwner();
-      continue;
-    } else if (Releasing.load()) {
+    if (Loader)
+      continueLoading(monotonicNow());
+    processOnce();
+    if (Owner->deposed() || Owner->released())
       break;
-    }
     Client.poll(MaxPollWait);
   }
   Context.Offers.unregisterOwner(Service, Offers);
   Context.OwnedServices.remove(Service);
   Context.Events.add("service-left", Service,
                      fmt::format("epoch={}", OwnRow.Epoch));
-  if (Owner)
-    Owner->failOpenOffers();
+  Owner->failOpenOffers();
   // The offering entries then store these jobs themselves.
   for (cell::Offer Offer; Offers->pop(Offer);)
     Offer.Done(cell::OfferOutcome::NotOwner);
   logInfo("service-left", "service={} epoch={} deposed={}", Service,
-          OwnRow.Epoch, Owner && Owner->deposed());
+          OwnRow.Epoch, Owner->deposed());
 }
 
 void OwnerLoop::retryLater(std::function<void()> Action) {
@@ -135,6 +133,7 @@
       .RowVersion = RowVersion,
       .StoreClockMs = Context.StoreHealth.clockMillis(Now),
       .CreatedAt = Now,
+      .Loading = true,
       .StatusRetention = Context.Options.StatusRetention};
   Options.Leases.LeaseDuration =
       std::min(Options.Leases.LeaseDuration, Context.Options.MaxLease);
@@ -144,6 +143,24 @@
   Options.InheritedLeaseEnd =
       cell::inheritedLeaseEnd(Options.Leases, LastRenewal);
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
+}
+
+/// Ends the load when all rows are read, or releases the service if no more of
+/// them arrive.
+void OwnerLoop::continueLoading(TimePoint Now) {
+  if (Loader->done()) {
+    finishLoading(Now);
+    return;
+  }
+  if (Releasing.load() || Now < Loader->lastProgressAt() + MaxLoadSilence)
+    return;
+  logWarn("load-stalled", "service={} epoch={} silent_ms={} rows={}", Service,
+          OwnRow.Epoch, toMillis(Now - Loader->lastProgressAt()),
+          Loader->counts().Rows);
+  Releasing.store(true);
+}
+
+void OwnerLoop::finishLoading(TimePoint Now) {
   StoredService Stored = Loader->take();
   for (auto &[Id, Job] : Stored.Jobs) {
     if (Stored.UnreadableJobs.count(Id))
@@ -156,17 +173,19 @@
     Owner->restore(std::move(Job), Progress, Stored.CancelledJobs.count(Id) > 0,
                    AcceptedAt, Now);
   }
-  const LoadCounts &Counts = Loader->counts();
+  const LoadCounts Counts = Loader->counts();
   logInfo("service-loaded",
           "service={} epoch={} jobs={} live={} took_ms={} pages={} rows={} "
           "bytes={} failed_reads={}",
           Service, OwnRow.Epoch, Stored.Jobs.size(), Owner->liveJobCount(),
           toMillis(Now - AcquiredAt), Counts.Pages, Counts.Rows, Counts.Bytes,
           Counts.FailedReads);
+  Owner->finishLoading();
   UnreadableJobs = std::move(Stored.UnreadableJobs);
   Context.EntryMetrics.count("progress_unreadable",
                              static_cast<double>(UnreadableJobs.size()));
   JobFeed.restart(Stored.JobsVersion);
+  Loader.reset();
   Context.Offers.registerOwner(Service, Offers);
   Owner->confirmJobFeed(Now);
   followJobs();
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -41,6 +41,8 @@
   void run();
   void retryLater(std::function<void()> Action);
   void createOwner();
+  void continueLoading(TimePoint Now);
+  void finishLoading(TimePoint Now);
   void processOnce();
   void executeCommands(cell::OwnerCommands Commands);
   void sendAdviceCalls(TimePoint Now);
@@ -73,8 +75,8 @@
   Timers TimerQueue;
 
   TimePoint AcquiredAt{};
-  std::unique_ptr<ServiceLoader> Loader;
-  std::set<std::string> UnreadableJobs; ///< Never scheduled.
+  std::unique_ptr<ServiceLoader> Loader; ///< Null once the load is done.
+  std::set<std::string> UnreadableJobs;  ///< Never scheduled.
 
   std::unique_ptr<ExecutorList> Instances;
   uint64_t ConfigVersion = 0;
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -34,9 +34,12 @@
                                TimePoint Now) const {
   if (!RowKnown)
     return false;
-  if (Row && isSameEntry(Row->Holder, Holder))
+  // What this incarnation has released is for others to acquire, unless none
+  // does.
+  bool IsOwnRelease = Row && Row->Released && Row->Holder == Holder;
+  if (Row && isSameEntry(Row->Holder, Holder) && !IsOwnRelease)
     return true;
-  bool IsUnowned = Version == 0 || !Row || Row->Released;
+  bool IsUnowned = Version == 0 || !Row || (Row->Released && !IsOwnRelease);
   Micros Wait = Micros(0);
   if (!IsUnowned)
     Wait = Options.SilenceTimeout + Options.ReadTimeFactor * RecentReadTime;
--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Millis ReadRetryDelay{100};
+constexpr uint32_t PageRows = 100;
 
 } // namespace
 
@@ -17,11 +18,17 @@
     : Service(std::move(Service)), Store(Store), TimerQueue(TimerQueue),
       OnStoreAnswer(std::move(OnStoreAnswer)) {}
 
-void ServiceLoader::start() { readPage(cell::JobTable, ""); }
+void ServiceLoader::start(TimePoint Now) {
+  LastProgressAt = Now;
+  OpenTables = 2;
+  readPage(cell::JobTable, "");
+  readPage(cell::ProgressTable, "");
+}
 
 void ServiceLoader::readPage(const std::string &Table,
                              const std::string &FromKey) {
-  store::RangeRead Range{.Table = Table, .Partition = Service, .From = FromKey};
+  store::RangeRead Range{
+      .Table = Table, .Partition = Service, .From = FromKey, .Limit = PageRows};
   Store.read(Range, [this, Table, FromKey](const Result<store::RowPage> &Page) {
     if (Page) {
       onPage(Table, FromKey, *Page);
@@ -41,6 +48,7 @@
   bool IsJobTable = Table == cell::JobTable;
   if (IsJobTable && FromKey.empty())
     Loaded.JobsVersion = Page.Version;
+  LastProgressAt = monotonicNow();
   ++Counts.Pages;
   Counts.Rows += Page.Rows.size();
   for (const store::Row &Row : Page.Rows) {
@@ -52,10 +60,8 @@
   }
   if (auto NextKey = store::nextPageStart(Page))
     readPage(Table, *NextKey);
-  else if (IsJobTable)
-    readPage(cell::ProgressTable, "");
   else
-    Done = true;
+    --OpenTables;
 }
 
 void ServiceLoader::addJobRow(const store::Row &Row) {
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -32,15 +32,19 @@
   size_t Bytes = 0; ///< Of the rows' values.
 };
 
-/// Reads page by page, jobs before progress. A failed read is repeated until it
+/// Reads jobs and progress side by side, page by page. Nobody else writes
+/// progress once the service is acquired. Pages are small, so that each arrives
+/// within a read's timeout on a slow link. A failed read is repeated until it
 /// succeeds. Single-threaded.
 class ServiceLoader {
 public:
   ServiceLoader(std::string Service, store::RowStore &Store, Timers &TimerQueue,
                 std::function<void(int64_t)> OnStoreAnswer);
 
-  void start();
-  bool done() const { return Done; }
+  void start(TimePoint Now);
+  bool done() const { return OpenTables == 0; }
+  /// When the last page arrived, or the load started.
+  TimePoint lastProgressAt() const { return LastProgressAt; }
   const LoadCounts &counts() const { return Counts; }
   /// The rows read. To be called once, when done.
   StoredService take() { return std::move(Loaded); }
@@ -58,7 +62,8 @@
   std::function<void(int64_t)> OnStoreAnswer;
   StoredService Loaded;
   LoadCounts Counts;
-  bool Done = false;
+  TimePoint LastProgressAt{};
+  size_t OpenTables = 0; ///< Not read to their end.
 };
 
 } // namespace daisylanding::node
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -1,3 +1,6 @@
+#include "cell/JobSpec.h"
+#include "cell/OwnerRow.h"
+#include "cell/Progress.h"
 #include "harness/Process.h"
 #include "http/Client.h"
 #include "standin/CellPlatform.h"
@@ -169,6 +172,38 @@
   CHECK(allDone(0));
 }
 
+/// Guards against a service without an owner: an entry whose load takes longer
+/// than an owner may be silent was taken over, and so was the next one.
+TEST(ACellOfTwoEntries, AServiceWhoseLoadIsSlowIsTakenOverOnce) {
+  constexpr int StoredJobs = 600;
+  constexpr int FirstStored = 1'000;
+  for (int I = 0; I < StoredJobs; ++I) {
+    std::string Id = jobId(FirstStored + I);
+    cell::JobSpec Job{.Id = Id,
+                      .Queue = "q",
+                      .Payload = std::string(cell::MaxPayloadBytes, 'x'),
+                      .Steps = {{}}};
+    Platform.putRow(cell::ProgressTable, "s", Id,
+                    cell::encodeProgress({.Phase = cell::JobPhase::Completed}));
+    Platform.putRow(cell::JobTable, "s", Id, cell::encodeJob(Job));
+  }
+  auto Owner = [&] {
+    return cell::decodeOwnerRow(
+        Platform.rowValue(cell::OwnerTable, "s", cell::OwnerKey));
+  };
+  auto First = Owner();
+  CHECK_TRUE(bool(First));
+  // A load of about 3.3 s.
+  Platform.setFaults({.ReadBytesPerSecond = 1'000'000});
+  Entries[First->Holder.starts_with("e0/") ? 0 : 1].signal(SIGKILL);
+  int Other = First->Holder.starts_with("e0/") ? 1 : 0;
+  CHECK(eventually([&] { return Owner()->Epoch == First->Epoch + 1; }));
+  startEntry(1 - Other);
+  CHECK(eventually([&] { return submit(Other, 1, 1) == 200; }));
+  CHECK(eventually([&] { return state(Other, 1) == "completed"; }));
+  LONGS_EQUAL(First->Epoch + 1, Owner()->Epoch);
+}
+
 TEST(ACellOfTwoEntries, LostAnswersAndLateWritesDuplicateNothing) {
   Platform.setFaults({.LostResponsesPerTen = 2, .LateWritesPerTen = 1});
   for (int I = 1; I <= 10; ++I) {
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -13,6 +13,7 @@
 constexpr Millis LateWriteDelay{1'000};
 constexpr Millis RunDuration{250};
 constexpr uint32_t WritesPerCycle = 10;
+constexpr size_t MaxPageRows = 500;
 
 } // namespace
 
@@ -51,6 +52,24 @@
   }
 }
 
+void CellPlatform::putRow(const std::string &Table, const std::string &Part,
+                          const std::string &Key, const std::string &Value) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Rows[{Table, Part, Key}] = {encodeBase64(Value), ++StoreVersion, false};
+  answerFeeds(Table);
+}
+
+std::string CellPlatform::rowValue(const std::string &Table,
+                                   const std::string &Part,
+                                   const std::string &Key) const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  auto Found = Rows.find({Table, Part, Key});
+  if (Found == Rows.end() || Found->second.Deleted)
+    return {};
+  auto Value = decodeBase64(Found->second.Value);
+  return Value ? *Value : std::string();
+}
+
 void CellPlatform::setFaults(CellPlatformFaults NewFaults) {
   std::lock_guard<std::mutex> Lock(Mutex);
   Faults = NewFaults;
@@ -68,11 +87,27 @@
   if (Path == "/-/rows-tx")
     handleTransaction(Json::parse(Request.Body), Responder);
   else if (Path == "/-/rows-get")
-    sendJson(Responder, http::StatusOk, readRows(Request));
+    handleRead(Request, std::move(Responder));
   else
     handleFeed(Request, std::move(Responder));
 }
 
+void CellPlatform::handleRead(const http::Request &Request,
+                              http::Responder Responder) {
+  Json Page = readRows(Request);
+  if (Faults.ReadBytesPerSecond == 0) {
+    sendJson(Responder, http::StatusOk, Page);
+    return;
+  }
+  constexpr size_t MicrosPerSecond = 1'000'000;
+  Micros TransferTime(static_cast<int64_t>(
+      Page.dump().size() * MicrosPerSecond / Faults.ReadBytesPerSecond));
+  DelayedActions->schedule(
+      TransferTime, [Page = std::move(Page), Responder = std::move(Responder)] {
+        sendJson(Responder, http::StatusOk, Page);
+      });
+}
+
 void CellPlatform::handleTransaction(const Json &Body,
                                      const http::Responder &Responder) {
   uint32_t CyclePosition = static_cast<uint32_t>(WriteCount++ % WritesPerCycle);
@@ -151,15 +186,22 @@
   std::string Part = http::queryValue(Request.Target, "part");
   std::string FirstKey = http::queryValue(Request.Target, "from");
   std::string EndKey = http::queryValue(Request.Target, "to");
+  std::string LimitText = http::queryValue(Request.Target, "limit");
+  size_t MaxRows = LimitText.empty() ? MaxPageRows : std::stoul(LimitText);
   Json MatchingRows = Json::array();
+  bool HasMore = false;
   for (const auto &[Key, Row] : Rows) {
     bool Matches = Key[0] == Table && Key[1] == Part && !Row.Deleted &&
                    Key[2] >= FirstKey && (EndKey.empty() || Key[2] < EndKey);
-    if (Matches)
-      MatchingRows.push_back(rowToJson(Key, Row));
+    if (!Matches)
+      continue;
+    HasMore = MatchingRows.size() == MaxRows;
+    if (HasMore)
+      break;
+    MatchingRows.push_back(rowToJson(Key, Row));
   }
   return {{"rows", MatchingRows},
-          {"has-more", false},
+          {"has-more", HasMore},
           {"row-version", StoreVersion},
           {"now-ms", clockMs()}};
 }
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -27,6 +27,8 @@
   uint32_t LostResponsesPerTen = 0;
   /// Of ten transactions, this many are applied a second late and not answered.
   uint32_t LateWritesPerTen = 0;
+  /// Range reads are answered at this rate; 0 for at once.
+  uint32_t ReadBytesPerSecond = 0;
 };
 
 class CellPlatform final : public http::Handler {
@@ -43,6 +45,12 @@
   /// listed.
   void killExecutor(const std::string &Id);
   void setFaults(CellPlatformFaults NewFaults);
+  /// Stores a row, as if an entry had written it.
+  void putRow(const std::string &Table, const std::string &Part,
+              const std::string &Key, const std::string &Value);
+  /// The value of a row; empty if there is none.
+  std::string rowValue(const std::string &Table, const std::string &Part,
+                       const std::string &Key) const;
 
   /// Cancels delayed actions and pending feed requests. To be called before the
   /// server that sends the answers is destroyed.
@@ -87,6 +95,7 @@
   };
 
   void handleStoreCall(const http::Request &Request, http::Responder Responder);
+  void handleRead(const http::Request &Request, http::Responder Responder);
   void handleTransaction(const Json &Body, const http::Responder &Responder);
   Json applyTransaction(const Json &Body, bool &ConditionsMet);
   Json readRows(const http::Request &Request) const;
--- a/tests/unit/AdvisedLoadTest.cpp
+++ b/tests/unit/AdvisedLoadTest.cpp
@@ -20,8 +20,8 @@
 constexpr int64_t RunMs = 1'000;
 /// Stretch 2 and 500 ms, as the simulation's queue has them.
 constexpr int64_t AllowedMs = 2 * RunMs + 500;
-/// Uses 80 % of the 900 places, each for 1.1 s: a run's place is free again once
-/// its end is stored.
+/// Uses 80 % of the 900 places, each for 1.1 s: a run's place is free again
+/// once its end is stored.
 constexpr int64_t UsualJobsPerSecond = 65;
 
 struct SubmittedJob {
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -1,3 +1,4 @@
+#include "node/OwnerWatch.h"
 #include "unit/CellSim.h"
 
 #include <fmt/format.h>
@@ -119,6 +120,60 @@
   LONGS_EQUAL(3, Sim.Started.size());
 }
 
+// clang-format off
+TEST_GROUP_BASE(WhenTheNextOwnerLoadsForSeconds, TEST_GROUP_CppUTestGroupWhenItRuns) {
+  static constexpr int64_t LoadMs = 3'500;
+  node::OwnerWatch OtherEntry{node::OwnerWatchOptions{}};
+
+  void setup() override {
+    TEST_GROUP_CppUTestGroupWhenItRuns::setup();
+    Sim.LoadTimeMs = LoadMs;
+    Sim.takeOver();
+  }
+  /// Lets another entry read the owner row at its usual interval; returns
+  /// whether it would have acquired the service.
+  bool isTakenOverWithin(int64_t Ms) {
+    constexpr int64_t ReadIntervalMs = 300;
+    bool Acquires = false;
+    for (int64_t Elapsed = 0; Elapsed < Ms; Elapsed += ReadIntervalMs) {
+      Sim.runFor(ReadIntervalMs);
+      OtherEntry.recordRow(Sim.ownerRowVersion(), Sim.ownerRow(), Millis(5), Sim.Now);
+      Acquires = Acquires || OtherEntry.shouldAcquire("other/1", 0, Sim.Now);
+    }
+    return Acquires;
+  }
+};
+// clang-format on
+
+/// Guards against takeovers of owners that are still loading, one after the
+/// other.
+TEST(WhenTheNextOwnerLoadsForSeconds, NobodyTakesTheServiceOver) {
+  CHECK_FALSE(isTakenOverWithin(LoadMs));
+  CHECK(completesWithin(3'000));
+}
+
+TEST(WhenTheNextOwnerLoadsForSeconds, ItSendsNoOrders) {
+  size_t StartedBefore = Sim.Started.size();
+  Sim.runFor(LoadMs - 500);
+  LONGS_EQUAL(StartedBefore, Sim.Started.size());
+}
+
+TEST(WhenTheNextOwnerLoadsForSeconds, WhatTheLastOwnerWroteIsKept) {
+  OwnerRow Before = Sim.ownerRow();
+  Sim.runFor(LoadMs - 500);
+  CHECK(Sim.ownerRow().Sequence > Before.Sequence);
+  CHECK(Sim.ownerRow().PendingJobs == Before.PendingJobs);
+  CHECK(Sim.ownerRow().InheritedLeaseEnds == Before.InheritedLeaseEnds);
+}
+
+TEST(WhenTheNextOwnerLoadsForSeconds, ItCanReleaseTheServiceAtOnce) {
+  Sim.runFor(500);
+  Sim.Owner->release();
+  Sim.runFor(500);
+  CHECK_TRUE(Sim.ownerRow().Released);
+  CHECK_TRUE(Sim.Owner->released());
+}
+
 TEST(WhenItRuns, TheNextOwnerContinuesItsRuns) {
   Sim.takeOver();
   CHECK_TRUE(completesWithin(1'500));
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -182,6 +182,14 @@
   LONGS_EQUAL(0, Watch.minSilence(at(200)).count());
 }
 
+TEST(AWatchedOwner, ThatThisEntryReleasedIsLeftToOthersFirst) {
+  OwnerRow Released{.Holder = "e1/a", .Epoch = 4, .Released = true};
+  Watch.recordRow(7, Released, Millis(5), at(0));
+  CHECK_FALSE(Watch.shouldAcquire("e1/a", 0, at(500)));
+  CHECK_TRUE(Watch.shouldAcquire("e2/b", 0, at(500)));
+  CHECK_TRUE(Watch.shouldAcquire("e1/a", 0, at(2'000)));
+}
+
 // clang-format off
 TEST_GROUP(OffersToAnOwner) {
   node::OfferPolicy Policy;
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -81,7 +81,8 @@
                              .AcquiredRow = Row,
                              .RowVersion = Version,
                              .StoreClockMs = clockMs(),
-                             .CreatedAt = Now};
+                             .CreatedAt = Now,
+                             .Loading = true};
   Options.InheritedLeaseEnd = cell::inheritedLeaseEnd(Options.Leases, Now);
   if (Policy) {
     std::vector<cell::AdviceQueueInfo> Queues;
@@ -91,6 +92,18 @@
     AdviceQueues.setQueues(Queues);
   }
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
+  if (LoadTimeMs == 0) {
+    loadStoredJobs();
+    return;
+  }
+  cell::CellOwner *Target = Owner.get();
+  schedule(LoadTimeMs, [this, Target] {
+    if (Owner.get() == Target)
+      loadStoredJobs();
+  });
+}
+
+void Simulation::loadStoredJobs() {
   for (const auto &[Id, Job] : Specs) {
     std::string Text = storedValue(cell::ProgressTable, Id);
     std::optional<cell::JobProgress> Progress;
@@ -99,9 +112,19 @@
     bool Cancelled = !storedValue(cell::JobTable, cell::cancelKey(Id)).empty();
     Owner->restore(Job, Progress, Cancelled, Now, Now);
   }
+  Owner->finishLoading();
   Owner->setExecutors(instanceList(), Now);
 }
 
+uint64_t Simulation::ownerRowVersion() const {
+  auto Found = Rows.find({cell::OwnerTable, cell::OwnerKey});
+  return Found == Rows.end() ? 0 : Found->second.Version;
+}
+
+cell::OwnerRow Simulation::ownerRow() const {
+  return *cell::decodeOwnerRow(storedValue(cell::OwnerTable, cell::OwnerKey));
+}
+
 void Simulation::schedule(int64_t Ms, std::function<void()> Action) {
   PendingEvents.push_back({Now + Millis(Ms), NextEvent++, std::move(Action)});
 }
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -75,6 +75,9 @@
   void submit(cell::JobSpec Job);
   /// Stores a job without notifying the owner.
   void storeOnly(const cell::JobSpec &Job);
+  /// The owner row and its version, as another entry reads them.
+  uint64_t ownerRowVersion() const;
+  cell::OwnerRow ownerRow() const;
   /// Makes a job that is offered to the owner directly known to the checks.
   void registerJob(const cell::JobSpec &Job) { Specs[Job.Id] = Job; }
   void cancel(const std::string &JobId);
@@ -91,6 +94,7 @@
 
   FaultRates Faults;
   int64_t CommitTimeMs = 10;
+  int64_t LoadTimeMs = 0; ///< From a takeover until the stored jobs are read.
   size_t CommitsSent = 0;
   bool StoreDown = false;
   bool FeedsSilent = false; ///< Instance list and job feed are not confirmed.
@@ -108,6 +112,7 @@
   TimePoint Now{Millis(1'000'000)};
 
 private:
+  void loadStoredJobs();
   struct StoredRow {
     std::string Value;
     uint64_t Version = 0;
