Much smaller entries acquire services after the larger ones

Seen: with an entry of 0.12 core and 10 Mbit/s as the owner of the issuing service, commits took 60 to 370 ms under the usual load and a burst's start; the backlog that then wouldn't drain began there. After takeovers such entries needed 5 s to load 2.8 MB; leases last 4 s, so hundreds of runs expired.

Cause: whoever wrote the row first owned the service. The owner's work grows with the fleet (commits, job feed, lease renewals, loads), an entry's size doesn't. Class: a role of uneven cost given out blindly to uneven instances.

Change: entries announce what their settings say of their instance; the owner row names the largest entry known; an entry of under half of it in processor or link waits 0.72 s longer, which puts it behind a larger one that owns a service already. Equal fleets see no change, without larger ones alive small ones still take over.

Tests: EntriesOfUnequalSize, AWatchedOwner TellsOthersOfTheLargestEntry.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -177,6 +177,10 @@
   /// returned; results of older transactions are ignored.
   void onCommit(uint64_t Sequence, const store::TransactionResult &Result,
                 TimePoint Now);
+  /// Sets the capacity that later commits name as that of the largest entry.
+  void setLargestEntry(const EntryCapacity &Largest) {
+    Row.LargestEntry = Largest;
+  }
   /// Sets the present latency of store reads, in ms.
   void setStoreReadMs(double Ms) { StoreReadMs = Ms; }
   uint64_t commitSequence() const {
--- /dev/null
+++ b/src/cell/EntryCapacity.cpp
@@ -0,0 +1,37 @@
+#include "cell/EntryCapacity.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace daisylanding::cell {
+
+EntryCapacity largerOf(const EntryCapacity &Left, const EntryCapacity &Right) {
+  return {.MilliCores = std::max(Left.MilliCores, Right.MilliCores),
+          .LinkKbitPerSecond =
+              std::max(Left.LinkKbitPerSecond, Right.LinkKbitPerSecond)};
+}
+
+bool isMuchSmaller(const EntryCapacity &Own, const EntryCapacity &Largest) {
+  return Own.MilliCores < Largest.MilliCores / 2 ||
+         Own.LinkKbitPerSecond < Largest.LinkKbitPerSecond / 2;
+}
+
+std::string encodeEntryCapacity(const EntryCapacity &Capacity) {
+  nlohmann::json Document = {{"millicores", Capacity.MilliCores},
+                             {"link_kbit", Capacity.LinkKbitPerSecond}};
+  return Document.dump();
+}
+
+Result<EntryCapacity> decodeEntryCapacity(std::string_view Text) {
+  try {
+    auto Document = nlohmann::json::parse(Text);
+    return EntryCapacity{
+        .MilliCores = Document.at("millicores").get<uint32_t>(),
+        .LinkKbitPerSecond = Document.at("link_kbit").get<uint32_t>()};
+  } catch (const nlohmann::json::exception &) {
+    return Errc::Malformed;
+  }
+}
+
+} // namespace daisylanding::cell
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -12,6 +12,8 @@
                    {"epoch", Row.Epoch},
                    {"sequence", Row.Sequence},
                    {"released", Row.Released},
+                   {"largest_millicores", Row.LargestEntry.MilliCores},
+                   {"largest_link_kbit", Row.LargestEntry.LinkKbitPerSecond},
                    {"pending", Row.PendingJobs},
                    {"unmet", Row.InheritedLeaseEnds}};
   return Document.dump();
@@ -26,6 +28,9 @@
     Row.Epoch = Document.at("epoch").get<uint64_t>();
     Row.Sequence = Document.at("sequence").get<uint64_t>();
     Row.Released = Document.at("released").get<bool>();
+    Row.LargestEntry = {.MilliCores = Document.value("largest_millicores", 0U),
+                        .LinkKbitPerSecond =
+                            Document.value("largest_link_kbit", 0U)};
     Row.PendingJobs =
         Document.at("pending").get<std::map<std::string, uint64_t>>();
     Row.InheritedLeaseEnds =
--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -27,6 +27,10 @@
   SectionReader ServicesSection(Root, "services", File, Problems);
   ServicesSection.address("store", Parsed.StoreAddress);
   ServicesSection.optionalAddress("advice", Parsed.AdviceAddress);
+  SectionReader InstanceSection(Root, "instance", File, Problems);
+  InstanceSection.positive("processor_share", Parsed.ProcessorShare, 1'024);
+  InstanceSection.positive("link_mbit_per_s", Parsed.LinkMbitPerSecond,
+                           1'000'000);
   SectionReader BoundsSection(Root, "bounds", File, Problems);
   BoundsSection.millis("drain_ms", Parsed.MaxDrainDelay, 1'300, OneDayMs);
   BoundsSection.millis("cancel_ms", Parsed.MaxCancelDelay, 1'300, OneDayMs);
@@ -40,7 +44,8 @@
                                        const std::string &File,
                                        std::vector<SettingsProblem> &Problems) {
   toml::table Root;
-  if (!parseTables(Text, File, {"entry", "listen", "services", "bounds"}, Root,
+  if (!parseTables(Text, File,
+                   {"entry", "listen", "services", "instance", "bounds"}, Root,
                    Problems))
     return Problems.front().Code;
   CellSettings Parsed;
--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -21,6 +21,11 @@
   std::string StoreAddress;  ///< host:port.
   std::string AdviceAddress; ///< host:port; empty without a policy service.
 
+  /// What the instance grants this process; 0 if not known. Larger entries
+  /// acquire services first.
+  double ProcessorShare = 0;
+  double LinkMbitPerSecond = 0;
+
   /// Time after which a draining executor is sent no more starts.
   Millis MaxDrainDelay{2'000};
   /// Time after which no more tasks of a cancelled job are started.
--- a/src/config/SectionReader.h
+++ b/src/config/SectionReader.h
@@ -71,6 +71,19 @@
              fmt::format("a whole number from {} to {}", Min, Max));
   }
 
+  /// An optional number above 0, at most \p Max.
+  void positive(std::string_view Key, double &Destination, double Max) {
+    const toml::node *Node = find(Key);
+    if (!Node)
+      return;
+    auto Value = Node->value<double>();
+    if (Value && *Value > 0 && *Value <= Max)
+      Destination = *Value;
+    else
+      report(Errc::OutOfRange, Key, Node,
+             fmt::format("a number above 0, at most {}", Max));
+  }
+
   void millis(std::string_view Key, Millis &Destination, int64_t Min,
               int64_t Max) {
     int64_t Value = Destination.count();
--- /dev/null
+++ b/src/node/EntryCapacities.h
@@ -0,0 +1,15 @@
+#ifndef DAISYLANDING_NODE_ENTRYCAPACITIES_H
+#define DAISYLANDING_NODE_ENTRYCAPACITIES_H
+
+#include "cell/EntryCapacity.h"
+#include "store/RowStore.h"
+
+namespace daisylanding::node {
+
+/// The largest capacity, by dimension, among the rows of the table
+/// `cell::CapacityTable`. Malformed rows are logged and left out.
+cell::EntryCapacity largestEntryIn(const store::RowPage &Page);
+
+} // namespace daisylanding::node
+
+#endif
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -165,6 +165,13 @@
 
   static constexpr size_t EventCapacity = 5'000;
 
+  cell::EntryCapacity capacity() const {
+    constexpr double PerThousand = 1e3;
+    return {.MilliCores =
+                static_cast<uint32_t>(Options.ProcessorShare * PerThousand),
+            .LinkKbitPerSecond =
+                static_cast<uint32_t>(Options.LinkMbitPerSecond * PerThousand)};
+  }
   std::string holder() const { return Options.Name + "/" + Incarnation; }
 };
 
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -1,6 +1,7 @@
 #include "node/OwnerLoop.h"
 
 #include "common/Log.h"
+#include "node/EntryCapacities.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -219,7 +220,7 @@
   if (Releasing.load())
     Owner->release();
   if (!RelayReadInFlight && Now >= NextRelayRead)
-    readRelays();
+    readEntries();
   constexpr int64_t MicrosPerMilli = 1'000;
   executeCommands(Owner->advance(Now, wallMicros() / MicrosPerMilli));
   sendAdviceCalls(Now);
@@ -371,8 +372,8 @@
 }
 
 /// Reads the other entries' relay addresses, each of which leads to that
-/// entry's advice queue.
-void OwnerLoop::readRelays() {
+/// entry's advice queue, and what the entries can carry.
+void OwnerLoop::readEntries() {
   RelayReadInFlight = true;
   Store->read(
       {.Table = cell::MemberTable}, [this](const Result<store::RowPage> &Page) {
@@ -389,6 +390,11 @@
         }
         AdviceQueues.setQueues(KnownRelays);
       });
+  Store->read({.Table = cell::CapacityTable},
+              [this](const Result<store::RowPage> &Page) {
+                if (Page)
+                  Owner->setLargestEntry(largestEntryIn(*Page));
+              });
 }
 
 /// Logs what the advice calls since the last line were for and how long they
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -50,7 +50,7 @@
   void followJobs();
   void onJobRows(const std::vector<store::Row> &Rows);
   void reloadJobs(const std::string &FromKey);
-  void readRelays();
+  void readEntries();
   TimePoint acceptedAt(const cell::JobSpec &Job, TimePoint Now) const;
   void recordStoreAnswer(int64_t StoreMillis);
   void publishStatus(TimePoint Now);
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -57,6 +57,7 @@
   if (Row) {
     Successor.Epoch = Row->Epoch + 1;
     Successor.InheritedLeaseEnds = Row->InheritedLeaseEnds;
+    Successor.LargestEntry = Row->LargestEntry;
     // Until the new owner has counted its jobs.
     Successor.PendingJobs = Row->PendingJobs;
   }
--- a/src/node/OwnerWatch.h
+++ b/src/node/OwnerWatch.h
@@ -22,6 +22,23 @@
   Millis RankStep{120};
 };
 
+/// How early an entry tries to acquire a service; lower ranks try earlier.
+struct AcquisitionRank {
+  /// Entries that own equally many services differ by jitter below this.
+  static constexpr uint32_t JitterSteps = 3;
+
+  uint32_t OwnedServices = 0; ///< Including those that it is acquiring.
+  uint32_t Jitter = 0;        ///< Below `JitterSteps`.
+  bool IsMuchSmaller = false; ///< Than the largest entry.
+
+  uint32_t value() const {
+    // Behind a larger entry that owns a service already.
+    constexpr uint32_t SmallEntryRanks = 2 * JitterSteps;
+    return JitterSteps * OwnedServices + Jitter +
+           (IsMuchSmaller ? SmallEntryRanks : 0);
+  }
+};
+
 /// One entry's view of the owner of one service.
 class OwnerWatch {
 public:
@@ -45,6 +62,10 @@
   Millis minSilence(TimePoint Now) const;
 
   uint64_t version() const { return Version; }
+  /// The largest entry that the last owner knew; all 0 without a row.
+  cell::EntryCapacity largestEntry() const {
+    return Row ? Row->LargestEntry : cell::EntryCapacity();
+  }
   /// The row that acquires the service for \p Holder.
   cell::OwnerRow successorRow(std::string Holder) const;
 
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -1,6 +1,7 @@
 #include "node/WatchLoop.h"
 
 #include "common/Log.h"
+#include "node/EntryCapacities.h"
 
 #include <functional>
 
@@ -15,8 +16,8 @@
 constexpr Millis ReadRetryDelay{100};
 /// Between two reads of an owner row; they also measure the store's latency.
 constexpr Millis OwnerReadInterval{300};
-/// Ranks per owned service: entries that own equally many differ by jitter.
-constexpr uint32_t JitterSteps = 3;
+/// Until a service has an owner, whose row names the largest entry.
+constexpr Millis CapacityReadInterval{500};
 
 } // namespace
 
@@ -51,7 +52,8 @@
 void WatchLoop::run() {
   Store = Context.Platform.makeRowStore(Client);
   readConfig();
-  announceRelay();
+  announceEntry();
+  readCapacities();
   while (!Loop.stopping()) {
     TimePoint Now = monotonicNow();
     TimerQueue.runDue(Now);
@@ -66,20 +68,51 @@
   }
 }
 
-/// Publishes the address of this entry's relay to the other entries.
-void WatchLoop::announceRelay() {
+/// Publishes the address of this entry's relay, and what it can carry, to the
+/// other entries.
+void WatchLoop::announceEntry() {
   store::Transaction Tx;
   Tx.Writes.push_back({.Table = cell::MemberTable,
                        .Key = Context.Options.Name,
                        .Value = Context.Options.RelayAddress.text()});
+  Tx.Writes.push_back({.Table = cell::CapacityTable,
+                       .Key = Context.Options.Name,
+                       .Value = cell::encodeEntryCapacity(Context.capacity())});
   Store->commit(Tx, [this](const store::TransactionResult &Result) {
     if (Result.Outcome == store::TransactionOutcome::Committed)
       return;
     TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
-                        [this] { announceRelay(); });
+                        [this] { announceEntry(); });
   });
 }
 
+/// Learns what other entries can carry, until an owner's row tells it.
+void WatchLoop::readCapacities() {
+  bool IsToldByOwner = !Watches.empty();
+  for (const auto &Watched : Watches)
+    IsToldByOwner = IsToldByOwner && Watched.second.Owner.version() != 0;
+  if (IsToldByOwner)
+    return;
+  Store->read({.Table = cell::CapacityTable},
+              [this](const Result<store::RowPage> &Page) {
+                if (Page)
+                  LargestEntry = largestEntryIn(*Page);
+                TimerQueue.schedule(monotonicNow() + CapacityReadInterval,
+                                    [this] { readCapacities(); });
+              });
+}
+
+/// Entries of a lower rank try earlier to acquire a service.
+uint32_t WatchLoop::rankFor(const ServiceWatch &Watch) const {
+  cell::EntryCapacity Largest =
+      cell::largerOf(LargestEntry, Watch.Owner.largestEntry());
+  AcquisitionRank Rank{.OwnedServices = ownedOrAcquiring(),
+                       .Jitter = Watch.Jitter,
+                       .IsMuchSmaller =
+                           cell::isMuchSmaller(Context.capacity(), Largest)};
+  return Rank.value();
+}
+
 void WatchLoop::applyConfig(const store::Row &Row) {
   const DocumentCodec &Codec = Context.Platform.codec();
   if (Row.Key != Codec.configKey() || Row.Deleted)
@@ -160,9 +193,8 @@
       readOwner(Service, Now);
     if (Watch.ReadInFlight)
       OldestReadAge = std::max(OldestReadAge, Micros(Now - Watch.ReadSentAt));
-    uint32_t Rank = JitterSteps * ownedOrAcquiring() + Watch.Jitter;
     if (!Watch.AcquireInFlight && !owns(Service) &&
-        Watch.Owner.shouldAcquire(Context.holder(), Rank, Now))
+        Watch.Owner.shouldAcquire(Context.holder(), rankFor(Watch), Now))
       acquire(Service, Now);
   }
   Context.StoreHealth.setOpenReadAge(OldestReadAge);
@@ -172,7 +204,8 @@
   ServiceWatch &Watch = Watches[Service];
   Watch.ReadInFlight = true;
   Watch.ReadSentAt = Now;
-  Watch.Jitter = static_cast<uint32_t>(JitterSource.below(JitterSteps));
+  Watch.Jitter =
+      static_cast<uint32_t>(JitterSource.below(AcquisitionRank::JitterSteps));
   store::RangeRead Range{
       .Table = cell::OwnerTable, .Partition = Service, .Limit = 1};
   Store->read(Range, [this, Service,
--- a/src/node/WatchLoop.h
+++ b/src/node/WatchLoop.h
@@ -39,13 +39,15 @@
   void readConfig();
   void followConfig();
   void applyConfig(const store::Row &Row);
-  void announceRelay();
+  void announceEntry();
+  void readCapacities();
   void watchOwners(TimePoint Now);
   void readOwner(const std::string &Service, TimePoint Now);
   uint32_t ownedOrAcquiring() const;
   void acquire(const std::string &Service, TimePoint Now);
   void removeFinishedLoops();
   bool owns(const std::string &Service) const;
+  uint32_t rankFor(const ServiceWatch &Watch) const;
 
   EntryContext &Context;
   AdviceLoop &Advice;
@@ -54,6 +56,7 @@
   std::unique_ptr<store::RowStore> Store;
   Timers TimerQueue;
   Random JitterSource;
+  cell::EntryCapacity LargestEntry; ///< Of those announced at the start.
   store::FeedCursor ConfigFeed{store::MaxFeedLag};
   std::map<std::string, ServiceWatch> Watches;
   std::vector<std::unique_ptr<OwnerLoop>> OwnerLoops;
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -182,6 +182,46 @@
   LONGS_EQUAL(0, Watch.minSilence(at(200)).count());
 }
 
+TEST(AWatchedOwner, TellsOthersOfTheLargestEntry) {
+  Row.LargestEntry = {.MilliCores = 500, .LinkKbitPerSecond = 200'000};
+  auto Stored = decodeOwnerRow(encodeOwnerRow(Row));
+  Watch.recordRow(11, *Stored, Quick, at(100));
+  CHECK(Watch.largestEntry() == Row.LargestEntry);
+  CHECK(Watch.successorRow("b/1").LargestEntry == Row.LargestEntry);
+}
+
+TEST_GROUP(EntriesOfUnequalSize){};
+
+TEST(EntriesOfUnequalSize, OneOfAQuarterOfTheProcessorIsMuchSmaller) {
+  CHECK_TRUE(isMuchSmaller({.MilliCores = 120, .LinkKbitPerSecond = 200'000},
+                           {.MilliCores = 500, .LinkKbitPerSecond = 200'000}));
+}
+
+TEST(EntriesOfUnequalSize, OneOfAQuarterOfTheLinkIsMuchSmaller) {
+  CHECK_TRUE(isMuchSmaller({.MilliCores = 500, .LinkKbitPerSecond = 50'000},
+                           {.MilliCores = 500, .LinkKbitPerSecond = 200'000}));
+}
+
+/// Guards against an owner that can't carry its service while larger entries
+/// own none.
+TEST(EntriesOfUnequalSize, ASmallOneTriesAfterEveryLargerOne) {
+  node::AcquisitionRank Small{.IsMuchSmaller = true};
+  node::AcquisitionRank BusyLarge{.OwnedServices = 1, .Jitter = 2};
+  CHECK(Small.value() > BusyLarge.value());
+}
+
+TEST(EntriesOfUnequalSize, OneOfHalfTheSizeCountsAsEqual) {
+  CHECK_FALSE(isMuchSmaller({.MilliCores = 250, .LinkKbitPerSecond = 100'000},
+                            {.MilliCores = 500, .LinkKbitPerSecond = 200'000}));
+  CHECK_FALSE(isMuchSmaller({}, {}));
+}
+
+TEST(EntriesOfUnequalSize, TheirCapacityRoundTrips) {
+  EntryCapacity Capacity{.MilliCores = 120, .LinkKbitPerSecond = 10'000};
+  CHECK(*decodeEntryCapacity(encodeEntryCapacity(Capacity)) == Capacity);
+  CHECK_FALSE(bool(decodeEntryCapacity("{}")));
+}
+
 TEST(AWatchedOwner, ThatThisEntryReleasedIsLeftToOthersFirst) {
   OwnerRow Released{.Holder = "e1/a", .Epoch = 4, .Released = true};
   Watch.recordRow(7, Released, Millis(5), at(0));
