--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -401,6 +401,7 @@
   TimePoint LastCommitAt{};
   TimePoint OwnershipConfirmedAt{};
   TimePoint RetryCommitAt{};
+  ExecutorIndex NextRenewalIndex = 0; ///< Where the next turn begins.
   double AverageCommitMs = 20; ///< Moving average over confirmed commits.
   double StoreReadMs = 5;
   TimePoint InstanceListConfirmedAt{};
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -27,6 +27,10 @@
   Progress.Phase = Job.Phase;
   Progress.EndedMs = Job.EndedMs;
   Progress.DoneOccurrences = Job.DoneOccurrences;
+  // Nothing of an ended job is started again, so that its tasks would only make
+  // every later load longer.
+  if (isFinal(Job.Phase) && Job.OpenRuns == 0)
+    return Progress;
   for (const auto &[Number, Occurrence] : Job.Occurrences) {
     for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
          ++StepIndex) {
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -78,6 +78,34 @@
   LONGS_EQUAL(3, Sim.Started.size());
 }
 
+TEST(WithAJobOfThreeTasks, NothingIsStoredOfItsTasksOnceItHasEnded) {
+  CHECK(completesWithin(3'000));
+  auto Stored = decodeProgress(Sim.storedValue(ProgressTable, JobId));
+  CHECK_TRUE(Stored->Tasks.empty());
+  Sim.takeOver();
+  Sim.runFor(500);
+  CHECK(Sim.storedPhase(JobId) == JobPhase::Completed);
+  LONGS_EQUAL(3, Sim.Started.size());
+}
+
+TEST_GROUP(AnOwnerOfManyExecutors) { Simulation Sim; };
+
+/// Guards against an owner that is taken over while it greets its executors.
+TEST(AnOwnerOfManyExecutors, RenewsItsRowBetweenTheFirstLeaseRenewals) {
+  constexpr size_t Executors = 200;
+  constexpr size_t MaxPerTurn = 32;
+  for (size_t I = 0; I < Executors; ++I)
+    Sim.addExecutor(Wide);
+  Sim.takeOver();
+  size_t Renewed = 0;
+  while (Renewed < Executors) {
+    size_t InTurn = Sim.Owner->advance(Sim.Now, 0).Renewals.size();
+    CHECK(InTurn > 0 && InTurn <= MaxPerTurn);
+    Renewed += InTurn;
+  }
+  LONGS_EQUAL(Executors, Renewed);
+}
+
 TEST(WithAJobOfThreeTasks, NothingStartsWhileTheStoreIsDown) {
   Sim.StoreDown = true;
   Sim.runFor(500);
