Send a copy of an overdue advice call to another entry

Queues that had failed were picked as soon as their back-off ended, before healthy ones.

Change: a call that is overdue (twice its expected time and 0.2 s) is copied to another queue when one is free and nothing else waits; the first answer counts, a failure only if no copy may still be answered. Queues with a failed or overdue call come after the others.

Tests: WhenACallGetsNoAnswer, AQueueThatFailedIsUsedAfterTheOthers.

--- a/src/cell/AdviceDispatcher.cpp
+++ b/src/cell/AdviceDispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace daisylanding::cell {
 
@@ -20,6 +21,10 @@
 /// Share of the queues that take short calls only: there are many, but each
 /// ends soon.
 constexpr double ShortQueueShare = 0.375;
+/// An answer is overdue after this multiple of the expected time, which allows
+/// for a call of another owner ahead of it, and this margin.
+constexpr double OverdueFactor = 2;
+constexpr Millis OverdueMargin{200};
 constexpr Millis BaseBackoff{500};
 constexpr uint32_t MaxBackoffDoublings = 3;
 
@@ -81,8 +86,10 @@
 }
 
 AdviceCallCommand *AdviceDispatcher::findMostUrgent(bool IsShort) {
-  auto Rank = [](const AdviceCallCommand &Command) {
-    return std::pair(Command.Reason != AdviceReason::Renewal, Command.DueAt);
+  auto Rank = [this](const AdviceCallCommand &Command) {
+    bool IsCopy = OpenCalls.count(Command.Id) > 0;
+    return std::tuple(IsCopy, Command.Reason != AdviceReason::Renewal,
+                      Command.DueAt);
   };
   AdviceCallCommand *MostUrgent = nullptr;
   for (AdviceCallCommand &Command : WaitingCalls) {
@@ -93,42 +100,84 @@
   return MostUrgent;
 }
 
-/// The free queue of this kind with the fewest open calls; of any kind if all
-/// of this kind are backing off.
-AdviceDispatcher::EntryQueue *AdviceDispatcher::findFreeQueue(bool IsShort,
-                                                              TimePoint Now) {
+bool AdviceDispatcher::hasCall(const EntryQueue &Queue, uint64_t Id) const {
+  auto Found = OpenCalls.find(Id);
+  if (Found == OpenCalls.end())
+    return false;
+  const std::vector<std::string> &Addresses = Found->second.Addresses;
+  return std::find(Addresses.begin(), Addresses.end(), Queue.Info.Address) !=
+         Addresses.end();
+}
+
+/// The free queue of the call's kind with the fewest open calls, those whose
+/// last call failed or is overdue last; of any kind if all of this kind are
+/// backing off.
+AdviceDispatcher::EntryQueue *
+AdviceDispatcher::findFreeQueue(const AdviceCallCommand &Command,
+                                TimePoint Now) {
+  bool IsShort = isShortCall(Command.ExpectedMs);
   bool AnyKind =
       std::none_of(Queues.begin(), Queues.end(), [&](const EntryQueue &Queue) {
         return Queue.ForShortCalls == IsShort && Queue.BackoffUntil <= Now;
       });
+  auto Rank = [](const EntryQueue &Queue) {
+    bool IsSuspect = Queue.ConsecutiveFailures > 0 || Queue.HasOverdueCall;
+    return std::pair(IsSuspect, Queue.OpenCalls);
+  };
   EntryQueue *Best = nullptr;
   for (EntryQueue &Queue : Queues) {
-    bool IsCandidate =
-        (AnyKind || Queue.ForShortCalls == IsShort) && isFree(Queue, Now);
-    if (IsCandidate && (!Best || Queue.OpenCalls < Best->OpenCalls))
+    bool IsCandidate = (AnyKind || Queue.ForShortCalls == IsShort) &&
+                       isFree(Queue, Now) && !hasCall(Queue, Command.Id);
+    if (IsCandidate && (!Best || Rank(Queue) < Rank(*Best)))
       Best = &Queue;
   }
   return Best;
 }
 
+void AdviceDispatcher::recordSent(const AdviceCallCommand &Command,
+                                  EntryQueue &Queue, TimePoint Now) {
+  Micros Expected(static_cast<int64_t>(Command.ExpectedMs * 1e3));
+  ++Queue.OpenCalls;
+  Queue.BusyUntil = std::max(Queue.BusyUntil, Now) + Expected;
+  AdviceReasonCounts &Counts =
+      CallCounts.Reasons[static_cast<size_t>(Command.Reason)];
+  ++Counts.Sent;
+  Counts.Waited += Now - Command.RequestedAt;
+  CallCounts.WorkMs += Command.ExpectedMs;
+  auto [Open, IsNew] = OpenCalls.try_emplace(Command.Id);
+  Open->second.Addresses.push_back(Queue.Info.Address);
+  if (!IsNew)
+    return;
+  Open->second.Command = Command;
+  Micros Allowed(
+      static_cast<int64_t>(OverdueFactor * Command.ExpectedMs * 1e3));
+  Open->second.OverdueAt = Now + Allowed + OverdueMargin;
+}
+
+void AdviceDispatcher::addCopies(TimePoint Now) {
+  for (auto &Entry : OpenCalls) {
+    OpenCall &Open = Entry.second;
+    if (Open.HasCopy || Now < Open.OverdueAt)
+      continue;
+    Open.HasCopy = true;
+    for (EntryQueue &Queue : Queues)
+      Queue.HasOverdueCall |= hasCall(Queue, Entry.first);
+    WaitingCalls.push_back(Open.Command);
+    WaitingCalls.back().RequestedAt = Now;
+  }
+}
+
 std::optional<AdviceDispatcher::Assignment>
 AdviceDispatcher::assignNext(TimePoint Now) {
   for (bool IsShort : {true, false}) {
     AdviceCallCommand *MostUrgent = findMostUrgent(IsShort);
-    EntryQueue *FreeQueue = MostUrgent ? findFreeQueue(IsShort, Now) : nullptr;
+    EntryQueue *FreeQueue =
+        MostUrgent ? findFreeQueue(*MostUrgent, Now) : nullptr;
     if (!FreeQueue)
       continue;
     Assignment Next{.Address = FreeQueue->Info.Address,
                     .Command = std::move(*MostUrgent)};
-    ++FreeQueue->OpenCalls;
-    FreeQueue->BusyUntil =
-        std::max(FreeQueue->BusyUntil, Now) +
-        Micros(static_cast<int64_t>(Next.Command.ExpectedMs * 1e3));
-    AdviceReasonCounts &Counts =
-        CallCounts.Reasons[static_cast<size_t>(Next.Command.Reason)];
-    ++Counts.Sent;
-    Counts.Waited += Now - Next.Command.RequestedAt;
-    CallCounts.WorkMs += Next.Command.ExpectedMs;
+    recordSent(Next.Command, *FreeQueue, Now);
     WaitingCalls.erase(WaitingCalls.begin() +
                        (MostUrgent - WaitingCalls.data()));
     return Next;
@@ -143,12 +192,31 @@
       }));
 }
 
-void AdviceDispatcher::onCallEnded(std::string_view Address, bool Failed,
-                                   TimePoint Now) {
+bool AdviceDispatcher::onCallEnded(std::string_view Address, uint64_t Id,
+                                   bool Failed, TimePoint Now) {
+  recordQueueOutcome(Address, Failed, Now);
+  auto Found = OpenCalls.find(Id);
+  if (Found == OpenCalls.end())
+    return false;
+  std::erase(Found->second.Addresses, Address);
+  bool MayBeAnswered = !Found->second.Addresses.empty();
+  if (Failed && MayBeAnswered)
+    return false;
+  OpenCalls.erase(Found);
+  // A copy that has not been sent.
+  std::erase_if(WaitingCalls, [&](const AdviceCallCommand &Command) {
+    return Command.Id == Id;
+  });
+  return true;
+}
+
+void AdviceDispatcher::recordQueueOutcome(std::string_view Address, bool Failed,
+                                          TimePoint Now) {
   for (EntryQueue &Queue : Queues) {
     if (Queue.Info.Address != Address)
       continue;
     Queue.OpenCalls -= std::min(Queue.OpenCalls, 1U);
+    Queue.HasOverdueCall = false;
     if (Queue.OpenCalls == 0)
       Queue.BusyUntil = Now;
     if (!Failed) {
--- a/src/cell/AdviceDispatcher.h
+++ b/src/cell/AdviceDispatcher.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -27,7 +28,7 @@
 
 /// Calls of one reason that were assigned to queues.
 struct AdviceReasonCounts {
-  size_t Sent = 0;
+  size_t Sent = 0;  ///< Copies included.
   Micros Waited{0}; ///< In total, before they were assigned.
 
   double meanWaitMs() const {
@@ -63,9 +64,14 @@
   /// Takes the most urgent call for which a queue is free, if any. Renewals go
   /// first, as capacity is reserved for their tasks.
   std::optional<Assignment> assignNext(TimePoint Now);
+  /// Adds a copy of each call whose answer is overdue, for another queue.
+  /// Copies are sent only while a queue is free and nothing else waits.
+  void addCopies(TimePoint Now);
   /// A call that was assigned to \p Address has ended. A queue whose call
-  /// failed gets no calls for a while.
-  void onCallEnded(std::string_view Address, bool Failed, TimePoint Now);
+  /// failed gets no calls for a while. Returns whether this is the outcome of
+  /// the call: not if a copy was answered before or may still be answered.
+  bool onCallEnded(std::string_view Address, uint64_t Id, bool Failed,
+                   TimePoint Now);
   /// Whether a call of \p ExpectedMs counts as short.
   static bool isShortCall(double ExpectedMs);
   size_t waitingCount() const { return WaitingCalls.size(); }
@@ -80,16 +86,30 @@
     bool ForShortCalls = false;
     uint32_t OpenCalls = 0;
     TimePoint BusyUntil{}; ///< Expected.
+    bool HasOverdueCall = false;
     uint32_t ConsecutiveFailures = 0;
     TimePoint BackoffUntil{};
   };
 
+  /// A call that was sent and has no outcome.
+  struct OpenCall {
+    AdviceCallCommand Command;
+    std::vector<std::string> Addresses; ///< Of the queues that have it.
+    TimePoint OverdueAt{};
+    bool HasCopy = false;
+  };
+
   static bool isFree(const EntryQueue &Queue, TimePoint Now);
-  EntryQueue *findFreeQueue(bool IsShort, TimePoint Now);
+  bool hasCall(const EntryQueue &Queue, uint64_t Id) const;
+  EntryQueue *findFreeQueue(const AdviceCallCommand &Command, TimePoint Now);
   AdviceCallCommand *findMostUrgent(bool IsShort);
+  void recordSent(const AdviceCallCommand &Command, EntryQueue &Queue,
+                  TimePoint Now);
+  void recordQueueOutcome(std::string_view Address, bool Failed, TimePoint Now);
 
   std::vector<EntryQueue> Queues;
   std::vector<AdviceCallCommand> WaitingCalls;
+  std::map<uint64_t, OpenCall> OpenCalls; ///< By the command's id.
   AdviceCallCounts CallCounts;
 };
 
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -198,8 +198,8 @@
   while (AdviceAnswers->pop(Answer)) {
     bool Failed =
         !Answer.Outcome && Answer.Outcome.error() != Errc::BudgetExhausted;
-    AdviceQueues.onCallEnded(Answer.RelayAddress, Failed, Now);
-    Owner->onAdvice(Answer.Id, Answer.Outcome, Now);
+    if (AdviceQueues.onCallEnded(Answer.RelayAddress, Answer.Id, Failed, Now))
+      Owner->onAdvice(Answer.Id, Answer.Outcome, Now);
   }
   for (cell::Offer Offer; Offers->pop(Offer);) {
     if (UnreadableJobs.count(Offer.Job.Id)) {
@@ -262,6 +262,7 @@
     NextAdviceRefresh = Now + AdviceRefreshInterval;
     AdviceQueues.refreshCalls(
         [&](uint64_t Id) { return Owner->adviceDueAt(Id, Now); });
+    AdviceQueues.addCopies(Now);
   }
   while (auto Assignment = AdviceQueues.assignNext(Now)) {
     uint64_t Id = Assignment->Command.Id;
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -72,18 +72,67 @@
 TEST(EightAdviceQueues, AQueueThatFailsBacksOff) {
   Dispatcher.add(makeCall(1, 25, 10));
   std::string First = Dispatcher.assignNext(at(0))->Address;
-  Dispatcher.onCallEnded(First, true, at(0));
+  Dispatcher.onCallEnded(First, 1, true, at(0));
   for (uint64_t I = 0; I < 20; ++I)
     Dispatcher.add(makeCall(10 + I, 25, 10));
   while (auto Next = Dispatcher.assignNext(at(10)))
     CHECK(Next->Address != First);
 }
 
+TEST(EightAdviceQueues, AQueueThatFailedIsUsedAfterTheOthers) {
+  Dispatcher.add(makeCall(1, 580, 10));
+  std::string First = Dispatcher.assignNext(at(0))->Address;
+  Dispatcher.onCallEnded(First, 1, true, at(0));
+  Dispatcher.add(makeCall(2, 580, 10));
+  CHECK(Dispatcher.assignNext(at(10'000))->Address != First);
+}
+
+// clang-format off
+TEST_GROUP_BASE(WhenACallGetsNoAnswer, TEST_GROUP_CppUTestGroupEightAdviceQueues) {
+  static constexpr int64_t OverdueMs = 1'400;
+  std::string First;
+  void setup() override {
+    TEST_GROUP_CppUTestGroupEightAdviceQueues::setup();
+    Dispatcher.add(makeCall(1, 580, 10));
+    First = Dispatcher.assignNext(at(0))->Address;
+  }
+  std::optional<AdviceDispatcher::Assignment> copyAt(int64_t Ms) {
+    Dispatcher.addCopies(at(Ms));
+    return Dispatcher.assignNext(at(Ms));
+  }
+};
+// clang-format on
+
+/// Guards against a step that waits out the time limits of one silent entry
+/// after the other.
+TEST(WhenACallGetsNoAnswer, ACopyGoesToAnotherQueue) {
+  CHECK_FALSE(copyAt(500).has_value());
+  auto Copy = copyAt(OverdueMs);
+  CHECK_TRUE(Copy.has_value());
+  CHECK(Copy->Address != First);
+  CHECK_FALSE(copyAt(2 * OverdueMs).has_value());
+}
+
+TEST(WhenACallGetsNoAnswer, TheFirstAnswerToEitherCounts) {
+  auto Copy = copyAt(OverdueMs);
+  CHECK_FALSE(Dispatcher.onCallEnded(First, 1, true, at(OverdueMs + 10)));
+  CHECK_TRUE(
+      Dispatcher.onCallEnded(Copy->Address, 1, false, at(OverdueMs + 20)));
+  CHECK_FALSE(
+      Dispatcher.onCallEnded(Copy->Address, 1, false, at(OverdueMs + 30)));
+}
+
+TEST(WhenACallGetsNoAnswer, ACopyDoesNotDelayOtherCalls) {
+  Dispatcher.add(makeCall(2, 580, 99'000));
+  LONGS_EQUAL(2, copyAt(OverdueMs)->Command.Id);
+}
+
 TEST(EightAdviceQueues, WithAllShortQueuesDownTheOthersTakeShortCalls) {
   constexpr int ShortQueues = 3;
   for (int Round = 0; Round < ShortQueues; ++Round) {
     Dispatcher.add(makeCall(1, 25, 10));
-    Dispatcher.onCallEnded(Dispatcher.assignNext(at(0))->Address, true, at(0));
+    Dispatcher.onCallEnded(Dispatcher.assignNext(at(0))->Address, 1, true,
+                           at(0));
   }
   Dispatcher.add(makeCall(2, 25, 10));
   CHECK_TRUE(Dispatcher.assignNext(at(0)).has_value());
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -267,6 +267,7 @@
   if (clockMs() % RefreshIntervalMs == 0)
     AdviceQueues.refreshCalls(
         [&](uint64_t Id) { return Owner->adviceDueAt(Id, Now); });
+  AdviceQueues.addCopies(Now);
   while (auto Assignment = AdviceQueues.assignNext(Now)) {
     TimePoint &QueueEnd = AdviceQueueEnds[Assignment->Address];
     double ServiceMs =
@@ -280,8 +281,9 @@
                                     Assignment = *Assignment] {
       executor::Advice Advice = adviceFor(Assignment.Command.Call);
       schedule(AnswerAfterMs, [this, Target, Assignment, Advice] {
-        AdviceQueues.onCallEnded(Assignment.Address, false, Now);
-        if (Owner.get() == Target)
+        bool IsOutcome = AdviceQueues.onCallEnded(
+            Assignment.Address, Assignment.Command.Id, false, Now);
+        if (IsOutcome && Owner.get() == Target)
           Owner->onAdvice(Assignment.Command.Id, Advice, Now);
       });
     });
