A gang asks about further executors only where it may find all its places

Seen in logs: on the services of large gangs further calls, up to 47 a second of about a second each, took most of the advice queues while first calls waited for 5 s: each executor that became free drew a call of each waiting gang, though a gang needs all its places at once.

Change: a gang whose allowed executors could hold it asks about others only when the missing members are expected to find free places there, else once in 2 s.

--- a/src/cell/AdviceCandidates.cpp
+++ b/src/cell/AdviceCandidates.cpp
@@ -64,6 +64,12 @@
   return Index < Need.Reservations.size() && Need.Reservations[Index].Active;
 }
 
+/// Whether enough of \p Places are expected to be allowed.
+bool isWholeGangExpected(const AdviceNeed &Need, double Places) {
+  uint32_t Missing = Need.Tasks - std::min(Need.Tasks, Need.FreeAllowedPlaces);
+  return Places * Need.AllowedShare >= Missing;
+}
+
 } // namespace
 
 void AllowedShares::record(const std::string &Queue, size_t Asked,
@@ -122,20 +128,23 @@
     Named.push_back(Next.Index);
     Places += Next.Places;
   }
+  if (Need.OnlyForWholeGang && !isWholeGangExpected(Need, Places))
+    return {};
   return Named;
 }
 
-bool canHoldStep(const ExecutorPool &Pool, const StepSpec &Step, uint32_t Tasks,
-                 const std::map<ExecutorIndex, Permission> &Permissions,
-                 TimePoint Now) {
-  uint32_t Places = 0;
+AllowedPlaces
+countAllowedPlaces(const ExecutorPool &Pool, const StepSpec &Step,
+                   const std::map<ExecutorIndex, Permission> &Permissions,
+                   TimePoint Now) {
+  AllowedPlaces Places;
   for (const auto &[Index, Entry] : Permissions) {
-    if (Entry.Allowed && Pool.isUsable(Index, Now))
-      Places += placesIn(Pool[Index].Info.Capacity, Step);
-    if (Places >= Tasks)
-      return true;
+    if (!Entry.Allowed || !Pool.isUsable(Index, Now))
+      continue;
+    Places.Free += placesIn(Pool.freeCapacity(Index), Step);
+    Places.Total += placesIn(Pool[Index].Info.Capacity, Step);
   }
-  return false;
+  return Places;
 }
 
 } // namespace daisylanding::cell
--- a/src/cell/AdviceCandidates.h
+++ b/src/cell/AdviceCandidates.h
@@ -33,6 +33,10 @@
   double AllowedShare = 1; ///< Expected.
   /// Name only executors that can take a task of the step now.
   bool OnlyWithFreeCapacity = false;
+  /// Name none unless all missing members of a gang are expected to find free
+  /// places on the named executors.
+  bool OnlyForWholeGang = false;
+  uint32_t FreeAllowedPlaces = 0; ///< On executors that are allowed already.
   std::span<const Reservation> Reservations; ///< Indexed by executor.
   uint64_t Seed = 0; ///< Spreads the steps over the executors.
 };
@@ -43,11 +47,16 @@
                        std::span<const ExecutorLoad> Loads,
                        const AdviceNeed &Need, TimePoint Now);
 
-/// Whether the executors that the policy allows could take the step's tasks if
-/// nothing else ran there.
-bool canHoldStep(const ExecutorPool &Pool, const StepSpec &Step, uint32_t Tasks,
-                 const std::map<ExecutorIndex, Permission> &Permissions,
-                 TimePoint Now);
+/// Places for tasks of the step on the usable executors that the policy allows.
+struct AllowedPlaces {
+  uint32_t Free = 0;  ///< Now.
+  uint32_t Total = 0; ///< If nothing else ran there.
+};
+
+AllowedPlaces
+countAllowedPlaces(const ExecutorPool &Pool, const StepSpec &Step,
+                   const std::map<ExecutorIndex, Permission> &Permissions,
+                   TimePoint Now);
 
 } // namespace daisylanding::cell
 
--- a/src/cell/AdviceDispatcher.h
+++ b/src/cell/AdviceDispatcher.h
@@ -14,7 +14,7 @@
 /// Assigns advice calls to the entries' advice queues. The policy service
 /// handles one call at a time for each calling entry, so a long call delays the
 /// short ones behind it. Calls wait here, most urgent first, and go to the
-/// queue with the smallest backlog. Some queues take short calls only; all
+/// queue with the fewest open calls. Some queues take short calls only; all
 /// owners agree on these, as they don't see each other's calls. Handles many
 /// short urgent calls among few long ones. No I/O.
 namespace daisylanding::cell {
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -52,6 +52,7 @@
   std::map<ExecutorIndex, Permission> Permissions;
   bool AdvicePending = false;  ///< A call that names further executors.
   bool RenewalPending = false; ///< A call that renews tickets.
+  TimePoint AdvisedAt{};       ///< Last answer that named further executors.
   TimePoint NextAdviceAt{};
   TimePoint NextRenewalAt{};
   /// The newest run that was counted as failed.
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -20,6 +20,9 @@
 constexpr Millis AdviceRetryDelay{50};
 /// Between two searches for further executors with free capacity.
 constexpr Millis SearchInterval{200};
+/// A gang asks about too few free executors only this long after its last
+/// advice: with several such calls it may still find all places.
+constexpr Millis PartialGangInterval{2'000};
 constexpr Millis AdviceTimeoutMargin{1'000};
 
 uint32_t countTasks(const LiveStep &Step, TaskPhase Phase) {
@@ -52,13 +55,16 @@
   const std::string &JobId = Waiting.Job->Spec.Id;
   uint32_t Tasks = countTasks(Step, TaskPhase::Waiting);
   bool IsFirst = Step.Permissions.empty();
+  AllowedPlaces Places = countAllowedPlaces(Pool, Spec, Step.Permissions, Now);
   AdviceNeed Need{
       .Step = &Spec,
       .Tasks = Tasks,
       .Known = &Step.Permissions,
       .AllowedShare = AdviceShares.share(JobQueue.Name),
-      .OnlyWithFreeCapacity =
-          !IsFirst && canHoldStep(Pool, Spec, Tasks, Step.Permissions, Now),
+      .OnlyWithFreeCapacity = !IsFirst && Places.Total >= Tasks,
+      .OnlyForWholeGang = !IsFirst && Spec.Gang && Places.Total >= Tasks &&
+                          Now < Step.AdvisedAt + PartialGangInterval,
+      .FreeAllowedPlaces = Places.Free,
       .Reservations = Reservations,
       .Seed = XXH3_64bits_withSeed(JobId.data(), JobId.size(), Waiting.Step)};
   auto Named = chooseAdviceCandidates(Pool, Loads, Need, Now);
@@ -177,6 +183,8 @@
   if (!IsRenewal)
     AdviceShares.record(findJob(Request.JobId)->Spec.Queue,
                         Request.AskedExecutors.size(), Answer->Tickets.size());
+  if (!IsRenewal)
+    Step->AdvisedAt = Now;
   for (ExecutorIndex Index : Request.AskedExecutors)
     Step->Permissions.try_emplace(Index);
   for (const executor::Ticket &Ticket : Answer->Tickets) {
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -211,6 +211,10 @@
     endRun(*Key, End.Kind, Now);
     Unacknowledged.JobId = Key->Job->Spec.Id;
     Unacknowledged.JobRevision = Key->Job->Revision;
+  } else {
+    // Of a run that was given up, such as one whose lease has expired.
+    logInfo("run-end-ignored", "task={} run={} executor={} how={}", End.Id.Task,
+            End.Id.Run, Executor.Info.Id, endName(End.Kind));
   }
   Pool[Index].UnacknowledgedEnds.push_back(std::move(Unacknowledged));
 }
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -25,7 +25,7 @@
 /// A loading owner that reads no further rows for this long releases the
 /// service: another entry may reach the store.
 constexpr Millis MaxLoadSilence{3'000};
-constexpr Millis RelayReadInterval{3'000};
+constexpr Millis EntryReadInterval{3'000};
 constexpr Millis PublishInterval{1'000};
 /// Steps that have waited this long are logged, up to MaxReportedSteps of them.
 constexpr Millis ReportedWait{3'000};
@@ -219,7 +219,7 @@
   Owner->confirmInstanceList(Instances->confirmedAt());
   if (Releasing.load())
     Owner->release();
-  if (!RelayReadInFlight && Now >= NextRelayRead)
+  if (!EntryReadInFlight && Now >= NextEntryRead)
     readEntries();
   constexpr int64_t MicrosPerMilli = 1'000;
   executeCommands(Owner->advance(Now, wallMicros() / MicrosPerMilli));
@@ -375,11 +375,11 @@
 /// Reads the other entries' relay addresses, each of which leads to that
 /// entry's advice queue, and what the entries can carry.
 void OwnerLoop::readEntries() {
-  RelayReadInFlight = true;
+  EntryReadInFlight = true;
   Store->read(
       {.Table = cell::MemberTable}, [this](const Result<store::RowPage> &Page) {
-        RelayReadInFlight = false;
-        NextRelayRead = monotonicNow() + RelayReadInterval;
+        EntryReadInFlight = false;
+        NextEntryRead = monotonicNow() + EntryReadInterval;
         if (!Page)
           return;
         recordStoreAnswer(Page->StoreClockMs);
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -80,10 +80,10 @@
 
   std::unique_ptr<ExecutorList> Instances;
   uint64_t ConfigVersion = 0;
-  TimePoint NextRelayRead{};
+  TimePoint NextEntryRead{};
   TimePoint NextPublish{};
   TimePoint NextAdviceRefresh{};
-  bool RelayReadInFlight = false;
+  bool EntryReadInFlight = false;
   // Since the last published status.
   size_t CommitsSent = 0;
   size_t CommitBytes = 0;
