--- a/tests/unit/AdvisedLoadTest.cpp
+++ b/tests/unit/AdvisedLoadTest.cpp
@@ -77,7 +77,7 @@
         Job.DoneAt = Sim.Now;
     }
   }
-  /// Of the jobs submitted since \p Since, the share that ended in time.
+  /// Of the jobs from number \p First on, the share that ended in time.
   double shareInTime(size_t First) const {
     size_t InTime = 0;
     for (size_t I = First; I < Jobs.size(); ++I)
