An owner catches up after a lost job feed in pages that a slow link carries

Pages of the store's own size take longer than a read's timeout on 10 Mbit/s, so the catch-up never ended and the owner, its view of the jobs too old, started nothing more.

Test: AnOwnerOnASlowLinkCatchesUpAfterALostJobFeed fails on the code before (no job completes in 20 s) and passes twice in 7 s.

--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -332,8 +332,10 @@
 
 /// Catches up on job rows after the feed was lost; known jobs stay unchanged.
 void OwnerLoop::reloadJobs(const std::string &FromKey) {
-  store::RangeRead Range{
-      .Table = cell::JobTable, .Partition = Service, .From = FromKey};
+  store::RangeRead Range{.Table = cell::JobTable,
+                         .Partition = Service,
+                         .From = FromKey,
+                         .Limit = JobPageRows};
   Store->read(Range, [this, FromKey](const Result<store::RowPage> &Page) {
     if (!Page) {
       retryLater([this, FromKey] { reloadJobs(FromKey); });
--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr Millis ReadRetryDelay{100};
-constexpr uint32_t PageRows = 100;
 
 } // namespace
 
@@ -27,8 +26,10 @@
 
 void ServiceLoader::readPage(const std::string &Table,
                              const std::string &FromKey) {
-  store::RangeRead Range{
-      .Table = Table, .Partition = Service, .From = FromKey, .Limit = PageRows};
+  store::RangeRead Range{.Table = Table,
+                         .Partition = Service,
+                         .From = FromKey,
+                         .Limit = JobPageRows};
   Store.read(Range, [this, Table, FromKey](const Result<store::RowPage> &Page) {
     if (Page) {
       onPage(Table, FromKey, *Page);
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -14,6 +14,10 @@
 /// Reads the stored jobs of a service for an entry that has acquired it.
 namespace daisylanding::node {
 
+/// Rows a page when all jobs of a service are read: each page must arrive
+/// within a read's timeout on a slow link.
+constexpr uint32_t JobPageRows = 100;
+
 /// All stored rows of a service, decoded.
 struct StoredService {
   std::map<std::string, cell::JobSpec> Jobs;
@@ -33,8 +37,7 @@
 };
 
 /// Reads jobs and progress side by side, page by page. Nobody else writes
-/// progress once the service is acquired. Pages are small, so that each arrives
-/// within a read's timeout on a slow link. A failed read is repeated until it
+/// progress once the service is acquired. A failed read is repeated until it
 /// succeeds. Single-threaded.
 class ServiceLoader {
 public:
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -204,6 +204,33 @@
   LONGS_EQUAL(First->Epoch + 1, Owner()->Epoch);
 }
 
+/// Guards against an owner that never catches up after its job feed was lost:
+/// its pages must arrive within a read's timeout on a slow link.
+TEST(ACellOfTwoEntries, AnOwnerOnASlowLinkCatchesUpAfterALostJobFeed) {
+  constexpr int StoredJobs = 600;
+  constexpr int FirstStored = 1'000;
+  constexpr uint32_t MoreThanAnyExecutor = 99'000;
+  for (int I = 0; I < StoredJobs; ++I) {
+    cell::JobSpec Job{.Id = jobId(FirstStored + I),
+                      .Queue = "q",
+                      .Payload = std::string(cell::MaxPayloadBytes, 'x'),
+                      .Steps = {{.Size = {.MilliCores = MoreThanAnyExecutor}}}};
+    Platform.putRow(cell::JobTable, "s", Job.Id, cell::encodeJob(Job));
+  }
+  LONGS_EQUAL(200, submit(0, 1, 1));
+  CHECK(eventually([&] { return state(0, 1) == "completed"; }));
+  Platform.setFaults(
+      {.FeedHistoryGone = true, .ReadBytesPerSecond = 1'000'000});
+  CHECK(eventually([&] { return Platform.refusedFeeds(cell::JobTable) > 0; }));
+  Platform.setFaults({.ReadBytesPerSecond = 1'000'000});
+  // Enough jobs, one after the other, to outlast the last view of the feed.
+  constexpr int LaterJobs = 15;
+  for (int I = 2; I < 2 + LaterJobs; ++I) {
+    CHECK(eventually([&] { return submit(0, I, 1) == 200; }));
+    CHECK(eventually([&] { return state(0, I) == "completed"; }));
+  }
+}
+
 TEST(ACellOfTwoEntries, LostAnswersAndLateWritesDuplicateNothing) {
   Platform.setFaults({.LostResponsesPerTen = 2, .LateWritesPerTen = 1});
   for (int I = 1; I <= 10; ++I) {
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -226,6 +226,11 @@
 void CellPlatform::handleFeed(const http::Request &Request,
                               http::Responder Responder) {
   std::string Table = http::queryValue(Request.Target, "table");
+  if (Faults.FeedHistoryGone) {
+    ++RefusedFeeds[Table];
+    sendJson(Responder, http::StatusGone, Json::object());
+    return;
+  }
   uint64_t AfterVersion =
       std::stoull(http::queryValue(Request.Target, "after"));
   Json Changes = changedRows(Table, AfterVersion);
@@ -303,6 +308,12 @@
   Executors.at(Id).RunsByTask.clear();
 }
 
+size_t CellPlatform::refusedFeeds(const std::string &Table) const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  auto Found = RefusedFeeds.find(Table);
+  return Found == RefusedFeeds.end() ? 0 : Found->second;
+}
+
 size_t CellPlatform::runsStarted() const {
   std::lock_guard<std::mutex> Lock(Mutex);
   return RunsStarted;
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -27,6 +27,7 @@
   uint32_t LostResponsesPerTen = 0;
   /// Of ten transactions, this many are applied a second late and not answered.
   uint32_t LateWritesPerTen = 0;
+  bool FeedHistoryGone = false; ///< Feeds are answered with 410.
   /// Range reads are answered at this rate; 0 for at once.
   uint32_t ReadBytesPerSecond = 0;
 };
@@ -57,6 +58,8 @@
   void shutDown();
 
   size_t runsStarted() const;
+  /// Feed requests for the table that were answered with 410.
+  size_t refusedFeeds(const std::string &Table) const;
   /// Violations of the protocol, and tasks that ran more than once.
   std::vector<std::string> violations() const;
 
@@ -127,6 +130,7 @@
   CellPlatformFaults Faults;
   uint64_t WriteCount = 0;
   size_t RunsStarted = 0;
+  std::map<std::string, size_t> RefusedFeeds; ///< By table.
   std::map<std::string, bool> AcknowledgedTasks;
   std::vector<std::string> Violations;
   std::unique_ptr<DelayQueue> DelayedActions = std::make_unique<DelayQueue>();
