Offers that a slow store can't take in time are refused in time

Cause: the owner refuses offers only as it builds a commit, by a guess of 2.5 reads a commit. Commits took 0.8 to 1.6 s at 0.3 to 0.37 s a read, and offers that arrived during a commit, or behind more offers than the next commits have entries for, waited until their entries gave up without knowing whether they were stored.

Ruled out: answers of the owner lost on the way (the owner logged none for these jobs); writes by the entries themselves (3 batches in the 4 seconds).

Change: the owner checks every 50 ms, also with a commit in flight, which of the waiting offers the next commits can store before their deadlines, by the last commit's time and the age of the one in flight, and answers Expired to the rest. The simulation's job feed now delivers jobs that entries have stored.

Test: OffersBehindSlowCommitsAreAnsweredBeforeTheirDeadline failed before (no answer until the deadline), passes now; 298 unit tests pass.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -6,6 +6,12 @@
 
 namespace daisylanding::cell {
 
+namespace {
+
+constexpr Millis OfferCheckInterval{50};
+
+} // namespace
+
 CellOwner::CellOwner(OwnerOptions Options,
                      std::shared_ptr<const CellConfig> Config)
     : Options(std::move(Options)), Config(std::move(Config)),
@@ -355,6 +361,10 @@
     return std::move(Commands);
   beginDueOccurrences(Now, WallMs);
   expireRuns(Now);
+  if (Now >= NextOfferCheckAt) {
+    NextOfferCheckAt = Now + OfferCheckInterval;
+    expireOffers(Now);
+  }
   if (!Releasing && mayStart(Now))
     plan(Now);
   emitOrders(Now);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -371,6 +371,8 @@
   bool isInFlight(const std::string &JobId) const;
   void onAlreadyStored(const store::Row &StoredRow, TimePoint Now);
   void adoptStoredJob(JobSpec StoredJob, TimePoint Now);
+  Micros expectedCommitTime(TimePoint Now) const;
+  size_t offersPerCommit() const;
   void expireOffers(TimePoint Now);
   void dropOfferedJob(const std::string &JobId, TimePoint Now);
   void acknowledgeEnds();
@@ -403,6 +405,8 @@
   TimePoint RetryCommitAt{};
   ExecutorIndex NextRenewalIndex = 0; ///< Where the next turn begins.
   double AverageCommitMs = 20; ///< Moving average over confirmed commits.
+  Micros LastCommitTime{0};
+  TimePoint NextOfferCheckAt{};
   double StoreReadMs = 5;
   TimePoint InstanceListConfirmedAt{};
   TimePoint JobFeedConfirmedAt{};
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -230,9 +230,9 @@
   CommitInFlight Commit = std::move(*InFlight);
   InFlight.reset();
   constexpr double LatencyWeight = 0.2;
+  LastCommitTime = Now - Commit.FirstSentAt;
   AverageCommitMs +=
-      LatencyWeight *
-      (toSeconds(Now - Commit.FirstSentAt) * 1e3 - AverageCommitMs);
+      LatencyWeight * (toSeconds(LastCommitTime) * 1e3 - AverageCommitMs);
   Row = Commit.Row;
   RowVersion = Version;
   if (Now > Commit.FirstSentAt + SlowCommitThreshold)
@@ -291,21 +291,55 @@
   Jobs.erase(JobId);
 }
 
-/// Answers `Expired` to offers whose entries will have stopped waiting by the
-/// time the next commit is answered, which leaves room in the commit for the
-/// others. Called with no commit in flight.
-void CellOwner::expireOffers(TimePoint Now) {
-  /// A commit takes about as long as this many reads.
+/// How long a commit takes now: a slow store is noticed by its reads, by the
+/// last commit, and by the one in flight.
+Micros CellOwner::expectedCommitTime(TimePoint Now) const {
   constexpr double ReadsPerCommit = 2.5;
-  auto CommitTime = Millis(static_cast<int64_t>(ReadsPerCommit * StoreReadMs));
-  std::vector<std::string> ExpiredIds;
+  Micros Expected(static_cast<int64_t>(ReadsPerCommit * StoreReadMs * 1e3));
+  Expected = std::max(Expected, LastCommitTime);
+  if (InFlight)
+    Expected = std::max(Expected, Micros(Now - InFlight->FirstSentAt));
+  return Expected;
+}
+
+/// Offers that one commit has entries for beside the stored jobs.
+size_t CellOwner::offersPerCommit() const {
+  constexpr size_t EntriesPerOffer = 2;
+  auto StoredJobs = static_cast<size_t>(
+      std::count_if(DirtyJobs.begin(), DirtyJobs.end(), [&](const auto &Entry) {
+        return Jobs.at(Entry.first).Stored;
+      }));
+  size_t EntriesForStored =
+      std::min(StoredJobs, store::MaxTransactionEntries / 2);
+  return (store::MaxTransactionEntries - EntriesForStored) / EntriesPerOffer;
+}
+
+/// Answers `Expired` to offers that no commit is expected to store before their
+/// entries stop waiting. Their callers can retry safely, and the next commits
+/// have room for the others.
+void CellOwner::expireOffers(TimePoint Now) {
+  std::vector<std::pair<TimePoint, std::string>> WaitingOffers;
   for (const auto &Entry : OpenOffers) {
     const LiveJob *Job = findJob(Entry.first);
-    if (Job && !Job->Stored && Job->OfferDeadline < Now + CommitTime)
-      ExpiredIds.push_back(Entry.first);
+    if (Job && !Job->Stored && !isInFlight(Entry.first))
+      WaitingOffers.emplace_back(Job->OfferDeadline, Entry.first);
   }
-  for (const std::string &Id : ExpiredIds) {
-    logInfo("offer-expired", "job={} store_read_ms={:.0f}", Id, StoreReadMs);
+  if (WaitingOffers.empty())
+    return;
+  std::sort(WaitingOffers.begin(), WaitingOffers.end());
+  Micros CommitTime = expectedCommitTime(Now);
+  TimePoint NextCommitAt =
+      InFlight ? std::max(Now, InFlight->FirstSentAt + CommitTime) : Now;
+  size_t PerCommit = offersPerCommit();
+  size_t Kept = 0;
+  for (const auto &[Deadline, Id] : WaitingOffers) {
+    auto CommitsNeeded = static_cast<int64_t>(Kept / PerCommit + 1);
+    if (Deadline >= NextCommitAt + CommitsNeeded * CommitTime) {
+      ++Kept;
+      continue;
+    }
+    logInfo("offer-expired", "job={} commit_ms={} waiting={} a_commit={}", Id,
+            toMillis(CommitTime), WaitingOffers.size(), PerCommit);
     dropOfferedJob(Id, Now);
     answerOffers(Id, OfferOutcome::Expired);
   }
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -361,6 +361,43 @@
   LONGS_EQUAL(0, Sim.runsOf(taskNameOf(0)));
 }
 
+/// Guards against offers that wait for a slow store until their entry gives up:
+/// callers then learn nothing and can't safely retry.
+TEST(AnOwnerOfTwoExecutors,
+     OffersBehindSlowCommitsAreAnsweredBeforeTheirDeadline) {
+  constexpr int Offers = 250;
+  constexpr int64_t OfferIntervalMs = 10;
+  constexpr int64_t TimeLeftMs = 2'850;
+  constexpr int64_t CommitMs = 1'300;
+  Sim.CommitTimeMs = CommitMs;
+  Sim.Owner->setStoreReadMs(330);
+  std::map<std::string, int64_t> AnsweredAfterMs;
+  size_t Stored = 0;
+  for (int I = 0; I < Offers; ++I) {
+    std::string Id = fmt::format("{:016x}", I + 1);
+    JobSpec Job = Simulation::makeJob(Id, 1, Small, 100);
+    Sim.registerJob(Job);
+    TimePoint OfferedAt = Sim.Now;
+    Sim.Owner->offer({.Job = Job,
+                      .TimeLeft = Millis(TimeLeftMs),
+                      .Done =
+                          [&, Id, OfferedAt](OfferOutcome Outcome) {
+                            AnsweredAfterMs[Id] = toMillis(Sim.Now - OfferedAt);
+                            Stored += Outcome == OfferOutcome::Stored ? 1 : 0;
+                          }},
+                     Sim.Now, Sim.Now);
+    Sim.runFor(OfferIntervalMs);
+  }
+  Sim.runFor(TimeLeftMs);
+  LONGS_EQUAL(Offers, AnsweredAfterMs.size());
+  for (const auto &Answer : AnsweredAfterMs)
+    CHECK_TEXT(Answer.second < TimeLeftMs, Answer.first.c_str());
+  // Each commit has entries for at least this many.
+  constexpr size_t MinOffersPerCommit = 24;
+  constexpr size_t Commits = (Offers * OfferIntervalMs + TimeLeftMs) / CommitMs;
+  CHECK(Stored >= MinOffersPerCommit * (Commits - 1));
+}
+
 TEST(AnOwnerOfTwoExecutors, AnOfferThatAnotherEntryStoredMeanwhileIsNotLost) {
   Sim.Owner->setStoreReadMs(400);
   Sim.CommitTimeMs = 1'500;
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -14,6 +14,8 @@
 constexpr int64_t CommitTimeoutMs = 400;
 constexpr int64_t OrderTimeoutMs = 500;
 constexpr int64_t MaxLateMs = 3'000;
+/// Of the job feed.
+constexpr int64_t FeedDelayMs = 1'000;
 
 std::shared_ptr<const cell::CellConfig> makeConfig() {
   auto Config = std::make_shared<cell::CellConfig>();
@@ -587,8 +589,13 @@
 }
 
 void Simulation::storeOnly(const cell::JobSpec &Job) {
-  if (!Rows.count({cell::JobTable, Job.Id}))
-    Rows[{cell::JobTable, Job.Id}] = {cell::encodeJob(Job), ++Version};
+  if (Rows.count({cell::JobTable, Job.Id}))
+    return;
+  Rows[{cell::JobTable, Job.Id}] = {cell::encodeJob(Job), ++Version};
+  schedule(FeedDelayMs, [this, Job] {
+    if (Owner)
+      Owner->accept(Job, Now, Now);
+  });
 }
 
 void Simulation::cancel(const std::string &JobId) {
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -73,7 +73,7 @@
 
   /// Stores a job as an entry does, and notifies the owner.
   void submit(cell::JobSpec Job);
-  /// Stores a job without notifying the owner.
+  /// Stores a job as an entry does; the job feed notifies the owner later.
   void storeOnly(const cell::JobSpec &Job);
   /// The owner row and its version, as another entry reads them.
   uint64_t ownerRowVersion() const;
