A store that was silent is used again at once

Cause: an entry has one read of each owner's row in flight, which shows whether the store answers. In a silence each waits 0.9 s for its time limit and 0.3 s more, so that the first read after the silence is sent up to 1.2 s late. The owner resends its commit, behind which all offers wait, up to 1.5 s late.

Ruled out: answers to the hung reads (the store gives none), the readiness check (the refusals don't use it).

Change: a read without an answer is followed by copies, 0.25 s apart or ten times the usual read; only the newest answer counts, and an answer that overtakes an older read restarts the watch of the owner, as a failed read does. When the store answers after 0.7 s of silence, the owner resends its commit at once.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -183,6 +183,14 @@
   }
   /// Sets the present latency of store reads, in ms.
   void setStoreReadMs(double Ms) { StoreReadMs = Ms; }
+  /// The store answers again after a silence: a commit that it didn't answer is
+  /// resent at once.
+  void onStoreBack(TimePoint Now) {
+    if (!InFlight)
+      return;
+    InFlight->Resends = 0;
+    RetryCommitAt = Now;
+  }
   uint64_t commitSequence() const {
     return InFlight ? InFlight->Row.Sequence : 0;
   }
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -97,6 +97,11 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     return std::max(AverageReadMs, OpenReadMs);
   }
+  /// Of the answered reads alone.
+  double averageReadMs() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return AverageReadMs;
+  }
   /// The store's steady clock in ms, extrapolated from its newest answer.
   int64_t clockMillis(TimePoint Now) const {
     std::lock_guard<std::mutex> Lock(Mutex);
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -22,6 +22,8 @@
 /// From a decision to its order's arrival at the executor.
 constexpr Millis OrderTransitTime{200};
 constexpr Millis ReadRetryDelay{100};
+/// Commits that got no answer are resent after a longer silence of the store.
+constexpr Millis MinStoreSilence{700};
 /// A loading owner that reads no further rows for this long releases the
 /// service: another entry may reach the store.
 constexpr Millis MaxLoadSilence{3'000};
@@ -288,6 +290,10 @@
 
 void OwnerLoop::sendNextCommit(TimePoint Now) {
   Owner->setStoreReadMs(Context.StoreHealth.readLatencyMs());
+  TimePoint StoreAnsweredAt = Context.StoreHealth.lastAnswer();
+  if (StoreAnsweredAt > LastStoreAnswer + MinStoreSilence)
+    Owner->onStoreBack(Now);
+  LastStoreAnswer = StoreAnsweredAt;
   auto Commit = Owner->nextCommit(Now, Context.StoreHealth.clockMillis(Now));
   if (!Commit)
     return;
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -81,6 +81,7 @@
   std::unique_ptr<ExecutorList> Instances;
   uint64_t ConfigVersion = 0;
   TimePoint NextEntryRead{};
+  TimePoint LastStoreAnswer{}; ///< As of the last turn.
   TimePoint NextPublish{};
   TimePoint NextAdviceRefresh{};
   bool EntryReadInFlight = false;
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -14,8 +14,6 @@
 /// configuration change within its bound of two seconds.
 constexpr Millis ConfigFeedWait{700};
 constexpr Millis ReadRetryDelay{100};
-/// Between two reads of an owner row; they also measure the store's latency.
-constexpr Millis OwnerReadInterval{300};
 /// Until a service has an owner, whose row names the largest entry.
 constexpr Millis CapacityReadInterval{500};
 
@@ -189,10 +187,9 @@
   Micros OldestReadAge{0};
   for (const std::string &Service : Context.Config.current()->Services) {
     ServiceWatch &Watch = Watches[Service];
-    if (!Watch.ReadInFlight && Now >= Watch.NextReadAt)
+    if (Watch.Reads.isDue(Now, Context.StoreHealth.averageReadMs()))
       readOwner(Service, Now);
-    if (Watch.ReadInFlight)
-      OldestReadAge = std::max(OldestReadAge, Micros(Now - Watch.ReadSentAt));
+    OldestReadAge = std::max(OldestReadAge, Watch.Reads.oldestAge(Now));
     if (!Watch.AcquireInFlight && !owns(Service) &&
         Watch.Owner.shouldAcquire(Context.holder(), rankFor(Watch), Now))
       acquire(Service, Now);
@@ -202,8 +199,7 @@
 
 void WatchLoop::readOwner(const std::string &Service, TimePoint Now) {
   ServiceWatch &Watch = Watches[Service];
-  Watch.ReadInFlight = true;
-  Watch.ReadSentAt = Now;
+  Watch.Reads.recordSent(Now);
   Watch.Jitter =
       static_cast<uint32_t>(JitterSource.below(AcquisitionRank::JitterSteps));
   store::RangeRead Range{
@@ -212,14 +208,19 @@
                       RequestedAt = Now](const Result<store::RowPage> &Page) {
     ServiceWatch &Watch = Watches[Service];
     TimePoint Now = monotonicNow();
-    Watch.ReadInFlight = false;
-    Watch.NextReadAt = Now + OwnerReadInterval;
+    bool IsNewest = Watch.Reads.recordEnd(RequestedAt, bool(Page), Now);
     if (!Page) {
-      Watch.Owner.recordReadFailure();
+      if (IsNewest)
+        Watch.Owner.recordReadFailure();
       return;
     }
     Context.StoreHealth.recordAnswer(Now, Page->StoreClockMs);
     Context.StoreHealth.recordReadTime(Now - RequestedAt);
+    if (!IsNewest)
+      return;
+    // The silence that kept older reads may have kept the owner from writing.
+    if (Watch.Reads.hasOlder(RequestedAt))
+      Watch.Owner.recordReadFailure();
     if (Page->Rows.empty()) {
       Watch.Owner.recordRow(0, std::nullopt, Now - RequestedAt, Now);
       return;
@@ -254,7 +255,7 @@
                      LastRenewal](const store::TransactionResult &Result) {
     ServiceWatch &Watch = Watches[Service];
     Watch.AcquireInFlight = false;
-    Watch.NextReadAt = {};
+    Watch.Reads.readAtOnce();
     Watch.Owner.recordReadFailure();
     if (Result.Outcome != store::TransactionOutcome::Committed) {
       // If an unanswered try was committed, its epoch is never used: it ends
--- a/src/node/WatchLoop.h
+++ b/src/node/WatchLoop.h
@@ -6,6 +6,7 @@
 #include "common/Timers.h"
 #include "node/EntryContext.h"
 #include "node/OwnerLoop.h"
+#include "node/OwnerReads.h"
 #include "node/OwnerWatch.h"
 #include "store/FeedCursor.h"
 
@@ -28,10 +29,8 @@
 private:
   struct ServiceWatch {
     OwnerWatch Owner{OwnerWatchOptions{}};
-    bool ReadInFlight = false;
+    OwnerReads Reads;
     bool AcquireInFlight = false;
-    TimePoint ReadSentAt{};
-    TimePoint NextReadAt{};
     uint32_t Jitter = 0;
   };
 
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -261,6 +261,26 @@
   CHECK(eventually([&] { return state(0, 1) == "completed"; }));
 }
 
+/// Guards against callers who are refused long after the store answers again.
+TEST(ACellOfTwoEntries, AStoreThatWasSilentIsUsedAgainAtOnce) {
+  int NextJob = 1;
+  for (Millis Outage :
+       {Millis(2'000), Millis(2'300), Millis(2'600), Millis(2'900)}) {
+    CHECK(eventually([&] { return submit(0, NextJob, 1) == 200; }));
+    CHECK(eventually([&] { return state(0, NextJob) == "completed"; }));
+    Platform.setFaults({.StoreUnresponsive = true});
+    std::this_thread::sleep_for(Outage);
+    Platform.setFaults({});
+    TimePoint BackAt = monotonicNow();
+    ++NextJob;
+    for (int Entry : {0, 1})
+      CHECK(
+          eventually([&] { return submit(Entry, NextJob + Entry, 1) == 200; }));
+    NextJob += 2;
+    CHECK(monotonicNow() - BackAt < Millis(500));
+  }
+}
+
 TEST(ACellOfTwoEntries, AJobInFlightWhenTheStoreFallsSilentGetsAnAnswerInTime) {
   LONGS_EQUAL(200, submit(0, 9, 1));
   CHECK(eventually([&] { return state(0, 9) == "completed"; }));
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -5,6 +5,7 @@
 #include "common/Base64.h"
 #include "config/CellSettings.h"
 #include "node/OfferPolicy.h"
+#include "node/OwnerReads.h"
 #include "node/OwnerWatch.h"
 
 #include <CppUTest/TestHarness.h>
@@ -279,6 +280,44 @@
   CHECK_TRUE(Watch.shouldAcquire("e1/a", 0, at(2'000)));
 }
 
+// clang-format off
+TEST_GROUP(ReadsOfAnOwnerRow) {
+  static constexpr double QuickReadMs = 5;
+  node::OwnerReads Reads;
+
+  void setup() override { Reads.recordSent(at(0)); }
+};
+// clang-format on
+
+TEST(ReadsOfAnOwnerRow, FollowAnAnswerAfterAnInterval) {
+  CHECK_TRUE(Reads.recordEnd(at(0), true, at(5)));
+  CHECK_FALSE(Reads.isDue(at(200), QuickReadMs));
+  CHECK_TRUE(Reads.isDue(at(305), QuickReadMs));
+}
+
+/// Guards against a store that answers again and is taken for silent until the
+/// last read has timed out.
+TEST(ReadsOfAnOwnerRow, AreRepeatedWhileTheStoreIsSilent) {
+  CHECK_FALSE(Reads.isDue(at(100), QuickReadMs));
+  CHECK_TRUE(Reads.isDue(at(250), QuickReadMs));
+  Reads.recordSent(at(250));
+  CHECK_FALSE(Reads.isDue(at(400), QuickReadMs));
+  CHECK_TRUE(Reads.isDue(at(500), QuickReadMs));
+  LONGS_EQUAL(500, toMillis(Reads.oldestAge(at(500))));
+}
+
+TEST(ReadsOfAnOwnerRow, AreNotRepeatedWhileTheStoreIsSlow) {
+  CHECK_FALSE(Reads.isDue(at(900), 300));
+}
+
+TEST(ReadsOfAnOwnerRow, CountOnlyUntilANewerOneIsAnswered) {
+  Reads.recordSent(at(250));
+  CHECK_TRUE(Reads.recordEnd(at(250), true, at(260)));
+  CHECK_TRUE(Reads.hasOlder(at(250)));
+  CHECK_FALSE(Reads.recordEnd(at(0), false, at(900)));
+  CHECK_FALSE(Reads.hasOlder(at(250)));
+}
+
 // clang-format off
 TEST_GROUP(OffersToAnOwner) {
   node::OfferPolicy Policy;
