A silence of the store isn't taken for its speed

Cause: reads lost in the silence were still open and counted as slow until their time limits; and the owner's commit that had waited for 4 s counted as a commit of 4 s, so that offers were refused, and later commits resent after 3 s.

Change: reads sent before one that was answered don't count; a commit's time starts anew when the store is back.

Tests: AnOfferAfterASilenceOfTheStoreIsStoredAtOnce failed with the commit's time as before; CountOnlyUntilANewerOneIsAnswered checks the reads. 303 unit and 12 process tests of the cell pass.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -189,6 +189,8 @@
     if (!InFlight)
       return;
     InFlight->Resends = 0;
+    InFlight->TimedFrom = Now;
+
     RetryCommitAt = Now;
   }
   uint64_t commitSequence() const {
@@ -238,6 +240,7 @@
     std::vector<std::pair<std::string, uint64_t>> Jobs;
     std::vector<executor::RunId> Starts;
     TimePoint FirstSentAt{};
+    TimePoint TimedFrom{}; ///< Its time counts from here, without silences.
     TimePoint LastSentAt{};
     uint32_t Resends = 0;
     /// Jobs that this commit stores.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -81,6 +81,7 @@
                                                  int64_t StoreClockMs) {
   CommitInFlight Commit;
   Commit.FirstSentAt = Now;
+  Commit.TimedFrom = Now;
   Commit.LastSentAt = Now;
   Commit.Row = buildOwnerRow(Now, StoreClockMs);
   store::Transaction &Tx = Commit.Transaction;
@@ -230,7 +231,7 @@
   CommitInFlight Commit = std::move(*InFlight);
   InFlight.reset();
   constexpr double LatencyWeight = 0.2;
-  LastCommitTime = Now - Commit.FirstSentAt;
+  LastCommitTime = Now - Commit.TimedFrom;
   AverageCommitMs +=
       LatencyWeight * (toSeconds(LastCommitTime) * 1e3 - AverageCommitMs);
   Row = Commit.Row;
@@ -298,7 +299,7 @@
   Micros Expected(static_cast<int64_t>(ReadsPerCommit * StoreReadMs * 1e3));
   Expected = std::max(Expected, LastCommitTime);
   if (InFlight)
-    Expected = std::max(Expected, Micros(Now - InFlight->FirstSentAt));
+    Expected = std::max(Expected, Micros(Now - InFlight->TimedFrom));
   return Expected;
 }
 
@@ -329,7 +330,7 @@
   std::sort(WaitingOffers.begin(), WaitingOffers.end());
   Micros CommitTime = expectedCommitTime(Now);
   TimePoint NextCommitAt =
-      InFlight ? std::max(Now, InFlight->FirstSentAt + CommitTime) : Now;
+      InFlight ? std::max(Now, InFlight->TimedFrom + CommitTime) : Now;
   size_t PerCommit = offersPerCommit();
   size_t Kept = 0;
   for (const auto &[Deadline, Id] : WaitingOffers) {
--- a/src/node/OwnerReads.h
+++ b/src/node/OwnerReads.h
@@ -21,9 +21,11 @@
     return Now >= *SentTimes.rbegin() + std::max(MinCopyDelay, CopyDelay);
   }
 
-  /// Age of the oldest read without an answer; 0 if there is none.
+  /// Age of the oldest read that may be slow; 0 if there is none. Reads sent
+  /// before one that was answered got lost in a silence.
   Micros oldestAge(TimePoint Now) const {
-    return SentTimes.empty() ? Micros(0) : Micros(Now - *SentTimes.begin());
+    auto Oldest = SentTimes.upper_bound(NewestAnswered);
+    return Oldest == SentTimes.end() ? Micros(0) : Micros(Now - *Oldest);
   }
 
   void recordSent(TimePoint Now) { SentTimes.insert(Now); }
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -398,6 +398,25 @@
   CHECK(Stored >= MinOffersPerCommit * (Commits - 1));
 }
 
+/// Guards against a silence of the store that counts as the time of a commit:
+/// offers that came after it were refused.
+TEST(AnOwnerOfTwoExecutors, AnOfferAfterASilenceOfTheStoreIsStoredAtOnce) {
+  Sim.submit(Simulation::makeJob("00000000000000d4", 1, Small, 100));
+  Sim.StoreSilent = true;
+  Sim.runFor(4'000);
+  Sim.StoreSilent = false;
+  Sim.Owner->onStoreBack(Sim.Now);
+  std::optional<OfferOutcome> Outcome;
+  std::optional<OfferOutcome> LaterOutcome;
+  offer(Simulation::makeJob(JobId, 1, Small, 100), Outcome, Millis(1'000));
+  Sim.runFor(100);
+  CHECK(Outcome == OfferOutcome::Stored);
+  offer(Simulation::makeJob("00000000000000d5", 1, Small, 100), LaterOutcome,
+        Millis(1'000));
+  Sim.runFor(100);
+  CHECK(LaterOutcome == OfferOutcome::Stored);
+}
+
 TEST(AnOwnerOfTwoExecutors, AnOfferThatAnotherEntryStoredMeanwhileIsNotLost) {
   Sim.Owner->setStoreReadMs(400);
   Sim.CommitTimeMs = 1'500;
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -314,6 +314,7 @@
   Reads.recordSent(at(250));
   CHECK_TRUE(Reads.recordEnd(at(250), true, at(260)));
   CHECK_TRUE(Reads.hasOlder(at(250)));
+  LONGS_EQUAL(0, toMillis(Reads.oldestAge(at(800))));
   CHECK_FALSE(Reads.recordEnd(at(0), false, at(900)));
   CHECK_FALSE(Reads.hasOlder(at(250)));
 }
