A run isn't given up before its start has been sent

Cause: an owner renews no leases while it can't confirm its ownership, so after a silence of 4 s and more every executor's leases have expired. A run becomes Starting when its record is stored, and the check for expired leases comes before the start is sent, which is what begins its lease. Each such run was recorded, given up and planned again, up to seven times, with a commit and a ticket each.

Ruled out: leases that do expire (most of these executors had just answered), starts refused by executors (none was sent).

Change: a run that is Starting holds a lease only once a start for it has been sent, by this owner or an earlier one.

Test: TasksStartAtTheFirstTryAfterAnOutageOfTheStore failed before (the task started as run 8), passes now; 304 unit tests pass.

--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -27,6 +27,15 @@
                      });
 }
 
+/// A run has no lease before its start has been sent.
+bool mayHoldLease(const LiveTask &Run) {
+  if (Run.Phase == TaskPhase::Recording)
+    return false;
+  bool IsStartSent = Run.OrderPending || Run.StartUnanswered || Run.Confirmed ||
+                     Run.Inherited || Run.StartAttempts > 0;
+  return Run.Phase != TaskPhase::Starting || IsStartSent;
+}
+
 } // namespace
 
 void CellOwner::placeTask(const TaskKey &Key, ExecutorIndex Index) {
@@ -433,9 +442,8 @@
       continue;
     std::vector<TaskKey> LostRuns = OpenRunsByExecutor[I];
     for (const TaskKey &Key : LostRuns) {
-      // A run whose start was not sent has no lease.
       if (!isOpen(Key.task().Phase) || Key.task().Executor != I ||
-          Key.task().Phase == TaskPhase::Recording)
+          !mayHoldLease(Key.task()))
         continue;
       ++Counts.ExpiredRuns;
       logInfo("run-lapsed", "task={} run={} executor={} heard_ms_ago={}",
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -398,6 +398,19 @@
   CHECK(Stored >= MinOffersPerCommit * (Commits - 1));
 }
 
+/// Guards against runs that are given up before their starts are sent, because
+/// the executors' leases were not renewed during the outage.
+TEST(AnOwnerOfTwoExecutors, TasksStartAtTheFirstTryAfterAnOutageOfTheStore) {
+  Sim.StoreSilent = true;
+  Sim.runFor(9'000);
+  Sim.StoreSilent = false;
+  Sim.submit(Simulation::makeJob(JobId, 6, Small, 100));
+  CHECK_TRUE(completesWithin(3'000));
+  LONGS_EQUAL(6, Sim.Started.size());
+  for (const executor::StartOrder &Start : Sim.Started)
+    LONGS_EQUAL(1, Start.Id.Run);
+}
+
 /// Guards against a silence of the store that counts as the time of a commit:
 /// offers that came after it were refused.
 TEST(AnOwnerOfTwoExecutors, AnOfferAfterASilenceOfTheStoreIsStoredAtOnce) {
