Work done out of reach isn't done again if it still waits

Change: a listed end `done` of a task's newest run counts while the task waits to be started again. A task that has been started again goes on; gangs start together and are left as they were.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -289,6 +289,8 @@
   void beginStop(const TaskKey &Key, TimePoint Now);
   void stopAllRuns(LiveJob &Job, TimePoint Now);
   void stopBrokenGangs(LiveJob &Job, TimePoint Now);
+  std::optional<TaskKey> findGivenUpRun(const executor::RunEnd &End);
+  void endGivenUpRun(const TaskKey &Key, TimePoint Now);
   void onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                 TimePoint Now);
   void endRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -202,6 +202,29 @@
     completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
 
+/// The task whose newest run was done on an executor out of reach after its
+/// lease was taken to have expired, if the task has not been started again.
+std::optional<TaskKey> CellOwner::findGivenUpRun(const executor::RunEnd &End) {
+  auto Key = findTask(End.Id);
+  if (!Key || End.Kind != EndKind::Done || isFinal(Key->Job->Phase))
+    return std::nullopt;
+  const LiveTask &Task = Key->task();
+  bool IsWaiting =
+      Task.Phase == TaskPhase::Waiting || Task.Phase == TaskPhase::Placed;
+  bool IsNewest = IsWaiting && Task.Run == End.Id.Run;
+  bool IsSingle = !Key->spec().Gang && !Key->spec().LongRunning;
+  return IsNewest && IsSingle ? Key : std::nullopt;
+}
+
+void CellOwner::endGivenUpRun(const TaskKey &Key, TimePoint Now) {
+  if (Key.task().Phase == TaskPhase::Placed)
+    unplaceTask(Key);
+  Key.task().Phase = TaskPhase::Done;
+  ++Counts.EndsDone;
+  markChanged(*Key.Job);
+  completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
+}
+
 void CellOwner::onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                          TimePoint Now) {
   ExecutorState &Executor = Pool[Index];
@@ -220,8 +243,14 @@
     endRun(*Key, End.Kind, Now);
     Unacknowledged.JobId = Key->Job->Spec.Id;
     Unacknowledged.JobRevision = Key->Job->Revision;
+  } else if (auto Key = findGivenUpRun(End)) {
+    logInfo("run-ended", "task={} run={} executor={} how={} after_ms=-1",
+            End.Id.Task, End.Id.Run, Executor.Info.Id, endName(End.Kind));
+    endGivenUpRun(*Key, Now);
+    Unacknowledged.JobId = Key->Job->Spec.Id;
+    Unacknowledged.JobRevision = Key->Job->Revision;
   } else {
-    // Of a run that was given up, such as one whose lease has expired.
+    // The task is done, has been started again, or its job has ended.
     logInfo("run-end-ignored", "task={} run={} executor={} how={}", End.Id.Task,
             End.Id.Run, Executor.Info.Id, endName(End.Kind));
   }
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -234,6 +234,19 @@
   LONGS_EQUAL(2, Sim.runsOf("00000000000000c3.0.0.0"));
 }
 
+/// Guards against jobs that stand still while work that was done on executors
+/// out of reach waits to be done again.
+TEST(WhenItRuns, TasksThatWereDoneOutOfReachAreNotRunAgain) {
+  Sim.executor(ExecutorA).Unreachable = true;
+  Sim.executor(ExecutorB).Unreachable = true;
+  Sim.runFor(8'000); // The runs are done, and their leases have expired.
+  Sim.executor(ExecutorA).Unreachable = false;
+  Sim.executor(ExecutorB).Unreachable = false;
+  CHECK_TRUE(completesWithin(1'000));
+  for (uint32_t I = 0; I < 3; ++I)
+    LONGS_EQUAL(1, Sim.runsOf(taskNameOf(I)));
+}
+
 TEST(WhenItRuns, AnOwnerThatFindsAnotherEpochIsDeposed) {
   auto OldOwner = std::move(Sim.Owner);
   Sim.takeOver();
