--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -15,6 +15,7 @@
 constexpr Resources Small{.MilliCores = 1'000, .MemoryMb = 100};
 constexpr Resources Wide{.MilliCores = 4'000, .MemoryMb = 4'000};
 constexpr const char *JobId = "00000000000000a1";
+const int64_t LeaseMs = LeaseOptions{}.LeaseDuration.count();
 
 std::string taskNameOf(uint32_t Index, uint32_t Step = 0) {
   return taskName({.Job = JobId, .Step = Step, .Index = Index});
@@ -228,7 +229,7 @@
           ? ExecutorA
           : ExecutorB;
   Sim.executor(ExecutorId).Unreachable = true;
-  Sim.runFor(2'500);
+  Sim.runFor(LeaseMs - 1'500);
   LONGS_EQUAL(1, Sim.runsOf("00000000000000c3.0.0.0"));
   Sim.runFor(5'000);
   LONGS_EQUAL(2, Sim.runsOf("00000000000000c3.0.0.0"));
@@ -239,7 +240,7 @@
 TEST(WhenItRuns, TasksThatWereDoneOutOfReachAreNotRunAgain) {
   Sim.executor(ExecutorA).Unreachable = true;
   Sim.executor(ExecutorB).Unreachable = true;
-  Sim.runFor(8'000); // The runs are done, and their leases have expired.
+  Sim.runFor(LeaseMs + 4'000); // The runs are done, their leases have expired.
   Sim.executor(ExecutorA).Unreachable = false;
   Sim.executor(ExecutorB).Unreachable = false;
   CHECK_TRUE(completesWithin(1'000));
@@ -415,7 +416,7 @@
 /// the executors' leases were not renewed during the outage.
 TEST(AnOwnerOfTwoExecutors, TasksStartAtTheFirstTryAfterAnOutageOfTheStore) {
   Sim.StoreSilent = true;
-  Sim.runFor(9'000);
+  Sim.runFor(LeaseMs + 5'000);
   Sim.StoreSilent = false;
   Sim.submit(Simulation::makeJob(JobId, 6, Small, 100));
   CHECK_TRUE(completesWithin(3'000));
