--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -19,9 +19,9 @@
 
 /// Timing of leases and renewals.
 struct LeaseOptions {
-  /// Length of a renewed lease: long enough for runs to outlast an outage of the
-  /// store or of a zone's links of a few seconds, short enough that work of a
-  /// lost executor is run elsewhere before most of it is worthless.
+  /// Length of a renewed lease: long enough for runs to outlast an outage of
+  /// the store or of a zone's links of a few seconds, short enough that work of
+  /// a lost executor is run elsewhere before most of it is worthless.
   Millis LeaseDuration{8'000};
   /// At most this much time since the executor's last clock reading is added to
   /// a lease end, so that failed renewals don't extend the lease. Longer than
