--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -190,7 +190,6 @@
       return;
     InFlight->Resends = 0;
     InFlight->TimedFrom = Now;
-
     RetryCommitAt = Now;
   }
   uint64_t commitSequence() const {
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -27,6 +27,13 @@
                      });
 }
 
+/// Time in ms since the executor's last answer; -1 if it has given none.
+int64_t millisSinceAnswer(const ExecutorState &Executor, TimePoint Now) {
+  if (Executor.LastAnswerAt == TimePoint{})
+    return -1;
+  return toMillis(Now - Executor.LastAnswerAt);
+}
+
 /// A run has no lease before its start has been sent.
 bool mayHoldLease(const LiveTask &Run) {
   if (Run.Phase == TaskPhase::Recording)
@@ -477,7 +484,7 @@
       ++Counts.ExpiredRuns;
       logInfo("run-lapsed", "task={} run={} executor={} heard_ms_ago={}",
               Key.name(), Key.task().Run, Pool[I].Info.Id,
-              toMillis(Now - Pool[I].LastAnswerAt));
+              millisSinceAnswer(Pool[I], Now));
       endRun(Key, EndKind::Expired, Now);
     }
   }
