The simulation's check on starts after an end follows the rule on lapsed leases

Trace: run 1 is done on an executor out of reach, its lease ends, the owner records run 2, whose start gets no answer; then the executor answers, its end is acknowledged as one that was given up, and a later try of run 2's start is carried out. The rule allows it: an end isn't taken note of if the executor's lease lapsed before, and this one had.

Change: the check holds for ends that were acknowledged before the lease expired, as in the rule; starts before their dependencies are judged as before.

--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,9 @@
   std::map<std::string, uint32_t> HighestEndedRun;
   std::vector<executor::RunEnd> Ended;
   uint64_t EndCount = 0;
+  /// The lease has expired since the ends up to this one. Tasks that ended so
+  /// may be started again, also after the end is acknowledged.
+  uint64_t LastVoidEnd = 0;
 };
 
 class Simulation {
@@ -162,6 +166,8 @@
   std::map<std::string, cell::JobSpec> Specs;
   /// Runs acknowledged as done, by task.
   std::map<std::string, uint32_t> DoneTasks;
+  /// Those that must not be started again.
+  std::set<std::string> ConfirmedTasks;
   std::vector<std::string> Violations;
 };
 
