--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -147,6 +147,12 @@
   return Executor.MaxLeaseEndSent;
 }
 
+bool ExecutorPool::isInheritedWaitLonger(ExecutorIndex Index) const {
+  const ExecutorState &Executor = Executors[Index];
+  return !Executor.ClockKnown ||
+         Executor.InheritedLeaseBound > Executor.MaxLeaseEndSent;
+}
+
 bool ExecutorPool::areLeasesExpired(ExecutorIndex Index, TimePoint Now) const {
   const ExecutorState &Executor = Executors[Index];
   if (Executor.Ended)
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -129,6 +129,9 @@
   /// The lease end to request now, in ms on the executor's clock; none before
   /// that clock is known.
   std::optional<int64_t> extendLease(ExecutorIndex Index, TimePoint Now);
+  /// Whether the wait for the leases of earlier owners lasts longer than for
+  /// this owner's own.
+  bool isInheritedWaitLonger(ExecutorIndex Index) const;
   /// Whether every lease there has expired, including those of orders still in
   /// flight.
   bool areLeasesExpired(ExecutorIndex Index, TimePoint Now) const;
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -482,9 +482,11 @@
           !mayHoldLease(Key.task()))
         continue;
       ++Counts.ExpiredRuns;
-      logInfo("run-lapsed", "task={} run={} executor={} heard_ms_ago={}",
+      logInfo("run-lapsed",
+              "task={} run={} executor={} heard_ms_ago={} leases_of={}",
               Key.name(), Key.task().Run, Pool[I].Info.Id,
-              millisSinceAnswer(Pool[I], Now));
+              millisSinceAnswer(Pool[I], Now),
+              Pool.isInheritedWaitLonger(I) ? "earlier-owners" : "this-owner");
       endRun(Key, EndKind::Expired, Now);
     }
   }
