Simulation: lost executors, executor clocks, and owners beside each other

For tests of what callers see when an executor is lost: lasting tasks that wait (LOST), or that run twice.

- An executor has a clock of its own, with a rate and an offset, by which its lease ends.
- An executor can end for good; its entry stays in the instance list for a while.
- A takeover names its holder and the least silence of the last owner, as the entries' watch does.
- Owners can be killed and paused.
A paused one gets its answers when it is resumed, and then runs beside the next owner.
Each owner can be cut off from the store and from single executors.
- Renewals can be carried out late.
- An owner that is loading gets no job from `submit`: it reads the job with the others, and would otherwise have its steps twice.

--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -1,6 +1,7 @@
 #include "unit/CellSim.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisylanding::cellsim {
 
@@ -16,6 +17,8 @@
 constexpr int64_t MaxLateMs = 3'000;
 /// Of the job feed.
 constexpr int64_t FeedDelayMs = 1'000;
+/// Until the entry of an executor that has ended leaves the instance list.
+constexpr int64_t ListDelayMs = 3'500;
 
 std::shared_ptr<const cell::CellConfig> makeConfig() {
   auto Config = std::make_shared<cell::CellConfig>();
@@ -33,6 +36,12 @@
 
 } // namespace
 
+int64_t SimExecutor::clockMs(TimePoint Now) const {
+  auto ElapsedMs = static_cast<double>(toMillis(Now - SimulationStart));
+  return toMillis(SimulationStart.time_since_epoch()) + ClockOffset.count() +
+         static_cast<int64_t>(ElapsedMs * ClockRate);
+}
+
 Simulation::Simulation(uint64_t Seed) : Rng(Seed), Config(makeConfig()) {
   EndKindFor = [](const std::string &) { return EndKind::Done; };
   RunTimeFor = [](const std::string &, int64_t Estimate) { return Estimate; };
@@ -64,15 +73,47 @@
 std::vector<executor::ExecutorInfo> Simulation::instanceList() const {
   std::vector<executor::ExecutorInfo> List;
   for (const auto &Entry : Executors) {
-    if (!Entry.second->Dead)
+    if (Entry.second->Listed)
       List.push_back(Entry.second->Info);
   }
   return List;
 }
 
-void Simulation::takeOver() {
-  cell::OwnerRow Row{.Holder = "e" + std::to_string(Epoch + 1),
-                     .Epoch = ++Epoch};
+void Simulation::killOwner() { EndedOwners.push_back(std::move(Owner)); }
+
+void Simulation::pauseOwner() {
+  EndedOwners.push_back(std::move(OldOwner));
+  OldOwner = std::move(Owner);
+  OldOwnerPaused = true;
+}
+
+void Simulation::resumeOwner() {
+  OldOwnerPaused = false;
+  for (const OwnerAction &Action : std::exchange(PausedActions, {}))
+    Action(*OldOwner);
+  if (Owner)
+    return;
+  Owner = std::move(OldOwner);
+  // The job feed delivers what was stored meanwhile.
+  for (const auto &Entry : Specs)
+    Owner->accept(Entry.second, Now, Now);
+}
+
+void Simulation::loseExecutor(const std::string &Id) {
+  executor(Id).Dead = true;
+  schedule(ListDelayMs, [this, Id] {
+    executor(Id).Listed = false;
+    if (Owner)
+      Owner->setExecutors(instanceList(), Now);
+  });
+}
+
+void Simulation::takeOver(const Acquisition &By) {
+  if (Owner)
+    killOwner();
+  cell::OwnerRow Row{
+      .Holder = By.Holder.empty() ? "e" + std::to_string(Epoch + 1) : By.Holder,
+      .Epoch = ++Epoch};
   auto OldRow = Rows.find({cell::OwnerTable, cell::OwnerKey});
   if (OldRow != Rows.end())
     Row.InheritedLeaseEnds =
@@ -85,7 +126,8 @@
                              .StoreClockMs = clockMs(),
                              .CreatedAt = Now,
                              .Loading = true};
-  Options.InheritedLeaseEnd = cell::inheritedLeaseEnd(Options.Leases, Now);
+  Options.InheritedLeaseEnd =
+      cell::inheritedLeaseEnd(Options.Leases, Now - By.MinSilence);
   if (Policy) {
     std::vector<cell::AdviceQueueInfo> Queues;
     for (size_t I = 0; I < Policy->Entries; ++I)
@@ -94,7 +136,8 @@
     AdviceQueues.setQueues(Queues);
   }
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
-  if (LoadTimeMs == 0) {
+  OwnerLoading = LoadTimeMs > 0;
+  if (!OwnerLoading) {
     loadStoredJobs();
     return;
   }
@@ -114,6 +157,7 @@
     bool Cancelled = !storedValue(cell::JobTable, cell::cancelKey(Id)).empty();
     Owner->restore(Job, Progress, Cancelled, Now, Now);
   }
+  OwnerLoading = false;
   Owner->finishLoading();
   Owner->setExecutors(instanceList(), Now);
 }
@@ -162,14 +206,31 @@
             });
   for (Event &Pending : DueEvents)
     Pending.Action();
-  if (!Owner || Owner->deposed())
+  if (Owner)
+    advanceOwner(*Owner);
+  if (OldOwner && !OldOwnerPaused)
+    advanceOwner(*OldOwner);
+}
+
+void Simulation::advanceOwner(cell::CellOwner &Target) {
+  if (Target.deposed())
     return;
   if (!FeedsSilent) {
-    Owner->confirmInstanceList(Now);
-    Owner->confirmJobFeed(Now);
+    Target.confirmInstanceList(Now);
+    Target.confirmJobFeed(Now);
   }
-  executeCommands(Owner->advance(Now, clockMs()));
-  sendCommit();
+  executeCommands(Target.advance(Now, clockMs()), Target);
+  sendCommit(Target);
+}
+
+void Simulation::notify(const cell::CellOwner *Target,
+                        const OwnerAction &Action) {
+  if (Owner.get() == Target)
+    Action(*Owner);
+  else if (OldOwner.get() == Target && OldOwnerPaused)
+    PausedActions.push_back(Action);
+  else if (OldOwner.get() == Target)
+    Action(*OldOwner);
 }
 
 store::TransactionResult Simulation::apply(const store::Transaction &Tx) {
@@ -199,17 +260,18 @@
   return Result;
 }
 
-void Simulation::sendCommit() {
-  auto Tx = Owner->nextCommit(Now, clockMs());
+void Simulation::sendCommit(cell::CellOwner &Sender) {
+  auto Tx = Sender.nextCommit(Now, clockMs());
   if (!Tx)
     return;
   ++CommitsSent;
-  uint64_t Sequence = Owner->commitSequence();
-  cell::CellOwner *Target = Owner.get();
+  uint64_t Sequence = Sender.commitSequence();
+  const cell::CellOwner *Target = &Sender;
   auto Answer = [this, Target,
                  Sequence](const store::TransactionResult &Result) {
-    if (Owner.get() == Target)
-      Owner->onCommit(Sequence, Result, Now);
+    notify(Target, [this, Sequence, Result](cell::CellOwner &Receiver) {
+      Receiver.onCommit(Sequence, Result, Now);
+    });
   };
   auto AnswerTimeout = [this, Answer] {
     schedule(CommitTimeoutMs, [Answer] {
@@ -222,7 +284,7 @@
     });
     return;
   }
-  if (StoreSilent) {
+  if (StoreSilent || cutsOf(Sender).Store) {
     AnswerTimeout();
     return;
   }
@@ -292,67 +354,96 @@
   }
 }
 
-void Simulation::executeCommands(const cell::OwnerCommands &Commands) {
+bool Simulation::isReachable(const SimExecutor &Executor,
+                             const cell::CellOwner *Sender) const {
+  auto Found = Cuts.find(Sender);
+  bool IsCut =
+      Found != Cuts.end() && Found->second.Executors.count(Executor.Info.Id);
+  return !Executor.Unreachable && !Executor.Dead && !IsCut;
+}
+
+void Simulation::executeCommands(const cell::OwnerCommands &Commands,
+                                 cell::CellOwner &Sender) {
   for (const cell::AdviceCallCommand &Command : Commands.AdviceCalls)
     AdviceQueues.add(Command);
-  if (Policy)
+  const cell::CellOwner *Target = &Sender;
+  if (Policy && Target == Owner.get())
     sendAdviceCalls();
-  cell::CellOwner *Target = Owner.get();
   for (const cell::StartCommand &Command : Commands.Starts)
-    sendStart(Command.Order, Command.Executor);
+    sendStart(Command.Order, Command.Executor, Target);
   for (const cell::StopCommand &Command : Commands.Stops) {
     schedule(TransitMs, [this, Target, Command] {
       SimExecutor &Executor = executor(Command.Order.Target.Id);
       executor::OrderAnswer Answer;
-      if (!Executor.Unreachable && !Executor.Dead)
+      if (isReachable(Executor, Target))
         Answer = handleStop(Executor, Command.Order);
-      if (Owner.get() == Target)
-        Owner->onStop(Command.Order.Id, Command.Executor, Answer, Now);
+      notify(Target, [this, Command, Answer](cell::CellOwner &Receiver) {
+        Receiver.onStop(Command.Order.Id, Command.Executor, Answer, Now);
+      });
     });
   }
-  for (const cell::RenewalCommand &Command : Commands.Renewals) {
-    schedule(TransitMs, [this, Target, Command] {
-      SimExecutor &Executor = executor(Command.Call.Target.Id);
-      executor::RenewalAnswer Answer;
-      if (!Executor.Unreachable && !Executor.Dead)
-        Answer = handleRenewal(Executor, Command.Call);
-      int64_t Wait = Answer.Ended.empty() ? 50 : 1;
-      schedule(Wait, [this, Target, Command, Answer] {
-        if (Owner.get() == Target)
-          Owner->onRenewal(Command.Executor, Answer, Now);
-      });
+  for (const cell::RenewalCommand &Command : Commands.Renewals)
+    sendRenewal(Command, Target);
+}
+
+void Simulation::sendRenewal(const cell::RenewalCommand &Command,
+                             const cell::CellOwner *Sender) {
+  auto Answer = [this, Sender, Index = Command.Executor](
+                    const executor::RenewalAnswer &Result) {
+    notify(Sender, [this, Index, Result](cell::CellOwner &Receiver) {
+      Receiver.onRenewal(Index, Result, Now);
     });
+  };
+  if (Faults.RenewalLate > 0 && Rng.uniform() < Faults.RenewalLate) {
+    schedule(static_cast<int64_t>(Rng.below(MaxLateMs)),
+             [this, Sender, Call = Command.Call] {
+               SimExecutor &Executor = executor(Call.Target.Id);
+               if (isReachable(Executor, Sender))
+                 handleRenewal(Executor, Call);
+             });
+    schedule(OrderTimeoutMs, [Answer] { Answer({}); });
+    return;
   }
+  schedule(TransitMs, [this, Sender, Answer, Call = Command.Call] {
+    SimExecutor &Executor = executor(Call.Target.Id);
+    executor::RenewalAnswer Result;
+    if (isReachable(Executor, Sender))
+      Result = handleRenewal(Executor, Call);
+    int64_t Wait = Result.Ended.empty() ? 50 : 1;
+    schedule(Wait, [Answer, Result] { Answer(Result); });
+  });
 }
 
 void Simulation::sendStart(const executor::StartOrder &Order,
-                           cell::ExecutorIndex Index) {
-  cell::CellOwner *Target = Owner.get();
-  auto Answer = [this, Target, Order,
+                           cell::ExecutorIndex Index,
+                           const cell::CellOwner *Sender) {
+  auto Answer = [this, Sender, Order,
                  Index](const executor::OrderAnswer &Result) {
-    if (Owner.get() == Target)
-      Owner->onStart(Order.Id, Index, Result, Now);
+    notify(Sender, [this, Order, Index, Result](cell::CellOwner &Receiver) {
+      Receiver.onStart(Order.Id, Index, Result, Now);
+    });
   };
   if (Rng.uniform() < Faults.OrderLate) {
     auto Delay = 500 + static_cast<int64_t>(Rng.below(MaxLateMs));
-    schedule(Delay, [this, Order] {
+    schedule(Delay, [this, Order, Sender] {
       SimExecutor &Executor = executor(Order.Target.Id);
-      if (!Executor.Dead && !Executor.Unreachable)
+      if (isReachable(Executor, Sender))
         handleStart(Executor, Order);
     });
     schedule(OrderTimeoutMs, [Answer] { Answer({}); });
     return;
   }
   bool AnswerLost = Rng.uniform() < Faults.OrderAnswerLost;
-  schedule(TransitMs, [this, Order, Answer, AnswerLost] {
+  schedule(TransitMs, [this, Order, Sender, Answer, AnswerLost] {
     SimExecutor &Executor = executor(Order.Target.Id);
-    if (Executor.Dead || Executor.Unreachable) {
+    if (!isReachable(Executor, Sender)) {
       schedule(OrderTimeoutMs, [Answer] { Answer({}); });
       return;
     }
     auto Refused = RefusalFor ? RefusalFor(Order) : std::nullopt;
-    executor::OrderAnswer Result{
-        .Outcome = Refused.value_or(OrderOutcome::Done), .ClockMs = clockMs()};
+    executor::OrderAnswer Result{.Outcome =
+                                     Refused.value_or(OrderOutcome::Done),
+                                 .ClockMs = Executor.clockMs(Now)};
     if (!Refused)
       Result = handleStart(Executor, Order);
     if (AnswerLost)
@@ -365,19 +456,18 @@
 executor::OrderAnswer
 Simulation::handleStart(SimExecutor &Executor,
                         const executor::StartOrder &Order) {
-  executor::OrderAnswer Answer{.ClockMs = clockMs()};
+  executor::OrderAnswer Answer{.ClockMs = Executor.clockMs(Now)};
   auto Running = Executor.Running.find(Order.Id.Task);
   if (Order.FencingToken < Executor.FencingToken) {
     Answer.Outcome = OrderOutcome::Fenced;
     return Answer;
   }
   Executor.FencingToken = Order.FencingToken;
-  if (Order.LeaseEndMs <= clockMs()) {
+  if (Order.LeaseEndMs <= Executor.clockMs(Now)) {
     Answer.Outcome = OrderOutcome::LeaseTooLate;
     return Answer;
   }
-  Executor.LeaseEnd =
-      std::max(Executor.LeaseEnd, TimePoint(Millis(Order.LeaseEndMs)));
+  Executor.LeaseEndMs = std::max(Executor.LeaseEndMs, Order.LeaseEndMs);
   if (Running != Executor.Running.end() &&
       Running->second.Run == Order.Id.Run) {
     Answer.Outcome = OrderOutcome::Done;
@@ -478,7 +568,7 @@
 
 executor::OrderAnswer Simulation::handleStop(SimExecutor &Executor,
                                              const executor::StopOrder &Order) {
-  executor::OrderAnswer Answer{.ClockMs = clockMs()};
+  executor::OrderAnswer Answer{.ClockMs = Executor.clockMs(Now)};
   if (Order.FencingToken < Executor.FencingToken) {
     Answer.Outcome = OrderOutcome::Fenced;
     return Answer;
@@ -497,7 +587,7 @@
 Simulation::handleRenewal(SimExecutor &Executor,
                           const executor::RenewalCall &Call) {
   executor::RenewalAnswer Answer;
-  Answer.ClockMs = clockMs();
+  Answer.ClockMs = Executor.clockMs(Now);
   if (Call.FencingToken < Executor.FencingToken) {
     Answer.Outcome = OrderOutcome::Fenced;
     return Answer;
@@ -505,8 +595,7 @@
   Executor.FencingToken = Call.FencingToken;
   Answer.Outcome = OrderOutcome::Done;
   if (Call.LeaseEndMs)
-    Executor.LeaseEnd =
-        std::max(Executor.LeaseEnd, TimePoint(Millis(*Call.LeaseEndMs)));
+    Executor.LeaseEndMs = std::max(Executor.LeaseEndMs, *Call.LeaseEndMs);
   for (const executor::RunEnd &End : Executor.Ended) {
     if (End.Sequence > Call.AcknowledgedEnd || End.Kind != EndKind::Done)
       continue;
@@ -570,7 +659,7 @@
     if (Executor.Dead)
       continue;
     std::vector<std::pair<std::string, EndKind>> EndedRuns;
-    bool LeaseExpired = Now > Executor.LeaseEnd;
+    bool LeaseExpired = Executor.clockMs(Now) > Executor.LeaseEndMs;
     if (LeaseExpired)
       Executor.LastVoidEnd = Executor.EndCount;
     for (const auto &[Task, Run] : Executor.Running) {
@@ -589,7 +678,7 @@
 void Simulation::submit(cell::JobSpec Job) {
   Rows[{cell::JobTable, Job.Id}] = {cell::encodeJob(Job), ++Version};
   Specs[Job.Id] = Job;
-  if (Owner)
+  if (Owner && !OwnerLoading)
     Owner->accept(std::move(Job), Now, Now);
 }
 
@@ -598,7 +687,7 @@
     return;
   Rows[{cell::JobTable, Job.Id}] = {cell::encodeJob(Job), ++Version};
   schedule(FeedDelayMs, [this, Job] {
-    if (Owner)
+    if (Owner && !OwnerLoading)
       Owner->accept(Job, Now, Now);
   });
 }
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -22,6 +22,7 @@
 struct FaultRates {
   double OrderAnswerLost = 0; ///< Carried out, not answered.
   double OrderLate = 0;       ///< Not answered, carried out seconds later.
+  double RenewalLate = 0;     ///< Not answered, carried out seconds later.
   double CommitAnswerLost = 0;
   /// Not answered, carried out later if its preconditions hold.
   double CommitLate = 0;
@@ -41,15 +42,20 @@
   Resources Size;
 };
 
+constexpr TimePoint SimulationStart{Millis(1'000'000)};
+
 /// One incarnation of an executor, with the behaviour that the executor
 /// protocol specifies.
 struct SimExecutor {
   executor::ExecutorInfo Info;
   bool Dead = false;
+  bool Listed = true;       ///< In the instance list.
   bool Unreachable = false; ///< Keeps running, but receives no calls.
   bool GuardsCapacity = false;
+  double ClockRate = 1; ///< Of its steady clock, relative to true time.
+  Millis ClockOffset{0};
   uint64_t FencingToken = 0;
-  TimePoint LeaseEnd{};
+  int64_t LeaseEndMs = 0; ///< On its steady clock.
   std::map<std::string, SimRun> Running;
   /// Highest run that ended or was stopped, by task.
   std::map<std::string, uint32_t> HighestEndedRun;
@@ -58,6 +64,22 @@
   /// The lease has expired since the ends up to this one. Tasks that ended so
   /// may be started again, also after the end is acknowledged.
   uint64_t LastVoidEnd = 0;
+
+  /// Its steady clock, in ms.
+  int64_t clockMs(TimePoint Now) const;
+};
+
+/// How an entry acquires the service.
+struct Acquisition {
+  std::string Holder; ///< If empty, an entry that never held it.
+  /// Lower bound of the time since the last owner's last renewal.
+  Millis MinSilence{0};
+};
+
+/// Connections of one owner that are cut.
+struct OwnerCuts {
+  bool Store = false;              ///< Its commits are not carried out.
+  std::set<std::string> Executors; ///< These get none of its calls.
 };
 
 class Simulation {
@@ -70,7 +92,17 @@
   /// owner takes over.
   void requireAdvice(const SimPolicy &NewPolicy);
   /// A new owner takes over the service.
-  void takeOver();
+  void takeOver(const Acquisition &By = {});
+  /// The owner's process ends.
+  void killOwner();
+  /// Pauses the owner's process. Once it is resumed, it runs beside the owner
+  /// that has taken over meanwhile, if any.
+  void pauseOwner();
+  void resumeOwner();
+  OwnerCuts &cutsOf(const cell::CellOwner &Target) { return Cuts[&Target]; }
+  /// The executor ends for good. Its entry stays in the instance list for some
+  /// seconds.
+  void loseExecutor(const std::string &Id);
   /// Runs \p Ms milliseconds of virtual time.
   void runFor(int64_t Ms);
   bool runUntil(const std::function<bool()> &IsDone, int64_t LimitMs);
@@ -111,9 +143,11 @@
       const executor::StartOrder &)>
       RefusalFor;
   std::unique_ptr<cell::CellOwner> Owner;
+  /// One that is paused, or was when another took over.
+  std::unique_ptr<cell::CellOwner> OldOwner;
   std::vector<executor::StartOrder> Started;      ///< All starts carried out.
   std::vector<store::Transaction> AppliedCommits; ///< All that took effect.
-  TimePoint Now{Millis(1'000'000)};
+  TimePoint Now = SimulationStart;
 
 private:
   void loadStoredJobs();
@@ -127,12 +161,24 @@
     std::function<void()> Action;
   };
 
+  using OwnerAction = std::function<void(cell::CellOwner &)>;
+
   void step();
+  void advanceOwner(cell::CellOwner &Target);
+  /// Has the owner process an answer, once it is no longer paused. Owners that
+  /// have ended get none.
+  void notify(const cell::CellOwner *Target, const OwnerAction &Action);
   void schedule(int64_t Ms, std::function<void()> Action);
   store::TransactionResult apply(const store::Transaction &Tx);
-  void sendCommit();
-  void executeCommands(const cell::OwnerCommands &Commands);
-  void sendStart(const executor::StartOrder &Order, cell::ExecutorIndex Index);
+  void sendCommit(cell::CellOwner &Sender);
+  void executeCommands(const cell::OwnerCommands &Commands,
+                       cell::CellOwner &Sender);
+  void sendStart(const executor::StartOrder &Order, cell::ExecutorIndex Index,
+                 const cell::CellOwner *Sender);
+  void sendRenewal(const cell::RenewalCommand &Command,
+                   const cell::CellOwner *Sender);
+  bool isReachable(const SimExecutor &Executor,
+                   const cell::CellOwner *Sender) const;
   void sendAdviceCalls();
   executor::Advice adviceFor(const executor::AdviceCall &Call) const;
   bool isTicketValid(const executor::StartOrder &Order) const;
@@ -163,6 +209,12 @@
   std::vector<Event> PendingEvents;
   uint64_t NextEvent = 0;
   uint64_t Epoch = 0;
+  /// Kept so that their addresses, which late answers refer to, stay unique.
+  std::vector<std::unique_ptr<cell::CellOwner>> EndedOwners;
+  std::map<const cell::CellOwner *, OwnerCuts> Cuts;
+  bool OwnerLoading = false;
+  bool OldOwnerPaused = false;
+  std::vector<OwnerAction> PausedActions; ///< Answers to the paused owner.
   std::map<std::string, cell::JobSpec> Specs;
   /// Runs acknowledged as done, by task.
   std::map<std::string, uint32_t> DoneTasks;
