Owner rows state when leases have expired; leases of 4 s in place of 8

What callers saw: a task that is to last doesn't run for ten to twelve seconds after its executor is gone, with room for it (LOST).

The class of fault: a promise with a bound, kept by timeouts that nothing ties to it; and a new holder that estimates what the old one could have stated.

Ruled out: load (the tests fail in virtual time, without any); the instance list (executors that are cut off leave it too, so it can end nothing).

The change: each owner row states on the store's clock when all leases have expired that are granted before the next row, and for silent executors the earlier end of theirs; these get no lease until a row no longer lists them. An owner that is loading grants none and keeps its predecessor's statement. A row of a release counts no further grants. An owner grants leases, starts included, for 2 s from sending its last confirmed commit: a start that was sent again later could run beside the successor's. Leases are 4 s again. A static_assert ties the sum of the parts to the bound of 9 s. Rows of earlier versions, which state nothing, count as the longest lease that executors grant.

OwnerWatch::minSilence and its check are gone with the estimate; tests of what rows state replace them.

Conclusion: the wait is now bounded by design. What it costs is that runs don't outlast silences of the store or cuts of more than about 6 s.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -22,16 +22,22 @@
   Config = std::move(NewConfig);
 }
 
-/// Time by which the leases of earlier owners on an executor have expired if
-/// this owner gets no answer from it. If the last owner got none either, the
-/// earlier time that it recorded holds.
+/// When the store's clock has reached \p StoreClockMs for certain.
+TimePoint CellOwner::timeOfStoreClock(int64_t StoreClockMs) const {
+  return Options.CreatedAt +
+         Millis(StoreClockMs - Options.ClockAtCreation.MinMs);
+}
+
+/// Time by which the leases of earlier owners on an executor have expired. If
+/// it was silent to the last owner, the earlier time that this one recorded
+/// holds.
 TimePoint CellOwner::inheritedLeaseEndOn(const std::string &ExecutorId) const {
-  auto Found = Options.AcquiredRow.InheritedLeaseEnds.find(ExecutorId);
-  if (Found == Options.AcquiredRow.InheritedLeaseEnds.end())
-    return Options.InheritedLeaseEnd;
-  TimePoint End =
-      Options.CreatedAt + Millis(Found->second - Options.StoreClockMs);
-  return std::min(End, Options.InheritedLeaseEnd);
+  const OwnerRow &Acquired = Options.AcquiredRow;
+  TimePoint End = timeOfStoreClock(Acquired.LeasesEndMs.value_or(0));
+  auto Found = Acquired.SilentLeaseEnds.find(ExecutorId);
+  if (Found == Acquired.SilentLeaseEnds.end())
+    return End;
+  return std::min(End, timeOfStoreClock(Found->second));
 }
 
 LiveJob *CellOwner::findJob(std::string_view JobId) {
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -18,15 +18,18 @@
 
 namespace daisylanding::cell {
 
+/// The store's steady clock, in ms, as far as an entry can tell.
+struct StoreClock {
+  int64_t MinMs = 0;
+  int64_t MaxMs = 0;
+};
+
 struct OwnerOptions {
   std::string Service;     ///< Also the partition key of all its rows.
   OwnerRow AcquiredRow;    ///< As written on acquiring the service.
   uint64_t RowVersion = 0; ///< Version of `AcquiredRow` in the store.
   LeaseOptions Leases;
-  /// Time by which all leases of earlier owners have expired on executors that
-  /// never answer this owner.
-  TimePoint InheritedLeaseEnd{};
-  int64_t StoreClockMs = 0; ///< Store clock at `CreatedAt`.
+  StoreClock ClockAtCreation; ///< Store clock at `CreatedAt`.
   TimePoint CreatedAt{};
   /// No start is planned or sent when the instance list was last confirmed
   /// longer ago: an executor may be draining.
@@ -172,7 +175,7 @@
   /// The transaction to send now, if any. One at a time is in flight; it may be
   /// returned again for a resend. Each result goes to `onCommit`.
   std::optional<store::Transaction> nextCommit(TimePoint Now,
-                                               int64_t StoreClockMs);
+                                               const StoreClock &Clock);
   /// \p Sequence is the value of `commitSequence` when the transaction was
   /// returned; results of older transactions are ignored.
   void onCommit(uint64_t Sequence, const store::TransactionResult &Result,
@@ -242,6 +245,7 @@
     TimePoint TimedFrom{}; ///< Its time counts from here, without silences.
     TimePoint LastSentAt{};
     uint32_t Resends = 0;
+    bool AllowsLeases = false; ///< Its row states when they have expired.
     /// Jobs that this commit stores.
     std::vector<std::string> OfferedJobs;
     /// Jobs whose rows this commit removes.
@@ -266,6 +270,7 @@
   void beginDueOccurrences(TimePoint Now, int64_t WallMs);
   bool isReady(const LiveJob &Job, const LiveOccurrence &Occurrence,
                uint32_t Step) const;
+  TimePoint timeOfStoreClock(int64_t StoreClockMs) const;
   TimePoint inheritedLeaseEndOn(const std::string &ExecutorId) const;
   Millis criticalPathOf(const LiveJob &Job) const;
   void markChanged(LiveJob &Job);
@@ -360,6 +365,8 @@
     return Now < InstanceListConfirmedAt + Options.MaxInstanceListAge &&
            Now < JobFeedConfirmedAt + Options.MaxJobFeedAge;
   }
+  bool isListedAsSilent(ExecutorIndex Index) const;
+  bool mayGrantLease(ExecutorIndex Index, TimePoint Now) const;
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
@@ -368,9 +375,11 @@
   executor::ExecutorTarget targetOf(ExecutorIndex Index) const;
 
   // Commits.
-  CommitInFlight buildCommit(TimePoint Now, int64_t StoreClockMs);
+  CommitInFlight buildCommit(TimePoint Now, const StoreClock &Clock);
   void addJobs(CommitInFlight &Commit, int64_t StoreClockMs);
-  OwnerRow buildOwnerRow(TimePoint Now, int64_t StoreClockMs);
+  OwnerRow buildOwnerRow();
+  void listLeaseEnds(OwnerRow &NewRow, TimePoint Now, const StoreClock &Clock);
+  bool mayWriteFirstRow(TimePoint Now);
   void addJob(CommitInFlight &Commit, LiveJob &Job, int64_t StoreClockMs);
   void addRemovals(CommitInFlight &Commit, TimePoint Now);
   bool isRemovalDue(TimePoint Now) const {
@@ -413,7 +422,12 @@
   uint64_t LastBuiltSequence = 0; ///< Of the newest commit that was built.
   OwnerRow Row;
   TimePoint LastCommitAt{};
-  TimePoint OwnershipConfirmedAt{};
+  /// When the newest confirmed commit was sent whose row allows for the leases
+  /// that are granted because of it.
+  TimePoint LeasesConfirmedAt{};
+  TimePoint FirstRowDueAt{}; ///< Of the first row after the load.
+  /// An executor has answered that the newest row lists as silent.
+  bool RowOutdated = false;
   TimePoint RetryCommitAt{};
   ExecutorIndex NextRenewalIndex = 0; ///< Where the next turn begins.
   double AverageCommitMs = 20; ///< Moving average over confirmed commits.
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -15,18 +15,6 @@
 
 } // namespace
 
-TimePoint inheritedLeaseEnd(const LeaseOptions &Options,
-                            TimePoint LastRenewal) {
-  /// Longest transit of an order; the lease end in it was computed when it was
-  /// sent.
-  constexpr Millis MaxOrderTransit{300};
-  auto MaxLeaseMs =
-      static_cast<int64_t>(static_cast<double>(Options.LeaseDuration.count()) /
-                           (1 - Options.MaxClockDrift));
-  return LastRenewal + Options.OwnershipTimeout + Millis(MaxLeaseMs) +
-         MaxOrderTransit;
-}
-
 ExecutorIndex ExecutorPool::findOrAdd(std::string_view Id) {
   auto Found = IndexById.find(std::string(Id));
   if (Found != IndexById.end())
@@ -147,25 +135,22 @@
   return Executor.MaxLeaseEndSent;
 }
 
-bool ExecutorPool::isInheritedWaitLonger(ExecutorIndex Index) const {
+/// When the leases that this owner has granted there have expired.
+TimePoint ExecutorPool::ownLeasesEnd(ExecutorIndex Index) const {
   const ExecutorState &Executor = Executors[Index];
-  return !Executor.ClockKnown ||
-         Executor.InheritedLeaseBound > Executor.MaxLeaseEndSent;
+  if (!Executor.ClockKnown)
+    return {};
+  return Executor.ClockReadAt +
+         maxLeaseTime(Options,
+                      Millis(Executor.MaxLeaseEndSent - Executor.ClockMs));
 }
 
-bool ExecutorPool::areLeasesExpired(ExecutorIndex Index, TimePoint Now) const {
-  const ExecutorState &Executor = Executors[Index];
-  if (Executor.Ended)
-    return true;
-  if (!Executor.ClockKnown)
-    return Now > Executor.InheritedLeaseEnd;
-  double ElapsedMs = static_cast<double>(toMillis(Now - Executor.ClockReadAt));
-  auto MinElapsedMs =
-      static_cast<int64_t>(ElapsedMs * (1 - Options.MaxClockDrift));
-  int64_t LastLeaseEndMs =
-      std::max(Executor.MaxLeaseEndSent, Executor.InheritedLeaseBound);
-  return Executor.ClockMs + MinElapsedMs > LastLeaseEndMs &&
-         Now > Executor.InheritedLeaseEnd;
+TimePoint ExecutorPool::leasesEnd(ExecutorIndex Index) const {
+  return std::max(ownLeasesEnd(Index), Executors[Index].InheritedLeaseEnd);
+}
+
+bool ExecutorPool::isInheritedWaitLonger(ExecutorIndex Index) const {
+  return Executors[Index].InheritedLeaseEnd > ownLeasesEnd(Index);
 }
 
 void ExecutorPool::recordSuccess(ExecutorIndex Index) {
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -4,6 +4,7 @@
 #include "common/Time.h"
 #include "executor/ExecutorPort.h"
 
+#include <algorithm>
 #include <deque>
 #include <limits>
 #include <span>
@@ -17,12 +18,10 @@
 using ExecutorIndex = uint32_t;
 constexpr ExecutorIndex NoExecutor = std::numeric_limits<uint32_t>::max();
 
-/// Timing of leases and renewals.
+/// Timing of leases and renewals. Longer leases let runs outlast longer outages
+/// of the store or of a zone's links, but `maxLossDetection` grows with them.
 struct LeaseOptions {
-  /// Length of a renewed lease: long enough for runs to outlast an outage of
-  /// the store or of a zone's links of a few seconds, short enough that work of
-  /// a lost executor is run elsewhere before most of it is worthless.
-  Millis LeaseDuration{8'000};
+  Millis LeaseDuration{4'000}; ///< Length of a renewed lease.
   /// At most this much time since the executor's last clock reading is added to
   /// a lease end, so that failed renewals don't extend the lease. Longer than
   /// `BusyRenewalWait`.
@@ -32,8 +31,12 @@
   /// No starts are sent to an executor whose last answer is older than
   /// `IdleRenewalWait` plus this.
   Millis SilenceTimeout{900};
-  /// How long an owner renews leases after the last confirmed commit.
+  /// How long an owner grants leases after it has sent the last commit that was
+  /// confirmed. Longer than commits take on a slow store.
   Millis OwnershipTimeout{2'000};
+  /// Until an owner's row tells successors of an executor that is silent: a
+  /// renewal that waits in vain, and the time to the next commit.
+  Millis MaxNoticeTime{1'400};
   Millis BusyRenewalWait{700};
   Millis IdleRenewalWait{2'000};
   /// Between an answer and the next renewal, so that run ends are reported in
@@ -41,9 +44,40 @@
   Millis MinRenewalInterval{30};
 };
 
-/// Time by which the leases of an earlier owner have expired, if its last
-/// confirmed commit was at \p LastRenewal at the latest.
-TimePoint inheritedLeaseEnd(const LeaseOptions &Options, TimePoint LastRenewal);
+/// Longest time that a lease takes to expire, on an executor's slow clock.
+constexpr Millis maxLeaseTime(const LeaseOptions &Options, Millis Lease) {
+  return Millis(static_cast<int64_t>(static_cast<double>(Lease.count()) /
+                                     (1 - Options.MaxClockDrift)) +
+                1);
+}
+
+/// Time until all leases have expired, on any executor, of an owner that grants
+/// some for another \p GrantTime.
+constexpr Millis leaseHorizon(const LeaseOptions &Options, Millis GrantTime) {
+  /// For differences between the clocks of entries and the store's.
+  constexpr Millis ClockMargin{300};
+  return GrantTime + maxLeaseTime(Options, Options.LeaseDuration) + ClockMargin;
+}
+
+/// Time from the loss of an executor until its runs are known to be over, at
+/// most: for the owner that renewed its leases, and for the successor of an
+/// owner that was lost before its row told of the silent executor.
+constexpr Millis maxLossDetection(const LeaseOptions &Options) {
+  Millis ByLastAnswer =
+      maxLeaseTime(Options, Options.LeaseDuration + Options.RenewalWindow);
+  Millis ByOwnerRow =
+      Options.MaxNoticeTime + leaseHorizon(Options, Options.OwnershipTimeout);
+  return std::max(ByLastAnswer, ByOwnerRow);
+}
+
+/// A lasting task of a lost executor must run elsewhere after this long, if
+/// there is free capacity.
+constexpr Millis MaxRestartDelay{9'000};
+/// Of which this is for placing the task, its commit and its start.
+constexpr Millis RestartReserve{1'200};
+static_assert(maxLossDetection(LeaseOptions{}) + RestartReserve <=
+                  MaxRestartDelay,
+              "lasting tasks of lost executors are restarted too late");
 
 /// A run end reported by the executor. It is acknowledged once the job's
 /// revision `JobRevision` is stored; the executor may then forget it.
@@ -68,6 +102,7 @@
   /// Has answered to this owner's fencing token.
   bool TokenConfirmed = false;
   bool RenewalPending = false; ///< A renewal is in flight.
+  bool RenewalFailed = false;  ///< The last one got no answer.
   TimePoint RenewalSentAt{};
   TimePoint NextRenewalAt{};
   TimePoint LastAnswerAt{};
@@ -78,8 +113,7 @@
   TimePoint ClockReadAt{};
   bool ClockKnown = false;
   int64_t MaxLeaseEndSent = 0; ///< Latest lease end in any order, on its clock.
-  int64_t InheritedLeaseBound = 0; ///< No lease of an earlier owner ends later.
-  /// Time by which inherited leases have expired if it never answers.
+  /// Time by which all leases of earlier owners have expired.
   TimePoint InheritedLeaseEnd{};
 
   Resources Reserved;            ///< By open and placed runs.
@@ -129,12 +163,14 @@
   /// The lease end to request now, in ms on the executor's clock; none before
   /// that clock is known.
   std::optional<int64_t> extendLease(ExecutorIndex Index, TimePoint Now);
-  /// Whether the wait for the leases of earlier owners lasts longer than for
-  /// this owner's own.
+  /// When every lease that was granted there so far has expired, including
+  /// those of orders still in flight.
+  TimePoint leasesEnd(ExecutorIndex Index) const;
+  /// Whether leases of earlier owners may outlast this owner's.
   bool isInheritedWaitLonger(ExecutorIndex Index) const;
-  /// Whether every lease there has expired, including those of orders still in
-  /// flight.
-  bool areLeasesExpired(ExecutorIndex Index, TimePoint Now) const;
+  bool areLeasesExpired(ExecutorIndex Index, TimePoint Now) const {
+    return Executors[Index].Ended || Now > leasesEnd(Index);
+  }
 
   void recordSuccess(ExecutorIndex Index);
   void recordFailure(ExecutorIndex Index, TimePoint Now);
@@ -142,6 +178,7 @@
   const LeaseOptions &options() const { return Options; }
 
 private:
+  TimePoint ownLeasesEnd(ExecutorIndex Index) const;
   size_t avoidedCount(TimePoint Now) const;
   TimePoint zoneSuspectSince(const std::string &Zone) const;
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -53,8 +53,24 @@
   return Progress;
 }
 
-std::optional<store::Transaction> CellOwner::nextCommit(TimePoint Now,
-                                                        int64_t StoreClockMs) {
+/// Whether the first row after the load is due. It waits a little for answers
+/// of the executors, as it lists those without one, which then get no leases
+/// until the next row.
+bool CellOwner::mayWriteFirstRow(TimePoint Now) {
+  constexpr Millis FirstAnswersWait{100};
+  if (LeasesConfirmedAt != TimePoint{} || Releasing)
+    return true;
+  if (FirstRowDueAt == TimePoint{})
+    FirstRowDueAt = Now + FirstAnswersWait;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (Pool[I].OpenRuns > 0 && !Pool[I].TokenConfirmed)
+      return Now >= FirstRowDueAt;
+  }
+  return true;
+}
+
+std::optional<store::Transaction>
+CellOwner::nextCommit(TimePoint Now, const StoreClock &Clock) {
   if (Deposed || Released || Now < RetryCommitAt)
     return std::nullopt;
   if (InFlight) {
@@ -67,31 +83,35 @@
     ++InFlight->Resends;
     return InFlight->Transaction;
   }
-  bool IsDue = !DirtyJobs.empty() || Releasing || isRemovalDue(Now) ||
+  bool IsDue = !DirtyJobs.empty() || Releasing || RowOutdated ||
+               isRemovalDue(Now) ||
                Now >= LastCommitAt + Options.HeartbeatInterval;
-  if (!IsDue)
+  if (!IsDue || (!Loading && !mayWriteFirstRow(Now)))
     return std::nullopt;
   RetryCommitAt = {};
   LastCommitAt = Now;
-  InFlight = buildCommit(Now, StoreClockMs);
+  InFlight = buildCommit(Now, Clock);
   return InFlight->Transaction;
 }
 
 CellOwner::CommitInFlight CellOwner::buildCommit(TimePoint Now,
-                                                 int64_t StoreClockMs) {
+                                                 const StoreClock &Clock) {
   CommitInFlight Commit;
   Commit.FirstSentAt = Now;
   Commit.TimedFrom = Now;
   Commit.LastSentAt = Now;
-  Commit.Row = buildOwnerRow(Now, StoreClockMs);
+  Commit.Row = buildOwnerRow();
+  Commit.AllowsLeases = !Loading;
   store::Transaction &Tx = Commit.Transaction;
   Tx.Partition = Options.Service;
   Tx.Preconditions.push_back(
       {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
   expireOffers(Now);
-  addJobs(Commit, StoreClockMs);
+  addJobs(Commit, Clock.MinMs);
   addRemovals(Commit, Now);
   Commit.Row.Released = Releasing && Commit.Jobs.size() == DirtyJobs.size();
+  if (!Loading)
+    listLeaseEnds(Commit.Row, Now, Clock);
   Tx.Writes.push_back({.Table = OwnerTable,
                        .Key = OwnerKey,
                        .Value = encodeOwnerRow(Commit.Row)});
@@ -138,7 +158,7 @@
   AddJobsFrom(OfferedJobs, Next, store::MaxTransactionEntries);
 }
 
-OwnerRow CellOwner::buildOwnerRow(TimePoint Now, int64_t StoreClockMs) {
+OwnerRow CellOwner::buildOwnerRow() {
   OwnerRow NewRow = Row;
   // A sequence is never reused, also if its commit is refused and rebuilt:
   // answers to copies of older commits must not be taken for answers to this
@@ -152,14 +172,32 @@
     if (Job.Spec.RepeatCount == 0 && !isFinal(Job.Phase) && !Job.Started)
       ++NewRow.PendingJobs[Job.Spec.Queue];
   }
-  NewRow.InheritedLeaseEnds.clear();
+  return NewRow;
+}
+
+/// States in the row when all leases have expired that are granted before the
+/// next one: none on the executors that it lists. An owner that is still
+/// loading grants none, and leaves what the last owner stated.
+void CellOwner::listLeaseEnds(OwnerRow &NewRow, TimePoint Now,
+                              const StoreClock &Clock) {
+  RowOutdated = false;
+  Millis GrantTime =
+      NewRow.Released ? Millis(0) : Options.Leases.OwnershipTimeout;
+  NewRow.LeasesEndMs =
+      std::max(Options.AcquiredRow.LeasesEndMs.value_or(0),
+               Clock.MaxMs + leaseHorizon(Options.Leases, GrantTime).count());
+  // An executor that answers again gets leases only with the next row, which is
+  // too late on a slow store.
+  bool IsStoreQuick = LastCommitTime < SlowCommitThreshold;
+  NewRow.SilentLeaseEnds.clear();
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     const ExecutorState &Executor = Pool[I];
-    if (Executor.OpenRuns > 0 && !Executor.TokenConfirmed)
-      NewRow.InheritedLeaseEnds[Executor.Info.Id] =
-          StoreClockMs + toMillis(Executor.InheritedLeaseEnd - Now);
+    bool IsSilent =
+        !Executor.TokenConfirmed || (Executor.RenewalFailed && IsStoreQuick);
+    if (Executor.OpenRuns > 0 && IsSilent)
+      NewRow.SilentLeaseEnds[Executor.Info.Id] =
+          Clock.MaxMs + toMillis(Pool.leasesEnd(I) - Now) + 1;
   }
-  return NewRow;
 }
 
 void CellOwner::addJob(CommitInFlight &Commit, LiveJob &Job,
@@ -242,7 +280,8 @@
             Options.Service, Row.Sequence, Commit.Jobs.size(),
             Commit.Transaction.entryCount(), Commit.Resends,
             toMillis(Now - Commit.FirstSentAt));
-  OwnershipConfirmedAt = Commit.FirstSentAt;
+  if (Commit.AllowsLeases)
+    LeasesConfirmedAt = Commit.FirstSentAt;
   Released = Row.Released;
   for (const auto &[Id, Revision] : Commit.Jobs) {
     LiveJob &Job = Jobs.at(Id);
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -25,8 +25,25 @@
   return {.Address = Pool[Index].Info.Address, .Id = Pool[Index].Info.Id};
 }
 
+/// Whether the row in the store tells successors when the leases there have
+/// expired, or will with the commit in flight.
+bool CellOwner::isListedAsSilent(ExecutorIndex Index) const {
+  const std::string &Id = Pool[Index].Info.Id;
+  return Row.SilentLeaseEnds.count(Id) ||
+         (InFlight && InFlight->Row.SilentLeaseEnds.count(Id));
+}
+
+/// Whether a lease granted there now ends as the row in the store states.
+bool CellOwner::mayGrantLease(ExecutorIndex Index, TimePoint Now) const {
+  bool IsReleased = InFlight && InFlight->Row.Released;
+  return Now < LeasesConfirmedAt + Options.Leases.OwnershipTimeout &&
+         !IsReleased && !isListedAsSilent(Index);
+}
+
 void CellOwner::emitStart(const TaskKey &Key, TimePoint Now) {
   LiveTask &Task = Key.task();
+  if (!mayGrantLease(Task.Executor, Now))
+    return;
   auto LeaseEnd = Pool.extendLease(Task.Executor, Now);
   if (!LeaseEnd)
     return;
@@ -79,8 +96,6 @@
   /// A new owner renews on every executor at once. Its row must be renewed in
   /// between, also where a connection takes milliseconds.
   constexpr size_t MaxRenewalsPerTurn = 32;
-  bool MayExtendLeases =
-      Now < OwnershipConfirmedAt + Options.Leases.OwnershipTimeout;
   size_t Count = Pool.size();
   for (size_t Visited = 0;
        Visited < Count && Commands.Renewals.size() < MaxRenewalsPerTurn;
@@ -100,7 +115,7 @@
     Command.Call = {.Target = targetOf(I),
                     .FencingToken = Row.Epoch,
                     .AcknowledgedEnd = Executor.AcknowledgedEnd};
-    if (MayExtendLeases)
+    if (mayGrantLease(I, Now))
       Command.Call.LeaseEndMs = Pool.extendLease(I, Now);
     if (Executor.TokenConfirmed)
       Command.Call.MaxWait = Executor.OpenRuns > 0
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -15,7 +15,9 @@
                    {"largest_millicores", Row.LargestEntry.MilliCores},
                    {"largest_link_kbit", Row.LargestEntry.LinkKbitPerSecond},
                    {"pending", Row.PendingJobs},
-                   {"unmet", Row.InheritedLeaseEnds}};
+                   {"silent", Row.SilentLeaseEnds}};
+  if (Row.LeasesEndMs)
+    Document["leases_end_ms"] = *Row.LeasesEndMs;
   return Document.dump();
 }
 
@@ -33,8 +35,10 @@
                             Document.value("largest_link_kbit", 0U)};
     Row.PendingJobs =
         Document.at("pending").get<std::map<std::string, uint64_t>>();
-    Row.InheritedLeaseEnds =
-        Document.value("unmet", std::map<std::string, int64_t>());
+    if (Document.contains("leases_end_ms"))
+      Row.LeasesEndMs = Document.at("leases_end_ms").get<int64_t>();
+    Row.SilentLeaseEnds =
+        Document.value("silent", std::map<std::string, int64_t>());
     return Row;
   } catch (const json::exception &) {
     return Errc::Malformed;
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,9 +37,14 @@
   bool Released = false;      ///< Any entry may acquire the service at once.
   EntryCapacity LargestEntry; ///< Of all entries that the owner knows.
   std::map<std::string, uint64_t> PendingJobs; ///< Jobs not started, by queue.
-  /// Executors with open runs that have not answered this owner, and the store
-  /// clock in ms at which all leases from earlier owners have expired there.
-  std::map<std::string, int64_t> InheritedLeaseEnds;
+  /// Store clock in ms at which all leases have expired that were granted by
+  /// earlier owners, or by the holder before it writes the next row. None in
+  /// rows of versions that don't tell.
+  std::optional<int64_t> LeasesEndMs;
+  /// Silent executors with open runs, and the store clock in ms at which all
+  /// leases have expired there. The holder grants none there as long as they
+  /// are listed.
+  std::map<std::string, int64_t> SilentLeaseEnds;
 };
 
 std::string encodeOwnerRow(const OwnerRow &Row);
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -352,18 +352,18 @@
   if (Answer.Outcome != OrderOutcome::Done) {
     constexpr Millis RenewalRetryDelay{150};
     if (Answer.Outcome == OrderOutcome::NotSent ||
-        Answer.Outcome == OrderOutcome::Unknown)
+        Answer.Outcome == OrderOutcome::Unknown) {
+      Executor.RenewalFailed = true;
       Pool.recordUnanswered(Index, Now);
+    }
     Executor.NextRenewalAt = Now + RenewalRetryDelay;
     return;
   }
   Pool.recordAnswer(Index, Answer.ClockMs, Now);
+  Executor.RenewalFailed = false;
+  RowOutdated |= isListedAsSilent(Index);
   if (!Executor.TokenConfirmed) {
     Executor.TokenConfirmed = true;
-    Executor.InheritedLeaseEnd = {};
-    // No lease of an earlier owner ends later than this.
-    Micros TimeLeft = std::max(Micros(0), Options.InheritedLeaseEnd - Now);
-    Executor.InheritedLeaseBound = Executor.ClockMs + toMillis(TimeLeft);
     logInfo("executor-greeted", "executor={} running={} ended={}",
             Executor.Info.Id, Answer.Running.size(), Answer.Ended.size());
   }
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -61,6 +61,19 @@
 /// by all loops of the process.
 class StoreMonitor {
 public:
+  /// Records that the store's clock read \p StoreMillis at some time between
+  /// \p SentAt and \p Now.
+  void recordClock(TimePoint SentAt, TimePoint Now, int64_t StoreMillis) {
+    recordAnswer(Now, StoreMillis);
+    std::lock_guard<std::mutex> Lock(Mutex);
+    bool IsCloser = StoreMillis + toMillis(Now - SentAt) <= maxClockMs(Now);
+    bool IsOutdated = MaxClockReadAt && Now > *MaxClockReadAt + MaxClockAge;
+    if (MaxClockReadAt && !IsCloser && !IsOutdated)
+      return;
+    MaxClockMs = StoreMillis;
+    MaxClockSentAt = SentAt;
+    MaxClockReadAt = Now;
+  }
   void recordAnswer(TimePoint Now, int64_t StoreMillis) {
     std::lock_guard<std::mutex> Lock(Mutex);
     LastAnswer = std::max(LastAnswer, Now);
@@ -102,19 +115,41 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     return AverageReadMs;
   }
-  /// The store's steady clock in ms, extrapolated from its newest answer.
+  /// The store's steady clock in ms, extrapolated from its newest answer. It
+  /// may be later by that answer's transit.
   int64_t clockMillis(TimePoint Now) const {
     std::lock_guard<std::mutex> Lock(Mutex);
-    return ClockMs + toMillis(Now - ClockReadAt);
+    return clockMs(Now);
+  }
+  cell::StoreClock clock(TimePoint Now) const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    int64_t MinMs = clockMs(Now);
+    return {.MinMs = MinMs,
+            .MaxMs = MaxClockReadAt ? std::max(MinMs, maxClockMs(Now)) : MinMs};
   }
 
 private:
+  /// Readings older than this are replaced also by less exact ones, so that
+  /// clocks that drift apart don't matter.
+  static constexpr Millis MaxClockAge{10'000};
+
+  int64_t clockMs(TimePoint Now) const {
+    return ClockMs + toMillis(Now - ClockReadAt);
+  }
+  int64_t maxClockMs(TimePoint Now) const {
+    return MaxClockMs + toMillis(Now - MaxClockSentAt);
+  }
+
   mutable std::mutex Mutex;
   TimePoint LastAnswer{};
   double AverageReadMs = 5; ///< Moving average.
   double OpenReadMs = 0;
   int64_t ClockMs = 0;
   TimePoint ClockReadAt{};
+  /// The clock read `MaxClockMs` at `MaxClockSentAt` or later.
+  int64_t MaxClockMs = 0;
+  TimePoint MaxClockSentAt{};
+  std::optional<TimePoint> MaxClockReadAt;
 };
 
 /// A live job as last published by its owner.
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -42,11 +42,10 @@
 
 OwnerLoop::OwnerLoop(EntryContext &Context, AdviceLoop &Advice,
                      relay::RelayLoop &Relay, std::string Service,
-                     cell::OwnerRow OwnRow, uint64_t RowVersion,
-                     TimePoint LastRenewal)
+                     cell::OwnerRow OwnRow, uint64_t RowVersion)
     : Context(Context), Advice(Advice), Relay(Relay),
       Service(std::move(Service)), OwnRow(std::move(OwnRow)),
-      RowVersion(RowVersion), LastRenewal(LastRenewal),
+      RowVersion(RowVersion),
       Client({.MaxConnectionsPerHost = 32, .MaxIdleConnections = 600}),
       JobFeed(store::MaxFeedLag),
       AdviceAnswers(std::make_shared<MpscQueue<AdviceAnswer>>(
@@ -130,21 +129,19 @@
   TimePoint Now = monotonicNow();
   auto Config = Context.Config.current();
   ConfigVersion = Config->Version;
-  cell::OwnerOptions Options{
-      .Service = Service,
-      .AcquiredRow = OwnRow,
-      .RowVersion = RowVersion,
-      .StoreClockMs = Context.StoreHealth.clockMillis(Now),
-      .CreatedAt = Now,
-      .Loading = true,
-      .StatusRetention = Context.Options.StatusRetention};
+  cell::OwnerOptions Options{.Service = Service,
+                             .AcquiredRow = OwnRow,
+                             .RowVersion = RowVersion,
+                             .ClockAtCreation = Context.StoreHealth.clock(Now),
+                             .CreatedAt = Now,
+                             .Loading = true,
+                             .StatusRetention =
+                                 Context.Options.StatusRetention};
   Options.Leases.LeaseDuration =
       std::min(Options.Leases.LeaseDuration, Context.Options.MaxLease);
   Options.MaxInstanceListAge = Context.Options.MaxDrainDelay - OrderTransitTime;
   Options.MaxJobFeedAge =
       Context.Options.MaxCancelDelay - MaxFeedSilence - OrderTransitTime;
-  Options.InheritedLeaseEnd =
-      cell::inheritedLeaseEnd(Options.Leases, LastRenewal);
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
 }
 
@@ -294,7 +291,7 @@
   if (StoreAnsweredAt > LastStoreAnswer + MinStoreSilence)
     Owner->onStoreBack(Now);
   LastStoreAnswer = StoreAnsweredAt;
-  auto Commit = Owner->nextCommit(Now, Context.StoreHealth.clockMillis(Now));
+  auto Commit = Owner->nextCommit(Now, Context.StoreHealth.clock(Now));
   if (!Commit)
     return;
   uint64_t Sequence = Owner->commitSequence();
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -21,8 +21,7 @@
 class OwnerLoop {
 public:
   OwnerLoop(EntryContext &Context, AdviceLoop &Advice, relay::RelayLoop &Relay,
-            std::string Service, cell::OwnerRow OwnRow, uint64_t RowVersion,
-            TimePoint LastRenewal);
+            std::string Service, cell::OwnerRow OwnRow, uint64_t RowVersion);
   ~OwnerLoop();
 
   void start();
@@ -62,7 +61,6 @@
   std::string Service;
   cell::OwnerRow OwnRow;
   uint64_t RowVersion;
-  TimePoint LastRenewal; ///< The previous owner has not renewed since.
 
   http::MultiClient Client;
   store::FeedCursor JobFeed;
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -46,17 +46,13 @@
   return Now >= VersionSeenAt + Wait + Rank * Options.RankStep;
 }
 
-Millis OwnerWatch::minSilence(TimePoint Now) const {
-  if (!Row || Row->Released)
-    return Millis(0);
-  return std::chrono::duration_cast<Millis>(Now - VersionSeenAt);
-}
-
 cell::OwnerRow OwnerWatch::successorRow(std::string Holder) const {
-  cell::OwnerRow Successor{.Holder = std::move(Holder), .Epoch = 1};
+  cell::OwnerRow Successor{
+      .Holder = std::move(Holder), .Epoch = 1, .LeasesEndMs = 0};
   if (Row) {
     Successor.Epoch = Row->Epoch + 1;
-    Successor.InheritedLeaseEnds = Row->InheritedLeaseEnds;
+    Successor.LeasesEndMs = Row->LeasesEndMs;
+    Successor.SilentLeaseEnds = Row->SilentLeaseEnds;
     Successor.LargestEntry = Row->LargestEntry;
     // Until the new owner has counted its jobs.
     Successor.PendingJobs = Row->PendingJobs;
--- a/src/node/OwnerWatch.h
+++ b/src/node/OwnerWatch.h
@@ -57,16 +57,14 @@
   bool shouldAcquire(const std::string &Holder, uint32_t Rank,
                      TimePoint Now) const;
 
-  /// A lower bound of the time since the owner's last renewal; 0 if it released
-  /// the service, as that may have happened just now.
-  Millis minSilence(TimePoint Now) const;
-
   uint64_t version() const { return Version; }
   /// The largest entry that the last owner knew; all 0 without a row.
   cell::EntryCapacity largestEntry() const {
     return Row ? Row->LargestEntry : cell::EntryCapacity();
   }
-  /// The row that acquires the service for \p Holder.
+  /// The row that acquires the service for \p Holder. It states when the leases
+  /// of earlier owners have expired, if the last row told; a service without a
+  /// row has had none.
   cell::OwnerRow successorRow(std::string Holder) const;
 
 private:
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -17,6 +17,13 @@
 /// Until a service has an owner, whose row names the largest entry.
 constexpr Millis CapacityReadInterval{500};
 
+/// For the leases of an owner whose row doesn't tell when they have expired.
+Millis longestLeaseHorizon(Millis MaxLease) {
+  cell::LeaseOptions Longest;
+  Longest.LeaseDuration = MaxLease;
+  return cell::leaseHorizon(Longest, Longest.OwnershipTimeout);
+}
+
 } // namespace
 
 WatchLoop::WatchLoop(EntryContext &Context, AdviceLoop &Advice,
@@ -214,7 +221,7 @@
         Watch.Owner.recordReadFailure();
       return;
     }
-    Context.StoreHealth.recordAnswer(Now, Page->StoreClockMs);
+    Context.StoreHealth.recordClock(RequestedAt, Now, Page->StoreClockMs);
     Context.StoreHealth.recordReadTime(Now - RequestedAt);
     if (!IsNewest)
       return;
@@ -242,6 +249,9 @@
   Watch.AcquireInFlight = true;
   cell::OwnerRow OwnRow = Watch.Owner.successorRow(Context.holder());
   OwnRow.RelayAddress = Context.Options.RelayAddress.text();
+  if (!OwnRow.LeasesEndMs)
+    OwnRow.LeasesEndMs = Context.StoreHealth.clock(Now).MaxMs +
+                         longestLeaseHorizon(Context.Options.MaxLease).count();
   store::Transaction Tx;
   Tx.Partition = Service;
   Tx.Preconditions.push_back({.Table = cell::OwnerTable,
@@ -250,27 +260,26 @@
   Tx.Writes.push_back({.Table = cell::OwnerTable,
                        .Key = cell::OwnerKey,
                        .Value = cell::encodeOwnerRow(OwnRow)});
-  TimePoint LastRenewal = Now - Watch.Owner.minSilence(Now);
-  Store->commit(Tx, [this, Service, OwnRow, Now,
-                     LastRenewal](const store::TransactionResult &Result) {
-    ServiceWatch &Watch = Watches[Service];
-    Watch.AcquireInFlight = false;
-    Watch.Reads.readAtOnce();
-    Watch.Owner.recordReadFailure();
-    if (Result.Outcome != store::TransactionOutcome::Committed) {
-      // If an unanswered try was committed, its epoch is never used: it ends
-      // when this entry or another acquires the service.
-      logInfo("service-not-taken", "service={} epoch={} outcome={}", Service,
-              OwnRow.Epoch, static_cast<int>(Result.Outcome));
-      return;
-    }
-    logInfo("takeover", "service={} epoch={} took_ms={}", Service, OwnRow.Epoch,
-            toMillis(monotonicNow() - Now));
-    OwnerLoops.push_back(std::make_unique<OwnerLoop>(
-        Context, Advice, Relay, Service, OwnRow, Result.Version, LastRenewal));
-    OwnerLoopCount.store(OwnerLoops.size());
-    OwnerLoops.back()->start();
-  });
+  Store->commit(
+      Tx, [this, Service, OwnRow, Now](const store::TransactionResult &Result) {
+        ServiceWatch &Watch = Watches[Service];
+        Watch.AcquireInFlight = false;
+        Watch.Reads.readAtOnce();
+        Watch.Owner.recordReadFailure();
+        if (Result.Outcome != store::TransactionOutcome::Committed) {
+          // If an unanswered try was committed, its epoch is never used: it
+          // ends when this entry or another acquires the service.
+          logInfo("service-not-taken", "service={} epoch={} outcome={}",
+                  Service, OwnRow.Epoch, static_cast<int>(Result.Outcome));
+          return;
+        }
+        logInfo("takeover", "service={} epoch={} took_ms={}", Service,
+                OwnRow.Epoch, toMillis(monotonicNow() - Now));
+        OwnerLoops.push_back(std::make_unique<OwnerLoop>(
+            Context, Advice, Relay, Service, OwnRow, Result.Version));
+        OwnerLoopCount.store(OwnerLoops.size());
+        OwnerLoops.back()->start();
+      });
 }
 
 void WatchLoop::removeFinishedLoops() {
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -192,7 +192,7 @@
   Sim.runFor(LoadMs - 500);
   CHECK(Sim.ownerRow().Sequence > Before.Sequence);
   CHECK(Sim.ownerRow().PendingJobs == Before.PendingJobs);
-  CHECK(Sim.ownerRow().InheritedLeaseEnds == Before.InheritedLeaseEnds);
+  CHECK(Sim.ownerRow().SilentLeaseEnds == Before.SilentLeaseEnds);
 }
 
 TEST(WhenTheNextOwnerLoadsForSeconds, ItCanReleaseTheServiceAtOnce) {
@@ -557,7 +557,7 @@
     Progress.Phase = JobPhase::Running;
     Progress.Tasks[{0, 0, 0}] = {.Phase = TaskPhase::Waiting, .Run = 1};
     Progress.Tasks[{0, 0, 1}] = {.Phase = TaskPhase::Starting, .Run = 1, .Executor = "i-1", .Address = "x:1"};
-    Owner.emplace(OwnerOptions{.Service = "s", .InheritedLeaseEnd = Now + Millis(5'000)}, Config);
+    Owner.emplace(OwnerOptions{.Service = "s", .AcquiredRow = {.LeasesEndMs = 5'000}, .CreatedAt = Now}, Config);
     Owner->restore(Gang, Progress, false, Now, Now);
   }
 };
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -229,7 +229,29 @@
   Row.Released = true;
   Watch.recordRow(11, Row, Quick, at(100));
   CHECK_TRUE(Watch.shouldAcquire("b/1", 0, at(100)));
-  LONGS_EQUAL(0, Watch.minSilence(at(200)).count());
+}
+
+TEST(AWatchedOwner, TellsItsSuccessorWhenItsLeasesHaveExpired) {
+  Row.LeasesEndMs = 7'000;
+  Row.SilentLeaseEnds["i-1"] = 4'000;
+  auto Stored = decodeOwnerRow(encodeOwnerRow(Row));
+  Watch.recordRow(11, *Stored, Quick, at(100));
+  LONGS_EQUAL(7'000, *Watch.successorRow("b/1").LeasesEndMs);
+  LONGS_EQUAL(4'000, Watch.successorRow("b/1").SilentLeaseEnds["i-1"]);
+}
+
+/// Guards against runs that are taken as over while an owner of an earlier
+/// version, whose rows say nothing of leases, may still have renewed theirs.
+TEST(AWatchedOwner, OfAnEarlierVersionLeavesItsSuccessorWithoutALeaseEnd) {
+  auto Stored = decodeOwnerRow(encodeOwnerRow(Row));
+  Watch.recordRow(11, *Stored, Quick, at(100));
+  CHECK_FALSE(Watch.successorRow("b/1").LeasesEndMs.has_value());
+}
+
+TEST(AWatchedOwner, ThatNeverWasLeavesNoLeases) {
+  node::OwnerWatch Unowned{node::OwnerWatchOptions{}};
+  Unowned.recordRow(0, std::nullopt, Quick, at(0));
+  LONGS_EQUAL(0, *Unowned.successorRow("b/1").LeasesEndMs);
 }
 
 TEST(AWatchedOwner, TellsOthersOfTheLargestEntry) {
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -108,26 +108,26 @@
   });
 }
 
-void Simulation::takeOver(const Acquisition &By) {
+void Simulation::takeOver(const std::string &Holder) {
   if (Owner)
     killOwner();
-  cell::OwnerRow Row{
-      .Holder = By.Holder.empty() ? "e" + std::to_string(Epoch + 1) : By.Holder,
-      .Epoch = ++Epoch};
+  cell::OwnerRow Row{.Holder = Holder.empty() ? "e" + std::to_string(Epoch + 1)
+                                              : Holder,
+                     .Epoch = ++Epoch};
   auto OldRow = Rows.find({cell::OwnerTable, cell::OwnerKey});
-  if (OldRow != Rows.end())
-    Row.InheritedLeaseEnds =
-        cell::decodeOwnerRow(OldRow->second.Value)->InheritedLeaseEnds;
+  if (OldRow != Rows.end()) {
+    auto Old = cell::decodeOwnerRow(OldRow->second.Value);
+    Row.LeasesEndMs = Old->LeasesEndMs;
+    Row.SilentLeaseEnds = Old->SilentLeaseEnds;
+  }
   Rows[{cell::OwnerTable, cell::OwnerKey}] = {cell::encodeOwnerRow(Row),
                                               ++Version};
   cell::OwnerOptions Options{.Service = "s",
                              .AcquiredRow = Row,
                              .RowVersion = Version,
-                             .StoreClockMs = clockMs(),
+                             .ClockAtCreation = storeClock(),
                              .CreatedAt = Now,
                              .Loading = true};
-  Options.InheritedLeaseEnd =
-      cell::inheritedLeaseEnd(Options.Leases, Now - By.MinSilence);
   if (Policy) {
     std::vector<cell::AdviceQueueInfo> Queues;
     for (size_t I = 0; I < Policy->Entries; ++I)
@@ -261,7 +261,7 @@
 }
 
 void Simulation::sendCommit(cell::CellOwner &Sender) {
-  auto Tx = Sender.nextCommit(Now, clockMs());
+  auto Tx = Sender.nextCommit(Now, storeClock());
   if (!Tx)
     return;
   ++CommitsSent;
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -69,13 +69,6 @@
   int64_t clockMs(TimePoint Now) const;
 };
 
-/// How an entry acquires the service.
-struct Acquisition {
-  std::string Holder; ///< If empty, an entry that never held it.
-  /// Lower bound of the time since the last owner's last renewal.
-  Millis MinSilence{0};
-};
-
 /// Connections of one owner that are cut.
 struct OwnerCuts {
   bool Store = false;              ///< Its commits are not carried out.
@@ -91,8 +84,9 @@
   /// Requires tickets of this policy from now on. To be called before the first
   /// owner takes over.
   void requireAdvice(const SimPolicy &NewPolicy);
-  /// A new owner takes over the service.
-  void takeOver(const Acquisition &By = {});
+  /// A new owner takes over the service; without a name, an entry that never
+  /// held it.
+  void takeOver(const std::string &Holder = "");
   /// The owner's process ends.
   void killOwner();
   /// Pauses the owner's process. Once it is resumed, it runs beside the owner
@@ -195,6 +189,9 @@
   bool isGangDone(const std::string &Task) const;
   void checkStart(SimExecutor &Executor, const executor::StartOrder &Order);
   int64_t clockMs() const { return toMillis(Now.time_since_epoch()); }
+  cell::StoreClock storeClock() const {
+    return {.MinMs = clockMs(), .MaxMs = clockMs()};
+  }
   std::vector<executor::ExecutorInfo> instanceList() const;
 
   Random Rng;
--- a/tests/unit/LostExecutorTest.cpp
+++ b/tests/unit/LostExecutorTest.cpp
@@ -53,7 +53,7 @@
       readRow(Sim);
     if (IsOwner || !Watch.shouldAcquire(Holder, Rank, Sim.Now))
       return false;
-    Sim.takeOver({.Holder = Holder, .MinSilence = Watch.minSilence(Sim.Now)});
+    Sim.takeOver(Holder);
     Watch.recordReadFailure();
     return true;
   }
@@ -141,7 +141,7 @@
       Sim.addExecutor(Wide);
     Sim.RunTimeFor = [](const std::string &, int64_t) { return Forever; };
     prepare();
-    Sim.takeOver({.Holder = "e1/1"});
+    Sim.takeOver("e1/1");
     Sim.submit(makeLastingJob(LastingJobId, Tasks));
     CHECK(Sim.runUntil([&] { return Sim.Started.size() == Tasks; }, 2'000));
     for (uint32_t I = 0; I < Tasks; ++I)
