node: The waits of a graceful shutdown share one limit

Seen by callers: nothing yet; found by adding up the waits. A request of the usual timeout (3 s) that comes in the last moment of the load balancer's grace (2.2 s) may be answered 5.05 s after the stop signal; at a drain limit of 6 s its connection was closed after 5.0 s. At drain limits below 3.2 s, which the settings allow from 0.5 s, the process stayed for 2.2 s and was killed.

Cause: three waits and a margin were constants of their own, and only the last wait counted the time of the others.

Ruled out: a higher minimum of the setting, since an entry that doesn't start is worse than one that stops with a shorter grace.

Change: ShutdownPlan derives each wait from the time left, without I/O.

--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -15,20 +15,13 @@
 
 constexpr size_t ArrivalCapacity = 4'096;
 constexpr Millis MaxPollWait{500};
-/// Timeout of requests that don't give one.
-constexpr Millis DefaultTimeout{3'000};
 constexpr Millis MaxTimeout{30'000};
-/// Time reserved for an answer to reach the caller.
-constexpr Millis AnswerMargin{150};
 constexpr Millis WriteRetryDelay{80};
 /// A write that is not answered within this multiple of the read time, and at
 /// least MinHedgeDelay, is sent once more.
 constexpr double HedgeReadFactor = 25;
 constexpr Millis MinHedgeDelay{200};
 constexpr Millis SilenceCheckInterval{150};
-/// A working store answers some loop of this process several times within this
-/// period.
-constexpr Millis StoreSilenceLimit{1'000};
 /// Requests that the store refuses are retried by the caller, not here.
 constexpr const char *RetryAfterSeconds = "1";
 
@@ -50,7 +43,7 @@
 TimePoint deadlineOf(const http::Request &Request,
                      const std::string &HeaderName, TimePoint ArrivedAt) {
   const std::string *Header = http::findHeader(Request.Headers, HeaderName);
-  int64_t TimeoutMs = DefaultTimeout.count();
+  int64_t TimeoutMs = IntakeLoop::DefaultTimeout.count();
   if (Header)
     std::from_chars(Header->data(), Header->data() + Header->size(), TimeoutMs);
   TimeoutMs = std::clamp<int64_t>(TimeoutMs, 1, MaxTimeout.count());
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -19,6 +19,14 @@
 /// outcome is reported as unknown; if it can't be stored it is refused at once.
 class IntakeLoop final : public http::Handler {
 public:
+  /// Timeout of requests that don't give one.
+  static constexpr Millis DefaultTimeout{3'000};
+  /// Time reserved for an answer to reach the caller.
+  static constexpr Millis AnswerMargin{150};
+  /// A working store answers some loop of this process several times within
+  /// this period.
+  static constexpr Millis StoreSilenceLimit{1'000};
+
   IntakeLoop(EntryContext &Context, relay::RelayLoop &Relay);
   ~IntakeLoop() override { stop(); }
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "node/AdviceLoop.h"
 #include "node/IntakeLoop.h"
+#include "node/ShutdownPlan.h"
 #include "node/StatusApi.h"
 #include "node/WatchLoop.h"
 #include "relay/RelayLoop.h"
@@ -20,9 +21,6 @@
 
 /// An entry that has had no answer from the store for this long is not ready.
 constexpr Millis ReadinessSilenceLimit{1'500};
-/// How long the load balancer may send requests after readiness turns false.
-constexpr Millis LoadBalancerGrace{2'200};
-constexpr Millis ReleaseTimeout{1'500};
 
 std::string newIncarnation() {
   std::random_device Source;
@@ -123,15 +121,10 @@
     logInfo("stopping", "entry={} open={}", Context.Options.Name,
             Intake.openRequests());
     Context.Draining.store(true);
-    Watch.release(ReleaseTimeout);
-    Micros Elapsed = monotonicNow() - StartedAt;
-    if (Elapsed < LoadBalancerGrace)
-      std::this_thread::sleep_for(LoadBalancerGrace - Elapsed);
-    Millis TimeLeft =
-        Context.Options.DrainLimit -
-        std::chrono::duration_cast<Millis>(monotonicNow() - StartedAt);
-    constexpr Millis ExitMargin{1'000};
-    CallerServer.stop(std::max(Millis(0), TimeLeft - ExitMargin));
+    ShutdownPlan Plan(StartedAt, Context.Options.DrainLimit);
+    Watch.release(Plan.releaseLimit(monotonicNow()));
+    std::this_thread::sleep_for(Plan.loadBalancerWait(monotonicNow()));
+    CallerServer.stop(Plan.answerLimit(monotonicNow()));
     logInfo("stopped", "entry={} took_ms={}", Context.Options.Name,
             toMillis(monotonicNow() - StartedAt));
   }
