tests: Sums of waits that stand behind a bound

No behaviour changes. Some promises are kept by constants of several files whose sum stood nowhere, so that a change of one could break them without a failing test. The tests add them up, in virtual time where a component decides: a store that loses one answer isn't taken for silent (longest gap 0.6 s of 1 s), an owner that misses two heartbeats keeps its service, a lost read of the instance list stops no starts, advice arrives in time if one queue never answers (2.77 s of 3 s for a call of 0.85 s), and the defaults of a zone entry fit each other.

The constants of ExecutorList moved into its header, to be read by the tests.

--- a/src/node/ExecutorList.cpp
+++ b/src/node/ExecutorList.cpp
@@ -6,11 +6,7 @@
 
 namespace {
 
-/// Interval of full reads. Starts require a list confirmed within the time in
-/// which a draining executor must stop receiving them.
-constexpr Millis FullReadInterval{700};
 constexpr Millis FeedWait{1'500};
-constexpr Millis RetryDelay{100};
 
 } // namespace
 
--- a/src/node/ExecutorList.h
+++ b/src/node/ExecutorList.h
@@ -15,6 +15,11 @@
 /// changes early, but may skip some; only full reads confirm the copy.
 class ExecutorList {
 public:
+  /// Interval of full reads. Starts require a list confirmed within the time in
+  /// which a draining executor must stop receiving them.
+  static constexpr Millis FullReadInterval{700};
+  static constexpr Millis RetryDelay{100};
+
   /// \p OnStoreAnswer receives the store's clock (ms) with every answer, but
   /// for feed pages without rows, as they end a wait that began long before.
   ExecutorList(store::RowStore &Store, const DocumentCodec &Codec,
