entry: No zone is called lost on rows that weren't read lately

Seen by callers: nothing yet; found by reading. An entry that was paused, or cut off from the platform, may find that a zone that had been silent for a while before counts as lost at once: the time of the pause was added to the zone's silence. It then took over the zone's shards and moved their jobs for nothing.

Cause: the loop that reads the rows leaves out the time in which it didn't read, the loop that moves jobs didn't.

Change: both use isObserving, one copy of the condition. The move is not unsafe either way, as it acquires the shard and waits for its leases.

--- a/src/entry/Ownership.cpp
+++ b/src/entry/Ownership.cpp
@@ -132,6 +132,12 @@
   return Best;
 }
 
+bool isObserving(TimePoint LastRead, const config::Settings &Options,
+                 TimePoint Now) {
+  return Now - LastRead <
+         Options.TakeoverTimeout / 2 + Options.HeartbeatInterval;
+}
+
 bool isZoneLost(std::string_view Zone, std::span<const Member> Members,
                 Micros SilenceLimit, TimePoint Now) {
   bool HasEntries = false;
--- a/src/entry/Ownership.h
+++ b/src/entry/Ownership.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_ENTRY_OWNERSHIP_H
 
 #include "config/JobSpec.h"
+#include "config/Settings.h"
 #include "entry/ClusterView.h"
 #include "table/Table.h"
 
@@ -31,6 +32,12 @@
             const config::JobSpec &Spec, uint32_t ShardsPerZone,
             const std::set<std::string> &ExcludedZones);
 
+/// Whether the rows of other entries were read lately, at \p LastRead. If not,
+/// as after an outage of the platform or a pause of this process, their silence
+/// since then proves nothing.
+bool isObserving(TimePoint LastRead, const config::Settings &Options,
+                 TimePoint Now);
+
 /// Whether \p Zone is lost: it has entries, all of them are silent, and no row
 /// of theirs has changed for at least \p SilenceLimit.
 bool isZoneLost(std::string_view Zone, std::span<const Member> Members,
--- a/src/entry/RescueLoop.cpp
+++ b/src/entry/RescueLoop.cpp
@@ -99,9 +99,10 @@
 
 void RescueLoop::rescueLostShards(table::HttpPlatform &Platform) {
   auto View = Context.Views.current();
-  if (!View->Config || !View->PlatformReachable)
-    return;
   TimePoint Now = monotonicNow();
+  if (!View->Config || !View->PlatformReachable ||
+      !isObserving(View->OwnershipConfirmedAt, Context.Options, Now))
+    return;
   Member Self{.Name = Context.Options.Name, .Incarnation = Context.Incarnation};
   std::vector<std::pair<ShardRow, std::string>> AcquiredShards;
   for (const ShardRow &Shard : View->Shards) {
--- a/src/entry/SyncLoop.cpp
+++ b/src/entry/SyncLoop.cpp
@@ -136,11 +136,8 @@
   auto Rows = Store.scan(MemberPrefix);
   if (!Rows)
     return;
-  // After an outage of the platform or a pause of this process, the rows were
-  // not observed in between, so no entry counts as silent.
-  bool WasObserving =
-      Now - LastMemberRead <
-      Context.Options.TakeoverTimeout / 2 + Context.Options.HeartbeatInterval;
+  // Otherwise no entry counts as silent.
+  bool WasObserving = isObserving(LastMemberRead, Context.Options, Now);
   LastMemberRead = Now;
   std::vector<Member> Members;
   for (const table::Row &Row : *Rows) {
--- a/tests/unit/OwnershipTest.cpp
+++ b/tests/unit/OwnershipTest.cpp
@@ -85,6 +85,16 @@
       isZoneLost("zb", View.Members, Millis(500), TimePoint(Millis(1'600))));
 }
 
+/// Guards against moving the jobs of a zone whose entries may have come back
+/// while this process was paused or the platform was away.
+TEST(WhenTheOwnerIsSilent, ItsSilenceDuringAPauseOfTheObserverProvesNothing) {
+  config::Settings Options;
+  TimePoint LastRead(Millis(1'000));
+  CHECK(isObserving(LastRead, Options, LastRead + Options.HeartbeatInterval));
+  CHECK_FALSE(
+      isObserving(LastRead, Options, LastRead + Options.ZoneLossTimeout));
+}
+
 TEST(AZoneOfTwoEntries, ShardsSpreadOverItsEntries) {
   std::set<std::string> Owners;
   for (int I = 0; I < 32; ++I)
