standin: Delayed actions wait for a duration

wait_until was given a time of monotonicNow, which a condition variable compares with its own clock.

--- a/tests/standin/DelayQueue.h
+++ b/tests/standin/DelayQueue.h
@@ -45,8 +45,9 @@
         QueueChanged.wait(Lock);
         continue;
       }
-      if (ActionsByTime.begin()->first > monotonicNow()) {
-        QueueChanged.wait_until(Lock, ActionsByTime.begin()->first);
+      Micros Delay = ActionsByTime.begin()->first - monotonicNow();
+      if (Delay > Micros(0)) {
+        QueueChanged.wait_for(Lock, Delay);
         continue;
       }
       std::function<void()> Action = std::move(ActionsByTime.begin()->second);
