A late answer doesn't set the entry's view of the store's clock back

Found by a search for the cause of the lasting tasks that waited too long: owners state on the store's clock when leases have expired.

Cause: recordAnswer took the reading of each answer that was above the last reading, also if it was received so late that the clock, extrapolated from the last one, had gone further. As the lower bound that successors read by, it made them wait longer than they must, by as much as the answer was late (up to 0.9 s for reads). What owners state goes by the upper bound, which was safe already.

A reading now replaces another if it is a closer bound, or after 10 s, so that drift doesn't add up.

--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -66,21 +66,18 @@
   void recordClock(TimePoint SentAt, TimePoint Now, int64_t StoreMillis) {
     recordAnswer(Now, StoreMillis);
     std::lock_guard<std::mutex> Lock(Mutex);
-    bool IsCloser = StoreMillis + toMillis(Now - SentAt) <= maxClockMs(Now);
-    bool IsOutdated = MaxClockReadAt && Now > *MaxClockReadAt + MaxClockAge;
-    if (MaxClockReadAt && !IsCloser && !IsOutdated)
-      return;
-    MaxClockMs = StoreMillis;
-    MaxClockSentAt = SentAt;
-    MaxClockReadAt = Now;
+    ClockReading Reading{.ClockMs = StoreMillis, .At = SentAt, .ReadAt = Now};
+    if (isOutdated(MaxClock, Now) ||
+        Reading.clockMs(Now) <= MaxClock.clockMs(Now))
+      MaxClock = Reading;
   }
   void recordAnswer(TimePoint Now, int64_t StoreMillis) {
     std::lock_guard<std::mutex> Lock(Mutex);
     LastAnswer = std::max(LastAnswer, Now);
-    if (StoreMillis <= ClockMs)
-      return;
-    ClockMs = StoreMillis;
-    ClockReadAt = Now;
+    ClockReading Reading{.ClockMs = StoreMillis, .At = Now, .ReadAt = Now};
+    if (isOutdated(MinClock, Now) ||
+        Reading.clockMs(Now) >= MinClock.clockMs(Now))
+      MinClock = Reading;
   }
   /// A feed page without rows ends a wait that began before it, so it doesn't
   /// show that the store answers requests sent since.
@@ -119,37 +116,42 @@
   /// may be later by that answer's transit.
   int64_t clockMillis(TimePoint Now) const {
     std::lock_guard<std::mutex> Lock(Mutex);
-    return clockMs(Now);
+    return MinClock.clockMs(Now);
   }
   cell::StoreClock clock(TimePoint Now) const {
     std::lock_guard<std::mutex> Lock(Mutex);
-    int64_t MinMs = clockMs(Now);
-    return {.MinMs = MinMs,
-            .MaxMs = MaxClockReadAt ? std::max(MinMs, maxClockMs(Now)) : MinMs};
+    int64_t MinMs = MinClock.clockMs(Now);
+    int64_t MaxMs = MaxClock.isKnown() ? MaxClock.clockMs(Now) : MinMs;
+    return {.MinMs = MinMs, .MaxMs = std::max(MinMs, MaxMs)};
   }
 
 private:
-  /// Readings older than this are replaced also by less exact ones, so that
-  /// clocks that drift apart don't matter.
-  static constexpr Millis MaxClockAge{10'000};
+  /// The clock read `ClockMs` at `At`, or before (a lower bound of the clock)
+  /// or after it (an upper bound).
+  struct ClockReading {
+    int64_t ClockMs = 0;
+    TimePoint At{};
+    TimePoint ReadAt{};
+
+    bool isKnown() const { return ReadAt != TimePoint{}; }
+    int64_t clockMs(TimePoint Now) const {
+      return ClockMs + toMillis(Now - At);
+    }
+  };
 
-  int64_t clockMs(TimePoint Now) const {
-    return ClockMs + toMillis(Now - ClockReadAt);
-  }
-  int64_t maxClockMs(TimePoint Now) const {
-    return MaxClockMs + toMillis(Now - MaxClockSentAt);
+  /// Whether a reading is replaced also by a less exact one, as clocks may
+  /// drift apart.
+  static bool isOutdated(const ClockReading &Reading, TimePoint Now) {
+    constexpr Millis MaxAge{10'000};
+    return !Reading.isKnown() || Now > Reading.ReadAt + MaxAge;
   }
 
   mutable std::mutex Mutex;
   TimePoint LastAnswer{};
   double AverageReadMs = 5; ///< Moving average.
   double OpenReadMs = 0;
-  int64_t ClockMs = 0;
-  TimePoint ClockReadAt{};
-  /// The clock read `MaxClockMs` at `MaxClockSentAt` or later.
-  int64_t MaxClockMs = 0;
-  TimePoint MaxClockSentAt{};
-  std::optional<TimePoint> MaxClockReadAt;
+  ClockReading MinClock;
+  ClockReading MaxClock;
 };
 
 /// A live job as last published by its owner.
