Time counts the suspension of an instance

Found by a search for the cause of the lasting tasks that waited too long: what an owner may grant is limited to 2 s from its last confirmed commit.

Cause: std::chrono::steady_clock stands still while an instance is suspended. An owner that wakes after seconds would take its ownership for fresh, and after the first answer of an executor grant full leases there, although its row states that all have expired and a successor that can't reach the executor relies on it: two runs at once. In the older role ShardOwner::renewLease has the same.

monotonicNow reads CLOCK_BOOTTIME, behind a clock type of its own, so that no TimePoint reaches a wait on another clock unnoticed. What a jump forward does to deadlines is what a paused process sees already.

No test fails without it: a test can't suspend the machine.

--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -3,20 +3,37 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace daisylanding {
 
 using Millis = std::chrono::milliseconds;
 using Micros = std::chrono::microseconds;
 
+/// A monotonic clock that goes on while the instance is suspended, unlike
+/// std::chrono::steady_clock: others may have taken over meanwhile.
+struct BootClock {
+  using duration = Micros;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept {
+    timespec Time{};
+    clock_gettime(CLOCK_BOOTTIME, &Time);
+    return time_point(std::chrono::duration_cast<Micros>(
+        std::chrono::seconds(Time.tv_sec) +
+        std::chrono::nanoseconds(Time.tv_nsec)));
+  }
+};
+
 /// Monotonic time of this process; not comparable across processes.
-using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Micros>;
+using TimePoint = BootClock::time_point;
 
 /// Reads the monotonic clock. Only thread loops call this; the decision logic
 /// takes `Now` as a parameter.
-inline TimePoint monotonicNow() {
-  return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
-}
+inline TimePoint monotonicNow() { return BootClock::now(); }
 
 /// Wall-clock time in microseconds since 1970, for logs and the timeline.
 inline int64_t wallMicros() {
