The log tells what a recorded start has waited for

Callers saw lasting tasks wait 1 to 4 s between run-lapsed and start-recorded, and no line said for what.

start-recorded gets, in ms before it: the end of the task's last run, the first call about this executor to the policy service and its answer, the placement, and the moment from which the ticket was valid. The owner's behaviour is the same.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -252,6 +252,7 @@
     std::string JobId;
     TaskPosition Position; ///< `Index` is unused.
     AdviceReason Reason = AdviceReason::First;
+    TimePoint RequestedAt{};
     std::vector<ExecutorIndex> AskedExecutors;
   };
 
@@ -279,9 +280,9 @@
   void resizeExecutorTables();
 
   // Runs.
-  void placeTask(const TaskKey &Key, ExecutorIndex Index);
+  void placeTask(const TaskKey &Key, ExecutorIndex Index, TimePoint Now);
   void unplaceTask(const TaskKey &Key);
-  void recordRun(const TaskKey &Key);
+  void recordRun(const TaskKey &Key, TimePoint Now);
   void openRun(const TaskKey &Key);
   void closeRun(const TaskKey &Key, TaskPhase NextPhase);
   void dropRefusedStart(const TaskKey &Key, TimePoint Now);
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -38,6 +38,11 @@
   uint32_t PacePercent = 100;
   bool SpeedRecorded = false; ///< The run was counted in the speed tracker.
   Millis RunTime{0};          ///< Of the run that ended as done.
+
+  /// End of the last run, as far as this owner has seen it.
+  TimePoint LastRunEndedAt{};
+  TimePoint PlacedAt{};
+  TimePoint TicketedAt{}; ///< Placed and with a valid ticket, if it needs one.
 };
 
 /// Whether the policy allows a step on one executor, and the ticket for it.
@@ -45,6 +50,8 @@
   bool Allowed = false;
   std::string Ticket;
   TimePoint ValidUntil{};
+  TimePoint AskedAt{};   ///< The first call that named the executor.
+  TimePoint AdvisedAt{}; ///< Its answer.
 };
 
 struct LiveStep {
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -127,6 +127,7 @@
       .JobId = Waiting.Job->Spec.Id,
       .Position = {Waiting.Occurrence, Waiting.Step, 0},
       .Reason = Reason,
+      .RequestedAt = Now,
       .AskedExecutors = std::move(Named)};
   Commands.AdviceCalls.push_back(std::move(Command));
 }
@@ -186,13 +187,14 @@
   if (!IsRenewal)
     Step->AdvisedAt = Now;
   for (ExecutorIndex Index : Request.AskedExecutors)
-    Step->Permissions.try_emplace(Index);
+    Step->Permissions.try_emplace(
+        Index, Permission{.AskedAt = Request.RequestedAt, .AdvisedAt = Now});
   for (const executor::Ticket &Ticket : Answer->Tickets) {
     ExecutorIndex Index = Pool.findOrAdd(Ticket.ExecutorId);
-    Step->Permissions[Index] = {.Allowed = true,
-                                .Ticket = Ticket.Text,
-                                .ValidUntil =
-                                    Now + Answer->Validity - TicketTransitTime};
+    Permission &Granted = Step->Permissions[Index];
+    Granted.Allowed = true;
+    Granted.Ticket = Ticket.Text;
+    Granted.ValidUntil = Now + Answer->Validity - TicketTransitTime;
   }
 }
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -1,4 +1,5 @@
 #include "cell/CellOwner.h"
+#include "cell/StartTimes.h"
 
 #include "common/Log.h"
 
@@ -258,9 +259,13 @@
     if (!IsCurrent)
       continue;
     Key->task().Phase = TaskPhase::Starting;
-    logInfo("start-recorded", "task={} run={} executor={} epoch={} commit={}",
+    StartTimes Times = startTimesOf(Key->step(), Key->task(), Now);
+    logInfo("start-recorded",
+            "task={} run={} executor={} epoch={} commit={} ended_ms={} "
+            "asked_ms={} advised_ms={} placed_ms={} ticketed_ms={}",
             Start.Task, Start.Run, Pool[Key->task().Executor].Info.Id,
-            Row.Epoch, Row.Sequence);
+            Row.Epoch, Row.Sequence, Times.EndedMs, Times.AskedMs,
+            Times.AdvisedMs, Times.PlacedMs, Times.TicketedMs);
   }
   for (const std::string &Id : Commit.OfferedJobs) {
     Jobs.at(Id).Stored = true;
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -196,7 +196,7 @@
       continue;
     }
     TaskKey Key = Waiting.task(I);
-    placeTask(Key, *Best);
+    placeTask(Key, *Best, Now);
     ++TasksByExecutor[*Best];
     if (Request.Step->BestEffort)
       Loads[*Best].BestEffortMilliCores += Request.Step->Size.MilliCores;
@@ -228,7 +228,7 @@
     return;
   }
   for (uint32_t I = 0; I < Count; ++I)
-    placeTask(Waiting.task(I), (*Executors)[I]);
+    placeTask(Waiting.task(I), (*Executors)[I], Now);
 }
 
 /// Expected time until the executor has free capacity for a task of the step;
@@ -327,7 +327,7 @@
       continue;
     // Members of a gang share the run number.
     Task.Run = Spec.Gang ? HighestRun + 1 : Task.Run + 1;
-    recordRun(Waiting.task(I));
+    recordRun(Waiting.task(I), Now);
     AnyRecorded = true;
   }
   return AnyRecorded;
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -45,9 +45,11 @@
 
 } // namespace
 
-void CellOwner::placeTask(const TaskKey &Key, ExecutorIndex Index) {
+void CellOwner::placeTask(const TaskKey &Key, ExecutorIndex Index,
+                          TimePoint Now) {
   LiveTask &Task = Key.task();
   Task.Phase = TaskPhase::Placed;
+  Task.PlacedAt = Now;
   Task.Executor = Index;
   Task.CapacityReserved = true;
   Pool.reserve(Index, demandOf(Key.spec()));
@@ -71,9 +73,10 @@
 }
 
 /// Opens a run whose record the next commit stores. The caller has set `Run`.
-void CellOwner::recordRun(const TaskKey &Key) {
+void CellOwner::recordRun(const TaskKey &Key, TimePoint Now) {
   LiveTask &Task = Key.task();
   Task.Phase = TaskPhase::Recording;
+  Task.TicketedAt = Now;
   Task.OrderPending = false;
   Task.StartUnanswered = false;
   Task.Confirmed = false;
@@ -201,6 +204,7 @@
   }
   bool IsDone = Kind == EndKind::Done && !Spec.LongRunning;
   closeRun(Key, IsDone ? TaskPhase::Done : TaskPhase::Waiting);
+  Key.task().LastRunEndedAt = Now;
   if (Spec.Gang)
     onGangMemberEnd(Key, Kind, Now);
   else if (Kind == EndKind::Failed)
--- /dev/null
+++ b/src/cell/StartTimes.cpp
@@ -0,0 +1,26 @@
+#include "cell/StartTimes.h"
+
+namespace daisylanding::cell {
+
+namespace {
+
+int64_t millisSince(TimePoint Then, TimePoint Now) {
+  return Then == TimePoint{} ? -1 : toMillis(Now - Then);
+}
+
+} // namespace
+
+StartTimes startTimesOf(const LiveStep &Step, const LiveTask &Task,
+                        TimePoint Now) {
+  StartTimes Times{.EndedMs = millisSince(Task.LastRunEndedAt, Now),
+                   .PlacedMs = millisSince(Task.PlacedAt, Now),
+                   .TicketedMs = millisSince(Task.TicketedAt, Now)};
+  auto Found = Step.Permissions.find(Task.Executor);
+  if (Found == Step.Permissions.end())
+    return Times;
+  Times.AskedMs = millisSince(Found->second.AskedAt, Now);
+  Times.AdvisedMs = millisSince(Found->second.AdvisedAt, Now);
+  return Times;
+}
+
+} // namespace daisylanding::cell
