Restarts of lasting tasks are prepared while a silent executor's lease runs out

Callers saw lasting tasks of lost executors start again up to 4.4 s after their runs had lapsed, and the task's wait exceed its bound of 9 s.

Cause, by the times in start-recorded: only the lapse made the owner ask for advice (0.6 to 1.2 s where the service had changed owners and the step had no permissions) or for a ticket (0.5 to 2.8 s), beside the calls of everything else that lapsed at the same moment. Ruled out: the commit (15 to 60 ms).

From 2 s before the leases on a silent executor expire, the owner keeps places for its lasting tasks from less urgent work, asks for advice if it has too few, and renews the tickets for these places. At the lapse the places are preferred, so that only the commit and the start remain. Nothing is recorded or started before. Lasting tasks that have run before are due at once, and executors may be reserved for them if they find no place, as for wide tasks. The keeping is for one planning turn at a time, so an executor that answers again costs nothing but the calls.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -326,6 +326,10 @@
     }
   };
   std::vector<WaitingStepRef> waitingSteps(TimePoint Now);
+  std::vector<WaitingStepRef> stepsToPlan(TimePoint Now);
+  std::vector<WaitingStepRef> stepsWhere(
+      const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
+      TimePoint Now);
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
@@ -339,12 +343,16 @@
                      std::span<const ExecutorLoad> Loads, TimePoint Now);
   void renewTickets(const WaitingStepRef &Waiting, const Queue &JobQueue,
                     TimePoint Now);
+  void emitRenewal(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                   std::vector<ExecutorIndex> Named, TimePoint Now);
   void emitAdviceCall(const WaitingStepRef &Waiting, const Queue &JobQueue,
                       AdviceReason Reason, std::vector<ExecutorIndex> Named,
                       TimePoint Now);
   LiveStep *stepOf(const AdviceRequest &Request);
-  static bool hasValidTicket(const LiveStep &Step, const LiveTask &Task,
+  static bool hasValidTicket(const LiveStep &Step, ExecutorIndex Index,
                              TimePoint Now);
+  bool isNeeded(const AdviceRequest &Request, const LiveStep &Step,
+                const LiveJob &Job, TimePoint Now) const;
   double slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
                  uint32_t Step, TimePoint Now) const;
   void reserveExecutors(const WaitingStepRef &Waiting, size_t Count,
@@ -356,6 +364,20 @@
                       std::map<ExecutorIndex, uint32_t> &TasksByExecutor) const;
   std::vector<ExecutorLoad> executorLoads(TimePoint Now) const;
 
+  // Restarts of long-running tasks whose leases expire soon.
+  bool isLapsing(const LiveTask &Run, TimePoint Now) const;
+  uint32_t countLapsingTasks(const LiveStep &Step, const StepSpec &Spec,
+                             TimePoint Now) const;
+  void prepareRestarts(const WaitingStepRef &Waiting, const Queue *JobQueue,
+                       std::span<const ExecutorLoad> Loads, TimePoint Now);
+  std::vector<ExecutorIndex> holdPlaces(const WaitingStepRef &Waiting,
+                                        const Queue *JobQueue,
+                                        std::span<const ExecutorLoad> Loads,
+                                        uint32_t Count, TimePoint Now);
+  void releaseHeldPlaces();
+  void prepareTickets(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                      std::span<const ExecutorIndex> Places, TimePoint Now);
+
   // Orders.
   bool mayStart(TimePoint Now) const {
     return Now < InstanceListConfirmedAt + Options.MaxInstanceListAge &&
@@ -401,6 +423,8 @@
   std::vector<std::vector<TaskKey>> OpenRunsByExecutor;
   std::vector<PaceState> PaceByExecutor;
   std::vector<Reservation> Reservations;
+  /// Kept during one planning turn for tasks whose leases expire soon.
+  std::vector<std::pair<ExecutorIndex, Resources>> HeldPlaces;
   /// Jobs with changes to store, each with a number that orders them by their
   /// oldest unstored change.
   std::map<std::string, uint64_t> DirtyJobs;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -62,6 +62,10 @@
   TimePoint AdvisedAt{};       ///< Last answer that named further executors.
   TimePoint NextAdviceAt{};
   TimePoint NextRenewalAt{};
+  /// Executors on which places and tickets are kept for tasks whose leases
+  /// expire soon.
+  std::vector<ExecutorIndex> PreparedExecutors;
+  TimePoint PreparedAt{};
   /// The newest run that was counted as failed.
   uint32_t LastFailedGangRun = 0;
 };
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -33,9 +33,9 @@
 
 } // namespace
 
-bool CellOwner::hasValidTicket(const LiveStep &Step, const LiveTask &Task,
+bool CellOwner::hasValidTicket(const LiveStep &Step, ExecutorIndex Index,
                                TimePoint Now) {
-  auto Found = Step.Permissions.find(Task.Executor);
+  auto Found = Step.Permissions.find(Index);
   return Found != Step.Permissions.end() &&
          Found->second.ValidUntil > Now + TicketMargin;
 }
@@ -53,7 +53,8 @@
     return;
   const StepSpec &Spec = Waiting.spec();
   const std::string &JobId = Waiting.Job->Spec.Id;
-  uint32_t Tasks = countTasks(Step, TaskPhase::Waiting);
+  uint32_t Tasks =
+      countTasks(Step, TaskPhase::Waiting) + countLapsingTasks(Step, Spec, Now);
   bool IsFirst = Step.Permissions.empty();
   AllowedPlaces Places = countAllowedPlaces(Pool, Spec, Step.Permissions, Now);
   AdviceNeed Need{
@@ -82,20 +83,27 @@
 /// members of a gang, which start together.
 void CellOwner::renewTickets(const WaitingStepRef &Waiting,
                              const Queue &JobQueue, TimePoint Now) {
-  LiveStep &Step = Waiting.step();
-  if (Step.RenewalPending || Now < Step.NextRenewalAt)
-    return;
+  const LiveStep &Step = Waiting.step();
   std::vector<ExecutorIndex> Named;
   for (const LiveTask &Task : Step.Tasks) {
-    bool IsNeeded = Task.Phase == TaskPhase::Placed &&
-                    (Waiting.spec().Gang || !hasValidTicket(Step, Task, Now));
+    bool IsNeeded =
+        Task.Phase == TaskPhase::Placed &&
+        (Waiting.spec().Gang || !hasValidTicket(Step, Task.Executor, Now));
     bool IsNamed =
         std::find(Named.begin(), Named.end(), Task.Executor) != Named.end();
     if (IsNeeded && !IsNamed &&
         Named.size() < executor::MaxExecutorsPerAdviceCall)
       Named.push_back(Task.Executor);
   }
-  if (Named.empty())
+  emitRenewal(Waiting, JobQueue, std::move(Named), Now);
+}
+
+/// Requests new tickets for these executors unless such a call is open.
+void CellOwner::emitRenewal(const WaitingStepRef &Waiting,
+                            const Queue &JobQueue,
+                            std::vector<ExecutorIndex> Named, TimePoint Now) {
+  LiveStep &Step = Waiting.step();
+  if (Named.empty() || Step.RenewalPending || Now < Step.NextRenewalAt)
     return;
   Step.RenewalPending = true;
   emitAdviceCall(Waiting, JobQueue, AdviceReason::Renewal, std::move(Named),
@@ -140,19 +148,28 @@
   return &TaskKey{Job, Request.Position}.step();
 }
 
+bool CellOwner::isNeeded(const AdviceRequest &Request, const LiveStep &Step,
+                         const LiveJob &Job, TimePoint Now) const {
+  if (isFinal(Job.Phase))
+    return false;
+  TaskPhase Phase = Request.Reason == AdviceReason::Renewal
+                        ? TaskPhase::Placed
+                        : TaskPhase::Waiting;
+  return countTasks(Step, Phase) > 0 ||
+         countLapsingTasks(Step, Job.Spec.Steps[Request.Position.Step], Now) >
+             0;
+}
+
 std::optional<TimePoint> CellOwner::adviceDueAt(uint64_t Id, TimePoint Now) {
   auto Found = OpenAdviceCalls.find(Id);
   if (Found == OpenAdviceCalls.end())
     return std::nullopt;
   const AdviceRequest &Request = Found->second;
-  bool IsRenewal = Request.Reason == AdviceReason::Renewal;
   LiveStep *Step = stepOf(Request);
-  bool IsNeeded =
-      Step && !isFinal(findJob(Request.JobId)->Phase) &&
-      countTasks(*Step, IsRenewal ? TaskPhase::Placed : TaskPhase::Waiting) > 0;
-  if (!IsNeeded) {
+  if (!Step || !isNeeded(Request, *Step, *findJob(Request.JobId), Now)) {
     if (Step)
-      (IsRenewal ? Step->RenewalPending : Step->AdvicePending) = false;
+      (Request.Reason == AdviceReason::Renewal ? Step->RenewalPending
+                                               : Step->AdvicePending) = false;
     OpenAdviceCalls.erase(Found);
     return std::nullopt;
   }
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -45,6 +45,12 @@
       [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
 }
 
+/// Whether a task of the step has been started before.
+bool hasRun(const LiveStep &Step) {
+  return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                     [](const LiveTask &Task) { return Task.Run > 0; });
+}
+
 /// Expected run time of the longest chain of dependent steps that begins with
 /// \p First.
 Millis remainingCriticalPath(const SpeedTracker &Speeds, const JobSpec &Job,
@@ -72,7 +78,8 @@
 /// Time in ms that the step can wait before its job loses value. A job that can
 /// still be in time loses most of its value at its due time; a late one loses
 /// the rest at a multiple of its allowed time. Jobs without remaining value
-/// rank last, so that they don't displace others.
+/// rank last, so that they don't displace others. Long-running tasks that have
+/// run before are due at once.
 double slackOf(const SpeedTracker &Speeds, const LiveJob &Job,
                const LiveOccurrence &Occurrence, uint32_t Step, TimePoint Now) {
   auto LeftMs = static_cast<double>(toMillis(Occurrence.DueAt - Now));
@@ -81,8 +88,10 @@
   auto AllowanceMs =
       static_cast<double>(toMillis(Occurrence.DueAt - Occurrence.BeginsAt));
   double SlackMs = LeftMs - WorkMs;
+  if (Job.Spec.Steps[Step].LongRunning)
+    return hasRun(Occurrence.Steps[Step]) ? std::min(SlackMs, 0.0) : SlackMs;
   bool CanBeInTime = SlackMs >= -EstimateTolerance * WorkMs;
-  if (CanBeInTime || Job.Spec.Steps[Step].LongRunning)
+  if (CanBeInTime)
     return SlackMs;
   double LateSlackMs = SlackMs + (WorthlessAllowanceFactor - 1) * AllowanceMs;
   if (LateSlackMs >= 0)
@@ -98,6 +107,24 @@
 }
 
 std::vector<CellOwner::WaitingStepRef> CellOwner::waitingSteps(TimePoint Now) {
+  return stepsWhere([](const LiveStep &Step,
+                       const StepSpec &) { return hasPendingTasks(Step); },
+                    Now);
+}
+
+/// The waiting steps, and those with tasks whose leases expire soon.
+std::vector<CellOwner::WaitingStepRef> CellOwner::stepsToPlan(TimePoint Now) {
+  return stepsWhere(
+      [&](const LiveStep &Step, const StepSpec &Spec) {
+        return hasPendingTasks(Step) || countLapsingTasks(Step, Spec, Now) > 0;
+      },
+      Now);
+}
+
+/// Steps that are ready, the most urgent first.
+std::vector<CellOwner::WaitingStepRef> CellOwner::stepsWhere(
+    const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
+    TimePoint Now) {
   std::vector<WaitingStepRef> Steps;
   for (auto &[Id, Job] : Jobs) {
     if (isFinal(Job.Phase))
@@ -105,7 +132,7 @@
     for (const auto &[Number, Occurrence] : Job.Occurrences) {
       for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
            ++StepIndex) {
-        if (!hasPendingTasks(Occurrence.Steps[StepIndex]) ||
+        if (!IsWanted(Occurrence.Steps[StepIndex], Job.Spec.Steps[StepIndex]) ||
             !isReady(Job, Occurrence, StepIndex))
           continue;
         Steps.push_back(
@@ -152,6 +179,7 @@
   return {.Step = &Spec,
           .Permissions = permissionsOf(Step, JobQueue),
           .TasksByExecutor = &TasksByExecutor,
+          .Preferred = Step.PreparedExecutors,
           .Reservations = Reservations,
           .ExpectedRunTime =
               Spec.LongRunning ? Millis::max()
@@ -163,7 +191,7 @@
   resizeExecutorTables();
   std::fill(Reservations.begin(), Reservations.end(), Reservation{});
   std::vector<ExecutorLoad> Loads = executorLoads(Now);
-  for (const WaitingStepRef &Waiting : waitingSteps(Now)) {
+  for (const WaitingStepRef &Waiting : stepsToPlan(Now)) {
     const Queue *JobQueue = Config->findQueue(Waiting.Job->Spec.Queue);
     const LiveStep &Step = Waiting.step();
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty()) {
@@ -176,7 +204,9 @@
       planTasks(Waiting, JobQueue, Loads, Now);
     if (recordPlacedTasks(Waiting, JobQueue, Now))
       Loads = executorLoads(Now);
+    prepareRestarts(Waiting, JobQueue, Loads, Now);
   }
+  releaseHeldPlaces();
 }
 
 void CellOwner::planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
@@ -264,9 +294,9 @@
   return Delay;
 }
 
-/// Reserves the executors that will have free capacity soonest for a gang or
-/// for wide tasks. Less urgent work is kept off them: a stream of small tasks
-/// would starve the step.
+/// Reserves the executors that will have free capacity soonest for a gang, for
+/// wide tasks, or for long-running tasks that have run before. Less urgent work
+/// is kept off them: a stream of small tasks would starve the step.
 void CellOwner::reserveExecutors(const WaitingStepRef &Waiting, size_t Count,
                                  TimePoint Now) {
   const LiveStep &Step = Waiting.step();
@@ -278,10 +308,11 @@
   auto ReservedCount = static_cast<size_t>(
       std::count_if(Reservations.begin(), Reservations.end(),
                     [](const Reservation &Entry) { return Entry.Active; }));
+  bool IsRestart = Spec.LongRunning && hasRun(Step);
   std::vector<std::pair<Millis, ExecutorIndex>> Candidates;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     bool NeedsReservation =
-        Spec.Gang || isWide(demandOf(Spec), Pool[I].Info.Capacity);
+        Spec.Gang || IsRestart || isWide(demandOf(Spec), Pool[I].Info.Capacity);
     if (!isAllowed(Permissions, I) || !NeedsReservation ||
         Reservations[I].Active || !Pool.isUsable(I, Now) ||
         !isSuitable(Pool[I], Spec))
@@ -307,7 +338,7 @@
   const StepSpec &Spec = Waiting.spec();
   auto HasValidTicket = [&](const LiveTask &Task) {
     return !JobQueue || !JobQueue->Advice ||
-           CellOwner::hasValidTicket(Step, Task, Now);
+           CellOwner::hasValidTicket(Step, Task.Executor, Now);
   };
   bool AllTicketsValid = true;
   uint32_t HighestRun = 0;
@@ -330,6 +361,8 @@
     recordRun(Waiting.task(I), Now);
     AnyRecorded = true;
   }
+  if (AnyRecorded)
+    Step.PreparedExecutors.clear();
   return AnyRecorded;
 }
 
--- /dev/null
+++ b/src/cell/OwnerRestart.cpp
@@ -0,0 +1,119 @@
+#include "cell/CellOwner.h"
+
+#include <algorithm>
+
+/// Restarts of long-running tasks. While the lease of a silent executor runs
+/// out, free capacity, permissions and tickets are obtained for its tasks, so
+/// that only the commit and the start remain once the lease has expired.
+namespace daisylanding::cell {
+
+namespace {
+
+/// Before the expiry of a lease: about two calls to a slow policy service.
+constexpr Millis PreparationTime{2'000};
+/// Allows for a call of another step ahead in the queue.
+constexpr double TicketLeadFactor = 2;
+/// Of a ticket's validity.
+constexpr double MaxTicketLeadShare = 0.8;
+
+/// How long before its end a ticket is renewed.
+Millis ticketLead(const AdviceSettings &Advice, size_t Executors) {
+  double CallMs =
+      Advice.BaseMs + Advice.PerExecutorMs * static_cast<double>(Executors);
+  double MaxMs =
+      MaxTicketLeadShare * static_cast<double>(Advice.Validity.count());
+  return Millis(
+      static_cast<int64_t>(std::min(TicketLeadFactor * CallMs, MaxMs)));
+}
+
+} // namespace
+
+/// Whether the run's executor is silent and its lease expires soon.
+bool CellOwner::isLapsing(const LiveTask &Run, TimePoint Now) const {
+  bool IsStartSent = Run.Confirmed || Run.StartUnanswered || Run.Inherited;
+  return isOpen(Run.Phase) && IsStartSent &&
+         Pool.areLeasesExpired(Run.Executor, Now + PreparationTime);
+}
+
+uint32_t CellOwner::countLapsingTasks(const LiveStep &Step,
+                                      const StepSpec &Spec,
+                                      TimePoint Now) const {
+  if (!Spec.LongRunning || Spec.Gang)
+    return 0;
+  return static_cast<uint32_t>(std::count_if(
+      Step.Tasks.begin(), Step.Tasks.end(),
+      [&](const LiveTask &Task) { return isLapsing(Task, Now); }));
+}
+
+/// Prepares the restart of the step's tasks whose leases expire soon. Other
+/// tasks get their places if the executors don't answer again.
+void CellOwner::prepareRestarts(const WaitingStepRef &Waiting,
+                                const Queue *JobQueue,
+                                std::span<const ExecutorLoad> Loads,
+                                TimePoint Now) {
+  uint32_t Count = countLapsingTasks(Waiting.step(), Waiting.spec(), Now);
+  if (Count == 0)
+    return;
+  LiveStep &Step = Waiting.step();
+  if (Now > Step.PreparedAt + PreparationTime)
+    Step.PreparedExecutors.clear();
+  std::vector<ExecutorIndex> Places =
+      holdPlaces(Waiting, JobQueue, Loads, Count, Now);
+  Step.PreparedExecutors = Places;
+  Step.PreparedAt = Now;
+  bool IsShort = Places.size() < Count;
+  if (IsShort)
+    reserveExecutors(Waiting, Count - Places.size(), Now);
+  if (!JobQueue || !JobQueue->Advice)
+    return;
+  if (IsShort)
+    requestAdvice(Waiting, *JobQueue, Loads, Now);
+  prepareTickets(Waiting, *JobQueue, Places, Now);
+}
+
+/// Keeps capacity for \p Count tasks from less urgent steps until the end of
+/// the planning turn. Returns the executors, one for each task that fits.
+std::vector<ExecutorIndex>
+CellOwner::holdPlaces(const WaitingStepRef &Waiting, const Queue *JobQueue,
+                      std::span<const ExecutorLoad> Loads, uint32_t Count,
+                      TimePoint Now) {
+  std::map<ExecutorIndex, uint32_t> TasksByExecutor;
+  PlacementRequest Request =
+      placementRequestFor(Waiting, JobQueue, TasksByExecutor);
+  Resources Demand = demandOf(Waiting.spec());
+  std::vector<ExecutorIndex> Places;
+  while (Places.size() < Count) {
+    auto Best = chooseExecutor(Pool, Loads, Request, Now);
+    if (!Best)
+      break;
+    Pool.reserve(*Best, Demand);
+    HeldPlaces.emplace_back(*Best, Demand);
+    ++TasksByExecutor[*Best];
+    Places.push_back(*Best);
+  }
+  return Places;
+}
+
+void CellOwner::releaseHeldPlaces() {
+  for (const auto &[Index, Demand] : HeldPlaces)
+    Pool.release(Index, Demand);
+  HeldPlaces.clear();
+}
+
+/// Renews the tickets for held places that end before a new one could arrive.
+void CellOwner::prepareTickets(const WaitingStepRef &Waiting,
+                               const Queue &JobQueue,
+                               std::span<const ExecutorIndex> Places,
+                               TimePoint Now) {
+  TimePoint NeededUntil = Now + ticketLead(*JobQueue.Advice, Places.size());
+  std::vector<ExecutorIndex> Named;
+  for (ExecutorIndex Index : Places) {
+    bool IsNamed = std::find(Named.begin(), Named.end(), Index) != Named.end();
+    if (!IsNamed && !hasValidTicket(Waiting.step(), Index, NeededUntil) &&
+        Named.size() < executor::MaxExecutorsPerAdviceCall)
+      Named.push_back(Index);
+  }
+  emitRenewal(Waiting, JobQueue, std::move(Named), Now);
+}
+
+} // namespace daisylanding::cell
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -19,6 +19,10 @@
 constexpr double RemoteRackPenalty = 4;
 /// Score of using an executor with accelerators for work that needs none.
 constexpr double AcceleratorPenalty = 2;
+/// Score of an executor for which a long-running task needs a new ticket first.
+constexpr double ExpiredTicketPenalty = 2;
+/// Score of an executor other than the preferred ones; outweighs the rest.
+constexpr double OtherExecutorPenalty = 20;
 
 bool isCandidate(const ExecutorPool &Pool, const ExecutorLoad &Load,
                  const PlacementRequest &Request, ExecutorIndex Index,
@@ -88,6 +92,30 @@
   return Score;
 }
 
+bool needsNewTicket(const PlacementRequest &Request, ExecutorIndex Index,
+                    TimePoint Now) {
+  if (!Request.Permissions)
+    return false;
+  auto Found = Request.Permissions->find(Index);
+  return Found == Request.Permissions->end() || Found->second.ValidUntil <= Now;
+}
+
+bool isPreferred(const PlacementRequest &Request, ExecutorIndex Index) {
+  return std::find(Request.Preferred.begin(), Request.Preferred.end(), Index) !=
+         Request.Preferred.end();
+}
+
+/// Score of the time until a task of the step could start there.
+double delayScoreOf(const PlacementRequest &Request, ExecutorIndex Index,
+                    TimePoint Now) {
+  double Score = 0;
+  if (!Request.Preferred.empty() && !isPreferred(Request, Index))
+    Score += OtherExecutorPenalty;
+  if (Request.Step->LongRunning && needsNewTicket(Request, Index, Now))
+    Score += ExpiredTicketPenalty;
+  return Score;
+}
+
 std::optional<std::vector<ExecutorIndex>>
 placeGang(ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
           PlacementRequest Request, uint32_t Count, TimePoint Now) {
@@ -147,7 +175,8 @@
   auto Consider = [&](ExecutorIndex Index) {
     if (!isCandidate(Pool, Loads[Index], Request, Index, Now))
       return;
-    double Score = scoreOf(Pool, Loads[Index], *Request.Step, Index);
+    double Score = scoreOf(Pool, Loads[Index], *Request.Step, Index) +
+                   delayScoreOf(Request, Index, Now);
     if (Best && Score >= BestScore)
       return;
     Best = Index;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -37,6 +37,8 @@
   const std::map<ExecutorIndex, Permission> *Permissions = nullptr;
   /// Tasks of the step by executor, for anti-affinity.
   const std::map<ExecutorIndex, uint32_t> *TasksByExecutor = nullptr;
+  /// Chosen before others: tickets for these are being obtained.
+  std::span<const ExecutorIndex> Preferred;
   /// Only this rack, if set.
   std::string_view Rack;
   /// Indexed by executor.
