Simulation: an owner that is paused while it loads goes on loading

Its load now ends when it is resumed. A paused owner that nobody replaced also learns of jobs stored meanwhile, as the job feed tells it.

--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -94,6 +94,8 @@
   if (Owner)
     return;
   Owner = std::move(OldOwner);
+  if (!isLoaded())
+    return;
   // The job feed delivers what was stored meanwhile.
   for (const auto &Entry : Specs)
     Owner->accept(Entry.second, Now, Now);
@@ -136,30 +138,30 @@
     AdviceQueues.setQueues(Queues);
   }
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
-  OwnerLoading = LoadTimeMs > 0;
-  if (!OwnerLoading) {
-    loadStoredJobs();
+  LoadingOwners.insert(Owner.get());
+  if (LoadTimeMs == 0) {
+    loadStoredJobs(*Owner);
     return;
   }
-  cell::CellOwner *Target = Owner.get();
+  const cell::CellOwner *Target = Owner.get();
   schedule(LoadTimeMs, [this, Target] {
-    if (Owner.get() == Target)
-      loadStoredJobs();
+    notify(Target,
+           [this](cell::CellOwner &Receiver) { loadStoredJobs(Receiver); });
   });
 }
 
-void Simulation::loadStoredJobs() {
+void Simulation::loadStoredJobs(cell::CellOwner &Target) {
   for (const auto &[Id, Job] : Specs) {
     std::string Text = storedValue(cell::ProgressTable, Id);
     std::optional<cell::JobProgress> Progress;
     if (!Text.empty())
       Progress = *cell::decodeProgress(Text);
     bool Cancelled = !storedValue(cell::JobTable, cell::cancelKey(Id)).empty();
-    Owner->restore(Job, Progress, Cancelled, Now, Now);
+    Target.restore(Job, Progress, Cancelled, Now, Now);
   }
-  OwnerLoading = false;
-  Owner->finishLoading();
-  Owner->setExecutors(instanceList(), Now);
+  LoadingOwners.erase(&Target);
+  Target.finishLoading();
+  Target.setExecutors(instanceList(), Now);
 }
 
 uint64_t Simulation::ownerRowVersion() const {
@@ -678,7 +680,7 @@
 void Simulation::submit(cell::JobSpec Job) {
   Rows[{cell::JobTable, Job.Id}] = {cell::encodeJob(Job), ++Version};
   Specs[Job.Id] = Job;
-  if (Owner && !OwnerLoading)
+  if (isLoaded())
     Owner->accept(std::move(Job), Now, Now);
 }
 
@@ -687,7 +689,7 @@
     return;
   Rows[{cell::JobTable, Job.Id}] = {cell::encodeJob(Job), ++Version};
   schedule(FeedDelayMs, [this, Job] {
-    if (Owner && !OwnerLoading)
+    if (isLoaded())
       Owner->accept(Job, Now, Now);
   });
 }
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -150,7 +150,8 @@
   TimePoint Now = SimulationStart;
 
 private:
-  void loadStoredJobs();
+  void loadStoredJobs(cell::CellOwner &Target);
+  bool isLoaded() const { return Owner && !LoadingOwners.count(Owner.get()); }
   struct StoredRow {
     std::string Value;
     uint64_t Version = 0;
@@ -212,7 +213,7 @@
   /// Kept so that their addresses, which late answers refer to, stay unique.
   std::vector<std::unique_ptr<cell::CellOwner>> EndedOwners;
   std::map<const cell::CellOwner *, OwnerCuts> Cuts;
-  bool OwnerLoading = false;
+  std::set<const cell::CellOwner *> LoadingOwners;
   bool OldOwnerPaused = false;
   std::vector<OwnerAction> PausedActions; ///< Answers to the paused owner.
   std::map<std::string, cell::JobSpec> Specs;
