Random check of lost executors; it fails for the known waits

Seen by callers: lasting tasks that wait for more than nine seconds (LOST), in plays in which executors and owners go at about the same time.

Series of one to three random faults: executors that end for good or are cut off, owners that are killed, restarted or paused while another takes over, and a store that is silent; with late and lost answers, executor clocks that are up to 2 % slow, gangs and batch jobs. No task may run twice at once. In calm times, 7 s after the last fault (the 4 s and 3 s of the rule), no lasting task may have waited for more than 9 s. At the end all batch jobs must be completed.

--- a/tests/unit/LostExecutorTest.cpp
+++ b/tests/unit/LostExecutorTest.cpp
@@ -583,3 +583,289 @@
   step();
   checkAllRunAgain();
 }
+
+/// Executors that are lost or cut off, owners that are killed and paused, and a
+/// store that falls silent, in any order. No task may run twice at once, and no
+/// lasting task may wait longer than the bound.
+TEST_GROUP(RandomLosses){};
+
+namespace {
+
+/// An entry that can be killed, paused and restarted.
+struct RandomEntry {
+  std::string Name;
+  uint32_t Rank = 0;
+  uint32_t Incarnation = 1;
+  TimePoint DownUntil{};
+  WatchingEntry Watch;
+
+  std::string holder() const { return fmt::format("{}/{}", Name, Incarnation); }
+};
+
+/// One play with random faults.
+class LossPlay {
+public:
+  explicit LossPlay(uint64_t Seed)
+      : Seed(Seed), Sim(Seed), Rng(Seed * 11 + 3) {}
+
+  void run() {
+    setUp();
+    play(randomTime(1'000, 12'000));
+    for (int Series = 0; Series < SeriesCount; ++Series) {
+      for (uint64_t Faults = 1 + Rng.below(3); Faults > 0; --Faults) {
+        injectFault();
+        play(randomTime(50, 2'000));
+      }
+      play(randomTime(10'000, 16'000));
+    }
+    Sim.Faults = {};
+    NextJobAt = TimePoint::max();
+    play(QuietTime);
+    checkEnd();
+  }
+
+private:
+  static constexpr size_t ExecutorCount = 16;
+  static constexpr size_t MaxLost = 5;
+  static constexpr uint32_t TasksPerJob = 4;
+  static constexpr int SeriesCount = 4; ///< Of faults.
+  static constexpr Millis QuietTime{25'000};
+  /// The wait counts while this time before it has been without faults.
+  static constexpr Millis CalmTime{7'000};
+
+  Millis randomTime(int64_t MinMs, int64_t MaxMs) {
+    auto Range = static_cast<uint64_t>(MaxMs - MinMs);
+    return Millis(MinMs + static_cast<int64_t>(Rng.below(Range)));
+  }
+
+  SimExecutor &randomExecutor() {
+    return Sim.executor("i-" + std::to_string(Rng.below(ExecutorCount)));
+  }
+
+  /// Half of the time one that runs a lasting task.
+  SimExecutor &randomVictim() {
+    const std::string &Task = LastingTasks[Rng.below(LastingTasks.size())];
+    bool MustRunTask = Rng.below(2) == 0;
+    for (size_t I = 0; MustRunTask && I < ExecutorCount; ++I) {
+      SimExecutor &Candidate = Sim.executor("i-" + std::to_string(I));
+      if (!Candidate.Dead && Candidate.Running.count(Task))
+        return Candidate;
+    }
+    return randomExecutor();
+  }
+
+  void setUp() {
+    for (size_t I = 0; I < ExecutorCount; ++I) {
+      std::string Id = Sim.addExecutor(Wide, "r" + std::to_string(I % 4));
+      SimExecutor &Added = Sim.executor(Id);
+      Added.ClockRate = 1 - LeaseOptions{}.MaxClockDrift * Rng.uniform();
+      Added.ClockOffset = randomTime(0, 100'000);
+    }
+    Sim.RunTimeFor = [](const std::string &Task, int64_t Estimate) {
+      return Task.starts_with("a") ? Forever : Estimate;
+    };
+    Sim.Faults = {.OrderAnswerLost = 0.03,
+                  .OrderLate = 0.02,
+                  .RenewalLate = 0.02,
+                  .CommitAnswerLost = 0.03,
+                  .CommitLate = 0.02};
+    for (uint32_t I = 0; I < 3; ++I)
+      addEntry("e" + std::to_string(I + 1), 3 * I);
+    Sim.LoadTimeMs = randomTime(0, 1'000).count();
+    OwnerEntry = &Entries.front();
+    Sim.takeOver({.Holder = OwnerEntry->holder()});
+    for (const char *Id : {"a000000000000001", "a000000000000002"}) {
+      Sim.submit(makeLastingJob(Id, TasksPerJob));
+      for (uint32_t I = 0; I < TasksPerJob; ++I)
+        LastingTasks.push_back(taskName({.Job = Id, .Index = I}));
+    }
+    for (const std::string &Task : LastingTasks)
+      Idle.follow(Task);
+  }
+
+  void addEntry(const std::string &Name, uint32_t Rank) {
+    RandomEntry Added{
+        .Name = Name, .Rank = Rank, .Watch = WatchingEntry(Name + "/1", Rank)};
+    Entries.push_back(std::move(Added));
+  }
+
+  void play(Millis Time) {
+    for (TimePoint End = Sim.Now + Time; Sim.Now < End;) {
+      if (Sim.Now >= NextJobAt) {
+        submitBatchJob();
+        NextJobAt = Sim.Now + randomTime(500, 2'000);
+      }
+      step();
+    }
+  }
+
+  void submitBatchJob() {
+    std::string Id = fmt::format("b{:015x}", BatchJobs.size());
+    auto Tasks = static_cast<uint32_t>(1 + Rng.below(4));
+    JobSpec Job =
+        Simulation::makeJob(Id, Tasks, Small, randomTime(100, 900).count());
+    Job.Steps[0].Gang = Rng.below(4) == 0;
+    Sim.submit(Job);
+    BatchJobs.push_back(Id);
+  }
+
+  void injectFault() {
+    LastFaultAt = Sim.Now;
+    switch (Rng.below(8)) {
+    case 0:
+    case 1:
+      loseExecutor();
+      break;
+    case 2:
+    case 3:
+      cutOffExecutor();
+      break;
+    case 4:
+    case 5:
+      killOwner();
+      break;
+    case 6:
+      silenceStore();
+      break;
+    default:
+      pauseOwner();
+      break;
+    }
+  }
+
+  void loseExecutor() {
+    SimExecutor &Chosen = randomVictim();
+    if (Chosen.Dead || LostCount == MaxLost)
+      return;
+    ++LostCount;
+    Sim.loseExecutor(Chosen.Info.Id);
+  }
+
+  void cutOffExecutor() {
+    SimExecutor &Chosen = randomVictim();
+    Chosen.Unreachable = true;
+    endLater(randomTime(200, 12'000),
+             [&Executor = Chosen] { Executor.Unreachable = false; });
+  }
+
+  void killOwner() {
+    if (!Sim.Owner)
+      return;
+    Sim.killOwner();
+    OwnerEntry->DownUntil = Sim.Now + randomTime(400, 3'000);
+    ++OwnerEntry->Incarnation;
+    OwnerEntry->Watch = WatchingEntry(OwnerEntry->holder(), OwnerEntry->Rank);
+  }
+
+  void silenceStore() {
+    Sim.StoreSilent = true;
+    Sim.FeedsSilent = true;
+    endLater(randomTime(300, 6'000), [this] {
+      Sim.StoreSilent = false;
+      Sim.FeedsSilent = false;
+      if (Sim.Owner)
+        Sim.Owner->onStoreBack(Sim.Now);
+    });
+  }
+
+  /// If another takes over meanwhile, each of both owners fails to reach one
+  /// executor, and the old one doesn't reach the store, for some time.
+  void pauseOwner() {
+    if (!Sim.Owner || IsOwnerPaused || hasOldOwner())
+      return;
+    IsOwnerPaused = true;
+    OldOwnerEntry = OwnerEntry;
+    Sim.pauseOwner();
+    endLater(randomTime(500, 4'000), [this] {
+      IsOwnerPaused = false;
+      Sim.resumeOwner();
+      if (!Sim.OldOwner) {
+        OwnerEntry = OldOwnerEntry;
+        return;
+      }
+      Sim.cutsOf(*Sim.OldOwner).Store = true;
+      Sim.cutsOf(*Sim.OldOwner).Executors = {randomExecutor().Info.Id};
+      Sim.cutsOf(*Sim.Owner).Executors = {randomExecutor().Info.Id};
+      endLater(randomTime(200, 9'000),
+               [this, Old = Sim.OldOwner.get(), New = Sim.Owner.get()] {
+                 Sim.cutsOf(*Old) = {};
+                 Sim.cutsOf(*New) = {};
+               });
+    });
+  }
+
+  /// Whether one is paused, or doesn't know yet that another has taken over.
+  bool hasOldOwner() const { return Sim.OldOwner && !Sim.OldOwner->deposed(); }
+
+  /// Ends a fault that lasts.
+  void endLater(Millis After, std::function<void()> Action) {
+    FaultEnds.emplace(Sim.Now + After, std::move(Action));
+  }
+
+  void step() {
+    Sim.runFor(StepTime.count());
+    while (!FaultEnds.empty() && FaultEnds.begin()->first <= Sim.Now) {
+      auto Action = std::move(FaultEnds.begin()->second);
+      FaultEnds.erase(FaultEnds.begin());
+      LastFaultAt = Sim.Now;
+      Action();
+    }
+    for (RandomEntry &Entry : Entries) {
+      bool IsWatching = !hasOldOwner() || OldOwnerEntry != &Entry;
+      bool IsUp = Sim.Now >= Entry.DownUntil;
+      if (IsUp && IsWatching && Entry.Watch.advance(Sim))
+        OwnerEntry = &Entry;
+    }
+    Idle.update(Sim);
+    checkWaits();
+  }
+
+  void checkWaits() {
+    bool IsCalm = FaultEnds.empty() && Sim.Now > LastFaultAt + CalmTime;
+    if (!IsCalm || !Idle.isAnyIdle())
+      return;
+    for (const IdleTime &Time : Idle.all(Sim.Now)) {
+      if (Time.End != Sim.Now || Time.End - Time.Begin <= RestartBound)
+        continue;
+      std::string Message =
+          fmt::format("seed {}: {} waits since {} ms, last fault {} ms ago",
+                      Seed, Time.Task, toMillis(Time.End - Time.Begin),
+                      toMillis(Sim.Now - LastFaultAt));
+      FAIL(Message.c_str());
+    }
+  }
+
+  void checkEnd() {
+    for (const std::string &Violation : Sim.violations())
+      FAIL(fmt::format("seed {}: {}", Seed, Violation).c_str());
+    CHECK_FALSE(Idle.isAnyIdle());
+    for (const std::string &Id : BatchJobs) {
+      std::string Message = fmt::format("seed {}: {} {}", Seed, Id,
+                                        phaseName(Sim.storedPhase(Id)));
+      CHECK_TEXT(Sim.storedPhase(Id) == JobPhase::Completed, Message.c_str());
+    }
+  }
+
+  uint64_t Seed;
+  Simulation Sim;
+  Random Rng;
+  IdleMeter Idle;
+  std::vector<RandomEntry> Entries;
+  std::vector<std::string> LastingTasks;
+  std::vector<std::string> BatchJobs;
+  std::multimap<TimePoint, std::function<void()>> FaultEnds;
+  TimePoint LastFaultAt{};
+  TimePoint NextJobAt{};
+  size_t LostCount = 0;
+  bool IsOwnerPaused = false;
+  RandomEntry *OwnerEntry = nullptr;
+  RandomEntry *OldOwnerEntry = nullptr;
+};
+
+} // namespace
+
+TEST(RandomLosses, LeaveNoLastingTaskWaitingAndRunNoneTwice) {
+  constexpr uint64_t Seeds = 20;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    LossPlay(Seed).run();
+}
