An owner waits for earlier leases also on executors that were idle

Found by the model of leases (spec/lease.pml) with leases of unlike lengths.

Cause: the end that the last owner's row states held only for executors with open runs at the load. An executor that was idle may keep the last owner's lease, which then also holds for a run that the next owner starts there. If that lease was longer, as in an upgrade from 8 to 4 s, the owner gave the run up while it went on.

The end now holds for every executor that has answered.

What executors do with the lease of an idle executor isn't known; the simulation keeps it.

--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -368,6 +368,9 @@
   RowOutdated |= isListedAsSilent(Index);
   if (!Executor.TokenConfirmed) {
     Executor.TokenConfirmed = true;
+    // An idle executor may keep a lease for runs that are started there.
+    if (Executor.InheritedLeaseEnd == TimePoint{})
+      Executor.InheritedLeaseEnd = inheritedLeaseEndOn(Executor.Info.Id);
     logInfo("executor-greeted", "executor={} running={} ended={}",
             Executor.Info.Id, Answer.Running.size(), Answer.Ended.size());
   }
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -127,6 +127,7 @@
   cell::OwnerOptions Options{.Service = "s",
                              .AcquiredRow = Row,
                              .RowVersion = Version,
+                             .Leases = Leases,
                              .ClockAtCreation = storeClock(),
                              .CreatedAt = Now,
                              .Loading = true};
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -123,6 +123,7 @@
   size_t runsOf(const std::string &Task) const;
 
   FaultRates Faults;
+  cell::LeaseOptions Leases; ///< Of owners that take over from now on.
   int64_t CommitTimeMs = 10;
   int64_t LoadTimeMs = 0; ///< From a takeover until the stored jobs are read.
   size_t CommitsSent = 0;
--- a/tests/unit/LeaseGrantTest.cpp
+++ b/tests/unit/LeaseGrantTest.cpp
@@ -73,6 +73,39 @@
 };
 // clang-format on
 
+// clang-format off
+TEST_GROUP(AnOwnerAfterOneWithLongerLeases) {
+  Simulation Sim;
+  std::string TaskName = taskName({.Job = JobId});
+
+  void setup() override {
+    Sim.addExecutor(Whole);
+    Sim.addExecutor(Whole);
+    Sim.RunTimeFor = [](const std::string &, int64_t) { return 600'000; };
+    Sim.Leases.LeaseDuration = 2 * LeaseOptions{}.LeaseDuration;
+    Sim.takeOver();
+    Sim.runFor(1'000);
+    Sim.Leases = {};
+    Sim.takeOver();
+    Sim.runFor(200);
+  }
+};
+// clang-format on
+
+/// Guards against two runs at once in a rolling upgrade: an executor that was
+/// idle may keep the lease that the last owner gave it.
+TEST(AnOwnerAfterOneWithLongerLeases, WaitsForTheseOnExecutorsThatWereIdle) {
+  JobSpec Job = Simulation::makeJob(JobId, 1, Whole, 400);
+  Job.Steps[0].LongRunning = true;
+  Sim.submit(Job);
+  CHECK(Sim.runUntil([&] { return Sim.isOpen(TaskName); }, 1'000));
+  Sim.executor(Sim.Started.back().Target.Id).Unreachable = true;
+  Sim.runFor(20'000);
+  LONGS_EQUAL(2, Sim.runsOf(TaskName));
+  for (const std::string &Violation : Sim.violations())
+    FAIL(Violation.c_str());
+}
+
 TEST(AnOwnerWithALastingTask, StatesTheEndOfAllItsLeases) {
   CHECK_FALSE(exceedsStatedEndWithin(3'000));
   CHECK(statedEndMs() <=
