Starts that were recorded but can't be sent are dropped

Cause: since owner rows list silent executors, these are granted no lease, so that a start whose record is committed with such a row is never sent. Without a start no lease is taken to exist, and the run could neither begin nor expire.

Such a start is now dropped, as nothing was sent for it, and its task is placed anew.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -367,6 +367,7 @@
     return std::move(Commands);
   beginDueOccurrences(Now, WallMs);
   expireRuns(Now);
+  dropUnsentStarts(Now);
   if (Now >= NextOfferCheckAt) {
     NextOfferCheckAt = Now + OfferCheckInterval;
     expireOffers(Now);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -312,6 +312,7 @@
   void restartStragglers(ExecutorIndex Index, TimePoint Now);
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void onIncarnationEnded(ExecutorIndex Index, TimePoint Now);
+  void dropUnsentStarts(TimePoint Now);
   void expireRuns(TimePoint Now);
 
   // Planning.
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -479,6 +479,26 @@
   }
 }
 
+/// Drops recorded starts on executors that are listed as silent and get no
+/// leases. Nothing was sent for them, so that their tasks can start elsewhere.
+void CellOwner::dropUnsentStarts(TimePoint Now) {
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (Pool[I].OpenRuns == 0 || !isListedAsSilent(I))
+      continue;
+    std::vector<TaskKey> Runs = OpenRunsByExecutor[I];
+    for (const TaskKey &Key : Runs) {
+      const LiveTask &Task = Key.task();
+      if (Task.Phase != TaskPhase::Starting || Task.Executor != I ||
+          mayHoldLease(Task))
+        continue;
+      logInfo("start-not-sent", "task={} run={} executor={} heard_ms_ago={}",
+              Key.name(), Task.Run, Pool[I].Info.Id,
+              millisSinceAnswer(Pool[I], Now));
+      endRun(Key, EndKind::Stopped, Now);
+    }
+  }
+}
+
 void CellOwner::expireRuns(TimePoint Now) {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     if (Pool[I].OpenRuns == 0 || !Pool.areLeasesExpired(I, Now))
--- a/tests/unit/LeaseGrantTest.cpp
+++ b/tests/unit/LeaseGrantTest.cpp
@@ -106,6 +106,32 @@
     FAIL(Violation.c_str());
 }
 
+// clang-format off
+/// A start is recorded by the same commit that lists its executor as silent.
+TEST_GROUP_BASE(WhenAnExecutorFallsSilentBeforeItsStartIsRecorded, TEST_GROUP_CppUTestGroupAnOwnerWithALastingTask) {
+  static constexpr const char *OtherTask = "00000000000000b2.0.0.0";
+
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerWithALastingTask::setup();
+    std::string Chosen = Sim.executor(ExecutorA).Running.empty() ? ExecutorA : ExecutorB;
+    Sim.StoreSilent = true;
+    Sim.runFor(LeaseOptions{}.OwnershipTimeout.count() / 4);
+    Sim.submit(Simulation::makeJob("00000000000000b2", 1, Whole, 400));
+    Sim.runFor(20);
+    Sim.executor(Chosen).Dead = true;
+    Sim.addExecutor(Whole);
+    Sim.runFor(300);
+    Sim.StoreSilent = false;
+    Sim.Owner->onStoreBack(Sim.Now);
+  }
+};
+// clang-format on
+
+/// Guards against a start that waits forever: no lease may be granted there.
+TEST(WhenAnExecutorFallsSilentBeforeItsStartIsRecorded, TheTaskRunsElsewhere) {
+  CHECK(Sim.runUntil([&] { return Sim.isOpen(OtherTask); }, 2'000));
+}
+
 TEST(AnOwnerWithALastingTask, StatesTheEndOfAllItsLeases) {
   CHECK_FALSE(exceedsStatedEndWithin(3'000));
   CHECK(statedEndMs() <=
