One renewal of tickets names all kept places of a step

A step has one renewal open at a time, and it named only the places whose tickets ended first; those of the others ended while it was open.

The renewal now names all places that are kept for the step: it costs a few ms for each.

--- a/src/cell/OwnerRestart.cpp
+++ b/src/cell/OwnerRestart.cpp
@@ -1,6 +1,7 @@
 #include "cell/CellOwner.h"
 
 #include <algorithm>
+#include <set>
 
 /// Restarts of long-running tasks. While the lease of a silent executor runs
 /// out, free capacity, permissions and tickets are obtained for its tasks, so
@@ -100,19 +101,24 @@
   HeldPlaces.clear();
 }
 
-/// Renews the tickets for held places that end before a new one could arrive.
+/// Renews the tickets for held places if one of them ends before a new one
+/// could arrive. One call names them all: until its answer no other is sent.
 void CellOwner::prepareTickets(const WaitingStepRef &Waiting,
                                const Queue &JobQueue,
                                std::span<const ExecutorIndex> Places,
                                TimePoint Now) {
+  const LiveStep &Step = Waiting.step();
   TimePoint NeededUntil = Now + ticketLead(*JobQueue.Advice, Places.size());
-  std::vector<ExecutorIndex> Named;
-  for (ExecutorIndex Index : Places) {
-    bool IsNamed = std::find(Named.begin(), Named.end(), Index) != Named.end();
-    if (!IsNamed && !hasValidTicket(Waiting.step(), Index, NeededUntil) &&
-        Named.size() < executor::MaxExecutorsPerAdviceCall)
-      Named.push_back(Index);
-  }
+  bool AreValid =
+      std::all_of(Places.begin(), Places.end(), [&](ExecutorIndex Index) {
+        return hasValidTicket(Step, Index, NeededUntil);
+      });
+  if (AreValid)
+    return;
+  std::set<ExecutorIndex> Distinct(Places.begin(), Places.end());
+  std::vector<ExecutorIndex> Named(Distinct.begin(), Distinct.end());
+  if (Named.size() > executor::MaxExecutorsPerAdviceCall)
+    Named.resize(executor::MaxExecutorsPerAdviceCall);
   emitRenewal(Waiting, JobQueue, std::move(Named), Now);
 }
 
