Advice for prepared restarts is requested 3 s before the lease expires

Permissions stay, so advice is now requested 3 s before the lapse. Capacity is still kept, and tickets are renewed, for the last 2 s only.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -365,7 +365,9 @@
   std::vector<ExecutorLoad> executorLoads(TimePoint Now) const;
 
   // Restarts of long-running tasks whose leases expire soon.
-  bool isLapsing(const LiveTask &Run, TimePoint Now) const;
+  bool isLapsing(const LiveTask &Run, Millis Within, TimePoint Now) const;
+  uint32_t countLapsingTasks(const LiveStep &Step, const StepSpec &Spec,
+                             Millis Within, TimePoint Now) const;
   uint32_t countLapsingTasks(const LiveStep &Step, const StepSpec &Spec,
                              TimePoint Now) const;
   void prepareRestarts(const WaitingStepRef &Waiting, const Queue *JobQueue,
@@ -374,7 +376,7 @@
                                         const Queue *JobQueue,
                                         std::span<const ExecutorLoad> Loads,
                                         uint32_t Count, TimePoint Now);
-  void releaseHeldPlaces();
+  void releaseHeldPlaces(size_t First);
   void prepareTickets(const WaitingStepRef &Waiting, const Queue &JobQueue,
                       std::span<const ExecutorIndex> Places, TimePoint Now);
 
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -206,7 +206,7 @@
       Loads = executorLoads(Now);
     prepareRestarts(Waiting, JobQueue, Loads, Now);
   }
-  releaseHeldPlaces();
+  releaseHeldPlaces(0);
 }
 
 void CellOwner::planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
--- a/src/cell/OwnerRestart.cpp
+++ b/src/cell/OwnerRestart.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
-/// Before the expiry of a lease: about two calls to a slow policy service.
-constexpr Millis PreparationTime{2'000};
+/// Before the expiry of a lease, advice is requested if places are missing:
+/// time for three calls to a slow policy service.
+constexpr Millis AdviceLeadTime{3'000};
+/// Before the expiry of a lease, capacity is held and tickets are renewed.
+constexpr Millis HoldTime{2'000};
 /// Allows for a call of another step ahead in the queue.
 constexpr double TicketLeadFactor = 2;
 /// Of a ticket's validity.
@@ -29,21 +32,29 @@
 
 } // namespace
 
-/// Whether the run's executor is silent and its lease expires soon.
-bool CellOwner::isLapsing(const LiveTask &Run, TimePoint Now) const {
+/// Whether the run's executor is silent and its lease expires \p Within this
+/// time.
+bool CellOwner::isLapsing(const LiveTask &Run, Millis Within,
+                          TimePoint Now) const {
   bool IsStartSent = Run.Confirmed || Run.StartUnanswered || Run.Inherited;
   return isOpen(Run.Phase) && IsStartSent &&
-         Pool.areLeasesExpired(Run.Executor, Now + PreparationTime);
+         Pool.areLeasesExpired(Run.Executor, Now + Within);
 }
 
 uint32_t CellOwner::countLapsingTasks(const LiveStep &Step,
-                                      const StepSpec &Spec,
+                                      const StepSpec &Spec, Millis Within,
                                       TimePoint Now) const {
   if (!Spec.LongRunning || Spec.Gang)
     return 0;
   return static_cast<uint32_t>(std::count_if(
       Step.Tasks.begin(), Step.Tasks.end(),
-      [&](const LiveTask &Task) { return isLapsing(Task, Now); }));
+      [&](const LiveTask &Task) { return isLapsing(Task, Within, Now); }));
+}
+
+uint32_t CellOwner::countLapsingTasks(const LiveStep &Step,
+                                      const StepSpec &Spec,
+                                      TimePoint Now) const {
+  return countLapsingTasks(Step, Spec, AdviceLeadTime, Now);
 }
 
 /// Prepares the restart of the step's tasks whose leases expire soon. Other
@@ -52,24 +63,27 @@
                                 const Queue *JobQueue,
                                 std::span<const ExecutorLoad> Loads,
                                 TimePoint Now) {
-  uint32_t Count = countLapsingTasks(Waiting.step(), Waiting.spec(), Now);
+  LiveStep &Step = Waiting.step();
+  uint32_t Count = countLapsingTasks(Step, Waiting.spec(), Now);
   if (Count == 0)
     return;
-  LiveStep &Step = Waiting.step();
-  if (Now > Step.PreparedAt + PreparationTime)
+  if (Now > Step.PreparedAt + AdviceLeadTime)
     Step.PreparedExecutors.clear();
-  std::vector<ExecutorIndex> Places =
-      holdPlaces(Waiting, JobQueue, Loads, Count, Now);
-  Step.PreparedExecutors = Places;
+  size_t FirstHeld = HeldPlaces.size();
+  Step.PreparedExecutors = holdPlaces(Waiting, JobQueue, Loads, Count, Now);
   Step.PreparedAt = Now;
-  bool IsShort = Places.size() < Count;
-  if (IsShort)
-    reserveExecutors(Waiting, Count - Places.size(), Now);
-  if (!JobQueue || !JobQueue->Advice)
+  bool IsShort = Step.PreparedExecutors.size() < Count;
+  bool NeedsAdvice = JobQueue && JobQueue->Advice;
+  if (IsShort && NeedsAdvice)
+    requestAdvice(Waiting, *JobQueue, Loads, Now);
+  if (countLapsingTasks(Step, Waiting.spec(), HoldTime, Now) == 0) {
+    releaseHeldPlaces(FirstHeld);
     return;
+  }
   if (IsShort)
-    requestAdvice(Waiting, *JobQueue, Loads, Now);
-  prepareTickets(Waiting, *JobQueue, Places, Now);
+    reserveExecutors(Waiting, Count - Step.PreparedExecutors.size(), Now);
+  if (NeedsAdvice)
+    prepareTickets(Waiting, *JobQueue, Step.PreparedExecutors, Now);
 }
 
 /// Keeps capacity for \p Count tasks from less urgent steps until the end of
@@ -95,10 +109,11 @@
   return Places;
 }
 
-void CellOwner::releaseHeldPlaces() {
-  for (const auto &[Index, Demand] : HeldPlaces)
-    Pool.release(Index, Demand);
-  HeldPlaces.clear();
+/// Releases the held places from number \p First on.
+void CellOwner::releaseHeldPlaces(size_t First) {
+  for (size_t I = First; I < HeldPlaces.size(); ++I)
+    Pool.release(HeldPlaces[I].first, HeldPlaces[I].second);
+  HeldPlaces.resize(First);
 }
 
 /// Renews the tickets for held places if one of them ends before a new one
