--- a/tests/unit/RestartAfterLossTest.cpp
+++ b/tests/unit/RestartAfterLossTest.cpp
@@ -104,6 +104,8 @@
     size_t Count = 0;
     for (size_t I = 0; I < ExecutorCount && Count < LostExecutors; ++I) {
       SimExecutor &Executor = Sim.executor(fmt::format("i-{}", I));
+      if (Executor.Dead)
+        continue;
       bool HasLasting = false;
       for (const auto &Entry : Executor.Running) {
         if (!isLasting(Entry.first))
@@ -209,6 +211,16 @@
   checkRestartsAfterCrash();
 }
 
+/// Guards against places and tickets that the first restarts take from the
+/// later ones.
+TEST(WhenBatchTasksFillMostOfIt, TasksOfASecondCrashRunAgainInTime) {
+  auto Crash = [](SimExecutor &Executor) { Executor.Dead = true; };
+  loseExecutors(Crash);
+  runWithLoad(400);
+  loseExecutors(Crash);
+  checkRestarts();
+}
+
 /// Guards against a start before the executor's own lease has expired.
 TEST(WhenBatchTasksFillMostOfIt, TasksThatRunOnOutOfReachAreNotStartedTwice) {
   loseExecutors([](SimExecutor &Executor) { Executor.Unreachable = true; });
