Lost executors: renewals whose answers are lost, list entries, double losses

The owner counted renewals that never arrived, and that hid the missing margin. An executor now can carry out calls whose answers are lost: then the last lease that the owner counts is really held.

The random check also takes cut off executors out of the instance list, loses an owner and an executor at once, and an owner twice. The tests bound the clocks' drift by a constant of their own instead of the owner's option.

--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -96,18 +96,21 @@
   Owner = std::move(OldOwner);
   if (!isLoaded())
     return;
-  // The job feed delivers what was stored meanwhile.
+  // The feeds deliver what changed meanwhile.
+  Owner->setExecutors(instanceList(), Now);
   for (const auto &Entry : Specs)
     Owner->accept(Entry.second, Now, Now);
 }
 
 void Simulation::loseExecutor(const std::string &Id) {
   executor(Id).Dead = true;
-  schedule(ListDelayMs, [this, Id] {
-    executor(Id).Listed = false;
-    if (Owner)
-      Owner->setExecutors(instanceList(), Now);
-  });
+  schedule(ListDelayMs, [this, Id] { setListed(Id, false); });
+}
+
+void Simulation::setListed(const std::string &Id, bool IsListed) {
+  executor(Id).Listed = IsListed && !executor(Id).Dead;
+  if (isLoaded())
+    Owner->setExecutors(instanceList(), Now);
 }
 
 void Simulation::takeOver(const Acquisition &By) {
@@ -379,6 +382,8 @@
       executor::OrderAnswer Answer;
       if (isReachable(Executor, Target))
         Answer = handleStop(Executor, Command.Order);
+      if (Executor.AnswersLost)
+        Answer = {};
       notify(Target, [this, Command, Answer](cell::CellOwner &Receiver) {
         Receiver.onStop(Command.Order.Id, Command.Executor, Answer, Now);
       });
@@ -411,6 +416,8 @@
     executor::RenewalAnswer Result;
     if (isReachable(Executor, Sender))
       Result = handleRenewal(Executor, Call);
+    if (Executor.AnswersLost)
+      Result = {};
     int64_t Wait = Result.Ended.empty() ? 50 : 1;
     schedule(Wait, [Answer, Result] { Answer(Result); });
   });
@@ -448,7 +455,7 @@
                                  .ClockMs = Executor.clockMs(Now)};
     if (!Refused)
       Result = handleStart(Executor, Order);
-    if (AnswerLost)
+    if (AnswerLost || Executor.AnswersLost)
       schedule(OrderTimeoutMs, [Answer] { Answer({}); });
     else
       Answer(Result);
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -51,6 +51,7 @@
   bool Dead = false;
   bool Listed = true;       ///< In the instance list.
   bool Unreachable = false; ///< Keeps running, but receives no calls.
+  bool AnswersLost = false; ///< Carries out calls; none is seen answered.
   bool GuardsCapacity = false;
   double ClockRate = 1; ///< Of its steady clock, relative to true time.
   Millis ClockOffset{0};
@@ -103,6 +104,8 @@
   /// The executor ends for good. Its entry stays in the instance list for some
   /// seconds.
   void loseExecutor(const std::string &Id);
+  /// Adds its entry to the instance list or removes it.
+  void setListed(const std::string &Id, bool IsListed);
   /// Runs \p Ms milliseconds of virtual time.
   void runFor(int64_t Ms);
   bool runUntil(const std::function<bool()> &IsDone, int64_t LimitMs);
--- a/tests/unit/LostExecutorTest.cpp
+++ b/tests/unit/LostExecutorTest.cpp
@@ -21,6 +21,8 @@
 /// What a disruption delays may take this much longer: the entries of executors
 /// are back this long after the store is.
 constexpr Millis StoreRecovery{3'000};
+/// Share by which executors' clocks may be slow.
+constexpr double MaxClockDrift = 0.02;
 constexpr Millis StepTime{5};
 constexpr int64_t Forever = 1'000'000'000; ///< In ms.
 constexpr Resources Small{.MilliCores = 1'000, .MemoryMb = 100};
@@ -324,7 +326,7 @@
   void prepare() override {
     for (size_t I = 0; I < ExecutorCount; ++I) {
       // As slow as a clock may be.
-      Sim.executor("i-" + std::to_string(I)).ClockRate = 1 - LeaseOptions{}.MaxClockDrift;
+      Sim.executor("i-" + std::to_string(I)).ClockRate = 1 - MaxClockDrift;
       Sim.executor("i-" + std::to_string(I)).ClockOffset = Millis(50'000 * I);
     }
   }
@@ -363,6 +365,30 @@
   LONGS_EQUAL(1, Sim.runsOf(lastingTask(0)));
 }
 
+/// Guards against a lease end that is judged by the owner's clock: the last
+/// renewals reached the executor, whose clock is slow.
+TEST(WhenAnExecutorIsCutOff, ItsTaskIsNotRunTwiceIfItsAnswersWereLostBefore) {
+  Sim.executor(Lost).Unreachable = false;
+  Sim.executor(Lost).AnswersLost = true;
+  play(2 * LeaseOptions{}.RenewalWindow.count());
+  Sim.executor(Lost).Unreachable = true;
+  playUntilLeaseExpires();
+  checkAllRunAgain();
+}
+
+/// The same for an owner that knows of the leases only from the last one.
+TEST(WhenAnExecutorIsCutOff,
+     ItsTaskIsNotRunTwiceByTheNextOwnerIfItsAnswersWereLostBefore) {
+  Sim.executor(Lost).Unreachable = false;
+  Sim.executor(Lost).AnswersLost = true;
+  play(2 * LeaseOptions{}.RenewalWindow.count());
+  Sim.killOwner();
+  Sim.executor(Lost).Unreachable = true;
+  playUntilTakeover();
+  playUntilLeaseExpires();
+  checkAllRunAgain();
+}
+
 /// Guards against a next owner that takes the executor for gone because it has
 /// never answered it.
 TEST(WhenAnExecutorIsCutOff, ItsTaskIsNotRunTwiceByTheNextOwner) {
@@ -375,13 +401,21 @@
 /// Guards against a next owner that takes a cut off executor for gone because
 /// its entry has left the instance list.
 TEST(WhenAnExecutorIsCutOff, ItsTaskIsNotRunTwiceIfItIsNoLongerListed) {
-  Sim.executor(Lost).Listed = false;
+  Sim.setListed(Lost, false);
   Sim.killOwner();
   playUntilTakeover();
   playUntilLeaseExpires();
   checkAllRunAgain();
 }
 
+TEST(WhenAnExecutorIsCutOff, ItsTaskIsNotRunTwiceIfItLeavesTheList) {
+  constexpr int64_t ListDelayMs = 3'500;
+  play(ListDelayMs);
+  Sim.setListed(Lost, false);
+  playUntilLeaseExpires();
+  checkAllRunAgain();
+}
+
 /// Guards against leases that are lost track of by the second takeover.
 TEST(WhenAnExecutorIsCutOff, ItsTaskIsNotRunTwiceByTheOwnerAfterTheNext) {
   constexpr int64_t HeldForMs = 1'000;
@@ -658,7 +692,7 @@
     for (size_t I = 0; I < ExecutorCount; ++I) {
       std::string Id = Sim.addExecutor(Wide, "r" + std::to_string(I % 4));
       SimExecutor &Added = Sim.executor(Id);
-      Added.ClockRate = 1 - LeaseOptions{}.MaxClockDrift * Rng.uniform();
+      Added.ClockRate = 1 - MaxClockDrift * Rng.uniform();
       Added.ClockOffset = randomTime(0, 100'000);
     }
     Sim.RunTimeFor = [](const std::string &Task, int64_t Estimate) {
@@ -721,8 +755,12 @@
       cutOffExecutor();
       break;
     case 4:
+      killOwner();
+      cutOffExecutor();
+      break;
     case 5:
       killOwner();
+      endLater(randomTime(1'000, 5'000), [this] { killOwner(); });
       break;
     case 6:
       silenceStore();
@@ -743,9 +781,18 @@
 
   void cutOffExecutor() {
     SimExecutor &Chosen = randomVictim();
-    Chosen.Unreachable = true;
-    endLater(randomTime(200, 12'000),
-             [&Executor = Chosen] { Executor.Unreachable = false; });
+    Chosen.AnswersLost = Rng.below(2) == 0;
+    Chosen.Unreachable = !Chosen.AnswersLost;
+    endLater(randomTime(200, 2'000),
+             [&Executor = Chosen] { Executor.Unreachable = true; });
+    bool IsUnlisted = Rng.below(2) == 0;
+    if (IsUnlisted)
+      Sim.setListed(Chosen.Info.Id, false);
+    endLater(randomTime(2'000, 12'000), [this, &Executor = Chosen] {
+      Executor.AnswersLost = false;
+      Executor.Unreachable = false;
+      Sim.setListed(Executor.Info.Id, true);
+    });
   }
 
   void killOwner() {
@@ -785,7 +832,7 @@
       }
       Sim.cutsOf(*Sim.OldOwner).Store = true;
       Sim.cutsOf(*Sim.OldOwner).Executors = {randomExecutor().Info.Id};
-      Sim.cutsOf(*Sim.Owner).Executors = {randomExecutor().Info.Id};
+      Sim.cutsOf(*Sim.Owner).Executors = {randomVictim().Info.Id};
       endLater(randomTime(200, 9'000),
                [this, Old = Sim.OldOwner.get(), New = Sim.Owner.get()] {
                  Sim.cutsOf(*Old) = {};
