--- a/tests/unit/LostExecutorTest.cpp
+++ b/tests/unit/LostExecutorTest.cpp
@@ -443,6 +443,24 @@
   checkAllRunAgain();
 }
 
+/// Guards against leases that outlast what the stored row says of the executor,
+/// because the row could not be written before its owner was lost.
+TEST(WhenAnExecutorIsCutOff, ItsTaskIsNotRunTwiceIfItIsHeardWithoutTheStore) {
+  constexpr int64_t UnheardForMs = 1'000;
+  constexpr int64_t HeardForMs = 1'000;
+  Sim.killOwner();
+  playUntilTakeover();
+  play(UnheardForMs);
+  Sim.cutsOf(*Sim.Owner).Store = true;
+  Sim.executor(Lost).Unreachable = false;
+  play(HeardForMs);
+  Sim.executor(Lost).Unreachable = true;
+  Sim.killOwner();
+  playUntilTakeover();
+  playUntilLeaseExpires();
+  checkAllRunAgain();
+}
+
 // clang-format off
 TEST_GROUP_BASE(WhenTheStoreIsSilent, TEST_GROUP_CppUTestGroupAnOwnerOfLastingTasks) {
   TimePoint ReturnedAt{};
@@ -551,6 +569,21 @@
   CHECK_FALSE(Idle.isIdle(lastingTask(0)));
 }
 
+/// Guards against a start that arrives after the next owner, which found its
+/// run absent, has started the task again.
+TEST(AnOwnerOfLastingTasks, ALateStartOfTheLastOwnerIsFenced) {
+  constexpr const char *LaterJobId = "00000000000000a2";
+  constexpr int64_t AllHaveArrivedMs = 5'000;
+  Sim.Faults.OrderLate = 1;
+  Sim.submit(makeLastingJob(LaterJobId, Tasks));
+  play(100);
+  Sim.Faults.OrderLate = 0;
+  Sim.takeOver();
+  play(AllHaveArrivedMs);
+  for (uint32_t I = 0; I < Tasks; ++I)
+    CHECK_TRUE(Sim.isOpen(taskName({.Job = LaterJobId, .Index = I})));
+}
+
 /// Guards against an owner without confirmed commits that sends recorded starts
 /// again, with new leases.
 TEST(AnOwnerOfLastingTasks, AStartIsNotSentAgainWithoutOwnership) {
