Lasting tasks ask about further executors if the allowed ones have no place

Cause: a step that the allowed executors can hold asks about others only while these have free capacity for it, and small tasks take each freed core first. The count of what they can hold included the executors that already run as many tasks of the step as its anti-affinity allows, and capacity that other lasting tasks hold for good: ten tasks, one an executor, five executors allowed and all of them in use.

Ruled out: tickets and the commit (start-recorded); the lease (lapsed 4.1 s after the executor was last heard).

The count now goes by the places that are left for further tasks, and so do reservations and with_room of step-waits, which told of free capacity that the step could not use. Restarts are prepared for silent executors only.

PlacesOfLongRunningTasksAreNotExpectedToBeFree and PlacesBesideItsOwnTasksCountByAntiAffinity fail on the code before (they don't build there).

--- a/src/cell/AdviceCandidates.cpp
+++ b/src/cell/AdviceCandidates.cpp
@@ -26,11 +26,12 @@
 /// save nothing.
 constexpr size_t MinNamedExecutors = 16;
 
-/// Tasks of the step that fit into \p Room at once.
-uint32_t placesIn(const Resources &Room, const StepSpec &Step) {
+/// Tasks of the step that fit into \p Room at once, at most \p MaxPlaces.
+uint32_t placesIn(const Resources &Room, const StepSpec &Step,
+                  uint32_t MaxPlaces) {
   constexpr uint32_t NoLimit = 1'000;
   Resources Demand = demandOf(Step);
-  uint32_t Places = Step.AntiAffinity ? Step.AntiAffinity : NoLimit;
+  uint32_t Places = std::min(MaxPlaces, NoLimit);
   auto Limit = [&](uint32_t Free, uint32_t Needed) {
     if (Needed > 0)
       Places = std::min(Places, Free / Needed);
@@ -41,6 +42,17 @@
   return Places;
 }
 
+/// Capacity for tasks of a step in the long run.
+Resources capacityBeside(const ExecutorLoad &Load, const Resources &Capacity) {
+  auto Remaining = [](uint32_t Amount, uint32_t Used) {
+    return Amount - std::min(Amount, Used);
+  };
+  const Resources &Held = Load.LongRunningDemand;
+  return {.MilliCores = Remaining(Capacity.MilliCores, Held.MilliCores),
+          .MemoryMb = Remaining(Capacity.MemoryMb, Held.MemoryMb),
+          .Accelerators = Remaining(Capacity.Accelerators, Held.Accelerators)};
+}
+
 /// One executor that may be named; lower ranks are named first.
 struct Candidate {
   ExecutorIndex Index = 0;
@@ -99,7 +111,8 @@
     if (!Executor.Listed || Executor.Ended || Executor.Info.Draining ||
         !isSuitable(Executor, Step) || Need.Known->count(I))
       continue;
-    uint32_t FreePlaces = placesIn(Pool.freeCapacity(I), Step);
+    uint32_t MaxPlaces = placesByAntiAffinity(Step, {}, I);
+    uint32_t FreePlaces = placesIn(Pool.freeCapacity(I), Step, MaxPlaces);
     bool IsOccupied = FreePlaces == 0 || !Pool.isUsable(I, Now) ||
                       isTooSlow(Loads[I]) || isReserved(Need, I);
     if (IsOccupied && Need.OnlyWithFreeCapacity)
@@ -109,9 +122,10 @@
                                Executor.Info.Rack != Step.Affinity,
                    .IsOccupied = IsOccupied,
                    .Order = orderOf(Executor, Need)};
-    Next.Places = IsOccupied ? OccupiedPlaceWeight *
-                                   placesIn(Executor.Info.Capacity, Step)
-                             : FreePlaces;
+    Resources LaterRoom = capacityBeside(Loads[I], Executor.Info.Capacity);
+    Next.Places =
+        IsOccupied ? OccupiedPlaceWeight * placesIn(LaterRoom, Step, MaxPlaces)
+                   : FreePlaces;
     Candidates.push_back(Next);
   }
   std::sort(Candidates.begin(), Candidates.end(),
@@ -134,15 +148,19 @@
 }
 
 AllowedPlaces
-countAllowedPlaces(const ExecutorPool &Pool, const StepSpec &Step,
+countAllowedPlaces(const ExecutorPool &Pool,
+                   std::span<const ExecutorLoad> Loads, const StepSpec &Step,
                    const std::map<ExecutorIndex, Permission> &Permissions,
-                   TimePoint Now) {
+                   const TaskCounts &TasksByExecutor, TimePoint Now) {
   AllowedPlaces Places;
   for (const auto &[Index, Entry] : Permissions) {
     if (!Entry.Allowed || !Pool.isUsable(Index, Now))
       continue;
-    Places.Free += placesIn(Pool.freeCapacity(Index), Step);
-    Places.Total += placesIn(Pool[Index].Info.Capacity, Step);
+    uint32_t MaxPlaces = placesByAntiAffinity(Step, TasksByExecutor, Index);
+    Places.Free += placesIn(Pool.freeCapacity(Index), Step, MaxPlaces);
+    Resources LaterRoom =
+        capacityBeside(Loads[Index], Pool[Index].Info.Capacity);
+    Places.Total += placesIn(LaterRoom, Step, MaxPlaces);
   }
   return Places;
 }
--- a/src/cell/AdviceCandidates.h
+++ b/src/cell/AdviceCandidates.h
@@ -47,16 +47,18 @@
                        std::span<const ExecutorLoad> Loads,
                        const AdviceNeed &Need, TimePoint Now);
 
-/// Places for tasks of the step on the usable executors that the policy allows.
+/// Places for further tasks of the step on the usable executors that the policy
+/// allows.
 struct AllowedPlaces {
   uint32_t Free = 0;  ///< Now.
-  uint32_t Total = 0; ///< If nothing else ran there.
+  uint32_t Total = 0; ///< If nothing but long-running tasks ran there.
 };
 
 AllowedPlaces
-countAllowedPlaces(const ExecutorPool &Pool, const StepSpec &Step,
+countAllowedPlaces(const ExecutorPool &Pool,
+                   std::span<const ExecutorLoad> Loads, const StepSpec &Step,
                    const std::map<ExecutorIndex, Permission> &Permissions,
-                   TimePoint Now);
+                   const TaskCounts &TasksByExecutor, TimePoint Now);
 
 } // namespace daisylanding::cell
 
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -365,9 +365,9 @@
                         TimePoint Now);
   std::optional<Millis> timeUntilFree(ExecutorIndex Index, const StepSpec &Spec,
                                       TimePoint Now) const;
-  PlacementRequest
-  placementRequestFor(const WaitingStepRef &Waiting, const Queue *JobQueue,
-                      std::map<ExecutorIndex, uint32_t> &TasksByExecutor) const;
+  PlacementRequest placementRequestFor(const WaitingStepRef &Waiting,
+                                       const Queue *JobQueue,
+                                       TaskCounts &TasksByExecutor) const;
   std::vector<ExecutorLoad> executorLoads(TimePoint Now) const;
 
   // Restarts of long-running tasks whose leases expire soon.
@@ -393,6 +393,7 @@
   }
   bool isListedAsSilent(ExecutorIndex Index) const;
   bool mayGrantLease(ExecutorIndex Index, TimePoint Now) const;
+  bool awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const;
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -56,7 +56,8 @@
   uint32_t Tasks =
       countTasks(Step, TaskPhase::Waiting) + countLapsingTasks(Step, Spec, Now);
   bool IsFirst = Step.Permissions.empty();
-  AllowedPlaces Places = countAllowedPlaces(Pool, Spec, Step.Permissions, Now);
+  AllowedPlaces Places = countAllowedPlaces(Pool, Loads, Spec, Step.Permissions,
+                                            countTasksByExecutor(Step), Now);
   AdviceNeed Need{
       .Step = &Spec,
       .Tasks = Tasks,
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -158,6 +158,8 @@
       const StepSpec &Spec = Key.spec();
       if (Spec.TailLatencyTarget.count() > 0)
         ++Loads[I].ServingTasks;
+      if (Spec.LongRunning)
+        Loads[I].LongRunningDemand += demandOf(Spec);
       if (!Spec.BestEffort)
         continue;
       ++Loads[I].BestEffortTasks;
@@ -167,14 +169,12 @@
   return Loads;
 }
 
-PlacementRequest CellOwner::placementRequestFor(
-    const WaitingStepRef &Waiting, const Queue *JobQueue,
-    std::map<ExecutorIndex, uint32_t> &TasksByExecutor) const {
+PlacementRequest
+CellOwner::placementRequestFor(const WaitingStepRef &Waiting,
+                               const Queue *JobQueue,
+                               TaskCounts &TasksByExecutor) const {
   const LiveStep &Step = Waiting.step();
-  for (const LiveTask &Task : Step.Tasks) {
-    if (Task.Executor != NoExecutor)
-      ++TasksByExecutor[Task.Executor];
-  }
+  TasksByExecutor = countTasksByExecutor(Step);
   const StepSpec &Spec = Waiting.spec();
   return {.Step = &Spec,
           .Permissions = permissionsOf(Step, JobQueue),
@@ -211,7 +211,7 @@
 
 void CellOwner::planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                           std::vector<ExecutorLoad> Loads, TimePoint Now) {
-  std::map<ExecutorIndex, uint32_t> TasksByExecutor;
+  TaskCounts TasksByExecutor;
   PlacementRequest Request =
       placementRequestFor(Waiting, JobQueue, TasksByExecutor);
   LiveStep &Step = Waiting.step();
@@ -246,7 +246,7 @@
   LiveStep &Step = Waiting.step();
   if (!allWaiting(Step))
     return;
-  std::map<ExecutorIndex, uint32_t> TasksByExecutor;
+  TaskCounts TasksByExecutor;
   PlacementRequest Request =
       placementRequestFor(Waiting, JobQueue, TasksByExecutor);
   auto Count = static_cast<uint32_t>(Step.Tasks.size());
@@ -309,13 +309,15 @@
       std::count_if(Reservations.begin(), Reservations.end(),
                     [](const Reservation &Entry) { return Entry.Active; }));
   bool IsRestart = Spec.LongRunning && hasRun(Step);
+  TaskCounts TasksByExecutor = countTasksByExecutor(Step);
   std::vector<std::pair<Millis, ExecutorIndex>> Candidates;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     bool NeedsReservation =
         Spec.Gang || IsRestart || isWide(demandOf(Spec), Pool[I].Info.Capacity);
     if (!isAllowed(Permissions, I) || !NeedsReservation ||
         Reservations[I].Active || !Pool.isUsable(I, Now) ||
-        !isSuitable(Pool[I], Spec))
+        !isSuitable(Pool[I], Spec) ||
+        placesByAntiAffinity(Spec, TasksByExecutor, I) == 0)
       continue;
     if (auto Delay = timeUntilFree(I, Spec, Now))
       Candidates.emplace_back(*Delay, I);
--- a/src/cell/OwnerRestart.cpp
+++ b/src/cell/OwnerRestart.cpp
@@ -37,8 +37,11 @@
 bool CellOwner::isLapsing(const LiveTask &Run, Millis Within,
                           TimePoint Now) const {
   bool IsStartSent = Run.Confirmed || Run.StartUnanswered || Run.Inherited;
-  return isOpen(Run.Phase) && IsStartSent &&
-         Pool.areLeasesExpired(Run.Executor, Now + Within);
+  if (!isOpen(Run.Phase) || !IsStartSent)
+    return false;
+  const ExecutorState &Executor = Pool[Run.Executor];
+  bool IsSilent = !Executor.TokenConfirmed || Executor.RenewalFailed;
+  return IsSilent && Pool.areLeasesExpired(Run.Executor, Now + Within);
 }
 
 uint32_t CellOwner::countLapsingTasks(const LiveStep &Step,
@@ -92,7 +95,7 @@
 CellOwner::holdPlaces(const WaitingStepRef &Waiting, const Queue *JobQueue,
                       std::span<const ExecutorLoad> Loads, uint32_t Count,
                       TimePoint Now) {
-  std::map<ExecutorIndex, uint32_t> TasksByExecutor;
+  TaskCounts TasksByExecutor;
   PlacementRequest Request =
       placementRequestFor(Waiting, JobQueue, TasksByExecutor);
   Resources Demand = demandOf(Waiting.spec());
--- a/src/cell/OwnerStatus.cpp
+++ b/src/cell/OwnerStatus.cpp
@@ -59,6 +59,7 @@
                            .SlackMs = Waiting.SlackMs};
   const auto *Permissions =
       permissionsOf(Waiting.step(), Config->findQueue(Waiting.Job->Spec.Queue));
+  TaskCounts TasksByExecutor = countTasksByExecutor(Waiting.step());
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     if (!Pool[I].Listed || !isSuitable(Pool[I], Spec))
       continue;
@@ -69,7 +70,9 @@
     if (!Pool.isUsable(I, Now))
       continue;
     ++Report.Usable;
-    Report.WithFreeCapacity += Pool.hasCapacityFor(I, demandOf(Spec)) ? 1 : 0;
+    bool HasPlace = Pool.hasCapacityFor(I, demandOf(Spec)) &&
+                    placesByAntiAffinity(Spec, TasksByExecutor, I) > 0;
+    Report.WithFreeCapacity += HasPlace ? 1 : 0;
   }
   return Report;
 }
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace daisylanding::cell {
@@ -40,12 +41,9 @@
     return false;
   if (!isAllowed(Request.Permissions, Index))
     return false;
-  if (Request.Step->AntiAffinity && Request.TasksByExecutor) {
-    auto Found = Request.TasksByExecutor->find(Index);
-    if (Found != Request.TasksByExecutor->end() &&
-        Found->second >= Request.Step->AntiAffinity)
-      return false;
-  }
+  if (Request.TasksByExecutor &&
+      placesByAntiAffinity(*Request.Step, *Request.TasksByExecutor, Index) == 0)
+    return false;
   return Pool.hasCapacityFor(Index, demandOf(*Request.Step));
 }
 
@@ -119,7 +117,7 @@
 std::optional<std::vector<ExecutorIndex>>
 placeGang(ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
           PlacementRequest Request, uint32_t Count, TimePoint Now) {
-  std::map<ExecutorIndex, uint32_t> TasksByExecutor;
+  TaskCounts TasksByExecutor;
   if (Request.TasksByExecutor)
     TasksByExecutor = *Request.TasksByExecutor;
   Request.TasksByExecutor = &TasksByExecutor;
@@ -157,6 +155,25 @@
   return Found != Permissions->end() && Found->second.Allowed;
 }
 
+TaskCounts countTasksByExecutor(const LiveStep &Step) {
+  TaskCounts Counts;
+  for (const LiveTask &Task : Step.Tasks) {
+    if (Task.Executor != NoExecutor)
+      ++Counts[Task.Executor];
+  }
+  return Counts;
+}
+
+uint32_t placesByAntiAffinity(const StepSpec &Step,
+                              const TaskCounts &TasksByExecutor,
+                              ExecutorIndex Index) {
+  if (Step.AntiAffinity == 0)
+    return std::numeric_limits<uint32_t>::max();
+  auto Found = TasksByExecutor.find(Index);
+  uint32_t Used = Found == TasksByExecutor.end() ? 0 : Found->second;
+  return Step.AntiAffinity - std::min(Step.AntiAffinity, Used);
+}
+
 bool isSuitable(const ExecutorState &Executor, const StepSpec &Step) {
   if (!demandOf(Step).fitsIn(Executor.Info.Capacity))
     return false;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -19,6 +19,7 @@
   uint32_t ServingTasks = 0; ///< Tasks with a tail latency target.
   uint32_t BestEffortTasks = 0;
   uint32_t BestEffortMilliCores = 0;
+  Resources LongRunningDemand; ///< Of tasks that don't end by themselves.
   double Slowness = 1; ///< Run time of its tasks relative to other executors.
 };
 
@@ -31,12 +32,14 @@
   Millis FreeAfter{0}; ///< Until enough capacity is expected to be free.
 };
 
+/// Tasks of a step by executor.
+using TaskCounts = std::map<ExecutorIndex, uint32_t>;
+
 struct PlacementRequest {
   const StepSpec *Step = nullptr;
   /// Null where no policy restricts the step.
   const std::map<ExecutorIndex, Permission> *Permissions = nullptr;
-  /// Tasks of the step by executor, for anti-affinity.
-  const std::map<ExecutorIndex, uint32_t> *TasksByExecutor = nullptr;
+  const TaskCounts *TasksByExecutor = nullptr; ///< For anti-affinity.
   /// Chosen before others: tickets for these are being obtained.
   std::span<const ExecutorIndex> Preferred;
   /// Only this rack, if set.
@@ -56,6 +59,13 @@
 bool isAllowed(const std::map<ExecutorIndex, Permission> *Permissions,
                ExecutorIndex Index);
 
+TaskCounts countTasksByExecutor(const LiveStep &Step);
+
+/// How many more tasks of the step its anti-affinity allows on this executor.
+uint32_t placesByAntiAffinity(const StepSpec &Step,
+                              const TaskCounts &TasksByExecutor,
+                              ExecutorIndex Index);
+
 /// Whether the executor has the step's label and enough total capacity.
 bool isSuitable(const ExecutorState &Executor, const StepSpec &Step);
 
--- a/tests/unit/AdviceCandidatesTest.cpp
+++ b/tests/unit/AdviceCandidatesTest.cpp
@@ -145,3 +145,27 @@
     Shares.record("q", 10, 7);
   DOUBLES_EQUAL(0.7, Shares.share("q"), 0.01);
 }
+
+/// Guards against a step that asks about no further executors because the
+/// allowed ones would have places, which long-running tasks never free.
+TEST(WithAStepThatWasAdvised, PlacesOfLongRunningTasksAreNotExpectedToBeFree) {
+  AllowedPlaces Before =
+      countAllowedPlaces(Pool, Loads, Step, Known, {}, now());
+  for (ExecutorIndex I = 0; I < 10; ++I) {
+    Loads[I].LongRunningDemand = ExecutorSize;
+    Pool.reserve(I, ExecutorSize);
+  }
+  AllowedPlaces After = countAllowedPlaces(Pool, Loads, Step, Known, {}, now());
+  LONGS_EQUAL(Before.Total / 2, After.Total);
+}
+
+/// Guards against a step that asks about no further executors because the
+/// allowed ones have room, which its anti-affinity forbids.
+TEST(WithAStepThatWasAdvised, PlacesBesideItsOwnTasksCountByAntiAffinity) {
+  Step.AntiAffinity = 1;
+  TaskCounts OnHalfOfTheAllowed = {{0, 1}, {2, 1}, {4, 1}, {6, 1}, {8, 1}};
+  AllowedPlaces Places =
+      countAllowedPlaces(Pool, Loads, Step, Known, OnHalfOfTheAllowed, now());
+  LONGS_EQUAL(5, Places.Total);
+  LONGS_EQUAL(5, Places.Free);
+}
