A new owner's renewals don't wait at executors before they carry leases

Found by review: the first row of a new owner lets it grant leases, but by then the second renewal waited at each executor for 0.7 s without one. With leases of 4 s and a takeover of 2 to 2.7 s, lasting tasks on executors in reach could lapse.

An executor that has answered is now called again once the row is committed that allows for its lease, or after 0.7 s.

ItsSuccessorWaitsAtNoExecutorBeforeItGrantsLeases failed before.

--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -89,6 +89,18 @@
   }
 }
 
+/// Whether the next row will allow for a lease there. A renewal sent before it
+/// would wait at the executor without one.
+bool CellOwner::awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const {
+  /// So that run ends are still reported while the store doesn't answer.
+  constexpr Millis MaxRowWait{700};
+  const ExecutorState &Executor = Pool[Index];
+  bool IsFirstRowMissing = LeasesConfirmedAt == TimePoint{};
+  return Executor.TokenConfirmed && !Executor.RenewalFailed &&
+         (IsFirstRowMissing || isListedAsSilent(Index)) &&
+         Now < Executor.LastAnswerAt + MaxRowWait;
+}
+
 void CellOwner::emitRenewals(TimePoint Now) {
   /// An executor with unacknowledged run ends answers a renewal at once, so
   /// renewals are spaced by this while the store does not confirm the ends.
@@ -111,6 +123,8 @@
     if (!Executor.UnacknowledgedEnds.empty() &&
         Now < Executor.LastAnswerAt + UnrecordedEndsDelay)
       continue;
+    if (awaitsRowForLease(I, Now))
+      continue;
     RenewalCommand Command{.Executor = I};
     Command.Call = {.Target = targetOf(I),
                     .FencingToken = Row.Epoch,
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -396,6 +396,7 @@
 
 void Simulation::sendRenewal(const cell::RenewalCommand &Command,
                              const cell::CellOwner *Sender) {
+  Renewals.push_back(Command.Call);
   auto Answer = [this, Sender, Index = Command.Executor](
                     const executor::RenewalAnswer &Result) {
     notify(Sender, [this, Index, Result](cell::CellOwner &Receiver) {
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -143,6 +143,7 @@
   std::unique_ptr<cell::CellOwner> Owner;
   /// One that is paused, or was when another took over.
   std::unique_ptr<cell::CellOwner> OldOwner;
+  std::vector<executor::RenewalCall> Renewals;    ///< All that were sent.
   std::vector<executor::StartOrder> Started;      ///< All starts carried out.
   std::vector<store::Transaction> AppliedCommits; ///< All that took effect.
   TimePoint Now = SimulationStart;
--- a/tests/unit/LeaseGrantTest.cpp
+++ b/tests/unit/LeaseGrantTest.cpp
@@ -216,6 +216,19 @@
   CHECK(grantedEndMs() > GrantedBefore);
 }
 
+/// Guards against runs that end after a takeover although their executors are
+/// in reach: a renewal without a lease would wait there before the next one.
+TEST(AnOwnerWithALastingTask,
+     ItsSuccessorWaitsAtNoExecutorBeforeItGrantsLeases) {
+  Sim.CommitTimeMs = 100;
+  Sim.takeOver();
+  Sim.Renewals.clear();
+  Sim.runFor(500);
+  CHECK_FALSE(Sim.Renewals.empty());
+  for (const executor::RenewalCall &Call : Sim.Renewals)
+    CHECK_TRUE(Call.LeaseEndMs || Call.MaxWait == Millis(0));
+}
+
 TEST(WhenItIsReplacedAndItsExecutorIsCutOff, OneThatAnswersSoonIsNotListed) {
   executorOfTask().Unreachable = false;
   Sim.takeOver();
