Commands that answers add reach the executors

Found by a search for the cause of the lasting tasks that waited too long; not that cause.

Cause: answers to renewals add pace changes and stops between two turns, and advance began by clearing the commands. An owner never slowed best-effort work beside tasks that serve users (HARM), and never stopped a run that nobody had recorded.

advance returns what was added since the last turn with its own commands.

AnExecutorWhoseUsersAreHarmed and AnExecutorThatRunsAnUnknownTask failed before and pass. Pacing is live with this for the first time.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisylanding::cell {
 
@@ -362,9 +363,8 @@
 }
 
 OwnerCommands CellOwner::advance(TimePoint Now, int64_t WallMs) {
-  Commands = {};
   if (Deposed || Released || Loading)
-    return std::move(Commands);
+    return {};
   beginDueOccurrences(Now, WallMs);
   expireRuns(Now);
   dropUnsentStarts(Now);
@@ -376,7 +376,8 @@
     plan(Now);
   emitOrders(Now);
   emitRenewals(Now);
-  return std::move(Commands);
+  // Answers add commands between two turns.
+  return std::exchange(Commands, {});
 }
 
 } // namespace daisylanding::cell
