--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -32,8 +32,10 @@
   /// `IdleRenewalWait` plus this.
   Millis SilenceTimeout{900};
   /// How long an owner grants leases after it has sent the last commit that was
-  /// confirmed. Longer than commits take on a slow store.
+  /// confirmed.
   Millis OwnershipTimeout{2'000};
+  /// The same at most, while commits take longer than half of it.
+  Millis MaxOwnershipTimeout{6'000};
   /// Until an owner's row tells successors of an executor that is silent: a
   /// renewal that waits in vain, and the time to the next commit.
   Millis MaxNoticeTime{1'400};
