Leases on a slow store: silent executors stay listed, grants outlast commits

Found by review, with tests that failed: on a store whose commits took 250 ms, rows listed no silent executor, so that a task lost with its executor, whose owner was lost 4 s later, waited 10.8 s; one slow commit sufficed (9.5 s). With commits of 2.1 s the permission to grant leases was over when a commit was confirmed, and nothing started at all.

An executor that is listed stays so while it is silent, and others are listed while two commits take less than a quarter of a lease.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -245,7 +245,7 @@
     TimePoint TimedFrom{}; ///< Its time counts from here, without silences.
     TimePoint LastSentAt{};
     uint32_t Resends = 0;
-    bool AllowsLeases = false; ///< Its row states when they have expired.
+    Millis GrantTime{0}; ///< From its sending; its row allows for leases.
     /// Jobs that this commit stores.
     std::vector<std::string> OfferedJobs;
     /// Jobs whose rows this commit removes.
@@ -405,7 +405,9 @@
   CommitInFlight buildCommit(TimePoint Now, const StoreClock &Clock);
   void addJobs(CommitInFlight &Commit, int64_t StoreClockMs);
   OwnerRow buildOwnerRow();
-  void listLeaseEnds(OwnerRow &NewRow, TimePoint Now, const StoreClock &Clock);
+  Millis grantTime(const OwnerRow &NewRow, TimePoint Now) const;
+  void listLeaseEnds(CommitInFlight &Commit, TimePoint Now,
+                     const StoreClock &Clock);
   bool mayWriteFirstRow(TimePoint Now);
   void addJob(CommitInFlight &Commit, LiveJob &Job, int64_t StoreClockMs);
   void addRemovals(CommitInFlight &Commit, TimePoint Now);
@@ -451,10 +453,8 @@
   uint64_t LastBuiltSequence = 0; ///< Of the newest commit that was built.
   OwnerRow Row;
   TimePoint LastCommitAt{};
-  /// When the newest confirmed commit was sent whose row allows for the leases
-  /// that are granted because of it.
-  TimePoint LeasesConfirmedAt{};
-  TimePoint FirstRowDueAt{}; ///< Of the first row after the load.
+  TimePoint LeasesGrantedUntil{}; ///< As the newest confirmed row allows.
+  TimePoint FirstRowDueAt{};      ///< Of the first row after the load.
   /// An executor has answered that the newest row lists as silent.
   bool RowOutdated = false;
   TimePoint RetryCommitAt{};
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -59,7 +59,7 @@
 /// until the next row.
 bool CellOwner::mayWriteFirstRow(TimePoint Now) {
   constexpr Millis FirstAnswersWait{100};
-  if (LeasesConfirmedAt != TimePoint{} || Releasing)
+  if (LeasesGrantedUntil != TimePoint{} || Releasing)
     return true;
   if (FirstRowDueAt == TimePoint{})
     FirstRowDueAt = Now + FirstAnswersWait;
@@ -102,7 +102,6 @@
   Commit.TimedFrom = Now;
   Commit.LastSentAt = Now;
   Commit.Row = buildOwnerRow();
-  Commit.AllowsLeases = !Loading;
   store::Transaction &Tx = Commit.Transaction;
   Tx.Partition = Options.Service;
   Tx.Preconditions.push_back(
@@ -112,7 +111,7 @@
   addRemovals(Commit, Now);
   Commit.Row.Released = Releasing && Commit.Jobs.size() == DirtyJobs.size();
   if (!Loading)
-    listLeaseEnds(Commit.Row, Now, Clock);
+    listLeaseEnds(Commit, Now, Clock);
   Tx.Writes.push_back({.Table = OwnerTable,
                        .Key = OwnerKey,
                        .Value = encodeOwnerRow(Commit.Row)});
@@ -176,25 +175,38 @@
   return NewRow;
 }
 
+/// How long leases are granted because of the row. On a slow store long enough
+/// to outlast the next commit.
+Millis CellOwner::grantTime(const OwnerRow &NewRow, TimePoint Now) const {
+  if (NewRow.Released)
+    return Millis(0);
+  auto TwoCommits =
+      std::chrono::duration_cast<Millis>(2 * expectedCommitTime(Now));
+  return std::clamp(TwoCommits, Options.Leases.OwnershipTimeout,
+                    Options.Leases.MaxOwnershipTimeout);
+}
+
 /// States in the row when all leases have expired that are granted before the
 /// next one: none on the executors that it lists. An owner that is still
 /// loading grants none, and leaves what the last owner stated.
-void CellOwner::listLeaseEnds(OwnerRow &NewRow, TimePoint Now,
+void CellOwner::listLeaseEnds(CommitInFlight &Commit, TimePoint Now,
                               const StoreClock &Clock) {
   RowOutdated = false;
-  Millis GrantTime =
-      NewRow.Released ? Millis(0) : Options.Leases.OwnershipTimeout;
-  NewRow.LeasesEndMs =
-      std::max(Options.AcquiredRow.LeasesEndMs.value_or(0),
-               Clock.MaxMs + leaseHorizon(Options.Leases, GrantTime).count());
-  // An executor that answers again gets leases only with the next row, which is
-  // too late on a slow store.
-  bool IsStoreQuick = LastCommitTime < SlowCommitThreshold;
+  OwnerRow &NewRow = Commit.Row;
+  Commit.GrantTime = grantTime(NewRow, Now);
+  NewRow.LeasesEndMs = std::max(
+      Options.AcquiredRow.LeasesEndMs.value_or(0),
+      Clock.MaxMs + leaseHorizon(Options.Leases, Commit.GrantTime).count());
+  // An executor that answers again gets leases only with the next row, which
+  // must not take too much of a lease.
+  bool IsStoreQuick = 2 * LastCommitTime < Options.Leases.LeaseDuration / 4;
   NewRow.SilentLeaseEnds.clear();
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     const ExecutorState &Executor = Pool[I];
+    bool MayBeListed =
+        IsStoreQuick || Row.SilentLeaseEnds.count(Executor.Info.Id) > 0;
     bool IsSilent =
-        !Executor.TokenConfirmed || (Executor.RenewalFailed && IsStoreQuick);
+        !Executor.TokenConfirmed || (Executor.RenewalFailed && MayBeListed);
     if (Executor.OpenRuns > 0 && IsSilent)
       NewRow.SilentLeaseEnds[Executor.Info.Id] =
           Clock.MaxMs + toMillis(Pool.leasesEnd(I) - Now) + 1;
@@ -281,8 +293,8 @@
             Options.Service, Row.Sequence, Commit.Jobs.size(),
             Commit.Transaction.entryCount(), Commit.Resends,
             toMillis(Now - Commit.FirstSentAt));
-  if (Commit.AllowsLeases)
-    LeasesConfirmedAt = Commit.FirstSentAt;
+  if (Commit.GrantTime > Millis(0))
+    LeasesGrantedUntil = Commit.FirstSentAt + Commit.GrantTime;
   Released = Row.Released;
   for (const auto &[Id, Revision] : Commit.Jobs) {
     LiveJob &Job = Jobs.at(Id);
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -36,8 +36,7 @@
 /// Whether a lease granted there now ends as the row in the store states.
 bool CellOwner::mayGrantLease(ExecutorIndex Index, TimePoint Now) const {
   bool IsReleased = InFlight && InFlight->Row.Released;
-  return Now < LeasesConfirmedAt + Options.Leases.OwnershipTimeout &&
-         !IsReleased && !isListedAsSilent(Index);
+  return Now < LeasesGrantedUntil && !IsReleased && !isListedAsSilent(Index);
 }
 
 void CellOwner::emitStart(const TaskKey &Key, TimePoint Now) {
@@ -95,7 +94,7 @@
   /// So that run ends are still reported while the store doesn't answer.
   constexpr Millis MaxRowWait{700};
   const ExecutorState &Executor = Pool[Index];
-  bool IsFirstRowMissing = LeasesConfirmedAt == TimePoint{};
+  bool IsFirstRowMissing = LeasesGrantedUntil == TimePoint{};
   return Executor.TokenConfirmed && !Executor.RenewalFailed &&
          (IsFirstRowMissing || isListedAsSilent(Index)) &&
          Now < Executor.LastAnswerAt + MaxRowWait;
--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -11,13 +11,13 @@
 using Micros = std::chrono::microseconds;
 
 /// A monotonic clock that goes on while the instance is suspended, unlike
-/// std::chrono::steady_clock: others may have taken over meanwhile.
+/// std::chrono::steady_clock: others may have taken over meanwhile. Not a
+/// complete standard clock, so that waits on other clocks don't take its times.
 struct BootClock {
   using duration = Micros;
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 
   static time_point now() noexcept {
     timespec Time{};
