A row states the end also of leases that an earlier row still allows

Cause: since the time for which a row lets its owner grant leases follows the store's speed. A row written once the store was quick again allowed 2 s, while up to 6 s of an earlier one went on until its answer came. If that got lost, leases were granted beyond the end that the stored row states, and a successor could start a task beside its run.

The stated end covers what the earlier row still allows, but for a release, which ends all grants.

--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -194,9 +194,16 @@
   RowOutdated = false;
   OwnerRow &NewRow = Commit.Row;
   Commit.GrantTime = grantTime(NewRow, Now);
+  // Until this row is confirmed, what an earlier one allowed still holds.
+  Millis LongestGrant = Commit.GrantTime;
+  if (!NewRow.Released)
+    LongestGrant =
+        std::max(LongestGrant,
+                 std::chrono::duration_cast<Millis>(LeasesGrantedUntil - Now) +
+                     Millis(1));
   NewRow.LeasesEndMs = std::max(
       Options.AcquiredRow.LeasesEndMs.value_or(0),
-      Clock.MaxMs + leaseHorizon(Options.Leases, Commit.GrantTime).count());
+      Clock.MaxMs + leaseHorizon(Options.Leases, LongestGrant).count());
   // An executor that answers again gets leases only with the next row, which
   // must not take too much of a lease.
   bool IsStoreQuick = 2 * LastCommitTime < Options.Leases.LeaseDuration / 4;
--- a/tests/unit/LeaseGrantTest.cpp
+++ b/tests/unit/LeaseGrantTest.cpp
@@ -144,6 +144,20 @@
   CHECK_FALSE(exceedsStatedEndWithin(12'000));
 }
 
+/// Guards against a row that states too early an end once the store is quick
+/// again: the permission that the slow store led to still holds.
+TEST(AnOwnerWithALastingTask, StatesTheEndOfLeasesThatASlowStoreLedTo) {
+  Sim.CommitTimeMs = 1'500;
+  Sim.runFor(8'000);
+  Sim.CommitTimeMs = 10;
+  size_t Applied = Sim.AppliedCommits.size();
+  CHECK(Sim.runUntil([&] { return Sim.AppliedCommits.size() >= Applied + 2; },
+                     4'000));
+  Sim.runFor(20);
+  Sim.Faults.CommitAnswerLost = 1;
+  CHECK_FALSE(exceedsStatedEndWithin(6'000));
+}
+
 /// Guards against a start whose lease outlasts what the row states.
 TEST(WhenTheStoreNoLongerAnswersIt, ItSendsNoStartOnceItMayHaveBeenReplaced) {
   Sim.StoreSilent = false;
