Log and count reads of the configuration that fail, and broken-off answers

An entry that never got a newer configuration left one line, config-feed-lost; its reads afterwards failed without any. No line told a store that doesn't answer from a transfer that is given up in the middle, the two hypotheses of the incident.

config-read-failed and config-feed-lost name the version in force, and are counted; config-in-force tells the size of the document; answer-incomplete tells how much of an answer had arrived when its call ended. No logic is changed.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,5 +1,7 @@
 #include "http/Client.h"
 
+#include "common/Log.h"
+
 #include <curl/curl.h>
 
 #include <strings.h>
@@ -26,6 +28,7 @@
   CURL *Handle = nullptr;
   /// The request may have been sent, on this or an earlier connection.
   bool RequestIssued = false;
+  TimePoint StartedAt{};
   CallDone Done;
 
   Transfer() = default;
@@ -119,6 +122,18 @@
          findHeader(Received.Headers, "Transfer-Encoding");
 }
 
+/// An answer of which a part was received tells a slow transfer from a server
+/// that doesn't answer.
+void logIncomplete(const Transfer &CurrentTransfer, CURLcode Code) {
+  const std::string *Length =
+      findHeader(CurrentTransfer.Reply.Headers, "Content-Length");
+  logWarn("answer-incomplete", "url={} received={} length={} took_ms={} why={}",
+          CurrentTransfer.Request.Url, CurrentTransfer.Reply.Body.size(),
+          Length ? *Length : "-",
+          toMillis(monotonicNow() - CurrentTransfer.StartedAt),
+          Code == CURLE_OPERATION_TIMEDOUT ? "timeout" : "broken-off");
+}
+
 CallResult makeResult(Transfer &CurrentTransfer, CURLcode Code) {
   if (Code == CURLE_OK) {
     long Status = 0;
@@ -128,6 +143,8 @@
       return Errc::AnswerLost;
     return std::move(CurrentTransfer.Reply);
   }
+  if (!CurrentTransfer.Reply.Body.empty())
+    logIncomplete(CurrentTransfer, Code);
   // The error code alone is not enough: libcurl resends the request when a
   // reused connection closes, and may then fail to connect although the request
   // was sent before.
@@ -152,6 +169,7 @@
 CallResult Client::perform(const Call &Request) {
   Transfer CurrentTransfer;
   CurrentTransfer.Request = Request;
+  CurrentTransfer.StartedAt = monotonicNow();
   configure(CurrentTransfer, Pimpl->Handle);
   CURLcode Code = curl_easy_perform(Pimpl->Handle);
   return makeResult(CurrentTransfer, Code);
@@ -204,6 +222,7 @@
   auto CurrentTransfer = std::make_unique<Transfer>();
   CurrentTransfer->Request = std::move(Request);
   CurrentTransfer->Done = std::move(Done);
+  CurrentTransfer->StartedAt = monotonicNow();
   CURL *Handle = Pimpl->acquireHandle();
   configure(*CurrentTransfer, Handle);
   Pimpl->ActiveTransfers.emplace(Handle, std::move(CurrentTransfer));
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -131,18 +131,27 @@
   size_t Queues = Config->Queues.size();
   if (Context.Config.replaceIfNewer(
           std::make_shared<const cell::CellConfig>(std::move(*Config)))) {
-    logInfo("config-in-force", "version={} queues={} row={}", Version, Queues,
-            Row.Version);
+    logInfo("config-in-force", "version={} queues={} row={} bytes={}", Version,
+            Queues, Row.Version, Row.Value.size());
     Context.Events.add("config-in-force", std::to_string(Version));
   }
 }
 
+/// Of the configuration in force; 0 if there is none.
+uint64_t WatchLoop::configVersion() const {
+  auto Config = Context.Config.current();
+  return Config ? Config->Version : 0;
+}
+
 void WatchLoop::readConfig() {
   const DocumentCodec &Codec = Context.Platform.codec();
   store::RangeRead Range{
       .Table = Codec.configTable(), .From = Codec.configKey(), .Limit = 1};
   Store->read(Range, [this](const Result<store::RowPage> &Page) {
     if (!Page) {
+      logInfo("config-read-failed", "error={} in_force={}",
+              Page.error().message(), configVersion());
+      Context.EntryMetrics.count("config_reads_failed");
       TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
                           [this] { readConfig(); });
       return;
@@ -161,7 +170,9 @@
                            .MaxWait = ConfigFeedWait};
   Store->readChanges(Query, [this](const Result<store::ChangePage> &Page) {
     if (!Page) {
-      logInfo("config-feed-lost", "error={}", Page.error().message());
+      logInfo("config-feed-lost", "error={} in_force={} after={}",
+              Page.error().message(), configVersion(), ConfigFeed.position());
+      Context.EntryMetrics.count("config_feeds_lost");
       TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
                           [this] { readConfig(); });
       return;
--- a/src/node/WatchLoop.h
+++ b/src/node/WatchLoop.h
@@ -38,6 +38,7 @@
   void readConfig();
   void followConfig();
   void applyConfig(const store::Row &Row);
+  uint64_t configVersion() const;
   void announceEntry();
   void readCapacities();
   void watchOwners(TimePoint Now);
