Test of a large configuration on a slow link; it fails

An entry behind a proxy that passes 1.25 MB/s, the link of a small entry, gets a configuration of 1.8 MB. Its feed and its reads time out in the middle of the transfer; each try begins anew.

Measured: not applied after 20 s; the bound is 3 s.

--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -4,6 +4,7 @@
 #include "harness/Process.h"
 #include "http/Client.h"
 #include "standin/CellPlatform.h"
+#include "standin/SlowLink.h"
 
 #include <asio.hpp>
 #include <fmt/format.h>
@@ -26,6 +27,7 @@
 constexpr uint16_t PlatformPort = 7'940;
 constexpr uint16_t FirstEntryPort = 7'950;
 constexpr uint16_t PortsPerEntry = 4;
+constexpr uint16_t SlowLinkPort = 7'941;
 constexpr const char *Folder = "cell-run";
 constexpr Millis MaxWait{20'000};
 
@@ -76,13 +78,13 @@
   static uint16_t port(int Entry, int Listener) {
     return static_cast<uint16_t>(FirstEntryPort + Entry * PortsPerEntry + Listener);
   }
-  void startEntry(int Entry) {
+  void startEntry(int Entry, uint16_t StorePort = PlatformPort) {
     std::string File = fmt::format("{}/entry{}.toml", Folder, Entry);
     std::ofstream(File) << fmt::format(
         "[entry]\nname = \"e{}\"\nzone = \"za\"\n[listen]\ncallers = \"127.0.0.1:{}\"\n"
         "readiness = \"127.0.0.1:{}\"\nrelay = \"127.0.0.1:{}\"\noperators = \"127.0.0.1:{}\"\n"
         "[services]\nstore = \"127.0.0.1:{}\"\nadvice = \"127.0.0.1:{}\"\n",
-        Entry, port(Entry, 0), port(Entry, 1), port(Entry, 2), port(Entry, 3), PlatformPort, PlatformPort);
+        Entry, port(Entry, 0), port(Entry, 1), port(Entry, 2), port(Entry, 3), StorePort, PlatformPort);
     harness::Process Child({"./daisylanding", "serve", "--config", File}, fmt::format("{}/entry{}.log", Folder, Entry));
     if (static_cast<size_t>(Entry) < Entries.size())
       Entries[static_cast<size_t>(Entry)] = std::move(Child);
@@ -236,6 +238,25 @@
   }
 }
 
+/// Guards against an entry that never applies a configuration whose transfer
+/// over its link takes longer than the store usually takes to answer.
+TEST(ACellOfTwoEntries, AnEntryOnASlowLinkAppliesALargeConfigurationInTime) {
+  constexpr Millis ApplyBound{3'000};
+  constexpr uint32_t LinkBytesPerSecond = 1'250'000;
+  constexpr size_t FurtherQueues = 7'000; // 1.6 s for its transfer.
+  constexpr int SmallEntry = 2;
+  standin::SlowLink Link(SlowLinkPort, PlatformPort);
+  startEntry(SmallEntry, SlowLinkPort);
+  CHECK(eventually([&] { return get(SmallEntry, 1, "/ready") == 200; }));
+  Link.setRate(LinkBytesPerSecond);
+  Platform.configure(2, true, FurtherQueues);
+  TimePoint ChangedAt = monotonicNow();
+  std::string Added = fmt::format("/q{}/", FurtherQueues - 1);
+  CHECK(eventually([&] { return get(SmallEntry, 0, Added) == 200; }));
+  CHECK(monotonicNow() - ChangedAt < ApplyBound);
+  Entries.pop_back();
+}
+
 TEST(ACellOfTwoEntries, LostAnswersAndLateWritesDuplicateNothing) {
   Platform.setFaults({.LostResponsesPerTen = 2, .LateWritesPerTen = 1});
   for (int I = 1; I <= 10; ++I) {
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -266,7 +266,8 @@
   PendingFeeds = std::move(Remaining);
 }
 
-void CellPlatform::configure(uint64_t Version, bool WithAdvice) {
+void CellPlatform::configure(uint64_t Version, bool WithAdvice,
+                             size_t FurtherQueues) {
   Json Route = {
       {"name", "q"},      {"host", "jobs.example"},     {"path-prefix", "/q/"},
       {"service", "s"},   {"target-latency-ms", 1'000}, {"stretch", 2.0},
@@ -274,8 +275,14 @@
   if (WithAdvice)
     Route["advice"] = {
         {"decision-ms", 5.0}, {"period-ms", 0.5}, {"validity-ms", 1'500}};
+  Json Routes = {Route};
+  for (size_t I = 0; I < FurtherQueues; ++I) {
+    Route["name"] = fmt::format("q{}", I);
+    Route["path-prefix"] = fmt::format("/q{}/", I);
+    Routes.push_back(Route);
+  }
   Json Config = {{"version", Version},
-                 {"routes", {Route}},
+                 {"routes", Routes},
                  {"services", {{{"name", "s"}}}}};
   std::lock_guard<std::mutex> Lock(Mutex);
   Rows[{"op", "", "config"}] = {encodeBase64(Config.dump()), ++StoreVersion,
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -38,8 +38,9 @@
 
   void handle(http::Request Request, http::Responder Responder) override;
 
-  /// Stores the configuration row: service `s` with the queue `/q/`.
-  void configure(uint64_t Version, bool WithAdvice);
+  /// Stores the configuration row: service `s` with the queue `/q/`, and
+  /// \p FurtherQueues more, from `/q0/` on.
+  void configure(uint64_t Version, bool WithAdvice, size_t FurtherQueues = 0);
   void addExecutor(const std::string &Id, const std::string &Address,
                    uint32_t MilliCores);
   /// Drops all runs of the executor and stops answering its calls. It stays
