--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -1,5 +1,7 @@
 #include "unit/CellSim.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -48,17 +50,21 @@
 }
 
 std::string Simulation::addExecutor(Resources Capacity, std::string Rack) {
-  std::string Id = "i-" + std::to_string(Executors.size());
+  return addIncarnation({.Service = "s",
+                         .Address = fmt::format("addr-{}", Executors.size()),
+                         .AvailabilityZone = "z" + Rack,
+                         .Rack = Rack,
+                         .Labels = {"a", Rack},
+                         .Capacity = Capacity});
+}
+
+std::string Simulation::addIncarnation(executor::ExecutorInfo Info) {
+  std::string Id = fmt::format("i-{}", Executors.size());
+  Info.Id = Id;
   auto Added = std::make_unique<SimExecutor>();
-  Added->Info = {.Id = Id,
-                 .Service = "s",
-                 .Address = "addr-" + Id,
-                 .AvailabilityZone = "z" + Rack,
-                 .Rack = Rack,
-                 .Labels = {"a", Rack},
-                 .Capacity = Capacity};
+  Added->Info = std::move(Info);
   Executors.emplace(Id, std::move(Added));
-  if (Owner)
+  if (isLoaded())
     Owner->setExecutors(instanceList(), Now);
   return Id;
 }
@@ -107,6 +113,18 @@
   schedule(ListDelayMs, [this, Id] { setListed(Id, false); });
 }
 
+void Simulation::crashExecutor(const std::string &Id, int64_t BackAfterMs) {
+  if (executor(Id).Dead)
+    return;
+  ++Crashes;
+  executor(Id).Running.clear();
+  loseExecutor(Id);
+  schedule(BackAfterMs, [this, Id] {
+    executor(Id).Replaced = true;
+    addIncarnation(executor(Id).Info);
+  });
+}
+
 void Simulation::setListed(const std::string &Id, bool IsListed) {
   executor(Id).Listed = IsListed && !executor(Id).Dead;
   if (isLoaded())
@@ -383,6 +401,8 @@
       executor::OrderAnswer Answer;
       if (isReachable(Executor, Target))
         Answer = handleStop(Executor, Command.Order);
+      if (Executor.Replaced)
+        Answer.Outcome = OrderOutcome::Replaced;
       if (Executor.AnswersLost)
         Answer = {};
       notify(Target, [this, Command, Answer](cell::CellOwner &Receiver) {
@@ -418,6 +438,8 @@
     executor::RenewalAnswer Result;
     if (isReachable(Executor, Sender))
       Result = handleRenewal(Executor, Call);
+    if (Executor.Replaced)
+      Result.Outcome = OrderOutcome::Replaced;
     if (Executor.AnswersLost)
       Result = {};
     int64_t Wait = Result.Ended.empty() ? 50 : 1;
@@ -447,6 +469,10 @@
   bool AnswerLost = Rng.uniform() < Faults.OrderAnswerLost;
   schedule(TransitMs, [this, Order, Sender, Answer, AnswerLost] {
     SimExecutor &Executor = executor(Order.Target.Id);
+    if (Executor.Replaced) {
+      Answer({.Outcome = OrderOutcome::Replaced});
+      return;
+    }
     if (!isReachable(Executor, Sender)) {
       schedule(OrderTimeoutMs, [Answer] { Answer({}); });
       return;
@@ -502,6 +528,14 @@
   Executor.Running[Order.Id.Task] = {.Run = Order.Id.Run,
                                      .EndsAt = Now + Millis(RunTimeMs),
                                      .Size = Step.Size};
+  if (auto CrashTimeMs =
+          CrashTimeFor ? CrashTimeFor(Order.Id.Task) : std::nullopt)
+    schedule(*CrashTimeMs, [this, Id = Executor.Info.Id, Order] {
+      const auto &Runs = executor(Id).Running;
+      auto Run = Runs.find(Order.Id.Task);
+      if (Run != Runs.end() && Run->second.Run == Order.Id.Run)
+        crashExecutor(Id, CrashedForMs);
+    });
   Answer.Outcome = OrderOutcome::Done;
   return Answer;
 }
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -52,6 +52,7 @@
   bool Listed = true;       ///< In the instance list.
   bool Unreachable = false; ///< Keeps running, but receives no calls.
   bool AnswersLost = false; ///< Carries out calls; none is seen answered.
+  bool Replaced = false;    ///< Another incarnation answers at its address.
   bool GuardsCapacity = false;
   double ClockRate = 1; ///< Of its steady clock, relative to true time.
   Millis ClockOffset{0};
@@ -98,6 +99,9 @@
   /// The executor ends for good. Its entry stays in the instance list for some
   /// seconds.
   void loseExecutor(const std::string &Id);
+  /// The executor crashes. After \p BackAfterMs another incarnation answers at
+  /// its address. Its entry leaves the instance list as if it were lost.
+  void crashExecutor(const std::string &Id, int64_t BackAfterMs);
   /// Adds its entry to the instance list or removes it.
   void setListed(const std::string &Id, bool IsListed);
   /// Runs \p Ms milliseconds of virtual time.
@@ -118,6 +122,7 @@
                                Resources Size, int64_t RunMs);
 
   SimExecutor &executor(const std::string &Id) { return *Executors.at(Id); }
+  bool hasExecutor(const std::string &Id) const { return Executors.count(Id); }
   cell::JobPhase storedPhase(const std::string &JobId) const;
   std::string storedValue(const std::string &Table,
                           const std::string &Key) const;
@@ -136,6 +141,10 @@
   /// How a run of a task ends, and after how many ms, given its estimate.
   std::function<executor::EndKind(const std::string &)> EndKindFor;
   std::function<int64_t(const std::string &, int64_t)> RunTimeFor;
+  /// After how many ms a run crashes its executor, if it does.
+  std::function<std::optional<int64_t>(const std::string &)> CrashTimeFor;
+  int64_t CrashedForMs = 3'000; ///< Until a crashed executor is back.
+  size_t Crashes = 0;           ///< Of executors.
   /// Outcome with which an executor refuses a start, if any.
   std::function<std::optional<executor::OrderOutcome>(
       const executor::StartOrder &)>
@@ -163,6 +172,8 @@
 
   using OwnerAction = std::function<void(cell::CellOwner &)>;
 
+  std::string addIncarnation(executor::ExecutorInfo Info);
+
   void step();
   void advanceOwner(cell::CellOwner &Target);
   /// Has the owner process an answer, once it is no longer paused. Owners that
