Tasks under which executors crash are given up; suspects start apart

Cause: a run whose executor is over ends as Expired; only ends that executors report as failed were counted. The class of fault: a retry without a limit for one kind of failure.

Ruled out: a count lost with the owner (there was none).

The change: a crash (another incarnation answers at the address; not of an executor that drains, not a lapse behind a cut) counts for each task whose run may have begun there. The count is stored with the progress. A task is given up after three if its run was younger than 0.3 s when last heard of and no other suspect's was; else after five, or four if its lease had expired before the crash was known, so that it isn't started a sixth time. A run of 5 s clears the count. Tasks that lost an executor now start on different ones until they have run for 0.3 s, and wait up to 1 s for that; lasting tasks don't wait. An executor that returns after the lease is known by its address.

Tried and not taken: a limit of two for a lone young run; it gave up a task in two waves of crashes that had nothing to do with it.

Measured: eight tests failed and pass, and those of executors that crash by themselves still do; 410 unit tests pass.

Why it works: each crash leaves a count behind, and the cause is with every one of its crashes, while its victims are no longer started beside it.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -227,6 +227,7 @@
       LiveTask &Task = Key.task();
       Task.Run = StoredTask.Run;
       Task.Failures = StoredTask.Failures;
+      Task.Crashes = StoredTask.Crashes;
       Task.Checkpoint = StoredTask.Checkpoint;
       Task.Phase = StoredTask.Phase;
       bool NotSent = StoredTask.Phase == TaskPhase::Recording ||
@@ -278,10 +279,12 @@
     if (Info.Service == Options.Service)
       OwnExecutors.push_back(Info);
   }
-  for (ExecutorIndex Index : Pool.update(OwnExecutors, Now))
+  for (ExecutorIndex Index : Pool.update(OwnExecutors, Now)) {
     logInfo("executor-listed", "executor={} address={} zone={}",
             Pool[Index].Info.Id, Pool[Index].Info.Address,
             Pool[Index].Info.AvailabilityZone);
+    countLateCrashes(Index, Now);
+  }
   resizeExecutorTables();
 }
 
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -3,6 +3,7 @@
 
 #include "cell/AdviceCandidates.h"
 #include "cell/CellConfig.h"
+#include "cell/CrashPolicy.h"
 #include "cell/ExecutorPool.h"
 #include "cell/LiveJob.h"
 #include "cell/Offer.h"
@@ -312,6 +313,20 @@
   void restartStragglers(ExecutorIndex Index, TimePoint Now);
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void onIncarnationEnded(ExecutorIndex Index, TimePoint Now);
+
+  // Crashes of executors.
+  LostRun lostRun(const TaskKey &Key) const;
+  std::vector<LostRun> lostRunsOn(ExecutorIndex Index) const;
+  void countCrash(ExecutorIndex Index, std::span<const LostRun> Runs,
+                  TimePoint Now);
+  void countCrashOf(const LostRun &Run, ExecutorIndex Index,
+                    uint32_t YoungSuspects, TimePoint Now);
+  void countLateCrashes(ExecutorIndex Index, TimePoint Now);
+  void giveUpCrashingTask(const TaskKey &Key, TimePoint Now);
+  void markSuspect(const TaskKey &Key);
+  void clearSuspect(const TaskKey &Key);
+  void clearProvenSuspects(ExecutorIndex Index);
+  static bool mayJoinSuspects(const TaskKey &Key, TimePoint Now);
   void dropUnsentStarts(TimePoint Now);
   void expireRuns(TimePoint Now);
 
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_CELL_EXECUTORPOOL_H
 #define DAISYLANDING_CELL_EXECUTORPOOL_H
 
+#include "cell/CrashPolicy.h"
 #include "common/Time.h"
 #include "executor/ExecutorPort.h"
 
@@ -124,6 +125,10 @@
   uint64_t AcknowledgedEnd = 0;
   std::deque<ListedEnd> UnacknowledgedEnds;
   std::vector<LingeringRun> LingeringRuns;
+  std::vector<LostRun> LapsedRuns; ///< Since its last answer.
+  /// Tasks that lost an executor before, from their placement here until they
+  /// have run for a while.
+  uint32_t Suspects = 0;
 
   uint32_t ConsecutiveFailures = 0;
   uint32_t Ejections = 0;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -18,6 +18,8 @@
   TaskPhase Phase = TaskPhase::Waiting;
   uint32_t Run = 0;
   uint32_t Failures = 0;
+  uint32_t Crashes = 0;   ///< Executors that crashed under its runs.
+  bool IsSuspect = false; ///< Counted in `Suspects` of `Executor`.
   ExecutorIndex Executor = NoExecutor;
   std::string Checkpoint;
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -43,6 +43,7 @@
         StoredTask.Phase = Task.Phase;
         StoredTask.Run = Task.Run;
         StoredTask.Failures = Task.Failures;
+        StoredTask.Crashes = Task.Crashes;
         StoredTask.Checkpoint = Task.Checkpoint;
         if (isOpen(Task.Phase)) {
           StoredTask.Executor = Pool[Task.Executor].Info.Id;
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -148,8 +148,12 @@
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
   if (Answer.Outcome == OrderOutcome::Fenced)
     Deposed = true;
-  if (Answer.Outcome == OrderOutcome::Replaced)
+  if (Answer.Outcome == OrderOutcome::Replaced) {
+    // This start came too late to be the cause.
+    if (auto Refused = findOpenRun(Id, Index))
+      Refused->task().OrderPending = false;
     onIncarnationEnded(Index, Now);
+  }
   auto Found = findOpenRun(Id, Index);
   if (!Found)
     return;
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -219,13 +219,20 @@
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
       continue;
+    TaskKey Key = Waiting.task(I);
+    Request.AvoidSuspects = Key.task().Crashes > 0;
     auto Best =
         Unplaced > 0 ? std::nullopt : chooseExecutor(Pool, Loads, Request, Now);
+    if (!Best && Unplaced == 0 && Request.AvoidSuspects) {
+      Request.AvoidSuspects = false;
+      Best = chooseExecutor(Pool, Loads, Request, Now);
+      if (Best && !mayJoinSuspects(Key, Now))
+        continue;
+    }
     if (!Best) {
       ++Unplaced;
       continue;
     }
-    TaskKey Key = Waiting.task(I);
     placeTask(Key, *Best, Now);
     ++TasksByExecutor[*Best];
     if (Request.Step->BestEffort)
@@ -250,6 +257,10 @@
   PlacementRequest Request =
       placementRequestFor(Waiting, JobQueue, TasksByExecutor);
   auto Count = static_cast<uint32_t>(Step.Tasks.size());
+  Request.AvoidSuspects =
+      std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                  [](const LiveTask &Task) { return Task.Crashes > 0; }) &&
+      !mayJoinSuspects(Waiting.task(0), Now);
   auto Executors = chooseGangExecutors(Pool, Loads, Request, Count, Now);
   if (!Executors) {
     reserveExecutors(Waiting, Count, Now);
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -53,10 +53,12 @@
   Task.Executor = Index;
   Task.CapacityReserved = true;
   Pool.reserve(Index, demandOf(Key.spec()));
+  markSuspect(Key);
 }
 
 void CellOwner::unplaceTask(const TaskKey &Key) {
   LiveTask &Task = Key.task();
+  clearSuspect(Key);
   if (Task.CapacityReserved)
     Pool.release(Task.Executor, demandOf(Key.spec()));
   Task.CapacityReserved = false;
@@ -96,6 +98,7 @@
 
 void CellOwner::closeRun(const TaskKey &Key, TaskPhase NextPhase) {
   LiveTask &Task = Key.task();
+  clearSuspect(Key);
   std::erase(OpenRunsByExecutor[Task.Executor], Key);
   --Pool[Task.Executor].OpenRuns;
   --Key.Job->OpenRuns;
@@ -364,6 +367,7 @@
     return;
   }
   Pool.recordAnswer(Index, Answer.ClockMs, Now);
+  Executor.LapsedRuns.clear(); // It was cut off, not lost.
   Executor.RenewalFailed = false;
   RowOutdated |= isListedAsSilent(Index);
   if (!Executor.TokenConfirmed) {
@@ -382,6 +386,7 @@
   if (Answer.Ended.size() < executor::MaxRunEndsPerAnswer)
     endAbsentRuns(Index, Answer, RenewalSentAt, Now);
   releaseLingeringRuns(Index, Answer);
+  clearProvenSuspects(Index);
   restartStragglers(Index, Now);
   adjustPace(Index, Now);
 }
@@ -464,19 +469,25 @@
 
 void CellOwner::onIncarnationEnded(ExecutorIndex Index, TimePoint Now) {
   ExecutorState &Executor = Pool[Index];
-  if (!Executor.Ended)
-    logInfo("executor-over", "executor={} open_runs={}", Executor.Info.Id,
-            Executor.OpenRuns);
+  if (Executor.Ended)
+    return;
+  logInfo("executor-over", "executor={} open_runs={}", Executor.Info.Id,
+          Executor.OpenRuns);
   Executor.Ended = true;
   for (const LingeringRun &Run : Executor.LingeringRuns)
     Pool.release(Index, Run.Size);
   Executor.LingeringRuns.clear();
   Executor.UnacknowledgedEnds.clear();
+  std::vector<LostRun> CrashedRuns = lostRunsOn(Index);
+  std::move(Executor.LapsedRuns.begin(), Executor.LapsedRuns.end(),
+            std::back_inserter(CrashedRuns));
+  Executor.LapsedRuns.clear();
   std::vector<TaskKey> LostRuns = OpenRunsByExecutor[Index];
   for (const TaskKey &Key : LostRuns) {
     if (isOpen(Key.task().Phase) && Key.task().Executor == Index)
       endRun(Key, EndKind::Expired, Now);
   }
+  countCrash(Index, CrashedRuns, Now);
 }
 
 /// Drops recorded starts on executors that are listed as silent and get no
@@ -514,7 +525,12 @@
               Key.name(), Key.task().Run, Pool[I].Info.Id,
               millisSinceAnswer(Pool[I], Now),
               Pool.isInheritedWaitLonger(I) ? "earlier-owners" : "this-owner");
+      Pool[I].LapsedRuns.push_back(lostRun(Key));
+      Pool[I].LapsedRuns.back().HasLapsed = true;
       endRun(Key, EndKind::Expired, Now);
+      // Whether this executor has crashed may show only after the next start.
+      if (Key.task().Crashes + 1 >= MaxCrashesOfAnyCause)
+        giveUpCrashingTask(Key, Now);
     }
   }
 }
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -35,7 +35,7 @@
       Request.Reservations[Index].Active &&
       Request.ExpectedRunTime > Request.Reservations[Index].FreeAfter)
     return false;
-  if (isTooSlow(Load))
+  if (isTooSlow(Load) || (Request.AvoidSuspects && Executor.Suspects > 0))
     return false;
   if (!Request.Rack.empty() && Executor.Info.Rack != Request.Rack)
     return false;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -42,6 +42,8 @@
   const TaskCounts *TasksByExecutor = nullptr; ///< For anti-affinity.
   /// Chosen before others: tickets for these are being obtained.
   std::span<const ExecutorIndex> Preferred;
+  /// Not where a task that may crash its executor has just been started.
+  bool AvoidSuspects = false;
   /// Only this rack, if set.
   std::string_view Rack;
   /// Indexed by executor.
--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -23,10 +23,11 @@
     PhaseCode = 'd';
   else if (isOpen(Task.Phase))
     PhaseCode = 'o';
-  Text += fmt::format("[{},{},{},\"{}\",{},{},{},{},{}]", Position.Occurrence,
-                      Position.Step, Position.Index, PhaseCode, Task.Run,
-                      Task.Failures, json(Task.Executor).dump(),
-                      json(Task.Checkpoint).dump(), json(Task.Address).dump());
+  Text += fmt::format("[{},{},{},\"{}\",{},{},{},{},{},{}]",
+                      Position.Occurrence, Position.Step, Position.Index,
+                      PhaseCode, Task.Run, Task.Failures,
+                      json(Task.Executor).dump(), json(Task.Checkpoint).dump(),
+                      json(Task.Address).dump(), Task.Crashes);
 }
 
 TaskPhase decodeTaskPhase(std::string_view PhaseCode) {
@@ -89,9 +90,11 @@
       Task.Failures = Row.at(5).get<uint32_t>();
       Task.Executor = Row.at(6).get<std::string>();
       Task.Checkpoint = Row.at(7).get<std::string>();
-      // Rows written by an earlier version have no address.
+      // Rows written by earlier versions have no address, or no crashes.
       if (Row.size() > 8)
         Task.Address = Row.at(8).get<std::string>();
+      if (Row.size() > 9)
+        Task.Crashes = Row.at(9).get<uint32_t>();
       Progress.Tasks.emplace(Position, std::move(Task));
     }
     for (const json &Number : Document.value("done", json::array()))
--- a/src/cell/Progress.h
+++ b/src/cell/Progress.h
@@ -44,6 +44,7 @@
   TaskPhase Phase = TaskPhase::Waiting;
   uint32_t Run = 0;      ///< Of the newest run; 0 before the first.
   uint32_t Failures = 0; ///< Runs that ended as failed.
+  uint32_t Crashes = 0;  ///< Executors that crashed under its runs.
   std::string Executor;  ///< Of the open run.
   std::string Address;   ///< Of that executor, which may be missing from the
                          ///< instance list after a takeover.
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -492,6 +492,7 @@
   Original.Tasks[{3, 1, 2}] = {.Phase = TaskPhase::Starting,
                                .Run = 4,
                                .Failures = 1,
+                               .Crashes = 2,
                                .Executor = "i-\"1",
                                .Address = "x:1",
                                .Checkpoint = "c"};
@@ -506,6 +507,7 @@
       R"({"phase":"running","tasks":[[0,0,1,"o",2,0,"i-1","c"]]})");
   CHECK_TRUE(static_cast<bool>(Decoded));
   CHECK(Decoded->Tasks.at({0, 0, 1}).Executor == "i-1");
+  LONGS_EQUAL(0, Decoded->Tasks.at({0, 0, 1}).Crashes);
 }
 
 TEST(StoredForms, UnreadableProgressIsAnError) {
--- a/tests/unit/CrashingTaskTest.cpp
+++ b/tests/unit/CrashingTaskTest.cpp
@@ -93,6 +93,32 @@
   }
 };
 
+TEST_GROUP_BASE(TasksLostInOneCrash, TEST_GROUP_CppUTestGroupAFleetWithBatchJobs) {
+  std::string Crashed;
+  std::vector<std::string> Lost;
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAFleetWithBatchJobs::setup();
+    for (size_t I = 0; I < 4; ++I)
+      submitBatchJob();
+    Sim.runUntil([&] { return Sim.Started.size() >= 24; }, 500);
+    Crashed = Sim.Started.front().Target.Id;
+    for (const auto &Run : Sim.executor(Crashed).Running)
+      Lost.push_back(Run.first);
+    Sim.crashExecutor(Crashed, 3'000);
+  }
+  /// The executors of their second runs.
+  std::vector<std::string> secondExecutors() const {
+    std::vector<std::string> Ids;
+    for (const executor::StartOrder &Order : Sim.Started) {
+      if (Order.Id.Run == 2)
+        Ids.push_back(Order.Target.Id);
+    }
+    return Ids;
+  }
+};
+
+TEST_GROUP(WhatACrashTells) {};
+
 TEST_GROUP_BASE(ExecutorsThatCrashByThemselves, TEST_GROUP_CppUTestGroupAFleetWithBatchJobs) {
   std::string Lasting = "00000000000000d1";
   void setup() override {
@@ -189,6 +215,52 @@
   CHECK(allBatchJobsComplete());
 }
 
+/// Guards against tasks that are started together again, and lost together
+/// again, with the one that crashes executors.
+TEST(TasksLostInOneCrash, AreStartedOnDifferentExecutors) {
+  CHECK(Lost.size() > 4);
+  CHECK(Sim.runUntil([&] { return secondExecutors().size() == Lost.size(); },
+                     6'000));
+  std::vector<std::string> Ids = secondExecutors();
+  std::sort(Ids.begin(), Ids.end());
+  CHECK(std::adjacent_find(Ids.begin(), Ids.end()) == Ids.end());
+  CHECK(allBatchJobsComplete());
+}
+
+TEST(TasksLostInOneCrash, AreStartedInTimeIfOneExecutorIsLeft) {
+  for (const std::string &Id : Executors) {
+    if (Id != Crashed && Id != Executors.back())
+      Sim.setListed(Id, false);
+  }
+  constexpr int64_t RoomMs = 3'000; // Until the executor is back.
+  constexpr int64_t StartMs = 3'000;
+  CHECK(Sim.runUntil([&] { return secondExecutors().size() == Lost.size(); },
+                     RoomMs + StartMs));
+  CHECK(allBatchJobsComplete());
+}
+
+TEST(WhatACrashTells, AYoungRunIsSuspectedTheSooner) {
+  CHECK(maxCrashes({.IsYoung = true, .YoungSuspects = 1}) <
+        maxCrashes({.IsYoung = true, .YoungSuspects = 2}));
+  CHECK(maxCrashes({.IsYoung = true}) < maxCrashes({}));
+}
+
+/// Guards against a third start after three crashes.
+TEST(WhatACrashTells, NoTaskIsStartedMoreOftenThanAllowed) {
+  for (uint32_t Suspects = 0; Suspects < 4; ++Suspects) {
+    for (bool IsYoung : {false, true}) {
+      uint32_t Allowed =
+          maxCrashes({.IsYoung = IsYoung, .YoungSuspects = Suspects});
+      CHECK(Allowed >= MinCrashes);
+      CHECK(Allowed <= MaxStarts);
+      // One more start may have been made before the crash was known.
+      CHECK(maxCrashes({.IsYoung = IsYoung,
+                        .YoungSuspects = Suspects,
+                        .IsLate = true}) < MaxStarts);
+    }
+  }
+}
+
 /// Guards against jobs that are given up for crashes that they didn't cause.
 TEST(ExecutorsThatCrashByThemselves, LeaveAllJobsTheirTries) {
   for (size_t Wave = 0; Wave < 8; ++Wave) {
