No start is sent to an executor whose capacity shrank meanwhile

Cause: the capacity was looked at when a task was placed, not when its start was recorded or sent. A commit, a new ticket or a start that is sent again can take seconds, and the capacity may shrink meanwhile.

The change: placed tasks leave an executor that has become overcommitted, a gang as a whole; recorded starts are dropped until the rest fits, and stopped if they may have been carried out. What runs goes on.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -358,6 +358,7 @@
                  std::vector<ExecutorLoad> Loads, TimePoint Now);
   void planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
                 std::span<const ExecutorLoad> Loads, TimePoint Now);
+  void unplaceBeyondCapacity(const WaitingStepRef &Waiting);
   bool recordPlacedTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                          TimePoint Now);
   void requestAdvice(const WaitingStepRef &Waiting, const Queue &JobQueue,
@@ -409,6 +410,7 @@
   bool isListedAsSilent(ExecutorIndex Index) const;
   bool mayGrantLease(ExecutorIndex Index, TimePoint Now) const;
   bool awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const;
+  void dropStartsBeyondCapacity(TimePoint Now);
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -159,6 +159,12 @@
   void reserve(ExecutorIndex Index, const Resources &Size);
   void release(ExecutorIndex Index, const Resources &Size);
   Resources freeCapacity(ExecutorIndex Index) const;
+  /// Whether more is reserved there than it has, since its capacity has shrunk.
+  bool isOvercommitted(ExecutorIndex Index) const {
+    const ExecutorState &Executor = Executors[Index];
+    return Executor.EverListed &&
+           !Executor.Reserved.fitsIn(Executor.Info.Capacity);
+  }
 
   /// A call got no answer: nothing is started there until it answers again. If
   /// several executors of an availability zone fall silent within a short time,
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -71,7 +71,32 @@
                                       .FencingToken = Row.Epoch}});
 }
 
+/// Drops recorded starts that no longer fit on executors whose capacity has
+/// shrunk. A start that may have been carried out is stopped.
+void CellOwner::dropStartsBeyondCapacity(TimePoint Now) {
+  for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
+    if (!Pool.isOvercommitted(I))
+      continue;
+    // What is being stopped holds its capacity until it has ended.
+    Resources Kept = Pool[I].Reserved;
+    std::vector<TaskKey> Runs = OpenRunsByExecutor[I];
+    for (const TaskKey &Key : Runs) {
+      const LiveTask &Task = Key.task();
+      if (Kept.fitsIn(Pool[I].Info.Capacity))
+        break;
+      if (Task.Phase != TaskPhase::Starting || Task.Executor != I ||
+          Task.Inherited || Task.Confirmed || Task.OrderPending)
+        continue;
+      logInfo("start-beyond-capacity", "task={} run={} executor={}", Key.name(),
+              Task.Run, Pool[I].Info.Id);
+      Kept -= demandOf(Key.spec());
+      dropRefusedStart(Key, Now);
+    }
+  }
+}
+
 void CellOwner::emitOrders(TimePoint Now) {
+  dropStartsBeyondCapacity(Now);
   for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
     if (Pool[I].Info.Address.empty() || Pool[I].Ended)
       continue;
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -342,11 +342,29 @@
   }
 }
 
+/// Takes placed tasks off executors whose capacity has shrunk since; a gang as
+/// a whole.
+void CellOwner::unplaceBeyondCapacity(const WaitingStepRef &Waiting) {
+  LiveStep &Step = Waiting.step();
+  auto IsBeyond = [&](const LiveTask &Task) {
+    return Task.Phase == TaskPhase::Placed &&
+           Pool.isOvercommitted(Task.Executor);
+  };
+  bool AllMembers = Waiting.spec().Gang &&
+                    std::any_of(Step.Tasks.begin(), Step.Tasks.end(), IsBeyond);
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    const LiveTask &Task = Step.Tasks[I];
+    if (IsBeyond(Task) || (AllMembers && Task.Phase == TaskPhase::Placed))
+      unplaceTask(Waiting.task(I));
+  }
+}
+
 /// Records starts of placed tasks that have valid tickets, and requests new
 /// tickets for the others. A gang is recorded as a whole. Returns whether any
 /// start was recorded.
 bool CellOwner::recordPlacedTasks(const WaitingStepRef &Waiting,
                                   const Queue *JobQueue, TimePoint Now) {
+  unplaceBeyondCapacity(Waiting);
   LiveStep &Step = Waiting.step();
   const StepSpec &Spec = Waiting.spec();
   auto HasValidTicket = [&](const LiveTask &Task) {
