An owner waits 10 s for the answer to a commit, not 2.5 s

What callers saw: on a store that takes longer than that for a transaction, all running work is lost and begun again, and a service stands still for seconds after the store is quick again.

The owner gave up each answer after 2.5 s and never learned that its commit had been stored; its copies queued behind the first and took 3.4 s each; leases are granted only for a while after a confirmed commit, so they all ran out. When the store was quick again one copy still occupied its partition for 3.4 s, commits were refused, and another entry took over.

Ruled out: that copies need the answer to be given up; they are sent by their own schedule, and the first answer to any of them decides. Other transactions keep 2.5 s: their callers wait for them, and a lost answer must end.

The change: a transaction says how long its answer is waited for; an owner's commits say 10 s, more than the 6 s for which a confirmed commit may grant leases. The grants still count from the sending.

Measured: AnOwnerGoesOnWhileEachCommitTakesThreeSeconds fails with 2.5 s and passes; 417 unit and 38 process tests pass.

--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr Millis CommitRetryDelay{60};
+/// A copy that is sent after an answer was given up queues behind the first at
+/// a slow store, and takes as long again.
+constexpr Millis CommitAnswerWait{10'000};
 /// Slower commits are logged.
 constexpr Millis SlowCommitThreshold{200};
 /// Ended jobs whose rows one transaction removes.
@@ -105,6 +108,7 @@
   Commit.Row = buildOwnerRow();
   store::Transaction &Tx = Commit.Transaction;
   Tx.Partition = Options.Service;
+  Tx.AnswerWait = CommitAnswerWait;
   Tx.Preconditions.push_back(
       {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
   expireOffers(Now);
--- a/src/store/RowStore.h
+++ b/src/store/RowStore.h
@@ -47,10 +47,15 @@
 /// Atomic: either all writes and removals take effect, or none. Limited to one
 /// partition.
 struct Transaction {
+  /// Time after which an answer is no longer of use, as a rule.
+  static constexpr Millis DefaultAnswerWait{2'500};
+
   std::string Partition;
   std::vector<Precondition> Preconditions;
   std::vector<RowWrite> Writes;
   std::vector<RowRemoval> Removals;
+  /// How long the answer is waited for. A slow store takes seconds.
+  Millis AnswerWait = DefaultAnswerWait;
 
   /// The number that MaxTransactionEntries limits.
   size_t entryCount() const {
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -257,6 +257,23 @@
   Entries.pop_back();
 }
 
+/// Guards against an owner that never learns of its commits, since it gives up
+/// each answer before a slow store can send it.
+TEST(ACellOfTwoEntries, AnOwnerGoesOnWhileEachCommitTakesThreeSeconds) {
+  constexpr uint64_t Commits = 3;
+  auto Owner = [&] {
+    return cell::decodeOwnerRow(
+        Platform.rowValue(cell::OwnerTable, "s", cell::OwnerKey));
+  };
+  CHECK(eventually([&] { return bool(Owner()); }));
+  Platform.setFaults(
+      {.ReadTime = Millis(2'000), .TransactionTime = Millis(3'000)});
+  auto First = Owner();
+  CHECK(eventually(
+      [&] { return Owner()->Sequence >= First->Sequence + Commits; }));
+  LONGS_EQUAL(First->Epoch, Owner()->Epoch);
+}
+
 TEST(ACellOfTwoEntries, LostAnswersAndLateWritesDuplicateNothing) {
   Platform.setFaults({.LostResponsesPerTen = 2, .LateWritesPerTen = 1});
   for (int I = 1; I <= 10; ++I) {
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -95,21 +95,49 @@
 void CellPlatform::handleRead(const http::Request &Request,
                               http::Responder Responder) {
   Json Page = readRows(Request);
-  if (Faults.ReadBytesPerSecond == 0) {
+  constexpr size_t MicrosPerSecond = 1'000'000;
+  Micros AnswerTime = Faults.ReadTime;
+  if (Faults.ReadBytesPerSecond > 0)
+    AnswerTime += Micros(static_cast<int64_t>(
+        Page.dump().size() * MicrosPerSecond / Faults.ReadBytesPerSecond));
+  if (AnswerTime == Micros(0)) {
     sendJson(Responder, http::StatusOk, Page);
     return;
   }
-  constexpr size_t MicrosPerSecond = 1'000'000;
-  Micros TransferTime(static_cast<int64_t>(
-      Page.dump().size() * MicrosPerSecond / Faults.ReadBytesPerSecond));
   DelayedActions->schedule(
-      TransferTime, [Page = std::move(Page), Responder = std::move(Responder)] {
+      AnswerTime, [Page = std::move(Page), Responder = std::move(Responder)] {
         sendJson(Responder, http::StatusOk, Page);
       });
 }
 
+void CellPlatform::queueTransaction(const Json &Body,
+                                    const http::Responder &Responder) {
+  TimePoint Now = monotonicNow();
+  TimePoint &IdleAt =
+      PartitionIdleAt[Body.at("expected-rev").empty()
+                          ? Body.at("writes").at(0).at("part")
+                          : Body.at("expected-rev").at(0).at("part")];
+  if (IdleAt > Now + Faults.TransactionTime) {
+    sendJson(Responder, http::StatusTooManyRequests, Json::object());
+    return;
+  }
+  IdleAt = std::max(IdleAt, Now) + Faults.TransactionTime;
+  DelayedActions->schedule(IdleAt - Now, [this, Body, Responder] {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    bool ConditionsMet = false;
+    Json Outcome = applyTransaction(Body, ConditionsMet);
+    sendJson(Responder,
+             ConditionsMet ? http::StatusOk : http::StatusPreconditionFailed,
+             Outcome);
+  });
+}
+
 void CellPlatform::handleTransaction(const Json &Body,
                                      const http::Responder &Responder) {
+  if (Faults.TransactionTime > Millis(0)) {
+    queueTransaction(Body, Responder);
+    return;
+  }
   uint32_t CyclePosition = static_cast<uint32_t>(WriteCount++ % WritesPerCycle);
   if (CyclePosition < Faults.LateWritesPerTen) {
     DelayedActions->schedule(LateWriteDelay, [this, Body] {
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -27,6 +27,10 @@
   uint32_t LostResponsesPerTen = 0;
   /// Of ten transactions, this many are applied a second late and not answered.
   uint32_t LateWritesPerTen = 0;
+  Millis ReadTime{0}; ///< Of range reads.
+  /// Transactions of a partition are processed one after the other, each for
+  /// this long; while one waits, others are refused. 0 for at once.
+  Millis TransactionTime{0};
   bool FeedHistoryGone = false; ///< Feeds are answered with 410.
   /// Range reads are answered at this rate; 0 for at once.
   uint32_t ReadBytesPerSecond = 0;
@@ -101,6 +105,7 @@
   void handleStoreCall(const http::Request &Request, http::Responder Responder);
   void handleRead(const http::Request &Request, http::Responder Responder);
   void handleTransaction(const Json &Body, const http::Responder &Responder);
+  void queueTransaction(const Json &Body, const http::Responder &Responder);
   Json applyTransaction(const Json &Body, bool &ConditionsMet);
   Json readRows(const http::Request &Request) const;
   void handleFeed(const http::Request &Request, http::Responder Responder);
@@ -132,6 +137,8 @@
   uint64_t WriteCount = 0;
   size_t RunsStarted = 0;
   std::map<std::string, size_t> RefusedFeeds; ///< By table.
+  /// When the transactions of each partition will have been processed.
+  std::map<std::string, TimePoint> PartitionIdleAt;
   std::map<std::string, bool> AcknowledgedTasks;
   std::vector<std::string> Violations;
   std::unique_ptr<DelayQueue> DelayedActions = std::make_unique<DelayQueue>();
--- a/tests/unit/TimeBoundsTest.cpp
+++ b/tests/unit/TimeBoundsTest.cpp
@@ -7,6 +7,7 @@
 #include "node/ShutdownPlan.h"
 #include "platform/ExecutorClient.h"
 #include "platform/StoreClient.h"
+#include "unit/CellSim.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -157,6 +158,18 @@
   CHECK(ConfirmedAgain + OrderSent <= config::CellSettings{}.MaxDrainDelay);
 }
 
+/// Guards against an owner that gives up the answer to a commit that would
+/// still allow it to renew leases.
+TEST(AnOwnerThatStartsTasks, WaitsForACommitAsLongAsItsGrantsLast) {
+  cellsim::Simulation Sim;
+  Sim.addExecutor({.MilliCores = 1'000, .MemoryMb = 1'000});
+  Sim.takeOver();
+  Sim.runFor(1'000);
+  CHECK_FALSE(Sim.AppliedCommits.empty());
+  CHECK(Sim.AppliedCommits.back().AnswerWait >=
+        cell::LeaseOptions{}.MaxOwnershipTimeout);
+}
+
 /// Guards against tasks that wait although executors have free capacity: an
 /// entry that was asked for advice has died.
 TEST(AnOwnerThatStartsTasks, GetsAdviceInTimeIfOneAnswerIsLost) {
