Tasks placed on an executor that has ended are placed anew at once

Found by reading: a task that waits for a ticket on an executor that crashes meanwhile got a start recorded there, which was dropped only a commit later, and used up a run. Placed tasks now leave executors that have ended as they leave those whose capacity has shrunk.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -358,7 +358,7 @@
                  std::vector<ExecutorLoad> Loads, TimePoint Now);
   void planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
                 std::span<const ExecutorLoad> Loads, TimePoint Now);
-  void unplaceBeyondCapacity(const WaitingStepRef &Waiting);
+  void unplaceFromLostPlaces(const WaitingStepRef &Waiting);
   bool recordPlacedTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                          TimePoint Now);
   void requestAdvice(const WaitingStepRef &Waiting, const Queue &JobQueue,
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr Millis CommitRetryDelay{60};
-/// A copy that is sent after an answer was given up queues behind the first at
-/// a slow store, and takes as long again.
+/// More than a confirmed commit grants leases for. A slow store takes seconds,
+/// and copies of the commit queue behind the first.
 constexpr Millis CommitAnswerWait{10'000};
 /// Slower commits are logged.
 constexpr Millis SlowCommitThreshold{200};
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -342,19 +342,20 @@
   }
 }
 
-/// Takes placed tasks off executors whose capacity has shrunk since; a gang as
-/// a whole.
-void CellOwner::unplaceBeyondCapacity(const WaitingStepRef &Waiting) {
+/// Takes placed tasks off executors that have ended since, or whose capacity
+/// has shrunk; a gang as a whole.
+void CellOwner::unplaceFromLostPlaces(const WaitingStepRef &Waiting) {
   LiveStep &Step = Waiting.step();
-  auto IsBeyond = [&](const LiveTask &Task) {
+  auto HasLostPlace = [&](const LiveTask &Task) {
     return Task.Phase == TaskPhase::Placed &&
-           Pool.isOvercommitted(Task.Executor);
+           (Pool[Task.Executor].Ended || Pool.isOvercommitted(Task.Executor));
   };
-  bool AllMembers = Waiting.spec().Gang &&
-                    std::any_of(Step.Tasks.begin(), Step.Tasks.end(), IsBeyond);
+  bool AllMembers =
+      Waiting.spec().Gang &&
+      std::any_of(Step.Tasks.begin(), Step.Tasks.end(), HasLostPlace);
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     const LiveTask &Task = Step.Tasks[I];
-    if (IsBeyond(Task) || (AllMembers && Task.Phase == TaskPhase::Placed))
+    if (HasLostPlace(Task) || (AllMembers && Task.Phase == TaskPhase::Placed))
       unplaceTask(Waiting.task(I));
   }
 }
@@ -364,7 +365,7 @@
 /// start was recorded.
 bool CellOwner::recordPlacedTasks(const WaitingStepRef &Waiting,
                                   const Queue *JobQueue, TimePoint Now) {
-  unplaceBeyondCapacity(Waiting);
+  unplaceFromLostPlaces(Waiting);
   LiveStep &Step = Waiting.step();
   const StepSpec &Spec = Waiting.spec();
   auto HasValidTicket = [&](const LiveTask &Task) {
--- a/tests/unit/CrashingTaskTest.cpp
+++ b/tests/unit/CrashingTaskTest.cpp
@@ -119,6 +119,19 @@
 
 TEST_GROUP(WhatACrashTells) {};
 
+/// It has room for one task, whose ticket takes almost a second.
+TEST_GROUP(AnExecutorThatCrashesUnderAPlacedTask) {
+  Simulation Sim;
+  std::string Id = Sim.addExecutor(ExecutorSize);
+  void setup() override {
+    Sim.requireAdvice({.Settings = {.BaseMs = 800, .Validity = Millis(1'500)}});
+    Sim.takeOver();
+    Sim.submit(Simulation::makeJob("00000000000000a1", 1, ExecutorSize, 4'000));
+    Sim.runUntil([&] { return !Sim.Started.empty(); }, 3'000);
+    Sim.submit(Simulation::makeJob("00000000000000a2", 1, ExecutorSize, 500));
+  }
+};
+
 TEST_GROUP_BASE(ExecutorsThatCrashByThemselves, TEST_GROUP_CppUTestGroupAFleetWithBatchJobs) {
   std::string Lasting = "00000000000000d1";
   void setup() override {
@@ -239,6 +252,19 @@
   CHECK(allBatchJobsComplete());
 }
 
+/// Guards against starts that are recorded for executors that have ended.
+TEST(AnExecutorThatCrashesUnderAPlacedTask, GivesItBack) {
+  auto IsCompleted = [&](const char *JobId) {
+    return Sim.runUntil(
+        [&] { return Sim.storedPhase(JobId) == JobPhase::Completed; }, 10'000);
+  };
+  CHECK(IsCompleted("00000000000000a1"));
+  Sim.runFor(100);
+  Sim.crashExecutor(Id, 100);
+  CHECK(IsCompleted("00000000000000a2"));
+  LONGS_EQUAL(1, Sim.Started.back().Id.Run);
+}
+
 TEST(WhatACrashTells, AYoungRunIsSuspectedTheSooner) {
   CHECK(maxCrashes({.IsYoung = true, .YoungSuspects = 1}) <
         maxCrashes({.IsYoung = true, .YoungSuspects = 2}));
