--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -313,6 +313,8 @@
   void restartStragglers(ExecutorIndex Index, TimePoint Now);
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void onIncarnationEnded(ExecutorIndex Index, TimePoint Now);
+  void dropUnsentStarts(TimePoint Now);
+  void expireRuns(TimePoint Now);
 
   // Crashes of executors.
   LostRun lostRun(const TaskKey &Key) const;
@@ -327,8 +329,6 @@
   void clearSuspect(const TaskKey &Key);
   void clearProvenSuspects(ExecutorIndex Index);
   static bool mayJoinSuspects(const TaskKey &Key, TimePoint Now);
-  void dropUnsentStarts(TimePoint Now);
-  void expireRuns(TimePoint Now);
 
   // Planning.
   struct WaitingStepRef {
--- /dev/null
+++ b/src/node/ConfigFollower.cpp
@@ -0,0 +1,83 @@
+#include "node/ConfigFollower.h"
+
+#include "common/Log.h"
+
+namespace daisylanding::node {
+
+namespace {
+
+/// A feed read may miss changes made while it waits; this wait keeps a
+/// configuration change within its bound of two seconds.
+constexpr Millis FeedWait{700};
+constexpr Millis ReadRetryDelay{100};
+
+} // namespace
+
+void ConfigFollower::apply(const store::Row &Row) {
+  const DocumentCodec &Codec = Context.Platform.codec();
+  if (Row.Key != Codec.configKey() || Row.Deleted)
+    return;
+  auto Config = Codec.parseConfig(Row.Value);
+  if (!Config) {
+    logError("config-unreadable", "version={}", Row.Version);
+    return;
+  }
+  uint64_t Version = Config->Version;
+  size_t Queues = Config->Queues.size();
+  if (Context.Config.replaceIfNewer(
+          std::make_shared<const cell::CellConfig>(std::move(*Config)))) {
+    logInfo("config-in-force", "version={} queues={} row={} bytes={}", Version,
+            Queues, Row.Version, Row.Value.size());
+    Context.Events.add("config-in-force", std::to_string(Version));
+  }
+}
+
+/// Of the configuration in force; 0 if there is none.
+uint64_t ConfigFollower::versionInForce() const {
+  auto Config = Context.Config.current();
+  return Config ? Config->Version : 0;
+}
+
+void ConfigFollower::readAll() {
+  const DocumentCodec &Codec = Context.Platform.codec();
+  store::RangeRead Range{
+      .Table = Codec.configTable(), .From = Codec.configKey(), .Limit = 1};
+  Store.read(Range, [this](const Result<store::RowPage> &Page) {
+    if (!Page) {
+      logInfo("config-read-failed", "error={} in_force={}",
+              Page.error().message(), versionInForce());
+      Context.EntryMetrics.count("config_reads_failed");
+      TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
+                          [this] { readAll(); });
+      return;
+    }
+    Context.StoreHealth.recordAnswer(monotonicNow(), Page->StoreClockMs);
+    for (const store::Row &Row : Page->Rows)
+      apply(Row);
+    Cursor.restart(Page->Version);
+    followFeed();
+  });
+}
+
+void ConfigFollower::followFeed() {
+  store::ChangeQuery Query{.Table = Context.Platform.codec().configTable(),
+                           .After = Cursor.position(),
+                           .MaxWait = FeedWait};
+  Store.readChanges(Query, [this](const Result<store::ChangePage> &Page) {
+    if (!Page) {
+      logInfo("config-feed-lost", "error={} in_force={} after={}",
+              Page.error().message(), versionInForce(), Cursor.position());
+      Context.EntryMetrics.count("config_feeds_lost");
+      TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
+                          [this] { readAll(); });
+      return;
+    }
+    Context.StoreHealth.recordFeedPage(monotonicNow(), *Page);
+    for (const store::Row &Row : Page->Rows)
+      apply(Row);
+    Cursor.advance(*Page, monotonicNow());
+    followFeed();
+  });
+}
+
+} // namespace daisylanding::node
--- /dev/null
+++ b/src/node/ConfigFollower.h
@@ -0,0 +1,35 @@
+#ifndef DAISYLANDING_NODE_CONFIGFOLLOWER_H
+#define DAISYLANDING_NODE_CONFIGFOLLOWER_H
+
+#include "common/Timers.h"
+#include "node/EntryContext.h"
+#include "store/FeedCursor.h"
+
+namespace daisylanding::node {
+
+/// Keeps the entry's configuration up to date: reads it as a whole, then
+/// follows its change feed, and reads it again if the feed is lost.
+/// Single-threaded.
+class ConfigFollower {
+public:
+  ConfigFollower(EntryContext &Context, store::RowStore &Store,
+                 Timers &TimerQueue)
+      : Context(Context), Store(Store), TimerQueue(TimerQueue) {}
+
+  void start() { readAll(); }
+
+private:
+  void readAll();
+  void followFeed();
+  void apply(const store::Row &Row);
+  uint64_t versionInForce() const;
+
+  EntryContext &Context;
+  store::RowStore &Store;
+  Timers &TimerQueue;
+  store::FeedCursor Cursor{store::MaxFeedLag};
+};
+
+} // namespace daisylanding::node
+
+#endif
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr Millis MaxPollWait{50};
-/// A feed read may miss changes made while it waits; this wait keeps a
-/// configuration change within its bound of two seconds.
-constexpr Millis ConfigFeedWait{700};
 constexpr Millis ReadRetryDelay{100};
 /// Until a service has an owner, whose row names the largest entry.
 constexpr Millis CapacityReadInterval{500};
@@ -56,7 +53,8 @@
 
 void WatchLoop::run() {
   Store = Context.Platform.makeRowStore(Client);
-  readConfig();
+  Config = std::make_unique<ConfigFollower>(Context, *Store, TimerQueue);
+  Config->start();
   announceEntry();
   readCapacities();
   while (!Loop.stopping()) {
@@ -118,73 +116,6 @@
   return Rank.value();
 }
 
-void WatchLoop::applyConfig(const store::Row &Row) {
-  const DocumentCodec &Codec = Context.Platform.codec();
-  if (Row.Key != Codec.configKey() || Row.Deleted)
-    return;
-  auto Config = Codec.parseConfig(Row.Value);
-  if (!Config) {
-    logError("config-unreadable", "version={}", Row.Version);
-    return;
-  }
-  uint64_t Version = Config->Version;
-  size_t Queues = Config->Queues.size();
-  if (Context.Config.replaceIfNewer(
-          std::make_shared<const cell::CellConfig>(std::move(*Config)))) {
-    logInfo("config-in-force", "version={} queues={} row={} bytes={}", Version,
-            Queues, Row.Version, Row.Value.size());
-    Context.Events.add("config-in-force", std::to_string(Version));
-  }
-}
-
-/// Of the configuration in force; 0 if there is none.
-uint64_t WatchLoop::configVersion() const {
-  auto Config = Context.Config.current();
-  return Config ? Config->Version : 0;
-}
-
-void WatchLoop::readConfig() {
-  const DocumentCodec &Codec = Context.Platform.codec();
-  store::RangeRead Range{
-      .Table = Codec.configTable(), .From = Codec.configKey(), .Limit = 1};
-  Store->read(Range, [this](const Result<store::RowPage> &Page) {
-    if (!Page) {
-      logInfo("config-read-failed", "error={} in_force={}",
-              Page.error().message(), configVersion());
-      Context.EntryMetrics.count("config_reads_failed");
-      TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
-                          [this] { readConfig(); });
-      return;
-    }
-    Context.StoreHealth.recordAnswer(monotonicNow(), Page->StoreClockMs);
-    for (const store::Row &Row : Page->Rows)
-      applyConfig(Row);
-    ConfigFeed.restart(Page->Version);
-    followConfig();
-  });
-}
-
-void WatchLoop::followConfig() {
-  store::ChangeQuery Query{.Table = Context.Platform.codec().configTable(),
-                           .After = ConfigFeed.position(),
-                           .MaxWait = ConfigFeedWait};
-  Store->readChanges(Query, [this](const Result<store::ChangePage> &Page) {
-    if (!Page) {
-      logInfo("config-feed-lost", "error={} in_force={} after={}",
-              Page.error().message(), configVersion(), ConfigFeed.position());
-      Context.EntryMetrics.count("config_feeds_lost");
-      TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
-                          [this] { readConfig(); });
-      return;
-    }
-    Context.StoreHealth.recordFeedPage(monotonicNow(), *Page);
-    for (const store::Row &Row : Page->Rows)
-      applyConfig(Row);
-    ConfigFeed.advance(*Page, monotonicNow());
-    followConfig();
-  });
-}
-
 bool WatchLoop::owns(const std::string &Service) const {
   for (const auto &Owned : OwnerLoops) {
     if (Owned->service() == Service)
--- a/src/node/WatchLoop.h
+++ b/src/node/WatchLoop.h
@@ -4,11 +4,11 @@
 #include "common/Random.h"
 #include "common/Thread.h"
 #include "common/Timers.h"
+#include "node/ConfigFollower.h"
 #include "node/EntryContext.h"
 #include "node/OwnerLoop.h"
 #include "node/OwnerReads.h"
 #include "node/OwnerWatch.h"
-#include "store/FeedCursor.h"
 
 #include <map>
 
@@ -35,10 +35,6 @@
   };
 
   void run();
-  void readConfig();
-  void followConfig();
-  void applyConfig(const store::Row &Row);
-  uint64_t configVersion() const;
   void announceEntry();
   void readCapacities();
   void watchOwners(TimePoint Now);
@@ -57,7 +53,7 @@
   Timers TimerQueue;
   Random JitterSource;
   cell::EntryCapacity LargestEntry; ///< Of those announced at the start.
-  store::FeedCursor ConfigFeed{store::MaxFeedLag};
+  std::unique_ptr<ConfigFollower> Config;
   std::map<std::string, ServiceWatch> Watches;
   std::vector<std::unique_ptr<OwnerLoop>> OwnerLoops;
   std::atomic<bool> Releasing{false};
