An owner keeps its connections to executors open

Cause: the client kept 600 connections.

Change: setting instance.max_descriptors; an owner keeps half of them.

--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -31,6 +31,8 @@
   InstanceSection.positive("processor_share", Parsed.ProcessorShare, 1'024);
   InstanceSection.positive("link_mbit_per_s", Parsed.LinkMbitPerSecond,
                            1'000'000);
+  InstanceSection.integer("max_descriptors", Parsed.MaxDescriptors, 256,
+                          1'048'576);
   SectionReader BoundsSection(Root, "bounds", File, Problems);
   BoundsSection.millis("drain_ms", Parsed.MaxDrainDelay, 1'300, OneDayMs);
   BoundsSection.millis("cancel_ms", Parsed.MaxCancelDelay, 1'300, OneDayMs);
--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -25,6 +25,8 @@
   /// acquire services first.
   double ProcessorShare = 0;
   double LinkMbitPerSecond = 0;
+  /// File descriptors that this process may have open.
+  size_t MaxDescriptors = 4'096;
 
   /// Time after which a draining executor is sent no more starts.
   Millis MaxDrainDelay{2'000};
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -38,6 +38,13 @@
 /// Offers that wait for the owner; further ones are stored by their entries.
 constexpr size_t OfferCapacity = 256;
 
+/// Connections to executors and to the store that are kept open, in use or
+/// not. Each executor takes one for the renewal that waits there and one for
+/// orders; with fewer, each call would open a new one.
+long maxConnections(const config::CellSettings &Options) {
+  return static_cast<long>(Options.MaxDescriptors / 2);
+}
+
 } // namespace
 
 OwnerLoop::OwnerLoop(EntryContext &Context, AdviceLoop &Advice,
@@ -46,7 +53,8 @@
     : Context(Context), Advice(Advice), Relay(Relay),
       Service(std::move(Service)), OwnRow(std::move(OwnRow)),
       RowVersion(RowVersion),
-      Client({.MaxConnectionsPerHost = 32, .MaxIdleConnections = 600}),
+      Client({.MaxConnectionsPerHost = 32,
+              .MaxIdleConnections = maxConnections(Context.Options)}),
       JobFeed(store::MaxFeedLag),
       AdviceAnswers(std::make_shared<MpscQueue<AdviceAnswer>>(
           AnswerCapacity, [this] { Client.wake(); })),
