Progress rows in a compact text

Cause: each commit rewrites the progress of a changed job: 60 to 75 bytes a task in JSON, most of it empty fields and addresses of executors.

Change: runs of equal tasks are counted, executors are named once a row, tasks before their first run cost a byte. Rows of earlier versions are read. A row that names tasks that its job doesn't have leaves the job unscheduled with an error line; it was an out-of-range access before.

--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -1,39 +1,239 @@
 #include "cell/Progress.h"
 
+#include "cell/JsonProgress.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <span>
+#include <unordered_map>
 
+/// The stored text: a version, the phase, the time of the end, the occurrences
+/// that are done, the executors of open runs with their addresses, and the tasks
+/// of each step:
+///
+///   2;running;0;0,1;3:i-111:10.0.0.7:803:i-211:10.0.0.8:80;2.0=_*3d1*8o1e0
+///
+/// Each name has its length before it. A task is `_` before its first run, or
+/// else `w`aiting, `o`pen or `d`one with the number of its newest run, and then
+/// what is not 0: `e` the executor's place in the list, `f` failures, `c`
+/// crashes, `k` the checkpoint. `*` counts equal tasks in a row.
 namespace daisylanding::cell {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::array<std::string_view, 5> PhaseNames = {
     "queued", "running", "completed", "failed", "cancelled"};
+constexpr std::string_view VersionPrefix = "2;";
+constexpr char FieldEnd = ';';
+
+std::string withLength(std::string_view Bytes) {
+  return fmt::format("{}:{}", Bytes.size(), Bytes);
+}
+
+/// Numbers the executors of open runs in the order of their first use.
+class ExecutorTable {
+public:
+  size_t indexOf(const TaskProgress &Task) {
+    auto [It, IsNew] = Indexes.try_emplace(Task.Executor, Indexes.size());
+    if (IsNew)
+      Text += withLength(Task.Executor) + withLength(Task.Address);
+    return It->second;
+  }
+  const std::string &text() const { return Text; }
+
+private:
+  std::unordered_map<std::string_view, size_t> Indexes;
+  std::string Text;
+};
 
-/// Formats the text directly: a row is rewritten with each change of its job,
-/// and building a JSON tree was most of the cost.
-void appendTask(std::string &Text, const TaskPosition &Position,
-                const TaskProgress &Task) {
+std::string encodeTask(const TaskProgress &Task, ExecutorTable &Executors) {
   char PhaseCode = 'w';
   if (Task.Phase == TaskPhase::Done)
     PhaseCode = 'd';
   else if (isOpen(Task.Phase))
     PhaseCode = 'o';
-  Text += fmt::format("[{},{},{},\"{}\",{},{},{},{},{},{}]",
-                      Position.Occurrence, Position.Step, Position.Index,
-                      PhaseCode, Task.Run, Task.Failures,
-                      json(Task.Executor).dump(), json(Task.Checkpoint).dump(),
-                      json(Task.Address).dump(), Task.Crashes);
+  std::string Code = fmt::format("{}{}", PhaseCode, Task.Run);
+  if (!Task.Executor.empty())
+    Code += fmt::format("e{}", Executors.indexOf(Task));
+  if (Task.Failures > 0)
+    Code += fmt::format("f{}", Task.Failures);
+  if (Task.Crashes > 0)
+    Code += fmt::format("c{}", Task.Crashes);
+  if (!Task.Checkpoint.empty())
+    Code += 'k' + withLength(Task.Checkpoint);
+  return Code;
+}
+
+/// Joins the codes of a step's tasks, equal ones in a row as one.
+class StepWriter {
+public:
+  void add(const std::string &Code, uint32_t Count = 1) {
+    if (Code == Last) {
+      Repeats += Count;
+      return;
+    }
+    finish();
+    Last = Code;
+    Repeats = Count;
+  }
+  void finish() {
+    if (Repeats > 1)
+      Text += fmt::format("{}*{}", Last, Repeats);
+    else if (Repeats == 1)
+      Text += Last;
+    Repeats = 0;
+    Last.clear();
+  }
+  void begin(const TaskPosition &Position) {
+    finish();
+    Text += fmt::format("{}{}.{}=", Text.empty() ? "" : " ",
+                        Position.Occurrence, Position.Step);
+  }
+  const std::string &text() const { return Text; }
+
+private:
+  std::string Text;
+  std::string Last;
+  uint32_t Repeats = 0;
+};
+
+std::string encodeTasks(const std::map<TaskPosition, TaskProgress> &Tasks,
+                        ExecutorTable &Executors) {
+  StepWriter Writer;
+  std::optional<TaskPosition> Step;
+  uint32_t Next = 0;
+  for (const auto &[Position, Task] : Tasks) {
+    if (Task.Run == 0)
+      continue;
+    TaskPosition ThisStep{.Occurrence = Position.Occurrence,
+                          .Step = Position.Step};
+    if (Step != ThisStep) {
+      Writer.begin(ThisStep);
+      Step = ThisStep;
+      Next = 0;
+    }
+    if (Position.Index > Next)
+      Writer.add("_", Position.Index - Next);
+    Writer.add(encodeTask(Task, Executors));
+    Next = Position.Index + 1;
+  }
+  Writer.finish();
+  return Writer.text();
+}
+
+/// Reads a stored text from its front; fails for good at the first text that is
+/// not as expected.
+class Scanner {
+public:
+  explicit Scanner(std::string_view Text) : Rest(Text) {}
+
+  bool failed() const { return Failed; }
+  bool atEnd() const { return Rest.empty(); }
+  bool accept(char Expected) {
+    if (Failed || Rest.empty() || Rest.front() != Expected)
+      return false;
+    Rest.remove_prefix(1);
+    return true;
+  }
+  void expect(char Expected) { Failed = Failed || !accept(Expected); }
+  template <typename Number> Number number() {
+    Number Value = 0;
+    auto [End, Code] =
+        std::from_chars(Rest.data(), Rest.data() + Rest.size(), Value);
+    Failed = Failed || Code != std::errc();
+    Rest.remove_prefix(static_cast<size_t>(End - Rest.data()));
+    return Value;
+  }
+  std::string_view bytes(size_t Count) {
+    Failed = Failed || Count > Rest.size();
+    if (Failed)
+      return {};
+    std::string_view Bytes = Rest.substr(0, Count);
+    Rest.remove_prefix(Count);
+    return Bytes;
+  }
+  /// Up to \p End, which is skipped.
+  std::string_view until(char End) {
+    std::string_view Field = bytes(Rest.find(End));
+    expect(End);
+    return Field;
+  }
+  std::string_view withLength() {
+    auto Length = number<size_t>();
+    expect(':');
+    return bytes(Length);
+  }
+
+private:
+  std::string_view Rest;
+  bool Failed = false;
+};
+
+struct NamedExecutor {
+  std::string_view Id;
+  std::string_view Address;
+};
+
+std::vector<NamedExecutor> decodeExecutors(Scanner &Source) {
+  std::vector<NamedExecutor> Executors;
+  while (!Source.failed() && !Source.accept(FieldEnd)) {
+    std::string_view Id = Source.withLength();
+    Executors.push_back({.Id = Id, .Address = Source.withLength()});
+  }
+  return Executors;
+}
+
+/// What follows the phase of a task. Returns false if it is not as expected.
+bool decodeTask(Scanner &Source, std::span<const NamedExecutor> Executors,
+                TaskProgress &Task) {
+  Task.Run = Source.number<uint32_t>();
+  if (Source.accept('e')) {
+    auto Index = Source.number<size_t>();
+    if (Source.failed() || Index >= Executors.size())
+      return false;
+    Task.Executor = Executors[Index].Id;
+    Task.Address = Executors[Index].Address;
+  }
+  if (Source.accept('f'))
+    Task.Failures = Source.number<uint32_t>();
+  if (Source.accept('c'))
+    Task.Crashes = Source.number<uint32_t>();
+  if (Source.accept('k'))
+    Task.Checkpoint = Source.withLength();
+  bool IsWhole = Task.Phase != TaskPhase::Starting || !Task.Executor.empty();
+  return !Source.failed() && Task.Run > 0 && IsWhole;
 }
 
-TaskPhase decodeTaskPhase(std::string_view PhaseCode) {
-  if (PhaseCode == "d")
-    return TaskPhase::Done;
-  return PhaseCode == "o" ? TaskPhase::Starting : TaskPhase::Waiting;
+bool decodeStep(Scanner &Source, std::span<const NamedExecutor> Executors,
+                JobProgress &Progress) {
+  TaskPosition Position;
+  Position.Occurrence = Source.number<uint32_t>();
+  Source.expect('.');
+  Position.Step = Source.number<uint32_t>();
+  Source.expect('=');
+  while (!Source.failed() && !Source.atEnd() && !Source.accept(' ')) {
+    TaskProgress Task;
+    bool HasRun = !Source.accept('_');
+    if (HasRun && Source.accept('o'))
+      Task.Phase = TaskPhase::Starting;
+    else if (HasRun && Source.accept('d'))
+      Task.Phase = TaskPhase::Done;
+    else if (HasRun)
+      Source.expect('w');
+    if (HasRun && !decodeTask(Source, Executors, Task))
+      return false;
+    uint32_t Repeats = Source.accept('*') ? Source.number<uint32_t>() : 1;
+    if (Source.failed() || Repeats > MaxTasks - Position.Index)
+      return false;
+    for (uint32_t I = 0; I < Repeats; ++I, ++Position.Index) {
+      if (HasRun)
+        Progress.Tasks.emplace(Position, Task);
+    }
+  }
+  return !Source.failed();
 }
 
 } // namespace
@@ -42,67 +242,66 @@
   return PhaseNames[static_cast<size_t>(Phase)];
 }
 
+std::optional<JobPhase> phaseOf(std::string_view Name) {
+  for (size_t I = 0; I < PhaseNames.size(); ++I) {
+    if (PhaseNames[I] == Name)
+      return static_cast<JobPhase>(I);
+  }
+  return std::nullopt;
+}
+
 std::string encodeProgress(const JobProgress &Progress) {
-  std::string Text = fmt::format("{{\"phase\":\"{}\",\"ended\":{},\"tasks\":[",
-                                 phaseName(Progress.Phase), Progress.EndedMs);
-  bool IsFirst = true;
-  for (const auto &[Position, Task] : Progress.Tasks) {
-    if (Task.Run == 0)
-      continue;
-    if (!IsFirst)
-      Text += ',';
-    IsFirst = false;
-    appendTask(Text, Position, Task);
-  }
-  Text += fmt::format("],\"done\":[{}]}}",
-                      fmt::join(Progress.DoneOccurrences, ","));
-  return Text;
+  ExecutorTable Executors;
+  std::string Tasks = encodeTasks(Progress.Tasks, Executors);
+  return fmt::format("{}{};{};{};{};{}", VersionPrefix,
+                     phaseName(Progress.Phase), Progress.EndedMs,
+                     fmt::join(Progress.DoneOccurrences, ","),
+                     Executors.text(), Tasks);
 }
 
 Result<JobPhase> decodePhase(std::string_view Text) {
-  json Document = json::parse(Text, nullptr, false);
-  if (!Document.is_object())
+  if (!Text.starts_with(VersionPrefix))
+    return decodeJsonPhase(Text);
+  Scanner Source(Text.substr(VersionPrefix.size()));
+  auto Phase = phaseOf(Source.until(FieldEnd));
+  if (!Phase)
     return Errc::Malformed;
-  std::string Name = Document.value("phase", std::string());
-  for (size_t I = 0; I < PhaseNames.size(); ++I) {
-    if (PhaseNames[I] == Name)
-      return static_cast<JobPhase>(I);
-  }
-  return Errc::Malformed;
+  return *Phase;
 }
 
 Result<JobProgress> decodeProgress(std::string_view Text) {
-  auto Phase = decodePhase(Text);
+  if (!Text.starts_with(VersionPrefix))
+    return decodeJsonProgress(Text);
+  Scanner Source(Text.substr(VersionPrefix.size()));
+  auto Phase = phaseOf(Source.until(FieldEnd));
   if (!Phase)
-    return Phase.error();
-  try {
-    json Document = json::parse(Text);
-    JobProgress Progress;
-    Progress.Phase = *Phase;
-    Progress.EndedMs = Document.value("ended", int64_t{0});
-    for (const json &Row : Document.at("tasks")) {
-      TaskPosition Position{.Occurrence = Row.at(0).get<uint32_t>(),
-                            .Step = Row.at(1).get<uint32_t>(),
-                            .Index = Row.at(2).get<uint32_t>()};
-      TaskProgress Task;
-      Task.Phase = decodeTaskPhase(Row.at(3).get<std::string>());
-      Task.Run = Row.at(4).get<uint32_t>();
-      Task.Failures = Row.at(5).get<uint32_t>();
-      Task.Executor = Row.at(6).get<std::string>();
-      Task.Checkpoint = Row.at(7).get<std::string>();
-      // Rows written by earlier versions have no address, or no crashes.
-      if (Row.size() > 8)
-        Task.Address = Row.at(8).get<std::string>();
-      if (Row.size() > 9)
-        Task.Crashes = Row.at(9).get<uint32_t>();
-      Progress.Tasks.emplace(Position, std::move(Task));
-    }
-    for (const json &Number : Document.value("done", json::array()))
-      Progress.DoneOccurrences.insert(Number.get<uint32_t>());
-    return Progress;
-  } catch (const json::exception &) {
     return Errc::Malformed;
+  JobProgress Progress{.Phase = *Phase};
+  Progress.EndedMs = Source.number<int64_t>();
+  Source.expect(FieldEnd);
+  while (!Source.failed() && !Source.accept(FieldEnd)) {
+    Progress.DoneOccurrences.insert(Source.number<uint32_t>());
+    Source.accept(',');
+  }
+  std::vector<NamedExecutor> Executors = decodeExecutors(Source);
+  while (!Source.failed() && !Source.atEnd()) {
+    if (!decodeStep(Source, Executors, Progress))
+      return Errc::Malformed;
   }
+  if (Source.failed())
+    return Errc::Malformed;
+  return Progress;
+}
+
+bool fitsJob(const JobProgress &Progress, const JobSpec &Job) {
+  uint32_t Occurrences = std::max(Job.RepeatCount, 1U);
+  return std::all_of(
+      Progress.Tasks.begin(), Progress.Tasks.end(), [&](const auto &Entry) {
+        const TaskPosition &Position = Entry.first;
+        return Position.Occurrence < Occurrences &&
+               Position.Step < Job.Steps.size() &&
+               Position.Index < Job.Steps[Position.Step].Count;
+      });
 }
 
 } // namespace daisylanding::cell
--- a/src/cell/Progress.h
+++ b/src/cell/Progress.h
@@ -5,6 +5,7 @@
 #include "executor/ExecutorPort.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
 }
 
 std::string_view phaseName(JobPhase Phase);
+std::optional<JobPhase> phaseOf(std::string_view Name);
 
 /// State of a task. A run is open from its record until it is known that it
 /// does not run and never will.
@@ -77,10 +79,12 @@
 
 /// Of a task's phase, encodes only whether its run is open or it is done.
 std::string encodeProgress(const JobProgress &Progress);
-/// Errors: Malformed.
+/// Also reads the rows of earlier versions. Errors: Malformed.
 Result<JobProgress> decodeProgress(std::string_view Text);
 /// Decodes the phase alone. Errors: Malformed.
 Result<JobPhase> decodePhase(std::string_view Text);
+/// Whether each task in the progress is one of the job's.
+bool fitsJob(const JobProgress &Progress, const JobSpec &Job);
 
 } // namespace daisylanding::cell
 
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -180,6 +180,11 @@
     auto It = Stored.Progress.find(Id);
     if (It != Stored.Progress.end())
       Progress = std::move(It->second);
+    if (Progress && !cell::fitsJob(*Progress, Job)) {
+      logError("progress-of-other-job", "job={}", Id);
+      Stored.UnreadableJobs.insert(Id);
+      continue;
+    }
     TimePoint AcceptedAt = acceptedAt(Job, Now);
     Owner->restore(std::move(Job), Progress, Stored.CancelledJobs.count(Id) > 0,
                    AcceptedAt, Now);
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -502,6 +502,51 @@
   CHECK(Decoded->DoneOccurrences == Original.DoneOccurrences);
 }
 
+TEST(StoredForms, ProgressKeepsWhichTasksHaveNotRun) {
+  JobProgress Original{.Phase = JobPhase::Running, .EndedMs = 7};
+  for (uint32_t I : {1U, 2U, 3U, 7U})
+    Original.Tasks[{0, 2, I}] = {.Phase = TaskPhase::Done, .Run = 1};
+  Original.Tasks[{0, 2, 4}] = {.Run = 2, .Checkpoint = "a*3 ;:"};
+  Original.Tasks[{1, 0, 0}] = {.Phase = TaskPhase::Starting,
+                               .Run = 1,
+                               .Executor = "a,b;c",
+                               .Address = "x:1"};
+  auto Decoded = decodeProgress(encodeProgress(Original));
+  CHECK_TRUE(static_cast<bool>(Decoded));
+  CHECK(Decoded->Tasks == Original.Tasks);
+  LONGS_EQUAL(7, Decoded->EndedMs);
+}
+
+TEST(StoredForms, ProgressOfAWideJobIsSmall) {
+  constexpr uint32_t Tasks = 180;
+  constexpr uint32_t Open = 10;
+  JobProgress Wide{.Phase = JobPhase::Running};
+  for (uint32_t I = 0; I < Tasks; ++I)
+    Wide.Tasks[{0, 0, I}] = {.Phase = TaskPhase::Done, .Run = 1};
+  for (uint32_t I = 0; I < Open; ++I)
+    Wide.Tasks[{0, 0, I * (Tasks / Open)}] = {
+        .Phase = TaskPhase::Starting,
+        .Run = 1,
+        .Executor = "i-0123456789",
+        .Address = "10.10.10." + std::to_string(100 + I) + ":8684"};
+  size_t BytesAnOpenRun = 64;
+  CHECK(encodeProgress(Wide).size() < Open * BytesAnOpenRun);
+}
+
+TEST(StoredForms, ProgressOfAnotherJobIsNoticed) {
+  JobSpec Job;
+  Job.Steps.push_back({.Count = 2});
+  auto Fits = [&](TaskPosition Position) {
+    JobProgress Progress;
+    Progress.Tasks[Position].Run = 1;
+    return fitsJob(Progress, Job);
+  };
+  CHECK_TRUE(Fits({0, 0, 1}));
+  CHECK_FALSE(Fits({0, 0, 2}));
+  CHECK_FALSE(Fits({0, 1, 0}));
+  CHECK_FALSE(Fits({1, 0, 0}));
+}
+
 TEST(StoredForms, ProgressOfAnEarlierVersionIsRead) {
   auto Decoded = decodeProgress(
       R"({"phase":"running","tasks":[[0,0,1,"o",2,0,"i-1","c"]]})");
@@ -515,6 +560,13 @@
   CHECK_FALSE(static_cast<bool>(
       decodeProgress(R"({"phase":"running","tasks":[[0,0]]})")));
   CHECK_FALSE(static_cast<bool>(decodeProgress("\xff")));
+  for (const char *Text :
+       {"2;", "2;running", "2;running;0;", "2;running;0;;;0.0=d",
+        "2;running;0;;;0.0=o1", "2;running;0;;;0.0=o1e0",
+        "2;running;0;;9:i-1;0.0=o1e0", "2;running;0;;;0.0=d1*900",
+        "2;running;0;;;0.0=_*4000000000d1", "2;running;0;;;0.0=x1",
+        "2;running;0;;;0.0=w1k9:c"})
+    CHECK_FALSE_TEXT(static_cast<bool>(decodeProgress(Text)), Text);
 }
 
 TEST(StoredForms, TaskNamesRoundTrip) {
--- a/tests/unit/PropertyTest.cpp
+++ b/tests/unit/PropertyTest.cpp
@@ -223,6 +223,8 @@
     RC_ASSERT(Read == Error.Field.empty());
     (void)cell::decodeJob(Text);
     (void)cell::decodeProgress(Text);
+    (void)cell::decodeProgress("2;running;0;;" + Text);
+    (void)cell::decodeProgress("2;running;0;;1:e1:a;0.0=" + Text);
     (void)cell::decodeOwnerRow(Text);
     (void)cell::parseTaskName(Text);
     (void)decodeBase64(Text);
