Late offers no longer refuse every commit of an owner

Entries wait 0.6 to 1.5 s for an offer and then store the job themselves; the owner went on to commit the offer for as long as the caller had time. Each commit held such a job, found its row and was refused as a whole, and the next one too. 190 batches a second by other entries filled the partition of the service meanwhile.

Tests that fail before: WhoseCommitsOutlastTheOffers (no start recorded in 3 s, the owner row unchanged). ABatchThatWaitedLongIsFollowedByAPause was written with the change.

Change: an offer ends when its entry stops waiting, counted from its acceptance. The commit after one refused for an offered job has no offers. Entries pause after a batch that waited.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -156,7 +156,7 @@
   /// unchanged.
   void accept(JobSpec Spec, TimePoint AcceptedAt, TimePoint Now);
   /// Adds a job that is not stored yet; `Done` runs once its commit has been
-  /// answered.
+  /// answered. \p AcceptedAt is when its entry sent it.
   void offer(Offer NewOffer, TimePoint AcceptedAt, TimePoint Now);
   /// Answers all open offers with `Unknown`, because their commits are not
   /// known to have succeeded.
@@ -474,6 +474,8 @@
   TimePoint LastCommitAt{};
   TimePoint LeasesGrantedUntil{}; ///< As the newest confirmed row allows.
   TimePoint FirstRowDueAt{};      ///< Of the first row after the load.
+  /// The last commit was refused because of an offered job.
+  bool HoldsOffersBack = false;
   /// An executor has answered that the newest row lists as silent.
   bool RowOutdated = false;
   TimePoint RetryCommitAt{};
--- a/src/cell/Offer.h
+++ b/src/cell/Offer.h
@@ -30,7 +30,9 @@
 
 struct Offer {
   JobSpec Job;
-  Millis TimeLeft{0}; ///< From delivery; then nobody waits for the outcome.
+  /// From when the entry sent it, by `AcceptedMs`; the entry then stops waiting
+  /// and may store the job itself.
+  Millis TimeLeft{0};
   OfferDone Done;     ///< Runs on the owner's thread.
 };
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -125,7 +125,9 @@
 
 /// Offers come first because their callers wait, those with the least time left
 /// before the others. Half of the entries are kept for the stored jobs whose
-/// changes have waited longest.
+/// changes have waited longest. The commit after one that was refused because
+/// of an offered job has none: entries that no longer wait store their jobs
+/// themselves, and a stream of these could keep every commit from succeeding.
 void CellOwner::addJobs(CommitInFlight &Commit, int64_t StoreClockMs) {
   constexpr size_t EntriesPerJob = 4; ///< Upper bound.
   static constexpr size_t MaxJobs = store::MaxTransactionEntries;
@@ -135,7 +137,7 @@
     LiveJob &Job = Jobs.at(Id);
     if (Job.Stored)
       StoredJobs.emplace_back(Since, &Job);
-    else
+    else if (!HoldsOffersBack)
       OfferedJobs.emplace_back(Job.OfferDeadline, &Job);
   }
   auto KeepFirst = [](auto &Candidates) {
@@ -299,6 +301,7 @@
       LatencyWeight * (toSeconds(LastCommitTime) * 1e3 - AverageCommitMs);
   Row = Commit.Row;
   RowVersion = Version;
+  HoldsOffersBack = false;
   if (Now > Commit.FirstSentAt + SlowCommitThreshold)
     logInfo("commit-slow",
             "service={} commit={} jobs={} entries={} copies={} ms={}",
@@ -484,7 +487,12 @@
   RowVersion = CurrentOwnerRow->Version;
   for (const std::string &Id : InFlight->RemovedJobs)
     Removals.emplace_front(Now, Id);
+  logInfo("commit-refused",
+          "service={} commit={} offers_stored_before={} cancelled={} age_ms={}",
+          Options.Service, InFlight->Row.Sequence, ExistingJobs.size(),
+          CancelKeys.size(), toMillis(Now - InFlight->FirstSentAt));
   InFlight.reset();
+  HoldsOffersBack = !ExistingJobs.empty();
   for (const store::Row *CurrentRow : ExistingJobs)
     onAlreadyStored(*CurrentRow, Now);
   for (const std::string &Key : CancelKeys)
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -230,6 +230,7 @@
   double ReadMs = Context.StoreHealth.readLatencyMs();
   Millis TimeLeft = timeLeft(Request, Now);
   Millis OfferTimeout = Policy.offerTimeout(TimeLeft, ReadMs);
+  Millis Waited = std::chrono::duration_cast<Millis>(Now - Request->ArrivedAt);
   // If the store is silent rather than slow, the caller gets an answer before
   // the offer times out.
   if (OfferPolicy::isStoreSlow(ReadMs))
@@ -241,8 +242,9 @@
       logWarn("verdict-dropped", "job={}", Job.Id);
   };
   if (Context.Offers.hasOwner(Service)) {
-    Context.Offers.deliver(Service,
-                           {.Job = Job, .TimeLeft = TimeLeft, .Done = Done});
+    Context.Offers.deliver(
+        Service,
+        {.Job = Job, .TimeLeft = Waited + OfferTimeout, .Done = Done});
     TimerQueue.schedule(Now + OfferTimeout, [this, Request, Job] {
       onOfferOutcome(Request, Job, Errc::AnswerLost);
     });
@@ -254,7 +256,7 @@
   relay::RelayOffer Offer{.Address = Address,
                           .Service = Service,
                           .Job = cell::encodeJob(Job),
-                          .TimeLeft = TimeLeft,
+                          .TimeLeft = Waited + OfferTimeout,
                           .Timeout = OfferTimeout,
                           .Done = Done};
   if (Address.empty() || !Relay.Offers.push(std::move(Offer)))
@@ -294,7 +296,11 @@
     writeJob(Request, Job);
     return;
   case cell::OfferOutcome::Expired:
-    failSubmit(Request, "store-slow");
+    // The owner is late; on a slow store no other write would be in time.
+    if (OfferPolicy::isStoreSlow(Context.StoreHealth.readLatencyMs()))
+      failSubmit(Request, "store-slow");
+    else
+      writeJob(Request, Job);
     return;
   case cell::OfferOutcome::NotOwner:
   case cell::OfferOutcome::Busy:
--- a/src/node/JobWriter.cpp
+++ b/src/node/JobWriter.cpp
@@ -14,6 +14,10 @@
 constexpr size_t MaxBatchJobs = 40;
 constexpr Millis BaseRetryDelay{60};
 constexpr uint32_t MaxRetryDoublings = 4;
+/// A batch that took longer has waited behind writes of others.
+constexpr Millis CongestedBatchTime{80};
+/// Pause after such a batch, as a multiple of its time.
+constexpr int64_t PausePerBatchTime = 2;
 
 } // namespace
 
@@ -44,6 +48,7 @@
   if (InFlight.empty())
     return;
   ++CurrentBatch;
+  BatchSentAt = Now;
   MayBeStored = false;
   sendCopy(Tx, CurrentBatch);
   scheduleHedge(Tx, CurrentBatch, Now, Now + DelayBeforeHedge());
@@ -91,6 +96,9 @@
   completeBatch(Result, Now);
   CopiesInFlight = 0;
   InFlight.clear();
+  Micros Took = Now - BatchSentAt;
+  if (!Paused && Took > CongestedBatchTime)
+    pauseFor(PausePerBatchTime * Took, Now);
   sendNextBatch(Now);
 }
 
@@ -137,12 +145,15 @@
 
 void JobWriter::scheduleRetry(TimePoint Now) {
   uint32_t Doublings = std::min(ConsecutiveFailures++, MaxRetryDoublings);
+  pauseFor(Millis(BaseRetryDelay.count() << Doublings), Now);
+}
+
+void JobWriter::pauseFor(Micros Duration, TimePoint Now) {
   Paused = true;
-  TimerQueue.schedule(Now + Millis(BaseRetryDelay.count() << Doublings),
-                      [this] {
-                        Paused = false;
-                        sendNextBatch(monotonicNow());
-                      });
+  TimerQueue.schedule(Now + Duration, [this] {
+    Paused = false;
+    sendNextBatch(monotonicNow());
+  });
 }
 
 void JobWriter::failAll() {
--- a/src/node/JobWriter.h
+++ b/src/node/JobWriter.h
@@ -35,7 +35,8 @@
 /// Stores the jobs of one service in batches, one transaction at a time; jobs
 /// that arrive meanwhile go into the next batch. With one transaction per job,
 /// a slow store's queue for the service's partition would fill up and delay its
-/// owner's commits. Single-threaded.
+/// owner's commits. It rests after a batch that had to wait for others, so that
+/// many entries leave the partition to the owner. Single-threaded.
 class JobWriter {
 public:
   JobWriter(std::string Service, store::RowStore &Store, Timers &TimerQueue,
@@ -61,6 +62,7 @@
   void completeBatch(const store::TransactionResult &Result, TimePoint Now);
   void completeConflict(const store::TransactionResult &Result);
   void scheduleRetry(TimePoint Now);
+  void pauseFor(Micros Duration, TimePoint Now);
 
   std::string Service;
   store::RowStore &Store;
@@ -70,6 +72,7 @@
   Batch InFlight;
   /// Number of the batch in flight, or of the last one.
   uint64_t CurrentBatch = 0;
+  TimePoint BatchSentAt{};
   uint32_t CopiesInFlight = 0; ///< Unanswered copies of that batch.
   uint32_t ConsecutiveFailures = 0;
   bool Paused = false;
--- a/src/relay/RelayLoop.h
+++ b/src/relay/RelayLoop.h
@@ -28,7 +28,8 @@
   std::string Address;
   std::string Service;
   std::string Job;    ///< As encoded for the store.
-  Millis TimeLeft{0}; ///< How long the owner's answer is of use.
+  /// From the job's acceptance until its entry stops waiting.
+  Millis TimeLeft{0};
   Millis Timeout{0};  ///< Of the call.
   std::function<void(Result<cell::OfferOutcome>)> Done;
 };
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -122,6 +122,10 @@
   void submit(cell::JobSpec Job);
   /// Stores a job as an entry does; the job feed notifies the owner later.
   void storeOnly(const cell::JobSpec &Job);
+  /// The same in \p Ms milliseconds.
+  void storeLater(const cell::JobSpec &Job, int64_t Ms) {
+    schedule(Ms, [this, Job] { storeOnly(Job); });
+  }
   /// The owner row and its version, as another entry reads them.
   uint64_t ownerRowVersion() const;
   cell::OwnerRow ownerRow() const;
--- a/tests/unit/JobWriterTest.cpp
+++ b/tests/unit/JobWriterTest.cpp
@@ -1,6 +1,7 @@
 #include "node/JobWriter.h"
 
 #include <map>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -71,6 +72,19 @@
   CHECK(Outcomes[5] == WriteOutcome::Stored);
 }
 
+/// Many entries that store jobs themselves would otherwise fill the queue of the
+/// service's partition, in which its owner's commits wait too.
+TEST(WhileABatchIsInFlight, ABatchThatWaitedLongIsFollowedByAPause) {
+  Store.answer(0, {.Outcome = store::TransactionOutcome::Committed});
+  LONGS_EQUAL(2, Store.Transactions.size());
+  std::this_thread::sleep_for(Millis(100));
+  Store.answer(1, {.Outcome = store::TransactionOutcome::Committed});
+  add(6);
+  LONGS_EQUAL(2, Store.Transactions.size());
+  TimerQueue.runDue(monotonicNow() + Millis(1'000));
+  LONGS_EQUAL(3, Store.Transactions.size());
+}
+
 TEST(WhileABatchIsInFlight, AJobAlreadyStoredDoesNotFailTheOthers) {
   Store.answer(0, {.Outcome = store::TransactionOutcome::Committed});
   store::TransactionResult Conflict{.Outcome =
--- /dev/null
+++ b/tests/unit/LateOwnerTest.cpp
@@ -0,0 +1,77 @@
+#include "unit/CellSim.h"
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisylanding;
+using namespace daisylanding::cell;
+using namespace daisylanding::cellsim;
+
+/// An owner that can't keep up may lose value, but it goes on to record starts
+/// and ends, to renew leases and to keep its service.
+
+namespace {
+
+constexpr Resources ExecutorSize{.MilliCores = 8'000, .MemoryMb = 8'000};
+constexpr Resources Small{.MilliCores = 1'000, .MemoryMb = 100};
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(AnOwnerOfTenExecutors) {
+  Simulation Sim;
+  void setup() override {
+    for (int I = 0; I < 10; ++I)
+      Sim.addExecutor(ExecutorSize);
+    Sim.takeOver();
+    Sim.runFor(200);
+  }
+};
+
+TEST_GROUP_BASE(WhoseCommitsOutlastTheOffers, TEST_GROUP_CppUTestGroupAnOwnerOfTenExecutors) {
+  static constexpr int64_t CommitMs = 150;
+  static constexpr int64_t EntryWaitMs = 100;
+  static constexpr int64_t ArrivalMs = 20;
+  int Offers = 0;
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerOfTenExecutors::setup();
+    Sim.CommitTimeMs = CommitMs;
+  }
+  /// Offers a job; its entry stores it itself when it has waited in vain.
+  void offerOne() {
+    JobSpec Job = Simulation::makeJob(fmt::format("{:016x}", 0xf000 + ++Offers), 1, Small, 100);
+    Sim.registerJob(Job);
+    Sim.Owner->offer({.Job = Job, .TimeLeft = Millis(3'000), .Done = [](OfferOutcome) {}}, Sim.Now, Sim.Now);
+    Sim.storeLater(Job, EntryWaitMs);
+  }
+};
+// clang-format on
+
+/// Each commit holds an offer that its entry has stored meanwhile, so that the
+/// store refuses it.
+TEST(WhoseCommitsOutlastTheOffers, TheOwnerStillRecordsStartsAndEnds) {
+  constexpr int64_t Ms = 3'000;
+  Sim.submit(Simulation::makeJob("00000000000000a1", 4, Small, 200));
+  for (int64_t Elapsed = 0; Elapsed < Ms; Elapsed += ArrivalMs) {
+    offerOne();
+    Sim.runFor(ArrivalMs);
+  }
+  CHECK(Sim.storedPhase("00000000000000a1") == JobPhase::Completed);
+  LONGS_EQUAL(0, Sim.violations().size());
+}
+
+TEST(WhoseCommitsOutlastTheOffers, ItsRowChangesOftenEnoughToKeepTheService) {
+  constexpr int64_t Ms = 3'000;
+  constexpr int64_t MaxRowAgeMs = 900;
+  uint64_t Version = Sim.ownerRowVersion();
+  TimePoint ChangedAt = Sim.Now;
+  for (int64_t Elapsed = 0; Elapsed < Ms; Elapsed += ArrivalMs) {
+    offerOne();
+    Sim.runFor(ArrivalMs);
+    if (Sim.ownerRowVersion() != Version)
+      ChangedAt = Sim.Now;
+    Version = Sim.ownerRowVersion();
+    CHECK(Sim.Now < ChangedAt + Millis(MaxRowAgeMs));
+  }
+}
