Commits follow each other at once; starts before ends that can wait

A commit has 100 entries; 13 a second went out, as each waited for the next turn, and ends filled entries that starts waited for.

Test: RecordsStartsBeforeEndsThatCanWait.

Change: the next commit is sent in the loop, not with a turn. Jobs with starts or final phases come first; others wait for at most six commits. Plans are spaced apart from orders and renewals.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -81,7 +81,8 @@
 
 void CellOwner::markChanged(LiveJob &Job) {
   ++Job.Revision;
-  if (DirtyJobs.try_emplace(Job.Spec.Id, NextDirtyNumber).second)
+  DirtyMark Mark{.Number = NextDirtyNumber, .Sequence = LastBuiltSequence};
+  if (DirtyJobs.try_emplace(Job.Spec.Id, Mark).second)
     ++NextDirtyNumber;
 }
 
@@ -366,7 +367,8 @@
   Jobs.erase(Id);
 }
 
-OwnerCommands CellOwner::advance(TimePoint Now, int64_t WallMs) {
+OwnerCommands CellOwner::advance(TimePoint Now, int64_t WallMs,
+                                 OwnerTurn Turn) {
   if (Deposed || Released || Loading)
     return {};
   beginDueOccurrences(Now, WallMs);
@@ -376,7 +378,7 @@
     NextOfferCheckAt = Now + OfferCheckInterval;
     expireOffers(Now);
   }
-  if (!Releasing && mayStart(Now))
+  if (Turn == OwnerTurn::Full && !Releasing && mayStart(Now))
     plan(Now);
   emitOrders(Now);
   emitRenewals(Now);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -90,6 +90,10 @@
   std::vector<AdviceCallCommand> AdviceCalls;
 };
 
+/// What a turn of the owner does. Planning looks at all waiting steps and takes
+/// longest; orders and renewals must not wait for it.
+enum class OwnerTurn : uint8_t { Full, WithoutPlanning };
+
 /// Event counts since the owner was created, for metrics.
 struct OwnerCounts {
   uint64_t Starts = 0;
@@ -171,7 +175,8 @@
 
   /// Starts due occurrences, expires runs, plans, and returns what is to be
   /// sent. \p WallMs is the wall clock in ms, for jobs with a schedule.
-  OwnerCommands advance(TimePoint Now, int64_t WallMs);
+  OwnerCommands advance(TimePoint Now, int64_t WallMs,
+                        OwnerTurn Turn = OwnerTurn::Full);
 
   /// The transaction to send now, if any. One at a time is in flight; it may be
   /// returned again for a resend. Each result goes to `onCommit`.
@@ -253,6 +258,12 @@
     std::vector<std::string> RemovedJobs;
   };
 
+  /// The oldest change of a job that is not stored.
+  struct DirtyMark {
+    uint64_t Number = 0;   ///< Orders the jobs by that change.
+    uint64_t Sequence = 0; ///< Of the newest commit before it.
+  };
+
   struct AdviceRequest {
     std::string JobId;
     TaskPosition Position; ///< `Index` is unused.
@@ -428,6 +439,7 @@
   bool mayWriteFirstRow(TimePoint Now);
   void addJob(CommitInFlight &Commit, LiveJob &Job, int64_t StoreClockMs);
   void addRemovals(CommitInFlight &Commit, TimePoint Now);
+  bool isRoutine(const LiveJob &Job, const DirtyMark &Mark) const;
   bool isRemovalDue(TimePoint Now) const {
     return !Removals.empty() && Removals.front().first <= Now;
   }
@@ -459,9 +471,7 @@
   size_t ReservedExecutors = 0; ///< Active among `Reservations`.
   /// Kept during one planning turn for tasks whose leases expire soon.
   std::vector<std::pair<ExecutorIndex, Resources>> HeldPlaces;
-  /// Jobs with changes to store, each with a number that orders them by their
-  /// oldest unstored change.
-  std::map<std::string, uint64_t> DirtyJobs;
+  std::map<std::string, DirtyMark> DirtyJobs; ///< With changes to store.
   uint64_t NextDirtyNumber = 0;
   std::map<std::string, std::vector<OfferDone>> OpenOffers; ///< By job id.
   std::optional<CommitInFlight> InFlight;
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -123,20 +123,42 @@
   return Commit;
 }
 
+/// Whether the job's changes can wait for a few commits while others fill them:
+/// starts hold capacity until they are recorded, and callers wait for final
+/// phases, but ends only have to be acknowledged.
+bool CellOwner::isRoutine(const LiveJob &Job, const DirtyMark &Mark) const {
+  constexpr uint64_t MaxCommitsPassed = 6;
+  if (isFinal(Job.Phase) ||
+      LastBuiltSequence > Mark.Sequence + MaxCommitsPassed)
+    return false;
+  for (const auto &Entry : Job.Occurrences) {
+    for (const LiveStep &Step : Entry.second.Steps) {
+      for (const LiveTask &Task : Step.Tasks) {
+        if (Task.Phase == TaskPhase::Recording)
+          return false;
+      }
+    }
+  }
+  return true;
+}
+
 /// Offers come first because their callers wait, those with the least time left
-/// before the others. Half of the entries are kept for the stored jobs whose
-/// changes have waited longest. The commit after one that was refused because
+/// before the others. Half of the entries are kept for the stored jobs: those
+/// with starts and final phases first, then those whose changes have waited
+/// longest. The commit after one that was refused because
 /// of an offered job has none: entries that no longer wait store their jobs
 /// themselves, and a stream of these could keep every commit from succeeding.
 void CellOwner::addJobs(CommitInFlight &Commit, int64_t StoreClockMs) {
   constexpr size_t EntriesPerJob = 4; ///< Upper bound.
   static constexpr size_t MaxJobs = store::MaxTransactionEntries;
   std::vector<std::pair<TimePoint, LiveJob *>> OfferedJobs;
-  std::vector<std::pair<uint64_t, LiveJob *>> StoredJobs;
-  for (const auto &[Id, Since] : DirtyJobs) {
+  using StoredRank = std::pair<bool, uint64_t>;
+  std::vector<std::pair<StoredRank, LiveJob *>> StoredJobs;
+  for (const auto &[Id, Mark] : DirtyJobs) {
     LiveJob &Job = Jobs.at(Id);
     if (Job.Stored)
-      StoredJobs.emplace_back(Since, &Job);
+      StoredJobs.emplace_back(StoredRank(isRoutine(Job, Mark), Mark.Number),
+                              &Job);
     else if (!HoldsOffersBack)
       OfferedJobs.emplace_back(Job.OfferDeadline, &Job);
   }
@@ -316,7 +338,8 @@
     Job.RecordedRevision = Revision;
     DirtyJobs.erase(Id);
     if (Job.Revision != Revision)
-      DirtyJobs.emplace(Id, NextDirtyNumber++);
+      DirtyJobs.emplace(Id, DirtyMark{.Number = NextDirtyNumber++,
+                                      .Sequence = LastBuiltSequence});
   }
   for (const executor::RunId &Start : Commit.Starts) {
     auto Key = findTask(Start);
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -103,10 +103,11 @@
     if (Loader)
       continueLoading(monotonicNow());
     takeTurnIfDue();
+    sendNextCommit(monotonicNow());
     if (Owner->deposed() || Owner->released())
       break;
     auto UntilTurn =
-        std::chrono::ceil<Millis>(Pacer.timeLeft(monotonicNow()));
+        std::chrono::ceil<Millis>(TurnPace.timeLeft(monotonicNow()));
     Client.poll(UntilTurn > Millis(0) ? std::min(UntilTurn, MaxPollWait)
                                       : MaxPollWait);
   }
@@ -209,13 +210,19 @@
 
 void OwnerLoop::takeTurnIfDue() {
   TimePoint BeganAt = monotonicNow();
-  if (!Pacer.isDue(BeganAt))
+  if (!TurnPace.isDue(BeganAt))
     return;
-  processOnce();
-  Pacer.recordTurn(BeganAt, monotonicNow());
+  bool IsPlanDue = PlanPace.isDue(BeganAt);
+  processOnce(IsPlanDue ? cell::OwnerTurn::Full
+                        : cell::OwnerTurn::WithoutPlanning);
+  TimePoint EndedAt = monotonicNow();
+  if (IsPlanDue)
+    PlanPace.recordTurn(BeganAt, EndedAt);
+  else
+    TurnPace.recordTurn(BeganAt, EndedAt);
 }
 
-void OwnerLoop::processOnce() {
+void OwnerLoop::processOnce(cell::OwnerTurn Turn) {
   TimePoint Now = monotonicNow();
   AdviceAnswer Answer;
   while (AdviceAnswers->pop(Answer)) {
@@ -245,9 +252,8 @@
   if (!EntryReadInFlight && Now >= NextEntryRead)
     readEntries();
   constexpr int64_t MicrosPerMilli = 1'000;
-  executeCommands(Owner->advance(Now, wallMicros() / MicrosPerMilli));
+  executeCommands(Owner->advance(Now, wallMicros() / MicrosPerMilli, Turn));
   sendAdviceCalls(Now);
-  sendNextCommit(Now);
   if (Now >= NextPublish)
     publishStatus(Now);
 }
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -44,7 +44,7 @@
   void continueLoading(TimePoint Now);
   void finishLoading(TimePoint Now);
   void takeTurnIfDue();
-  void processOnce();
+  void processOnce(cell::OwnerTurn Turn);
   void executeCommands(cell::OwnerCommands Commands);
   void sendAdviceCalls(TimePoint Now);
   void sendNextCommit(TimePoint Now);
@@ -73,7 +73,8 @@
   std::unique_ptr<cell::CellOwner> Owner;
   cell::AdviceDispatcher AdviceQueues;
   Timers TimerQueue;
-  TurnPacer Pacer;
+  TurnPacer TurnPace;
+  TurnPacer PlanPace; ///< Of the turns that plan.
 
   TimePoint AcquiredAt{};
   std::unique_ptr<ServiceLoader> Loader; ///< Null once the load is done.
--- a/tests/unit/LateOwnerTest.cpp
+++ b/tests/unit/LateOwnerTest.cpp
@@ -75,3 +75,35 @@
     CHECK(Sim.Now < ChangedAt + Millis(MaxRowAgeMs));
   }
 }
+
+// clang-format off
+TEST_GROUP(AnOwnerOfManyRunningJobs) {
+  static constexpr int Jobs = 300;
+  static constexpr int64_t CommitMs = 100;
+  Simulation Sim;
+  void setup() override {
+    for (int I = 0; I < Jobs / 4; ++I)
+      Sim.addExecutor(ExecutorSize);
+    Sim.RunTimeFor = [](const std::string &Task, int64_t Estimate) {
+      return Task.ends_with(".0") ? Estimate : 60'000;
+    };
+    Sim.takeOver();
+    Sim.runFor(200);
+    for (int I = 1; I <= Jobs; ++I)
+      Sim.submit(Simulation::makeJob(fmt::format("{:016x}", I), 2, Small, 2'000));
+    Sim.runFor(1'500);
+    Sim.CommitTimeMs = CommitMs;
+  }
+};
+// clang-format on
+
+/// The ends of tasks fill several commits. A start that waited behind them
+/// would hold its place on an executor meanwhile.
+TEST(AnOwnerOfManyRunningJobs, RecordsStartsBeforeEndsThatCanWait) {
+  auto AreAllEnded = [&] { return Sim.Owner->counts().EndsDone >= Jobs; };
+  CHECK_TRUE(Sim.runUntil(AreAllEnded, 3'000));
+  JobSpec Late = Simulation::makeJob("00000000000000a1", 1, Small, 100);
+  Sim.submit(Late);
+  auto IsStarted = [&] { return Sim.runsOf(Late.Id + ".0.0.0") > 0; };
+  CHECK_TRUE(Sim.runUntil(IsStarted, 2 * CommitMs + 50));
+}
