--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -15,12 +15,22 @@
 
 CellOwner::CellOwner(OwnerOptions Options,
                      std::shared_ptr<const CellConfig> Config)
-    : Options(std::move(Options)), Config(std::move(Config)),
-      Pool(this->Options.Leases), RowVersion(this->Options.RowVersion),
-      Row(this->Options.AcquiredRow), Loading(this->Options.Loading) {}
+    : Options(std::move(Options)), Pool(this->Options.Leases),
+      RowVersion(this->Options.RowVersion), Row(this->Options.AcquiredRow),
+      Loading(this->Options.Loading) {
+  setConfig(std::move(Config));
+}
 
 void CellOwner::setConfig(std::shared_ptr<const CellConfig> NewConfig) {
   Config = std::move(NewConfig);
+  QueuesByName.clear();
+  for (const Queue &Configured : Config->Queues)
+    QueuesByName.emplace(Configured.Name, &Configured);
+}
+
+const Queue *CellOwner::findQueue(std::string_view Name) const {
+  auto Found = QueuesByName.find(Name);
+  return Found == QueuesByName.end() ? nullptr : Found->second;
 }
 
 /// When the store's clock has reached \p StoreClockMs for certain.
@@ -111,7 +121,7 @@
 void CellOwner::beginOccurrence(LiveJob &Job, uint32_t Number,
                                 TimePoint BeginsAt) {
   LiveOccurrence &Occurrence = Job.Occurrences[Number];
-  const Queue *JobQueue = Config->findQueue(Job.Spec.Queue);
+  const Queue *JobQueue = findQueue(Job.Spec.Queue);
   double Stretch = JobQueue ? JobQueue->Stretch : 1;
   Millis TargetLatency = JobQueue ? JobQueue->TargetLatency : Millis(0);
   Millis CriticalPath = criticalPathOf(Job);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -291,6 +291,7 @@
   void setFinalPhase(LiveJob &Job, JobPhase Phase);
   void dropEndedJob(LiveJob &Job, TimePoint Now);
   LiveJob *findJob(std::string_view JobId);
+  const Queue *findQueue(std::string_view Name) const;
   std::optional<TaskKey> findTask(const executor::RunId &Id);
   std::optional<TaskKey> findOpenRun(const executor::RunId &Id,
                                      ExecutorIndex Index);
@@ -459,6 +460,8 @@
 
   OwnerOptions Options;
   std::shared_ptr<const CellConfig> Config;
+  /// Those of `Config`, which may have thousands.
+  std::unordered_map<std::string_view, const Queue *> QueuesByName;
   ExecutorPool Pool;
   SpeedTracker Speeds;
   std::map<std::string, LiveJob, std::less<>> Jobs;
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -202,7 +202,7 @@
   for (ExecutorIndex I = 0; I < Loads.size(); ++I)
     Loads[I].Slowness = Speeds.slowness(I, Now);
   for (const WaitingStepRef &Waiting : stepsToPlan(Now)) {
-    const Queue *JobQueue = Config->findQueue(Waiting.Job->Spec.Queue);
+    const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
     const LiveStep &Step = Waiting.step();
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty()) {
       requestAdvice(Waiting, *JobQueue, Now);
@@ -328,7 +328,7 @@
   const LiveStep &Step = Waiting.step();
   const StepSpec &Spec = Waiting.spec();
   const auto *Permissions =
-      permissionsOf(Step, Config->findQueue(Waiting.Job->Spec.Queue));
+      permissionsOf(Step, findQueue(Waiting.Job->Spec.Queue));
   auto MaxReserved =
       static_cast<size_t>(MaxReservedShare * static_cast<double>(Pool.size()));
   if (ReservedExecutors >= MaxReserved)
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -150,7 +150,7 @@
   ++Counts.EndsFailed;
   if (Key.spec().LongRunning || isFinal(Key.Job->Phase))
     return;
-  const Queue *JobQueue = Config->findQueue(Key.Job->Spec.Queue);
+  const Queue *JobQueue = findQueue(Key.Job->Spec.Queue);
   uint32_t MaxFailures = JobQueue ? JobQueue->MaxAttempts : 1;
   if (Task.Failures < MaxFailures)
     return;
