--- a/src/cell/Offer.h
+++ b/src/cell/Offer.h
@@ -33,7 +33,7 @@
   /// From when the entry sent it, by `AcceptedMs`; the entry then stops waiting
   /// and may store the job itself.
   Millis TimeLeft{0};
-  OfferDone Done;     ///< Runs on the owner's thread.
+  OfferDone Done; ///< Runs on the owner's thread.
 };
 
 using OfferMailbox = MpscQueue<Offer>;
--- a/src/cell/OwnerRestart.cpp
+++ b/src/cell/OwnerRestart.cpp
@@ -89,9 +89,10 @@
 
 /// Keeps capacity for \p Count tasks from less urgent steps until the end of
 /// the planning turn. Returns the executors, one for each task that fits.
-std::vector<ExecutorIndex>
-CellOwner::holdPlaces(const WaitingStepRef &Waiting, const Queue *JobQueue,
-                      uint32_t Count, TimePoint Now) {
+std::vector<ExecutorIndex> CellOwner::holdPlaces(const WaitingStepRef &Waiting,
+                                                 const Queue *JobQueue,
+                                                 uint32_t Count,
+                                                 TimePoint Now) {
   TaskCounts TasksByExecutor;
   PlacementRequest Request =
       placementRequestFor(Waiting, JobQueue, TasksByExecutor);
--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -11,8 +11,8 @@
 #include <unordered_map>
 
 /// The stored text: a version, the phase, the time of the end, the occurrences
-/// that are done, the executors of open runs with their addresses, and the tasks
-/// of each step:
+/// that are done, the executors of open runs with their addresses, and the
+/// tasks of each step:
 ///
 ///   2;running;0;0,1;3:i-111:10.0.0.7:803:i-211:10.0.0.8:80;2.0=_*3d1*8o1e0
 ///
@@ -255,8 +255,8 @@
   std::string Tasks = encodeTasks(Progress.Tasks, Executors);
   return fmt::format("{}{};{};{};{};{}", VersionPrefix,
                      phaseName(Progress.Phase), Progress.EndedMs,
-                     fmt::join(Progress.DoneOccurrences, ","),
-                     Executors.text(), Tasks);
+                     fmt::join(Progress.DoneOccurrences, ","), Executors.text(),
+                     Tasks);
 }
 
 Result<JobPhase> decodePhase(std::string_view Text) {
@@ -295,13 +295,13 @@
 
 bool fitsJob(const JobProgress &Progress, const JobSpec &Job) {
   uint32_t Occurrences = std::max(Job.RepeatCount, 1U);
-  return std::all_of(
-      Progress.Tasks.begin(), Progress.Tasks.end(), [&](const auto &Entry) {
-        const TaskPosition &Position = Entry.first;
-        return Position.Occurrence < Occurrences &&
-               Position.Step < Job.Steps.size() &&
-               Position.Index < Job.Steps[Position.Step].Count;
-      });
+  return std::all_of(Progress.Tasks.begin(), Progress.Tasks.end(),
+                     [&](const auto &Entry) {
+                       const TaskPosition &Position = Entry.first;
+                       return Position.Occurrence < Occurrences &&
+                              Position.Step < Job.Steps.size() &&
+                              Position.Index < Job.Steps[Position.Step].Count;
+                     });
 }
 
 } // namespace daisylanding::cell
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -278,9 +278,8 @@
     CURL *Handle = Beginning->Handle;
     if (Beginning->Request.StallTimeout > Millis(0))
       StallLimited.insert(Beginning.get());
-    Beginning->Deadline =
-        Deadlines.emplace(Beginning->StartedAt + Beginning->Request.Timeout,
-                          Handle);
+    Beginning->Deadline = Deadlines.emplace(
+        Beginning->StartedAt + Beginning->Request.Timeout, Handle);
     ActiveTransfers.emplace(Handle, std::move(Beginning));
     curl_multi_add_handle(Multi, Handle);
   }
@@ -313,8 +312,8 @@
   /// Returns whether there are any.
   bool finishLate(TimePoint Now) {
     std::vector<CURL *> Late;
-    for (auto It = Deadlines.begin();
-         It != Deadlines.end() && It->first <= Now; ++It)
+    for (auto It = Deadlines.begin(); It != Deadlines.end() && It->first <= Now;
+         ++It)
       Late.push_back(It->second);
     for (const Transfer *Limited : StallLimited) {
       bool IsOutOfTime = Limited->Deadline->first <= Now;
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -243,8 +243,7 @@
   };
   if (Context.Offers.hasOwner(Service)) {
     Context.Offers.deliver(
-        Service,
-        {.Job = Job, .TimeLeft = Waited + OfferTimeout, .Done = Done});
+        Service, {.Job = Job, .TimeLeft = Waited + OfferTimeout, .Done = Done});
     TimerQueue.schedule(Now + OfferTimeout, [this, Request, Job] {
       onOfferOutcome(Request, Job, Errc::AnswerLost);
     });
--- a/src/relay/RelayLoop.h
+++ b/src/relay/RelayLoop.h
@@ -27,10 +27,10 @@
 struct RelayOffer {
   std::string Address;
   std::string Service;
-  std::string Job;    ///< As encoded for the store.
+  std::string Job; ///< As encoded for the store.
   /// From the job's acceptance until its entry stops waiting.
   Millis TimeLeft{0};
-  Millis Timeout{0};  ///< Of the call.
+  Millis Timeout{0}; ///< Of the call.
   std::function<void(Result<cell::OfferOutcome>)> Done;
 };
 
--- a/tests/unit/JobWriterTest.cpp
+++ b/tests/unit/JobWriterTest.cpp
@@ -72,8 +72,8 @@
   CHECK(Outcomes[5] == WriteOutcome::Stored);
 }
 
-/// Many entries that store jobs themselves would otherwise fill the queue of the
-/// service's partition, in which its owner's commits wait too.
+/// Many entries that store jobs themselves would otherwise fill the queue of
+/// the service's partition, in which its owner's commits wait too.
 TEST(WhileABatchIsInFlight, ABatchThatWaitedLongIsFollowedByAPause) {
   Store.answer(0, {.Outcome = store::TransactionOutcome::Committed});
   LONGS_EQUAL(2, Store.Transactions.size());
