--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -244,12 +244,24 @@
             });
   for (Event &Pending : DueEvents)
     Pending.Action();
+  if (!isOwnerTurn())
+    return;
+  runWaitingActions();
   if (Owner)
     advanceOwner(*Owner);
   if (OldOwner && !OldOwnerPaused)
     advanceOwner(*OldOwner);
 }
 
+bool Simulation::isOwnerTurn() const {
+  return OwnerTurnMs == 0 || clockMs() % OwnerTurnMs < StepMs;
+}
+
+void Simulation::runWaitingActions() {
+  for (const auto &[Target, Action] : std::exchange(WaitingActions, {}))
+    deliver(Target, Action);
+}
+
 void Simulation::advanceOwner(cell::CellOwner &Target) {
   if (Target.deposed())
     return;
@@ -268,6 +280,14 @@
 
 void Simulation::notify(const cell::CellOwner *Target,
                         const OwnerAction &Action) {
+  if (OwnerTurnMs > 0)
+    WaitingActions.emplace_back(Target, Action);
+  else
+    deliver(Target, Action);
+}
+
+void Simulation::deliver(const cell::CellOwner *Target,
+                         const OwnerAction &Action) {
   if (Owner.get() == Target)
     Action(*Owner);
   else if (OldOwner.get() == Target && OldOwnerPaused)
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -147,6 +147,8 @@
   FaultRates Faults;
   cell::LeaseOptions Leases; ///< Of owners that take over from now on.
   int64_t CommitTimeMs = 10;
+  /// The owner's loop comes round only this often; answers wait for it.
+  int64_t OwnerTurnMs = 0;
   int64_t LoadTimeMs = 0; ///< From a takeover until the stored jobs are read.
   size_t CommitsSent = 0;
   OwnerCost Cost;
@@ -193,10 +195,13 @@
   std::string addIncarnation(executor::ExecutorInfo Info);
 
   void step();
+  bool isOwnerTurn() const;
+  void runWaitingActions();
   void advanceOwner(cell::CellOwner &Target);
   /// Has the owner process an answer, once it is no longer paused. Owners that
   /// have ended get none.
   void notify(const cell::CellOwner *Target, const OwnerAction &Action);
+  void deliver(const cell::CellOwner *Target, const OwnerAction &Action);
   void schedule(int64_t Ms, std::function<void()> Action);
   store::TransactionResult apply(const store::Transaction &Tx);
   void sendCommit(cell::CellOwner &Sender);
@@ -245,6 +250,8 @@
   std::vector<std::unique_ptr<cell::CellOwner>> EndedOwners;
   std::map<const cell::CellOwner *, OwnerCuts> Cuts;
   std::set<const cell::CellOwner *> LoadingOwners;
+  /// Answers that wait for the owner's loop.
+  std::vector<std::pair<const cell::CellOwner *, OwnerAction>> WaitingActions;
   bool OldOwnerPaused = false;
   std::vector<OwnerAction> PausedActions; ///< Answers to the paused owner.
   std::map<std::string, cell::JobSpec> Specs;
--- a/tests/unit/LateOwnerTest.cpp
+++ b/tests/unit/LateOwnerTest.cpp
@@ -1,3 +1,4 @@
+#include "common/Random.h"
 #include "unit/CellSim.h"
 
 #include <fmt/format.h>
@@ -16,8 +17,65 @@
 constexpr Resources ExecutorSize{.MilliCores = 8'000, .MemoryMb = 8'000};
 constexpr Resources Small{.MilliCores = 1'000, .MemoryMb = 100};
 
+/// An owner whose loop comes round every \p TurnMs: it hears of ends, and
+/// renews leases, late or too late, while messages get lost as well. Services
+/// run beside batch jobs.
+void runLateOwner(uint64_t Seed, int64_t TurnMs) {
+  constexpr int Jobs = 30;
+  constexpr int64_t RecoveryMs = 15'000;
+  constexpr Millis LastingTime{600'000};
+  Simulation Sim(Seed);
+  Random Rng(Seed * 31 + 7);
+  std::vector<JobSpec> Submitted;
+  for (int I = 0; I < 10; ++I)
+    Sim.addExecutor(ExecutorSize);
+  Sim.takeOver();
+  Sim.runFor(200);
+  Sim.Faults = {.OrderAnswerLost = 0.05, .CommitAnswerLost = 0.05};
+  Sim.OwnerTurnMs = TurnMs;
+  for (int I = 1; I <= Jobs; ++I) {
+    JobSpec Job =
+        Simulation::makeJob(fmt::format("{:016x}", I), 1 + Rng.below(6), Small,
+                            200 + static_cast<int64_t>(Rng.below(3'000)));
+    Job.Steps.front().LongRunning = Rng.below(5) == 0;
+    if (Job.Steps.front().LongRunning)
+      Job.Steps.front().Estimate = LastingTime;
+    Submitted.push_back(Job);
+    Sim.submit(std::move(Job));
+    Sim.runFor(static_cast<int64_t>(Rng.below(1'500)));
+  }
+  if (Rng.below(2) == 0)
+    Sim.takeOver();
+  Sim.runFor(5'000);
+  // Once it keeps up again, everything that should run does.
+  Sim.OwnerTurnMs = 0;
+  Sim.Faults = {};
+  Sim.runFor(RecoveryMs);
+  std::string Where = fmt::format("seed {} turn {}: ", Seed, TurnMs);
+  for (const std::string &Violation : Sim.violations())
+    FAIL((Where + Violation).c_str());
+  for (const JobSpec &Job : Submitted) {
+    bool IsLasting = Job.Steps.front().LongRunning;
+    for (uint32_t I = 0; IsLasting && I < Job.Steps.front().Count; ++I)
+      CHECK_TEXT(Sim.isOpen(taskName({.Job = Job.Id, .Index = I})),
+                 (Where + Job.Id).c_str());
+    if (!IsLasting)
+      CHECK_TEXT(Sim.storedPhase(Job.Id) == JobPhase::Completed,
+                 (Where + Job.Id).c_str());
+  }
+}
+
 } // namespace
 
+TEST_GROUP(AnOwnerThatCannotKeepUp){};
+
+TEST(AnOwnerThatCannotKeepUp, BreaksNoRuleWhateverItsDelay) {
+  for (int64_t TurnMs : {300, 1'000, 2'500, 5'000, 8'000}) {
+    for (uint64_t Seed = 1; Seed <= 12; ++Seed)
+      runLateOwner(Seed, TurnMs);
+  }
+}
+
 // clang-format off
 TEST_GROUP(AnOwnerOfTenExecutors) {
   Simulation Sim;
