--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -145,9 +145,9 @@
 /// Offers come first because their callers wait, those with the least time left
 /// before the others. Half of the entries are kept for the stored jobs: those
 /// with starts and final phases first, then those whose changes have waited
-/// longest. The commit after one that was refused because
-/// of an offered job has none: entries that no longer wait store their jobs
-/// themselves, and a stream of these could keep every commit from succeeding.
+/// longest. The commit after one that was refused because of an offered job has
+/// none: entries that no longer wait store their jobs themselves, and a stream
+/// of these could keep every commit from succeeding.
 void CellOwner::addJobs(CommitInFlight &Commit, int64_t StoreClockMs) {
   constexpr size_t EntriesPerJob = 4; ///< Upper bound.
   static constexpr size_t MaxJobs = store::MaxTransactionEntries;
