--- a/tests/unit/ExecutorPoolTest.cpp
+++ b/tests/unit/ExecutorPoolTest.cpp
@@ -52,6 +52,18 @@
               *Pool.extendLease(Index, at(200)));
 }
 
+/// Entries of other writers may repeat a name.
+TEST(AReachableExecutor, ThatIsListedTwiceStaysOneExecutor) {
+  executor::ExecutorInfo Listed = Pool[Index].Info;
+  std::vector<executor::ExecutorInfo> List = {Listed, Listed};
+  LONGS_EQUAL(0, Pool.update(List, at(100)).size());
+  LONGS_EQUAL(1, Pool.size());
+  List = {Listed, Listed};
+  List[0].Id = List[1].Id = "i-2";
+  LONGS_EQUAL(1, Pool.update(List, at(200)).size());
+  LONGS_EQUAL(2, Pool.size());
+}
+
 // clang-format off
 /// Repeated renewals to a silent executor must not postpone the end of its
 /// leases.
