LOST: lasting tasks are moved off executors that announce their leaving

Cause: nothing was decided between executor-draining and the lapse of the lease.

Ruled out: a start at the other place before the end is listed (two runs at once); a stop as soon as the announcement is read (no run while advice takes 0.73 s and more, and none at all where nothing has room); a record of the move in the store (a successor reads the announcement and asks the executor, which tells whether the run is at work, ended or absent).

Change: as soon as an executor is listed as leaving, places with capacity, permission and ticket are prepared for its lasting tasks (no gangs) as for those of silent executors. A run is stopped once there is a place for it whose ticket outlasts the stop and its notice (1.0 s; 70 % of the validity where tickets are shorter); no more runs are stopped than places are ready beyond those of tasks that are stopped or lapsing. The place stays held until the start. What is silent goes on to wait for its lease.

Conclusion: a planned leaving costs a lasting task the time of a stop. Not within it: an executor that leaves sooner than a list read, a call and a stop take (2.6 s), and tasks without a place; both take the path of a lost executor.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -404,12 +404,15 @@
   void addLoad(const TaskKey &Key);
   void removeLoad(const TaskKey &Key);
 
-  // Restarts of long-running tasks whose leases expire soon.
+  // Restarts of long-running tasks whose leases expire soon, or whose executors
+  // leave.
   bool isLapsing(const LiveTask &Run, Millis Within, TimePoint Now) const;
-  uint32_t countLapsingTasks(const LiveStep &Step, const StepSpec &Spec,
-                             Millis Within, TimePoint Now) const;
-  uint32_t countLapsingTasks(const LiveStep &Step, const StepSpec &Spec,
-                             TimePoint Now) const;
+  bool isLeaving(const LiveTask &Run) const;
+  bool hasLeavingTask(const LiveStep &Step) const;
+  uint32_t countTasksToRestart(const LiveStep &Step, const StepSpec &Spec,
+                               Millis Within, TimePoint Now) const;
+  uint32_t countTasksToRestart(const LiveStep &Step, const StepSpec &Spec,
+                               TimePoint Now) const;
   void prepareRestarts(const WaitingStepRef &Waiting, const Queue *JobQueue,
                        TimePoint Now);
   std::vector<ExecutorIndex> holdPlaces(const WaitingStepRef &Waiting,
@@ -418,6 +421,8 @@
   void releaseHeldPlaces(size_t First);
   void prepareTickets(const WaitingStepRef &Waiting, const Queue &JobQueue,
                       std::span<const ExecutorIndex> Places, TimePoint Now);
+  void stopLeavingRuns(const WaitingStepRef &Waiting, const Queue *JobQueue,
+                       uint32_t ToRestart, TimePoint Now);
 
   // Orders.
   bool mayStart(TimePoint Now) const {
@@ -477,7 +482,7 @@
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
   std::vector<Reservation> Reservations;
   size_t ReservedExecutors = 0; ///< Active among `Reservations`.
-  /// Kept during one planning turn for tasks whose leases expire soon.
+  /// Kept during one planning turn for tasks that are to be restarted.
   std::vector<std::pair<ExecutorIndex, Resources>> HeldPlaces;
   std::map<std::string, DirtyMark> DirtyJobs; ///< With changes to store.
   uint64_t NextDirtyNumber = 0;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -65,7 +65,7 @@
   TimePoint NextAdviceAt{};
   TimePoint NextRenewalAt{};
   /// Executors on which places and tickets are kept for tasks whose leases
-  /// expire soon.
+  /// expire soon, or whose executors leave.
   std::vector<ExecutorIndex> PreparedExecutors;
   TimePoint PreparedAt{};
   /// The newest run that was counted as failed.
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -51,8 +51,8 @@
     return;
   const StepSpec &Spec = Waiting.spec();
   const std::string &JobId = Waiting.Job->Spec.Id;
-  uint32_t Tasks =
-      countTasks(Step, TaskPhase::Waiting) + countLapsingTasks(Step, Spec, Now);
+  uint32_t Tasks = countTasks(Step, TaskPhase::Waiting) +
+                   countTasksToRestart(Step, Spec, Now);
   bool IsFirst = Step.Permissions.empty();
   AllowedPlaces Places = countAllowedPlaces(Pool, Loads, Spec, Step.Permissions,
                                             countTasksByExecutor(Step), Now);
@@ -155,7 +155,7 @@
                         ? TaskPhase::Placed
                         : TaskPhase::Waiting;
   return countTasks(Step, Phase) > 0 ||
-         countLapsingTasks(Step, Job.Spec.Steps[Request.Position.Step], Now) >
+         countTasksToRestart(Step, Job.Spec.Steps[Request.Position.Step], Now) >
              0;
 }
 
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -112,11 +112,12 @@
                     Now);
 }
 
-/// The waiting steps, and those with tasks whose leases expire soon.
+/// The waiting steps, and those with tasks that are to be restarted.
 std::vector<CellOwner::WaitingStepRef> CellOwner::stepsToPlan(TimePoint Now) {
   return stepsWhere(
       [&](const LiveStep &Step, const StepSpec &Spec) {
-        return hasPendingTasks(Step) || countLapsingTasks(Step, Spec, Now) > 0;
+        return hasPendingTasks(Step) ||
+               countTasksToRestart(Step, Spec, Now) > 0;
       },
       Now);
 }
--- a/src/cell/OwnerRestart.cpp
+++ b/src/cell/OwnerRestart.cpp
@@ -1,11 +1,13 @@
 #include "cell/CellOwner.h"
+#include "cell/LeavingExecutors.h"
 
 #include <algorithm>
 #include <set>
 
 /// Restarts of long-running tasks. While the lease of a silent executor runs
 /// out, free capacity, permissions and tickets are obtained for its tasks, so
-/// that only the commit and the start remain once the lease has expired.
+/// that only the commit and the start remain once the lease has expired. The
+/// same is obtained for tasks on executors that leave, which are then stopped.
 namespace daisylanding::cell {
 
 namespace {
@@ -44,28 +46,30 @@
   return IsSilent && Pool.areLeasesExpired(Run.Executor, Now + Within);
 }
 
-uint32_t CellOwner::countLapsingTasks(const LiveStep &Step,
-                                      const StepSpec &Spec, Millis Within,
-                                      TimePoint Now) const {
+uint32_t CellOwner::countTasksToRestart(const LiveStep &Step,
+                                        const StepSpec &Spec, Millis Within,
+                                        TimePoint Now) const {
   if (!Spec.LongRunning || Spec.Gang)
     return 0;
   return static_cast<uint32_t>(std::count_if(
-      Step.Tasks.begin(), Step.Tasks.end(),
-      [&](const LiveTask &Task) { return isLapsing(Task, Within, Now); }));
+      Step.Tasks.begin(), Step.Tasks.end(), [&](const LiveTask &Task) {
+        return isLapsing(Task, Within, Now) || isLeaving(Task);
+      }));
 }
 
-uint32_t CellOwner::countLapsingTasks(const LiveStep &Step,
-                                      const StepSpec &Spec,
-                                      TimePoint Now) const {
-  return countLapsingTasks(Step, Spec, AdviceLeadTime, Now);
+uint32_t CellOwner::countTasksToRestart(const LiveStep &Step,
+                                        const StepSpec &Spec,
+                                        TimePoint Now) const {
+  return countTasksToRestart(Step, Spec, AdviceLeadTime, Now);
 }
 
-/// Prepares the restart of the step's tasks whose leases expire soon. Other
-/// tasks get their places if the executors don't answer again.
+/// Prepares the restart of the step's tasks whose leases expire soon or whose
+/// executors leave. Other tasks get their places if silent executors answer
+/// again.
 void CellOwner::prepareRestarts(const WaitingStepRef &Waiting,
                                 const Queue *JobQueue, TimePoint Now) {
   LiveStep &Step = Waiting.step();
-  uint32_t Count = countLapsingTasks(Step, Waiting.spec(), Now);
+  uint32_t Count = countTasksToRestart(Step, Waiting.spec(), Now);
   if (Count == 0)
     return;
   if (Now > Step.PreparedAt + AdviceLeadTime)
@@ -77,7 +81,7 @@
   bool NeedsAdvice = JobQueue && JobQueue->Advice;
   if (IsShort && NeedsAdvice)
     requestAdvice(Waiting, *JobQueue, Now);
-  if (countLapsingTasks(Step, Waiting.spec(), HoldTime, Now) == 0) {
+  if (countTasksToRestart(Step, Waiting.spec(), HoldTime, Now) == 0) {
     releaseHeldPlaces(FirstHeld);
     return;
   }
@@ -85,6 +89,7 @@
     reserveExecutors(Waiting, Count - Step.PreparedExecutors.size(), Now);
   if (NeedsAdvice)
     prepareTickets(Waiting, *JobQueue, Step.PreparedExecutors, Now);
+  stopLeavingRuns(Waiting, JobQueue, Count, Now);
 }
 
 /// Keeps capacity for \p Count tasks from less urgent steps until the end of
@@ -124,7 +129,10 @@
                                std::span<const ExecutorIndex> Places,
                                TimePoint Now) {
   const LiveStep &Step = Waiting.step();
-  TimePoint NeededUntil = Now + ticketLead(*JobQueue.Advice, Places.size());
+  Millis Lead = ticketLead(*JobQueue.Advice, Places.size());
+  if (hasLeavingTask(Step))
+    Lead = std::max(Lead, moveTime(*JobQueue.Advice));
+  TimePoint NeededUntil = Now + Lead;
   bool AreValid =
       std::all_of(Places.begin(), Places.end(), [&](ExecutorIndex Index) {
         return hasValidTicket(Step, Index, NeededUntil);
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -139,6 +139,17 @@
   });
 }
 
+void Simulation::leaveExecutor(const std::string &Id, int64_t AfterMs) {
+  setDraining(Id, true);
+  schedule(AfterMs, [this, Id] { loseExecutor(Id); });
+}
+
+void Simulation::setDraining(const std::string &Id, bool IsDraining) {
+  executor(Id).Info.Draining = IsDraining;
+  if (isLoaded())
+    Owner->setExecutors(instanceList(), Now);
+}
+
 void Simulation::setListed(const std::string &Id, bool IsListed) {
   executor(Id).Listed = IsListed && !executor(Id).Dead;
   if (isLoaded())
@@ -675,13 +686,28 @@
   Executor.FencingToken = Order.FencingToken;
   Answer.Outcome = OrderOutcome::Done;
   auto Found = Executor.Running.find(Order.Id.Task);
-  if (Found != Executor.Running.end() && Found->second.Run == Order.Id.Run)
+  bool IsRunning =
+      Found != Executor.Running.end() && Found->second.Run == Order.Id.Run;
+  if (IsRunning && StopTimeMs > 0)
+    schedule(StopTimeMs, [this, Id = Executor.Info.Id, Run = Order.Id] {
+      endStoppedRun(executor(Id), Run);
+    });
+  else if (IsRunning)
     endRun(Executor, Order.Id.Task, EndKind::Stopped);
   uint32_t &HighestEndedRun = Executor.HighestEndedRun[Order.Id.Task];
   HighestEndedRun = std::max(HighestEndedRun, Order.Id.Run);
   return Answer;
 }
 
+void Simulation::endStoppedRun(SimExecutor &Executor,
+                               const executor::RunId &Id) {
+  auto Found = Executor.Running.find(Id.Task);
+  bool IsRunning =
+      Found != Executor.Running.end() && Found->second.Run == Id.Run;
+  if (!Executor.Dead && IsRunning)
+    endRun(Executor, Id.Task, EndKind::Stopped);
+}
+
 executor::RenewalAnswer
 Simulation::handleRenewal(SimExecutor &Executor,
                           const executor::RenewalCall &Call) {
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -112,6 +112,10 @@
   /// The executor crashes. After \p BackAfterMs another incarnation answers at
   /// its address. Its entry leaves the instance list as if it were lost.
   void crashExecutor(const std::string &Id, int64_t BackAfterMs);
+  /// The executor announces that it leaves, and is lost \p AfterMs later.
+  void leaveExecutor(const std::string &Id, int64_t AfterMs);
+  /// Announces in the instance list that it leaves, or withdraws this.
+  void setDraining(const std::string &Id, bool IsDraining);
   /// Adds its entry to the instance list or removes it.
   void setListed(const std::string &Id, bool IsListed);
   /// Runs \p Ms milliseconds of virtual time.
@@ -164,6 +168,7 @@
   /// After how many ms a run crashes its executor, if it does.
   std::function<std::optional<int64_t>(const std::string &)> CrashTimeFor;
   int64_t CrashedForMs = 3'000; ///< Until a crashed executor is back.
+  int64_t StopTimeMs = 0;       ///< From a stop order to the end of its run.
   size_t Crashes = 0;           ///< Of executors.
   /// Outcome with which an executor refuses a start, if any.
   std::function<std::optional<executor::OrderOutcome>(
@@ -220,6 +225,7 @@
                                     const executor::StartOrder &Order);
   executor::OrderAnswer handleStop(SimExecutor &Executor,
                                    const executor::StopOrder &Order);
+  void endStoppedRun(SimExecutor &Executor, const executor::RunId &Id);
   executor::RenewalAnswer handleRenewal(SimExecutor &Executor,
                                         const executor::RenewalCall &Call);
   void endRun(SimExecutor &Executor, const std::string &Task,
--- a/tests/unit/TimeBoundsTest.cpp
+++ b/tests/unit/TimeBoundsTest.cpp
@@ -1,4 +1,5 @@
 #include "cell/AdviceDispatcher.h"
+#include "cell/LeavingExecutors.h"
 #include "config/CellSettings.h"
 #include "node/ExecutorList.h"
 #include "node/IntakeLoop.h"
@@ -179,6 +180,27 @@
     CHECK(adviceTimeWithALostAnswer(ServiceTime) + CommitAndOrder <= MaxWait);
 }
 
+TEST_GROUP(AnOwnerThatMovesTasks){};
+
+/// Guards against a wait that makes a planned move take longer than the loss
+/// of the executor would, which is known after a lease.
+TEST(AnOwnerThatMovesTasks, IsDoneSoonerThanALeaseExpires) {
+  constexpr Millis AdviceTime{850};
+  constexpr Millis CommitAndOrder{100};
+  Millis Moved = ExecutorList::FullReadInterval + AdviceTime +
+                 cell::MaxStopTime + cell::EndNoticeTime + CommitAndOrder;
+  CHECK(Moved < cell::LeaseOptions{}.LeaseDuration);
+}
+
+/// Guards against a stopped task whose ticket has expired when its start is
+/// sent.
+TEST(AnOwnerThatMovesTasks, HasATicketThatOutlastsTheStop) {
+  constexpr Millis Validity{2'000};
+  Millis Needed = cell::moveTime({.Validity = Validity});
+  CHECK(Needed >= cell::MaxStopTime + cell::EndNoticeTime);
+  CHECK(Needed < Validity);
+}
+
 // clang-format off
 TEST_GROUP(TheDefaultTimesOfAZoneEntry) {
   config::Settings Defaults;
