LOST: calls for tickets of one step run side by side and name spare places

With each start the places prepared for the step's other tasks were forgotten too, so that they moved to places without tickets; and a prepared place without a ticket was preferred to another one that had it.

Ruled out by trials: tickets renewed earlier by what calls took lately, and spare places among the preferred ones (the second crash of WhenBatchTasksFillMostOfIt took 1.1 to 1.4 s in place of 0.5: more calls, which delay all of them); a preference for tickets already while places are held (they change with each answer; three tests of that group failed); places kept after a start where no tickets are needed (ExecutorsThatCrashByThemselves, LeaveAllJobsTheirTries failed: restarts crowd on few executors).

Change: renewals are tracked by executor. A step of lasting tasks has up to three open; the first names all places and half as many spare ones, the others only places without any ticket. When a lost task is placed, a valid ticket counts more than the prepared places. Places for other tasks of the step outlast a start. Advice about further executors begins three calls before the lapse, by what calls took lately, at least 3 s; places are held for two calls of 30 executors, at least 2 s.

Calls are bounded at three a step.

--- a/src/cell/AdviceCandidates.cpp
+++ b/src/cell/AdviceCandidates.cpp
@@ -17,6 +17,10 @@
 constexpr double InitialAllowedShare = 0.3;
 constexpr double MinAllowedShare = 0.05;
 constexpr double ShareWeight = 0.1;
+/// Of the newest call's delay in the average of its queue.
+constexpr double DelayWeight = 0.2;
+/// Longer calls are timeouts or stand-stills, which don't foretell the next.
+constexpr double MaxDelayFactor = 3;
 /// Expected places named, as a multiple of the tasks: others may take some of
 /// them before the answer.
 constexpr double PlacesPerTask = 2;
@@ -100,6 +104,22 @@
                                : std::max(MinAllowedShare, Found->second);
 }
 
+void AdviceDelays::record(const std::string &Queue, double ExpectedMs,
+                          Micros Took) {
+  if (ExpectedMs <= 0)
+    return;
+  double Observed =
+      std::clamp(toSeconds(Took) * 1e3 / ExpectedMs, 1.0, MaxDelayFactor);
+  auto [It, IsFirst] = Factors.try_emplace(Queue, Observed);
+  if (!IsFirst)
+    It->second += DelayWeight * (Observed - It->second);
+}
+
+double AdviceDelays::factor(const std::string &Queue) const {
+  auto Found = Factors.find(Queue);
+  return Found == Factors.end() ? 1 : Found->second;
+}
+
 std::vector<ExecutorIndex>
 chooseAdviceCandidates(const ExecutorPool &Pool,
                        std::span<const ExecutorLoad> Loads,
--- a/src/cell/AdviceCandidates.h
+++ b/src/cell/AdviceCandidates.h
@@ -25,6 +25,18 @@
   std::map<std::string, double, std::less<>> Shares;
 };
 
+/// Learns how much longer advice calls take than the policy service needs for
+/// them, by queue: calls of others may be ahead.
+class AdviceDelays {
+public:
+  void record(const std::string &Queue, double ExpectedMs, Micros Took);
+  /// Multiple of the expected time, at least 1.
+  double factor(const std::string &Queue) const;
+
+private:
+  std::map<std::string, double, std::less<>> Factors;
+};
+
 struct AdviceNeed {
   const StepSpec *Step = nullptr;
   uint32_t Tasks = 0; ///< Of the step, without an executor.
--- a/src/cell/CellConfig.h
+++ b/src/cell/CellConfig.h
@@ -21,6 +21,13 @@
   Millis Validity{0};
 };
 
+/// How long the policy service takes for a call that names so many executors,
+/// in ms.
+inline double serviceMs(const AdviceSettings &Settings, size_t Executors) {
+  return Settings.BaseMs +
+         Settings.PerExecutorMs * static_cast<double>(Executors);
+}
+
 /// A queue of jobs: the address where callers submit them and its service
 /// level.
 struct Queue {
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -365,9 +365,10 @@
   };
   std::vector<WaitingStepRef> waitingSteps(TimePoint Now);
   std::vector<WaitingStepRef> stepsToPlan(TimePoint Now);
-  std::vector<WaitingStepRef> stepsWhere(
-      const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
-      TimePoint Now);
+  std::vector<WaitingStepRef>
+  stepsWhere(const std::function<bool(const LiveJob &, const LiveStep &,
+                                      const StepSpec &)> &IsWanted,
+             TimePoint Now);
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
@@ -388,6 +389,7 @@
                       AdviceReason Reason, std::vector<ExecutorIndex> Named,
                       TimePoint Now);
   LiveStep *stepOf(const AdviceRequest &Request);
+  static void markAnswered(const AdviceRequest &Request, LiveStep &Step);
   static bool hasValidTicket(const LiveStep &Step, ExecutorIndex Index,
                              TimePoint Now);
   bool isNeeded(const AdviceRequest &Request, const LiveStep &Step,
@@ -409,10 +411,15 @@
   bool isLapsing(const LiveTask &Run, Millis Within, TimePoint Now) const;
   bool isLeaving(const LiveTask &Run) const;
   bool hasLeavingTask(const LiveStep &Step) const;
+  struct RestartLeads {
+    Millis Advice{0}; ///< Before the expiry of a lease, places are sought.
+    Millis Hold{0};   ///< Capacity is held, and tickets are renewed.
+  };
+  RestartLeads restartLeads(const Queue *JobQueue) const;
   uint32_t countTasksToRestart(const LiveStep &Step, const StepSpec &Spec,
                                Millis Within, TimePoint Now) const;
-  uint32_t countTasksToRestart(const LiveStep &Step, const StepSpec &Spec,
-                               TimePoint Now) const;
+  uint32_t countTasksToRestart(const LiveJob &Job, const LiveStep &Step,
+                               const StepSpec &Spec, TimePoint Now) const;
   void prepareRestarts(const WaitingStepRef &Waiting, const Queue *JobQueue,
                        TimePoint Now);
   std::vector<ExecutorIndex> holdPlaces(const WaitingStepRef &Waiting,
@@ -420,7 +427,7 @@
                                         TimePoint Now);
   void releaseHeldPlaces(size_t First);
   void prepareTickets(const WaitingStepRef &Waiting, const Queue &JobQueue,
-                      std::span<const ExecutorIndex> Places, TimePoint Now);
+                      std::span<const ExecutorIndex> Spares, TimePoint Now);
   void stopLeavingRuns(const WaitingStepRef &Waiting, const Queue *JobQueue,
                        uint32_t ToRestart, TimePoint Now);
 
@@ -491,6 +498,7 @@
   std::unordered_map<uint64_t, AdviceRequest> OpenAdviceCalls;
   uint64_t NextAdviceId = 0;
   AllowedShares AdviceShares;
+  AdviceDelays CallDelays;
   uint64_t RowVersion = 0;
   uint64_t LastBuiltSequence = 0; ///< Of the newest commit that was built.
   OwnerRow Row;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -52,16 +52,17 @@
   bool Allowed = false;
   std::string Ticket;
   TimePoint ValidUntil{};
-  TimePoint AskedAt{};   ///< The first call that named the executor.
-  TimePoint AdvisedAt{}; ///< Its answer.
+  TimePoint AskedAt{};         ///< The first call that named the executor.
+  TimePoint AdvisedAt{};       ///< Its answer.
+  bool RenewalPending = false; ///< A call that renews its ticket is open.
 };
 
 struct LiveStep {
   std::vector<LiveTask> Tasks;
   std::map<ExecutorIndex, Permission> Permissions;
-  bool AdvicePending = false;  ///< A call that names further executors.
-  bool RenewalPending = false; ///< A call that renews tickets.
-  TimePoint AdvisedAt{};       ///< Last answer that named further executors.
+  bool AdvicePending = false; ///< A call that names further executors.
+  uint32_t OpenRenewals = 0;  ///< Calls that renew tickets.
+  TimePoint AdvisedAt{};      ///< Last answer that named further executors.
   TimePoint NextAdviceAt{};
   TimePoint NextRenewalAt{};
   /// Executors on which places and tickets are kept for tasks whose leases
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -24,6 +24,10 @@
 /// advice: with several such calls it may still find all places.
 constexpr Millis PartialGangInterval{2'000};
 constexpr Millis AdviceTimeoutMargin{1'000};
+/// Open calls of one step that renew tickets. A lasting task that has a new
+/// place doesn't wait for the answer about others.
+constexpr uint32_t MaxOpenRenewals = 1;
+constexpr uint32_t MaxOpenRenewalsOfLastingTasks = 3;
 
 uint32_t countTasks(const LiveStep &Step, TaskPhase Phase) {
   return static_cast<uint32_t>(
@@ -52,7 +56,7 @@
   const StepSpec &Spec = Waiting.spec();
   const std::string &JobId = Waiting.Job->Spec.Id;
   uint32_t Tasks = countTasks(Step, TaskPhase::Waiting) +
-                   countTasksToRestart(Step, Spec, Now);
+                   countTasksToRestart(*Waiting.Job, Step, Spec, Now);
   bool IsFirst = Step.Permissions.empty();
   AllowedPlaces Places = countAllowedPlaces(Pool, Loads, Spec, Step.Permissions,
                                             countTasksByExecutor(Step), Now);
@@ -97,14 +101,23 @@
   emitRenewal(Waiting, JobQueue, std::move(Named), Now);
 }
 
-/// Requests new tickets for these executors unless such a call is open.
+/// Requests new tickets for those of these executors that no open call names.
 void CellOwner::emitRenewal(const WaitingStepRef &Waiting,
                             const Queue &JobQueue,
                             std::vector<ExecutorIndex> Named, TimePoint Now) {
   LiveStep &Step = Waiting.step();
-  if (Named.empty() || Step.RenewalPending || Now < Step.NextRenewalAt)
+  uint32_t MaxOpen = Waiting.spec().LongRunning ? MaxOpenRenewalsOfLastingTasks
+                                                : MaxOpenRenewals;
+  std::erase_if(Named, [&](ExecutorIndex Index) {
+    return Step.Permissions[Index].RenewalPending;
+  });
+  if (Named.size() > executor::MaxExecutorsPerAdviceCall)
+    Named.resize(executor::MaxExecutorsPerAdviceCall);
+  if (Named.empty() || Step.OpenRenewals >= MaxOpen || Now < Step.NextRenewalAt)
     return;
-  Step.RenewalPending = true;
+  ++Step.OpenRenewals;
+  for (ExecutorIndex Index : Named)
+    Step.Permissions[Index].RenewalPending = true;
   emitAdviceCall(Waiting, JobQueue, AdviceReason::Renewal, std::move(Named),
                  Now);
 }
@@ -123,9 +136,7 @@
                                 .Step = Waiting.Step});
   for (ExecutorIndex Index : Named)
     Command.Call.ExecutorIds.push_back(Pool[Index].Info.Id);
-  Command.ExpectedMs =
-      JobQueue.Advice->BaseMs +
-      JobQueue.Advice->PerExecutorMs * static_cast<double>(Named.size());
+  Command.ExpectedMs = serviceMs(*JobQueue.Advice, Named.size());
   // Calls of other owners may be ahead in the queue, but a lost call must not
   // hold the step up for long.
   Command.Call.Timeout = AdviceTimeoutMargin +
@@ -139,6 +150,17 @@
   Commands.AdviceCalls.push_back(std::move(Command));
 }
 
+/// The call has been answered, or dropped: the step may send another.
+void CellOwner::markAnswered(const AdviceRequest &Request, LiveStep &Step) {
+  if (Request.Reason != AdviceReason::Renewal) {
+    Step.AdvicePending = false;
+    return;
+  }
+  --Step.OpenRenewals;
+  for (ExecutorIndex Index : Request.AskedExecutors)
+    Step.Permissions[Index].RenewalPending = false;
+}
+
 /// The step of a call that has not been answered; null if it is over.
 LiveStep *CellOwner::stepOf(const AdviceRequest &Request) {
   LiveJob *Job = findJob(Request.JobId);
@@ -155,8 +177,8 @@
                         ? TaskPhase::Placed
                         : TaskPhase::Waiting;
   return countTasks(Step, Phase) > 0 ||
-         countTasksToRestart(Step, Job.Spec.Steps[Request.Position.Step], Now) >
-             0;
+         countTasksToRestart(Job, Step, Job.Spec.Steps[Request.Position.Step],
+                             Now) > 0;
 }
 
 std::optional<TimePoint> CellOwner::adviceDueAt(uint64_t Id, TimePoint Now) {
@@ -167,8 +189,7 @@
   LiveStep *Step = stepOf(Request);
   if (!Step || !isNeeded(Request, *Step, *findJob(Request.JobId), Now)) {
     if (Step)
-      (Request.Reason == AdviceReason::Renewal ? Step->RenewalPending
-                                               : Step->AdvicePending) = false;
+      markAnswered(Request, *Step);
     OpenAdviceCalls.erase(Found);
     return std::nullopt;
   }
@@ -189,7 +210,7 @@
   if (!Step)
     return;
   bool IsRenewal = Request.Reason == AdviceReason::Renewal;
-  (IsRenewal ? Step->RenewalPending : Step->AdvicePending) = false;
+  markAnswered(Request, *Step);
   if (!Answer) {
     (IsRenewal ? Step->NextRenewalAt : Step->NextAdviceAt) =
         Now + AdviceRetryDelay;
@@ -197,11 +218,17 @@
             Request.Position.Step, Answer.error().message());
     return;
   }
-  if (!IsRenewal)
-    AdviceShares.record(findJob(Request.JobId)->Spec.Queue,
-                        Request.AskedExecutors.size(), Answer->Tickets.size());
-  if (!IsRenewal)
+  const std::string &QueueName = findJob(Request.JobId)->Spec.Queue;
+  const Queue *JobQueue = findQueue(QueueName);
+  if (JobQueue && JobQueue->Advice)
+    CallDelays.record(
+        QueueName, serviceMs(*JobQueue->Advice, Request.AskedExecutors.size()),
+        Now - Request.RequestedAt);
+  if (!IsRenewal) {
+    AdviceShares.record(QueueName, Request.AskedExecutors.size(),
+                        Answer->Tickets.size());
     Step->AdvisedAt = Now;
+  }
   for (ExecutorIndex Index : Request.AskedExecutors)
     Step->Permissions.try_emplace(
         Index, Permission{.AskedAt = Request.RequestedAt, .AdvisedAt = Now});
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -107,7 +107,7 @@
 }
 
 std::vector<CellOwner::WaitingStepRef> CellOwner::waitingSteps(TimePoint Now) {
-  return stepsWhere([](const LiveStep &Step,
+  return stepsWhere([](const LiveJob &, const LiveStep &Step,
                        const StepSpec &) { return hasPendingTasks(Step); },
                     Now);
 }
@@ -115,16 +115,17 @@
 /// The waiting steps, and those with tasks that are to be restarted.
 std::vector<CellOwner::WaitingStepRef> CellOwner::stepsToPlan(TimePoint Now) {
   return stepsWhere(
-      [&](const LiveStep &Step, const StepSpec &Spec) {
+      [&](const LiveJob &Job, const LiveStep &Step, const StepSpec &Spec) {
         return hasPendingTasks(Step) ||
-               countTasksToRestart(Step, Spec, Now) > 0;
+               countTasksToRestart(Job, Step, Spec, Now) > 0;
       },
       Now);
 }
 
 /// Steps that are ready, the most urgent first.
 std::vector<CellOwner::WaitingStepRef> CellOwner::stepsWhere(
-    const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
+    const std::function<bool(const LiveJob &, const LiveStep &,
+                             const StepSpec &)> &IsWanted,
     TimePoint Now) {
   std::vector<WaitingStepRef> Steps;
   for (auto &[Id, Job] : Jobs) {
@@ -133,7 +134,8 @@
     for (const auto &[Number, Occurrence] : Job.Occurrences) {
       for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
            ++StepIndex) {
-        if (!IsWanted(Occurrence.Steps[StepIndex], Job.Spec.Steps[StepIndex]) ||
+        if (!IsWanted(Job, Occurrence.Steps[StepIndex],
+                      Job.Spec.Steps[StepIndex]) ||
             !isReady(Job, Occurrence, StepIndex))
           continue;
         Steps.push_back(
@@ -204,7 +206,9 @@
     Loads[I].Slowness = Speeds.slowness(I, Now);
   for (const WaitingStepRef &Waiting : stepsToPlan(Now)) {
     const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
-    const LiveStep &Step = Waiting.step();
+    LiveStep &Step = Waiting.step();
+    if (Now > Step.PreparedAt + restartLeads(JobQueue).Advice)
+      Step.PreparedExecutors.clear();
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty()) {
       requestAdvice(Waiting, *JobQueue, Now);
       continue;
@@ -225,6 +229,7 @@
   PlacementRequest Request =
       placementRequestFor(Waiting, JobQueue, TasksByExecutor);
   LiveStep &Step = Waiting.step();
+  Request.StartsAtOnce = !Step.PreparedExecutors.empty();
   std::vector<ExecutorIndex> PlacedHere;
   size_t Unplaced = 0;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
@@ -407,8 +412,15 @@
     Task.Run = Spec.Gang ? HighestRun + 1 : Task.Run + 1;
     recordRun(Waiting.task(I), Now);
     AnyRecorded = true;
+    // The places of other tasks, whose tickets are being obtained, remain.
+    auto Used = std::find(Step.PreparedExecutors.begin(),
+                          Step.PreparedExecutors.end(), Task.Executor);
+    if (Used != Step.PreparedExecutors.end())
+      Step.PreparedExecutors.erase(Used);
   }
-  if (AnyRecorded)
+  bool NeedsTickets = JobQueue && JobQueue->Advice;
+  bool IsLast = countTasksToRestart(*Waiting.Job, Step, Spec, Now) == 0;
+  if (AnyRecorded && (IsLast || !NeedsTickets))
     Step.PreparedExecutors.clear();
 }
 
--- a/src/cell/OwnerRestart.cpp
+++ b/src/cell/OwnerRestart.cpp
@@ -12,28 +12,43 @@
 
 namespace {
 
-/// Before the expiry of a lease, advice is requested if places are missing:
-/// time for three calls to a slow policy service.
-constexpr Millis AdviceLeadTime{3'000};
-/// Before the expiry of a lease, capacity is held and tickets are renewed.
-constexpr Millis HoldTime{2'000};
+/// Least time before the expiry of a lease from which advice is requested if
+/// places are missing, and from which capacity is held and tickets are renewed.
+/// Where calls take long, so many of them instead.
+constexpr Millis MinAdviceLeadTime{3'000};
+constexpr Millis MinHoldTime{2'000};
+/// A call about further executors, one after its answer about others, and one
+/// that renews the tickets.
+constexpr double CallsBeforeLapse = 3;
+/// One that renews the tickets, and one for tasks that have lost their places.
+constexpr double CallsWhileHeld = 2;
+/// About as many executors as one call names.
+constexpr size_t UsualExecutorsPerCall = 30;
 /// Allows for a call of another step ahead in the queue.
 constexpr double TicketLeadFactor = 2;
 /// Of a ticket's validity.
 constexpr double MaxTicketLeadShare = 0.8;
+/// Tickets are also renewed for one place beyond so many prepared ones: other
+/// work may take a place before its task is started.
+constexpr size_t PlacesPerSpare = 2;
 
-/// How long before its end a ticket is renewed.
-Millis ticketLead(const AdviceSettings &Advice, size_t Executors) {
-  double CallMs =
-      Advice.BaseMs + Advice.PerExecutorMs * static_cast<double>(Executors);
-  double MaxMs =
-      MaxTicketLeadShare * static_cast<double>(Advice.Validity.count());
-  return Millis(
-      static_cast<int64_t>(std::min(TicketLeadFactor * CallMs, MaxMs)));
+Millis toMillisAtLeast(double Ms, Millis Least) {
+  return std::max(Millis(static_cast<int64_t>(Ms)), Least);
 }
 
 } // namespace
 
+CellOwner::RestartLeads CellOwner::restartLeads(const Queue *JobQueue) const {
+  if (!JobQueue || !JobQueue->Advice)
+    return {.Advice = MinAdviceLeadTime, .Hold = MinHoldTime};
+  double CallMs = serviceMs(*JobQueue->Advice, UsualExecutorsPerCall);
+  // Calls for tickets go before others, and more of them would only delay all.
+  double DelayedCallMs = CallDelays.factor(JobQueue->Name) * CallMs;
+  return {.Advice = toMillisAtLeast(CallsBeforeLapse * DelayedCallMs,
+                                    MinAdviceLeadTime),
+          .Hold = toMillisAtLeast(CallsWhileHeld * CallMs, MinHoldTime)};
+}
+
 /// Whether the run's executor is silent and its lease expires \p Within this
 /// time.
 bool CellOwner::isLapsing(const LiveTask &Run, Millis Within,
@@ -57,10 +72,14 @@
       }));
 }
 
-uint32_t CellOwner::countTasksToRestart(const LiveStep &Step,
+uint32_t CellOwner::countTasksToRestart(const LiveJob &Job,
+                                        const LiveStep &Step,
                                         const StepSpec &Spec,
                                         TimePoint Now) const {
-  return countTasksToRestart(Step, Spec, AdviceLeadTime, Now);
+  if (!Spec.LongRunning || Spec.Gang)
+    return 0;
+  return countTasksToRestart(
+      Step, Spec, restartLeads(findQueue(Job.Spec.Queue)).Advice, Now);
 }
 
 /// Prepares the restart of the step's tasks whose leases expire soon or whose
@@ -69,26 +88,36 @@
 void CellOwner::prepareRestarts(const WaitingStepRef &Waiting,
                                 const Queue *JobQueue, TimePoint Now) {
   LiveStep &Step = Waiting.step();
-  uint32_t Count = countTasksToRestart(Step, Waiting.spec(), Now);
+  const StepSpec &Spec = Waiting.spec();
+  uint32_t Count = countTasksToRestart(*Waiting.Job, Step, Spec, Now);
   if (Count == 0)
     return;
-  if (Now > Step.PreparedAt + AdviceLeadTime)
-    Step.PreparedExecutors.clear();
+  RestartLeads Leads = restartLeads(JobQueue);
+  bool NeedsAdvice = JobQueue && JobQueue->Advice;
+  auto Spares =
+      NeedsAdvice
+          ? static_cast<uint32_t>((Count + PlacesPerSpare - 1) / PlacesPerSpare)
+          : 0;
   size_t FirstHeld = HeldPlaces.size();
-  Step.PreparedExecutors = holdPlaces(Waiting, JobQueue, Count, Now);
+  std::vector<ExecutorIndex> Chosen =
+      holdPlaces(Waiting, JobQueue, Count + Spares, Now);
+  auto PlacesEnd = Chosen.begin() + static_cast<ptrdiff_t>(
+                                        std::min<size_t>(Count, Chosen.size()));
+  std::vector<ExecutorIndex> &Places = Step.PreparedExecutors;
+  Places.assign(Chosen.begin(), PlacesEnd);
   Step.PreparedAt = Now;
-  bool IsShort = Step.PreparedExecutors.size() < Count;
-  bool NeedsAdvice = JobQueue && JobQueue->Advice;
+  releaseHeldPlaces(FirstHeld + Places.size());
+  bool IsShort = Places.size() < Count;
   if (IsShort && NeedsAdvice)
     requestAdvice(Waiting, *JobQueue, Now);
-  if (countTasksToRestart(Step, Waiting.spec(), HoldTime, Now) == 0) {
+  if (countTasksToRestart(Step, Spec, Leads.Hold, Now) == 0) {
     releaseHeldPlaces(FirstHeld);
     return;
   }
   if (IsShort)
-    reserveExecutors(Waiting, Count - Step.PreparedExecutors.size(), Now);
+    reserveExecutors(Waiting, Count - Places.size(), Now);
   if (NeedsAdvice)
-    prepareTickets(Waiting, *JobQueue, Step.PreparedExecutors, Now);
+    prepareTickets(Waiting, *JobQueue, {PlacesEnd, Chosen.end()}, Now);
   stopLeavingRuns(Waiting, JobQueue, Count, Now);
 }
 
@@ -122,28 +151,35 @@
   HeldPlaces.resize(First);
 }
 
-/// Renews the tickets for held places if one of them ends before a new one
-/// could arrive. One call names them all: until its answer no other is sent.
+/// Renews the tickets for prepared places if one of them ends before a new one
+/// could arrive. One call names them all, and \p Spares, where other work may
+/// leave room. While it is open, further ones name only places without any
+/// ticket.
 void CellOwner::prepareTickets(const WaitingStepRef &Waiting,
                                const Queue &JobQueue,
-                               std::span<const ExecutorIndex> Places,
+                               std::span<const ExecutorIndex> Spares,
                                TimePoint Now) {
-  const LiveStep &Step = Waiting.step();
-  Millis Lead = ticketLead(*JobQueue.Advice, Places.size());
+  LiveStep &Step = Waiting.step();
+  const std::vector<ExecutorIndex> &Places = Step.PreparedExecutors;
+  double MaxLeadMs = MaxTicketLeadShare *
+                     static_cast<double>(JobQueue.Advice->Validity.count());
+  double LeadMs = TicketLeadFactor * serviceMs(*JobQueue.Advice, Places.size());
+  Millis Lead(static_cast<int64_t>(std::min(LeadMs, MaxLeadMs)));
   if (hasLeavingTask(Step))
     Lead = std::max(Lead, moveTime(*JobQueue.Advice));
-  TimePoint NeededUntil = Now + Lead;
-  bool AreValid =
-      std::all_of(Places.begin(), Places.end(), [&](ExecutorIndex Index) {
-        return hasValidTicket(Step, Index, NeededUntil);
-      });
-  if (AreValid)
+  bool IsFirstCall = Step.OpenRenewals == 0;
+  TimePoint NeededUntil = IsFirstCall ? Now + Lead : Now;
+  std::set<ExecutorIndex> Named(Places.begin(), Places.end());
+  auto IsTicketed = [&](ExecutorIndex Index) {
+    return hasValidTicket(Step, Index, NeededUntil);
+  };
+  if (std::all_of(Named.begin(), Named.end(), IsTicketed))
     return;
-  std::set<ExecutorIndex> Distinct(Places.begin(), Places.end());
-  std::vector<ExecutorIndex> Named(Distinct.begin(), Distinct.end());
-  if (Named.size() > executor::MaxExecutorsPerAdviceCall)
-    Named.resize(executor::MaxExecutorsPerAdviceCall);
-  emitRenewal(Waiting, JobQueue, std::move(Named), Now);
+  if (IsFirstCall)
+    Named.insert(Spares.begin(), Spares.end());
+  else
+    std::erase_if(Named, IsTicketed);
+  emitRenewal(Waiting, JobQueue, {Named.begin(), Named.end()}, Now);
 }
 
 } // namespace daisylanding::cell
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -24,6 +24,9 @@
 constexpr double ExpiredTicketPenalty = 2;
 /// Score of an executor other than the preferred ones; outweighs the rest.
 constexpr double OtherExecutorPenalty = 20;
+/// Score of an executor for which a long-running task that could start at once
+/// elsewhere needs a new ticket; outweighs the preference.
+constexpr double LateTicketPenalty = 25;
 
 bool isCandidate(const ExecutorPool &Pool, const ExecutorLoad &Load,
                  const PlacementRequest &Request, ExecutorIndex Index,
@@ -110,7 +113,7 @@
   if (!Request.Preferred.empty() && !isPreferred(Request, Index))
     Score += OtherExecutorPenalty;
   if (Request.Step->LongRunning && needsNewTicket(Request, Index, Now))
-    Score += ExpiredTicketPenalty;
+    Score += Request.StartsAtOnce ? LateTicketPenalty : ExpiredTicketPenalty;
   return Score;
 }
 
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -42,6 +42,9 @@
   const TaskCounts *TasksByExecutor = nullptr; ///< For anti-affinity.
   /// Chosen before others: tickets for these are being obtained.
   std::span<const ExecutorIndex> Preferred;
+  /// Whether the task starts at once: a valid ticket matters more than the
+  /// preferred executors.
+  bool StartsAtOnce = false;
   /// Not where a task that may crash its executor has just been started.
   bool AvoidSuspects = false;
   /// Only this rack, if set.
--- a/tests/unit/AdviceCandidatesTest.cpp
+++ b/tests/unit/AdviceCandidatesTest.cpp
@@ -67,6 +67,21 @@
 };
 // clang-format on
 
+TEST_GROUP(AQueueOfAdviceCalls){};
+
+/// Guards against lead times that assume idle queues, or follow one lost call.
+TEST(AQueueOfAdviceCalls, IsExpectedToTakeAsLongAsTheLastCallsDid) {
+  constexpr double ExpectedMs = 800;
+  AdviceDelays Delays;
+  DOUBLES_EQUAL(1, Delays.factor("q"), 0);
+  for (int Call = 0; Call < 20; ++Call)
+    Delays.record("q", ExpectedMs, Millis(1'600));
+  DOUBLES_EQUAL(2, Delays.factor("q"), 0.01);
+  Delays.record("q", ExpectedMs, Millis(60'000));
+  CHECK(Delays.factor("q") < 2.5);
+  DOUBLES_EQUAL(1, Delays.factor("other"), 0);
+}
+
 TEST(AFleetOfTwoHundredExecutors, ACallNamesNoMoreThanTheStepNeeds) {
   CHECK(choose(need()).size() <= 20);
 }
--- a/tests/unit/RestartAfterLossTest.cpp
+++ b/tests/unit/RestartAfterLossTest.cpp
@@ -21,8 +21,7 @@
 constexpr Resources BatchTaskSize{.MilliCores = 2'600, .MemoryMb = 9'000};
 /// As large as three batch tasks.
 constexpr Resources LastingTaskSize{.MilliCores = 7'500, .MemoryMb = 24'000};
-constexpr size_t LastingJobs = 8;
-constexpr uint32_t TasksPerLastingJob = 3;
+constexpr uint32_t LastingTasks = 24;
 constexpr uint32_t TasksPerBatchJob = 20;
 constexpr int64_t BatchRunMs = 1'500;
 constexpr int64_t LastingRunMs = 3'600'000;
@@ -54,16 +53,16 @@
   size_t BatchJobs = 0;
   std::map<std::string, LostTask> Lost;
 
+  virtual AdviceSettings adviceSettings() const { return {.BaseMs = 500, .PerExecutorMs = 8, .Validity = Millis(1'500)}; }
   virtual double allowedShare() const { return 0.5; }
+  virtual uint32_t tasksPerLastingJob() const { return 3; }
   /// Share of the fleet that batch tasks ask for.
   virtual double batchLoad() const { return 0; }
   /// Within this time of a run's known end its task runs again.
   virtual int64_t maxRestartMs() const { return PreparedRestartMs; }
 
   void setup() override {
-    Sim.requireAdvice({.Settings = {.BaseMs = 500, .PerExecutorMs = 8, .Validity = Millis(1'500)},
-                       .AllowedShare = allowedShare(),
-                       .Entries = 8});
+    Sim.requireAdvice({.Settings = adviceSettings(), .AllowedShare = allowedShare(), .Entries = 8});
     Sim.RunTimeFor = [](const std::string &Task, int64_t Estimate) {
       return isLasting(Task) ? LastingRunMs : Estimate;
     };
@@ -71,8 +70,8 @@
       Sim.addExecutor(ExecutorSize, fmt::format("r{}", I / 6));
     Sim.takeOver();
     Sim.runFor(500);
-    for (size_t I = 0; I < LastingJobs; ++I) {
-      JobSpec Job = Simulation::makeJob(lastingId(I), TasksPerLastingJob, LastingTaskSize, 1'000);
+    for (size_t I = 0; I < LastingTasks / tasksPerLastingJob(); ++I) {
+      JobSpec Job = Simulation::makeJob(lastingId(I), tasksPerLastingJob(), LastingTaskSize, 1'000);
       Job.Steps.front().LongRunning = true;
       Sim.submit(std::move(Job));
     }
@@ -171,6 +170,21 @@
   double allowedShare() const override { return 0.2; }
 };
 
+/// Tickets outlast a call by little, and many tasks of one step are lost.
+TEST_GROUP_BASE(WhenCallsTakeNearlyASecond, TEST_GROUP_CppUTestGroupWhenBatchTasksFillMostOfIt) {
+  AdviceSettings adviceSettings() const override { return {.BaseMs = 730, .PerExecutorMs = 10, .Validity = Millis(2'000)}; }
+  uint32_t tasksPerLastingJob() const override { return 12; }
+
+  /// Loses executors twice, so that the places for the tasks of the second loss are sought during the calls for the first.
+  void checkRestartsAfterTwoCrashes(int64_t GapMs) {
+    auto Crash = [](SimExecutor &Executor) { Executor.Dead = true; };
+    loseExecutors(Crash);
+    runWithLoad(GapMs);
+    loseExecutors(Crash);
+    checkRestarts();
+  }
+};
+
 TEST_GROUP_BASE(WhenAnotherOwnerHasTakenOver, TEST_GROUP_CppUTestGroupWhenBatchTasksFillMostOfIt) {
   void setup() override {
     TEST_GROUP_CppUTestGroupWhenBatchTasksFillMostOfIt::setup();
@@ -221,6 +235,20 @@
   checkRestarts();
 }
 
+/// Guards against a wait for the call of another task of the step.
+TEST(WhenCallsTakeNearlyASecond, TheTasksOfLostExecutorsRunAgainInTime) {
+  checkRestartsAfterCrash();
+}
+
+TEST(WhenCallsTakeNearlyASecond, TasksOfASecondCrashRunAgainInTime) {
+  checkRestartsAfterTwoCrashes(400);
+}
+
+TEST(WhenCallsTakeNearlyASecond,
+     TasksLostDuringTheCallsForOthersRunAgainInTime) {
+  checkRestartsAfterTwoCrashes(1'200);
+}
+
 /// Guards against a start before the executor's own lease has expired.
 TEST(WhenBatchTasksFillMostOfIt, TasksThatRunOnOutOfReachAreNotStartedTwice) {
   loseExecutors([](SimExecutor &Executor) { Executor.Unreachable = true; });
