Room is kept for urgent steps that wait for advice

Cause: a step starts only on executors that its advice has named, some 35 of 792. In a burst a place that becomes free elsewhere goes at once to work that could wait for 30 s and then holds it for 4.5 s; the urgent step asks about it 0.1 s later and finds it gone. On the large deployment such work started at 120 to 290 tasks a second while up to 484 steps waited.

Ruled out: keeping the named executors themselves for the length of a call.

Change: a planning turn adds up what steps with less than 1.5 s of slack need and have no place for, by the share that the policy allows. Work that can wait a second longer than these leaves that much of the free capacity. Only steps that can still be in time count, so nothing is kept for longer than their slack; gangs and lasting tasks keep none.

Conclusion: who waits is now decided by who can.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -10,6 +10,7 @@
 #include "cell/OwnerRow.h"
 #include "cell/Placement.h"
 #include "cell/SpeedTracker.h"
+#include "cell/UrgentRoom.h"
 #include "executor/AdvicePort.h"
 #include "store/RowStore.h"
 
@@ -371,6 +372,7 @@
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
+  void keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue);
   void planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                  TimePoint Now);
   void planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
@@ -476,7 +478,8 @@
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
   std::vector<Reservation> Reservations;
-  size_t ReservedExecutors = 0; ///< Active among `Reservations`.
+  size_t ReservedExecutors = 0;  ///< Active among `Reservations`.
+  RoomForUrgentSteps UrgentRoom; ///< Of the present planning turn.
   /// Kept during one planning turn for tasks whose leases expire soon.
   std::vector<std::pair<ExecutorIndex, Resources>> HeldPlaces;
   std::map<std::string, DirtyMark> DirtyJobs; ///< With changes to store.
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -199,13 +199,19 @@
   resizeExecutorTables();
   std::fill(Reservations.begin(), Reservations.end(), Reservation{});
   ReservedExecutors = 0;
-  for (ExecutorIndex I = 0; I < Loads.size(); ++I)
+  uint64_t FreeMilliCores = 0;
+  for (ExecutorIndex I = 0; I < Loads.size(); ++I) {
     Loads[I].Slowness = Speeds.slowness(I, Now);
+    if (Pool.isUsable(I, Now))
+      FreeMilliCores += Pool.freeCapacity(I).MilliCores;
+  }
+  UrgentRoom.begin(FreeMilliCores);
   for (const WaitingStepRef &Waiting : stepsToPlan(Now)) {
     const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
     const LiveStep &Step = Waiting.step();
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty()) {
       requestAdvice(Waiting, *JobQueue, Now);
+      keepRoom(Waiting, *JobQueue);
       continue;
     }
     if (Waiting.spec().Gang)
@@ -226,11 +232,17 @@
   LiveStep &Step = Waiting.step();
   std::vector<ExecutorIndex> PlacedHere;
   size_t Unplaced = 0;
+  uint64_t Room = UrgentRoom.roomFor(Waiting.SlackMs);
+  bool IsRoomKept = UrgentRoom.isKept();
+  uint64_t TaskMilliCores = demandOf(*Request.Step).MilliCores;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
       continue;
     TaskKey Key = Waiting.task(I);
     Request.AvoidSuspects = Key.task().Crashes > 0;
+    // The others give way; executors with free capacity are not missing.
+    if (IsRoomKept && Room < TaskMilliCores)
+      break;
     auto Best =
         Unplaced > 0 ? std::nullopt : chooseExecutor(Pool, Loads, Request, Now);
     if (!Best && Unplaced == 0 && Request.AvoidSuspects) {
@@ -244,6 +256,8 @@
       continue;
     }
     placeTask(Key, *Best, Now);
+    UrgentRoom.take(TaskMilliCores);
+    Room -= std::min(Room, TaskMilliCores);
     ++TasksByExecutor[*Best];
     if (!Request.Step->BestEffort)
       continue;
@@ -259,8 +273,25 @@
     reserveExecutors(Waiting, Unplaced, Now);
   // Executors that the policy service has not been asked about may have free
   // capacity.
-  if (JobQueue && JobQueue->Advice)
+  if (JobQueue && JobQueue->Advice) {
     requestAdvice(Waiting, *JobQueue, Now);
+    keepRoom(Waiting, *JobQueue);
+  }
+}
+
+/// Keeps free capacity for the step's tasks that have no place, more than they
+/// need by the share of executors that the policy refuses.
+void CellOwner::keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue) {
+  const StepSpec &Spec = Waiting.spec();
+  if (Spec.Gang || Spec.LongRunning)
+    return;
+  const LiveStep &Step = Waiting.step();
+  auto Tasks = std::count_if(
+      Step.Tasks.begin(), Step.Tasks.end(),
+      [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
+  double Need = static_cast<double>(Tasks) * demandOf(Spec).MilliCores /
+                AdviceShares.share(JobQueue.Name);
+  UrgentRoom.addNeed(Waiting.SlackMs, static_cast<uint64_t>(Need));
 }
 
 void CellOwner::planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
--- /dev/null
+++ b/tests/unit/UrgentBurstTest.cpp
@@ -0,0 +1,147 @@
+#include "unit/CellSim.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisylanding;
+using namespace daisylanding::cell;
+using namespace daisylanding::cellsim;
+
+namespace {
+
+constexpr size_t ExecutorCount = 150;
+constexpr Resources ExecutorSize{.MilliCores = 16'000, .MemoryMb = 64'000};
+/// Six fit on an executor, 900 on all.
+constexpr Resources TaskSize{.MilliCores = 2'600, .MemoryMb = 9'000};
+
+struct WorkKind {
+  uint32_t Tasks = 0; ///< Of a job.
+  int64_t RunMs = 0;  ///< Of a task.
+  int64_t JobsPerSecond = 0;
+
+  /// Stretch 2 and 500 ms, as the simulation's queue has them.
+  int64_t allowedMs() const { return 2 * RunMs + 500; }
+};
+
+/// Needs 250 places, and can wait for 0.9 s.
+constexpr WorkKind ShortWork{.Tasks = 10, .RunMs = 400, .JobsPerSecond = 62};
+/// Needs 675 places, and can wait for 5 s.
+constexpr WorkKind LongWork{.Tasks = 30, .RunMs = 4'500, .JobsPerSecond = 5};
+
+struct SubmittedJob {
+  std::string Id;
+  TimePoint DueAt{};
+  std::optional<TimePoint> DoneAt;
+
+  bool isInTime() const { return DoneAt && *DoneAt <= DueAt; }
+};
+
+/// Jobs of one kind that arrive at an even rate.
+class Stream {
+public:
+  Stream(Simulation &Sim, const WorkKind &Kind, uint64_t FirstId)
+      : Sim(Sim), Kind(Kind), NextId(FirstId) {}
+
+  void arrive(int64_t Ms, double Factor) {
+    constexpr double MillisPerSecond = 1'000;
+    Due += Factor * static_cast<double>(Kind.JobsPerSecond * Ms);
+    for (; Due >= MillisPerSecond; Due -= MillisPerSecond)
+      submit();
+  }
+  void noteEnds() {
+    for (SubmittedJob &Job : Jobs) {
+      if (!Job.DoneAt && Sim.storedPhase(Job.Id) == JobPhase::Completed)
+        Job.DoneAt = Sim.Now;
+    }
+  }
+  size_t submittedCount() const { return Jobs.size(); }
+  /// Of the jobs from number \p First on.
+  double shareInTime(size_t First) const {
+    auto IsInTime = [](const SubmittedJob &Job) { return Job.isInTime(); };
+    auto Begin = Jobs.begin() + static_cast<ptrdiff_t>(First);
+    return static_cast<double>(std::count_if(Begin, Jobs.end(), IsInTime)) /
+           static_cast<double>(Jobs.end() - Begin);
+  }
+
+private:
+  void submit() {
+    std::string Id = fmt::format("{:016x}", NextId++);
+    Sim.submit(Simulation::makeJob(Id, Kind.Tasks, TaskSize, Kind.RunMs));
+    Jobs.push_back({.Id = Id, .DueAt = Sim.Now + Millis(Kind.allowedMs())});
+  }
+
+  Simulation &Sim;
+  WorkKind Kind;
+  uint64_t NextId;
+  double Due = 0;
+  std::vector<SubmittedJob> Jobs;
+};
+
+} // namespace
+
+// clang-format off
+/// A fleet that long work fills to three quarters and short work to a quarter. A
+/// policy allows each step on a share of the executors that a call names.
+TEST_GROUP(AFleetOfLongAndShortWork) {
+  Simulation Sim;
+  Stream Short{Sim, ShortWork, 0x1'0000'0000};
+  Stream Long{Sim, LongWork, 0x1};
+
+  void setup() override {
+    Sim.requireAdvice({.Settings = {.BaseMs = 25, .PerExecutorMs = 0.35, .Validity = Millis(2'000)},
+                       .AllowedShare = 0.6,
+                       .Entries = 40});
+    for (size_t I = 0; I < ExecutorCount; ++I)
+      Sim.addExecutor(ExecutorSize, fmt::format("r{}", I / 12));
+    Sim.CommitTimeMs = 20;
+    Sim.takeOver();
+    Sim.runFor(500);
+    load(6'000, 1, 1);
+  }
+  void teardown() override {
+    for (const std::string &Violation : Sim.violations())
+      FAIL(Violation.c_str());
+  }
+
+  /// \p ShortFactor and \p LongFactor: of the usual rate.
+  void load(int64_t Ms, double ShortFactor, double LongFactor) {
+    constexpr int64_t SliceMs = 50;
+    for (int64_t Elapsed = 0; Elapsed < Ms; Elapsed += SliceMs) {
+      Short.arrive(SliceMs, ShortFactor);
+      Long.arrive(SliceMs, LongFactor);
+      Sim.runFor(SliceMs);
+      Short.noteEnds();
+      Long.noteEnds();
+    }
+  }
+};
+
+/// The whole load needs 1,225 places of 900, the short work alone 550.
+TEST_GROUP_BASE(WhenShortWorkComesInABurst, TEST_GROUP_CppUTestGroupAFleetOfLongAndShortWork) {
+  size_t FirstShort = 0;
+  size_t FirstLong = 0;
+
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAFleetOfLongAndShortWork::setup();
+    FirstShort = Short.submittedCount();
+    FirstLong = Long.submittedCount();
+    load(4'000, 2.2, 1);
+  }
+};
+// clang-format on
+
+TEST(WhenShortWorkComesInABurst, TheShortWorkIsInTime) {
+  load(ShortWork.allowedMs(), 0, 1);
+  CHECK(Short.shareInTime(FirstShort) >= 0.95);
+}
+
+TEST(WhenShortWorkComesInABurst, TheLongWorkIsDoneInTimeAfterIt) {
+  load(5'000, 1, 0);
+  load(LongWork.allowedMs(), 0, 0);
+  CHECK(Long.shareInTime(FirstLong) >= 0.95);
+}
