At most two calls at a time ask about the same free executor

Cause: in a backlog each waiting step asks five times a second about all executors with free capacity. These are the same few for all steps, and the first step that is allowed there takes them. On the large deployment 500 calls a second and 50 s of the policy service's work a second, nearly all for nothing, at an owner that was short of processor time.

Ruled out: a longer interval between two searches of a step; the most urgent would wait as well.

Change: a planning turn counts the calls of the last 0.3 s that name each executor; a search for free capacity leaves out those that two already name. Whether an executor has room is looked at before its label, its name and what is known of it.

--- a/src/cell/AdviceCandidates.cpp
+++ b/src/cell/AdviceCandidates.cpp
@@ -22,6 +22,9 @@
 constexpr double PlacesPerTask = 2;
 /// Part of an occupied executor's places that counts.
 constexpr double OccupiedPlaceWeight = 0.25;
+/// Calls for free capacity on an executor that are open at a time. The policy
+/// may refuse the first step, rarely both; others would find it taken.
+constexpr uint32_t MaxOpenCallsPerExecutor = 2;
 /// The fixed part of a call takes as long as tens of executors, so that fewer
 /// save nothing.
 constexpr size_t MinNamedExecutors = 16;
@@ -72,6 +75,15 @@
   return XXH3_64bits_withSeed(Key.data(), Key.size(), Need.Seed);
 }
 
+/// Whether a step that looks for free capacity may find some there: not if the
+/// executor is full, nor if the calls that name it already will fill it.
+bool mayFindCapacity(const ExecutorPool &Pool, const AdviceNeed &Need,
+                     ExecutorIndex Index) {
+  bool IsTaken = Index < Need.OpenCalls.size() &&
+                 Need.OpenCalls[Index] >= MaxOpenCallsPerExecutor;
+  return !IsTaken && Pool.hasCapacityFor(Index, demandOf(*Need.Step));
+}
+
 bool isReserved(const AdviceNeed &Need, ExecutorIndex Index) {
   return Index < Need.Reservations.size() && Need.Reservations[Index].Active;
 }
@@ -108,6 +120,8 @@
   std::vector<Candidate> Candidates;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     const ExecutorState &Executor = Pool[I];
+    if (Need.OnlyWithFreeCapacity && !mayFindCapacity(Pool, Need, I))
+      continue;
     if (!Executor.Listed || Executor.Ended || Executor.Info.Draining ||
         !isSuitable(Executor, Step) || Need.Known->count(I))
       continue;
--- a/src/cell/AdviceCandidates.h
+++ b/src/cell/AdviceCandidates.h
@@ -38,6 +38,9 @@
   bool OnlyForWholeGang = false;
   uint32_t FreeAllowedPlaces = 0; ///< On executors that are allowed already.
   std::span<const Reservation> Reservations; ///< Indexed by executor.
+  /// Recent calls that name each executor and have no answer. With
+  /// `OnlyWithFreeCapacity`, those named by enough of them are left out.
+  std::span<const uint32_t> OpenCalls;
   uint64_t Seed = 0; ///< Spreads the steps over the executors.
 };
 
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -389,6 +389,7 @@
   void emitAdviceCall(const WaitingStepRef &Waiting, const Queue &JobQueue,
                       AdviceReason Reason, std::vector<ExecutorIndex> Named,
                       TimePoint Now);
+  void countOpenCalls(TimePoint Now);
   LiveStep *stepOf(const AdviceRequest &Request);
   static bool hasValidTicket(const LiveStep &Step, ExecutorIndex Index,
                              TimePoint Now);
@@ -487,6 +488,8 @@
   std::map<std::string, std::vector<OfferDone>> OpenOffers; ///< By job id.
   std::optional<CommitInFlight> InFlight;
   std::unordered_map<uint64_t, AdviceRequest> OpenAdviceCalls;
+  /// That name the executor; counted anew for each planning turn.
+  std::vector<uint32_t> OpenCallsByExecutor;
   uint64_t NextAdviceId = 0;
   AllowedShares AdviceShares;
   uint64_t RowVersion = 0;
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -66,6 +66,7 @@
                           Now < Step.AdvisedAt + PartialGangInterval,
       .FreeAllowedPlaces = Places.Free,
       .Reservations = Reservations,
+      .OpenCalls = OpenCallsByExecutor,
       .Seed = XXH3_64bits_withSeed(JobId.data(), JobId.size(), Waiting.Step)};
   auto Named = chooseAdviceCandidates(Pool, Loads, Need, Now);
   if (Named.empty()) {
@@ -130,6 +131,10 @@
   // hold the step up for long.
   Command.Call.Timeout = AdviceTimeoutMargin +
                          Millis(static_cast<int64_t>(2 * Command.ExpectedMs));
+  if (Reason != AdviceReason::Renewal) {
+    for (ExecutorIndex Index : Named)
+      ++OpenCallsByExecutor[Index];
+  }
   OpenAdviceCalls[Command.Id] = {
       .JobId = Waiting.Job->Spec.Id,
       .Position = {Waiting.Occurrence, Waiting.Step, 0},
@@ -139,6 +144,20 @@
   Commands.AdviceCalls.push_back(std::move(Command));
 }
 
+/// Counts the calls that name each executor. One that has waited long for a
+/// queue doesn't keep others from asking.
+void CellOwner::countOpenCalls(TimePoint Now) {
+  constexpr Millis MaxCallAge{300};
+  OpenCallsByExecutor.assign(Pool.size(), 0);
+  for (const auto &[Id, Request] : OpenAdviceCalls) {
+    if (Request.Reason == AdviceReason::Renewal ||
+        Now > Request.RequestedAt + MaxCallAge)
+      continue;
+    for (ExecutorIndex Index : Request.AskedExecutors)
+      ++OpenCallsByExecutor[Index];
+  }
+}
+
 /// The step of a call that has not been answered; null if it is over.
 LiveStep *CellOwner::stepOf(const AdviceRequest &Request) {
   LiveJob *Job = findJob(Request.JobId);
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -206,6 +206,7 @@
       FreeMilliCores += Pool.freeCapacity(I).MilliCores;
   }
   UrgentRoom.begin(FreeMilliCores);
+  countOpenCalls(Now);
   for (const WaitingStepRef &Waiting : stepsToPlan(Now)) {
     const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
     const LiveStep &Step = Waiting.step();
--- a/tests/unit/AdviceCandidatesTest.cpp
+++ b/tests/unit/AdviceCandidatesTest.cpp
@@ -121,6 +121,18 @@
   CHECK_TRUE(choose(furtherNeed()).empty());
 }
 
+/// In a backlog all waiting steps would ask about the same few executors, and
+/// most of the answers would come too late.
+TEST(WithAStepThatWasAdvised, NothingIsAskedWhereEnoughOthersHaveAsked) {
+  std::vector<uint32_t> OpenCalls(FleetSize, 2);
+  OpenCalls[190] = 1;
+  AdviceNeed Need = furtherNeed();
+  Need.OpenCalls = OpenCalls;
+  std::vector<ExecutorIndex> Named = choose(Need);
+  LONGS_EQUAL(1, Named.size());
+  LONGS_EQUAL(190, Named.front());
+}
+
 TEST(WithAStepThatWasAdvised, AGangIsNotAskedAboutTooFewFreeExecutors) {
   Step.Gang = true;
   Step.Count = 4;
