Reservations look at the executors that a step is allowed on only

Cause: each plan looked at all executors for each step without a place, and searched the step's permissions for each of them.

Change: if a policy restricts the step, only executors in its permissions are looked at. What is reserved is the same.

--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -368,16 +368,23 @@
   bool ForAnySize = Spec.Gang || (Spec.LongRunning && hasRun(Step));
   TaskCounts TasksByExecutor = countTasksByExecutor(Step);
   std::vector<std::pair<Millis, ExecutorIndex>> Candidates;
-  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+  auto Consider = [&](ExecutorIndex I) {
     bool NeedsReservation =
         ForAnySize || isWide(demandOf(Spec), Pool[I].Info.Capacity);
     if (!NeedsReservation || Reservations[I].Active ||
         !isAllowed(Permissions, I) || !Pool.isUsable(I, Now) ||
         !isSuitable(Pool[I], Spec) ||
         placesByAntiAffinity(Spec, TasksByExecutor, I) == 0)
-      continue;
+      return;
     if (auto Delay = timeUntilFree(I, Spec, Now))
       Candidates.emplace_back(*Delay, I);
+  };
+  if (Permissions) {
+    for (const auto &Entry : *Permissions)
+      Consider(Entry.first);
+  } else {
+    for (ExecutorIndex I = 0; I < Pool.size(); ++I)
+      Consider(I);
   }
   std::sort(Candidates.begin(), Candidates.end());
   for (size_t I = 0;
