--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -10,6 +10,7 @@
 #include "cell/OwnerRow.h"
 #include "cell/Placement.h"
 #include "cell/SpeedTracker.h"
+#include "cell/UrgentRoom.h"
 #include "executor/AdvicePort.h"
 #include "store/RowStore.h"
 
@@ -372,6 +373,7 @@
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
+  void keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue);
   void planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                  TimePoint Now);
   void planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
@@ -388,6 +390,7 @@
   void emitAdviceCall(const WaitingStepRef &Waiting, const Queue &JobQueue,
                       AdviceReason Reason, std::vector<ExecutorIndex> Named,
                       TimePoint Now);
+  void countOpenCalls(TimePoint Now);
   LiveStep *stepOf(const AdviceRequest &Request);
   static void markAnswered(const AdviceRequest &Request, LiveStep &Step);
   static bool hasValidTicket(const LiveStep &Step, ExecutorIndex Index,
@@ -488,7 +491,8 @@
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
   std::vector<Reservation> Reservations;
-  size_t ReservedExecutors = 0; ///< Active among `Reservations`.
+  size_t ReservedExecutors = 0;  ///< Active among `Reservations`.
+  RoomForUrgentSteps UrgentRoom; ///< Of the present planning turn.
   /// Kept during one planning turn for tasks that are to be restarted.
   std::vector<std::pair<ExecutorIndex, Resources>> HeldPlaces;
   std::map<std::string, DirtyMark> DirtyJobs; ///< With changes to store.
@@ -496,6 +500,8 @@
   std::map<std::string, std::vector<OfferDone>> OpenOffers; ///< By job id.
   std::optional<CommitInFlight> InFlight;
   std::unordered_map<uint64_t, AdviceRequest> OpenAdviceCalls;
+  /// That name the executor; counted anew for each planning turn.
+  std::vector<uint32_t> OpenCallsByExecutor;
   uint64_t NextAdviceId = 0;
   AllowedShares AdviceShares;
   AdviceDelays CallDelays;
