DRAIN: no start on an executor that announced its leaving after the placement

Cause: a task that was placed and waited for its ticket, or whose recorded start was sent again, kept its executor when that announced that it leaves. Only the choice of an executor looked at the announcement.

Ruled out: a late instance list (the owner logged executor-draining in time).

Change: placed tasks are taken off executors that leave, as off those that have ended; recorded starts there that aren't confirmed are dropped, or stopped if they may have been carried out. Log: start-on-leaving-executor.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -443,6 +443,7 @@
   bool mayGrantLease(ExecutorIndex Index, TimePoint Now) const;
   bool awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const;
   void dropStartsBeyondCapacity(TimePoint Now);
+  void dropStartsOnLeavingExecutors(TimePoint Now);
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -95,8 +95,28 @@
   }
 }
 
+/// Drops recorded starts on executors that have announced since that they
+/// leave. A start that may have been carried out is stopped.
+void CellOwner::dropStartsOnLeavingExecutors(TimePoint Now) {
+  for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
+    if (!Pool[I].Info.Draining)
+      continue;
+    std::vector<TaskKey> Runs = OpenRunsByExecutor[I];
+    for (const TaskKey &Key : Runs) {
+      const LiveTask &Task = Key.task();
+      if (Task.Phase != TaskPhase::Starting || Task.Executor != I ||
+          Task.Inherited || Task.Confirmed || Task.OrderPending)
+        continue;
+      logInfo("start-on-leaving-executor", "task={} run={} executor={}",
+              Key.name(), Task.Run, Pool[I].Info.Id);
+      dropRefusedStart(Key, Now);
+    }
+  }
+}
+
 void CellOwner::emitOrders(TimePoint Now) {
   dropStartsBeyondCapacity(Now);
+  dropStartsOnLeavingExecutors(Now);
   for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
     if (Pool[I].Info.Address.empty() || Pool[I].Ended)
       continue;
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -402,13 +402,14 @@
   }
 }
 
-/// Takes placed tasks off executors that have ended since, or whose capacity
-/// has shrunk; a gang as a whole.
+/// Takes placed tasks off executors that have ended or announced that they
+/// leave since, or whose capacity has shrunk; a gang as a whole.
 void CellOwner::unplaceFromLostPlaces(const WaitingStepRef &Waiting) {
   LiveStep &Step = Waiting.step();
   auto HasLostPlace = [&](const LiveTask &Task) {
     return Task.Phase == TaskPhase::Placed &&
-           (Pool[Task.Executor].Ended || Pool.isOvercommitted(Task.Executor));
+           (Pool[Task.Executor].Ended || Pool[Task.Executor].Info.Draining ||
+            Pool.isOvercommitted(Task.Executor));
   };
   bool AllMembers =
       Waiting.spec().Gang &&
