Answers to starts don't postpone the next renewal

Cause: an executor with ends that are not stored is renewed after 0.3 s, counted from its last answer of any kind. Starts are answered more often than that in a burst, so that further ends went unheard until the commit.

Change: counted from the last renewal's answer.

Measured: unit test HearsOfFurtherEndsWhileItStartsWork: more than 0.5 s without a renewal before, fails; passes after.

--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -142,7 +142,7 @@
         Executor.Info.Address.empty() || Now < Executor.NextRenewalAt)
       continue;
     if (!Executor.UnacknowledgedEnds.empty() &&
-        Now < Executor.LastAnswerAt + UnrecordedEndsDelay)
+        Now < Executor.RenewalAnsweredAt + UnrecordedEndsDelay)
       continue;
     if (awaitsRowForLease(I, Now))
       continue;
--- a/tests/unit/LateOwnerTest.cpp
+++ b/tests/unit/LateOwnerTest.cpp
@@ -180,3 +180,44 @@
   auto IsStarted = [&] { return Sim.runsOf(Late.Id + ".0.0.0") > 0; };
   CHECK_TRUE(Sim.runUntil(IsStarted, 2 * CommitMs + 50));
 }
+
+// clang-format off
+TEST_GROUP(AnOwnerWhoseCommitsAreFullOfEnds) {
+  static constexpr int Jobs = 600;
+  static constexpr int64_t CommitMs = 150;
+  Simulation Sim;
+  std::string Executor;
+  void setup() override {
+    Executor = Sim.addExecutor({.MilliCores = 2'000'000, .MemoryMb = 2'000'000});
+    Sim.RunTimeFor = [](const std::string &Task, int64_t Estimate) {
+      return Task.ends_with(".0") ? Estimate : 60'000;
+    };
+    Sim.takeOver();
+    Sim.runFor(200);
+    for (int I = 1; I <= Jobs; ++I)
+      Sim.submit(Simulation::makeJob(fmt::format("{:016x}", I), 2, Small, 2'000));
+    Sim.runFor(1'500);
+    Sim.CommitTimeMs = CommitMs;
+  }
+};
+// clang-format on
+
+/// Answers to starts say nothing of ends. Places of runs that have ended would
+/// be held for as long as starts are sent.
+TEST(AnOwnerWhoseCommitsAreFullOfEnds, HearsOfFurtherEndsWhileItStartsWork) {
+  constexpr int64_t MaxGapMs = 500;
+  constexpr int64_t StepMs = 10;
+  auto IsAnyEnded = [&] { return Sim.Owner->counts().EndsDone > 0; };
+  CHECK_TRUE(Sim.runUntil(IsAnyEnded, 3'000));
+  size_t Renewals = Sim.Renewals.size();
+  TimePoint RenewedAt = Sim.Now;
+  for (int I = 0; I < 120; ++I) {
+    Sim.submit(Simulation::makeJob(fmt::format("{:016x}", 0xf0000 + I), 1,
+                                   Small, 5'000));
+    Sim.runFor(StepMs);
+    if (Sim.Renewals.size() > Renewals)
+      RenewedAt = Sim.Now;
+    Renewals = Sim.Renewals.size();
+    CHECK(Sim.Now < RenewedAt + Millis(MaxGapMs));
+  }
+}
