An executor that starts again under its id is another incarnation

Cause: an executor was told apart by its id alone. After a restart under the id the owner went on with the number of the last end, the clock reading and the leases of the incarnation before: ends numbered from 1 were skipped as old, acknowledged and forgotten by the executor, and their runs counted as lost.

Change: an incarnation is the id and the time of its start, which list entries and renewal answers state. A later one gets a state of its own; the one before is over, and its runs end as those of a replaced executor do. Runs whose start may have reached the later one (in flight, answered but never listed, without an answer within 12 s, of an earlier owner) become its runs first, and are over once it has refused or reported them. After a call without an answer, or a clock that fell, renewals neither acknowledge nor grant anything until one that was sent later is answered, and no start is sent after a renewal without one. Tickets count for the incarnation that the call was about. Entries and answers of an earlier incarnation are ignored; a start time that is no whole number makes the entry or the answer unreadable.

Ruled out: waiting with starts on the later incarnation for delayed copies of renewals: an end is lost by them only within the transit of an answer.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -247,7 +247,8 @@
       Job.Started = Job.Started || !NotSent || StoredTask.Failures > 0;
       if (!isOpen(StoredTask.Phase))
         continue;
-      Task.Executor = Pool.findOrAdd(StoredTask.Executor);
+      Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
+                                      "progress", nullptr, Now);
       Task.Inherited = true;
       Pool[Task.Executor].Info.Address = StoredTask.Address;
       Pool[Task.Executor].InheritedLeaseEnd =
@@ -291,10 +292,12 @@
     if (Info.Service == Options.Service)
       OwnExecutors.push_back(Info);
   }
+  for (const executor::ExecutorInfo &Info : OwnExecutors)
+    noteIncarnation(Info.Id, Info.Born, "list", nullptr, Now);
   for (ExecutorIndex Index : Pool.update(OwnExecutors, Now)) {
-    logInfo("executor-listed", "executor={} address={} zone={}",
-            Pool[Index].Info.Id, Pool[Index].Info.Address,
-            Pool[Index].Info.AvailabilityZone);
+    logInfo("executor-listed", "executor={} born={} address={} zone={}",
+            Pool[Index].Info.Id, Pool[Index].Info.Born,
+            Pool[Index].Info.Address, Pool[Index].Info.AvailabilityZone);
     countLateCrashes(Index, Now);
   }
   resizeExecutorTables();
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -329,10 +329,29 @@
   void learnRunTime(const TaskKey &Key, TimePoint Now);
   void restartStragglers(ExecutorIndex Index, TimePoint Now);
   bool isStraggler(const TaskKey &Key, TimePoint Now);
-  void onIncarnationEnded(ExecutorIndex Index, TimePoint Now);
   void dropUnsentStarts(TimePoint Now);
   void expireRuns(TimePoint Now);
 
+  // Incarnations of executors.
+  ExecutorIndex noteIncarnation(const std::string &Id, int64_t Born,
+                                std::string_view HeardFrom,
+                                const executor::RenewalAnswer *Answer,
+                                TimePoint Now);
+  std::optional<ExecutorIndex> sourceOf(ExecutorIndex Index,
+                                        const executor::RenewalAnswer &Answer,
+                                        TimePoint Now);
+  void onRestart(ExecutorIndex Earlier, ExecutorIndex Later,
+                 const executor::RenewalAnswer *Answer, TimePoint Now);
+  bool mayReachNext(const TaskKey &Key, TimePoint Now) const;
+  void moveRun(const TaskKey &Key, ExecutorIndex Later, TimePoint Now);
+  void refuseLateStarts(ExecutorIndex Earlier, ExecutorIndex Later,
+                        TimePoint Now);
+  void onIncarnationEnded(ExecutorIndex Index, TimePoint Now);
+  void endIncarnation(ExecutorIndex Index, std::vector<LostRun> CrashedRuns,
+                      TimePoint Now);
+  void onRenewalDone(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
+                     TimePoint RenewalSentAt, TimePoint Now);
+
   // Crashes of executors.
   LostRun lostRun(const TaskKey &Key) const;
   std::vector<LostRun> lostRunsOn(ExecutorIndex Index) const;
@@ -425,6 +444,7 @@
            Now < JobFeedConfirmedAt + Options.MaxJobFeedAge;
   }
   bool isListedAsSilent(ExecutorIndex Index) const;
+  bool isSilent(ExecutorIndex Index, TimePoint Now) const;
   bool mayGrantLease(ExecutorIndex Index, TimePoint Now) const;
   bool awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const;
   void dropStartsBeyondCapacity(TimePoint Now);
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -10,6 +10,9 @@
 constexpr uint32_t EjectionThreshold = 4;
 constexpr Millis BaseEjectionTime{1'500};
 constexpr Millis MaxEjectionTime{12'000};
+/// An answer that takes longer is given up. A clock that reads less by more was
+/// started anew, and the order that was answered has granted a lease by it.
+constexpr Millis MaxAnswerDelay{1'500};
 /// At most this share of the executors is ejected at once.
 constexpr double MaxEjectedShare = 0.34;
 
@@ -26,21 +29,52 @@
   return Index;
 }
 
+ExecutorIndex ExecutorPool::findOrAdd(std::string_view Id, int64_t Born) {
+  ExecutorIndex Newest = findOrAdd(Id);
+  int64_t KnownBorn = Executors[Newest].Info.Born;
+  if (Born <= KnownBorn)
+    return Newest;
+  if (KnownBorn == 0 && !Executors[Newest].Ended) {
+    Executors[Newest].Info.Born = Born;
+    return Newest;
+  }
+  auto Index = static_cast<ExecutorIndex>(Executors.size());
+  executor::ExecutorInfo Info = Executors[Newest].Info;
+  Info.Born = Born;
+  bool IsListed = Executors[Newest].Listed || Executors[Newest].EntryOutdated;
+  Executors[Newest].Listed = false;
+  Executors[Newest].EntryOutdated = false;
+  Executors.emplace_back();
+  Executors.back().Info = std::move(Info);
+  Executors.back().EntryOutdated = IsListed;
+  IndexById.insert_or_assign(Executors.back().Info.Id, Index);
+  return Index;
+}
+
 std::vector<ExecutorIndex>
 ExecutorPool::update(std::span<const executor::ExecutorInfo> List,
                      TimePoint Now) {
   std::vector<ExecutorIndex> Added;
-  for (ExecutorState &Executor : Executors)
+  for (ExecutorState &Executor : Executors) {
     Executor.Listed = false;
+    Executor.EntryOutdated = false;
+  }
   for (const executor::ExecutorInfo &Info : List) {
-    ExecutorIndex Index = findOrAdd(Info.Id);
+    ExecutorIndex Index = findOrAdd(Info.Id, Info.Born);
     ExecutorState &Executor = Executors[Index];
+    if (Info.Born != 0 && Info.Born < Executor.Info.Born) {
+      Executor.EntryOutdated = !Executor.Listed;
+      continue;
+    }
+    Executor.EntryOutdated = false;
     if (!Executor.EverListed) {
       Added.push_back(Index);
       Executor.NextRenewalAt = Now;
     }
     Executor.EverListed = true;
+    int64_t Born = Executor.Info.Born;
     Executor.Info = Info;
+    Executor.Info.Born = Born;
     Executor.Listed = true;
   }
   return Added;
@@ -95,6 +129,8 @@
   constexpr Millis ZoneSilenceWindow{800};
   constexpr size_t MinSilentInZone = 3;
   Executors[Index].LastUnansweredAt = Now;
+  Executors[Index].InDoubt = true;
+  Executors[Index].DoubtedAt = Now;
   const std::string &Zone = Executors[Index].Info.AvailabilityZone;
   size_t SilentCount = 0;
   for (const ExecutorState &Executor : Executors) {
@@ -107,6 +143,23 @@
     SuspectZones[Zone] = Now - ZoneSilenceWindow;
 }
 
+void ExecutorPool::recordLateStart(ExecutorIndex Index,
+                                   const executor::RunId &Id, TimePoint Now) {
+  std::vector<LateStart> &Starts = Executors[Index].LateStarts;
+  std::erase_if(Starts, [&](const LateStart &Start) {
+    return Start.Until < Now || Start.Id == Id;
+  });
+  Starts.push_back({.Id = Id, .Until = Now + MaxOrderDelay});
+}
+
+bool ExecutorPool::mayStartLate(ExecutorIndex Index, const executor::RunId &Id,
+                                TimePoint Now) const {
+  const std::vector<LateStart> &Starts = Executors[Index].LateStarts;
+  return std::any_of(Starts.begin(), Starts.end(), [&](const LateStart &Start) {
+    return Start.Id == Id && Now <= Start.Until;
+  });
+}
+
 void ExecutorPool::recordAnswer(ExecutorIndex Index,
                                 const std::optional<int64_t> &ClockMs,
                                 TimePoint Now) {
@@ -115,8 +168,17 @@
   if (!ClockMs)
     return;
   // Answers may arrive out of order; older readings are ignored.
-  if (Executor.ClockKnown && *ClockMs <= Executor.ClockMs)
+  if (Executor.ClockKnown && *ClockMs <= Executor.ClockMs) {
+    if (*ClockMs < Executor.ClockMs) {
+      Executor.InDoubt = true;
+      Executor.DoubtedAt = Now;
+    }
+    if (*ClockMs < Executor.ClockMs - MaxAnswerDelay.count())
+      Executor.InheritedLeaseEnd =
+          std::max(Executor.InheritedLeaseEnd,
+                   Now + maxLeaseTime(Options, MaxGrantedLease));
     return;
+  }
   Executor.ClockMs = *ClockMs;
   Executor.ClockReadAt = Now;
   Executor.ClockKnown = true;
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -47,6 +47,12 @@
   Millis MinRenewalInterval{30};
 };
 
+/// The end of a lease is on the clock of one incarnation. Another one under the
+/// same id, whose clock reads less, shortens it to this.
+constexpr Millis MaxGrantedLease{10'000};
+/// An order without an answer may be carried out this much later.
+constexpr Millis MaxOrderDelay{12'000};
+
 /// Longest time that a lease takes to expire, on an executor's slow clock.
 constexpr Millis maxLeaseTime(const LeaseOptions &Options, Millis Lease) {
   return Millis(static_cast<int64_t>(static_cast<double>(Lease.count()) /
@@ -96,6 +102,12 @@
   Resources Size;
 };
 
+/// A start that got no answer, so that a copy of it may be carried out late.
+struct LateStart {
+  executor::RunId Id;
+  TimePoint Until{}; ///< Not after this.
+};
+
 /// One incarnation of an executor and the owner's state for it.
 struct ExecutorState {
   executor::ExecutorInfo Info;
@@ -106,6 +118,15 @@
   bool TokenConfirmed = false;
   bool RenewalPending = false; ///< A renewal is in flight.
   bool RenewalFailed = false;  ///< The last one got no answer.
+  /// A call got no answer, or the clock fell: another incarnation may answer
+  /// under the same id. Until a renewal that was sent later is answered,
+  /// nothing is sent that is only meant for this one.
+  bool InDoubt = false;
+  TimePoint DoubtedAt{}; ///< The last sign of it.
+  /// The newest instance list describes an earlier incarnation.
+  bool EntryOutdated = false;
+  /// The newest renewal has granted a lease and has not been answered.
+  bool GrantUnanswered = false;
   TimePoint RenewalSentAt{};
   TimePoint NextRenewalAt{};
   TimePoint LastAnswerAt{};
@@ -116,7 +137,8 @@
   TimePoint ClockReadAt{};
   bool ClockKnown = false;
   int64_t MaxLeaseEndSent = 0; ///< Latest lease end in any order, on its clock.
-  /// Time by which all leases of earlier owners have expired.
+  /// Time by which all leases of earlier owners have expired, and those that
+  /// were meant for an earlier incarnation.
   TimePoint InheritedLeaseEnd{};
 
   Resources Reserved;            ///< By open and placed runs.
@@ -126,6 +148,7 @@
   std::deque<ListedEnd> UnacknowledgedEnds;
   std::vector<LingeringRun> LingeringRuns;
   std::vector<LostRun> LapsedRuns; ///< Since its last answer.
+  std::vector<LateStart> LateStarts;
   /// Tasks that lost an executor before, from their placement here until they
   /// have run for a while.
   uint32_t Suspects = 0;
@@ -140,12 +163,20 @@
 public:
   explicit ExecutorPool(LeaseOptions Options) : Options(Options) {}
 
-  /// Applies a new instance list. Returns the executors listed for the first
-  /// time.
+  /// Applies a new instance list. Returns the incarnations listed for the first
+  /// time. Entries of earlier incarnations than the newest are ignored.
   std::vector<ExecutorIndex>
   update(std::span<const executor::ExecutorInfo> List, TimePoint Now);
-  /// The index of an incarnation, which is added as unlisted if unknown.
+  /// The newest incarnation under the id; added as unlisted if unknown.
   ExecutorIndex findOrAdd(std::string_view Id);
+  /// The same after another incarnation, started at \p Born, was heard of. A
+  /// later one than the newest is added; if the newest has not been stated, it
+  /// is taken to be this one.
+  ExecutorIndex findOrAdd(std::string_view Id, int64_t Born);
+  /// The newest incarnation under the same id.
+  ExecutorIndex newestOf(ExecutorIndex Index) const {
+    return IndexById.at(Executors[Index].Info.Id);
+  }
 
   size_t size() const { return Executors.size(); }
   ExecutorState &operator[](ExecutorIndex Index) { return Executors[Index]; }
@@ -171,6 +202,12 @@
   /// those of the zone that have not answered within that time are avoided
   /// until they do.
   void recordUnanswered(ExecutorIndex Index, TimePoint Now);
+  /// A start got no answer.
+  void recordLateStart(ExecutorIndex Index, const executor::RunId &Id,
+                       TimePoint Now);
+  /// Whether a copy of a start may still be carried out.
+  bool mayStartLate(ExecutorIndex Index, const executor::RunId &Id,
+                    TimePoint Now) const;
   void recordAnswer(ExecutorIndex Index, const std::optional<int64_t> &ClockMs,
                     TimePoint Now);
   /// The lease end to request now, in ms on the executor's clock; none before
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -28,11 +28,15 @@
   /// A start got no answer and may be carried out late.
   bool StartUnanswered = false;
   bool Confirmed = false; ///< The executor has reported the run.
+  /// A renewal answer of this incarnation of `Executor` has listed the run.
+  bool ListedRunning = false;
   bool Inherited = false; ///< Recorded by an earlier owner.
   bool StopConfirmed = false;
   TimePoint ConfirmedAt{};
   TimePoint StopConfirmedAt{};
   TimePoint NextOrderAt{};
+  /// Its lease may be by the clock of an earlier incarnation, and last so long.
+  TimePoint LeaseHeldUntil{};
   TimePoint RunningSince{};
   uint32_t StartAttempts = 0;
   uint32_t Percent = 0; ///< Of the work, as last reported.
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -206,8 +206,16 @@
     Step->Permissions.try_emplace(
         Index, Permission{.AskedAt = Request.RequestedAt, .AdvisedAt = Now});
   for (const executor::Ticket &Ticket : Answer->Tickets) {
-    ExecutorIndex Index = Pool.findOrAdd(Ticket.ExecutorId);
-    Permission &Granted = Step->Permissions[Index];
+    // If the executor has restarted since, the ticket is of the incarnation
+    // that the call was about.
+    auto Asked =
+        std::find_if(Request.AskedExecutors.begin(),
+                     Request.AskedExecutors.end(), [&](ExecutorIndex Index) {
+                       return Pool[Index].Info.Id == Ticket.ExecutorId;
+                     });
+    if (Asked == Request.AskedExecutors.end())
+      continue;
+    Permission &Granted = Step->Permissions[*Asked];
     Granted.Allowed = true;
     Granted.Ticket = Ticket.Text;
     Granted.ValidUntil = Now + Answer->Validity - TicketTransitTime;
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -51,6 +51,7 @@
         if (isOpen(Task.Phase)) {
           StoredTask.Executor = Pool[Task.Executor].Info.Id;
           StoredTask.Address = Pool[Task.Executor].Info.Address;
+          StoredTask.Born = Pool[Task.Executor].Info.Born;
         }
       }
     }
--- /dev/null
+++ b/src/cell/OwnerIncarnations.cpp
@@ -0,0 +1,167 @@
+#include "cell/CellOwner.h"
+
+#include "common/Log.h"
+
+#include <algorithm>
+
+/// Executors that end, or start again under their id. Orders name the id alone,
+/// so that what was sent to one incarnation may be carried out by the next.
+namespace daisylanding::cell {
+
+/// The newest incarnation under the id after one that started at \p Born was
+/// heard of. If that is a later one, the one before it is over. \p Answer is
+/// what it was heard from, if that was a renewal.
+ExecutorIndex CellOwner::noteIncarnation(const std::string &Id, int64_t Born,
+                                         std::string_view HeardFrom,
+                                         const executor::RenewalAnswer *Answer,
+                                         TimePoint Now) {
+  ExecutorIndex Earlier = Pool.findOrAdd(Id);
+  ExecutorIndex Newest = Pool.findOrAdd(Id, Born);
+  if (Newest == Earlier)
+    return Newest;
+  logInfo("executor-restarted",
+          "executor={} born={} born_before={} heard_from={} open_runs={}",
+          Pool[Newest].Info.Id, Born, Pool[Earlier].Info.Born, HeardFrom,
+          Pool[Earlier].OpenRuns);
+  onRestart(Earlier, Newest, Answer, Now);
+  return Newest;
+}
+
+/// The incarnation that a renewal answer is from; none if it is not from the
+/// newest, and tells nothing any more.
+std::optional<ExecutorIndex>
+CellOwner::sourceOf(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
+                    TimePoint Now) {
+  if (Pool.newestOf(Index) != Index)
+    return std::nullopt;
+  ExecutorState &Executor = Pool[Index];
+  if (Answer.Born == 0 || Answer.Born >= Executor.Info.Born)
+    return noteIncarnation(std::string(Executor.Info.Id), Answer.Born,
+                           "renewal", &Answer, Now);
+  if (!Executor.RenewalFailed)
+    logWarn("executor-born-fell", "executor={} born={} newest={}",
+            Executor.Info.Id, Answer.Born, Executor.Info.Born);
+  Executor.RenewalFailed = true;
+  Pool.recordUnanswered(Index, Now);
+  return std::nullopt;
+}
+
+/// Whether the start of an open run may have reached the incarnation after the
+/// run's, or still may.
+bool CellOwner::mayReachNext(const TaskKey &Key, TimePoint Now) const {
+  const LiveTask &Task = Key.task();
+  if (Task.Phase == TaskPhase::Recording)
+    return false;
+  if (Task.Inherited || Task.OrderPending ||
+      Pool.mayStartLate(Task.Executor, {Key.name(), Task.Run}, Now))
+    return true;
+  // Either incarnation may have answered the start.
+  return Task.Confirmed && !Task.ListedRunning;
+}
+
+/// Makes an open run one of a later incarnation that may have been sent its
+/// start. The run is over once that one has refused it or reported its end; for
+/// a run of an earlier owner, whose orders it refuses, once it has answered.
+void CellOwner::moveRun(const TaskKey &Key, ExecutorIndex Later,
+                        TimePoint Now) {
+  LiveTask &Task = Key.task();
+  ExecutorIndex Earlier = Task.Executor;
+  Resources Demand = demandOf(Key.spec());
+  clearSuspect(Key);
+  std::erase(OpenRunsByExecutor[Earlier], Key);
+  removeLoad(Key);
+  --Pool[Earlier].OpenRuns;
+  if (Task.CapacityReserved)
+    Pool.release(Earlier, Demand);
+  if (Task.OrderPending)
+    Pool.recordLateStart(Earlier, {Key.name(), Task.Run}, Now);
+  Task.Executor = Later;
+  Task.CapacityReserved = true;
+  Task.OrderPending = false;
+  Task.Confirmed = false;
+  Task.ListedRunning = false;
+  Task.StopConfirmed = false;
+  Task.NextOrderAt = Now;
+  Task.LeaseHeldUntil =
+      Now + MaxOrderDelay + maxLeaseTime(Options.Leases, MaxGrantedLease);
+  Pool.reserve(Later, Demand);
+  OpenRunsByExecutor[Later].push_back(Key);
+  addLoad(Key);
+  ++Pool[Later].OpenRuns;
+  markChanged(*Key.Job);
+}
+
+/// Has a later incarnation refuse starts of runs that are over, copies of which
+/// may still be carried out.
+void CellOwner::refuseLateStarts(ExecutorIndex Earlier, ExecutorIndex Later,
+                                 TimePoint Now) {
+  for (const LateStart &Start : Pool[Earlier].LateStarts) {
+    if (Now > Start.Until)
+      continue;
+    Pool[Later].LateStarts.push_back(Start);
+    if (findOpenRun(Start.Id, Later))
+      continue;
+    Commands.Stops.push_back({.Executor = Later,
+                              .Order = {.Target = targetOf(Later),
+                                        .Id = Start.Id,
+                                        .FencingToken = Row.Epoch}});
+  }
+}
+
+void CellOwner::onRestart(ExecutorIndex Earlier, ExecutorIndex Later,
+                          const executor::RenewalAnswer *Answer,
+                          TimePoint Now) {
+  resizeExecutorTables();
+  Pool[Later].NextRenewalAt =
+      Answer ? Now + Options.Leases.MinRenewalInterval : Now;
+  bool HoldsLease = Pool[Earlier].GrantUnanswered;
+  std::vector<LostRun> CrashedRuns = lostRunsOn(Earlier);
+  std::vector<TaskKey> Runs = OpenRunsByExecutor[Earlier];
+  for (const TaskKey &Key : Runs) {
+    if (!mayReachNext(Key, Now))
+      continue;
+    HoldsLease = true;
+    moveRun(Key, Later, Now);
+    const LiveTask &Task = Key.task();
+    if (!Task.Inherited && !(Answer && Answer->lists({Key.name(), Task.Run})))
+      beginStop(Key, Now);
+  }
+  // What was sent by the clock of the earlier one.
+  if (HoldsLease)
+    Pool[Later].InheritedLeaseEnd =
+        Now + maxLeaseTime(Options.Leases, MaxGrantedLease);
+  refuseLateStarts(Earlier, Later, Now);
+  endIncarnation(Earlier, std::move(CrashedRuns), Now);
+}
+
+void CellOwner::onIncarnationEnded(ExecutorIndex Index, TimePoint Now) {
+  if (Pool[Index].Ended)
+    return;
+  logInfo("executor-over", "executor={} open_runs={}", Pool[Index].Info.Id,
+          Pool[Index].OpenRuns);
+  endIncarnation(Index, lostRunsOn(Index), Now);
+}
+
+/// Ends all that is known of an incarnation. \p CrashedRuns are those that it
+/// may have begun.
+void CellOwner::endIncarnation(ExecutorIndex Index,
+                               std::vector<LostRun> CrashedRuns,
+                               TimePoint Now) {
+  ExecutorState &Executor = Pool[Index];
+  Executor.Ended = true;
+  for (const LingeringRun &Run : Executor.LingeringRuns)
+    Pool.release(Index, Run.Size);
+  Executor.LingeringRuns.clear();
+  Executor.UnacknowledgedEnds.clear();
+  std::move(Executor.LapsedRuns.begin(), Executor.LapsedRuns.end(),
+            std::back_inserter(CrashedRuns));
+  Executor.LapsedRuns.clear();
+  std::vector<TaskKey> LostRuns = OpenRunsByExecutor[Index];
+  for (const TaskKey &Key : LostRuns) {
+    if (isOpen(Key.task().Phase) && Key.task().Executor == Index)
+      endRun(Key, executor::EndKind::Expired, Now);
+  }
+  countCrash(Index, CrashedRuns, Now);
+}
+
+} // namespace daisylanding::cell
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -33,6 +33,15 @@
          (InFlight && InFlight->Row.SilentLeaseEnds.count(Id));
 }
 
+/// Whether renewals have failed there for so long that it is not expected to
+/// answer soon.
+bool CellOwner::isSilent(ExecutorIndex Index, TimePoint Now) const {
+  const ExecutorState &Executor = Pool[Index];
+  return Executor.RenewalFailed && Now >= Executor.LastAnswerAt +
+                                              Options.Leases.IdleRenewalWait +
+                                              Options.Leases.SilenceTimeout;
+}
+
 /// Whether a lease granted there now ends as the row in the store states.
 bool CellOwner::mayGrantLease(ExecutorIndex Index, TimePoint Now) const {
   bool IsReleased = InFlight && InFlight->Row.Released;
@@ -104,7 +113,10 @@
       LiveTask &Task = Key.task();
       if (Task.OrderPending || Now < Task.NextOrderAt)
         continue;
-      bool IsStartable = Task.Phase == TaskPhase::Starting && !Task.Inherited;
+      // After a renewal without an answer another incarnation may have the
+      // start, and by a clock that reads less.
+      bool IsStartable = Task.Phase == TaskPhase::Starting && !Task.Inherited &&
+                         !Pool[I].RenewalFailed;
       if (IsStartable && mayStart(Now))
         emitStart(Key, Now);
       if (Task.Phase == TaskPhase::Stopping && !Task.StopConfirmed)
@@ -137,7 +149,8 @@
       NextRenewalIndex = 0;
     ExecutorIndex I = NextRenewalIndex++;
     ExecutorState &Executor = Pool[I];
-    bool IsNeeded = Executor.Listed || Executor.OpenRuns > 0;
+    bool IsNeeded =
+        Executor.Listed || Executor.EntryOutdated || Executor.OpenRuns > 0;
     if (!IsNeeded || Executor.Ended || Executor.RenewalPending ||
         Executor.Info.Address.empty() || Now < Executor.NextRenewalAt)
       continue;
@@ -149,10 +162,12 @@
     RenewalCommand Command{.Executor = I};
     Command.Call = {.Target = targetOf(I),
                     .FencingToken = Row.Epoch,
-                    .AcknowledgedEnd = Executor.AcknowledgedEnd};
-    if (mayGrantLease(I, Now))
+                    .AcknowledgedEnd =
+                        Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
+    if (mayGrantLease(I, Now) && !Executor.InDoubt)
       Command.Call.LeaseEndMs = Pool.extendLease(I, Now);
-    if (Executor.TokenConfirmed)
+    Executor.GrantUnanswered = Command.Call.LeaseEndMs.has_value();
+    if (Executor.TokenConfirmed && !Executor.InDoubt)
       Command.Call.MaxWait = Executor.OpenRuns > 0
                                  ? Options.Leases.BusyRenewalWait
                                  : Options.Leases.IdleRenewalWait;
@@ -235,6 +250,7 @@
     break;
   case OrderOutcome::Unknown:
     Pool.recordUnanswered(Index, Now);
+    Pool.recordLateStart(Index, Id, Now);
     Task.StartUnanswered = true;
     Task.NextOrderAt = Now + OrderRetryDelay;
     break;
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -19,14 +19,6 @@
   return Names[static_cast<size_t>(Kind)];
 }
 
-bool isListed(const executor::RenewalAnswer &Answer,
-              const executor::RunId &Id) {
-  return std::any_of(Answer.Running.begin(), Answer.Running.end(),
-                     [&](const executor::RunStatus &Task) {
-                       return Task.Id.Run == Id.Run && Task.Id.Task == Id.Task;
-                     });
-}
-
 /// Time in ms since the executor's last answer; -1 if it has given none.
 int64_t millisSinceAnswer(const ExecutorState &Executor, TimePoint Now) {
   if (Executor.LastAnswerAt == TimePoint{})
@@ -83,6 +75,8 @@
   Task.OrderPending = false;
   Task.StartUnanswered = false;
   Task.Confirmed = false;
+  Task.ListedRunning = false;
+  Task.LeaseHeldUntil = {};
   Task.Inherited = false;
   Task.StopConfirmed = false;
   Task.StartAttempts = 0;
@@ -287,6 +281,7 @@
   LiveTask &Task = Key->task();
   Task.Percent = Running.Percent;
   Task.Usage = Running.Usage;
+  Task.ListedRunning = true;
   if (!Task.Confirmed) {
     Task.Confirmed = true;
     Task.ConfirmedAt = Now;
@@ -321,7 +316,7 @@
     // Orders of earlier owners are fenced by this renewal.
     if (!Confirmed && !Stopped && !Task.Inherited)
       continue;
-    if (!isListed(Answer, {Key.name(), Task.Run}))
+    if (!Answer.lists({Key.name(), Task.Run}))
       AbsentRuns.push_back(Key);
   }
   for (const TaskKey &Key : AbsentRuns) {
@@ -337,7 +332,7 @@
                                      const executor::RenewalAnswer &Answer) {
   auto &Runs = Pool[Index].LingeringRuns;
   std::erase_if(Runs, [&](const LingeringRun &Run) {
-    bool IsListed = isListed(Answer, Run.Id);
+    bool IsListed = Answer.lists(Run.Id);
     if (!IsListed)
       Pool.release(Index, Run.Size);
     return !IsListed;
@@ -368,19 +363,30 @@
     Executor.NextRenewalAt = Now + RenewalRetryDelay;
     return;
   }
+  TimePoint RenewalSentAt = Executor.RenewalSentAt;
+  if (auto Source = sourceOf(Index, Answer, Now))
+    onRenewalDone(*Source, Answer, RenewalSentAt, Now);
+}
+
+void CellOwner::onRenewalDone(ExecutorIndex Index,
+                              const executor::RenewalAnswer &Answer,
+                              TimePoint RenewalSentAt, TimePoint Now) {
   Pool.recordAnswer(Index, Answer.ClockMs, Now);
+  ExecutorState &Executor = Pool[Index];
+  Executor.InDoubt &= RenewalSentAt <= Executor.DoubtedAt;
+  Executor.GrantUnanswered = false;
   Executor.LapsedRuns.clear(); // It was cut off, not lost.
   Executor.RenewalFailed = false;
   RowOutdated |= isListedAsSilent(Index);
   if (!Executor.TokenConfirmed) {
     Executor.TokenConfirmed = true;
     // An idle executor may keep a lease for runs that are started there.
-    if (Executor.InheritedLeaseEnd == TimePoint{})
-      Executor.InheritedLeaseEnd = inheritedLeaseEndOn(Executor.Info.Id);
-    logInfo("executor-greeted", "executor={} running={} ended={}",
-            Executor.Info.Id, Answer.Running.size(), Answer.Ended.size());
+    Executor.InheritedLeaseEnd = std::max(
+        Executor.InheritedLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
+    logInfo("executor-greeted", "executor={} born={} running={} ended={}",
+            Executor.Info.Id, Executor.Info.Born, Answer.Running.size(),
+            Answer.Ended.size());
   }
-  TimePoint RenewalSentAt = Executor.RenewalSentAt;
   for (const executor::RunEnd &End : Answer.Ended)
     onRunEnd(Index, End, Now);
   for (const executor::RunStatus &Running : Answer.Running)
@@ -469,34 +475,11 @@
   }
 }
 
-void CellOwner::onIncarnationEnded(ExecutorIndex Index, TimePoint Now) {
-  ExecutorState &Executor = Pool[Index];
-  if (Executor.Ended)
-    return;
-  logInfo("executor-over", "executor={} open_runs={}", Executor.Info.Id,
-          Executor.OpenRuns);
-  Executor.Ended = true;
-  for (const LingeringRun &Run : Executor.LingeringRuns)
-    Pool.release(Index, Run.Size);
-  Executor.LingeringRuns.clear();
-  Executor.UnacknowledgedEnds.clear();
-  std::vector<LostRun> CrashedRuns = lostRunsOn(Index);
-  std::move(Executor.LapsedRuns.begin(), Executor.LapsedRuns.end(),
-            std::back_inserter(CrashedRuns));
-  Executor.LapsedRuns.clear();
-  std::vector<TaskKey> LostRuns = OpenRunsByExecutor[Index];
-  for (const TaskKey &Key : LostRuns) {
-    if (isOpen(Key.task().Phase) && Key.task().Executor == Index)
-      endRun(Key, EndKind::Expired, Now);
-  }
-  countCrash(Index, CrashedRuns, Now);
-}
-
-/// Drops recorded starts on executors that are listed as silent and get no
-/// leases. Nothing was sent for them, so that their tasks can start elsewhere.
+/// Drops recorded starts on executors that are silent and get none. Nothing was
+/// sent for them, so that their tasks can start elsewhere.
 void CellOwner::dropUnsentStarts(TimePoint Now) {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    if (Pool[I].OpenRuns == 0 || !isListedAsSilent(I))
+    if (Pool[I].OpenRuns == 0 || !(isListedAsSilent(I) || isSilent(I, Now)))
       continue;
     std::vector<TaskKey> Runs = OpenRunsByExecutor[I];
     for (const TaskKey &Key : Runs) {
@@ -519,7 +502,7 @@
     std::vector<TaskKey> LostRuns = OpenRunsByExecutor[I];
     for (const TaskKey &Key : LostRuns) {
       if (!isOpen(Key.task().Phase) || Key.task().Executor != I ||
-          !mayHoldLease(Key.task()))
+          !mayHoldLease(Key.task()) || Now <= Key.task().LeaseHeldUntil)
         continue;
       ++Counts.ExpiredRuns;
       logInfo("run-lapsed",
--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -8,7 +8,7 @@
 #include <array>
 #include <charconv>
 #include <span>
-#include <unordered_map>
+#include <utility>
 
 /// The stored text: a version, the phase, the time of the end, the occurrences
 /// that are done, the executors of open runs with their addresses, and the
@@ -20,6 +20,10 @@
 /// else `w`aiting, `o`pen or `d`one with the number of its newest run, and then
 /// what is not 0: `e` the executor's place in the list, `f` failures, `c`
 /// crashes, `k` the checkpoint. `*` counts equal tasks in a row.
+///
+/// The list of executors may end with one without a name, whose address holds
+/// the start times of those before it, in their order: `0:3:7,8`. Versions that
+/// don't know these read an executor that no task names.
 namespace daisylanding::cell {
 
 namespace {
@@ -37,16 +41,28 @@
 class ExecutorTable {
 public:
   size_t indexOf(const TaskProgress &Task) {
-    auto [It, IsNew] = Indexes.try_emplace(Task.Executor, Indexes.size());
-    if (IsNew)
-      Text += withLength(Task.Executor) + withLength(Task.Address);
+    auto [It, IsNew] =
+        Indexes.try_emplace({Task.Executor, Task.Born}, Indexes.size());
+    if (!IsNew)
+      return It->second;
+    Text += withLength(Task.Executor) + withLength(Task.Address);
+    StartTimes.push_back(Task.Born);
     return It->second;
   }
-  const std::string &text() const { return Text; }
+  std::string text() const {
+    bool AnyStated =
+        std::any_of(StartTimes.begin(), StartTimes.end(),
+                    [](int64_t StartTime) { return StartTime != 0; });
+    if (!AnyStated)
+      return Text;
+    return Text + withLength("") +
+           withLength(fmt::format("{}", fmt::join(StartTimes, ",")));
+  }
 
 private:
-  std::unordered_map<std::string_view, size_t> Indexes;
+  std::map<std::pair<std::string_view, int64_t>, size_t> Indexes;
   std::string Text;
+  std::vector<int64_t> StartTimes;
 };
 
 std::string encodeTask(const TaskProgress &Task, ExecutorTable &Executors) {
@@ -138,6 +154,7 @@
     Rest.remove_prefix(1);
     return true;
   }
+  void fail() { Failed = true; }
   void expect(char Expected) { Failed = Failed || !accept(Expected); }
   template <typename Number> Number number() {
     Number Value = 0;
@@ -175,13 +192,29 @@
 struct NamedExecutor {
   std::string_view Id;
   std::string_view Address;
+  int64_t Born = 0;
 };
 
+/// Returns false if the text is no list of times.
+bool decodeStartTimes(std::string_view Text,
+                      std::vector<NamedExecutor> &Executors) {
+  Scanner Source(Text);
+  for (NamedExecutor &Named : Executors) {
+    Named.Born = Source.number<int64_t>();
+    Source.accept(',');
+  }
+  return !Source.failed() && Source.atEnd();
+}
+
 std::vector<NamedExecutor> decodeExecutors(Scanner &Source) {
   std::vector<NamedExecutor> Executors;
   while (!Source.failed() && !Source.accept(FieldEnd)) {
     std::string_view Id = Source.withLength();
-    Executors.push_back({.Id = Id, .Address = Source.withLength()});
+    std::string_view Address = Source.withLength();
+    if (!Id.empty())
+      Executors.push_back({.Id = Id, .Address = Address});
+    else if (!decodeStartTimes(Address, Executors))
+      Source.fail();
   }
   return Executors;
 }
@@ -196,6 +229,7 @@
       return false;
     Task.Executor = Executors[Index].Id;
     Task.Address = Executors[Index].Address;
+    Task.Born = Executors[Index].Born;
   }
   if (Source.accept('f'))
     Task.Failures = Source.number<uint32_t>();
--- a/src/cell/Progress.h
+++ b/src/cell/Progress.h
@@ -50,6 +50,7 @@
   std::string Executor;  ///< Of the open run.
   std::string Address;   ///< Of that executor, which may be missing from the
                          ///< instance list after a takeover.
+  int64_t Born = 0;      ///< Of that executor's incarnation; 0 if not known.
   std::string Checkpoint;
 
   bool operator==(const TaskProgress &) const = default;
--- a/src/executor/ExecutorPort.h
+++ b/src/executor/ExecutorPort.h
@@ -4,6 +4,7 @@
 #include "common/Resources.h"
 #include "common/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -16,7 +17,7 @@
 
 /// An executor as described by the instance list.
 struct ExecutorInfo {
-  std::string Id; ///< Identifies one incarnation; changes on a restart.
+  std::string Id; ///< May be that of an earlier incarnation.
   std::string Service;
   std::string Address; ///< host:port.
   std::string AvailabilityZone;
@@ -24,18 +25,25 @@
   std::vector<std::string> Labels;
   Resources Capacity;
   bool Draining = false;
+  /// When the incarnation started, in Unix ms; 0 if not stated. Together with
+  /// the id it identifies the incarnation.
+  int64_t Born = 0;
 };
 
-/// The incarnation that a call is meant for.
+/// The executor that a call is meant for.
 struct ExecutorTarget {
   std::string Address; ///< host:port.
-  std::string Id;      ///< Any other incarnation refuses the call.
+  /// Refused under any other id. Another incarnation under the same id carries
+  /// the call out.
+  std::string Id;
 };
 
 /// One run of one task.
 struct RunId {
   std::string Task; ///< Unique across all jobs.
   uint32_t Run = 0; ///< Number of the run of this task.
+
+  bool operator==(const RunId &) const = default;
 };
 
 struct StartOrder {
@@ -129,8 +137,16 @@
 struct RenewalAnswer {
   OrderOutcome Outcome = OrderOutcome::Unknown;
   std::optional<int64_t> ClockMs;
+  /// When the incarnation that answers started, in Unix ms; 0 if not stated.
+  int64_t Born = 0;
   std::vector<RunStatus> Running;
   std::vector<RunEnd> Ended;
+
+  /// Whether the run is among `Running`.
+  bool lists(const RunId &Id) const {
+    return std::any_of(Running.begin(), Running.end(),
+                       [&](const RunStatus &Task) { return Task.Id == Id; });
+  }
 };
 
 /// Calls do not block; `Done` runs on the caller's loop.
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -58,6 +58,11 @@
          static_cast<int64_t>(ElapsedMs * ClockRate);
 }
 
+void SimExecutor::grantLease(int64_t EndMs, TimePoint Now) {
+  constexpr int64_t MaxLeaseMs = 10'000;
+  LeaseEndMs = std::max(LeaseEndMs, std::min(EndMs, clockMs(Now) + MaxLeaseMs));
+}
+
 Simulation::Simulation(uint64_t Seed) : Rng(Seed), Config(makeConfig()) {
   EndKindFor = [](const std::string &) { return EndKind::Done; };
   RunTimeFor = [](const std::string &, int64_t Estimate) { return Estimate; };
@@ -77,6 +82,8 @@
   Info.Id = Id;
   auto Added = std::make_unique<SimExecutor>();
   Added->Info = std::move(Info);
+  Added->BornMs = clockMs();
+  Added->Info.Born = Added->BornMs;
   Executors.emplace(Id, std::move(Added));
   if (isLoaded())
     Owner->setExecutors(instanceList(), Now);
@@ -94,7 +101,7 @@
   std::vector<executor::ExecutorInfo> List;
   for (const auto &Entry : Executors) {
     if (Entry.second->Listed)
-      List.push_back(Entry.second->Info);
+      List.push_back(Entry.second->OutdatedEntry.value_or(Entry.second->Info));
   }
   return List;
 }
@@ -139,6 +146,52 @@
   });
 }
 
+/// All that an incarnation holds begins empty, its clock near 0.
+void Simulation::beginIncarnation(SimExecutor &Executor) const {
+  constexpr int64_t StartTimeMs = 5;
+  int64_t OldReading = Executor.clockMs(Now);
+  Executor.ClockOffset -= Millis(OldReading - StartTimeMs);
+  Executor.FencingToken = 0;
+  Executor.LeaseEndMs = 0;
+  Executor.Running.clear();
+  Executor.HighestEndedRun.clear();
+  Executor.Ended.clear();
+  Executor.EndCount = 0;
+  Executor.LastVoidEnd = 0;
+  Executor.BornMs = clockMs();
+  if (Executor.StatesBorn)
+    Executor.Info.Born = Executor.BornMs;
+}
+
+void Simulation::restartExecutor(const std::string &Id, int64_t BackAfterMs,
+                                 int64_t ListedAfterMs) {
+  SimExecutor &Executor = executor(Id);
+  if (Executor.Dead)
+    return;
+  ++Crashes;
+  for (const executor::RunEnd &End : Executor.Ended) {
+    if (End.Kind == EndKind::Done)
+      DoneBeforeRestart.insert(End.Id.Task);
+  }
+  Executor.Dead = true;
+  Executor.Running.clear();
+  schedule(BackAfterMs, [this, Id, ListedAfterMs] {
+    SimExecutor &Restarted = executor(Id);
+    Restarted.Dead = false;
+    if (!Restarted.OutdatedEntry)
+      Restarted.OutdatedEntry = Restarted.Info;
+    beginIncarnation(Restarted);
+    int64_t Born = Restarted.BornMs;
+    schedule(ListedAfterMs, [this, Id, Born] {
+      if (executor(Id).BornMs != Born)
+        return;
+      executor(Id).OutdatedEntry.reset();
+      if (isLoaded())
+        Owner->setExecutors(instanceList(), Now);
+    });
+  });
+}
+
 void Simulation::setListed(const std::string &Id, bool IsListed) {
   executor(Id).Listed = IsListed && !executor(Id).Dead;
   if (isLoaded())
@@ -392,6 +445,7 @@
   if (!Policy)
     return true;
   return !Order.Ticket.empty() &&
+         std::stoll(Order.Ticket) >= Executors.at(Order.Target.Id)->BornMs &&
          clockMs() <
              std::stoll(Order.Ticket) + Policy->Settings.Validity.count();
 }
@@ -556,7 +610,7 @@
     Answer.Outcome = OrderOutcome::LeaseTooLate;
     return Answer;
   }
-  Executor.LeaseEndMs = std::max(Executor.LeaseEndMs, Order.LeaseEndMs);
+  Executor.grantLease(Order.LeaseEndMs, Now);
   if (Running != Executor.Running.end() &&
       Running->second.Run == Order.Id.Run) {
     Answer.Outcome = OrderOutcome::Done;
@@ -606,6 +660,8 @@
         return true;
     }
   }
+  if (std::any_of(DoneBeforeRestart.begin(), DoneBeforeRestart.end(), IsMember))
+    return true;
   return std::any_of(DoneTasks.begin(), DoneTasks.end(),
                      [&](const auto &Entry) { return IsMember(Entry.first); });
 }
@@ -647,15 +703,17 @@
                                                    .Occurrence = Ref.Occurrence,
                                                    .Step = Dependency,
                                                    .Index = I});
-      bool IsListedDone = std::any_of(
-          Executors.begin(), Executors.end(), [&](const auto &Entry) {
-            return std::any_of(Entry.second->Ended.begin(),
-                               Entry.second->Ended.end(),
-                               [&](const executor::RunEnd &End) {
-                                 return End.Id.Task == DependencyTask &&
-                                        End.Kind == EndKind::Done;
-                               });
-          });
+      bool IsListedDone =
+          DoneBeforeRestart.count(DependencyTask) ||
+          std::any_of(
+              Executors.begin(), Executors.end(), [&](const auto &Entry) {
+                return std::any_of(Entry.second->Ended.begin(),
+                                   Entry.second->Ended.end(),
+                                   [&](const executor::RunEnd &End) {
+                                     return End.Id.Task == DependencyTask &&
+                                            End.Kind == EndKind::Done;
+                                   });
+              });
       bool IsInDoneGang =
           Job.Steps[Dependency].Gang && isGangDone(DependencyTask);
       if (!IsListedDone && !DoneTasks.count(DependencyTask) && !IsInDoneGang)
@@ -687,6 +745,7 @@
                           const executor::RenewalCall &Call) {
   executor::RenewalAnswer Answer;
   Answer.ClockMs = Executor.clockMs(Now);
+  Answer.Born = Executor.StatesBorn ? Executor.BornMs : 0;
   if (Call.FencingToken < Executor.FencingToken) {
     Answer.Outcome = OrderOutcome::Fenced;
     return Answer;
@@ -694,7 +753,7 @@
   Executor.FencingToken = Call.FencingToken;
   Answer.Outcome = OrderOutcome::Done;
   if (Call.LeaseEndMs)
-    Executor.LeaseEndMs = std::max(Executor.LeaseEndMs, *Call.LeaseEndMs);
+    Executor.grantLease(*Call.LeaseEndMs, Now);
   for (const executor::RunEnd &End : Executor.Ended) {
     if (End.Sequence > Call.AcknowledgedEnd || End.Kind != EndKind::Done)
       continue;
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -45,10 +45,14 @@
 
 constexpr TimePoint SimulationStart{Millis(1'000'000)};
 
-/// One incarnation of an executor, with the behaviour that the executor
-/// protocol specifies.
+/// An executor with the behaviour that the executor protocol specifies. It is
+/// one incarnation, unless it restarts under its id.
 struct SimExecutor {
   executor::ExecutorInfo Info;
+  /// What the instance list still shows of an earlier incarnation.
+  std::optional<executor::ExecutorInfo> OutdatedEntry;
+  bool StatesBorn = true;
+  int64_t BornMs = 0; ///< Of this incarnation.
   bool Dead = false;
   bool Listed = true;       ///< In the instance list.
   bool Unreachable = false; ///< Keeps running, but receives no calls.
@@ -70,6 +74,8 @@
 
   /// Its steady clock, in ms.
   int64_t clockMs(TimePoint Now) const;
+  /// Shortens leases that are too long.
+  void grantLease(int64_t EndMs, TimePoint Now);
 };
 
 /// What the owners have cost, in real processor time and in bytes.
@@ -112,6 +118,11 @@
   /// The executor crashes. After \p BackAfterMs another incarnation answers at
   /// its address. Its entry leaves the instance list as if it were lost.
   void crashExecutor(const std::string &Id, int64_t BackAfterMs);
+  /// The executor crashes, and starts again after \p BackAfterMs under the same
+  /// id: it knows nothing of before, and counts anew. The instance list shows
+  /// it \p ListedAfterMs later.
+  void restartExecutor(const std::string &Id, int64_t BackAfterMs,
+                       int64_t ListedAfterMs);
   /// Adds its entry to the instance list or removes it.
   void setListed(const std::string &Id, bool IsListed);
   /// Runs \p Ms milliseconds of virtual time.
@@ -143,6 +154,10 @@
   bool isOpen(const std::string &Task) const;
   const std::vector<std::string> &violations() const { return Violations; }
   size_t runsOf(const std::string &Task) const;
+  /// Sends a start once more, as a copy that was delayed.
+  void carryOutAgain(const executor::StartOrder &Order) {
+    handleStart(executor(Order.Target.Id), Order);
+  }
 
   FaultRates Faults;
   cell::LeaseOptions Leases; ///< Of owners that take over from now on.
@@ -193,6 +208,7 @@
   using OwnerAction = std::function<void(cell::CellOwner &)>;
 
   std::string addIncarnation(executor::ExecutorInfo Info);
+  void beginIncarnation(SimExecutor &Executor) const;
 
   void step();
   bool isOwnerTurn() const;
@@ -255,6 +271,8 @@
   bool OldOwnerPaused = false;
   std::vector<OwnerAction> PausedActions; ///< Answers to the paused owner.
   std::map<std::string, cell::JobSpec> Specs;
+  /// Tasks listed as done by executors that have restarted since.
+  std::set<std::string> DoneBeforeRestart;
   /// Runs acknowledged as done, by task.
   std::map<std::string, uint32_t> DoneTasks;
   /// Those that must not be started again.
