--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -174,6 +174,21 @@
   CHECK(allDone(1));
 }
 
+TEST(WithTenJobs, ExecutorsRestartUnderTheirIdsAndRunNothingTwice) {
+  CHECK(allDone(0));
+  for (const char *Id : {"i-0", "i-1", "i-2"})
+    Platform.restartExecutor(Id, Millis(300));
+  for (int I = 11; I <= 20; ++I)
+    LONGS_EQUAL(200, submit(I % 2, I, 4));
+  CHECK(eventually([&] {
+    for (int I = 11; I <= 20; ++I) {
+      if (state(0, I) != "completed")
+        return false;
+    }
+    return true;
+  }));
+}
+
 TEST(WithTenJobs, ADeadExecutorsTasksRunElsewhere) {
   Platform.killExecutor("i-1");
   CHECK(allDone(0));
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -318,17 +318,16 @@
   answerFeeds("op");
 }
 
-void CellPlatform::addExecutor(const std::string &Id,
-                               const std::string &Address,
-                               uint32_t MilliCores) {
-  Json Document = {{"service", "s"},
-                   {"address", Address},
-                   {"zone", "za"},
-                   {"state", "ready"},
-                   {"capacity", {{"cpu", MilliCores}, {"mem-mb", 10'000}}},
-                   {"labels", {"a", "r1"}}};
-  std::lock_guard<std::mutex> Lock(Mutex);
-  Executors[Id].MilliCores = MilliCores;
+void CellPlatform::putExecutorRow(const std::string &Id) {
+  const ExecutorState &Executor = Executors.at(Id);
+  Json Document = {
+      {"service", "s"},
+      {"address", Executor.Address},
+      {"zone", "za"},
+      {"state", "ready"},
+      {"capacity", {{"cpu", Executor.MilliCores}, {"mem-mb", 10'000}}},
+      {"labels", {"a", "r1"}},
+      {"born", Executor.BornMs}};
   Rows[{"servers", "", Id}] = {encodeBase64(Document.dump()), ++StoreVersion,
                                false};
   // A malformed row of another writer, which entries must skip.
@@ -337,6 +336,29 @@
   answerFeeds("servers");
 }
 
+void CellPlatform::addExecutor(const std::string &Id,
+                               const std::string &Address,
+                               uint32_t MilliCores) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Executors[Id] = {.MilliCores = MilliCores,
+                   .Address = Address,
+                   .BornMs = toMillis(Micros(wallMicros()))};
+  putExecutorRow(Id);
+}
+
+void CellPlatform::restartExecutor(const std::string &Id, Millis RowDelay) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  ExecutorState &Executor = Executors.at(Id);
+  Executor = {
+      .MilliCores = Executor.MilliCores,
+      .Address = Executor.Address,
+      .BornMs = std::max(toMillis(Micros(wallMicros())), Executor.BornMs + 1)};
+  DelayedActions->schedule(RowDelay, [this, Id] {
+    std::lock_guard<std::mutex> RowLock(Mutex);
+    putExecutorRow(Id);
+  });
+}
+
 void CellPlatform::killExecutor(const std::string &Id) {
   std::lock_guard<std::mutex> Lock(Mutex);
   Executors.at(Id).Killed = true;
@@ -390,7 +412,7 @@
   auto FencingToken = Body.at("fencing-token").get<uint64_t>();
   if (FencingToken < Executor.FencingToken) {
     sendJson(Responder, http::StatusConflict,
-             {{"clock-ms", clockMs()}, {"reason", "fence"}});
+             {{"clock-ms", executorClockMs(Executor)}, {"reason", "fence"}});
     return;
   }
   Executor.FencingToken = FencingToken;
@@ -415,7 +437,7 @@
       It != Executor.RunsByTask.end() && It->second.Id == RunId;
   if (!AlreadyRunning && RunId <= Executor.LastEndedRun[Task]) {
     sendJson(Responder, http::StatusConflict,
-             {{"clock-ms", clockMs()}, {"reason", "old"}});
+             {{"clock-ms", executorClockMs(Executor)}, {"reason", "old"}});
     return;
   }
   if (!AlreadyRunning) {
@@ -429,7 +451,8 @@
                                  .EndTime = monotonicNow() + RunDuration};
     ++RunsStarted;
   }
-  sendJson(Responder, http::StatusOk, {{"clock-ms", clockMs()}});
+  sendJson(Responder, http::StatusOk,
+           {{"clock-ms", executorClockMs(Executor)}});
 }
 
 void CellPlatform::stopRun(ExecutorState &Executor, const Json &Body,
@@ -439,7 +462,8 @@
   if (Executor.RunsByTask.count(Task) && Executor.RunsByTask[Task].Id == RunId)
     endRun(Executor, Task, "stopped");
   Executor.LastEndedRun[Task] = std::max(Executor.LastEndedRun[Task], RunId);
-  sendJson(Responder, http::StatusOk, {{"clock-ms", clockMs()}});
+  sendJson(Responder, http::StatusOk,
+           {{"clock-ms", executorClockMs(Executor)}});
 }
 
 void CellPlatform::renewLeases(ExecutorState &Executor, const Json &Body,
@@ -453,15 +477,19 @@
       AcknowledgedTasks[RunEnd[1]] = true;
   }
   Executor.UnacknowledgedEnds = Unacknowledged;
-  auto SendReport = [this, &Executor, Responder = std::move(Responder)] {
+  auto SendReport = [this, &Executor, Born = Executor.BornMs,
+                     Responder = std::move(Responder)] {
     std::lock_guard<std::mutex> Lock(Mutex);
+    if (Executor.BornMs != Born)
+      return; // Calls that wait end with their incarnation.
     advanceRuns(Executor);
     // Rows of task, run id, checkpoint, percent done and usage.
     Json Runs = Json::array();
     for (const auto &[Task, Run] : Executor.RunsByTask)
       Runs.push_back({Task, Run.Id, "", 50, 0});
     sendJson(Responder, http::StatusOk,
-             {{"clock-ms", clockMs()},
+             {{"clock-ms", executorClockMs(Executor)},
+              {"born", Executor.BornMs},
               {"running", Runs},
               {"finished", Executor.UnacknowledgedEnds}});
   };
@@ -482,7 +510,7 @@
 
 void CellPlatform::advanceRuns(ExecutorState &Executor) {
   std::vector<std::pair<std::string, const char *>> EndedRuns;
-  bool LeaseExpired = clockMs() > Executor.LeaseExpiryMs;
+  bool LeaseExpired = executorClockMs(Executor) > Executor.LeaseExpiryMs;
   for (const auto &[Task, Run] : Executor.RunsByTask) {
     if (LeaseExpired)
       EndedRuns.emplace_back(Task, "lapsed");
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -50,6 +50,9 @@
   /// Drops all runs of the executor and stops answering its calls. It stays
   /// listed.
   void killExecutor(const std::string &Id);
+  /// The executor starts again under its id: it holds and knows nothing of
+  /// before, and counts anew. Its row tells \p RowDelay later.
+  void restartExecutor(const std::string &Id, Millis RowDelay);
   void setFaults(CellPlatformFaults NewFaults);
   /// Stores a row, as if an entry had written it.
   void putRow(const std::string &Table, const std::string &Part,
@@ -85,6 +88,9 @@
 
   struct ExecutorState {
     uint32_t MilliCores = 0;
+    std::string Address;
+    TimePoint StartedAt = monotonicNow(); ///< Its clock counts from here.
+    int64_t BornMs = 0;                   ///< Of its start, in Unix ms.
     bool Killed = false;
     uint64_t FencingToken = 0;
     int64_t LeaseExpiryMs = 0;
@@ -125,6 +131,10 @@
               const char *EndKind);
   static Json rowToJson(const RowKey &Key, const StoredRow &Row);
   static int64_t clockMs();
+  static int64_t executorClockMs(const ExecutorState &Executor) {
+    return toMillis(monotonicNow() - Executor.StartedAt);
+  }
+  void putExecutorRow(const std::string &Id);
   static void sendJson(const http::Responder &Responder, uint16_t Status,
                        const Json &Body);
 
--- a/tests/unit/PlatformDocumentsTest.cpp
+++ b/tests/unit/PlatformDocumentsTest.cpp
@@ -71,6 +71,21 @@
     CHECK_FALSE(static_cast<bool>(Codec.parseExecutor("i-1", Malformed)));
 }
 
+TEST(PlatformDocuments, AnExecutorMayStateWhenItStarted) {
+  auto Parse = [&](const std::string &Born) {
+    return Codec.parseExecutor(
+        "i-1", R"({"service":"s","address":"a","zone":"z","state":"ready",
+               "capacity":{"cpu":1},"labels":[])" +
+                   Born + "}");
+  };
+  LONGS_EQUAL(0, Parse("")->Born);
+  LONGS_EQUAL(1'900'000'000'123, Parse(R"(,"born":1900000000123)")->Born);
+  for (const char *Malformed :
+       {R"(,"born":"1900000000123")", R"(,"born":1.5)", R"(,"born":-1)",
+        R"(,"born":null)", R"(,"born":[7])"})
+    CHECK_FALSE(static_cast<bool>(Parse(Malformed)));
+}
+
 TEST(PlatformDocuments, TheLongestMatchingPrefixSelectsTheQueue) {
   auto Config = Codec.parseConfig(R"({"version":7,"routes":[
       {"name":"a","host":"h","path-prefix":"/x/","service":"s"},
--- a/tests/unit/RestartUnderIdTest.cpp
+++ b/tests/unit/RestartUnderIdTest.cpp
@@ -230,3 +230,105 @@
       [&] { return Sim.storedPhase(LaterId) == JobPhase::Completed; }, 20'000));
   LONGS_EQUAL(3, Sim.runsOf(taskOf(LaterId)));
 }
+
+// clang-format off
+/// A task has its ticket, and waits for room that a long run holds.
+TEST_GROUP(AnExecutorWithATicketForAWaitingTask) {
+  Simulation Sim;
+  std::string Id;
+
+  void setup() override {
+    Sim.requireAdvice({.Settings = {.BaseMs = 25, .PerExecutorMs = 0.35, .Validity = Millis(60'000)}});
+    Id = Sim.addExecutor(Small);
+    Sim.takeOver();
+    Sim.RunTimeFor = [](const std::string &Task, int64_t) { return Task.starts_with(EarlierId) ? 60'000 : RunMs; };
+    Sim.submit(Simulation::makeJob(EarlierId, 1, Small, RunMs));
+    Sim.submit(Simulation::makeJob(LaterId, 1, Small, RunMs));
+    CHECK_TRUE(Sim.runUntil([&] { return Sim.isOpen(taskOf(EarlierId)); }, 3'000));
+    Sim.runFor(500);
+  }
+  void teardown() override {
+    for (const std::string &Violation : Sim.violations())
+      FAIL(Violation.c_str());
+  }
+};
+// clang-format on
+
+TEST(AnExecutorWithATicketForAWaitingTask, TheNextIncarnationNeedsAnother) {
+  Sim.RunTimeFor = [](const std::string &, int64_t) { return RunMs; };
+  Sim.restartExecutor(Id, 50, 200);
+  CHECK_TRUE(Sim.runUntil(
+      [&] { return Sim.storedPhase(LaterId) == JobPhase::Completed; }, 10'000));
+  LONGS_EQUAL(0, Sim.Owner->counts().TicketRefusals);
+}
+
+// clang-format off
+TEST_GROUP(AnIncarnationInThePool) {
+  ExecutorPool Pool{LeaseOptions{}};
+  executor::ExecutorInfo Info{.Id = "i-1", .Service = "s", .Address = "a", .Capacity = Small, .Born = 100};
+
+  size_t list(int64_t Born) {
+    Info.Born = Born;
+    return Pool.update(std::span(&Info, 1), SimulationStart).size();
+  }
+  void setup() override { list(100); }
+};
+// clang-format on
+
+TEST(AnIncarnationInThePool, IsFollowedByOneThatStartedLater) {
+  LONGS_EQUAL(1, list(200));
+  LONGS_EQUAL(2, Pool.size());
+  CHECK_FALSE(Pool[0].Listed);
+  CHECK_TRUE(Pool[1].Listed);
+  LONGS_EQUAL(1, Pool.findOrAdd("i-1"));
+}
+
+TEST(AnIncarnationInThePool, IsNotFollowedByOneThatStartedEarlier) {
+  LONGS_EQUAL(0, list(50));
+  LONGS_EQUAL(1, Pool.size());
+  LONGS_EQUAL(100, Pool[0].Info.Born);
+  CHECK_FALSE(Pool[0].Listed);
+  CHECK_TRUE(Pool[0].EntryOutdated);
+}
+
+TEST(AnIncarnationInThePool, StaysTheSameInEntriesWithoutATime) {
+  LONGS_EQUAL(0, list(0));
+  LONGS_EQUAL(1, Pool.size());
+  LONGS_EQUAL(100, Pool[0].Info.Born);
+  CHECK_TRUE(Pool[0].Listed);
+}
+
+/// Its capacity may be another.
+TEST(AnIncarnationInThePool, GetsNothingWhileTheListDescribesTheOneBefore) {
+  LONGS_EQUAL(1, Pool.findOrAdd("i-1", 200));
+  LONGS_EQUAL(0, list(100));
+  CHECK_FALSE(Pool[0].Listed);
+  CHECK_FALSE(Pool[1].Listed);
+  CHECK_TRUE(Pool[1].EntryOutdated);
+}
+
+TEST_GROUP(StoredProgress){};
+
+TEST(StoredProgress, TellsIncarnationsApart) {
+  JobProgress Original{.Phase = JobPhase::Running};
+  for (uint32_t I = 0; I < 3; ++I)
+    Original.Tasks[{0, 0, I}] = {.Phase = TaskPhase::Starting,
+                                 .Run = 1,
+                                 .Executor = "i-1",
+                                 .Address = "x:1",
+                                 .Born = 1'900'000'000'000 + I / 2};
+  auto Decoded = decodeProgress(encodeProgress(Original));
+  CHECK_TRUE(static_cast<bool>(Decoded));
+  CHECK(Decoded->Tasks == Original.Tasks);
+}
+
+/// Rows of versions that don't know start times have none.
+TEST(StoredProgress, MayLackStartTimes) {
+  auto Read = [](const std::string &Times) {
+    return decodeProgress("2;running;0;;3:i-13:x:1" + Times + ";0.0=o1e0");
+  };
+  LONGS_EQUAL(0, Read("")->Tasks.at({0, 0, 0}).Born);
+  LONGS_EQUAL(7, Read("0:1:7")->Tasks.at({0, 0, 0}).Born);
+  for (const char *Malformed : {"0:1:x", "0:3:7,8", "0:0:", "0:9:7"})
+    CHECK_FALSE(static_cast<bool>(Read(Malformed)));
+}
