A load reads the live jobs only: ended ones move to a table of their own

Cause: the rows of a job stay in `jobs` and `progress` for twice the time that a status is kept, and a successor reads both tables whole before it does anything. Ruled out as the cause: failed or repeated reads (failed_reads=0), and the live jobs, whose number hardly changes.

Change: the commit that stores the end of a job without open runs writes one row of up to 50 bytes in `ended` (phase, time, hash of the work) and removes the job's three rows. If more jobs have changed than fit (24), ends are stored as before, in one entry, and moved by later commits, ten at a time beside what these store anyway; rows of earlier versions likewise. Whoever stores a job requires that it is neither in `jobs` nor in `ended`; conflicts answer by the hash. The owner reads `ended` in pages after its load while it works, and then knows all ended jobs: it needs the condition no longer and ignores a job that is stored again. These rows are removed at twice the retention, as before. A query reads `ended`, `progress`, `jobs` and, without any, `ended` once more: a job moves in that direction only, so none of these orders misses it. A cancel of an ended job is answered 2xx as before, without a write.

Weighed: - A shrunken row left in `jobs` (no further condition, safe in any mix of versions): a load still grows with all jobs, some 150 bytes each on the wire. - Moving with each end: four entries instead of one would halve what a slow store's commits carry; hence the limit of 24. - A condition on `ended` for each offer: a third fewer offers a commit; hence the read of `ended`, after which offers take two entries again. Ended first takes one read for completed (as before), two for running (one before), three for queued (two) and four a service for unknown ones (two).

Upgrade: an entry of an earlier version doesn't know `ended`. Entries now say in their row in `capacities` that they do, and rows are moved only while all rows there say so; else everything is as before. What remains: after going back to an earlier version its entries show moved jobs as unknown and may store one again on a late copy of a request; an owner of this version that has read the ended jobs doesn't run it, another does (docs/OPERATIONS.md). A row in `capacities` of an old entry that is gone keeps rows from being moved.

Tests, and how they failed: without the moves ALoadReadsTheLiveOnesOnly reads 610 rows instead of 10, EachEndedOneKeepsASmallRow finds none; without the conditions ALateCopyOfARequestDoesNotRunItsJobAgain, OtherWorkUnderTheId... and ANewJobBesideALateCopyIsStored report "started after it was done", and AJobThatHasEndedIsNotStoredAgain fails. AJobIsKnownWhileItEndsAndAfterATakeover (process) covers states, late copies and cancels while rows move and after a takeover. Replaced, as strict: four checks that looked for an ended job's row in `jobs` or `progress` now look in both places, or require that neither is left. In the simulation, a load and a resumed owner's feed deliver only jobs whose row is stored; before, they delivered jobs without one.

Conclusion: a load follows the live jobs.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -155,8 +155,13 @@
 }
 
 void CellOwner::accept(JobSpec Spec, TimePoint AcceptedAt, TimePoint Now) {
-  if (EndedJobs.count(Spec.Id))
+  auto Ended = EndedJobs.find(Spec.Id);
+  if (Ended != EndedJobs.end()) {
+    // An entry of an earlier version may have stored it again.
+    if (std::exchange(Ended->second.Moved, false))
+      RowsToMove.push_back(Spec.Id);
     return;
+  }
   if (const LiveJob *Existing = findJob(Spec.Id)) {
     // If a commit in flight stores the job, the answer to that commit settles
     // it.
@@ -181,8 +186,11 @@
     NewOffer.Done(OfferOutcome::NotOwner);
     return;
   }
-  if (EndedJobs.count(Id)) {
-    NewOffer.Done(OfferOutcome::StoredBefore);
+  auto Ended = EndedJobs.find(Id);
+  if (Ended != EndedJobs.end()) {
+    bool IsSame = Ended->second.Job.WorkHash == workHash(NewOffer.Job);
+    NewOffer.Done(IsSame ? OfferOutcome::StoredBefore
+                         : OfferOutcome::OtherWork);
     return;
   }
   LiveJob *Existing = findJob(Id);
@@ -218,8 +226,11 @@
         Progress->Tasks.begin(), Progress->Tasks.end(),
         [](const auto &Entry) { return isOpen(Entry.second.Phase); });
     if (!HasOpenRuns) {
-      EndedJobs.insert(Spec.Id);
-      Removals.emplace_back(Now + 2 * Options.StatusRetention, Spec.Id);
+      addEndedJob(Spec.Id,
+                  {.Phase = Progress->Phase,
+                   .EndedMs = Progress->EndedMs,
+                   .WorkHash = workHash(Spec)},
+                  Now);
       return;
     }
   }
@@ -363,20 +374,6 @@
           Job.Spec.Queue, toMillis(Now - Job.AcceptedAt));
 }
 
-/// Drops a job whose final phase is stored and that has no open runs.
-void CellOwner::dropEndedJob(LiveJob &Job, TimePoint Now) {
-  if (!isFinal(Job.Phase) || Job.OpenRuns > 0 ||
-      Job.RecordedRevision != Job.Revision)
-    return;
-  std::string Id = Job.Spec.Id;
-  EndedJobs.insert(Id);
-  Removals.emplace_back(Now + 2 * Options.StatusRetention, Id);
-  std::erase_if(OpenAdviceCalls,
-                [&](const auto &Entry) { return Entry.second.JobId == Id; });
-  DirtyJobs.erase(Id);
-  Jobs.erase(Id);
-}
-
 OwnerCommands CellOwner::advance(TimePoint Now, int64_t WallMs,
                                  OwnerTurn Turn) {
   if (Deposed || Released || Loading)
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -4,6 +4,7 @@
 #include "cell/AdviceCandidates.h"
 #include "cell/CellConfig.h"
 #include "cell/CrashPolicy.h"
+#include "cell/EndedJob.h"
 #include "cell/ExecutorPool.h"
 #include "cell/LiveJob.h"
 #include "cell/Offer.h"
@@ -15,7 +16,6 @@
 
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace daisylanding::cell {
 
@@ -195,6 +195,15 @@
   void setLargestEntry(const EntryCapacity &Largest) {
     Row.LargestEntry = Largest;
   }
+  /// Whether the rows of ended jobs are moved to the table of ended jobs, which
+  /// all entries have to know.
+  void setMovesEndedJobs(bool Moves) { MovesEndedJobs = Moves; }
+  /// Adds a job from the table of ended jobs.
+  void addEndedRow(const std::string &JobId, const EndedJob &Ended,
+                   TimePoint Now);
+  /// `addEndedRow` has been called for each job that ended under earlier
+  /// owners, so that a job that is not known is in no table.
+  void finishEndedLoad() { KnowsEndedJobs = true; }
   /// Sets the present latency of store reads, in ms.
   void setStoreReadMs(double Ms) { StoreReadMs = Ms; }
   /// The store answers again after a silence: a commit that it didn't answer is
@@ -259,8 +268,13 @@
     Millis GrantTime{0}; ///< From its sending; its row allows for leases.
     /// Jobs that this commit stores.
     std::vector<std::string> OfferedJobs;
+    /// Jobs whose rows this commit moves to the table of ended jobs.
+    std::vector<std::string> MovedJobs;
     /// Jobs whose rows this commit removes.
     std::vector<std::string> RemovedJobs;
+    /// Whether ends are moved with it. If many jobs have changes to store,
+    /// these need its entries.
+    bool MovesEnds = false;
   };
 
   /// The oldest change of a job that is not stored.
@@ -277,6 +291,11 @@
     std::vector<ExecutorIndex> AskedExecutors;
   };
 
+  struct KnownEnd {
+    EndedJob Job;
+    bool Moved = false; ///< To the table of ended jobs.
+  };
+
   struct PaceState {
     uint32_t Percent = 100;
     TimePoint ChangedAt{};
@@ -445,6 +464,15 @@
   bool mayWriteFirstRow(TimePoint Now);
   void addJob(CommitInFlight &Commit, LiveJob &Job, int64_t StoreClockMs);
   void addRemovals(CommitInFlight &Commit, TimePoint Now);
+  void addMoves(CommitInFlight &Commit, int64_t StoreClockMs);
+  static bool mayMove(const CommitInFlight &Commit, const LiveJob &Job);
+  static void moveRows(CommitInFlight &Commit, const std::string &JobId,
+                       const EndedJob &Ended);
+  static EndedJob endedJobOf(const LiveJob &Job);
+  void addEndedJob(const std::string &JobId, const EndedJob &Ended,
+                   TimePoint Now);
+  void finishMoves(const CommitInFlight &Commit);
+  void restoreQueues(CommitInFlight &Commit, TimePoint Now);
   bool isRoutine(const LiveJob &Job, const DirtyMark &Mark) const;
   bool isRemovalDue(TimePoint Now) const {
     return !Removals.empty() && Removals.front().first <= Now;
@@ -455,6 +483,7 @@
   void answerOffers(const std::string &JobId, OfferOutcome Outcome);
   bool isInFlight(const std::string &JobId) const;
   void onAlreadyStored(const store::Row &StoredRow, TimePoint Now);
+  void onAlreadyEnded(const store::Row &EndedRow, TimePoint Now);
   void adoptStoredJob(JobSpec StoredJob, TimePoint Now);
   Micros expectedCommitTime(TimePoint Now) const;
   size_t offersPerCommit() const;
@@ -470,8 +499,13 @@
   ExecutorPool Pool;
   SpeedTracker Speeds;
   std::map<std::string, LiveJob, std::less<>> Jobs;
-  std::unordered_set<std::string> EndedJobs;
+  /// Ended jobs whose rows are not removed yet. Late pages of the job feed, and
+  /// late copies of requests, name them.
+  std::unordered_map<std::string, KnownEnd> EndedJobs;
   std::deque<std::pair<TimePoint, std::string>> Removals;
+  std::deque<std::string> RowsToMove; ///< Of `EndedJobs`.
+  bool MovesEndedJobs = false;
+  bool KnowsEndedJobs = false;
   std::vector<std::vector<TaskKey>> OpenRunsByExecutor;
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
--- a/src/cell/EntryCapacity.cpp
+++ b/src/cell/EntryCapacity.cpp
@@ -6,6 +6,12 @@
 
 namespace daisylanding::cell {
 
+namespace {
+
+constexpr const char *KnowsEndedField = "knows_ended";
+
+} // namespace
+
 EntryCapacity largerOf(const EntryCapacity &Left, const EntryCapacity &Right) {
   return {.MilliCores = std::max(Left.MilliCores, Right.MilliCores),
           .LinkKbitPerSecond =
@@ -19,7 +25,8 @@
 
 std::string encodeEntryCapacity(const EntryCapacity &Capacity) {
   nlohmann::json Document = {{"millicores", Capacity.MilliCores},
-                             {"link_kbit", Capacity.LinkKbitPerSecond}};
+                             {"link_kbit", Capacity.LinkKbitPerSecond},
+                             {KnowsEndedField, true}};
   return Document.dump();
 }
 
@@ -34,4 +41,10 @@
   }
 }
 
+bool knowsEndedJobs(std::string_view Text) {
+  auto Document = nlohmann::json::parse(Text, nullptr, false);
+  auto Field = Document.find(KnowsEndedField);
+  return Field != Document.end() && *Field == true;
+}
+
 } // namespace daisylanding::cell
--- a/src/cell/EntryCapacity.h
+++ b/src/cell/EntryCapacity.h
@@ -26,9 +26,12 @@
 /// one kind differ by less.
 bool isMuchSmaller(const EntryCapacity &Own, const EntryCapacity &Largest);
 
-/// The stored form. `decodeEntryCapacity` errors: Malformed.
+/// The stored form, which also says that the entry's version knows the table of
+/// ended jobs. `decodeEntryCapacity` errors: Malformed.
 std::string encodeEntryCapacity(const EntryCapacity &Capacity);
 Result<EntryCapacity> decodeEntryCapacity(std::string_view Text);
+/// Whether the entry that wrote this form knows the table of ended jobs.
+bool knowsEndedJobs(std::string_view Text);
 
 } // namespace daisylanding::cell
 
--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -3,6 +3,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -142,6 +145,12 @@
   return encodeWork(Left) == encodeWork(Right);
 }
 
+uint64_t workHash(const JobSpec &Job) {
+  std::string Text =
+      encodeWork(Job).dump(-1, ' ', false, json::error_handler_t::replace);
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
 std::string taskName(const TaskRef &Ref) {
   return fmt::format("{}.{}.{}.{}", Ref.Job, Ref.Occurrence, Ref.Step,
                      Ref.Index);
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -62,6 +62,8 @@
 
 /// Whether two jobs are equal except for their ids and times of acceptance.
 bool isSameWork(const JobSpec &Left, const JobSpec &Right);
+/// Equal for jobs of the same work, also in other processes.
+uint64_t workHash(const JobSpec &Job);
 
 /// Parts of a task's name.
 struct TaskRef {
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -1,4 +1,5 @@
 #include "cell/CellOwner.h"
+#include "cell/CommitEntries.h"
 #include "cell/StartTimes.h"
 
 #include "common/Log.h"
@@ -19,10 +20,8 @@
 constexpr Millis CommitAnswerWait{10'000};
 /// Slower commits are logged.
 constexpr Millis SlowCommitThreshold{200};
-/// Ended jobs whose rows one transaction removes.
-constexpr size_t MaxRemovalsPerCommit = 5;
-/// Each commit writes the owner row last.
-constexpr size_t OwnerRowEntries = 1;
+/// Upper bound of the entries that a job takes in one commit, also at its end.
+constexpr size_t EntriesPerJob = 4;
 
 } // namespace
 
@@ -114,6 +113,7 @@
   expireOffers(Now);
   addJobs(Commit, Clock.MinMs);
   addRemovals(Commit, Now);
+  addMoves(Commit, Clock.MinMs);
   Commit.Row.Released = Releasing && Commit.Jobs.size() == DirtyJobs.size();
   if (!Loading)
     listLeaseEnds(Commit, Now, Clock);
@@ -149,7 +149,9 @@
 /// none: entries that no longer wait store their jobs themselves, and a stream
 /// of these could keep every commit from succeeding.
 void CellOwner::addJobs(CommitInFlight &Commit, int64_t StoreClockMs) {
-  constexpr size_t EntriesPerJob = 4; ///< Upper bound.
+  Commit.MovesEnds = MovesEndedJobs &&
+                     DirtyJobs.size() * EntriesPerJob + OwnerRowEntries + 1 <=
+                         store::MaxTransactionEntries;
   static constexpr size_t MaxJobs = store::MaxTransactionEntries;
   std::vector<std::pair<TimePoint, LiveJob *>> OfferedJobs;
   using StoredRank = std::pair<bool, uint64_t>;
@@ -272,32 +274,22 @@
     Tx.Preconditions.push_back({.Table = JobTable, .Key = cancelKey(Id)});
   if (!Job.Stored) {
     Tx.Preconditions.push_back({.Table = JobTable, .Key = Id});
+    if (!KnowsEndedJobs)
+      Tx.Preconditions.push_back({.Table = EndedTable, .Key = Id});
     Tx.Writes.push_back(
         {.Table = JobTable, .Key = Id, .Value = encodeJob(Job.Spec)});
     Commit.OfferedJobs.push_back(Id);
   }
+  Commit.Jobs.emplace_back(Id, Job.Revision);
+  if (mayMove(Commit, Job)) {
+    moveRows(Commit, Id, endedJobOf(Job));
+    return;
+  }
   // Queued jobs have no progress to store.
   if (Job.Phase != JobPhase::Queued)
     Tx.Writes.push_back({.Table = ProgressTable,
                          .Key = Id,
                          .Value = encodeProgress(progressOf(Job))});
-  Commit.Jobs.emplace_back(Id, Job.Revision);
-}
-
-void CellOwner::addRemovals(CommitInFlight &Commit, TimePoint Now) {
-  constexpr size_t EntriesPerRemoval = 3;
-  store::Transaction &Tx = Commit.Transaction;
-  while (isRemovalDue(Now) &&
-         Commit.RemovedJobs.size() < MaxRemovalsPerCommit &&
-         Tx.entryCount() + OwnerRowEntries + EntriesPerRemoval <=
-             store::MaxTransactionEntries) {
-    std::string Id = std::move(Removals.front().second);
-    Removals.pop_front();
-    Tx.Removals.push_back({.Table = JobTable, .Key = Id});
-    Tx.Removals.push_back({.Table = JobTable, .Key = cancelKey(Id)});
-    Tx.Removals.push_back({.Table = ProgressTable, .Key = Id});
-    Commit.RemovedJobs.push_back(std::move(Id));
-  }
 }
 
 void CellOwner::acknowledgeEnds() {
@@ -363,8 +355,7 @@
   acknowledgeEnds();
   for (const auto &Entry : Commit.Jobs)
     dropEndedJob(Jobs.at(Entry.first), Now);
-  for (const std::string &Id : Commit.RemovedJobs)
-    EndedJobs.erase(Id);
+  finishMoves(Commit);
 }
 
 void CellOwner::answerOffers(const std::string &JobId, OfferOutcome Outcome) {
@@ -399,7 +390,7 @@
 
 /// Offers that one commit has entries for beside the stored jobs.
 size_t CellOwner::offersPerCommit() const {
-  constexpr size_t EntriesPerOffer = 2;
+  const size_t EntriesPerOffer = KnowsEndedJobs ? 2 : 3;
   auto StoredJobs = static_cast<size_t>(
       std::count_if(DirtyJobs.begin(), DirtyJobs.end(), [&](const auto &Entry) {
         return Jobs.at(Entry.first).Stored;
@@ -474,6 +465,18 @@
   answerOffers(StoredRow.Key, OfferOutcome::OtherWork);
 }
 
+void CellOwner::onAlreadyEnded(const store::Row &EndedRow, TimePoint Now) {
+  auto Ended = decodeEndedJob(EndedRow.Value);
+  if (!Ended)
+    logError("ended-job-unreadable", "job={} version={}", EndedRow.Key,
+             EndedRow.Version);
+  bool IsSame =
+      Ended && Ended->WorkHash == workHash(Jobs.at(EndedRow.Key).Spec);
+  dropOfferedJob(EndedRow.Key, Now);
+  answerOffers(EndedRow.Key,
+               IsSame ? OfferOutcome::StoredBefore : OfferOutcome::OtherWork);
+}
+
 /// Determines from the current rows why a commit was refused: an earlier copy
 /// of it succeeded, a job was cancelled or stored by another entry, or another
 /// owner took over.
@@ -482,11 +485,15 @@
   const store::Row *CurrentOwnerRow = nullptr;
   std::vector<std::string> CancelKeys;
   std::vector<const store::Row *> ExistingJobs;
+  std::vector<const store::Row *> AlreadyEndedJobs;
   for (const store::Row &CurrentRow : Result.CurrentRows) {
     if (CurrentRow.Table == OwnerTable)
       CurrentOwnerRow = &CurrentRow;
-    if (CurrentRow.Table != JobTable ||
-        CurrentRow.Version == store::AbsentVersion)
+    if (CurrentRow.Version == store::AbsentVersion)
+      continue;
+    if (CurrentRow.Table == EndedTable)
+      AlreadyEndedJobs.push_back(&CurrentRow);
+    if (CurrentRow.Table != JobTable)
       continue;
     if (CurrentRow.Key.find('/') == std::string::npos)
       ExistingJobs.push_back(&CurrentRow);
@@ -508,16 +515,19 @@
     return;
   }
   RowVersion = CurrentOwnerRow->Version;
-  for (const std::string &Id : InFlight->RemovedJobs)
-    Removals.emplace_front(Now, Id);
+  restoreQueues(*InFlight, Now);
   logInfo("commit-refused",
-          "service={} commit={} offers_stored_before={} cancelled={} age_ms={}",
+          "service={} commit={} offers_stored_before={} offers_ended={} "
+          "cancelled={} age_ms={}",
           Options.Service, InFlight->Row.Sequence, ExistingJobs.size(),
-          CancelKeys.size(), toMillis(Now - InFlight->FirstSentAt));
+          AlreadyEndedJobs.size(), CancelKeys.size(),
+          toMillis(Now - InFlight->FirstSentAt));
   InFlight.reset();
-  HoldsOffersBack = !ExistingJobs.empty();
+  HoldsOffersBack = !ExistingJobs.empty() || !AlreadyEndedJobs.empty();
   for (const store::Row *CurrentRow : ExistingJobs)
     onAlreadyStored(*CurrentRow, Now);
+  for (const store::Row *EndedRow : AlreadyEndedJobs)
+    onAlreadyEnded(*EndedRow, Now);
   for (const std::string &Key : CancelKeys)
     cancel(Key.substr(0, Key.find('/')), Now);
 }
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -16,6 +16,9 @@
 /// partition, named after the service.
 constexpr const char *JobTable = "jobs";
 constexpr const char *ProgressTable = "progress";
+/// Jobs that have ended; their rows in the two tables above are removed, so
+/// that a load doesn't read them.
+constexpr const char *EndedTable = "ended";
 constexpr const char *OwnerTable = "owners";
 constexpr const char *OwnerKey = "owner";
 constexpr const char *MemberTable = "members";
--- a/src/node/EntryCapacities.cpp
+++ b/src/node/EntryCapacities.cpp
@@ -2,6 +2,8 @@
 
 #include "common/Log.h"
 
+#include <algorithm>
+
 namespace daisylanding::node {
 
 cell::EntryCapacity largestEntryIn(const store::RowPage &Page) {
@@ -17,4 +19,12 @@
   return Largest;
 }
 
+bool allKnowEndedJobs(const store::RowPage &Page) {
+  return !Page.Rows.empty() && !Page.HasMore &&
+         std::all_of(Page.Rows.begin(), Page.Rows.end(),
+                     [](const store::Row &Row) {
+                       return cell::knowsEndedJobs(Row.Value);
+                     });
+}
+
 } // namespace daisylanding::node
--- a/src/node/EntryCapacities.h
+++ b/src/node/EntryCapacities.h
@@ -9,6 +9,9 @@
 /// The largest capacity, by dimension, among the rows of the table
 /// `cell::CapacityTable`. Malformed rows are logged and left out.
 cell::EntryCapacity largestEntryIn(const store::RowPage &Page);
+/// Whether each entry in that table runs a version that knows the table of
+/// ended jobs.
+bool allKnowEndedJobs(const store::RowPage &Page);
 
 } // namespace daisylanding::node
 
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -388,101 +388,6 @@
   }
 }
 
-/// Returns the next service whose rows may hold the job. Answers that there is
-/// no such job if all were searched.
-std::optional<std::string>
-IntakeLoop::nextPartition(const RequestPtr &Request) {
-  if (Request->Partitions.empty()) {
-    answer(Request, http::StatusGone, "{}", "no-such-job");
-    return std::nullopt;
-  }
-  std::string Partition = std::move(Request->Partitions.front());
-  Request->Partitions.erase(Request->Partitions.begin());
-  return Partition;
-}
-
-/// Reads the job's row and the row of its cancel, which sorts behind it; the
-/// second or both may be absent. Refuses the request if the read fails.
-void IntakeLoop::readJobRows(
-    const RequestPtr &Request, const std::string &Partition,
-    std::function<void(const std::vector<store::Row> &)> OnRows) {
-  store::RangeRead Range{.Table = cell::JobTable,
-                         .Partition = Partition,
-                         .From = Request->JobId,
-                         .To = Request->JobId + '0'};
-  Store->read(Range, [this, Request, OnRows = std::move(OnRows)](
-                         const Result<store::RowPage> &Page) {
-    if (Page)
-      OnRows(Page->Rows);
-    else
-      refuse(Request, "store-unavailable");
-  });
-}
-
-void IntakeLoop::query(const RequestPtr &Request) {
-  auto Partition = nextPartition(Request);
-  if (!Partition)
-    return;
-  store::RangeRead Range{.Table = cell::ProgressTable,
-                         .Partition = *Partition,
-                         .From = Request->JobId,
-                         .To = Request->JobId + '!',
-                         .Limit = 1};
-  Store->read(
-      Range, [this, Request, Partition](const Result<store::RowPage> &Page) {
-        if (!Page) {
-          refuse(Request, "store-unavailable");
-          return;
-        }
-        Context.StoreHealth.recordAnswer(monotonicNow(), Page->StoreClockMs);
-        if (Page->Rows.empty()) {
-          queryJobRow(Request, *Partition);
-          return;
-        }
-        auto Phase = cell::decodePhase(Page->Rows.front().Value);
-        if (!Phase) {
-          logError("progress-unreadable", "job={}", Request->JobId);
-          refuse(Request, "record-unreadable");
-          return;
-        }
-        std::string_view PhaseName = cell::phaseName(*Phase);
-        answer(Request, http::StatusOk,
-               Context.Platform.codec().formatState(PhaseName), PhaseName);
-      });
-}
-
-/// A job that its owner has not yet started has no progress row, only its own.
-void IntakeLoop::queryJobRow(const RequestPtr &Request,
-                             const std::string &Partition) {
-  readJobRows(
-      Request, Partition, [this, Request](const std::vector<store::Row> &Rows) {
-        if (Rows.empty()) {
-          query(Request);
-          return;
-        }
-        bool Cancelled = Rows.size() > 1;
-        std::string_view PhaseName = cell::phaseName(
-            Cancelled ? cell::JobPhase::Cancelled : cell::JobPhase::Queued);
-        answer(Request, http::StatusOk,
-               Context.Platform.codec().formatState(PhaseName), PhaseName);
-      });
-}
-
-void IntakeLoop::cancel(const RequestPtr &Request) {
-  auto Partition = nextPartition(Request);
-  if (!Partition)
-    return;
-  readJobRows(Request, *Partition,
-              [this, Request, Partition](const std::vector<store::Row> &Rows) {
-                if (Rows.empty())
-                  cancel(Request);
-                else if (Rows.size() > 1)
-                  answer(Request, http::StatusOk, "{}", "cancelled-before");
-                else
-                  writeCancel(Request, *Partition, Rows.front().Version);
-              });
-}
-
 void IntakeLoop::writeCancel(const RequestPtr &Request,
                              const std::string &Partition,
                              uint64_t JobVersion) {
@@ -543,10 +448,10 @@
   if (Request->Answered)
     return;
   // A conflict with rows present: an earlier copy was committed. Without rows:
-  // the job ended long ago and its rows have been removed.
+  // the job has ended meanwhile.
   bool Conflict = Result.Outcome == store::TransactionOutcome::Conflict;
   if (Conflict && Result.CurrentRows.empty()) {
-    answer(Request, http::StatusGone, "{}", "no-such-job");
+    answerCancelOfEnded(Request, Tx->Partition);
     return;
   }
   if (Conflict || Result.Outcome == store::TransactionOutcome::Committed) {
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -70,8 +70,12 @@
   void writeJob(const RequestPtr &Request, const cell::JobSpec &Job);
   void onJobWritten(const RequestPtr &Request, WriteOutcome Outcome);
   void query(const RequestPtr &Request);
+  void queryProgress(const RequestPtr &Request, const std::string &Partition);
   void queryJobRow(const RequestPtr &Request, const std::string &Partition);
   void cancel(const RequestPtr &Request);
+  void cancelEnded(const RequestPtr &Request, const std::string &Partition);
+  void answerCancelOfEnded(const RequestPtr &Request,
+                           const std::string &Partition);
   void writeCancel(const RequestPtr &Request, const std::string &Partition,
                    uint64_t JobVersion);
   void sendCancel(const RequestPtr &Request, const TransactionPtr &Tx);
@@ -80,6 +84,13 @@
   std::optional<std::string> nextPartition(const RequestPtr &Request);
   void readJobRows(const RequestPtr &Request, const std::string &Partition,
                    std::function<void(const std::vector<store::Row> &)> OnRows);
+  void readRow(const RequestPtr &Request, const char *Table,
+               const std::string &Partition,
+               std::function<void(const std::string *)> OnValue);
+  void
+  readEndedPhase(const RequestPtr &Request, const std::string &Partition,
+                 std::function<void(std::optional<cell::JobPhase>)> OnPhase);
+  void answerPhase(const RequestPtr &Request, cell::JobPhase Phase);
   void answer(const RequestPtr &Request, uint16_t Status, std::string Body,
               std::string_view Reason);
   void refuse(const RequestPtr &Request, std::string_view Reason);
--- a/src/node/JobWriter.cpp
+++ b/src/node/JobWriter.cpp
@@ -1,5 +1,6 @@
 #include "node/JobWriter.h"
 
+#include "cell/EndedJob.h"
 #include "cell/OwnerRow.h"
 #include "common/Log.h"
 
@@ -9,9 +10,9 @@
 
 namespace {
 
-/// Each job takes one precondition and one write; this keeps a batch well under
-/// the store's limits on entries and bytes per transaction.
-constexpr size_t MaxBatchJobs = 40;
+/// Each job takes two preconditions and one write; this keeps a batch under the
+/// store's limits on entries and bytes per transaction.
+constexpr size_t MaxBatchJobs = 30;
 constexpr Millis BaseRetryDelay{60};
 constexpr uint32_t MaxRetryDoublings = 4;
 /// A batch that took longer has waited behind writes of others.
@@ -21,6 +22,16 @@
 constexpr int64_t PausePerBatchTime = 2;
 constexpr Millis MaxPause{500};
 
+/// Whether a row, which may be that of an ended job, tells of the same work.
+bool isSameWork(const store::Row &StoredRow, const cell::JobSpec &Job) {
+  if (StoredRow.Table == cell::EndedTable) {
+    auto Ended = cell::decodeEndedJob(StoredRow.Value);
+    return Ended && Ended->WorkHash == cell::workHash(Job);
+  }
+  auto StoredJob = cell::decodeJob(StoredRow.Value);
+  return StoredJob && cell::isSameWork(*StoredJob, Job);
+}
+
 } // namespace
 
 void JobWriter::add(JobWrite Write, TimePoint Now) {
@@ -42,6 +53,9 @@
       continue;
     }
     Tx->Preconditions.push_back({.Table = cell::JobTable, .Key = Write.Job.Id});
+    // It may have ended since an earlier try of its caller.
+    Tx->Preconditions.push_back(
+        {.Table = cell::EndedTable, .Key = Write.Job.Id});
     Tx->Writes.push_back({.Table = cell::JobTable,
                           .Key = Write.Job.Id,
                           .Value = cell::encodeJob(Write.Job)});
@@ -133,15 +147,15 @@
   for (JobWrite &Write : InFlight) {
     auto StoredRow = std::find_if(
         Result.CurrentRows.begin(), Result.CurrentRows.end(),
-        [&](const store::Row &Row) { return Row.Key == Write.Job.Id; });
+        [&](const store::Row &Row) {
+          return Row.Key == Write.Job.Id && Row.Version != store::AbsentVersion;
+        });
     if (StoredRow == Result.CurrentRows.end()) {
       Queue.push_front(std::move(Write));
       continue;
     }
-    auto StoredJob = cell::decodeJob(StoredRow->Value);
-    bool IsSameWork = StoredJob && cell::isSameWork(*StoredJob, Write.Job);
-    Write.Done(IsSameWork ? WriteOutcome::StoredBefore
-                          : WriteOutcome::OtherWork);
+    Write.Done(isSameWork(*StoredRow, Write.Job) ? WriteOutcome::StoredBefore
+                                                 : WriteOutcome::OtherWork);
   }
 }
 
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -206,6 +206,17 @@
   Context.Offers.registerOwner(Service, Offers);
   Owner->confirmJobFeed(Now);
   followJobs();
+  LoaderOfEnded = std::make_unique<EndedLoader>(
+      Service, *Store, TimerQueue,
+      [this](const std::string &JobId, const cell::EndedJob &Ended) {
+        Owner->addEndedRow(JobId, Ended, monotonicNow());
+      },
+      [this, Now] {
+        logInfo("ended-jobs-loaded", "service={} epoch={} took_ms={}", Service,
+                OwnRow.Epoch, toMillis(monotonicNow() - Now));
+        Owner->finishEndedLoad();
+      });
+  LoaderOfEnded->start();
 }
 
 void OwnerLoop::takeTurnIfDue() {
@@ -433,8 +444,10 @@
       });
   Store->read({.Table = cell::CapacityTable},
               [this](const Result<store::RowPage> &Page) {
-                if (Page)
-                  Owner->setLargestEntry(largestEntryIn(*Page));
+                if (!Page)
+                  return;
+                Owner->setLargestEntry(largestEntryIn(*Page));
+                Owner->setMovesEndedJobs(allKnowEndedJobs(*Page));
               });
 }
 
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -7,6 +7,7 @@
 #include "common/Thread.h"
 #include "common/Timers.h"
 #include "node/AdviceLoop.h"
+#include "node/EndedLoader.h"
 #include "node/EntryContext.h"
 #include "node/ExecutorList.h"
 #include "node/ServiceLoader.h"
@@ -78,6 +79,7 @@
   bool RenewalsLeft = false; ///< The last turn requested as many as it may.
 
   TimePoint AcquiredAt{};
+  std::unique_ptr<EndedLoader> LoaderOfEnded;
   std::unique_ptr<ServiceLoader> Loader; ///< Null once the load is done.
   std::set<std::string> UnreadableJobs;  ///< Never scheduled.
 
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -11,14 +11,15 @@
 #include <set>
 #include <string>
 
-/// Reads the stored jobs of a service for an entry that has acquired it.
+/// Reads the live jobs of a service for an entry that has acquired it.
 namespace daisylanding::node {
 
 /// Rows a page when all jobs of a service are read. Pages show the progress of
 /// a load, also on a slow link.
 constexpr uint32_t JobPageRows = 100;
 
-/// All stored rows of a service, decoded.
+/// All stored rows of a service, decoded, without those of jobs that were moved
+/// at their end.
 struct StoredService {
   std::map<std::string, cell::JobSpec> Jobs;
   std::set<std::string> CancelledJobs;
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -158,6 +158,45 @@
   LONGS_EQUAL(40, Platform.runsStarted());
 }
 
+/// Guards against a job that is unknown while its rows are moved at its end,
+/// and to entries that read one table before and the other after.
+TEST(ACellOfTwoEntries, AJobIsKnownWhileItEndsAndAfterATakeover) {
+  constexpr int Jobs = 8;
+  Platform.setFaults({.ReadTime = Millis(60)});
+  for (int I = 1; I <= Jobs; ++I) {
+    CHECK(eventually([&] { return submit(I % 2, I, 1) == 200; }));
+    CHECK(eventually([&] {
+      std::string Shown = state(I % 2, I);
+      CHECK(Shown != "none");
+      return Shown == "completed";
+    }));
+  }
+  Platform.setFaults({});
+  auto IsMoved = [&](int I) {
+    return Platform.rowValue(cell::JobTable, "s", jobId(I)).empty() &&
+           Platform.rowValue(cell::ProgressTable, "s", jobId(I)).empty() &&
+           !Platform.rowValue(cell::EndedTable, "s", jobId(I)).empty();
+  };
+  for (int I = 1; I <= Jobs; ++I)
+    CHECK(eventually([&] { return IsMoved(I); }));
+  auto Owner = cell::decodeOwnerRow(
+      Platform.rowValue(cell::OwnerTable, "s", cell::OwnerKey));
+  int Killed = Owner->Holder.starts_with("e0/") ? 0 : 1;
+  int Other = 1 - Killed;
+  Entries[static_cast<size_t>(Killed)].signal(SIGKILL);
+  CHECK(eventually([&] { return submit(Other, Jobs + 1, 1) == 200; }));
+  CHECK(eventually([&] { return state(Other, Jobs + 1) == "completed"; }));
+  for (int I = 1; I <= Jobs; ++I) {
+    STRCMP_EQUAL("completed", state(Other, I).c_str());
+    LONGS_EQUAL(200, submit(Other, I, 1));
+    LONGS_EQUAL(409, submit(Other, I, 2));
+    LONGS_EQUAL(200, call(Other, 0, "DELETE", "/q/" + jobId(I))->Status);
+  }
+  LONGS_EQUAL(410, get(Other, 0, "/q/" + jobId(Jobs + 2)));
+  LONGS_EQUAL(410, call(Other, 0, "DELETE", "/q/" + jobId(Jobs + 2))->Status);
+  LONGS_EQUAL(Jobs + 1, Platform.runsStarted());
+}
+
 TEST(WithTenJobs, AnEntryThatIsKilledIsReplacedAndNothingRunsTwice) {
   Entries[0].signal(SIGKILL);
   CHECK(allDone(1));
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -3,6 +3,7 @@
 
 #include "cell/AdviceDispatcher.h"
 #include "cell/CellOwner.h"
+#include "cell/EndedJob.h"
 #include "common/Random.h"
 
 #include <chrono>
@@ -138,6 +139,9 @@
   SimExecutor &executor(const std::string &Id) { return *Executors.at(Id); }
   bool hasExecutor(const std::string &Id) const { return Executors.count(Id); }
   cell::JobPhase storedPhase(const std::string &JobId) const;
+  /// As a live job or as one that has ended.
+  bool isStored(const std::string &JobId) const;
+  std::vector<store::Row> rowsOf(const std::string &Table) const;
   std::string storedValue(const std::string &Table,
                           const std::string &Key) const;
   bool isOpen(const std::string &Task) const;
@@ -155,6 +159,7 @@
   /// Whether messages are kept and starts are checked, which takes longer than
   /// the owner's work on large fleets.
   bool KeepsHistory = true;
+  bool MovesEndedJobs = true; ///< Of owners that take over from then on.
   bool StoreDown = false;
   bool FeedsSilent = false; ///< Instance list and job feed are not confirmed.
   bool StoreSilent = false; ///< Commits get no answer and are not carried out.
--- a/tests/unit/JobWriterTest.cpp
+++ b/tests/unit/JobWriterTest.cpp
@@ -1,5 +1,9 @@
 #include "node/JobWriter.h"
 
+#include "cell/EndedJob.h"
+#include "cell/OwnerRow.h"
+
+#include <algorithm>
 #include <map>
 
 #include <CppUTest/TestHarness.h>
@@ -36,6 +40,16 @@
   return Job;
 }
 
+bool isRequiredAbsent(const store::Transaction &Tx, const std::string &Table,
+                      const std::string &Key) {
+  return std::any_of(Tx.Preconditions.begin(), Tx.Preconditions.end(),
+                     [&](const store::Precondition &Condition) {
+                       return Condition.Table == Table &&
+                              Condition.Key == Key &&
+                              Condition.Version == store::AbsentVersion;
+                     });
+}
+
 } // namespace
 
 // clang-format off
@@ -110,6 +124,40 @@
   LONGS_EQUAL(3, Store.Transactions[2].Writes.size());
 }
 
+/// Guards against a job that runs again because a copy of its request, or of
+/// its write, arrives after it has ended.
+TEST(WhileABatchIsInFlight, AJobThatHasEndedIsNotStoredAgain) {
+  Store.answer(0, {.Outcome = store::TransactionOutcome::Committed});
+  for (int Number : {3, 4}) {
+    for (const char *Table : {cell::JobTable, cell::EndedTable})
+      CHECK(isRequiredAbsent(Store.Transactions[1], Table, makeJob(Number).Id));
+  }
+  cell::JobSpec OtherJob = makeJob(4);
+  OtherJob.Payload = "other";
+  store::TransactionResult Conflict{.Outcome =
+                                        store::TransactionOutcome::Conflict};
+  for (const cell::JobSpec &Job : {makeJob(3), OtherJob})
+    Conflict.CurrentRows.push_back(
+        {.Table = cell::EndedTable,
+         .Key = Job.Id,
+         .Value = cell::encodeEndedJob({.Phase = cell::JobPhase::Completed,
+                                        .EndedMs = 7,
+                                        .WorkHash = cell::workHash(Job)}),
+         .Version = 7});
+  Store.answer(1, Conflict);
+  CHECK(Outcomes[3] == WriteOutcome::StoredBefore);
+  CHECK(Outcomes[4] == WriteOutcome::OtherWork);
+  LONGS_EQUAL(2, Store.Transactions[2].Writes.size());
+}
+
+TEST(AnEntryThatStoresJobs, ABatchStaysWithinTheStoresLimit) {
+  constexpr int MoreThanABatch = 99;
+  for (int I = 0; I <= MoreThanABatch; ++I)
+    add(I);
+  Store.answer(0, {.Outcome = store::TransactionOutcome::Committed});
+  CHECK(Store.Transactions[1].entryCount() <= store::MaxTransactionEntries);
+}
+
 TEST(WhileABatchIsInFlight, ARefusedJobIsReportedAtOnce) {
   Store.answer(0, {.Outcome = store::TransactionOutcome::NotApplied});
   CHECK(Outcomes[1] == WriteOutcome::Refused);
