TWICE: a lease by the clock of an earlier incarnation is remembered

Cause: a renewal that carries a lease end by the clock of an earlier incarnation gives the next one, whose clock reads less, a lease of 10 s. The owner forgot this when it sent another renewal without a lease before any was answered, and took runs there for over after 4 to 5 s: two runs at once if the executor is cut off. Found by review.

Ruled out: counting the long lease in the owner's row for all executors (every lasting task would wait for it after a takeover).

Change: a grant counts as unanswered until a renewal is answered; a lease that a successor knows of is never shortened when a job is restored; a lasting task is not placed where its loss would be known only after the bound; an announcement of leaving isn't taken over by the next incarnation; a clock reading is a sign of a restart only if it is older than any answer may be.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -262,8 +262,8 @@
                                       "progress", nullptr, Now);
       Task.Inherited = true;
       Pool[Task.Executor].Info.Address = StoredTask.Address;
-      Pool[Task.Executor].InheritedLeaseEnd =
-          inheritedLeaseEndOn(StoredTask.Executor);
+      TimePoint &LeaseEnd = Pool[Task.Executor].InheritedLeaseEnd;
+      LeaseEnd = std::max(LeaseEnd, inheritedLeaseEndOn(StoredTask.Executor));
       Pool.reserve(Task.Executor, demandOf(Key.spec()));
       Task.CapacityReserved = true;
       openRun(Key);
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -41,6 +41,7 @@
   auto Index = static_cast<ExecutorIndex>(Executors.size());
   executor::ExecutorInfo Info = Executors[Newest].Info;
   Info.Born = Born;
+  Info.Draining = false;
   bool IsListed = Executors[Newest].Listed || Executors[Newest].EntryOutdated;
   Executors[Newest].Listed = false;
   Executors[Newest].EntryOutdated = false;
@@ -169,14 +170,11 @@
     return;
   // Answers may arrive out of order; older readings are ignored.
   if (Executor.ClockKnown && *ClockMs <= Executor.ClockMs) {
-    if (*ClockMs < Executor.ClockMs) {
+    if (*ClockMs < Executor.ClockMs - MaxAnswerDelay.count()) {
       Executor.InDoubt = true;
       Executor.DoubtedAt = Now;
+      recordLongLease(Index, Now);
     }
-    if (*ClockMs < Executor.ClockMs - MaxAnswerDelay.count())
-      Executor.InheritedLeaseEnd =
-          std::max(Executor.InheritedLeaseEnd,
-                   Now + maxLeaseTime(Options, MaxGrantedLease));
     return;
   }
   Executor.ClockMs = *ClockMs;
@@ -184,6 +182,13 @@
   Executor.ClockKnown = true;
 }
 
+void ExecutorPool::recordLongLease(ExecutorIndex Index, TimePoint Now) {
+  ExecutorState &Executor = Executors[Index];
+  Executor.LongLeaseEnd = Now + maxLeaseTime(Options, MaxGrantedLease);
+  Executor.InheritedLeaseEnd =
+      std::max(Executor.InheritedLeaseEnd, Executor.LongLeaseEnd);
+}
+
 std::optional<int64_t> ExecutorPool::extendLease(ExecutorIndex Index,
                                                  TimePoint Now) {
   ExecutorState &Executor = Executors[Index];
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -125,7 +125,7 @@
   TimePoint DoubtedAt{}; ///< The last sign of it.
   /// The newest instance list describes an earlier incarnation.
   bool EntryOutdated = false;
-  /// The newest renewal has granted a lease and has not been answered.
+  /// A renewal has granted a lease since the last one that was answered.
   bool GrantUnanswered = false;
   TimePoint RenewalSentAt{};
   TimePoint RenewalAnsweredAt{}; ///< The one before.
@@ -144,6 +144,8 @@
 
   Resources Reserved;            ///< By open and placed runs.
   uint32_t OpenRuns = 0;         ///< Runs that were recorded and are not over.
+  /// The latter alone.
+  TimePoint LongLeaseEnd{};
   uint64_t LastProcessedEnd = 0; ///< Number of the newest run end processed.
   uint64_t AcknowledgedEnd = 0;
   std::deque<ListedEnd> UnacknowledgedEnds;
@@ -219,12 +221,19 @@
   TimePoint leasesEnd(ExecutorIndex Index) const;
   /// Whether leases of earlier owners may outlast this owner's.
   bool isInheritedWaitLonger(ExecutorIndex Index) const;
+  /// A lease by the clock of an earlier incarnation may have been granted.
+  void recordLongLease(ExecutorIndex Index, TimePoint Now);
   bool areLeasesExpired(ExecutorIndex Index, TimePoint Now) const {
     return Executors[Index].Ended || Now > leasesEnd(Index);
   }
 
   void recordSuccess(ExecutorIndex Index);
   void recordFailure(ExecutorIndex Index, TimePoint Now);
+  /// Whether a loss now would be known in time to restart lasting tasks. Not
+  /// while a lease by the clock of an earlier incarnation may last.
+  bool isLossKnownInTime(ExecutorIndex Index, TimePoint Now) const {
+    return Executors[Index].LongLeaseEnd <= Now + maxLossDetection(Options);
+  }
 
   const LeaseOptions &options() const { return Options; }
 
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -128,8 +128,7 @@
   }
   // What was sent by the clock of the earlier one.
   if (HoldsLease)
-    Pool[Later].InheritedLeaseEnd =
-        Now + maxLeaseTime(Options.Leases, MaxGrantedLease);
+    Pool.recordLongLease(Later, Now);
   refuseLateStarts(Earlier, Later, Now);
   endIncarnation(Earlier, std::move(CrashedRuns), Now);
 }
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -186,7 +186,7 @@
                         Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
     if (mayGrantLease(I, Now) && !Executor.InDoubt)
       Command.Call.LeaseEndMs = Pool.extendLease(I, Now);
-    Executor.GrantUnanswered = Command.Call.LeaseEndMs.has_value();
+    Executor.GrantUnanswered |= Command.Call.LeaseEndMs.has_value();
     if (Executor.TokenConfirmed && !Executor.InDoubt)
       Command.Call.MaxWait = Executor.OpenRuns > 0
                                  ? Options.Leases.BusyRenewalWait
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -40,6 +40,8 @@
     return false;
   if (isTooSlow(Load) || (Request.AvoidSuspects && Executor.Suspects > 0))
     return false;
+  if (Request.Step->LongRunning && !Pool.isLossKnownInTime(Index, Now))
+    return false;
   if (!Request.Rack.empty() && Executor.Info.Rack != Request.Rack)
     return false;
   if (!isAllowed(Request.Permissions, Index))
