TWICE: stops that have late starts refused are sent until confirmed

Cause: a start without an answer may be carried out 12 s later, by the next incarnation under the id, also after its run is done. The stop that makes that one refuse it was sent once; if it was lost the task ran again. Found by review.

Change: it is sent each 0.3 s until it is confirmed or no copy can come any more.

Measured: IsToldAgainWhichStartsToRefuse failed before ("started after it was done"), passes now.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -484,6 +484,7 @@
   void dropStartsBeyondCapacity(TimePoint Now);
   void dropStartsOnLeavingExecutors(TimePoint Now);
   void emitOrders(TimePoint Now);
+  void emitRefusals(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
   void emitRenewals(TimePoint Now);
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -106,6 +106,9 @@
 struct LateStart {
   executor::RunId Id;
   TimePoint Until{}; ///< Not after this.
+  /// The run is over: stops are sent until one is confirmed.
+  bool IsToBeRefused = false;
+  TimePoint NextStopAt{};
 };
 
 /// One incarnation of an executor and the owner's state for it.
@@ -208,6 +211,11 @@
   /// A start got no answer.
   void recordLateStart(ExecutorIndex Index, const executor::RunId &Id,
                        TimePoint Now);
+  /// The executor has confirmed a stop, and will refuse starts of the run.
+  void recordRefusal(ExecutorIndex Index, const executor::RunId &Id) {
+    for (LateStart &Start : Executors[Index].LateStarts)
+      Start.IsToBeRefused &= Start.Id != Id;
+  }
   /// Whether a copy of a start may still be carried out.
   bool mayStartLate(ExecutorIndex Index, const executor::RunId &Id,
                     TimePoint Now) const;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -95,16 +95,12 @@
 /// may still be carried out.
 void CellOwner::refuseLateStarts(ExecutorIndex Earlier, ExecutorIndex Later,
                                  TimePoint Now) {
-  for (const LateStart &Start : Pool[Earlier].LateStarts) {
+  for (LateStart Start : Pool[Earlier].LateStarts) {
     if (Now > Start.Until)
       continue;
-    Pool[Later].LateStarts.push_back(Start);
-    if (findOpenRun(Start.Id, Later))
-      continue;
-    Commands.Stops.push_back({.Executor = Later,
-                              .Order = {.Target = targetOf(Later),
-                                        .Id = Start.Id,
-                                        .FencingToken = Row.Epoch}});
+    Start.IsToBeRefused = !findOpenRun(Start.Id, Later);
+    Start.NextStopAt = {};
+    Pool[Later].LateStarts.push_back(std::move(Start));
   }
 }
 
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -123,9 +123,28 @@
   }
 }
 
+/// Sends the stops that make an incarnation refuse starts of runs that are
+/// over.
+void CellOwner::emitRefusals(TimePoint Now) {
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (Pool[I].Ended || Pool[I].Info.Address.empty())
+      continue;
+    for (LateStart &Start : Pool[I].LateStarts) {
+      if (!Start.IsToBeRefused || Now > Start.Until || Now < Start.NextStopAt)
+        continue;
+      Start.NextStopAt = Now + StopRetryDelay;
+      Commands.Stops.push_back({.Executor = I,
+                                .Order = {.Target = targetOf(I),
+                                          .Id = Start.Id,
+                                          .FencingToken = Row.Epoch}});
+    }
+  }
+}
+
 void CellOwner::emitOrders(TimePoint Now) {
   dropStartsBeyondCapacity(Now);
   dropStartsOnLeavingExecutors(Now);
+  emitRefusals(Now);
   for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
     if (Pool[I].Info.Address.empty() || Pool[I].Ended)
       continue;
@@ -282,8 +301,10 @@
 
 void CellOwner::onStop(const executor::RunId &Id, ExecutorIndex Index,
                        const executor::OrderAnswer &Answer, TimePoint Now) {
-  if (Answer.Outcome == OrderOutcome::Done)
+  if (Answer.Outcome == OrderOutcome::Done) {
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
+    Pool.recordRefusal(Index, Id);
+  }
   if (Answer.Outcome == OrderOutcome::Fenced)
     Deposed = true;
   if (Answer.Outcome == OrderOutcome::Replaced)
