Crashes count for runs that a restart has ended, not for moved ones

Cause: when an executor starts again under its id, runs whose start may have reached the next incarnation become its runs; the crash was counted for them too, so that a task could be given up whose runs had not been lost.

Change: the crash is counted after the moves, for what stayed. No test of its own: the tests of RestartUnderIdTest and CrashingTaskTest pass.

--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -111,7 +111,6 @@
   Pool[Later].NextRenewalAt =
       Answer ? Now + Options.Leases.MinRenewalInterval : Now;
   bool HoldsLease = Pool[Earlier].GrantUnanswered;
-  std::vector<LostRun> CrashedRuns = lostRunsOn(Earlier);
   std::vector<TaskKey> Runs = OpenRunsByExecutor[Earlier];
   for (const TaskKey &Key : Runs) {
     if (!mayReachNext(Key, Now))
@@ -126,7 +125,8 @@
   if (HoldsLease)
     Pool.recordLongLease(Later, Now);
   refuseLateStarts(Earlier, Later, Now);
-  endIncarnation(Earlier, std::move(CrashedRuns), Now);
+  // Moved runs may still go on, or have never begun before the restart.
+  endIncarnation(Earlier, lostRunsOn(Earlier), Now);
 }
 
 void CellOwner::onIncarnationEnded(ExecutorIndex Index, TimePoint Now) {
