SHORT: room is kept for urgent steps only while a call asks for it

Cause: room was kept for each urgent step without a place, also for one that only full executors suit and that no call asks about. With a stream of these, long work waited for 17 s beside 40 idle executors.

Change: a step keeps room while its call about further executors is younger than 0.3 s.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -411,7 +411,8 @@
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
-  void keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue);
+  void keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                TimePoint Now);
   void planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                  TimePoint Now);
   void planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -65,6 +65,7 @@
   std::vector<LiveTask> Tasks;
   std::map<ExecutorIndex, Permission> Permissions;
   bool AdvicePending = false; ///< A call that names further executors.
+  TimePoint AdviceAskedAt{};  ///< When that call was requested.
   uint32_t OpenRenewals = 0;  ///< Calls that renew tickets.
   TimePoint AdvisedAt{};      ///< Last answer that named further executors.
   TimePoint NextAdviceAt{};
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -78,6 +78,7 @@
     return;
   }
   Step.AdvicePending = true;
+  Step.AdviceAskedAt = Now;
   emitAdviceCall(Waiting, JobQueue,
                  IsFirst ? AdviceReason::First : AdviceReason::Further,
                  std::move(Named), Now);
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -217,7 +217,7 @@
       Step.PreparedExecutors.clear();
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty()) {
       requestAdvice(Waiting, *JobQueue, Now);
-      keepRoom(Waiting, *JobQueue);
+      keepRoom(Waiting, *JobQueue, Now);
       continue;
     }
     if (Waiting.spec().Gang)
@@ -282,17 +282,23 @@
   // capacity.
   if (JobQueue && JobQueue->Advice) {
     requestAdvice(Waiting, *JobQueue, Now);
-    keepRoom(Waiting, *JobQueue);
+    keepRoom(Waiting, *JobQueue, Now);
   }
 }
 
 /// Keeps free capacity for the step's tasks that have no place, more than they
-/// need by the share of executors that the policy refuses.
-void CellOwner::keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue) {
+/// need by the share of executors that the policy refuses. Only while a call
+/// asks about executors that may have it.
+void CellOwner::keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                         TimePoint Now) {
+  /// A call without an answer for longer keeps no room.
+  constexpr Millis MaxRoomWait{300};
   const StepSpec &Spec = Waiting.spec();
   if (Spec.Gang || Spec.LongRunning)
     return;
   const LiveStep &Step = Waiting.step();
+  if (!Step.AdvicePending || Now > Step.AdviceAskedAt + MaxRoomWait)
+    return;
   auto Tasks = std::count_if(
       Step.Tasks.begin(), Step.Tasks.end(),
       [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
