--- a/src/node/EndedLoader.cpp
+++ b/src/node/EndedLoader.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/OwnerRow.h"
 #include "common/Log.h"
+#include "node/ServiceLoader.h"
 
 namespace daisylanding::node {
 
@@ -14,8 +15,10 @@
 } // namespace
 
 void EndedLoader::readPage(const std::string &FromKey) {
-  store::RangeRead Range{
-      .Table = cell::EndedTable, .Partition = Service, .From = FromKey};
+  store::RangeRead Range{.Table = cell::EndedTable,
+                         .Partition = Service,
+                         .From = FromKey,
+                         .Limit = JobPageRows};
   Store.read(Range, [this, FromKey](const Result<store::RowPage> &Page) {
     if (!Page) {
       readPageLater(FromKey);
