--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -484,8 +484,8 @@
   bool awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const;
   void dropStartsBeyondCapacity(TimePoint Now);
   void dropStartsOnLeavingExecutors(TimePoint Now);
-  void emitOrders(TimePoint Now);
   void emitRefusals(TimePoint Now);
+  void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
   void emitRenewals(TimePoint Now);
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -144,11 +144,11 @@
   /// Time by which all leases of earlier owners have expired, and those that
   /// were meant for an earlier incarnation.
   TimePoint InheritedLeaseEnd{};
+  /// The latter alone.
+  TimePoint LongLeaseEnd{};
 
   Resources Reserved;            ///< By open and placed runs.
   uint32_t OpenRuns = 0;         ///< Runs that were recorded and are not over.
-  /// The latter alone.
-  TimePoint LongLeaseEnd{};
   uint64_t LastProcessedEnd = 0; ///< Number of the newest run end processed.
   uint64_t AcknowledgedEnd = 0;
   std::deque<ListedEnd> UnacknowledgedEnds;
@@ -221,27 +221,27 @@
                     TimePoint Now) const;
   void recordAnswer(ExecutorIndex Index, const std::optional<int64_t> &ClockMs,
                     TimePoint Now);
+  /// A lease by the clock of an earlier incarnation may have been granted.
+  void recordLongLease(ExecutorIndex Index, TimePoint Now);
   /// The lease end to request now, in ms on the executor's clock; none before
   /// that clock is known.
   std::optional<int64_t> extendLease(ExecutorIndex Index, TimePoint Now);
   /// When every lease that was granted there so far has expired, including
   /// those of orders still in flight.
   TimePoint leasesEnd(ExecutorIndex Index) const;
+  /// Whether a loss now would be known in time to restart lasting tasks. Not
+  /// while a lease by the clock of an earlier incarnation may last.
+  bool isLossKnownInTime(ExecutorIndex Index, TimePoint Now) const {
+    return Executors[Index].LongLeaseEnd <= Now + maxLossDetection(Options);
+  }
   /// Whether leases of earlier owners may outlast this owner's.
   bool isInheritedWaitLonger(ExecutorIndex Index) const;
-  /// A lease by the clock of an earlier incarnation may have been granted.
-  void recordLongLease(ExecutorIndex Index, TimePoint Now);
   bool areLeasesExpired(ExecutorIndex Index, TimePoint Now) const {
     return Executors[Index].Ended || Now > leasesEnd(Index);
   }
 
   void recordSuccess(ExecutorIndex Index);
   void recordFailure(ExecutorIndex Index, TimePoint Now);
-  /// Whether a loss now would be known in time to restart lasting tasks. Not
-  /// while a lease by the clock of an earlier incarnation may last.
-  bool isLossKnownInTime(ExecutorIndex Index, TimePoint Now) const {
-    return Executors[Index].LongLeaseEnd <= Now + maxLossDetection(Options);
-  }
 
   const LeaseOptions &options() const { return Options; }
 
