TWICE: an offer requires that its job has not ended, also once ended jobs are read

Cause: a successor reads the rows of ended jobs while it works, and dropped the condition on them for offers from the end of that read on. A copy of a request that was offered before the row of its job was read, and stored by a commit after the read, found its job in neither place: all its tasks ran again as run 1.

Ruled out: a late write of an entry (it always has the condition); the job feed (it continues after the takeover's version).

Change: each offer has the condition, and the row is remembered also if the job is being offered. An offer takes three of a commit's hundred entries. The test that held the saved entry is replaced by one that requires the condition; it was wrong, as what the owner remembers is not complete while rows are read.

Measured: ALateCopyThatIsOfferedWhileRowsAreReadDoesNotRun failed before (stored and run again), passes now, with the other tests of EndedJobTest.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -202,9 +202,6 @@
   /// Adds a job from the table of ended jobs.
   void addEndedRow(const std::string &JobId, const EndedJob &Ended,
                    TimePoint Now);
-  /// `addEndedRow` has been called for each job that ended under earlier
-  /// owners, so that a job that is not known is in no table.
-  void finishEndedLoad() { KnowsEndedJobs = true; }
   /// Sets the present latency of store reads, in ms.
   void setStoreReadMs(double Ms) { StoreReadMs = Ms; }
   /// The store answers again after a silence: a commit that it didn't answer is
@@ -543,7 +540,6 @@
   std::deque<std::pair<TimePoint, std::string>> Removals;
   std::deque<std::string> RowsToMove; ///< Of `EndedJobs`.
   bool MovesEndedJobs = false;
-  bool KnowsEndedJobs = false;
   std::vector<std::vector<TaskKey>> OpenRunsByExecutor;
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -275,8 +275,7 @@
     Tx.Preconditions.push_back({.Table = JobTable, .Key = cancelKey(Id)});
   if (!Job.Stored) {
     Tx.Preconditions.push_back({.Table = JobTable, .Key = Id});
-    if (!KnowsEndedJobs)
-      Tx.Preconditions.push_back({.Table = EndedTable, .Key = Id});
+    Tx.Preconditions.push_back({.Table = EndedTable, .Key = Id});
     Tx.Writes.push_back(
         {.Table = JobTable, .Key = Id, .Value = encodeJob(Job.Spec)});
     Commit.OfferedJobs.push_back(Id);
@@ -391,7 +390,7 @@
 
 /// Offers that one commit has entries for beside the stored jobs.
 size_t CellOwner::offersPerCommit() const {
-  const size_t EntriesPerOffer = KnowsEndedJobs ? 2 : 3;
+  constexpr size_t EntriesPerOffer = 3;
   auto StoredJobs = static_cast<size_t>(
       std::count_if(DirtyJobs.begin(), DirtyJobs.end(), [&](const auto &Entry) {
         return Jobs.at(Entry.first).Stored;
--- a/src/cell/OwnerEnded.cpp
+++ b/src/cell/OwnerEnded.cpp
@@ -60,10 +60,12 @@
 
 void CellOwner::addEndedRow(const std::string &JobId, const EndedJob &Ended,
                             TimePoint Now) {
-  if (findJob(JobId)) {
+  const LiveJob *Existing = findJob(JobId);
+  if (Existing && Existing->Stored) {
     logError("ended-job-stored-again", "job={}", JobId);
     return;
   }
+  // The commit of an offer of this job is refused.
   if (EndedJobs.try_emplace(JobId, KnownEnd{.Job = Ended, .Moved = true})
           .second)
     Removals.emplace_back(Now + 2 * Options.StatusRetention, JobId);
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -214,7 +214,6 @@
       [this, Now] {
         logInfo("ended-jobs-loaded", "service={} epoch={} took_ms={}", Service,
                 OwnRow.Epoch, toMillis(monotonicNow() - Now));
-        Owner->finishEndedLoad();
       });
   LoaderOfEnded->start();
 }
--- a/tests/unit/EndedJobTest.cpp
+++ b/tests/unit/EndedJobTest.cpp
@@ -157,6 +157,25 @@
   CHECK(Sim.storedPhase(EndedId) == JobPhase::Completed);
 }
 
+/// Guards against an offer that finds the job in neither place, since its row
+/// was read while the offer waited for a commit.
+TEST(AfterATakeover, ALateCopyThatIsOfferedWhileRowsAreReadDoesNotRun) {
+  std::optional<OfferOutcome> Outcome;
+  Sim.Owner->offer({.Job = endedJob(0),
+                    .TimeLeft = Millis(5'000),
+                    .Done = [&](OfferOutcome Result) { Outcome = Result; }},
+                   Sim.Now, Sim.Now);
+  Sim.Owner->addEndedRow(EndedId,
+                         {.Phase = JobPhase::Completed,
+                          .EndedMs = 1,
+                          .WorkHash = workHash(endedJob(0))},
+                         Sim.Now);
+  Sim.runFor(3'000);
+  CHECK(Outcome == OfferOutcome::StoredBefore);
+  CHECK_EQUAL(size_t{1}, Sim.runsOf(std::string(EndedId) + ".0.0.0"));
+  CHECK_EQUAL(size_t{LiveJobs}, Sim.Owner->liveJobCount());
+}
+
 TEST(AfterATakeover, ANewJobBesideALateCopyIsStored) {
   JobSpec NewJob = endedJob(EndedJobs);
   Sim.registerJob(NewJob);
@@ -189,7 +208,6 @@
     Loader.start();
     while (!Done)
       TimerQueue.runDue(monotonicNow() + Millis(1'000));
-    Sim.Owner->finishEndedLoad();
   }
 };
 // clang-format on
@@ -219,15 +237,20 @@
   CHECK_EQUAL(size_t{1}, Sim.runsOf(std::string(EndedId) + ".0.0.0"));
 }
 
-TEST(OnceTheEndedJobsAreRead, AnOfferTakesNoFurtherEntry) {
+/// What the owner remembers is not enough: rows are read while jobs are
+/// offered.
+TEST(OnceTheEndedJobsAreRead, AnOfferStillRequiresThatItsJobHasNotEnded) {
   JobSpec NewJob = endedJob(EndedJobs);
   Sim.registerJob(NewJob);
   offer(NewJob);
   CHECK(Outcomes.at(NewJob.Id) == OfferOutcome::Stored);
+  bool IsRequired = false;
   for (const store::Transaction &Tx : Sim.AppliedCommits) {
     for (const store::Precondition &Condition : Tx.Preconditions)
-      CHECK(Condition.Table != EndedTable || Condition.Key != NewJob.Id);
+      IsRequired = IsRequired || (Condition.Table == EndedTable &&
+                                  Condition.Key == NewJob.Id);
   }
+  CHECK(IsRequired);
 }
 
 TEST(OnceTheEndedJobsAreRead, TheirRowsAreRemovedAfterTheirRetention) {
