TWICE: ends of a gang's other members wait until it is stored that it is done

Cause: the first end as done of a gang ends it as a whole; the ends of its other members then find no open run and were acknowledged with the next confirmed commit, also one that was built before the gang was done. If the owner is lost before that is stored, and its successor can't reach the one executor that still lists its end, the others have forgotten theirs: the gang is taken for lost and runs again.

Change: an end that is ignored for a known job waits for what the job has to store.

Conclusion: an end is acknowledged only once a successor can do without it.

--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -283,6 +283,12 @@
     // The task is done, has been started again, or its job has ended.
     logInfo("run-end-ignored", "task={} run={} executor={} how={}", End.Id.Task,
             End.Id.Run, Executor.Info.Id, endName(End.Kind));
+    // That may not be stored yet: a successor needs the ends of all members of
+    // a gang.
+    if (auto Known = findTask(End.Id)) {
+      Unacknowledged.JobId = Known->Job->Spec.Id;
+      Unacknowledged.JobRevision = Known->Job->Revision;
+    }
   }
   Pool[Index].UnacknowledgedEnds.push_back(std::move(Unacknowledged));
 }
--- a/tests/unit/LapsedGangTest.cpp
+++ b/tests/unit/LapsedGangTest.cpp
@@ -51,6 +51,22 @@
   LONGS_EQUAL(Members, Sim.Started.size());
 }
 
+/// Guards against ends of members that their executors forget before it is
+/// stored that the gang is done: the next owner may hear only these.
+TEST(AGangOutOfReach, KeepsTheEndsOfAllMembersUntilItsEndIsStored) {
+  setReachable(true);
+  Sim.CommitTimeMs = 400;
+  CHECK(Sim.runUntil([&] { return Sim.executor(Executors[0]).EndCount > 0; },
+                     3'000));
+  size_t CommitsBefore = Sim.AppliedCommits.size();
+  CHECK(Sim.runUntil([&] { return Sim.AppliedCommits.size() > CommitsBefore; },
+                     1'000));
+  Sim.runFor(150);
+  CHECK(Sim.storedPhase(JobId) != JobPhase::Completed);
+  for (const std::string &Id : Executors)
+    CHECK_EQUAL(size_t{1}, Sim.executor(Id).Ended.size());
+}
+
 /// The next owner finds the leases expired before it has heard any executor.
 TEST(AGangOutOfReach, IsDoneForTheNextOwnerToo) {
   Sim.killOwner();
