Log why a lease lapsed, and what an ignored run end met

TWICE on the large deployment: a run that was done is started again by the same owner. The logs couldn't tell why no lease had been sent before a lapse (turns, unacknowledged ends, the row in the store, a silent executor), in which phase a task was when its end was ignored, nor when that end was acknowledged.

run-lapsed now states when a lease was last extended and a renewal last sent, whether one was pending or failed, unacknowledged ends, and whether the row allowed leases. run-end-ignored states the end's number, the task's phase and its newest run; ignored-end-acknowledged when the executor may forget it. No decision changes.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -347,6 +347,7 @@
   void restartStragglers(ExecutorIndex Index, TimePoint Now);
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void dropUnsentStarts(TimePoint Now);
+  void logLapse(const TaskKey &Key, TimePoint Now) const;
   void expireRuns(TimePoint Now);
 
   // Incarnations of executors.
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -198,7 +198,10 @@
                                Options.RenewalWindow.count());
   int64_t LeaseEndMs =
       Executor.ClockMs + ElapsedMs + Options.LeaseDuration.count();
-  Executor.MaxLeaseEndSent = std::max(Executor.MaxLeaseEndSent, LeaseEndMs);
+  if (LeaseEndMs > Executor.MaxLeaseEndSent) {
+    Executor.MaxLeaseEndSent = LeaseEndMs;
+    Executor.LeaseExtendedAt = Now;
+  }
   return Executor.MaxLeaseEndSent;
 }
 
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <deque>
 #include <limits>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -94,6 +95,8 @@
   uint64_t Number = 0;
   std::string JobId;
   uint64_t JobRevision = 0;
+  /// If it ended nothing here: the run, for the log of its acknowledgement.
+  std::optional<executor::RunId> IgnoredRun;
 };
 
 /// Reserved capacity of a run that is over but still listed by its executor.
@@ -141,6 +144,7 @@
   TimePoint ClockReadAt{};
   bool ClockKnown = false;
   int64_t MaxLeaseEndSent = 0; ///< Latest lease end in any order, on its clock.
+  TimePoint LeaseExtendedAt{}; ///< When that was sent.
   /// Time by which all leases of earlier owners have expired, and those that
   /// were meant for an earlier incarnation.
   TimePoint InheritedLeaseEnd{};
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -301,6 +301,10 @@
       if (Job && Job->RecordedRevision < Oldest.JobRevision)
         break;
       Executor.AcknowledgedEnd = Oldest.Number;
+      if (Oldest.IgnoredRun)
+        logInfo("ignored-end-acknowledged",
+                "task={} run={} executor={} number={}", Oldest.IgnoredRun->Task,
+                Oldest.IgnoredRun->Run, Executor.Info.Id, Oldest.Number);
       Executor.UnacknowledgedEnds.pop_front();
     }
   }
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -19,11 +19,13 @@
   return Names[static_cast<size_t>(Kind)];
 }
 
-/// Time in ms since the executor's last answer; -1 if it has given none.
+/// -1 if it never was.
+int64_t millisSince(TimePoint Past, TimePoint Now) {
+  return Past == TimePoint{} ? -1 : toMillis(Now - Past);
+}
+
 int64_t millisSinceAnswer(const ExecutorState &Executor, TimePoint Now) {
-  if (Executor.LastAnswerAt == TimePoint{})
-    return -1;
-  return toMillis(Now - Executor.LastAnswerAt);
+  return millisSince(Executor.LastAnswerAt, Now);
 }
 
 /// A run has no lease before its start has been sent.
@@ -281,11 +283,17 @@
     Unacknowledged.JobRevision = Key->Job->Revision;
   } else {
     // The task is done, has been started again, or its job has ended.
-    logInfo("run-end-ignored", "task={} run={} executor={} how={}", End.Id.Task,
-            End.Id.Run, Executor.Info.Id, endName(End.Kind));
+    auto Known = findTask(End.Id);
+    logInfo(
+        "run-end-ignored",
+        "task={} run={} executor={} how={} number={} phase={} newest_run={}",
+        End.Id.Task, End.Id.Run, Executor.Info.Id, endName(End.Kind),
+        End.Sequence, Known ? phaseName(Known->task().Phase) : "job-over",
+        Known ? Known->task().Run : 0);
+    Unacknowledged.IgnoredRun = End.Id;
     // That may not be stored yet: a successor needs the ends of all members of
     // a gang.
-    if (auto Known = findTask(End.Id)) {
+    if (Known) {
       Unacknowledged.JobId = Known->Job->Spec.Id;
       Unacknowledged.JobRevision = Known->Job->Revision;
     }
@@ -522,6 +530,23 @@
   }
 }
 
+/// Logs why no later lease was granted to the run's executor.
+void CellOwner::logLapse(const TaskKey &Key, TimePoint Now) const {
+  ExecutorIndex Index = Key.task().Executor;
+  const ExecutorState &Executor = Pool[Index];
+  logInfo("run-lapsed",
+          "task={} run={} executor={} heard_ms_ago={} leases_of={} "
+          "lease_sent_ms_ago={} renewal_sent_ms_ago={} renewal_pending={} "
+          "renewal_failed={} unacknowledged_ends={} row_allows_lease={}",
+          Key.name(), Key.task().Run, Executor.Info.Id,
+          millisSinceAnswer(Executor, Now),
+          Pool.isInheritedWaitLonger(Index) ? "earlier-owners" : "this-owner",
+          millisSince(Executor.LeaseExtendedAt, Now),
+          millisSince(Executor.RenewalSentAt, Now), Executor.RenewalPending,
+          Executor.RenewalFailed, Executor.UnacknowledgedEnds.size(),
+          mayGrantLease(Index, Now));
+}
+
 void CellOwner::expireRuns(TimePoint Now) {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     if (Pool[I].OpenRuns == 0 || !Pool.areLeasesExpired(I, Now))
@@ -532,11 +557,7 @@
           !mayHoldLease(Key.task()) || Now <= Key.task().LeaseHeldUntil)
         continue;
       ++Counts.ExpiredRuns;
-      logInfo("run-lapsed",
-              "task={} run={} executor={} heard_ms_ago={} leases_of={}",
-              Key.name(), Key.task().Run, Pool[I].Info.Id,
-              millisSinceAnswer(Pool[I], Now),
-              Pool.isInheritedWaitLonger(I) ? "earlier-owners" : "this-owner");
+      logLapse(Key, Now);
       Pool[I].LapsedRuns.push_back(lostRun(Key));
       Pool[I].LapsedRuns.back().HasLapsed = true;
       endRun(Key, EndKind::Expired, Now);
--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -276,6 +276,13 @@
   return PhaseNames[static_cast<size_t>(Phase)];
 }
 
+std::string_view phaseName(TaskPhase Phase) {
+  constexpr std::array<std::string_view, 7> Names = {
+      "waiting", "placed",   "recording", "starting",
+      "running", "stopping", "done"};
+  return Names[static_cast<size_t>(Phase)];
+}
+
 std::optional<JobPhase> phaseOf(std::string_view Name) {
   for (size_t I = 0; I < PhaseNames.size(); ++I) {
     if (PhaseNames[I] == Name)
--- a/src/cell/Progress.h
+++ b/src/cell/Progress.h
@@ -41,6 +41,8 @@
          Phase == TaskPhase::Running || Phase == TaskPhase::Stopping;
 }
 
+std::string_view phaseName(TaskPhase Phase);
+
 /// The stored state of a task.
 struct TaskProgress {
   TaskPhase Phase = TaskPhase::Waiting;
