Leases: a late renewal grants a full lease

Cause: a lease end is the executor's last clock reading, at most 0.9 s more, and 4 s. An owner that renews 3 s after the last answer so grants 1.9 s. The limit is there so that renewals without an answer don't postpone the end of a lost executor's leases; it took an owner's own lateness for that.

Ruled out: ends that weren't acknowledged (none), a row that didn't allow leases (it did), a silent executor.

Change: the 0.9 s count from the first lease end sent since the reading. What is added is reduced by the drift of a slow clock, so that the lease never outlasts what the owner's row states; before, it did by up to 18 ms, within the margin for clocks.

An owner that keeps up detects a loss as before (docs/TIME-BOUNDS.md).

--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -180,6 +180,7 @@
   Executor.ClockMs = *ClockMs;
   Executor.ClockReadAt = Now;
   Executor.ClockKnown = true;
+  Executor.FirstExtendedAt.reset();
 }
 
 void ExecutorPool::recordLongLease(ExecutorIndex Index, TimePoint Now) {
@@ -194,8 +195,15 @@
   ExecutorState &Executor = Executors[Index];
   if (!Executor.ClockKnown)
     return std::nullopt;
-  int64_t ElapsedMs = std::min(toMillis(Now - Executor.ClockReadAt),
-                               Options.RenewalWindow.count());
+  if (!Executor.FirstExtendedAt)
+    Executor.FirstExtendedAt = Now;
+  // An owner that is late with that call doesn't make the lease shorter.
+  TimePoint ExtendedUntil =
+      std::min(Now, *Executor.FirstExtendedAt + Options.RenewalWindow);
+  // The executor's clock reads at least this much more.
+  auto ElapsedMs = static_cast<int64_t>(
+      static_cast<double>(toMillis(ExtendedUntil - Executor.ClockReadAt)) *
+      (1 - Options.MaxClockDrift));
   int64_t LeaseEndMs =
       Executor.ClockMs + ElapsedMs + Options.LeaseDuration.count();
   if (LeaseEndMs > Executor.MaxLeaseEndSent) {
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -24,9 +24,9 @@
 /// of the store or of a zone's links, but `maxLossDetection` grows with them.
 struct LeaseOptions {
   Millis LeaseDuration{4'000}; ///< Length of a renewed lease.
-  /// At most this much time since the executor's last clock reading is added to
-  /// a lease end, so that failed renewals don't extend the lease. Longer than
-  /// `BusyRenewalWait`.
+  /// After the first call since the executor's last clock reading, leases are
+  /// extended for this long, so that failed renewals don't extend them. Longer
+  /// than `BusyRenewalWait`.
   Millis RenewalWindow{900};
   /// Share by which an executor's clock may run slower than true time.
   double MaxClockDrift = 0.02;
@@ -145,6 +145,8 @@
   bool ClockKnown = false;
   int64_t MaxLeaseEndSent = 0; ///< Latest lease end in any order, on its clock.
   TimePoint LeaseExtendedAt{}; ///< When that was sent.
+  /// The first lease end since the last clock reading was sent then.
+  std::optional<TimePoint> FirstExtendedAt;
   /// Time by which all leases of earlier owners have expired, and those that
   /// were meant for an earlier incarnation.
   TimePoint InheritedLeaseEnd{};
