Owner: count the end of a run while no later one has begun

A task whose run had been done was started once more: an owner that took the run for lapsed heard of its end while the next start was in a commit, or stored and not sent, or after that start had been refused. It ignored the end, acknowledged it, and started the next run.

Cause: the end was judged by the state of the next run (it counted while the task waited or was placed, and only for its newest number), not by whether that run may have begun. Ruled out: the end being lost by its number (the log shows `run-end-ignored how=done`, and the same executor).

A task now keeps the newest run that an executor may have begun. An end as done counts while no later run is among these; a start that is only recorded is dropped, and its place released. A commit in flight that records it changes nothing: its start is no longer current. A gang counts as a whole, only if no member's later run may have begun. A placed member of a gang that is done releases its place.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -256,8 +256,10 @@
       bool NotSent = StoredTask.Phase == TaskPhase::Recording ||
                      StoredTask.Phase == TaskPhase::Starting;
       Job.Started = Job.Started || !NotSent || StoredTask.Failures > 0;
+      Task.LastBegunRun = Task.Run;
       if (!isOpen(StoredTask.Phase))
         continue;
+      Task.LastBegunRun = Task.Run - 1;
       Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
                                       "progress", nullptr, Now);
       Task.Inherited = true;
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -326,11 +326,13 @@
   void openRun(const TaskKey &Key);
   void closeRun(const TaskKey &Key, TaskPhase NextPhase);
   void dropRefusedStart(const TaskKey &Key, TimePoint Now);
+  void dropStart(const TaskKey &Key, TimePoint Now);
   void beginStop(const TaskKey &Key, TimePoint Now);
   void stopAllRuns(LiveJob &Job, TimePoint Now);
   void stopBrokenGangs(LiveJob &Job, TimePoint Now);
   std::optional<TaskKey> findGivenUpRun(const executor::RunEnd &End);
   void endGivenUpRun(const TaskKey &Key, TimePoint Now);
+  void takeForDone(const TaskKey &Key);
   void onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                 TimePoint Now);
   void endRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -17,6 +17,8 @@
 struct LiveTask {
   TaskPhase Phase = TaskPhase::Waiting;
   uint32_t Run = 0;
+  /// The newest run that is over and that an executor may have begun.
+  uint32_t LastBegunRun = 0;
   uint32_t Failures = 0;
   uint32_t Crashes = 0;   ///< Executors that crashed under its runs.
   bool IsSuspect = false; ///< Counted in `Suspects` of `Executor`.
@@ -51,6 +53,22 @@
   TimePoint TicketedAt{}; ///< Placed and with a valid ticket, if it needs one.
 };
 
+/// Whether the start of the open run may have been sent. If not, it holds no
+/// lease either.
+inline bool mayHaveBegun(const LiveTask &Run) {
+  if (Run.Phase != TaskPhase::Recording && Run.Phase != TaskPhase::Starting)
+    return true;
+  return Run.Phase == TaskPhase::Starting &&
+         (Run.OrderPending || Run.StartUnanswered || Run.Confirmed ||
+          Run.Inherited || Run.StartAttempts > 0);
+}
+
+/// The newest run of the task that an executor may have begun.
+inline uint32_t newestBegunRun(const LiveTask &Task) {
+  bool IsOpenRunNewest = isOpen(Task.Phase) && mayHaveBegun(Task);
+  return IsOpenRunNewest ? Task.Run : Task.LastBegunRun;
+}
+
 /// Whether the policy allows a step on one executor, and the ticket for it.
 struct Permission {
   bool Allowed = false;
--- a/src/cell/OwnerCrashes.cpp
+++ b/src/cell/OwnerCrashes.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Whether the executor may have begun the run.
-bool mayHaveBegun(const LiveTask &Run) {
+/// Whether a crash of its executor counts for the run.
+bool mayHaveCrashed(const LiveTask &Run) {
   return Run.Confirmed || Run.OrderPending || Run.StartUnanswered ||
          Run.Inherited;
 }
@@ -42,7 +42,7 @@
 std::vector<LostRun> CellOwner::lostRunsOn(ExecutorIndex Index) const {
   std::vector<LostRun> Runs;
   for (const TaskKey &Key : OpenRunsByExecutor[Index]) {
-    if (mayHaveBegun(Key.task()))
+    if (mayHaveCrashed(Key.task()))
       Runs.push_back(lostRun(Key));
   }
   return Runs;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -153,8 +153,12 @@
   Executor.LapsedRuns.clear();
   std::vector<TaskKey> LostRuns = OpenRunsByExecutor[Index];
   for (const TaskKey &Key : LostRuns) {
-    if (isOpen(Key.task().Phase) && Key.task().Executor == Index)
+    if (!isOpen(Key.task().Phase) || Key.task().Executor != Index)
+      continue; // Ended with another member of its gang.
+    if (mayHaveBegun(Key.task()))
       endRun(Key, executor::EndKind::Expired, Now);
+    else
+      dropStart(Key, Now);
   }
   countCrash(Index, CrashedRuns, Now);
 }
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -28,15 +28,6 @@
   return millisSince(Executor.LastAnswerAt, Now);
 }
 
-/// A run has no lease before its start has been sent.
-bool mayHoldLease(const LiveTask &Run) {
-  if (Run.Phase == TaskPhase::Recording)
-    return false;
-  bool IsStartSent = Run.OrderPending || Run.StartUnanswered || Run.Confirmed ||
-                     Run.Inherited || Run.StartAttempts > 0;
-  return Run.Phase != TaskPhase::Starting || IsStartSent;
-}
-
 } // namespace
 
 void CellOwner::placeTask(const TaskKey &Key, ExecutorIndex Index,
@@ -116,7 +107,14 @@
     beginStop(Key, Now);
     return;
   }
+  dropStart(Key, Now);
+}
+
+/// Ends a run that never began.
+void CellOwner::dropStart(const TaskKey &Key, TimePoint Now) {
+  uint32_t LastBegunRun = Key.task().LastBegunRun;
   endRun(Key, EndKind::Stopped, Now);
+  Key.task().LastBegunRun = LastBegunRun;
 }
 
 void CellOwner::beginStop(const TaskKey &Key, TimePoint Now) {
@@ -172,28 +170,37 @@
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     TaskKey OtherMember = Key;
     OtherMember.Position.Index = I;
-    LiveTask &Member = Step.Tasks[I];
     if (I == Key.Position.Index)
       continue;
-    if (Kind != EndKind::Done) {
+    if (Kind == EndKind::Done)
+      takeForDone(OtherMember);
+    else
       beginStop(OtherMember, Now);
-      continue;
-    }
-    if (!isOpen(Member.Phase)) {
-      Member.Phase = TaskPhase::Done;
-      continue;
-    }
+  }
+}
+
+/// Takes the task for done, whatever has become of its newest run.
+void CellOwner::takeForDone(const TaskKey &Key) {
+  LiveTask &Task = Key.task();
+  if (Task.Phase == TaskPhase::Placed)
+    unplaceTask(Key);
+  if (!isOpen(Task.Phase)) {
+    Task.Phase = TaskPhase::Done;
+    return;
+  }
+  if (mayHaveBegun(Task)) {
     // Its capacity is released when its executor no longer lists it.
-    Pool[Member.Executor].LingeringRuns.push_back(
-        {{OtherMember.name(), Member.Run}, demandOf(OtherMember.spec())});
-    Member.CapacityReserved = false;
-    closeRun(OtherMember, TaskPhase::Done);
+    Pool[Task.Executor].LingeringRuns.push_back(
+        {{Key.name(), Task.Run}, demandOf(Key.spec())});
+    Task.CapacityReserved = false;
   }
+  closeRun(Key, TaskPhase::Done);
 }
 
 void CellOwner::endRun(const TaskKey &Key, EndKind Kind, TimePoint Now) {
   const StepSpec &Spec = Key.spec();
   ExecutorIndex Index = Key.task().Executor;
+  Key.task().LastBegunRun = Key.task().Run;
   if (Kind == EndKind::Done) {
     ++Counts.EndsDone;
     learnRunTime(Key, Now);
@@ -214,37 +221,37 @@
     completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
 
-/// The task whose newest run was done on an executor out of reach after its
-/// lease was taken to have expired, if the task, or any member of its gang, has
-/// not been started again.
+/// The task whose run was done on an executor out of reach after its lease was
+/// taken to have expired, if no later run of the task, or of any member of its
+/// gang, may have begun.
 std::optional<TaskKey> CellOwner::findGivenUpRun(const executor::RunEnd &End) {
   auto Key = findTask(End.Id);
   if (!Key || End.Kind != EndKind::Done || isFinal(Key->Job->Phase) ||
       Key->spec().LongRunning)
     return std::nullopt;
-  auto IsGivenUp = [&](const LiveTask &Task) {
-    bool IsWaiting =
-        Task.Phase == TaskPhase::Waiting || Task.Phase == TaskPhase::Placed;
-    return IsWaiting && Task.Run == End.Id.Run;
+  const LiveTask &Task = Key->task();
+  if (isOpen(Task.Phase) && Task.Run == End.Id.Run)
+    return std::nullopt; // On another incarnation.
+  auto IsWithoutLaterRun = [&](const LiveTask &Member) {
+    return Member.Phase != TaskPhase::Done &&
+           newestBegunRun(Member) <= End.Id.Run;
   };
   if (!Key->spec().Gang)
-    return IsGivenUp(Key->task()) ? Key : std::nullopt;
+    return IsWithoutLaterRun(Task) ? Key : std::nullopt;
   const std::vector<LiveTask> &Members = Key->step().Tasks;
-  bool AreAll = std::all_of(Members.begin(), Members.end(), IsGivenUp);
+  bool AreAll = std::all_of(Members.begin(), Members.end(), IsWithoutLaterRun);
   return AreAll ? Key : std::nullopt;
 }
 
-/// Takes the task for done, a gang as a whole: its members end together.
+/// Takes the task for done, a gang as a whole: its members end together. Later
+/// starts, which were not sent, are dropped.
 void CellOwner::endGivenUpRun(const TaskKey &Key, TimePoint Now) {
   LiveStep &Step = Key.step();
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
-    if (I != Key.Position.Index && !Key.spec().Gang)
-      continue;
     TaskKey Member = Key;
     Member.Position.Index = I;
-    if (Member.task().Phase == TaskPhase::Placed)
-      unplaceTask(Member);
-    Member.task().Phase = TaskPhase::Done;
+    if (I == Key.Position.Index || Key.spec().Gang)
+      takeForDone(Member);
   }
   ++Counts.EndsDone;
   markChanged(*Key.Job);
@@ -520,12 +527,12 @@
     for (const TaskKey &Key : Runs) {
       const LiveTask &Task = Key.task();
       if (Task.Phase != TaskPhase::Starting || Task.Executor != I ||
-          mayHoldLease(Task))
+          mayHaveBegun(Task))
         continue;
       logInfo("start-not-sent", "task={} run={} executor={} heard_ms_ago={}",
               Key.name(), Task.Run, Pool[I].Info.Id,
               millisSinceAnswer(Pool[I], Now));
-      endRun(Key, EndKind::Stopped, Now);
+      dropStart(Key, Now);
     }
   }
 }
@@ -554,7 +561,7 @@
     std::vector<TaskKey> LostRuns = OpenRunsByExecutor[I];
     for (const TaskKey &Key : LostRuns) {
       if (!isOpen(Key.task().Phase) || Key.task().Executor != I ||
-          !mayHoldLease(Key.task()) || Now <= Key.task().LeaseHeldUntil)
+          !mayHaveBegun(Key.task()) || Now <= Key.task().LeaseHeldUntil)
         continue;
       ++Counts.ExpiredRuns;
       logLapse(Key, Now);
