Owner: hold back ends of runs that later ones have followed

A task was done, its executor out of reach; the owner took the lease for expired and began the next run; then it heard of the end, ignored and acknowledged it. A lease expires only where something runs: on an idle executor the end still counts once it is acknowledged, so that the task was done, and started after it.

Seen in the simulation once it is as strict as that: an expiry voids ends only if it kills a run, and a start that came between an end as done and its acknowledgement is an error (`CellSim`). Ruled out: acknowledging it after the later run has ended; the end counts for as long as the executor lives.

Such an end is held back, and with it those behind it, until its executor has listed a later one by an expired lease, or is gone. While the later run is open the task keeps the earlier end: if that run ends otherwise, the task is done and not started once more; if it never began, the end is acknowledged. A run recorded by an earlier owner that its executor, the same incarnation, doesn't list never began.

Not covered: tasks of occurrences that are over while their job goes on; a hold ends with the executor or a later lapse only, and ends behind it stay unacknowledged till then.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -11,13 +11,22 @@
 
 constexpr Millis OfferCheckInterval{50};
 
+std::map<TaskPosition, uint32_t> rerunsIn(const JobProgress &Progress) {
+  std::map<TaskPosition, uint32_t> Reruns;
+  for (const auto &[Position, Task] : Progress.Tasks) {
+    if (Task.Run > 1)
+      Reruns[Position] = Task.Run;
+  }
+  return Reruns;
+}
+
 } // namespace
 
 CellOwner::CellOwner(OwnerOptions Options,
                      std::shared_ptr<const CellConfig> Config)
     : Options(std::move(Options)), Pool(this->Options.Leases),
       RowVersion(this->Options.RowVersion), Row(this->Options.AcquiredRow),
-      Loading(this->Options.Loading) {
+      Loading(this->Options.Loading), LoadingEnded(this->Options.LoadingEnded) {
   setConfig(std::move(Config));
 }
 
@@ -229,7 +238,8 @@
       addEndedJob(Spec.Id,
                   {.Phase = Progress->Phase,
                    .EndedMs = Progress->EndedMs,
-                   .WorkHash = workHash(Spec)},
+                   .WorkHash = workHash(Spec),
+                   .Reruns = rerunsIn(*Progress)},
                   Now);
       return;
     }
@@ -263,6 +273,8 @@
       Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
                                       "progress", nullptr, Now);
       Task.Inherited = true;
+      Task.IsRecordedThere = StoredTask.Born != 0 &&
+                             Pool[Task.Executor].Info.Born == StoredTask.Born;
       Pool[Task.Executor].Info.Address = StoredTask.Address;
       TimePoint &LeaseEnd = Pool[Task.Executor].InheritedLeaseEnd;
       LeaseEnd = std::max(LeaseEnd, inheritedLeaseEndOn(StoredTask.Executor));
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -7,18 +7,28 @@
 #include "common/Time.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace daisylanding::cell {
 
+/// The end of a run that was done before a later one began, or may have begun.
+struct EarlierEnd {
+  uint32_t Run = 0;
+  ExecutorIndex Executor = NoExecutor;
+  uint64_t Number = 0; ///< Among the ends of the executor.
+};
+
 /// State of a task in its owner.
 struct LiveTask {
   TaskPhase Phase = TaskPhase::Waiting;
   uint32_t Run = 0;
   /// The newest run that is over and that an executor may have begun.
   uint32_t LastBegunRun = 0;
+  /// Heard while a later run is open that may have begun.
+  std::optional<EarlierEnd> DoneEarlier;
   uint32_t Failures = 0;
   uint32_t Crashes = 0;   ///< Executors that crashed under its runs.
   bool IsSuspect = false; ///< Counted in `Suspects` of `Executor`.
@@ -33,6 +43,8 @@
   /// A renewal answer of this incarnation of `Executor` has listed the run.
   bool ListedRunning = false;
   bool Inherited = false; ///< Recorded by an earlier owner.
+  /// If inherited: `Executor` is the incarnation that it was recorded for.
+  bool IsRecordedThere = false;
   bool StopConfirmed = false;
   TimePoint ConfirmedAt{};
   TimePoint StopConfirmedAt{};
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -80,6 +80,7 @@
   Task.OrderPending = false;
   Task.Confirmed = false;
   Task.ListedRunning = false;
+  Task.IsRecordedThere = false;
   Task.StopConfirmed = false;
   Task.NextOrderAt = Now;
   Task.LeaseHeldUntil =
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 /// Runs of tasks, from placement to their confirmed end.
 namespace daisylanding::cell {
@@ -112,9 +113,7 @@
 
 /// Ends a run that never began.
 void CellOwner::dropStart(const TaskKey &Key, TimePoint Now) {
-  uint32_t LastBegunRun = Key.task().LastBegunRun;
-  endRun(Key, EndKind::Stopped, Now);
-  Key.task().LastBegunRun = LastBegunRun;
+  closeEndedRun(Key, EndKind::Stopped, Now);
 }
 
 void CellOwner::beginStop(const TaskKey &Key, TimePoint Now) {
@@ -179,28 +178,35 @@
   }
 }
 
-/// Takes the task for done, whatever has become of its newest run.
+/// Takes the task for done, whatever has become of its newest run. Its number
+/// is then that of the newest that may have begun, as a successor needs it.
 void CellOwner::takeForDone(const TaskKey &Key) {
   LiveTask &Task = Key.task();
   if (Task.Phase == TaskPhase::Placed)
     unplaceTask(Key);
-  if (!isOpen(Task.Phase)) {
-    Task.Phase = TaskPhase::Done;
-    return;
-  }
-  if (mayHaveBegun(Task)) {
+  if (isOpen(Task.Phase) && mayHaveBegun(Task)) {
     // Its capacity is released when its executor no longer lists it.
     Pool[Task.Executor].LingeringRuns.push_back(
         {{Key.name(), Task.Run}, demandOf(Key.spec())});
     Task.CapacityReserved = false;
+    Task.LastBegunRun = Task.Run;
   }
-  closeRun(Key, TaskPhase::Done);
+  if (isOpen(Task.Phase))
+    closeRun(Key, TaskPhase::Done);
+  Task.Phase = TaskPhase::Done;
+  Task.Run = Task.LastBegunRun;
 }
 
+/// Ends a run that an executor may have begun.
 void CellOwner::endRun(const TaskKey &Key, EndKind Kind, TimePoint Now) {
+  Key.task().LastBegunRun = Key.task().Run;
+  closeEndedRun(Key, Kind, Now);
+}
+
+/// If an earlier run was done, the task is done whatever \p Kind is.
+void CellOwner::closeEndedRun(const TaskKey &Key, EndKind Kind, TimePoint Now) {
   const StepSpec &Spec = Key.spec();
   ExecutorIndex Index = Key.task().Executor;
-  Key.task().LastBegunRun = Key.task().Run;
   if (Kind == EndKind::Done) {
     ++Counts.EndsDone;
     learnRunTime(Key, Now);
@@ -210,20 +216,24 @@
   } else {
     ++Counts.EndsOther;
   }
-  bool IsDone = Kind == EndKind::Done && !Spec.LongRunning;
+  bool IsDone =
+      !Spec.LongRunning && (Kind == EndKind::Done || Key.task().DoneEarlier);
   closeRun(Key, IsDone ? TaskPhase::Done : TaskPhase::Waiting);
+  if (IsDone)
+    Key.task().Run = Key.task().LastBegunRun;
+  settleEarlierEnd(Key);
   Key.task().LastRunEndedAt = Now;
   if (Spec.Gang)
     onGangMemberEnd(Key, Kind, Now);
-  else if (Kind == EndKind::Failed)
+  else if (Kind == EndKind::Failed && !IsDone)
     countFailure(Key, Now);
   if (IsDone)
     completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
 
 /// The task whose run was done on an executor out of reach after its lease was
-/// taken to have expired, if no later run of the task, or of any member of its
-/// gang, may have begun.
+/// taken to have expired, if no later run of it is open that may have begun. A
+/// gang only if no later run of any member may have begun.
 std::optional<TaskKey> CellOwner::findGivenUpRun(const executor::RunEnd &End) {
   auto Key = findTask(End.Id);
   if (!Key || End.Kind != EndKind::Done || isFinal(Key->Job->Phase) ||
@@ -232,12 +242,15 @@
   const LiveTask &Task = Key->task();
   if (isOpen(Task.Phase) && Task.Run == End.Id.Run)
     return std::nullopt; // On another incarnation.
+  if (!Key->spec().Gang) {
+    bool IsSettled = Task.Phase == TaskPhase::Done ||
+                     (isOpen(Task.Phase) && mayHaveBegun(Task));
+    return IsSettled ? std::nullopt : Key;
+  }
   auto IsWithoutLaterRun = [&](const LiveTask &Member) {
     return Member.Phase != TaskPhase::Done &&
            newestBegunRun(Member) <= End.Id.Run;
   };
-  if (!Key->spec().Gang)
-    return IsWithoutLaterRun(Task) ? Key : std::nullopt;
   const std::vector<LiveTask> &Members = Key->step().Tasks;
   bool AreAll = std::all_of(Members.begin(), Members.end(), IsWithoutLaterRun);
   return AreAll ? Key : std::nullopt;
@@ -245,25 +258,104 @@
 
 /// Takes the task for done, a gang as a whole: its members end together. Later
 /// starts, which were not sent, are dropped.
-void CellOwner::endGivenUpRun(const TaskKey &Key, TimePoint Now) {
+void CellOwner::endGivenUpRun(const TaskKey &Key, uint32_t DoneRun,
+                              TimePoint Now) {
   LiveStep &Step = Key.step();
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     TaskKey Member = Key;
     Member.Position.Index = I;
-    if (I == Key.Position.Index || Key.spec().Gang)
-      takeForDone(Member);
+    if (I != Key.Position.Index && !Key.spec().Gang)
+      continue;
+    LiveTask &Task = Member.task();
+    Task.LastBegunRun = std::max(Task.LastBegunRun, DoneRun);
+    takeForDone(Member);
   }
   ++Counts.EndsDone;
   markChanged(*Key.Job);
   completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
 
+/// Whether the end of a run that is not open may be acknowledged.
+EndStanding CellOwner::standingOf(const executor::RunEnd &End) {
+  if (End.Kind != EndKind::Done)
+    return EndStanding::Settled;
+  auto Key = findTask(End.Id);
+  if (!Key)
+    return standingAfterJob(End.Id);
+  if (Key->spec().LongRunning)
+    return EndStanding::Settled;
+  auto HasLaterRun = [&](const LiveTask &Task) {
+    return newestBegunRun(Task) > End.Id.Run;
+  };
+  const std::vector<LiveTask> &Tasks = Key->step().Tasks;
+  bool IsSuperseded = Key->spec().Gang
+                          ? std::any_of(Tasks.begin(), Tasks.end(), HasLaterRun)
+                          : HasLaterRun(Key->task());
+  return IsSuperseded ? EndStanding::Superseded : EndStanding::Settled;
+}
+
+/// Keeps the end of an earlier run until the open one is over, which may have
+/// begun.
+EndStanding CellOwner::rememberEnd(const TaskKey &Key, const EarlierEnd &End) {
+  LiveTask &Task = Key.task();
+  if (Key.spec().Gang || !isOpen(Task.Phase) || Task.DoneEarlier ||
+      Task.LastBegunRun > End.Run)
+    return EndStanding::Superseded;
+  Task.DoneEarlier = End;
+  return EndStanding::Undecided;
+}
+
+/// The run after it is over: whether the earlier end may be acknowledged.
+void CellOwner::settleEarlierEnd(const TaskKey &Key) {
+  LiveTask &Task = Key.task();
+  if (!Task.DoneEarlier)
+    return;
+  EarlierEnd Earlier = *std::exchange(Task.DoneEarlier, std::nullopt);
+  bool IsSuperseded = Task.LastBegunRun > Earlier.Run;
+  for (ListedEnd &End : Pool[Earlier.Executor].UnacknowledgedEnds) {
+    if (End.Number != Earlier.Number)
+      continue;
+    End.Standing =
+        IsSuperseded ? EndStanding::Superseded : EndStanding::Settled;
+    End.JobRevision = Key.Job->Revision;
+  }
+}
+
+/// An end that changes nothing now: the task is done, has been started again,
+/// or its job has ended.
+ListedEnd CellOwner::ignoredEnd(ExecutorIndex Index,
+                                const executor::RunEnd &End) {
+  ListedEnd Ignored{.Number = End.Sequence,
+                    .Standing = standingOf(End),
+                    .IgnoredRun = End.Id};
+  auto Key = findTask(End.Id);
+  if (Key && Ignored.Standing == EndStanding::Superseded)
+    Ignored.Standing = rememberEnd(
+        *Key, {.Run = End.Id.Run, .Executor = Index, .Number = End.Sequence});
+  // That may not be stored yet: a successor needs the ends of all members of a
+  // gang.
+  if (Key) {
+    Ignored.JobId = Key->Job->Spec.Id;
+    Ignored.JobRevision = Key->Job->Revision;
+  }
+  logInfo("run-end-ignored",
+          "task={} run={} executor={} how={} number={} phase={} newest_run={} "
+          "held_back={}",
+          End.Id.Task, End.Id.Run, Pool[Index].Info.Id, endName(End.Kind),
+          End.Sequence, Key ? phaseName(Key->task().Phase) : "job-over",
+          Key ? Key->task().Run : 0,
+          isHeldBack(Ignored, Pool[Index].LastLapsedEnd));
+  return Ignored;
+}
+
 void CellOwner::onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                          TimePoint Now) {
   ExecutorState &Executor = Pool[Index];
   if (End.Sequence <= Executor.LastProcessedEnd)
     return;
   Executor.LastProcessedEnd = End.Sequence;
+  if (End.Kind == EndKind::Expired)
+    Executor.LastLapsedEnd = End.Sequence;
   ListedEnd Unacknowledged{.Number = End.Sequence};
   if (auto Key = findOpenRun(End.Id, Index)) {
     LiveTask &Task = Key->task();
@@ -285,25 +377,12 @@
   } else if (auto Key = findGivenUpRun(End)) {
     logInfo("run-ended", "task={} run={} executor={} how={} after_ms=-1",
             End.Id.Task, End.Id.Run, Executor.Info.Id, endName(End.Kind));
-    endGivenUpRun(*Key, Now);
+    Unacknowledged.Standing = standingOf(End);
+    endGivenUpRun(*Key, End.Id.Run, Now);
     Unacknowledged.JobId = Key->Job->Spec.Id;
     Unacknowledged.JobRevision = Key->Job->Revision;
   } else {
-    // The task is done, has been started again, or its job has ended.
-    auto Known = findTask(End.Id);
-    logInfo(
-        "run-end-ignored",
-        "task={} run={} executor={} how={} number={} phase={} newest_run={}",
-        End.Id.Task, End.Id.Run, Executor.Info.Id, endName(End.Kind),
-        End.Sequence, Known ? phaseName(Known->task().Phase) : "job-over",
-        Known ? Known->task().Run : 0);
-    Unacknowledged.IgnoredRun = End.Id;
-    // That may not be stored yet: a successor needs the ends of all members of
-    // a gang.
-    if (Known) {
-      Unacknowledged.JobId = Known->Job->Spec.Id;
-      Unacknowledged.JobRevision = Known->Job->Revision;
-    }
+    Unacknowledged = ignoredEnd(Index, End);
   }
   Pool[Index].UnacknowledgedEnds.push_back(std::move(Unacknowledged));
 }
@@ -363,9 +442,16 @@
   for (const TaskKey &Key : AbsentRuns) {
     if (!isOpen(Key.task().Phase) || Key.task().Executor != Index)
       continue; // Ended with another member of its gang.
-    logInfo("run-absent", "task={} run={} executor={}", Key.name(),
-            Key.task().Run, Pool[Index].Info.Id);
-    endRun(Key, EndKind::Expired, Now);
+    const LiveTask &Task = Key.task();
+    // Where it was recorded, nothing of it is listed: its start was not sent.
+    bool HasNotBegun = Task.Inherited && Task.IsRecordedThere &&
+                       Answer.Born == Pool[Index].Info.Born;
+    logInfo("run-absent", "task={} run={} executor={} begun={}", Key.name(),
+            Task.Run, Pool[Index].Info.Id, !HasNotBegun);
+    if (HasNotBegun)
+      dropStart(Key, Now);
+    else
+      endRun(Key, EndKind::Expired, Now);
   }
 }
 
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -17,6 +17,8 @@
 constexpr int64_t CommitTimeoutMs = 400;
 constexpr int64_t OrderTimeoutMs = 500;
 constexpr int64_t MaxLateMs = 3'000;
+/// Ended jobs are read while the owner works.
+constexpr int64_t EndedLoadMs = 100;
 /// Of the job feed.
 constexpr int64_t FeedDelayMs = 1'000;
 /// Until the entry of an executor that has ended leaves the instance list.
@@ -231,7 +233,8 @@
                              .Leases = Leases,
                              .ClockAtCreation = storeClock(),
                              .CreatedAt = Now,
-                             .Loading = true};
+                             .Loading = true,
+                             .LoadingEnded = true};
   if (Policy) {
     std::vector<cell::AdviceQueueInfo> Queues;
     for (size_t I = 0; I < Policy->Entries; ++I)
@@ -267,6 +270,19 @@
   LoadingOwners.erase(&Target);
   Target.finishLoading();
   Target.setExecutors(instanceList(), Now);
+  schedule(EndedLoadMs, [this, Loaded = &Target] {
+    notify(Loaded,
+           [this](cell::CellOwner &Receiver) { loadEndedJobs(Receiver); });
+  });
+}
+
+void Simulation::loadEndedJobs(cell::CellOwner &Target) {
+  for (const store::Row &Row : rowsOf(cell::EndedTable)) {
+    auto Ended = cell::decodeEndedJob(Row.Value);
+    if (Ended)
+      Target.addEndedRow(Row.Key, *Ended, Now);
+  }
+  Target.finishLoadingEnded();
 }
 
 uint64_t Simulation::ownerRowVersion() const {
@@ -645,6 +661,7 @@
   if (KeepsHistory) {
     checkStart(Executor, Order);
     Started.push_back(Order);
+    ++StartCounts[Order.Id.Task];
   }
   auto Ref = *cell::parseTaskName(Order.Id.Task);
   const cell::StepSpec &Step = Specs.at(std::string(Ref.Job)).Steps[Ref.Step];
@@ -682,6 +699,21 @@
                      [&](const auto &Entry) { return IsMember(Entry.first); });
 }
 
+/// From now on the run counts as done: no start may have come after its end,
+/// and none may come.
+void Simulation::confirmDone(const executor::RunId &Id) {
+  ConfirmedTasks.insert(Id.Task);
+  auto Ref = *cell::parseTaskName(Id.Task);
+  bool IsLongRunning =
+      Specs.at(std::string(Ref.Job)).Steps[Ref.Step].LongRunning;
+  if (KeepsHistory && !IsLongRunning &&
+      StartCounts[Id.Task] > StartsUntilDone[{Id.Task, Id.Run}])
+    Violations.push_back(
+        fmt::format("started after run {} was done, which was acknowledged "
+                    "later: {}",
+                    Id.Run, Id.Task));
+}
+
 /// Checks the invariants that hold at each start.
 void Simulation::checkStart(SimExecutor &Executor,
                             const executor::StartOrder &Order) {
@@ -790,7 +822,7 @@
       continue;
     DoneTasks[End.Id.Task] = End.Id.Run;
     if (End.Sequence > Executor.LastVoidEnd)
-      ConfirmedTasks.insert(End.Id.Task);
+      confirmDone(End.Id);
   }
   std::erase_if(Executor.Ended, [&](const executor::RunEnd &End) {
     return End.Sequence <= Call.AcknowledgedEnd;
@@ -809,6 +841,8 @@
   HighestEndedRun = std::max(HighestEndedRun, Run);
   Executor.Ended.push_back(
       {.Sequence = ++Executor.EndCount, .Id = {Task, Run}, .Kind = Kind});
+  if (Kind == EndKind::Done)
+    StartsUntilDone[{Task, Run}] = StartCounts[Task];
   auto Ref = *cell::parseTaskName(Task);
   if (!Specs.at(std::string(Ref.Job)).Steps[Ref.Step].Gang)
     return;
@@ -849,7 +883,8 @@
       continue;
     std::vector<std::pair<std::string, EndKind>> EndedRuns;
     bool LeaseExpired = Executor.clockMs(Now) > Executor.LeaseEndMs;
-    if (LeaseExpired)
+    // Where nothing runs, what was done before stays done.
+    if (LeaseExpired && !Executor.Running.empty())
       Executor.LastVoidEnd = Executor.EndCount;
     for (const auto &[Task, Run] : Executor.Running) {
       if (LeaseExpired)
--- a/tests/unit/LateEndTest.cpp
+++ b/tests/unit/LateEndTest.cpp
@@ -99,6 +99,26 @@
     CHECK(Sim.runUntil([&] { return Refused > 1; }, 2'000));
   }
 };
+
+TEST_GROUP_BASE(WhoseNextRunHasBegun, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
+  void setup() override {
+    begin(1);
+    awaitLapse();
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == 2; }, 2'000));
+  }
+};
+
+TEST_GROUP_BASE(WhoseNextStartGotNoAnswer, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
+  void setup() override {
+    begin(1);
+    awaitLapse();
+    for (int I = 0; I < 2; ++I)
+      Sim.executor("i-" + std::to_string(I)).Unreachable = true;
+    Sim.runFor(600);
+    setReachable(true);
+    Sim.runFor(ContactMs);
+  }
+};
 // clang-format on
 
 /// Guards against a second run of a task whose end is heard while the next
@@ -116,6 +136,23 @@
   LONGS_EQUAL(0, Sim.Owner->status(Sim.Now).OpenRuns);
 }
 
+/// Guards against a successor that starts a task anew whose next start it reads
+/// as recorded: the owner before it had dropped that start.
+TEST(WhoseNextStartIsBeingStored, IsNotStartedAgainByTheNextOwner) {
+  Sim.Faults.CommitAnswerLost = 1;
+  auto IsNextRecorded = [&] {
+    auto Progress = decodeProgress(Sim.storedValue(ProgressTable, JobId));
+    return Progress && Progress->Tasks.at({0, 0, 0}).Run == 2;
+  };
+  CHECK(Sim.runUntil(IsNextRecorded, 2'000));
+  setReachable(true);
+  Sim.runFor(ContactMs);
+  LONGS_EQUAL(1, Sim.Owner->counts().EndsDone);
+  Sim.takeOver();
+  Sim.Faults = {};
+  checkDoneOnce();
+}
+
 /// Guards against a second run of a task whose end is heard between the commit
 /// of the next start and its sending.
 TEST(WhoseNextStartIsStoredAndNotSent, IsNotStartedAgain) {
@@ -132,6 +169,42 @@
   checkDoneOnce();
 }
 
+/// Guards against ends that count, once they are acknowledged, after a later
+/// start.
+TEST(WhoseNextRunHasBegun, KeepsTheEndOfTheFirst) {
+  setReachable(true);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  Sim.runFor(1'000);
+  LONGS_EQUAL(1, Sim.executor(First).Ended.size());
+}
+
+/// Guards against the same once the job is over and forgotten.
+TEST(WhoseNextRunHasBegun, KeepsTheEndOfTheFirstIfTheJobIsOver) {
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  Sim.runFor(1'000);
+  setReachable(true);
+  Sim.runFor(2'000);
+  LONGS_EQUAL(1, Sim.executor(First).Ended.size());
+}
+
+/// Guards against the same after a change of owner.
+TEST(WhoseNextRunHasBegun, KeepsTheEndOfTheFirstUnderTheNextOwner) {
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  Sim.runFor(1'000);
+  Sim.takeOver();
+  setReachable(true);
+  Sim.runFor(2'000);
+  LONGS_EQUAL(1, Sim.executor(First).Ended.size());
+}
+
+/// Guards against an end that is forgotten while a later start may have been
+/// carried out.
+TEST(WhoseNextStartGotNoAnswer, IsNotStartedOnceMore) {
+  CHECK(Sim.storedPhase(JobId) == JobPhase::Running);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 8'000));
+  LONGS_EQUAL(1, Sim.Started.size());
+}
+
 // clang-format off
 TEST_GROUP_BASE(AGangWhoseNextStartIsBeingStored, TEST_GROUP_CppUTestGroupWhoseNextStartIsBeingStored) {
   void setup() override { beginSlowly(3); }
