Owner: take no run for lapsed before its executor was asked

Runs were taken for lapsed on executors that answer: their owner, which couldn't keep up, had sent no renewal in time (`run-lapsed` with `renewal_failed=false`). The tasks were started again, in vain where the run went on or was done.

Cause: the end of the lease, by the owner's reckoning, was taken for the executor's silence. Now a run lapses only if a renewal has failed, or was refused, since the last that was carried out, or the executor is over or has no address.

Test: an owner whose turns of 1.5 s renew on 160 executors in 7.5 s. With the check taken out 72 of its 100 runs lapse (expected 0), the first with heard_ms_ago=3000 renewal_failed=false; with it none.

Remaining: an owner that takes over more than 7.2 s after the loss knows of it 0.6 s after its load, later than before.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -361,6 +361,7 @@
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void dropUnsentStarts(TimePoint Now);
   void logLapse(const TaskKey &Key, TimePoint Now) const;
+  bool isAskedInVain(ExecutorIndex Index) const;
   void expireRuns(TimePoint Now);
 
   // Incarnations of executors.
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -42,6 +42,7 @@
     logWarn("executor-born-fell", "executor={} born={} newest={}",
             Executor.Info.Id, Answer.Born, Executor.Info.Born);
   Executor.RenewalFailed = true;
+  Executor.RenewalMissed = true;
   Pool.recordUnanswered(Index, Now);
   return std::nullopt;
 }
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -482,6 +482,7 @@
   }
   if (Answer.Outcome != OrderOutcome::Done) {
     constexpr Millis RenewalRetryDelay{150};
+    Executor.RenewalMissed = true;
     if (Answer.Outcome == OrderOutcome::NotSent ||
         Answer.Outcome == OrderOutcome::Unknown) {
       Executor.RenewalFailed = true;
@@ -504,6 +505,7 @@
   Executor.GrantUnanswered = false;
   Executor.LapsedRuns.clear(); // It was cut off, not lost.
   Executor.RenewalFailed = false;
+  Executor.RenewalMissed = false;
   RowOutdated |= isListedAsSilent(Index);
   if (!Executor.TokenConfirmed) {
     Executor.TokenConfirmed = true;
@@ -640,10 +642,22 @@
           mayGrantLease(Index, Now));
 }
 
+/// Whether the executor was asked and did not answer. One that nobody has asked
+/// in time may have ends to tell of.
+bool CellOwner::isAskedInVain(ExecutorIndex Index) const {
+  const ExecutorState &Executor = Pool[Index];
+  return Executor.Ended || Executor.RenewalMissed ||
+         Executor.Info.Address.empty();
+}
+
 void CellOwner::expireRuns(TimePoint Now) {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     if (Pool[I].OpenRuns == 0 || !Pool.areLeasesExpired(I, Now))
       continue;
+    if (!isAskedInVain(I)) {
+      Pool[I].NextRenewalAt = std::min(Pool[I].NextRenewalAt, Now);
+      continue;
+    }
     std::vector<TaskKey> LostRuns = OpenRunsByExecutor[I];
     for (const TaskKey &Key : LostRuns) {
       if (!isOpen(Key.task().Phase) || Key.task().Executor != I ||
--- a/tests/unit/LateOwnerTest.cpp
+++ b/tests/unit/LateOwnerTest.cpp
@@ -221,3 +221,35 @@
     CHECK(Sim.Now < RenewedAt + Millis(MaxGapMs));
   }
 }
+
+// clang-format off
+/// Renewals are 32 a turn: a round of them takes longer than a lease.
+TEST_GROUP(AnOwnerWhoseRenewalsTakeLongerThanALease) {
+  static constexpr int Executors = 160;
+  static constexpr int Jobs = 100;
+  static constexpr int64_t TurnMs = 1'500;
+  Simulation Sim;
+  void setup() override {
+    for (int I = 0; I < Executors; ++I)
+      Sim.addExecutor(ExecutorSize);
+    Sim.takeOver();
+    Sim.runFor(500);
+    for (int I = 1; I <= Jobs; ++I)
+      Sim.submit(Simulation::makeJob(fmt::format("{:016x}", I), 1, ExecutorSize, 1'000));
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == Jobs; }, 2'000));
+    Sim.OwnerTurnMs = TurnMs;
+  }
+};
+// clang-format on
+
+/// Guards against second runs of tasks that are done: no lease has lapsed where
+/// they ran, and their executors tell of it once they are asked.
+TEST(AnOwnerWhoseRenewalsTakeLongerThanALease, TakesNoRunForLapsed) {
+  Sim.runFor(15'000);
+  LONGS_EQUAL(0, Sim.Owner->counts().ExpiredRuns);
+  Sim.OwnerTurnMs = 0;
+  Sim.runFor(3'000);
+  LONGS_EQUAL(Jobs, Sim.Started.size());
+  for (const std::string &Violation : Sim.violations())
+    FAIL(Violation.c_str());
+}
