--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -42,6 +42,7 @@
     logWarn("executor-born-fell", "executor={} born={} newest={}",
             Executor.Info.Id, Answer.Born, Executor.Info.Born);
   Executor.RenewalFailed = true;
+  Executor.RenewalMissed = true;
   Pool.recordUnanswered(Index, Now);
   return std::nullopt;
 }
@@ -80,6 +81,7 @@
   Task.OrderPending = false;
   Task.Confirmed = false;
   Task.ListedRunning = false;
+  Task.IsRecordedThere = false;
   Task.StopConfirmed = false;
   Task.NextOrderAt = Now;
   Task.LeaseHeldUntil =
