Owner: hold an end back only while a later run of its task is open

What stays: while a later run of the task is open that may have begun, the earlier end is remembered and not acknowledged. Once it is over, the task is done, whatever became of the run.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -11,22 +11,13 @@
 
 constexpr Millis OfferCheckInterval{50};
 
-std::map<TaskPosition, uint32_t> rerunsIn(const JobProgress &Progress) {
-  std::map<TaskPosition, uint32_t> Reruns;
-  for (const auto &[Position, Task] : Progress.Tasks) {
-    if (Task.Run > 1)
-      Reruns[Position] = Task.Run;
-  }
-  return Reruns;
-}
-
 } // namespace
 
 CellOwner::CellOwner(OwnerOptions Options,
                      std::shared_ptr<const CellConfig> Config)
     : Options(std::move(Options)), Pool(this->Options.Leases),
       RowVersion(this->Options.RowVersion), Row(this->Options.AcquiredRow),
-      Loading(this->Options.Loading), LoadingEnded(this->Options.LoadingEnded) {
+      Loading(this->Options.Loading) {
   setConfig(std::move(Config));
 }
 
@@ -238,8 +229,7 @@
       addEndedJob(Spec.Id,
                   {.Phase = Progress->Phase,
                    .EndedMs = Progress->EndedMs,
-                   .WorkHash = workHash(Spec),
-                   .Reruns = rerunsIn(*Progress)},
+                   .WorkHash = workHash(Spec)},
                   Now);
       return;
     }
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -43,9 +43,6 @@
   /// Whether the stored jobs are still to be read. Until `finishLoading` the
   /// owner only renews its row.
   bool Loading = false;
-  /// Whether the ended jobs are still to be added. Until `finishLoadingEnded`
-  /// ends of unknown jobs are not acknowledged.
-  bool LoadingEnded = false;
   /// How long the status of ended jobs can be read.
   Millis StatusRetention{120'000};
 };
@@ -205,8 +202,6 @@
   /// Adds a job from the table of ended jobs.
   void addEndedRow(const std::string &JobId, const EndedJob &Ended,
                    TimePoint Now);
-  /// `addEndedRow` has been called for all of them.
-  void finishLoadingEnded();
   /// Sets the present latency of store reads, in ms.
   void setStoreReadMs(double Ms) { StoreReadMs = Ms; }
   /// The store answers again after a silence: a commit that it didn't answer is
@@ -340,11 +335,11 @@
   void takeForDone(const TaskKey &Key);
   void onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                 TimePoint Now);
-  ListedEnd ignoredEnd(ExecutorIndex Index, const executor::RunEnd &End);
-  EndStanding standingOf(const executor::RunEnd &End);
-  EndStanding standingAfterJob(const executor::RunId &Id) const;
-  EndStanding rememberEnd(const TaskKey &Key, const EarlierEnd &End);
-  void settleEarlierEnd(const TaskKey &Key);
+  ListedEnd ignoredEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                       TimePoint Now);
+  bool rememberEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                   TimePoint Now);
+  void decideEarlierEnd(const TaskKey &Key);
   void endRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
   void closeEndedRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
   void onGangMemberEnd(const TaskKey &Key, executor::EndKind Kind,
@@ -592,7 +587,6 @@
   TimePoint InstanceListConfirmedAt{};
   TimePoint JobFeedConfirmedAt{};
   bool Loading = false;
-  bool LoadingEnded = false;
   bool Deposed = false;
   bool Releasing = false;
   bool Released = false;
--- a/src/cell/EndedJob.h
+++ b/src/cell/EndedJob.h
@@ -4,7 +4,6 @@
 #include "cell/Progress.h"
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 
@@ -15,9 +14,6 @@
   JobPhase Phase = JobPhase::Completed;
   int64_t EndedMs = 0;   ///< On the store's clock.
   uint64_t WorkHash = 0; ///< Tells another job with the same id.
-  /// The newest run that began, of tasks of which several may have. Ends of
-  /// earlier ones may still be heard of.
-  std::map<TaskPosition, uint32_t> Reruns;
 
   bool operator==(const EndedJob &) const = default;
 };
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -13,9 +13,6 @@
 /// An answer that takes longer is given up. A clock that reads less by more was
 /// started anew, and the order that was answered has granted a lease by it.
 constexpr Millis MaxAnswerDelay{1'500};
-/// Behind an end that is held back. Those of the runs that are open must fit
-/// into an answer beside them.
-constexpr size_t MaxEndsHeldBack = executor::MaxRunEndsPerAnswer / 2;
 /// At most this share of the executors is ejected at once.
 constexpr double MaxEjectedShare = 0.34;
 
@@ -84,19 +81,10 @@
   return Added;
 }
 
-/// Whether ends that can't be acknowledged would soon leave no room for others
-/// in its answers.
-bool ExecutorPool::listsTooManyEnds(ExecutorIndex Index) const {
-  const ExecutorState &Executor = Executors[Index];
-  const std::deque<ListedEnd> &Ends = Executor.UnacknowledgedEnds;
-  return Ends.size() >= MaxEndsHeldBack &&
-         isHeldBack(Ends.front(), Executor.LastLapsedEnd);
-}
-
 bool ExecutorPool::isUsable(ExecutorIndex Index, TimePoint Now) const {
   const ExecutorState &Executor = Executors[Index];
   if (!Executor.Listed || Executor.Ended || !Executor.TokenConfirmed ||
-      Executor.Info.Draining || listsTooManyEnds(Index))
+      Executor.Info.Draining)
     return false;
   if (Executor.AvoidUntil > Now ||
       Executor.LastUnansweredAt > Executor.LastAnswerAt)
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -89,30 +89,19 @@
                   MaxRestartDelay,
               "lasting tasks of lost executors are restarted too late");
 
-/// Whether a run end may be acknowledged. Acknowledged, the end of a run that
-/// was done forbids later starts of the task, also those that came before.
-enum class EndStanding : uint8_t {
-  Settled,   ///< No later run of the task has begun.
-  Undecided, ///< One may have begun.
-  Superseded ///< One has begun, or may have.
-};
-
 /// A run end reported by the executor. It is acknowledged once the job's
 /// revision `JobRevision` is stored; the executor may then forget it.
 struct ListedEnd {
   uint64_t Number = 0;
-  EndStanding Standing = EndStanding::Settled;
   std::string JobId;
   uint64_t JobRevision = 0;
+  /// The run was done, and a later one of its task may have begun. Not
+  /// acknowledged before that one is over.
+  bool IsUndecided = false;
   /// If it ended nothing here: the run, for the log of its acknowledgement.
   std::optional<executor::RunId> IgnoredRun;
 };
 
-/// Whether acknowledging the end would make it count beside a later start.
-inline bool isHeldBack(const ListedEnd &End, uint64_t LastLapsedEnd) {
-  return End.Standing != EndStanding::Settled && End.Number > LastLapsedEnd;
-}
-
 /// Reserved capacity of a run that is over but still listed by its executor.
 struct LingeringRun {
   executor::RunId Id;
@@ -173,9 +162,6 @@
   uint32_t OpenRuns = 0;         ///< Runs that were recorded and are not over.
   uint64_t LastProcessedEnd = 0; ///< Number of the newest run end processed.
   uint64_t AcknowledgedEnd = 0;
-  /// Of the newest run end by an expired lease. The ends before it count for
-  /// nothing when they are acknowledged.
-  uint64_t LastLapsedEnd = 0;
   std::deque<ListedEnd> UnacknowledgedEnds;
   std::vector<LingeringRun> LingeringRuns;
   std::vector<LostRun> LapsedRuns; ///< Since its last answer.
@@ -271,7 +257,6 @@
   const LeaseOptions &options() const { return Options; }
 
 private:
-  bool listsTooManyEnds(ExecutorIndex Index) const;
   TimePoint ownLeasesEnd(ExecutorIndex Index) const;
   size_t avoidedCount(TimePoint Now) const;
   TimePoint zoneSuspectSince(const std::string &Zone) const;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -16,7 +16,6 @@
 
 /// The end of a run that was done before a later one began, or may have begun.
 struct EarlierEnd {
-  uint32_t Run = 0;
   ExecutorIndex Executor = NoExecutor;
   uint64_t Number = 0; ///< Among the ends of the executor.
 };
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -31,12 +31,9 @@
   Progress.EndedMs = Job.EndedMs;
   Progress.DoneOccurrences = Job.DoneOccurrences;
   // Nothing of an ended job is started again, so that its tasks would only make
-  // every later load longer, but for those of which several runs began.
-  if (isFinal(Job.Phase) && Job.OpenRuns == 0) {
-    for (const auto &[Position, Run] : endedJobOf(Job).Reruns)
-      Progress.Tasks[Position] = {.Phase = TaskPhase::Done, .Run = Run};
+  // every later load longer.
+  if (isFinal(Job.Phase) && Job.OpenRuns == 0)
     return Progress;
-  }
   for (const auto &[Number, Occurrence] : Job.Occurrences) {
     for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
          ++StepIndex) {
@@ -301,9 +298,8 @@
     while (!Executor.UnacknowledgedEnds.empty()) {
       const ListedEnd &Oldest = Executor.UnacknowledgedEnds.front();
       const LiveJob *Job = findJob(Oldest.JobId);
-      if (Job && Job->RecordedRevision < Oldest.JobRevision)
-        break;
-      if (isHeldBack(Oldest, Executor.LastLapsedEnd))
+      bool IsStored = !Job || Job->RecordedRevision >= Oldest.JobRevision;
+      if (!IsStored || Oldest.IsUndecided)
         break;
       Executor.AcknowledgedEnd = Oldest.Number;
       if (Oldest.IgnoredRun)
--- a/src/cell/OwnerEnded.cpp
+++ b/src/cell/OwnerEnded.cpp
@@ -32,45 +32,9 @@
 } // namespace
 
 EndedJob CellOwner::endedJobOf(const LiveJob &Job) {
-  EndedJob Ended{.Phase = Job.Phase,
-                 .EndedMs = Job.EndedMs,
-                 .WorkHash = workHash(Job.Spec)};
-  for (const auto &[Number, Occurrence] : Job.Occurrences) {
-    for (uint32_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
-      const std::vector<LiveTask> &Tasks = Occurrence.Steps[Step].Tasks;
-      for (uint32_t I = 0; I < Tasks.size(); ++I) {
-        if (Tasks[I].LastBegunRun > 1)
-          Ended.Reruns[{Number, Step, I}] = Tasks[I].LastBegunRun;
-      }
-    }
-  }
-  return Ended;
-}
-
-/// Whether an end, as done, of a run of a job that is over may be acknowledged.
-EndStanding CellOwner::standingAfterJob(const executor::RunId &Id) const {
-  auto Ref = parseTaskName(Id.Task);
-  if (!Ref)
-    return EndStanding::Settled;
-  auto Found = EndedJobs.find(std::string(Ref->Job));
-  if (Found == EndedJobs.end())
-    return LoadingEnded ? EndStanding::Undecided : EndStanding::Settled;
-  const auto &Reruns = Found->second.Job.Reruns;
-  auto Rerun = Reruns.find({Ref->Occurrence, Ref->Step, Ref->Index});
-  bool IsSuperseded = Rerun != Reruns.end() && Rerun->second > Id.Run;
-  return IsSuperseded ? EndStanding::Superseded : EndStanding::Settled;
-}
-
-void CellOwner::finishLoadingEnded() {
-  LoadingEnded = false;
-  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    for (ListedEnd &End : Pool[I].UnacknowledgedEnds) {
-      bool IsOfJobOver = End.Standing == EndStanding::Undecided &&
-                         End.IgnoredRun && !findTask(*End.IgnoredRun);
-      if (IsOfJobOver)
-        End.Standing = standingAfterJob(*End.IgnoredRun);
-    }
-  }
+  return {.Phase = Job.Phase,
+          .EndedMs = Job.EndedMs,
+          .WorkHash = workHash(Job.Spec)};
 }
 
 bool CellOwner::mayMove(const CommitInFlight &Commit, const LiveJob &Job) {
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -178,8 +178,7 @@
   }
 }
 
-/// Takes the task for done, whatever has become of its newest run. Its number
-/// is then that of the newest that may have begun, as a successor needs it.
+/// Takes the task for done, whatever has become of its newest run.
 void CellOwner::takeForDone(const TaskKey &Key) {
   LiveTask &Task = Key.task();
   if (Task.Phase == TaskPhase::Placed)
@@ -194,7 +193,6 @@
   if (isOpen(Task.Phase))
     closeRun(Key, TaskPhase::Done);
   Task.Phase = TaskPhase::Done;
-  Task.Run = Task.LastBegunRun;
 }
 
 /// Ends a run that an executor may have begun.
@@ -219,9 +217,7 @@
   bool IsDone =
       !Spec.LongRunning && (Kind == EndKind::Done || Key.task().DoneEarlier);
   closeRun(Key, IsDone ? TaskPhase::Done : TaskPhase::Waiting);
-  if (IsDone)
-    Key.task().Run = Key.task().LastBegunRun;
-  settleEarlierEnd(Key);
+  decideEarlierEnd(Key);
   Key.task().LastRunEndedAt = Now;
   if (Spec.Gang)
     onGangMemberEnd(Key, Kind, Now);
@@ -275,48 +271,33 @@
   completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
 
-/// Whether the end of a run that is not open may be acknowledged.
-EndStanding CellOwner::standingOf(const executor::RunEnd &End) {
-  if (End.Kind != EndKind::Done)
-    return EndStanding::Settled;
-  auto Key = findTask(End.Id);
-  if (!Key)
-    return standingAfterJob(End.Id);
-  if (Key->spec().LongRunning)
-    return EndStanding::Settled;
-  auto HasLaterRun = [&](const LiveTask &Task) {
-    return newestBegunRun(Task) > End.Id.Run;
-  };
-  const std::vector<LiveTask> &Tasks = Key->step().Tasks;
-  bool IsSuperseded = Key->spec().Gang
-                          ? std::any_of(Tasks.begin(), Tasks.end(), HasLaterRun)
-                          : HasLaterRun(Key->task());
-  return IsSuperseded ? EndStanding::Superseded : EndStanding::Settled;
-}
-
 /// Keeps the end of an earlier run until the open one is over, which may have
-/// begun.
-EndStanding CellOwner::rememberEnd(const TaskKey &Key, const EarlierEnd &End) {
-  LiveTask &Task = Key.task();
-  if (Key.spec().Gang || !isOpen(Task.Phase) || Task.DoneEarlier ||
-      Task.LastBegunRun > End.Run)
-    return EndStanding::Superseded;
-  Task.DoneEarlier = End;
-  return EndStanding::Undecided;
+/// begun and is stopped: the task is done, and not started once more. Returns
+/// whether the end is kept.
+bool CellOwner::rememberEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                            TimePoint Now) {
+  auto Key = findTask(End.Id);
+  if (!Key || End.Kind != EndKind::Done || isFinal(Key->Job->Phase) ||
+      Key->spec().LongRunning || Key->spec().Gang)
+    return false;
+  LiveTask &Task = Key->task();
+  if (!isOpen(Task.Phase) || Task.Run <= End.Id.Run || Task.DoneEarlier)
+    return false;
+  Task.DoneEarlier = EarlierEnd{.Executor = Index, .Number = End.Sequence};
+  beginStop(*Key, Now);
+  return true;
 }
 
-/// The run after it is over: whether the earlier end may be acknowledged.
-void CellOwner::settleEarlierEnd(const TaskKey &Key) {
+/// The run after it is over, so that it may be acknowledged.
+void CellOwner::decideEarlierEnd(const TaskKey &Key) {
   LiveTask &Task = Key.task();
   if (!Task.DoneEarlier)
     return;
   EarlierEnd Earlier = *std::exchange(Task.DoneEarlier, std::nullopt);
-  bool IsSuperseded = Task.LastBegunRun > Earlier.Run;
   for (ListedEnd &End : Pool[Earlier.Executor].UnacknowledgedEnds) {
     if (End.Number != Earlier.Number)
       continue;
-    End.Standing =
-        IsSuperseded ? EndStanding::Superseded : EndStanding::Settled;
+    End.IsUndecided = false;
     End.JobRevision = Key.Job->Revision;
   }
 }
@@ -324,14 +305,11 @@
 /// An end that changes nothing now: the task is done, has been started again,
 /// or its job has ended.
 ListedEnd CellOwner::ignoredEnd(ExecutorIndex Index,
-                                const executor::RunEnd &End) {
+                                const executor::RunEnd &End, TimePoint Now) {
   ListedEnd Ignored{.Number = End.Sequence,
-                    .Standing = standingOf(End),
+                    .IsUndecided = rememberEnd(Index, End, Now),
                     .IgnoredRun = End.Id};
   auto Key = findTask(End.Id);
-  if (Key && Ignored.Standing == EndStanding::Superseded)
-    Ignored.Standing = rememberEnd(
-        *Key, {.Run = End.Id.Run, .Executor = Index, .Number = End.Sequence});
   // That may not be stored yet: a successor needs the ends of all members of a
   // gang.
   if (Key) {
@@ -340,11 +318,10 @@
   }
   logInfo("run-end-ignored",
           "task={} run={} executor={} how={} number={} phase={} newest_run={} "
-          "held_back={}",
+          "undecided={}",
           End.Id.Task, End.Id.Run, Pool[Index].Info.Id, endName(End.Kind),
           End.Sequence, Key ? phaseName(Key->task().Phase) : "job-over",
-          Key ? Key->task().Run : 0,
-          isHeldBack(Ignored, Pool[Index].LastLapsedEnd));
+          Key ? Key->task().Run : 0, Ignored.IsUndecided);
   return Ignored;
 }
 
@@ -354,8 +331,6 @@
   if (End.Sequence <= Executor.LastProcessedEnd)
     return;
   Executor.LastProcessedEnd = End.Sequence;
-  if (End.Kind == EndKind::Expired)
-    Executor.LastLapsedEnd = End.Sequence;
   ListedEnd Unacknowledged{.Number = End.Sequence};
   if (auto Key = findOpenRun(End.Id, Index)) {
     LiveTask &Task = Key->task();
@@ -377,12 +352,11 @@
   } else if (auto Key = findGivenUpRun(End)) {
     logInfo("run-ended", "task={} run={} executor={} how={} after_ms=-1",
             End.Id.Task, End.Id.Run, Executor.Info.Id, endName(End.Kind));
-    Unacknowledged.Standing = standingOf(End);
     endGivenUpRun(*Key, End.Id.Run, Now);
     Unacknowledged.JobId = Key->Job->Spec.Id;
     Unacknowledged.JobRevision = Key->Job->Revision;
   } else {
-    Unacknowledged = ignoredEnd(Index, End);
+    Unacknowledged = ignoredEnd(Index, End, Now);
   }
   Pool[Index].UnacknowledgedEnds.push_back(std::move(Unacknowledged));
 }
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -147,7 +147,6 @@
                              .ClockAtCreation = Context.StoreHealth.clock(Now),
                              .CreatedAt = Now,
                              .Loading = true,
-                             .LoadingEnded = true,
                              .StatusRetention =
                                  Context.Options.StatusRetention};
   Options.Leases.LeaseDuration =
@@ -213,7 +212,6 @@
         Owner->addEndedRow(JobId, Ended, monotonicNow());
       },
       [this, Now] {
-        Owner->finishLoadingEnded();
         logInfo("ended-jobs-loaded", "service={} epoch={} took_ms={}", Service,
                 OwnRow.Epoch, toMillis(monotonicNow() - Now));
       });
