--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -263,6 +263,8 @@
       Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
                                       "progress", nullptr, Now);
       Task.Inherited = true;
+      Task.IsRecordedThere = StoredTask.Born != 0 &&
+                             Pool[Task.Executor].Info.Born == StoredTask.Born;
       Pool[Task.Executor].Info.Address = StoredTask.Address;
       TimePoint &LeaseEnd = Pool[Task.Executor].InheritedLeaseEnd;
       LeaseEnd = std::max(LeaseEnd, inheritedLeaseEndOn(StoredTask.Executor));
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -331,11 +331,17 @@
   void stopAllRuns(LiveJob &Job, TimePoint Now);
   void stopBrokenGangs(LiveJob &Job, TimePoint Now);
   std::optional<TaskKey> findGivenUpRun(const executor::RunEnd &End);
-  void endGivenUpRun(const TaskKey &Key, TimePoint Now);
+  void endGivenUpRun(const TaskKey &Key, uint32_t DoneRun, TimePoint Now);
   void takeForDone(const TaskKey &Key);
   void onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                 TimePoint Now);
+  ListedEnd ignoredEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                       TimePoint Now);
+  bool rememberEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                   TimePoint Now);
+  void decideEarlierEnd(const TaskKey &Key);
   void endRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
+  void closeEndedRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
   void onGangMemberEnd(const TaskKey &Key, executor::EndKind Kind,
                        TimePoint Now);
   void countFailure(const TaskKey &Key, TimePoint Now);
@@ -350,6 +356,7 @@
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void dropUnsentStarts(TimePoint Now);
   void logLapse(const TaskKey &Key, TimePoint Now) const;
+  bool isAskedInVain(ExecutorIndex Index) const;
   void expireRuns(TimePoint Now);
 
   // Incarnations of executors.
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -95,6 +95,9 @@
   uint64_t Number = 0;
   std::string JobId;
   uint64_t JobRevision = 0;
+  /// The run was done, and a later one of its task may have begun. Not
+  /// acknowledged before that one is over.
+  bool IsUndecided = false;
   /// If it ended nothing here: the run, for the log of its acknowledgement.
   std::optional<executor::RunId> IgnoredRun;
 };
@@ -124,6 +127,8 @@
   bool TokenConfirmed = false;
   bool RenewalPending = false; ///< A renewal is in flight.
   bool RenewalFailed = false;  ///< The last one got no answer.
+  /// One has failed, or was refused, since the last that was carried out.
+  bool RenewalMissed = false;
   /// A call got no answer, or the clock fell: another incarnation may answer
   /// under the same id. Until a renewal that was sent later is answered,
   /// nothing is sent that is only meant for this one.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -298,7 +298,8 @@
     while (!Executor.UnacknowledgedEnds.empty()) {
       const ListedEnd &Oldest = Executor.UnacknowledgedEnds.front();
       const LiveJob *Job = findJob(Oldest.JobId);
-      if (Job && Job->RecordedRevision < Oldest.JobRevision)
+      bool IsStored = !Job || Job->RecordedRevision >= Oldest.JobRevision;
+      if (!IsStored || Oldest.IsUndecided)
         break;
       Executor.AcknowledgedEnd = Oldest.Number;
       if (Oldest.IgnoredRun)
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -537,13 +537,16 @@
                              const cell::CellOwner *Sender) {
   if (KeepsHistory)
     Renewals.push_back(Command.Call);
-  auto Answer = [this, Sender, Index = Command.Executor](
-                    const executor::RenewalAnswer &Result) {
-    notify(Sender, [this, Index, Result](cell::CellOwner &Receiver) {
-      CostTimer Timer(Cost.Answers);
-      Receiver.onRenewal(Index, Result, Now);
-    });
-  };
+  auto Answer =
+      [this, Sender, Index = Command.Executor,
+       Id = Command.Call.Target.Id](const executor::RenewalAnswer &Result) {
+        notify(Sender, [this, Index, Id, Result](cell::CellOwner &Receiver) {
+          CostTimer Timer(Cost.Answers);
+          Receiver.onRenewal(Index, Result, Now);
+          if (KeepsHistory)
+            recordHeardEnds(Receiver, executor(Id), Result);
+        });
+      };
   if (Faults.RenewalLate > 0 && Rng.uniform() < Faults.RenewalLate) {
     schedule(static_cast<int64_t>(Rng.below(MaxLateMs)),
              [this, Sender, Call = Command.Call] {
@@ -568,9 +571,28 @@
   });
 }
 
+/// The owner has heard of these ends: it must not send a start of a task that
+/// is done. A gang of which a later run has begun may be started once more.
+void Simulation::recordHeardEnds(const cell::CellOwner &Receiver,
+                                 const SimExecutor &Executor,
+                                 const executor::RenewalAnswer &Answer) {
+  // An answer of an earlier incarnation tells nothing.
+  if (Answer.Born != 0 && Answer.Born != Executor.BornMs)
+    return;
+  for (const executor::RunEnd &End : Answer.Ended) {
+    auto Ref = *cell::parseTaskName(End.Id.Task);
+    const cell::StepSpec &Step = Specs.at(std::string(Ref.Job)).Steps[Ref.Step];
+    if (End.Kind == EndKind::Done && !Step.LongRunning && !Step.Gang)
+      HeardDone[&Receiver].insert(End.Id.Task);
+  }
+}
+
 void Simulation::sendStart(const executor::StartOrder &Order,
                            cell::ExecutorIndex Index,
                            const cell::CellOwner *Sender) {
+  if (KeepsHistory && HeardDone[Sender].count(Order.Id.Task))
+    Violations.push_back(
+        "started after its owner had heard that it was done: " + Order.Id.Task);
   auto Answer = [this, Sender, Order,
                  Index](const executor::OrderAnswer &Result) {
     notify(Sender, [this, Order, Index, Result](cell::CellOwner &Receiver) {
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -254,6 +254,9 @@
   bool isGangComplete(const std::string &Task) const;
   void advanceExecutors();
   bool isGangDone(const std::string &Task) const;
+  void recordHeardEnds(const cell::CellOwner &Receiver,
+                       const SimExecutor &Executor,
+                       const executor::RenewalAnswer &Answer);
   void checkStart(SimExecutor &Executor, const executor::StartOrder &Order);
   int64_t clockMs() const { return toMillis(Now.time_since_epoch()); }
   cell::StoreClock storeClock() const {
@@ -288,6 +291,8 @@
   std::map<std::string, uint32_t> DoneTasks;
   /// Those that must not be started again.
   std::set<std::string> ConfirmedTasks;
+  /// Tasks that an owner has heard of as done.
+  std::map<const cell::CellOwner *, std::set<std::string>> HeardDone;
   std::vector<std::string> Violations;
 };
 
--- a/tests/unit/LateEndTest.cpp
+++ b/tests/unit/LateEndTest.cpp
@@ -3,8 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 /// A run that is done where its owner can't hear of it, until the owner takes
-/// it for lapsed and prepares, or sends, the next start. Where nothing else
-/// runs no lease expires, so that the end counts once it is acknowledged.
+/// it for lapsed and prepares, or sends, the next start.
 using namespace daisylanding;
 using namespace daisylanding::cell;
 using namespace daisylanding::cellsim;
@@ -99,6 +98,26 @@
     CHECK(Sim.runUntil([&] { return Refused > 1; }, 2'000));
   }
 };
+
+TEST_GROUP_BASE(WhoseNextRunHasBegun, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
+  void setup() override {
+    begin(1);
+    awaitLapse();
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == 2; }, 2'000));
+  }
+};
+
+TEST_GROUP_BASE(WhoseNextStartGotNoAnswer, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
+  void setup() override {
+    begin(1);
+    awaitLapse();
+    for (int I = 0; I < 2; ++I)
+      Sim.executor("i-" + std::to_string(I)).Unreachable = true;
+    Sim.runFor(600);
+    setReachable(true);
+    Sim.runFor(ContactMs);
+  }
+};
 // clang-format on
 
 /// Guards against a second run of a task whose end is heard while the next
@@ -116,6 +135,23 @@
   LONGS_EQUAL(0, Sim.Owner->status(Sim.Now).OpenRuns);
 }
 
+/// Guards against a successor that starts a task anew whose next start it reads
+/// as recorded: the owner before it had dropped that start.
+TEST(WhoseNextStartIsBeingStored, IsNotStartedAgainByTheNextOwner) {
+  Sim.Faults.CommitAnswerLost = 1;
+  auto IsNextRecorded = [&] {
+    auto Progress = decodeProgress(Sim.storedValue(ProgressTable, JobId));
+    return Progress && Progress->Tasks.at({0, 0, 0}).Run == 2;
+  };
+  CHECK(Sim.runUntil(IsNextRecorded, 2'000));
+  setReachable(true);
+  Sim.runFor(ContactMs);
+  LONGS_EQUAL(1, Sim.Owner->counts().EndsDone);
+  Sim.takeOver();
+  Sim.Faults = {};
+  checkDoneOnce();
+}
+
 /// Guards against a second run of a task whose end is heard between the commit
 /// of the next start and its sending.
 TEST(WhoseNextStartIsStoredAndNotSent, IsNotStartedAgain) {
@@ -132,6 +168,33 @@
   checkDoneOnce();
 }
 
+/// Guards against a third run, of a task that is known to be done, once the
+/// second one has ended otherwise.
+TEST(WhoseNextRunHasBegun, IsNotStartedOnceMore) {
+  Sim.EndKindFor = [](const std::string &) {
+    return executor::EndKind::Failed;
+  };
+  setReachable(true);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  LONGS_EQUAL(2, Sim.Started.size());
+}
+
+/// Guards against executors that list an end for as long as they live.
+TEST(WhoseNextRunHasBegun, ItsEndIsAcknowledgedOnceThatRunIsOver) {
+  setReachable(true);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  Sim.runFor(1'000);
+  LONGS_EQUAL(0, Sim.executor(First).Ended.size());
+}
+
+/// Guards against an end that is forgotten while a later start may have been
+/// carried out.
+TEST(WhoseNextStartGotNoAnswer, IsNotStartedOnceMore) {
+  CHECK(Sim.storedPhase(JobId) == JobPhase::Running);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 8'000));
+  LONGS_EQUAL(1, Sim.Started.size());
+}
+
 // clang-format off
 TEST_GROUP_BASE(AGangWhoseNextStartIsBeingStored, TEST_GROUP_CppUTestGroupWhoseNextStartIsBeingStored) {
   void setup() override { beginSlowly(3); }
