--- a/src/cell/EntryCapacity.cpp
+++ b/src/cell/EntryCapacity.cpp
@@ -1,6 +1,6 @@
 #include "cell/EntryCapacity.h"
 
-#include <nlohmann/json.hpp>
+#include "common/Json.h"
 
 #include <algorithm>
 
@@ -32,7 +32,7 @@
 
 Result<EntryCapacity> decodeEntryCapacity(std::string_view Text) {
   try {
-    auto Document = nlohmann::json::parse(Text);
+    auto Document = parseJson(Text);
     return EntryCapacity{
         .MilliCores = Document.at("millicores").get<uint32_t>(),
         .LinkKbitPerSecond = Document.at("link_kbit").get<uint32_t>()};
@@ -42,7 +42,7 @@
 }
 
 bool knowsEndedJobs(std::string_view Text) {
-  auto Document = nlohmann::json::parse(Text, nullptr, false);
+  auto Document = parseJson(Text);
   auto Field = Document.find(KnowsEndedField);
   return Field != Document.end() && *Field == true;
 }
--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -1,7 +1,8 @@
 #include "cell/JobSpec.h"
 
+#include "common/Json.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -124,7 +125,7 @@
 
 Result<JobSpec> decodeJob(std::string_view Text) {
   try {
-    json Document = json::parse(Text);
+    json Document = parseJson(Text);
     JobSpec Job;
     Job.Id = Document.at("id").get<std::string>();
     Job.Queue = Document.at("queue").get<std::string>();
--- a/src/cell/JsonProgress.cpp
+++ b/src/cell/JsonProgress.cpp
@@ -1,6 +1,6 @@
 #include "cell/JsonProgress.h"
 
-#include <nlohmann/json.hpp>
+#include "common/Json.h"
 
 namespace daisylanding::cell {
 
@@ -17,7 +17,7 @@
 } // namespace
 
 Result<JobPhase> decodeJsonPhase(std::string_view Text) {
-  json Document = json::parse(Text, nullptr, false);
+  json Document = parseJson(Text);
   if (!Document.is_object())
     return Errc::Malformed;
   std::string Name = Document.value("phase", std::string());
@@ -32,7 +32,7 @@
   if (!Phase)
     return Phase.error();
   try {
-    json Document = json::parse(Text);
+    json Document = parseJson(Text);
     JobProgress Progress;
     Progress.Phase = *Phase;
     Progress.EndedMs = Document.value("ended", int64_t{0});
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -1,6 +1,6 @@
 #include "cell/OwnerRow.h"
 
-#include <nlohmann/json.hpp>
+#include "common/Json.h"
 
 namespace daisylanding::cell {
 
@@ -23,7 +23,7 @@
 
 Result<OwnerRow> decodeOwnerRow(std::string_view Text) {
   try {
-    json Document = json::parse(Text);
+    json Document = parseJson(Text);
     OwnerRow Row;
     Row.Holder = Document.at("holder").get<std::string>();
     Row.RelayAddress = Document.value("relay", std::string());
--- a/tests/standin/RawServer.h
+++ b/tests/standin/RawServer.h
@@ -31,8 +31,12 @@
 /// ones get RawAction::Respond.
 class RawServer {
 public:
-  explicit RawServer(std::vector<RawAction> Actions)
+  /// \p Answer is the body of complete responses, \p Status their status line.
+  explicit RawServer(std::vector<RawAction> Actions, std::string Answer = "ok",
+                     std::string Status = "200 OK")
       : Actions(std::move(Actions)),
+        Response("HTTP/1.1 " + Status + "\r\nContent-Length: " +
+                 std::to_string(Answer.size()) + "\r\n\r\n" + Answer),
         Acceptor(IoContext, {asio::ip::address_v4::loopback(), 0}) {
     Port = Acceptor.local_endpoint().port();
     acceptNext();
@@ -86,7 +90,7 @@
   void performAction(const ConnectionPtr &Peer, RawAction Action) {
     switch (Action) {
     case RawAction::Respond:
-      send(Peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true);
+      send(Peer, Response, true);
       break;
     case RawAction::TruncateBody:
       send(Peer, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart", false);
@@ -139,6 +143,7 @@
   }
 
   std::vector<RawAction> Actions;
+  std::string Response; ///< A complete one.
   asio::io_context IoContext;
   asio::ip::tcp::acceptor Acceptor;
   uint16_t Port = 0;
--- /dev/null
+++ b/tests/unit/OddEntryTest.cpp
@@ -0,0 +1,100 @@
+#include "cell/EntryCapacity.h"
+#include "cell/JobSpec.h"
+#include "cell/JsonProgress.h"
+#include "cell/OwnerRow.h"
+#include "platform/ExecutorClient.h"
+#include "platform/PlatformPorts.h"
+#include "standin/RawServer.h"
+
+#include <fmt/format.h>
+
+#include <limits>
+#include <optional>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+/// What other writers may leave where an entry reads: it is refused or left
+/// out, and the entry goes on.
+using namespace daisylanding;
+using standin::RawServer;
+
+namespace {
+
+/// As much as a body or a row may hold.
+constexpr size_t ManyLevels = 120'000;
+
+std::string nestedLists(size_t Levels) {
+  return std::string(Levels, '[') + std::string(Levels, ']');
+}
+
+/// An entry of an executor with other members in place of, or beside, its own.
+std::string entry(const std::string &Address, const std::string &Capacity,
+                  const std::string &More = "") {
+  return R"({"service":"s","zone":"z","state":"ready","labels":[],"address":)" +
+         Address + R"(,"capacity":)" + Capacity + More + "}";
+}
+
+std::string entryAt(const std::string &Address) {
+  return entry('"' + Address + '"', R"({"cpu":1000})");
+}
+
+std::string entryWith(const std::string &Capacity) {
+  return entry(R"("10.0.0.1:80")", Capacity);
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(AnEntryAmongThoseOfTheExecutors) {
+  platform::PlatformDocumentCodec Codec;
+  bool isUsable(const std::string &Text, std::string_view Id = "i-1") {
+    return static_cast<bool>(Codec.parseExecutor(Id, Text));
+  }
+};
+// clang-format on
+
+/// Guards against documents whose copies exhaust the stack.
+TEST(AnEntryAmongThoseOfTheExecutors, ThatIsVeryDeeplyNestedNamesNone) {
+  std::string Deep = nestedLists(ManyLevels);
+  std::string Open(ManyLevels, '[');
+  auto Usable = [&](const std::string &Other) {
+    return isUsable(entry(R"("10.0.0.1:80")", "{}", R"(,"other":)" + Other));
+  };
+  CHECK_TRUE(Usable(R"([[{"a":"[[[[\"[["}]])"));
+  CHECK_TRUE(Usable('"' + Open + "\\\\\""));
+  CHECK_FALSE(Usable(Deep));
+  CHECK_FALSE(isUsable(Deep));
+  CHECK_FALSE(isUsable(Open));
+}
+
+// clang-format off
+TEST_GROUP(ABodyOfACaller) {
+  platform::PlatformDocumentCodec Codec;
+  node::FieldError Error;
+};
+// clang-format on
+
+/// Guards against one request that ends the process: a list nested 120,000
+/// times, which fits a body, was copied by recursion.
+TEST(ABodyOfACaller, ThatIsVeryDeeplyNestedIsRefused) {
+  std::string Deep = nestedLists(ManyLevels);
+  CHECK_FALSE(static_cast<bool>(Codec.parseJob(
+      R"({"steps":[{"count":1,"after":)" + Deep + "}]}", Error)));
+  STRCMP_EQUAL("body", Error.Field.c_str());
+  CHECK_FALSE(static_cast<bool>(Codec.parseJob(Deep, Error)));
+}
+
+// clang-format off
+TEST_GROUP(ARowOfACell) {};
+// clang-format on
+
+/// Guards against a row that ends each process that loads it.
+TEST(ARowOfACell, ThatIsVeryDeeplyNestedIsRefused) {
+  std::string Deep = nestedLists(ManyLevels);
+  CHECK_FALSE(static_cast<bool>(cell::decodeJsonProgress(
+      R"({"phase":"running","tasks":[],"done":)" + Deep + "}")));
+  CHECK_FALSE(static_cast<bool>(cell::decodeJob(Deep)));
+  CHECK_FALSE(static_cast<bool>(cell::decodeOwnerRow(Deep)));
+  CHECK_FALSE(cell::knowsEndedJobs(Deep));
+}
