--- a/src/cell/JsonProgress.cpp
+++ b/src/cell/JsonProgress.cpp
@@ -18,10 +18,10 @@
 
 Result<JobPhase> decodeJsonPhase(std::string_view Text) {
   json Document = parseJson(Text);
-  if (!Document.is_object())
+  auto Name = Document.find("phase");
+  if (Name == Document.end() || !Name->is_string())
     return Errc::Malformed;
-  std::string Name = Document.value("phase", std::string());
-  auto Phase = phaseOf(Name);
+  auto Phase = phaseOf(Name->get_ref<const std::string &>());
   if (!Phase)
     return Errc::Malformed;
   return *Phase;
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -85,6 +85,50 @@
   CHECK_FALSE(static_cast<bool>(Codec.parseJob(Deep, Error)));
 }
 
+// clang-format off
+/// An executor, or something else at its address.
+TEST_GROUP(AnAnswerToAnOrder) {
+  http::MultiClient Client{{}};
+  platform::ExecutorClient Port{{}, Client};
+  template <typename Answer, typename Sender>
+  Answer waitFor(Sender Send) {
+    std::optional<Answer> Received;
+    Send([&](Answer Result) { Received = std::move(Result); });
+    while (!Received)
+      Client.poll(Millis(10'000));
+    return *Received;
+  }
+  executor::OrderAnswer startWith(const std::string &Body, const std::string &Status) {
+    RawServer Server({}, Body, Status);
+    return waitFor<executor::OrderAnswer>([&](auto Done) {
+      Port.start({.Target = {.Address = Server.address(), .Id = "i-1"}}, Done);
+    });
+  }
+  executor::RenewalAnswer renewWith(const std::string &Body) {
+    RawServer Server({}, Body);
+    return waitFor<executor::RenewalAnswer>([&](auto Done) {
+      Port.renewLeases({.Target = {.Address = Server.address(), .Id = "i-1"}}, Done);
+    });
+  }
+  executor::Advice adviceWith(const std::string &Validity) {
+    RawServer Server({}, R"({"allowed":[],"validity-ms":)" + Validity + "}");
+    platform::AdviceClient Advisor(Server.address(), Client);
+    return *waitFor<Result<executor::Advice>>([&](auto Done) {
+      Advisor.requestAdvice({.Timeout = Millis(10'000)}, Done);
+    });
+  }
+};
+// clang-format on
+
+/// Guards against an answer that ends the process: an exception left the
+/// callback of the call.
+TEST(AnAnswerToAnOrder, WhoseReasonIsNoTextIsARefusal) {
+  for (const char *Body : {R"({"reason":7})", R"({"reason":null})",
+                           R"({"reason":{}})", R"({"reason":[]})"})
+    CHECK(startWith(Body, "409 Conflict").Outcome ==
+          executor::OrderOutcome::Rejected);
+}
+
 // clang-format off
 TEST_GROUP(ARowOfACell) {};
 // clang-format on
@@ -98,3 +142,14 @@
   CHECK_FALSE(static_cast<bool>(cell::decodeOwnerRow(Deep)));
   CHECK_FALSE(cell::knowsEndedJobs(Deep));
 }
+
+/// Guards against a row that ends each process that loads it: an exception left
+/// the decoder.
+TEST(ARowOfACell, WhosePhaseIsNoTextIsRefused) {
+  for (const char *Phase : {"7", "null", "[]", "\"odd\""}) {
+    std::string Text =
+        fmt::format(R"({{"phase":{},"tasks":[],"done":[]}})", Phase);
+    CHECK_FALSE(static_cast<bool>(cell::decodeJsonPhase(Text)));
+    CHECK_FALSE(static_cast<bool>(cell::decodeJsonProgress(Text)));
+  }
+}
