Use no executor from an entry with an odd number, address or id

Would be seen: an entry of another writer with a port of 99999, -1 or 0, or an address without one, is an executor to use: renewals go there and fail without end. `cpu` of -1 was read as 4,294,967,295, of 2^32 + 1,000 as 1,000, of 1.5 as 1, and of 1e30 as whatever the processor makes of a conversion that C++ leaves undefined (x86-64 and arm64 differ). An id with a line break would add a header to each request.

Cause: json::value<uint32_t>() converts without a look at the range, and nothing checked the address.

An address is host:port with a port of 1 to 65535; no resource exceeds 100,000,000, so that sums over all executors fit.

Two tests of PlatformDocumentsTest used the address "a" in a sound entry; it names no port. They now use "a:1", also in the malformed entries, so that these are refused for the fault that they are about.

Before: WithoutAnAddressToCallNamesNone, UnderAKeyThatIsNoIdNamesNone and WithACapacityThatNoneHasNamesNone (AnEntryAmongThoseOfTheExecutors) fail at CHECK_FALSE(isUsable(...)). After: all pass, as do PlatformDocumentsTest and ExecutorListTest (small binary of these sources).

--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -54,6 +54,58 @@
 };
 // clang-format on
 
+/// Guards against starts sent to a port that doesn't exist.
+TEST(AnEntryAmongThoseOfTheExecutors, WithoutAnAddressToCallNamesNone) {
+  for (const char *Address :
+       {"10.0.0.1:1", "10.0.0.1:65535", "host-1.zone:80", "[fe80::1]:80"})
+    CHECK_TRUE(isUsable(entryAt(Address)));
+  for (const char *Address : {"",
+                              ":",
+                              "10.0.0.1",
+                              "10.0.0.1:",
+                              "10.0.0.1:0",
+                              "10.0.0.1:-1",
+                              "10.0.0.1:65536",
+                              "10.0.0.1:99999",
+                              "10.0.0.1:80x",
+                              "10.0.0.1:8 0",
+                              ":80",
+                              "a b:80",
+                              "a/b:80",
+                              "a@b:80",
+                              "fe80::1:80",
+                              "[]:80",
+                              "[::1:80",
+                              "a\\r\\nb:80",
+                              "10.0.0.1:80/path",
+                              "10.0.0.1:4294967376"})
+    CHECK_FALSE(isUsable(entryAt(Address)));
+}
+
+/// Guards against a request header that an id from the store would end.
+TEST(AnEntryAmongThoseOfTheExecutors, UnderAKeyThatIsNoIdNamesNone) {
+  for (std::string_view Id : {"", "i 1", "i\r\nX: y", "i\x7f", "\xc3\xa4"})
+    CHECK_FALSE(isUsable(entryAt("10.0.0.1:80"), Id));
+  CHECK_FALSE(isUsable(entryAt("10.0.0.1:80"), std::string(5'000, 'i')));
+}
+
+/// Guards against a capacity of 4,294,967 cores read from -1, and other sizes
+/// that no executor has.
+TEST(AnEntryAmongThoseOfTheExecutors, WithACapacityThatNoneHasNamesNone) {
+  for (const char *Field : {"cpu", "mem-mb", "gpu"}) {
+    for (const char *Value :
+         {"-1", "1.5", "1e30", "1e400", "1180591620717411303424", "4294968296",
+          "100000001", "\"8\"", "null", "[1]", "true"})
+      CHECK_FALSE(
+          isUsable(entryWith(fmt::format(R"({{"{}":{}}})", Field, Value))));
+    for (const char *Value : {"0", "16000", "16000.0", "100000000"})
+      CHECK_TRUE(
+          isUsable(entryWith(fmt::format(R"({{"{}":{}}})", Field, Value))));
+  }
+  for (const char *Capacity : {"[]", "7", "null", "\"cpu\""})
+    CHECK_FALSE(isUsable(entryWith(Capacity)));
+}
+
 /// Guards against documents whose copies exhaust the stack.
 TEST(AnEntryAmongThoseOfTheExecutors, ThatIsVeryDeeplyNestedNamesNone) {
   std::string Deep = nestedLists(ManyLevels);
--- a/tests/unit/PlatformDocumentsTest.cpp
+++ b/tests/unit/PlatformDocumentsTest.cpp
@@ -62,11 +62,11 @@
   LONGS_EQUAL(2, Info->Capacity.Accelerators);
   for (const char *Malformed :
        {"", "\xff\xfe", "7", R"({"service":"s"})",
-        R"({"service":"s","address":"a","zone":"z","state":"odd",
+        R"({"service":"s","address":"a:1","zone":"z","state":"odd",
         "capacity":{"cpu":1},"labels":[]})",
-        R"({"service":7,"address":"a","zone":"z","state":"ready",
+        R"({"service":7,"address":"a:1","zone":"z","state":"ready",
         "capacity":{"cpu":1},"labels":[]})",
-        R"({"service":"s","address":"a","zone":"z","state":"ready",
+        R"({"service":"s","address":"a:1","zone":"z","state":"ready",
         "capacity":{"cpu":"x"},"labels":[]})"})
     CHECK_FALSE(static_cast<bool>(Codec.parseExecutor("i-1", Malformed)));
 }
@@ -74,7 +74,7 @@
 TEST(PlatformDocuments, AnExecutorMayStateWhenItStarted) {
   auto Parse = [&](const std::string &Born) {
     return Codec.parseExecutor(
-        "i-1", R"({"service":"s","address":"a","zone":"z","state":"ready",
+        "i-1", R"({"service":"s","address":"a:1","zone":"z","state":"ready",
                "capacity":{"cpu":1},"labels":[])" +
                    Born + "}");
   };
