List no executor whose start is stated for the future

Would be seen: an entry of another writer states `born` under an executor's id. The owner takes the incarnation that runs there for over, ends its runs as expired and starts their tasks again, beside them; and each later start under that id counts as one in the past, so that the id stays unused.

Cause: any `born` of the list is taken for a later incarnation.

Change: an entry whose `born` is more than an hour ahead of the entry's wall clock names no executor to use. It is read again with each full read, so that it counts once it is no longer ahead: a wrong clock of this entry mends by itself. An executor unlisted in this way keeps its open runs as any that leaves the list: its leases are renewed while it has open runs, no start goes there. What names no executor leaves one line a version, ten a second at most, with a reason.

Not covered: a `born` of up to an hour ahead. The owner that has read it keeps the real executor unused until that starts again later than it, or another entry takes over.

Before: WhenAnotherWriterLeavesAnOddEntry.AStartFarAheadIsNone: expected <i-2 > but was <i-1 i-2 >. After: passes (small binary of these sources). TheOthersAreFollowedAsBefore and TheIdIsListedAgainOnceItIsSound pass before and after; they show that the list goes on being followed.

--- a/src/node/ExecutorList.cpp
+++ b/src/node/ExecutorList.cpp
@@ -125,18 +125,41 @@
 
 void ExecutorList::applyRow(const store::Row &Row) {
   ListedExecutor &Existing = Executors[Row.Key];
-  if (Row.Version <= Existing.Version)
+  bool IsNewer = Row.Version > Existing.Version;
+  // The wall clock may have been wrong, or have caught up.
+  bool IsDue = Existing.BornAhead && Row.Version == Existing.Version;
+  if (!IsNewer && !IsDue)
     return;
   ListedExecutor Updated{.Version = Row.Version};
-  if (!Row.Deleted) {
-    auto Info = Codec.parseExecutor(Row.Key, Row.Value);
-    if (Info)
-      Updated.Info = std::move(*Info);
-    else
-      logWarn("executor-entry-unreadable", "executor={} version={}", Row.Key,
-              Row.Version);
+  if (!Row.Deleted)
+    readEntry(Row, Updated);
+  if (IsNewer && Updated.BornAhead)
+    logOddEntry(Row, "born-ahead");
+  if (IsNewer || Updated.Info)
+    replace(Row.Key, Existing, std::move(Updated));
+}
+
+void ExecutorList::readEntry(const store::Row &Row, ListedExecutor &Updated) {
+  auto Info = Codec.parseExecutor(Row.Key, Row.Value);
+  if (!Info) {
+    logOddEntry(Row, "malformed");
+    return;
   }
-  replace(Row.Key, Existing, std::move(Updated));
+  // It would end the incarnation that runs under the id, and all later ones
+  // would count as earlier.
+  Updated.BornAhead =
+      Info->Born > toMillis(Micros(wallMicros()) + MaxBornAhead);
+  if (!Updated.BornAhead)
+    Updated.Info = std::move(*Info);
+}
+
+void ExecutorList::logOddEntry(const store::Row &Row, std::string_view Reason) {
+  uint64_t Dropped = 0;
+  if (!OddEntryLog.admit(monotonicNow(), Dropped))
+    return;
+  logWarn("executor-entry-unreadable",
+          "executor={} version={} bytes={} reason={} lines_dropped={}", Row.Key,
+          Row.Version, Row.Value.size(), Reason, Dropped);
 }
 
 void ExecutorList::replace(const std::string &Id, ListedExecutor &Existing,
--- a/src/node/ExecutorList.h
+++ b/src/node/ExecutorList.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_NODE_EXECUTORLIST_H
 #define DAISYLANDING_NODE_EXECUTORLIST_H
 
+#include "common/LogLimiter.h"
 #include "common/Timers.h"
 #include "executor/ExecutorPort.h"
 #include "node/Ports.h"
@@ -19,6 +20,13 @@
   /// which a draining executor must stop receiving them.
   static constexpr Millis FullReadInterval{700};
   static constexpr Millis RetryDelay{100};
+  /// An executor whose start is stated as later than this from now, on this
+  /// entry's wall clock, is not listed until that is no longer so. Wall clocks
+  /// differ by seconds, and jump by minutes.
+  static constexpr std::chrono::hours MaxBornAhead{1};
+  /// Of entries that name no executor to use. Their writer may rewrite them at
+  /// any rate.
+  static constexpr uint64_t MaxOddEntryLines = 10;
 
   /// \p OnStoreAnswer receives the store's clock (ms) with every answer, but
   /// for feed pages without rows, as they end a wait that began long before.
@@ -37,11 +45,12 @@
   uint64_t skippedChanges() const { return Skipped; }
 
 private:
-  /// Without `Info` the row was removed or is malformed; its version then only
-  /// rejects older changes.
+  /// Without `Info` the row was removed or names no executor to use; its
+  /// version then only rejects older changes.
   struct ListedExecutor {
     uint64_t Version = 0;
     std::optional<executor::ExecutorInfo> Info;
+    bool BornAhead = false; ///< By more than `MaxBornAhead`.
   };
 
   void readAll();
@@ -50,6 +59,8 @@
   void removeAbsent(const store::RowPage &Page, const std::string &FromKey);
   void followFeed();
   void applyRow(const store::Row &Row);
+  void readEntry(const store::Row &Row, ListedExecutor &Updated);
+  void logOddEntry(const store::Row &Row, std::string_view Reason);
   void replace(const std::string &Id, ListedExecutor &Existing,
                ListedExecutor Updated);
 
@@ -64,6 +75,7 @@
   bool Changed = false;
   TimePoint ConfirmedAt{};
   uint64_t Skipped = 0;
+  LogLimiter OddEntryLog{MaxOddEntryLines};
 };
 
 } // namespace daisylanding::node
--- a/tests/unit/ExecutorListTest.cpp
+++ b/tests/unit/ExecutorListTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/PlatformPorts.h"
 
 #include <deque>
+#include <limits>
 
 #include <CppUTest/TestHarness.h>
 
@@ -37,14 +38,15 @@
     PendingFeed = std::move(Done);
   }
 
-  void putExecutor(const std::string &Id, bool Draining) {
+  void putExecutor(const std::string &Id, bool Draining, int64_t Born = 0) {
+    putRow(Id, R"({"service":"s","address":"a:1","zone":"z",)"
+               R"("capacity":{},"labels":[],"state":")" +
+                   std::string(Draining ? "draining" : "ready") +
+                   "\",\"born\":" + std::to_string(Born) + "}");
+  }
+  void putRow(const std::string &Id, const std::string &Value) {
     std::erase_if(Rows, [&](const store::Row &Row) { return Row.Key == Id; });
-    Rows.push_back({.Key = Id,
-                    .Value = R"({"service":"s","address":"a:1","zone":"z",)"
-                             R"("capacity":{},"labels":[],"state":")" +
-                             std::string(Draining ? "draining" : "ready") +
-                             "\"}",
-                    .Version = ++Version});
+    Rows.push_back({.Key = Id, .Value = Value, .Version = ++Version});
     std::sort(Rows.begin(), Rows.end(),
               [](const auto &Left, const auto &Right) {
                 return Left.Key < Right.Key;
@@ -90,6 +92,19 @@
     Store.putExecutor("i-1", true);
   }
 };
+TEST_GROUP_BASE(WhenAnotherWriterLeavesAnOddEntry, TEST_GROUP_CppUTestGroupAnOwnerFollowingTheInstanceList) {
+  /// The ids listed after the feed has told of the newest rows.
+  std::string listedAfterFeed() {
+    Store.answerFeed(store::ChangePage{.Rows = Store.Rows, .Version = Store.Version});
+    return listed();
+  }
+  std::string listed() {
+    std::string Ids;
+    for (const auto &Info : List.takeChanges().value_or(std::vector<executor::ExecutorInfo>{}))
+      Ids += Info.Id + " ";
+    return Ids;
+  }
+};
 // clang-format on
 
 TEST(AnOwnerFollowingTheInstanceList, TheListIsConfirmedOnlyByAFullRead) {
@@ -159,3 +174,43 @@
   Store.answerFeed(store::ChangePage{.Rows = {OldRow}, .Version = 12});
   CHECK_FALSE(List.takeChanges().has_value());
 }
+
+/// Guards against a list that is no longer followed.
+TEST(WhenAnotherWriterLeavesAnOddEntry, TheOthersAreFollowedAsBefore) {
+  for (const std::string &Odd :
+       {std::string("\xff\xfe"), std::string(100'000, '['), std::string("{}"),
+        std::string()}) {
+    Store.putRow("i-0", Odd);
+    Store.putExecutor("i-3", false);
+    STRCMP_EQUAL("i-1 i-2 i-3 ", listedAfterFeed().c_str());
+    Store.putExecutor("i-3", true);
+    STRCMP_EQUAL("i-1 i-2 i-3 ", listedAfterFeed().c_str());
+    runNextFullRead();
+    STRCMP_EQUAL("", listed().c_str());
+  }
+}
+
+/// Guards against an id that stays unused after its odd entry was mended.
+TEST(WhenAnotherWriterLeavesAnOddEntry, TheIdIsListedAgainOnceItIsSound) {
+  Store.putRow("i-1", "{}");
+  STRCMP_EQUAL("i-2 ", listedAfterFeed().c_str());
+  Store.putExecutor("i-1", false);
+  STRCMP_EQUAL("i-1 i-2 ", listedAfterFeed().c_str());
+}
+
+/// Guards against a start time after which each real start under the id counts
+/// as an earlier one, and which ends the runs of the real executor.
+TEST(WhenAnotherWriterLeavesAnOddEntry, AStartFarAheadIsNone) {
+  int64_t NowMs = wallMicros() / 1'000;
+  constexpr int64_t MinuteMs = 60'000;
+  for (int64_t Born : {std::numeric_limits<int64_t>::max(),
+                       NowMs + 120 * MinuteMs, NowMs * 1'000}) {
+    Store.putExecutor("i-1", false, Born);
+    STRCMP_EQUAL("i-2 ", listedAfterFeed().c_str());
+    runNextFullRead();
+    STRCMP_EQUAL("", listed().c_str());
+  }
+  // Wall clocks may differ.
+  Store.putExecutor("i-1", false, NowMs + 10 * MinuteMs);
+  STRCMP_EQUAL("i-1 i-2 ", listedAfterFeed().c_str());
+}
