Refuse a configuration with a number out of range

Would be seen: `max-attempts` or `priority` of -1 is 4,294,967,295 tries, or last of all; a `target-latency-ms` of 2^62 overflows once it is added to a time, so that deadlines lie in the past; `max-body-bytes` of -1 takes the limit away; `stretch` below 0 and advice times of 1e30 are used as they stand.

Cause: as with the executors' entries, json::value() converts without a look at the range.

Durations may have a fraction, as before.

Before: AConfigurationOfTheOperator.WithAnOddNumberIsRefused fails at CHECK_FALSE(isReadable(Member, Value)). After: passes (small binary of these sources).

--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -181,6 +181,48 @@
           executor::OrderOutcome::Rejected);
 }
 
+// clang-format off
+TEST_GROUP(AConfigurationOfTheOperator) {
+  platform::PlatformDocumentCodec Codec;
+  bool isReadable(const std::string &Member, const std::string &Value,
+                  const std::string &Limit = "") {
+    return static_cast<bool>(Codec.parseConfig(
+        R"({"version":7,"services":[{"name":"s"}],"limits":{)" + Limit +
+        R"(},"routes":[{"name":"a","host":"h","path-prefix":"/x/","service":"s",")" +
+        Member + "\":" + Value + "}]}"));
+  }
+};
+// clang-format on
+
+/// Guards against deadlines and tries that wrap.
+TEST(AConfigurationOfTheOperator, WithAnOddNumberIsRefused) {
+  for (const char *Member : {"priority", "max-attempts", "target-latency-ms"}) {
+    for (const char *Value : {"-1", "1e30", "4611686018427387904",
+                              "18446744073709551615", "\"7\"", "null"})
+      CHECK_FALSE(isReadable(Member, Value));
+    CHECK_TRUE(isReadable(Member, "3"));
+  }
+  for (const char *Value : {"-1", "1e30", "1e400", "\"7\"", "null"})
+    CHECK_FALSE(isReadable("stretch", Value));
+  CHECK_TRUE(isReadable("stretch", "2.5"));
+  for (const char *Member : {"decision-ms", "period-ms", "validity-ms"}) {
+    auto Terms = [&](const char *Value) {
+      return fmt::format(R"({{"{}":{}}})", Member, Value);
+    };
+    for (const char *Value : {"-1", "1e30", "\"7\"", "null"})
+      CHECK_FALSE(isReadable("advice", Terms(Value)));
+    CHECK_TRUE(isReadable("advice", Terms("19.5")));
+  }
+  for (const char *Limit : {"max-header-bytes", "max-body-bytes",
+                            "header-timeout-ms", "idle-timeout-ms"}) {
+    for (const char *Value : {"-1", "1e30", "18446744073709551615", "null"})
+      CHECK_FALSE(
+          isReadable("priority", "1", fmt::format(R"("{}":{})", Limit, Value)));
+    CHECK_TRUE(isReadable("priority", "1", fmt::format(R"("{}":4096)", Limit)));
+  }
+  CHECK_FALSE(isReadable("other", nestedLists(ManyLevels)));
+}
+
 // clang-format off
 TEST_GROUP(ARowOfACell) {};
 // clang-format on
