Drop answers of executors with odd numbers, or without lists

Would be seen: an answer to a renewal whose `running` is null, or {}, reads as an executor that runs nothing: its runs are taken to have ended, and their tasks start again beside them. A run number of 2^32 + 2 counts as 2; an end numbered 2^64 - 1 is processed, and every later end of that executor ignored; `clock-ms` of 1e30 is converted, which C++ leaves undefined, and -1 is a clock; tickets that are valid for 2^63 ms overflow once added to a time.

Cause: json::get() and value() convert without a look at the range, and a loop over null finds nothing.

An answer that breaks this is unreadable as a whole, as one with a malformed row is. A clock out of range is none; an odd percent or usage is 0, as one of another type was.

--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -181,6 +181,67 @@
           executor::OrderOutcome::Rejected);
 }
 
+/// Guards against lease ends beyond all time.
+TEST(AnAnswerToAnOrder, WhoseClockIsNoTimeTellsNone) {
+  for (const char *Clock : {"1e30", "-1", "-1e30", "9223372036854775807",
+                            "18446744073709551615", "\"7\"", "null"})
+    CHECK_FALSE(startWith(fmt::format(R"({{"clock-ms":{}}})", Clock), "200 OK")
+                    .ClockMs.has_value());
+  LONGS_EQUAL(482'113, *startWith(R"({"clock-ms":482113})", "200 OK").ClockMs);
+  LONGS_EQUAL(482'113,
+              *startWith(R"({"clock-ms":482113.7})", "200 OK").ClockMs);
+}
+
+/// Guards against run numbers cut down to those of other runs, end numbers
+/// after which all further ends would count as known, and a list that is none,
+/// by which every run would have ended.
+TEST(AnAnswerToAnOrder, WithARowThatIsNoRunIsDroppedAsAWhole) {
+  for (const char *Lists :
+       {R"("running":[["t",4294967298]],"finished":[])",
+        R"("running":[["t",-1]],"finished":[])",
+        R"("running":[["t",1.5]],"finished":[])",
+        R"("running":[],"finished":[[1,"t",4294967298,"done",""]])",
+        R"("running":[],"finished":[[18446744073709551615,"t",1,"done",""]])",
+        R"("running":[],"finished":[[-1,"t",1,"done",""]])",
+        R"("running":[],"finished":[[1e30,"t",1,"done",""]])",
+        R"("running":7,"finished":[])", R"("running":null,"finished":[])",
+        R"("running":{},"finished":[])", R"("running":[],"finished":null)"})
+    CHECK(renewWith(fmt::format(R"({{"clock-ms":1,{}}})", Lists)).Outcome ==
+          executor::OrderOutcome::Unknown);
+  CHECK(renewWith(nestedLists(ManyLevels)).Outcome ==
+        executor::OrderOutcome::Unknown);
+}
+
+/// Only a report about the run, which decides nothing.
+TEST(AnAnswerToAnOrder, WithAnOddMeasurementLeavesItOut) {
+  auto Answer = renewWith(R"({"clock-ms":1,"finished":[],
+      "running":[["a",1,"",-1,-1e30],["b",1,"",1e30,1e300],["c",1,"",41,0.5]]})");
+  CHECK(Answer.Outcome == executor::OrderOutcome::Done);
+  LONGS_EQUAL(0, Answer.Running[0].Percent);
+  DOUBLES_EQUAL(0, Answer.Running[0].Usage, 0);
+  LONGS_EQUAL(0, Answer.Running[1].Percent);
+  DOUBLES_EQUAL(0, Answer.Running[1].Usage, 0);
+  LONGS_EQUAL(41, Answer.Running[2].Percent);
+  DOUBLES_EQUAL(0.5, Answer.Running[2].Usage, 0);
+}
+
+/// Guards against an answer whose incarnation, as of the far future, ends the
+/// runs of the real one.
+TEST(AnAnswerToAnOrder, OfAnIncarnationThatIsNoTimeIsDropped) {
+  for (const char *Born : {"-1", "1.5", "1e30", "9223372036854775807", "null"})
+    CHECK(renewWith(
+              fmt::format(R"({{"running":[],"finished":[],"born":{}}})", Born))
+              .Outcome == executor::OrderOutcome::Unknown);
+}
+
+/// Guards against tickets that never lapse, or times that wrap.
+TEST(AnAnswerToAnOrder, WithTicketsOfNoSensibleValidityGrantsNone) {
+  for (const char *Validity : {"-1", "1e30", "9223372036854775807", "null"})
+    LONGS_EQUAL(0, adviceWith(Validity).Validity.count());
+  LONGS_EQUAL(2'000, adviceWith("2000").Validity.count());
+  LONGS_EQUAL(2'000, adviceWith("2000.5").Validity.count());
+}
+
 // clang-format off
 TEST_GROUP(AConfigurationOfTheOperator) {
   platform::PlatformDocumentCodec Codec;
