Bound a queue's stretch so that deadlines don't overflow

64 steps in a row of 30 days each, what a caller may submit, times a stretch of 1,000,000, are more microseconds than 64 bits hold.

--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -263,7 +263,7 @@
       CHECK_FALSE(isReadable(Member, Value));
     CHECK_TRUE(isReadable(Member, "3"));
   }
-  for (const char *Value : {"-1", "1e30", "1e400", "\"7\"", "null"})
+  for (const char *Value : {"-1", "1001", "1e30", "1e400", "\"7\"", "null"})
     CHECK_FALSE(isReadable("stretch", Value));
   CHECK_TRUE(isReadable("stretch", "2.5"));
   for (const char *Member : {"decision-ms", "period-ms", "validity-ms"}) {
