Refuse stored rows with odd numbers, and jobs that no caller could submit

Would be seen, from a row of another writer: a capacity of -1 milli-cores is 4,294,967,295, beside which each entry takes itself for much too small to acquire a service first, and the owner's row carries it on; an epoch or a lease end of 1e30 is converted, which C++ leaves undefined; a step that waits for step 4,294,967,295 makes the owner read past its steps, in each process that loads the job.

Cause: json::get() and value() convert without a look at the range; what a caller's body is checked for was not checked in a row.

Such a row counts as one that can't be read (job-unreadable, capacity-unreadable).

Before: ARowOfACell.WithAnOddCapacityOfAnEntryIsRefused, WithAnOddNumberOfAnOwnerIsRefused and OfAJobThatNoCallerCouldSubmitIsRefused fail. After: pass (small binary of these sources).

Not covered: progress rows that name a step or a task that their job doesn't have (CellOwner::restore).

--- a/src/cell/EntryCapacity.cpp
+++ b/src/cell/EntryCapacity.cpp
@@ -33,9 +33,13 @@
 Result<EntryCapacity> decodeEntryCapacity(std::string_view Text) {
   try {
     auto Document = parseJson(Text);
-    return EntryCapacity{
-        .MilliCores = Document.at("millicores").get<uint32_t>(),
-        .LinkKbitPerSecond = Document.at("link_kbit").get<uint32_t>()};
+    NumberReader Numbers;
+    EntryCapacity Capacity{
+        .MilliCores = Numbers.whole<uint32_t>(Document.at("millicores")),
+        .LinkKbitPerSecond = Numbers.whole<uint32_t>(Document.at("link_kbit"))};
+    if (Numbers.failed())
+      return Errc::Malformed;
+    return Capacity;
   } catch (const nlohmann::json::exception &) {
     return Errc::Malformed;
   }
--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -55,20 +55,30 @@
   return Document;
 }
 
-StepSpec decodeStep(const json &Document) {
+Millis durationField(const json &Document, const char *Key,
+                     NumberReader &Numbers) {
+  constexpr int64_t MaxDurationMs = 366LL * 24 * 3'600'000; ///< A year.
+  return Millis(Numbers.field<int64_t>(Document, Key, 0, 0, MaxDurationMs));
+}
+
+StepSpec decodeStep(const json &Document, NumberReader &Numbers) {
+  auto Number = [&](const char *Key) {
+    return Numbers.field<uint32_t>(Document, Key, 0);
+  };
   StepSpec Step;
-  Step.Count = Document.value("count", 1U);
-  Step.Size = {.MilliCores = Document.value("cores", 0U),
-               .MemoryMb = Document.value("memory", 0U),
-               .Accelerators = Document.value("accelerators", 0U)};
-  Step.Estimate = Millis(Document.value("estimate", int64_t{0}));
-  Step.Dependencies = Document.value("after", std::vector<uint32_t>());
+  Step.Count = Numbers.field<uint32_t>(Document, "count", 1, 1, MaxTasks);
+  Step.Size = {.MilliCores = Number("cores"),
+               .MemoryMb = Number("memory"),
+               .Accelerators = Number("accelerators")};
+  Step.Estimate = durationField(Document, "estimate", Numbers);
+  for (const json &Earlier : Document.value("after", json::array()))
+    Step.Dependencies.push_back(Numbers.whole<uint32_t>(Earlier));
   Step.Constraint = Document.value("constraint", std::string());
   Step.Affinity = Document.value("affinity", std::string());
-  Step.AntiAffinity = Document.value("anti_affinity", 0U);
+  Step.AntiAffinity = Number("anti_affinity");
   Step.Image = Document.value("image", std::string());
-  Step.TailLatencyTarget = Millis(Document.value("serving_target", int64_t{0}));
-  Step.MaxUnavailable = Document.value("may_miss", 0U);
+  Step.TailLatencyTarget = durationField(Document, "serving_target", Numbers);
+  Step.MaxUnavailable = Number("may_miss");
   Step.Checkpointing = Document.value("checkpointing", false);
   Step.Gang = Document.value("gang", false);
   Step.Colocate = Document.value("colocate", false);
@@ -78,6 +88,18 @@
   return Step;
 }
 
+/// Whether there are steps, not too many, and each depends on earlier ones
+/// only.
+bool areStepsValid(const std::vector<StepSpec> &Steps) {
+  for (size_t I = 0; I < Steps.size(); ++I) {
+    for (uint32_t Dependency : Steps[I].Dependencies) {
+      if (Dependency >= I)
+        return false;
+    }
+  }
+  return !Steps.empty() && Steps.size() <= MaxSteps;
+}
+
 json encodeWork(const JobSpec &Job) {
   json Steps = json::array();
   for (const StepSpec &Step : Job.Steps)
@@ -124,18 +146,24 @@
 }
 
 Result<JobSpec> decodeJob(std::string_view Text) {
+  // Further occurrences can be added to it.
+  constexpr int64_t MaxFirstRunMs = std::numeric_limits<int64_t>::max() / 2;
   try {
     json Document = parseJson(Text);
     JobSpec Job;
+    NumberReader Numbers;
     Job.Id = Document.at("id").get<std::string>();
     Job.Queue = Document.at("queue").get<std::string>();
     Job.Payload = Document.at("spec").get<std::string>();
     for (const json &Step : Document.at("steps"))
-      Job.Steps.push_back(decodeStep(Step));
-    Job.RepeatCount = Document.value("repeat", 0U);
-    Job.FirstRunMs = Document.value("first_run", int64_t{0});
-    Job.IntervalMs = Document.value("interval", int64_t{0});
-    Job.AcceptedMs = Document.value("accepted", int64_t{0});
+      Job.Steps.push_back(decodeStep(Step, Numbers));
+    Job.RepeatCount = Numbers.field<uint32_t>(Document, "repeat", 0);
+    Job.FirstRunMs =
+        Numbers.field<int64_t>(Document, "first_run", 0, 0, MaxFirstRunMs);
+    Job.IntervalMs = durationField(Document, "interval", Numbers).count();
+    Job.AcceptedMs = Numbers.field<int64_t>(Document, "accepted", 0);
+    if (Numbers.failed() || !areStepsValid(Job.Steps))
+      return Errc::Malformed;
     return Job;
   } catch (const json::exception &) {
     return Errc::Malformed;
--- a/src/cell/JsonProgress.cpp
+++ b/src/cell/JsonProgress.cpp
@@ -35,26 +35,29 @@
     json Document = parseJson(Text);
     JobProgress Progress;
     Progress.Phase = *Phase;
-    Progress.EndedMs = Document.value("ended", int64_t{0});
+    NumberReader Numbers;
+    Progress.EndedMs = Numbers.field<int64_t>(Document, "ended", 0);
     for (const json &Row : Document.at("tasks")) {
-      TaskPosition Position{.Occurrence = Row.at(0).get<uint32_t>(),
-                            .Step = Row.at(1).get<uint32_t>(),
-                            .Index = Row.at(2).get<uint32_t>()};
+      TaskPosition Position{.Occurrence = Numbers.whole<uint32_t>(Row.at(0)),
+                            .Step = Numbers.whole<uint32_t>(Row.at(1)),
+                            .Index = Numbers.whole<uint32_t>(Row.at(2))};
       TaskProgress Task;
       Task.Phase = decodeTaskPhase(Row.at(3).get<std::string>());
-      Task.Run = Row.at(4).get<uint32_t>();
-      Task.Failures = Row.at(5).get<uint32_t>();
+      Task.Run = Numbers.whole<uint32_t>(Row.at(4));
+      Task.Failures = Numbers.whole<uint32_t>(Row.at(5));
       Task.Executor = Row.at(6).get<std::string>();
       Task.Checkpoint = Row.at(7).get<std::string>();
       // Rows written by earlier versions have no address, or no crashes.
       if (Row.size() > 8)
         Task.Address = Row.at(8).get<std::string>();
       if (Row.size() > 9)
-        Task.Crashes = Row.at(9).get<uint32_t>();
+        Task.Crashes = Numbers.whole<uint32_t>(Row.at(9));
       Progress.Tasks.emplace(Position, std::move(Task));
     }
     for (const json &Number : Document.value("done", json::array()))
-      Progress.DoneOccurrences.insert(Number.get<uint32_t>());
+      Progress.DoneOccurrences.insert(Numbers.whole<uint32_t>(Number));
+    if (Numbers.failed())
+      return Errc::Malformed;
     return Progress;
   } catch (const json::exception &) {
     return Errc::Malformed;
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -21,24 +21,42 @@
   return Document.dump();
 }
 
+namespace {
+
+/// A time of the store's clock or a count.
+template <typename T>
+std::map<std::string, T> decodeNumbers(const json &Source,
+                                       NumberReader &Numbers) {
+  std::map<std::string, T> Decoded;
+  for (const auto &[Name, Value] : Source.get_ref<const json::object_t &>())
+    Decoded.emplace(Name, Numbers.whole<T>(Value));
+  return Decoded;
+}
+
+} // namespace
+
 Result<OwnerRow> decodeOwnerRow(std::string_view Text) {
   try {
     json Document = parseJson(Text);
     OwnerRow Row;
+    NumberReader Numbers;
     Row.Holder = Document.at("holder").get<std::string>();
     Row.RelayAddress = Document.value("relay", std::string());
-    Row.Epoch = Document.at("epoch").get<uint64_t>();
-    Row.Sequence = Document.at("sequence").get<uint64_t>();
+    Row.Epoch = Numbers.whole<uint64_t>(Document.at("epoch"));
+    Row.Sequence = Numbers.whole<uint64_t>(Document.at("sequence"));
     Row.Released = Document.at("released").get<bool>();
-    Row.LargestEntry = {.MilliCores = Document.value("largest_millicores", 0U),
-                        .LinkKbitPerSecond =
-                            Document.value("largest_link_kbit", 0U)};
-    Row.PendingJobs =
-        Document.at("pending").get<std::map<std::string, uint64_t>>();
+    Row.LargestEntry = {.MilliCores = Numbers.field<uint32_t>(
+                            Document, "largest_millicores", 0),
+                        .LinkKbitPerSecond = Numbers.field<uint32_t>(
+                            Document, "largest_link_kbit", 0)};
+    Row.PendingJobs = decodeNumbers<uint64_t>(Document.at("pending"), Numbers);
     if (Document.contains("leases_end_ms"))
-      Row.LeasesEndMs = Document.at("leases_end_ms").get<int64_t>();
-    Row.SilentLeaseEnds =
-        Document.value("silent", std::map<std::string, int64_t>());
+      Row.LeasesEndMs = Numbers.whole<int64_t>(Document.at("leases_end_ms"));
+    if (Document.contains("silent"))
+      Row.SilentLeaseEnds =
+          decodeNumbers<int64_t>(Document.at("silent"), Numbers);
+    if (Numbers.failed())
+      return Errc::Malformed;
     return Row;
   } catch (const json::exception &) {
     return Errc::Malformed;
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -288,6 +288,33 @@
 TEST_GROUP(ARowOfACell) {};
 // clang-format on
 
+/// Guards against entries that all take themselves for much too small to own a
+/// service.
+TEST(ARowOfACell, WithAnOddCapacityOfAnEntryIsRefused) {
+  auto Decode = [](const char *MilliCores) {
+    return cell::decodeEntryCapacity(
+        fmt::format(R"({{"millicores":{},"link_kbit":1000}})", MilliCores));
+  };
+  for (const char *MilliCores : {"-1", "1e30", "4294968296", "1.5", "null"})
+    CHECK_FALSE(static_cast<bool>(Decode(MilliCores)));
+  LONGS_EQUAL(500, Decode("500")->MilliCores);
+}
+
+/// Guards against fencing tokens and lease ends read from what is none.
+TEST(ARowOfACell, WithAnOddNumberOfAnOwnerIsRefused) {
+  auto Decode = [](const char *Epoch, const char *LeasesEnd) {
+    return cell::decodeOwnerRow(fmt::format(
+        R"({{"holder":"e","epoch":{},"sequence":1,"released":false,)"
+        R"("pending":{{}},"leases_end_ms":{}}})",
+        Epoch, LeasesEnd));
+  };
+  for (const char *Odd : {"-1", "1e30", "1.5", "18446744073709551615"}) {
+    CHECK_FALSE(static_cast<bool>(Decode(Odd, "1")));
+    CHECK_FALSE(static_cast<bool>(Decode("1", Odd)));
+  }
+  CHECK_TRUE(static_cast<bool>(Decode("1", "1")));
+}
+
 /// Guards against a row that ends each process that loads it.
 TEST(ARowOfACell, ThatIsVeryDeeplyNestedIsRefused) {
   std::string Deep = nestedLists(ManyLevels);
@@ -308,3 +335,19 @@
     CHECK_FALSE(static_cast<bool>(cell::decodeJsonProgress(Text)));
   }
 }
+
+/// Guards against steps that wait for steps that don't exist.
+TEST(ARowOfACell, OfAJobThatNoCallerCouldSubmitIsRefused) {
+  auto Decode = [](const std::string &Steps) {
+    return cell::decodeJob(
+        R"({"id":"0000000000000001","queue":"q","spec":"","steps":)" + Steps +
+        "}");
+  };
+  for (const char *Steps :
+       {"[]", R"([{"count":0}])", R"([{"count":-1}])",
+        R"([{"count":4000000000}])", R"([{"count":1,"after":[0]}])",
+        R"([{"count":1},{"count":1,"after":[-1]}])", R"([{"cores":-1}])",
+        R"([{"cores":4294968296}])", R"([{"estimate":1e30}])"})
+    CHECK_FALSE(static_cast<bool>(Decode(Steps)));
+  CHECK_TRUE(static_cast<bool>(Decode(R"([{},{"count":2,"after":[0]}])")));
+}
