--- a/tests/unit/ExecutorListTest.cpp
+++ b/tests/unit/ExecutorListTest.cpp
@@ -1,6 +1,8 @@
 #include "node/ExecutorList.h"
 #include "platform/PlatformPorts.h"
 
+#include "RandomJson.h"
+
 #include <deque>
 #include <limits>
 
@@ -214,3 +216,25 @@
   Store.putExecutor("i-1", false, NowMs + 10 * MinuteMs);
   STRCMP_EQUAL("i-1 i-2 ", listedAfterFeed().c_str());
 }
+
+/// Guards against entries that nobody thought of.
+TEST(WhenAnotherWriterLeavesAnOddEntry, WhateverItIsTheOthersStayListed) {
+  const char *Sound = R"({"service":"s","address":"a:1","zone":"z","born":5,
+      "capacity":{"cpu":1000,"mem-mb":9},"labels":["a"],"state":"ready"})";
+  constexpr uint32_t MaxAmount = 100'000'000;
+  CHECK(rc::check("entries", [&] {
+    for (int I = 0; I < 10; ++I) {
+      Store.putRow("i-0", test::oddVersionOf(Sound));
+      Store.answerFeed(
+          store::ChangePage{.Rows = Store.Rows, .Version = Store.Version});
+      auto Infos = List.takeChanges();
+      RC_ASSERT(Infos.has_value());
+      bool IsUsed = Infos->front().Id == "i-0";
+      RC_ASSERT(Infos->size() == (IsUsed ? 3U : 2U));
+      RC_ASSERT(Infos->back().Id == "i-2");
+      RC_ASSERT(Infos->front().Capacity.MilliCores <= MaxAmount);
+      RC_ASSERT(Infos->front().Capacity.MemoryMb <= MaxAmount);
+      RC_ASSERT(Infos->front().Address != "10.0.0.1:99999");
+    }
+  }));
+}
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -2,10 +2,13 @@
 #include "cell/JobSpec.h"
 #include "cell/JsonProgress.h"
 #include "cell/OwnerRow.h"
+#include "cell/Progress.h"
 #include "platform/ExecutorClient.h"
 #include "platform/PlatformPorts.h"
 #include "standin/RawServer.h"
 
+#include "RandomJson.h"
+
 #include <fmt/format.h>
 
 #include <limits>
@@ -351,3 +354,40 @@
     CHECK_FALSE(static_cast<bool>(Decode(Steps)));
   CHECK_TRUE(static_cast<bool>(Decode(R"([{},{"count":2,"after":[0]}])")));
 }
+
+// clang-format off
+TEST_GROUP(ForAnyDocument) {
+  platform::PlatformDocumentCodec Codec;
+};
+// clang-format on
+
+/// Guards against what nobody thought of: nothing throws, or ends the process.
+TEST(ForAnyDocument, AnOddVersionOfItIsReadOrRefused) {
+  const char *Config = R"({"version":7,"services":[{"name":"s"}],
+      "limits":{"max-body-bytes":1},"routes":[{"name":"a","host":"h",
+      "path-prefix":"/x/","service":"s","stretch":2.0,"target-latency-ms":9,
+      "max-attempts":3,"priority":1,"advice":{"decision-ms":1}}]})";
+  const char *Body = R"({"spec":"x","first-run-ms":1,"repeat-count":2,
+      "steps":[{"count":2,"cpu":5},{"count":1,"after":[0],"gang":true}]})";
+  const char *Job = R"({"id":"0000000000000001","queue":"q","spec":"",
+      "steps":[{"count":1,"cores":5},{"count":2,"after":[0],"estimate":7}]})";
+  const char *Owner = R"({"holder":"e","epoch":1,"sequence":1,"pending":{"q":1},
+      "released":false,"silent":{"i-1":5},"leases_end_ms":7})";
+  const char *Progress = R"({"phase":"running","ended":0,"done":[1],
+      "tasks":[[0,0,0,"o",1,0,"i-1","","a:1",0]]})";
+  CHECK(rc::check("documents", [&] {
+    (void)Codec.parseConfig(test::oddVersionOf(Config));
+    (void)Codec.parseExecutor("i-1", test::oddVersionOf(entryAt("a:1")));
+    node::FieldError Error;
+    bool Read =
+        static_cast<bool>(Codec.parseJob(test::oddVersionOf(Body), Error));
+    RC_ASSERT(Read == Error.Field.empty());
+    (void)cell::decodeJob(test::oddVersionOf(Job));
+    (void)cell::decodeOwnerRow(test::oddVersionOf(Owner));
+    (void)cell::decodeProgress(test::oddVersionOf(Progress));
+    std::string Capacity =
+        test::oddVersionOf(R"({"millicores":5,"link_kbit":5})");
+    (void)cell::decodeEntryCapacity(Capacity);
+    (void)cell::knowsEndedJobs(Capacity);
+  }));
+}
