--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -158,6 +158,61 @@
   LONGS_EQUAL(40, Platform.runsStarted());
 }
 
+/// Guards against entries that end, or stop following the list, because of odd
+/// rows in it.
+TEST(ACellOfTwoEntries, OddEntriesAmongThoseOfTheExecutorsDoNoHarm) {
+  constexpr size_t Levels = 100'000;
+  std::string Deep = std::string(Levels, '[') + std::string(Levels, ']');
+  auto Odd = [](const std::string &Port, const std::string &Cpu,
+                const std::string &More) {
+    return fmt::format(
+        R"({{"service":"s","address":"127.0.0.1:{}","zone":"za",)"
+        R"("state":"ready","labels":["a","r1"],"capacity":{{"cpu":{},)"
+        R"("mem-mb":10000}}{}}})",
+        Port, Cpu, More);
+  };
+  const std::vector<std::string> Rows = {
+      Deep,
+      Odd("7941", "8000", ",\"x\":" + Deep),
+      Odd("99999", "8000", ""),
+      Odd("-1", "8000", ""),
+      Odd("7941", "1e400", ""),
+      Odd("7941", "-1", ""),
+      Odd("7941", "8000", ",\"born\":9223372036854775807"),
+      "",
+      "7"};
+  for (size_t I = 0; I < Rows.size(); ++I)
+    Platform.putRow("servers", "", fmt::format("i-{}-from-others", I), Rows[I]);
+  // Also under the id of a sound executor.
+  Platform.putRow("servers", "", "i-2",
+                  Odd("7941", "8000", ",\"born\":9223372036854775807"));
+  for (int I = 1; I <= 6; ++I)
+    LONGS_EQUAL(200, submit(I % 2, I, 3));
+  for (int I = 1; I <= 6; ++I)
+    CHECK(eventually([&] { return state(I % 2, I) == "completed"; }));
+  Platform.addExecutor("i-later", fmt::format("127.0.0.1:{}", PlatformPort),
+                       8'000);
+  LONGS_EQUAL(200, submit(0, 7, 3));
+  CHECK(eventually([&] { return state(1, 7) == "completed"; }));
+  LONGS_EQUAL(21, Platform.runsStarted());
+  for (int I = 0; I < 2; ++I)
+    LONGS_EQUAL(200, get(I, 1, "/ready"));
+}
+
+/// Guards against one request that ends each entry that it is sent to.
+TEST(ACellOfTwoEntries, AVeryDeeplyNestedRequestIsRefused) {
+  constexpr size_t Levels = 100'000;
+  std::string Body = R"({"spec":"x","steps":[{"count":1,"after":)" +
+                     std::string(Levels, '[') + std::string(Levels, ']') +
+                     "}]}";
+  for (int I = 0; I < 2; ++I) {
+    auto Answer = call(I, 0, "POST", "/q/" + jobId(1), Body);
+    CHECK_TRUE(static_cast<bool>(Answer));
+    LONGS_EQUAL(400, Answer->Status);
+    LONGS_EQUAL(200, get(I, 1, "/ready"));
+  }
+}
+
 /// Guards against a job that is unknown while its rows are moved at its end,
 /// and to entries that read one table before and the other after.
 TEST(ACellOfTwoEntries, AJobIsKnownWhileItEndsAndAfterATakeover) {
--- a/tests/unit/CapacityChangeTest.cpp
+++ b/tests/unit/CapacityChangeTest.cpp
@@ -53,6 +53,13 @@
   }
 };
 
+TEST_GROUP_BASE(WhenItsEntryNamesItNoLonger, TEST_GROUP_CppUTestGroupAnExecutorInUse) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnExecutorInUse::setup();
+    Sim.setListed(Id, false);
+  }
+};
+
 TEST_GROUP_BASE(WhenItShrinksBeforeAStart, TEST_GROUP_CppUTestGroupAnExecutorInUse) {};
 // clang-format on
 
@@ -116,3 +123,21 @@
   setCapacity(Full);
   CHECK(laterJobCompletes());
 }
+
+/// Guards against runs taken for lost because another writer left an odd entry
+/// of their executor.
+TEST(WhenItsEntryNamesItNoLonger, WhatRunsThereGoesOn) {
+  constexpr int64_t PastAllLeases = 30'000;
+  Sim.runFor(PastAllLeases);
+  LONGS_EQUAL(2, Sim.Started.size());
+  CHECK(Sim.isOpen(taskName({.Job = LastingId, .Index = 0})));
+  CHECK(Sim.isOpen(taskName({.Job = LastingId, .Index = 1})));
+}
+
+TEST(WhenItsEntryNamesItNoLonger, ItGetsNoFurtherTasksUntilItDoesAgain) {
+  Sim.submit(Later);
+  Sim.runFor(5'000);
+  LONGS_EQUAL(2, Sim.Started.size());
+  Sim.setListed(Id, true);
+  CHECK(laterJobCompletes());
+}
--- a/tests/unit/ExecutorListTest.cpp
+++ b/tests/unit/ExecutorListTest.cpp
@@ -1,7 +1,6 @@
 #include "node/ExecutorList.h"
 #include "platform/PlatformPorts.h"
-
-#include "RandomJson.h"
+#include "unit/RandomJson.h"
 
 #include <deque>
 #include <limits>
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -6,8 +6,7 @@
 #include "platform/ExecutorClient.h"
 #include "platform/PlatformPorts.h"
 #include "standin/RawServer.h"
-
-#include "RandomJson.h"
+#include "unit/RandomJson.h"
 
 #include <fmt/format.h>
 
