--- a/tests/standin/RawServer.h
+++ b/tests/standin/RawServer.h
@@ -32,8 +32,9 @@
 class RawServer {
 public:
   /// \p Answer is the body of complete responses, \p Status their status line.
-  explicit RawServer(std::vector<RawAction> Actions, std::string Answer = "ok",
-                     std::string Status = "200 OK")
+  explicit RawServer(std::vector<RawAction> Actions,
+                     const std::string &Answer = "ok",
+                     const std::string &Status = "200 OK")
       : Actions(std::move(Actions)),
         Response("HTTP/1.1 " + Status + "\r\nContent-Length: " +
                  std::to_string(Answer.size()) + "\r\n\r\n" + Answer),
