--- a/src/cell/EntryCapacity.cpp
+++ b/src/cell/EntryCapacity.cpp
@@ -1,6 +1,6 @@
 #include "cell/EntryCapacity.h"
 
-#include <nlohmann/json.hpp>
+#include "common/Json.h"
 
 #include <algorithm>
 
@@ -32,17 +32,21 @@
 
 Result<EntryCapacity> decodeEntryCapacity(std::string_view Text) {
   try {
-    auto Document = nlohmann::json::parse(Text);
-    return EntryCapacity{
-        .MilliCores = Document.at("millicores").get<uint32_t>(),
-        .LinkKbitPerSecond = Document.at("link_kbit").get<uint32_t>()};
+    auto Document = parseJson(Text);
+    NumberReader Numbers;
+    EntryCapacity Capacity{
+        .MilliCores = Numbers.whole<uint32_t>(Document.at("millicores")),
+        .LinkKbitPerSecond = Numbers.whole<uint32_t>(Document.at("link_kbit"))};
+    if (Numbers.failed())
+      return Errc::Malformed;
+    return Capacity;
   } catch (const nlohmann::json::exception &) {
     return Errc::Malformed;
   }
 }
 
 bool knowsEndedJobs(std::string_view Text) {
-  auto Document = nlohmann::json::parse(Text, nullptr, false);
+  auto Document = parseJson(Text);
   auto Field = Document.find(KnowsEndedField);
   return Field != Document.end() && *Field == true;
 }
