Log the age of a start's ticket when the start isn't confirmed

The line start-not-confirmed tells how long ago the start was recorded and sent, and how much longer its ticket is valid. So it shows whether a ticket was too old when its start was recorded, or aged while it waited for the commit, before sending or on its way.

--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -48,7 +48,8 @@
   /// End of the last run, as far as this owner has seen it.
   TimePoint LastRunEndedAt{};
   TimePoint PlacedAt{};
-  TimePoint TicketedAt{}; ///< Placed and with a valid ticket, if it needs one.
+  TimePoint TicketedAt{};  ///< Placed and with a valid ticket, if it needs one.
+  TimePoint StartSentAt{}; ///< The last try.
 };
 
 /// Whether the policy allows a step on one executor, and the ticket for it.
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -1,4 +1,5 @@
 #include "cell/CellOwner.h"
+#include "cell/StartTimes.h"
 
 #include "common/Log.h"
 
@@ -56,6 +57,7 @@
   if (!LeaseEnd)
     return;
   Task.OrderPending = true;
+  Task.StartSentAt = Now;
   ++Counts.Starts;
   StartCommand Command{.Executor = Task.Executor};
   Command.Order = {.Target = targetOf(Task.Executor),
@@ -236,10 +238,15 @@
   const TaskKey &Key = *Found;
   LiveTask &Task = Key.task();
   Task.OrderPending = false;
-  if (Answer.Outcome != OrderOutcome::Done)
-    logInfo("start-not-confirmed", "task={} run={} executor={} outcome={}",
+  if (Answer.Outcome != OrderOutcome::Done) {
+    StartTimes Times = startTimesOf(Key.step(), Task, Now);
+    logInfo("start-not-confirmed",
+            "task={} run={} executor={} outcome={} ticketed_ms={} sent_ms={} "
+            "ticket_left_ms={}",
             Id.Task, Id.Run, Pool[Index].Info.Id,
-            executor::outcomeName(Answer.Outcome));
+            executor::outcomeName(Answer.Outcome), Times.TicketedMs,
+            Times.SentMs, Times.TicketLeftMs);
+  }
   switch (Answer.Outcome) {
   case OrderOutcome::Done:
     Task.StartUnanswered = false;
--- a/src/cell/StartTimes.h
+++ b/src/cell/StartTimes.h
@@ -15,6 +15,9 @@
   int64_t AdvisedMs = -1;  ///< It first answered.
   int64_t PlacedMs = -1;   ///< Capacity was reserved.
   int64_t TicketedMs = -1; ///< The ticket was valid; the commit remained.
+  int64_t SentMs = -1;     ///< The start was sent.
+  /// How much longer the ticket is valid; negative once it has expired.
+  int64_t TicketLeftMs = 0;
 };
 
 StartTimes startTimesOf(const LiveStep &Step, const LiveTask &Task,
--- a/tests/unit/StartTimesTest.cpp
+++ b/tests/unit/StartTimesTest.cpp
@@ -54,3 +54,12 @@
   LONGS_EQUAL(350, Times.AskedMs);
   LONGS_EQUAL(250, Times.AdvisedMs);
 }
+
+/// With the times since its record and its sending: what was left at each.
+TEST(ATaskThatIsStarted, TellsHowMuchLongerItsTicketIsValid) {
+  Step.Permissions[Index] = {.ValidUntil = at(450)};
+  Task.StartSentAt = at(480);
+  StartTimes Times = startTimesOf(Step, Task, at(500));
+  LONGS_EQUAL(20, Times.SentMs);
+  LONGS_EQUAL(-50, Times.TicketLeftMs);
+}
