Record no start whose ticket ends before the start can arrive

Callers see late jobs: on a large deployment 4 to 32 % of recorded starts are refused for their ticket, each placed, recorded, sent, refused and placed anew when the owner has least time.

Cause: a ticket had to be valid for another 150 ms when its start was recorded, whatever the owner took from the record to the executor's answer. With commits of 0.1 to 0.5 s and more, that is too little.

Change: the owner keeps a moving mean and deviation of that time and requires this much, at least 150 ms as before, at most half of the ticket's validity. A ticket with less left is renewed while its task keeps its place.

Tickets that are prepared for restarts keep the fixed margin.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -11,6 +11,7 @@
 #include "cell/OwnerRow.h"
 #include "cell/Placement.h"
 #include "cell/SpeedTracker.h"
+#include "cell/StartDelay.h"
 #include "cell/UrgentRoom.h"
 #include "executor/AdvicePort.h"
 #include "store/RowStore.h"
@@ -432,6 +433,8 @@
   static void markAnswered(const AdviceRequest &Request, LiveStep &Step);
   static bool hasValidTicket(const LiveStep &Step, ExecutorIndex Index,
                              TimePoint Now);
+  bool hasTicketForStart(const LiveStep &Step, ExecutorIndex Index,
+                         TimePoint Now) const;
   bool isNeeded(const AdviceRequest &Request, const LiveStep &Step,
                 const LiveJob &Job, TimePoint Now) const;
   double slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
@@ -559,6 +562,7 @@
   uint64_t NextAdviceId = 0;
   AllowedShares AdviceShares;
   AdviceDelays CallDelays;
+  StartDelay StartDelays;
   uint64_t RowVersion = 0;
   uint64_t LastBuiltSequence = 0; ///< Of the newest commit that was built.
   OwnerRow Row;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -56,6 +56,7 @@
 struct Permission {
   bool Allowed = false;
   std::string Ticket;
+  TimePoint GrantedAt{}; ///< The ticket.
   TimePoint ValidUntil{};
   TimePoint AskedAt{};         ///< The first call that named the executor.
   TimePoint AdvisedAt{};       ///< Its answer.
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-/// A ticket must remain valid while its start is committed and sent.
+/// A ticket must remain valid at least this long while its start is committed
+/// and sent.
 constexpr Millis TicketMargin{150};
 /// Allowance for the transit of an answer from the policy service.
 constexpr Millis TicketTransitTime{50};
@@ -44,6 +45,20 @@
          Found->second.ValidUntil > Now + TicketMargin;
 }
 
+/// Whether the ticket will still be valid when a start recorded now arrives.
+/// At most half of its validity is kept for that: with more, an owner that
+/// comes round late would find each new ticket too old.
+bool CellOwner::hasTicketForStart(const LiveStep &Step, ExecutorIndex Index,
+                                  TimePoint Now) const {
+  auto Found = Step.Permissions.find(Index);
+  if (Found == Step.Permissions.end())
+    return false;
+  const Permission &Granted = Found->second;
+  Micros HalfValidity = (Granted.ValidUntil - Granted.GrantedAt) / 2;
+  Micros Expected = std::min(Micros(StartDelays.bound()), HalfValidity);
+  return Granted.ValidUntil > Now + std::max(Micros(TicketMargin), Expected);
+}
+
 /// Requests advice on executors that have not been asked about. A step that the
 /// allowed executors can hold asks about others only if these have free
 /// capacity: a backlog of steps would fill the advice queues with calls that
@@ -93,7 +108,7 @@
   for (const LiveTask &Task : Step.Tasks) {
     bool IsNeeded =
         Task.Phase == TaskPhase::Placed &&
-        (Waiting.spec().Gang || !hasValidTicket(Step, Task.Executor, Now));
+        (Waiting.spec().Gang || !hasTicketForStart(Step, Task.Executor, Now));
     bool IsNamed =
         std::find(Named.begin(), Named.end(), Task.Executor) != Named.end();
     if (IsNeeded && !IsNamed &&
@@ -265,6 +280,7 @@
     Permission &Granted = Step->Permissions[*Asked];
     Granted.Allowed = true;
     Granted.Ticket = Ticket.Text;
+    Granted.GrantedAt = Now;
     Granted.ValidUntil = Now + Answer->Validity - TicketTransitTime;
   }
 }
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -238,6 +238,10 @@
   const TaskKey &Key = *Found;
   LiveTask &Task = Key.task();
   Task.OrderPending = false;
+  bool IsAnswer = Answer.Outcome != OrderOutcome::NotSent &&
+                  Answer.Outcome != OrderOutcome::Unknown;
+  if (IsAnswer && Task.StartAttempts == 0 && !Task.StartUnanswered)
+    StartDelays.record(Now - Task.TicketedAt);
   if (Answer.Outcome != OrderOutcome::Done) {
     StartTimes Times = startTimesOf(Key.step(), Task, Now);
     logInfo("start-not-confirmed",
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -436,7 +436,7 @@
   const StepSpec &Spec = Waiting.spec();
   auto HasValidTicket = [&](const LiveTask &Task) {
     return !JobQueue || !JobQueue->Advice ||
-           CellOwner::hasValidTicket(Step, Task.Executor, Now);
+           hasTicketForStart(Step, Task.Executor, Now);
   };
   bool AllTicketsValid = true;
   uint32_t HighestRun = 0;
