Send no recorded start whose ticket has expired

A start that waited before it was sent, for its commit, a fresh instance list or a lease, was sent with a ticket that had expired meanwhile. The executor refused it, its place was lost, and the task was placed anew.

Now the owner drops such a start before sending. Its task keeps its place, gets a new ticket there, and starts as the next run; a gang, or a task whose executor isn't usable, is placed anew as after a refusal. Nothing was sent for the run: no order is pending, and a start without an answer is sent again as before, since it may have been carried out.

Test GetsANewTicketInPlaceOfARefusal, before: 'expected <0> but was <1>' refusals.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -486,6 +486,8 @@
   void dropStartsBeyondCapacity(TimePoint Now);
   void dropStartsOnLeavingExecutors(TimePoint Now);
   void emitRefusals(TimePoint Now);
+  bool hasTicketExpired(const TaskKey &Key, TimePoint Now) const;
+  void dropExpiredStart(const TaskKey &Key, TimePoint Now);
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -143,10 +143,39 @@
   }
 }
 
+/// Whether the executor would refuse the start for its ticket.
+bool CellOwner::hasTicketExpired(const TaskKey &Key, TimePoint Now) const {
+  const auto &Permissions = Key.step().Permissions;
+  auto Found = Permissions.find(Key.task().Executor);
+  if (Found == Permissions.end() || Now < Found->second.ValidUntil)
+    return false;
+  const Queue *JobQueue = findQueue(Key.Job->Spec.Queue);
+  return JobQueue && JobQueue->Advice;
+}
+
+/// Drops a recorded start that was not sent before its ticket expired. The task
+/// keeps its place while it gets a new ticket; a gang is placed anew as a
+/// whole.
+void CellOwner::dropExpiredStart(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  ExecutorIndex Index = Task.Executor;
+  logInfo("start-ticket-expired", "task={} run={} executor={} ticketed_ms={}",
+          Key.name(), Task.Run, Pool[Index].Info.Id,
+          startTimesOf(Key.step(), Task, Now).TicketedMs);
+  StartDelays.record(Now - Task.TicketedAt);
+  if (Key.spec().Gang || !Pool.isUsable(Index, Now)) {
+    endRun(Key, executor::EndKind::Stopped, Now);
+    return;
+  }
+  closeRun(Key, TaskPhase::Waiting);
+  placeTask(Key, Index, Now);
+}
+
 void CellOwner::emitOrders(TimePoint Now) {
   dropStartsBeyondCapacity(Now);
   dropStartsOnLeavingExecutors(Now);
   emitRefusals(Now);
+  std::vector<TaskKey> ExpiredStarts;
   for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
     if (Pool[I].Info.Address.empty() || Pool[I].Ended)
       continue;
@@ -154,16 +183,27 @@
       LiveTask &Task = Key.task();
       if (Task.OrderPending || Now < Task.NextOrderAt)
         continue;
+      bool IsToBeStarted = Task.Phase == TaskPhase::Starting && !Task.Inherited;
+      // A start without an answer may have been carried out.
+      if (IsToBeStarted && !Task.StartUnanswered &&
+          hasTicketExpired(Key, Now)) {
+        ExpiredStarts.push_back(Key);
+        continue;
+      }
       // After a renewal without an answer another incarnation may have the
       // start, and by a clock that reads less.
-      bool IsStartable = Task.Phase == TaskPhase::Starting && !Task.Inherited &&
-                         !Pool[I].RenewalFailed;
+      bool IsStartable = IsToBeStarted && !Pool[I].RenewalFailed;
       if (IsStartable && mayStart(Now))
         emitStart(Key, Now);
       if (Task.Phase == TaskPhase::Stopping && !Task.StopConfirmed)
         emitStop(Key, Now);
     }
   }
+  for (const TaskKey &Key : ExpiredStarts) {
+    // One of a gang may have been stopped with the others.
+    if (Key.task().Phase == TaskPhase::Starting)
+      dropExpiredStart(Key, Now);
+  }
 }
 
 /// Whether the next row will allow for a lease there. A renewal sent before it
--- a/tests/unit/RefusedStartTest.cpp
+++ b/tests/unit/RefusedStartTest.cpp
@@ -76,3 +76,43 @@
   CHECK_EQUAL(0, Sim.Owner->counts().TicketRefusals - RefusalsBefore);
   CHECK(Sim.Owner->counts().EndsDone - DoneBefore > 100);
 }
+
+// clang-format off
+TEST_GROUP_BASE(ThatMayNotSendForAWhile,
+                TEST_GROUP_CppUTestGroupAnOwnerWhoseStartsNeedTickets) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerWhoseStartsNeedTickets::setup();
+    takeOverWith(1);
+  }
+
+  /// Records the start of a job, which may be sent only once its ticket has
+  /// expired.
+  std::string recordStart() {
+    Sim.CommitTimeMs = 1'200;
+    Sim.FeedsSilent = true;
+    std::string Job = submit(100);
+    Sim.runFor(TicketValidity.count() + 500);
+    Sim.CommitTimeMs = 10;
+    Sim.FeedsSilent = false;
+    return Job;
+  }
+};
+// clang-format on
+
+/// A recorded start is not sent with a ticket that has expired.
+TEST(ThatMayNotSendForAWhile, GetsANewTicketInPlaceOfARefusal) {
+  std::string Job = recordStart();
+  CHECK_EQUAL(0, Sim.Owner->counts().Starts);
+  Sim.runFor(3'000);
+  CHECK_EQUAL(0, Sim.Owner->counts().TicketRefusals);
+  CHECK_EQUAL(1, Sim.Owner->counts().Starts);
+  CHECK(Sim.storedPhase(Job) == JobPhase::Completed);
+}
+
+/// The run that was not sent is not taken for one that has begun.
+TEST(ThatMayNotSendForAWhile, StartsTheTaskOnceAsALaterRun) {
+  std::string Job = recordStart();
+  Sim.runFor(3'000);
+  CHECK_EQUAL(1, Sim.Started.size());
+  CHECK_EQUAL(2, Sim.Started.front().Id.Run);
+}
