Renew first where leases with runs end soonest, as many as the time asks for

A turn of the owner requested 32 renewals, round robin. An owner of many executors that came round late let leases of executors end that answered, and took their runs for lapsed; idle executors were asked as often as those with runs.

The limit remains 32, or the share of the due renewals that the time since the last turn has in 1.3 s, which is what is left of half a lease after the longest wait of a renewal. So it requests each executor's renewal at most once in 1.3 s beyond the 32, however many turns there are. Leases with runs of which half is over are renewed in any case; that is at most once in 2 s for each. First renewals of a new owner keep the limit of 32. If more are due, those sent longest ago go first, where runs should have ended earlier by 0.3 s and idle executors later by 1 s.

Tests, before: LetsNoLeaseOfAnExecutorThatAnswersEnd 'expected <0> but was <672>' runs lapsed of 400 executors at turns of 500 ms; RenewsFirstWhereRunsNeedTheirLeases 'longestGapMs(8'000) <= 1'000 failed'.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -10,6 +10,7 @@
 #include "cell/Offer.h"
 #include "cell/OwnerRow.h"
 #include "cell/Placement.h"
+#include "cell/RenewalTurn.h"
 #include "cell/SpeedTracker.h"
 #include "cell/StartDelay.h"
 #include "cell/UrgentRoom.h"
@@ -88,6 +89,7 @@
   std::vector<StartCommand> Starts;
   std::vector<StopCommand> Stops;
   std::vector<RenewalCommand> Renewals;
+  bool RenewalsLeft = false; ///< More are due than one turn requests.
   std::vector<PaceCommand> PaceChanges;
   std::vector<AdviceCallCommand> AdviceCalls;
 };
@@ -96,11 +98,6 @@
 /// longest; orders and renewals must not wait for it.
 enum class OwnerTurn : uint8_t { Full, WithoutPlanning };
 
-/// Renewals that one turn requests. A new owner renews on every executor at
-/// once; its row must be renewed in between, also where a connection takes
-/// milliseconds.
-constexpr size_t MaxRenewalsPerTurn = 32;
-
 /// Event counts since the owner was created, for metrics.
 struct OwnerCounts {
   uint64_t Starts = 0;
@@ -491,6 +488,9 @@
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
+  bool isRenewalDue(ExecutorIndex Index, TimePoint Now) const;
+  bool hasOverdueRun(ExecutorIndex Index, TimePoint Now) const;
+  void emitRenewal(ExecutorIndex Index, TimePoint Now);
   void emitRenewals(TimePoint Now);
   void adjustPace(ExecutorIndex Index, TimePoint Now);
   executor::ExecutorTarget targetOf(ExecutorIndex Index) const;
@@ -576,7 +576,7 @@
   /// An executor has answered that the newest row lists as silent.
   bool RowOutdated = false;
   TimePoint RetryCommitAt{};
-  ExecutorIndex NextRenewalIndex = 0; ///< Where the next turn begins.
+  TimePoint LastRenewalsAt{};  ///< When the last turn requested renewals.
   double AverageCommitMs = 20; ///< Moving average over confirmed commits.
   Micros LastCommitTime{0};
   TimePoint NextOfferCheckAt{};
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -218,44 +218,72 @@
          Now < Executor.LastAnswerAt + MaxRowWait;
 }
 
-void CellOwner::emitRenewals(TimePoint Now) {
+bool CellOwner::isRenewalDue(ExecutorIndex Index, TimePoint Now) const {
   /// An executor with unacknowledged run ends answers a renewal at once, so
   /// renewals are spaced by this while the store does not confirm the ends.
   constexpr Millis UnrecordedEndsDelay{300};
-  size_t Count = Pool.size();
-  for (size_t Visited = 0;
-       Visited < Count && Commands.Renewals.size() < MaxRenewalsPerTurn;
-       ++Visited) {
-    if (NextRenewalIndex >= Count)
-      NextRenewalIndex = 0;
-    ExecutorIndex I = NextRenewalIndex++;
-    ExecutorState &Executor = Pool[I];
-    bool IsNeeded =
-        Executor.Listed || Executor.EntryOutdated || Executor.OpenRuns > 0;
-    if (!IsNeeded || Executor.Ended || Executor.RenewalPending ||
-        Executor.Info.Address.empty() || Now < Executor.NextRenewalAt)
-      continue;
-    if (!Executor.UnacknowledgedEnds.empty() &&
-        Now < Executor.RenewalAnsweredAt + UnrecordedEndsDelay)
-      continue;
-    if (awaitsRowForLease(I, Now))
-      continue;
-    RenewalCommand Command{.Executor = I};
-    Command.Call = {.Target = targetOf(I),
-                    .FencingToken = Row.Epoch,
-                    .AcknowledgedEnd =
-                        Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
-    if (mayGrantLease(I, Now) && !Executor.InDoubt)
-      Command.Call.LeaseEndMs = Pool.extendLease(I, Now);
-    Executor.GrantUnanswered |= Command.Call.LeaseEndMs.has_value();
-    if (Executor.TokenConfirmed && !Executor.InDoubt)
-      Command.Call.MaxWait = Executor.OpenRuns > 0
-                                 ? Options.Leases.BusyRenewalWait
-                                 : Options.Leases.IdleRenewalWait;
-    Executor.RenewalPending = true;
-    Executor.RenewalSentAt = Now;
-    Commands.Renewals.push_back(std::move(Command));
+  const ExecutorState &Executor = Pool[Index];
+  bool IsNeeded =
+      Executor.Listed || Executor.EntryOutdated || Executor.OpenRuns > 0;
+  if (!IsNeeded || Executor.Ended || Executor.RenewalPending ||
+      Executor.Info.Address.empty() || Now < Executor.NextRenewalAt)
+    return false;
+  if (!Executor.UnacknowledgedEnds.empty() &&
+      Now < Executor.RenewalAnsweredAt + UnrecordedEndsDelay)
+    return false;
+  return !awaitsRowForLease(Index, Now);
+}
+
+/// Whether a run there should have ended by now.
+bool CellOwner::hasOverdueRun(ExecutorIndex Index, TimePoint Now) const {
+  const std::vector<TaskKey> &Runs = OpenRunsByExecutor[Index];
+  return std::any_of(Runs.begin(), Runs.end(), [&](const TaskKey &Key) {
+    const LiveTask &Task = Key.task();
+    return Task.Phase == TaskPhase::Running &&
+           Now >= Task.RunningSince + Key.spec().Estimate;
+  });
+}
+
+void CellOwner::emitRenewal(ExecutorIndex Index, TimePoint Now) {
+  ExecutorState &Executor = Pool[Index];
+  RenewalCommand Command{.Executor = Index};
+  Command.Call = {.Target = targetOf(Index),
+                  .FencingToken = Row.Epoch,
+                  .AcknowledgedEnd =
+                      Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
+  if (mayGrantLease(Index, Now) && !Executor.InDoubt)
+    Command.Call.LeaseEndMs = Pool.extendLease(Index, Now);
+  Executor.GrantUnanswered |= Command.Call.LeaseEndMs.has_value();
+  if (Executor.TokenConfirmed && !Executor.InDoubt)
+    Command.Call.MaxWait = Executor.OpenRuns > 0
+                               ? Options.Leases.BusyRenewalWait
+                               : Options.Leases.IdleRenewalWait;
+  Executor.RenewalPending = true;
+  Executor.RenewalSentAt = Now;
+  Commands.Renewals.push_back(std::move(Command));
+}
+
+void CellOwner::emitRenewals(TimePoint Now) {
+  std::vector<DueRenewal> Due;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (isRenewalDue(I, Now))
+      Due.push_back({.Executor = I,
+                     .SentAt = Pool[I].RenewalSentAt,
+                     .IsFirst = !Pool[I].TokenConfirmed,
+                     .HasRuns = Pool[I].OpenRuns > 0});
+  }
+  if (Due.size() > MinRenewalLimit) {
+    for (DueRenewal &Renewal : Due)
+      Renewal.EndsRuns =
+          Renewal.HasRuns && hasOverdueRun(Renewal.Executor, Now);
   }
+  Micros SinceLastTurn =
+      LastRenewalsAt == TimePoint{} ? Micros(0) : Now - LastRenewalsAt;
+  LastRenewalsAt = Now;
+  Commands.RenewalsLeft =
+      keepMostUrgent(Due, Options.Leases, SinceLastTurn, Now);
+  for (const DueRenewal &Renewal : Due)
+    emitRenewal(Renewal.Executor, Now);
 }
 
 void CellOwner::onStart(const executor::RunId &Id, ExecutorIndex Index,
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -267,7 +267,7 @@
   constexpr int64_t MicrosPerMilli = 1'000;
   cell::OwnerCommands Commands =
       Owner->advance(Now, wallMicros() / MicrosPerMilli, Turn);
-  RenewalsLeft = Commands.Renewals.size() >= cell::MaxRenewalsPerTurn;
+  RenewalsLeft = Commands.RenewalsLeft;
   executeCommands(std::move(Commands));
   sendAdviceCalls(Now);
   if (Now >= NextPublish)
