--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -10,7 +10,9 @@
 #include "cell/Offer.h"
 #include "cell/OwnerRow.h"
 #include "cell/Placement.h"
+#include "cell/RenewalTurn.h"
 #include "cell/SpeedTracker.h"
+#include "cell/StartDelay.h"
 #include "cell/UrgentRoom.h"
 #include "executor/AdvicePort.h"
 #include "store/RowStore.h"
@@ -87,6 +89,7 @@
   std::vector<StartCommand> Starts;
   std::vector<StopCommand> Stops;
   std::vector<RenewalCommand> Renewals;
+  bool RenewalsLeft = false; ///< More are due than one turn requests.
   std::vector<PaceCommand> PaceChanges;
   std::vector<AdviceCallCommand> AdviceCalls;
 };
@@ -95,11 +98,6 @@
 /// longest; orders and renewals must not wait for it.
 enum class OwnerTurn : uint8_t { Full, WithoutPlanning };
 
-/// Renewals that one turn requests. A new owner renews on every executor at
-/// once; its row must be renewed in between, also where a connection takes
-/// milliseconds.
-constexpr size_t MaxRenewalsPerTurn = 32;
-
 /// Event counts since the owner was created, for metrics.
 struct OwnerCounts {
   uint64_t Starts = 0;
@@ -441,6 +439,8 @@
   static void markAnswered(const AdviceRequest &Request, LiveStep &Step);
   static bool hasValidTicket(const LiveStep &Step, ExecutorIndex Index,
                              TimePoint Now);
+  bool hasTicketForStart(const LiveStep &Step, ExecutorIndex Index,
+                         TimePoint Now) const;
   bool isNeeded(const AdviceRequest &Request, const LiveStep &Step,
                 const LiveJob &Job, TimePoint Now) const;
   double slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
@@ -492,9 +492,14 @@
   void dropStartsBeyondCapacity(TimePoint Now);
   void dropStartsOnLeavingExecutors(TimePoint Now);
   void emitRefusals(TimePoint Now);
+  bool hasTicketExpired(const TaskKey &Key, TimePoint Now) const;
+  void dropExpiredStart(const TaskKey &Key, TimePoint Now);
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
+  bool isRenewalDue(ExecutorIndex Index, TimePoint Now) const;
+  bool hasOverdueRun(ExecutorIndex Index, TimePoint Now) const;
+  void emitRenewal(ExecutorIndex Index, TimePoint Now);
   void emitRenewals(TimePoint Now);
   void adjustPace(ExecutorIndex Index, TimePoint Now);
   executor::ExecutorTarget targetOf(ExecutorIndex Index) const;
@@ -568,6 +573,7 @@
   uint64_t NextAdviceId = 0;
   AllowedShares AdviceShares;
   AdviceDelays CallDelays;
+  StartDelay StartDelays;
   uint64_t RowVersion = 0;
   uint64_t LastBuiltSequence = 0; ///< Of the newest commit that was built.
   OwnerRow Row;
@@ -579,7 +585,7 @@
   /// An executor has answered that the newest row lists as silent.
   bool RowOutdated = false;
   TimePoint RetryCommitAt{};
-  ExecutorIndex NextRenewalIndex = 0; ///< Where the next turn begins.
+  TimePoint LastRenewalsAt{};  ///< When the last turn requested renewals.
   double AverageCommitMs = 20; ///< Moving average over confirmed commits.
   Micros LastCommitTime{0};
   TimePoint NextOfferCheckAt{};
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -61,7 +61,8 @@
   /// End of the last run, as far as this owner has seen it.
   TimePoint LastRunEndedAt{};
   TimePoint PlacedAt{};
-  TimePoint TicketedAt{}; ///< Placed and with a valid ticket, if it needs one.
+  TimePoint TicketedAt{};  ///< Placed and with a valid ticket, if it needs one.
+  TimePoint StartSentAt{}; ///< The last try.
 };
 
 /// Whether the start of the open run may have been sent. If not, it holds no
@@ -84,6 +85,7 @@
 struct Permission {
   bool Allowed = false;
   std::string Ticket;
+  TimePoint GrantedAt{}; ///< The ticket.
   TimePoint ValidUntil{};
   TimePoint AskedAt{};         ///< The first call that named the executor.
   TimePoint AdvisedAt{};       ///< Its answer.
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -1,4 +1,5 @@
 #include "cell/CellOwner.h"
+#include "cell/StartTimes.h"
 
 #include "common/Log.h"
 
@@ -56,6 +57,7 @@
   if (!LeaseEnd)
     return;
   Task.OrderPending = true;
+  Task.StartSentAt = Now;
   ++Counts.Starts;
   StartCommand Command{.Executor = Task.Executor};
   Command.Order = {.Target = targetOf(Task.Executor),
@@ -141,10 +143,39 @@
   }
 }
 
+/// Whether the executor would refuse the start for its ticket.
+bool CellOwner::hasTicketExpired(const TaskKey &Key, TimePoint Now) const {
+  const auto &Permissions = Key.step().Permissions;
+  auto Found = Permissions.find(Key.task().Executor);
+  if (Found == Permissions.end() || Now < Found->second.ValidUntil)
+    return false;
+  const Queue *JobQueue = findQueue(Key.Job->Spec.Queue);
+  return JobQueue && JobQueue->Advice;
+}
+
+/// Drops a recorded start that was not sent before its ticket expired. The task
+/// keeps its place while it gets a new ticket; a gang is placed anew as a
+/// whole.
+void CellOwner::dropExpiredStart(const TaskKey &Key, TimePoint Now) {
+  LiveTask &Task = Key.task();
+  ExecutorIndex Index = Task.Executor;
+  logInfo("start-ticket-expired", "task={} run={} executor={} ticketed_ms={}",
+          Key.name(), Task.Run, Pool[Index].Info.Id,
+          startTimesOf(Key.step(), Task, Now).TicketedMs);
+  StartDelays.record(Now - Task.TicketedAt);
+  if (Key.spec().Gang || !Pool.isUsable(Index, Now)) {
+    endRun(Key, executor::EndKind::Stopped, Now);
+    return;
+  }
+  closeRun(Key, TaskPhase::Waiting);
+  placeTask(Key, Index, Now);
+}
+
 void CellOwner::emitOrders(TimePoint Now) {
   dropStartsBeyondCapacity(Now);
   dropStartsOnLeavingExecutors(Now);
   emitRefusals(Now);
+  std::vector<TaskKey> ExpiredStarts;
   for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
     if (Pool[I].Info.Address.empty() || Pool[I].Ended)
       continue;
@@ -152,16 +183,27 @@
       LiveTask &Task = Key.task();
       if (Task.OrderPending || Now < Task.NextOrderAt)
         continue;
+      bool IsToBeStarted = Task.Phase == TaskPhase::Starting && !Task.Inherited;
+      // A start without an answer may have been carried out.
+      if (IsToBeStarted && !Task.StartUnanswered &&
+          hasTicketExpired(Key, Now)) {
+        ExpiredStarts.push_back(Key);
+        continue;
+      }
       // After a renewal without an answer another incarnation may have the
       // start, and by a clock that reads less.
-      bool IsStartable = Task.Phase == TaskPhase::Starting && !Task.Inherited &&
-                         !Pool[I].RenewalFailed;
+      bool IsStartable = IsToBeStarted && !Pool[I].RenewalFailed;
       if (IsStartable && mayStart(Now))
         emitStart(Key, Now);
       if (Task.Phase == TaskPhase::Stopping && !Task.StopConfirmed)
         emitStop(Key, Now);
     }
   }
+  for (const TaskKey &Key : ExpiredStarts) {
+    // One of a gang may have been stopped with the others.
+    if (Key.task().Phase == TaskPhase::Starting)
+      dropExpiredStart(Key, Now);
+  }
 }
 
 /// Whether the next row will allow for a lease there. A renewal sent before it
@@ -176,44 +218,72 @@
          Now < Executor.LastAnswerAt + MaxRowWait;
 }
 
-void CellOwner::emitRenewals(TimePoint Now) {
+bool CellOwner::isRenewalDue(ExecutorIndex Index, TimePoint Now) const {
   /// An executor with unacknowledged run ends answers a renewal at once, so
   /// renewals are spaced by this while the store does not confirm the ends.
   constexpr Millis UnrecordedEndsDelay{300};
-  size_t Count = Pool.size();
-  for (size_t Visited = 0;
-       Visited < Count && Commands.Renewals.size() < MaxRenewalsPerTurn;
-       ++Visited) {
-    if (NextRenewalIndex >= Count)
-      NextRenewalIndex = 0;
-    ExecutorIndex I = NextRenewalIndex++;
-    ExecutorState &Executor = Pool[I];
-    bool IsNeeded =
-        Executor.Listed || Executor.EntryOutdated || Executor.OpenRuns > 0;
-    if (!IsNeeded || Executor.Ended || Executor.RenewalPending ||
-        Executor.Info.Address.empty() || Now < Executor.NextRenewalAt)
-      continue;
-    if (!Executor.UnacknowledgedEnds.empty() &&
-        Now < Executor.RenewalAnsweredAt + UnrecordedEndsDelay)
-      continue;
-    if (awaitsRowForLease(I, Now))
-      continue;
-    RenewalCommand Command{.Executor = I};
-    Command.Call = {.Target = targetOf(I),
-                    .FencingToken = Row.Epoch,
-                    .AcknowledgedEnd =
-                        Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
-    if (mayGrantLease(I, Now) && !Executor.InDoubt)
-      Command.Call.LeaseEndMs = Pool.extendLease(I, Now);
-    Executor.GrantUnanswered |= Command.Call.LeaseEndMs.has_value();
-    if (Executor.TokenConfirmed && !Executor.InDoubt)
-      Command.Call.MaxWait = Executor.OpenRuns > 0
-                                 ? Options.Leases.BusyRenewalWait
-                                 : Options.Leases.IdleRenewalWait;
-    Executor.RenewalPending = true;
-    Executor.RenewalSentAt = Now;
-    Commands.Renewals.push_back(std::move(Command));
+  const ExecutorState &Executor = Pool[Index];
+  bool IsNeeded =
+      Executor.Listed || Executor.EntryOutdated || Executor.OpenRuns > 0;
+  if (!IsNeeded || Executor.Ended || Executor.RenewalPending ||
+      Executor.Info.Address.empty() || Now < Executor.NextRenewalAt)
+    return false;
+  if (!Executor.UnacknowledgedEnds.empty() &&
+      Now < Executor.RenewalAnsweredAt + UnrecordedEndsDelay)
+    return false;
+  return !awaitsRowForLease(Index, Now);
+}
+
+/// Whether a run there should have ended by now.
+bool CellOwner::hasOverdueRun(ExecutorIndex Index, TimePoint Now) const {
+  const std::vector<TaskKey> &Runs = OpenRunsByExecutor[Index];
+  return std::any_of(Runs.begin(), Runs.end(), [&](const TaskKey &Key) {
+    const LiveTask &Task = Key.task();
+    return Task.Phase == TaskPhase::Running &&
+           Now >= Task.RunningSince + Key.spec().Estimate;
+  });
+}
+
+void CellOwner::emitRenewal(ExecutorIndex Index, TimePoint Now) {
+  ExecutorState &Executor = Pool[Index];
+  RenewalCommand Command{.Executor = Index};
+  Command.Call = {.Target = targetOf(Index),
+                  .FencingToken = Row.Epoch,
+                  .AcknowledgedEnd =
+                      Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
+  if (mayGrantLease(Index, Now) && !Executor.InDoubt)
+    Command.Call.LeaseEndMs = Pool.extendLease(Index, Now);
+  Executor.GrantUnanswered |= Command.Call.LeaseEndMs.has_value();
+  if (Executor.TokenConfirmed && !Executor.InDoubt)
+    Command.Call.MaxWait = Executor.OpenRuns > 0
+                               ? Options.Leases.BusyRenewalWait
+                               : Options.Leases.IdleRenewalWait;
+  Executor.RenewalPending = true;
+  Executor.RenewalSentAt = Now;
+  Commands.Renewals.push_back(std::move(Command));
+}
+
+void CellOwner::emitRenewals(TimePoint Now) {
+  std::vector<DueRenewal> Due;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (isRenewalDue(I, Now))
+      Due.push_back({.Executor = I,
+                     .SentAt = Pool[I].RenewalSentAt,
+                     .IsFirst = !Pool[I].TokenConfirmed,
+                     .HasRuns = Pool[I].OpenRuns > 0});
   }
+  if (Due.size() > MinRenewalLimit) {
+    for (DueRenewal &Renewal : Due)
+      Renewal.EndsRuns =
+          Renewal.HasRuns && hasOverdueRun(Renewal.Executor, Now);
+  }
+  Micros SinceLastTurn =
+      LastRenewalsAt == TimePoint{} ? Micros(0) : Now - LastRenewalsAt;
+  LastRenewalsAt = Now;
+  Commands.RenewalsLeft =
+      keepMostUrgent(Due, Options.Leases, SinceLastTurn, Now);
+  for (const DueRenewal &Renewal : Due)
+    emitRenewal(Renewal.Executor, Now);
 }
 
 void CellOwner::onStart(const executor::RunId &Id, ExecutorIndex Index,
@@ -236,10 +306,19 @@
   const TaskKey &Key = *Found;
   LiveTask &Task = Key.task();
   Task.OrderPending = false;
-  if (Answer.Outcome != OrderOutcome::Done)
-    logInfo("start-not-confirmed", "task={} run={} executor={} outcome={}",
+  bool IsAnswer = Answer.Outcome != OrderOutcome::NotSent &&
+                  Answer.Outcome != OrderOutcome::Unknown;
+  if (IsAnswer && Task.StartAttempts == 0 && !Task.StartUnanswered)
+    StartDelays.record(Now - Task.TicketedAt);
+  if (Answer.Outcome != OrderOutcome::Done) {
+    StartTimes Times = startTimesOf(Key.step(), Task, Now);
+    logInfo("start-not-confirmed",
+            "task={} run={} executor={} outcome={} ticketed_ms={} sent_ms={} "
+            "ticket_left_ms={}",
             Id.Task, Id.Run, Pool[Index].Info.Id,
-            executor::outcomeName(Answer.Outcome));
+            executor::outcomeName(Answer.Outcome), Times.TicketedMs,
+            Times.SentMs, Times.TicketLeftMs);
+  }
   switch (Answer.Outcome) {
   case OrderOutcome::Done:
     Task.StartUnanswered = false;
