Record starts of urgent steps before those that can wait

Callers of short jobs were late in and after a burst of them while jobs with seconds of slack were in time. While commits are full, starts were stored in the order of their changes, whatever their steps could wait: with commits of 100 ms that five others fill, a start with 0.9 s of slack was recorded half a second late.

Each change now names the commit that should hold it at the latest: the next one for final phases and for starts of steps with less than 1.5 s of slack, two later for other starts, six later for ends, as before. So nothing waits without bound, and late jobs, whose slack counts with a penalty, give way. Ruled out: the slack alone, by which a stream of urgent starts would starve the rest.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -492,7 +492,7 @@
 
   // Commits.
   CommitInFlight buildCommit(TimePoint Now, const StoreClock &Clock);
-  void addJobs(CommitInFlight &Commit, int64_t StoreClockMs);
+  void addJobs(CommitInFlight &Commit, TimePoint Now, int64_t StoreClockMs);
   OwnerRow buildOwnerRow();
   Millis grantTime(const OwnerRow &NewRow, TimePoint Now) const;
   void listLeaseEnds(CommitInFlight &Commit, TimePoint Now,
@@ -509,7 +509,9 @@
                    TimePoint Now);
   void finishMoves(const CommitInFlight &Commit);
   void restoreQueues(CommitInFlight &Commit, TimePoint Now);
-  bool isRoutine(const LiveJob &Job, const DirtyMark &Mark) const;
+  uint64_t commitToStoreIn(const LiveJob &Job, const DirtyMark &Mark,
+                           TimePoint Now) const;
+  std::optional<double> slackOfChanges(const LiveJob &Job, TimePoint Now) const;
   bool isRemovalDue(TimePoint Now) const {
     return !Removals.empty() && Removals.front().first <= Now;
   }
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -112,7 +112,7 @@
   Tx.Preconditions.push_back(
       {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
   expireOffers(Now);
-  addJobs(Commit, Clock.MinMs);
+  addJobs(Commit, Now, Clock.MinMs);
   addRemovals(Commit, Now);
   addMoves(Commit, Clock.MinMs);
   Commit.Row.Released = Releasing && Commit.Jobs.size() == DirtyJobs.size();
@@ -124,44 +124,41 @@
   return Commit;
 }
 
-/// Whether the job's changes can wait for a few commits while others fill them:
-/// starts hold capacity until they are recorded, and callers wait for final
-/// phases, but ends only have to be acknowledged.
-bool CellOwner::isRoutine(const LiveJob &Job, const DirtyMark &Mark) const {
-  constexpr uint64_t MaxCommitsPassed = 6;
-  if (isFinal(Job.Phase) ||
-      LastBuiltSequence > Mark.Sequence + MaxCommitsPassed)
-    return false;
-  for (const auto &Entry : Job.Occurrences) {
-    for (const LiveStep &Step : Entry.second.Steps) {
-      for (const LiveTask &Task : Step.Tasks) {
-        if (Task.Phase == TaskPhase::Recording)
-          return false;
-      }
-    }
-  }
-  return true;
+/// The commit that should store the job's changes at the latest. Others may
+/// fill the commits before it: starts hold capacity until they are recorded,
+/// those of urgent steps lose value as well, and ends only have to be
+/// acknowledged.
+uint64_t CellOwner::commitToStoreIn(const LiveJob &Job, const DirtyMark &Mark,
+                                    TimePoint Now) const {
+  constexpr uint64_t MaxCommitsPassedByStarts = 2;
+  constexpr uint64_t MaxCommitsPassedByEnds = 6;
+  uint64_t Next = Mark.Sequence + 1;
+  std::optional<double> SlackMs = slackOfChanges(Job, Now);
+  if (!SlackMs)
+    return Next + MaxCommitsPassedByEnds;
+  return *SlackMs < UrgentSlackMs ? Next : Next + MaxCommitsPassedByStarts;
 }
 
 /// Offers come first because their callers wait, those with the least time left
-/// before the others. Half of the entries are kept for the stored jobs: those
-/// with starts and final phases first, then those whose changes have waited
-/// longest. The commit after one that was refused because of an offered job has
-/// none: entries that no longer wait store their jobs themselves, and a stream
-/// of these could keep every commit from succeeding.
-void CellOwner::addJobs(CommitInFlight &Commit, int64_t StoreClockMs) {
+/// before the others. Half of the entries are kept for the stored jobs, those
+/// whose changes are due in an earlier commit first. The commit after one that
+/// was refused because of an offered job has none: entries that no longer wait
+/// store their jobs themselves, and a stream of these could keep every commit
+/// from succeeding.
+void CellOwner::addJobs(CommitInFlight &Commit, TimePoint Now,
+                        int64_t StoreClockMs) {
   Commit.MovesEnds = MovesEndedJobs &&
                      DirtyJobs.size() * EntriesPerJob + OwnerRowEntries + 1 <=
                          store::MaxTransactionEntries;
   static constexpr size_t MaxJobs = store::MaxTransactionEntries;
   std::vector<std::pair<TimePoint, LiveJob *>> OfferedJobs;
-  using StoredRank = std::pair<bool, uint64_t>;
+  using StoredRank = std::pair<uint64_t, uint64_t>;
   std::vector<std::pair<StoredRank, LiveJob *>> StoredJobs;
   for (const auto &[Id, Mark] : DirtyJobs) {
     LiveJob &Job = Jobs.at(Id);
     if (Job.Stored)
-      StoredJobs.emplace_back(StoredRank(isRoutine(Job, Mark), Mark.Number),
-                              &Job);
+      StoredJobs.emplace_back(
+          StoredRank(commitToStoreIn(Job, Mark, Now), Mark.Number), &Job);
     else if (!HoldsOffersBack)
       OfferedJobs.emplace_back(Job.OfferDeadline, &Job);
   }
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -99,8 +99,33 @@
   return WorthlessSlackMs - LateSlackMs;
 }
 
+bool hasTaskIn(const LiveStep &Step, TaskPhase Phase) {
+  return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                     [&](const LiveTask &Task) { return Task.Phase == Phase; });
+}
+
 } // namespace
 
+/// Slack of the job's change that can wait least: a start that is to be
+/// recorded, or the final phase, for which its caller waits. None if there are
+/// only ends to record.
+std::optional<double> CellOwner::slackOfChanges(const LiveJob &Job,
+                                                TimePoint Now) const {
+  std::optional<double> Least;
+  auto Consider = [&](double SlackMs) {
+    Least = std::min(SlackMs, Least.value_or(SlackMs));
+  };
+  if (isFinal(Job.Phase))
+    Consider(0);
+  for (const auto &[Number, Occurrence] : Job.Occurrences) {
+    for (uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      if (hasTaskIn(Occurrence.Steps[I], TaskPhase::Recording))
+        Consider(slackMs(Job, Occurrence, I, Now));
+    }
+  }
+  return Least;
+}
+
 double CellOwner::slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
                           uint32_t Step, TimePoint Now) const {
   return slackOf(Speeds, Job, Occurrence, Step, Now);
--- a/src/cell/UrgentRoom.h
+++ b/src/cell/UrgentRoom.h
@@ -10,6 +10,9 @@
 /// and long work that could wait would take all of it. No I/O.
 namespace daisylanding::cell {
 
+/// Steps with more slack can wait for a place, or a commit, themselves.
+constexpr double UrgentSlackMs = 1'500;
+
 class RoomForUrgentSteps {
 public:
   /// Begins a planning turn with this much free capacity.
@@ -39,8 +42,6 @@
   bool isKept() const { return Needed > 0; }
 
 private:
-  /// Steps with more slack can wait for a place themselves.
-  static constexpr double UrgentSlackMs = 1'500;
   /// How much longer than another a step must be able to wait to give way.
   static constexpr double PatienceMs = 1'000;
 
