Owner turns: look at what may have changed alone

An owner that can't keep up is late with starts, renewals and commits, and holds places longer than the work takes.

- Orders are looked for only on executors that have a run that isn't running.
- Planning passes over a job in which it found nothing to do until the job has changed; not over jobs with long-running steps, whose leases run out without a change.
- Only repeating jobs are asked for due occurrences.
- Executors to ask about are sorted as far as a call can name them.
- Placement checks free capacity first, and looks up permissions once.
- Suspect zones are looked up only if there are any.

Removing a job stood twice, and is one function now.

--- a/src/cell/AdviceCandidates.cpp
+++ b/src/cell/AdviceCandidates.cpp
@@ -68,7 +68,7 @@
   uint64_t Order = 0;
   double Places = 0;
 
-  auto rank() const { return std::tuple(IsRemote, IsOccupied, Order); }
+  auto rank() const { return std::tuple(IsRemote, IsOccupied, Order, Index); }
 };
 
 /// Members of a colocated gang need executors of one rack, so whole racks are
@@ -162,10 +162,13 @@
                    : FreePlaces;
     Candidates.push_back(Next);
   }
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const Candidate &Left, const Candidate &Right) {
-              return Left.rank() < Right.rank();
-            });
+  auto NamedEnd = Candidates.begin() +
+                  static_cast<ptrdiff_t>(std::min(
+                      Candidates.size(), executor::MaxExecutorsPerAdviceCall));
+  std::partial_sort(Candidates.begin(), NamedEnd, Candidates.end(),
+                    [](const Candidate &Left, const Candidate &Right) {
+                      return Left.rank() < Right.rank();
+                    });
   double NeededPlaces = PlacesPerTask * Need.Tasks / Need.AllowedShare;
   double Places = 0;
   std::vector<ExecutorIndex> Named;
--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -84,6 +84,7 @@
 /// Grows the per-executor tables to the size of the pool.
 void CellOwner::resizeExecutorTables() {
   OpenRunsByExecutor.resize(Pool.size());
+  HasUnsettledRuns.resize(Pool.size());
   PaceByExecutor.resize(Pool.size());
   Loads.resize(Pool.size());
   Reservations.resize(Pool.size());
@@ -101,9 +102,20 @@
   LiveJob &Added = Jobs[Id];
   Added.Spec = std::move(Spec);
   Added.AcceptedAt = AcceptedAt;
+  if (Added.Spec.RepeatCount > 0)
+    RepeatingJobs.insert(Id);
   return Added;
 }
 
+/// Forgets a job that has no open runs.
+void CellOwner::removeJob(const std::string &JobId) {
+  std::erase_if(OpenAdviceCalls,
+                [&](const auto &Entry) { return Entry.second.JobId == JobId; });
+  DirtyJobs.erase(JobId);
+  RepeatingJobs.erase(JobId);
+  Jobs.erase(JobId);
+}
+
 /// Sum of estimates along the job's longest chain of dependent steps.
 Millis CellOwner::criticalPathOf(const LiveJob &Job) const {
   std::vector<Millis> StepEnds;
@@ -120,6 +132,7 @@
 
 void CellOwner::beginOccurrence(LiveJob &Job, uint32_t Number,
                                 TimePoint BeginsAt) {
+  Job.IdleRevision.reset();
   LiveOccurrence &Occurrence = Job.Occurrences[Number];
   const Queue *JobQueue = findQueue(Job.Spec.Queue);
   double Stretch = JobQueue ? JobQueue->Stretch : 1;
@@ -139,8 +152,9 @@
   /// Wall clocks of instances differ slightly. An occurrence must not start
   /// before its time; one that starts this much late is acceptable.
   constexpr int64_t ClockSkewMs = 20;
-  for (auto &[Id, Job] : Jobs) {
-    if (isFinal(Job.Phase) || Job.Cancelled || Job.Spec.RepeatCount == 0)
+  for (const std::string &Id : RepeatingJobs) {
+    LiveJob &Job = Jobs.at(Id);
+    if (isFinal(Job.Phase) || Job.Cancelled)
       continue;
     while (Job.NextOccurrence < Job.Spec.RepeatCount) {
       int64_t DueMs =
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -16,6 +16,7 @@
 #include "store/RowStore.h"
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace daisylanding::cell {
@@ -312,6 +313,7 @@
   void completeIfDone(LiveJob &Job, uint32_t Occurrence, TimePoint Now);
   void setFinalPhase(LiveJob &Job, JobPhase Phase);
   void dropEndedJob(LiveJob &Job, TimePoint Now);
+  void removeJob(const std::string &JobId);
   LiveJob *findJob(std::string_view JobId);
   const Queue *findQueue(std::string_view Name) const;
   std::optional<TaskKey> findTask(const executor::RunId &Id);
@@ -402,10 +404,10 @@
   };
   std::vector<WaitingStepRef> waitingSteps(TimePoint Now);
   std::vector<WaitingStepRef> stepsToPlan(TimePoint Now);
-  std::vector<WaitingStepRef>
-  stepsWhere(const std::function<bool(const LiveJob &, const LiveStep &,
-                                      const StepSpec &)> &IsWanted,
-             TimePoint Now);
+  void addSteps(
+      LiveJob &Job,
+      const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
+      TimePoint Now, std::vector<WaitingStepRef> &Steps) const;
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
@@ -480,8 +482,11 @@
   bool isSilent(ExecutorIndex Index, TimePoint Now) const;
   bool mayGrantLease(ExecutorIndex Index, TimePoint Now) const;
   bool awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const;
-  void dropStartsBeyondCapacity(TimePoint Now);
-  void dropStartsOnLeavingExecutors(TimePoint Now);
+  void dropStartsBeyondCapacity(std::span<const ExecutorIndex> Unsettled,
+                                TimePoint Now);
+  void dropStartsOnLeavingExecutors(std::span<const ExecutorIndex> Unsettled,
+                                    TimePoint Now);
+  std::vector<ExecutorIndex> unsettledExecutors();
   void emitRefusals(TimePoint Now);
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
@@ -537,6 +542,7 @@
   ExecutorPool Pool;
   SpeedTracker Speeds;
   std::map<std::string, LiveJob, std::less<>> Jobs;
+  std::set<std::string> RepeatingJobs; ///< Of `Jobs`.
   /// Ended jobs whose rows are not removed yet. Late pages of the job feed, and
   /// late copies of requests, name them.
   std::unordered_map<std::string, KnownEnd> EndedJobs;
@@ -544,6 +550,8 @@
   std::deque<std::string> RowsToMove; ///< Of `EndedJobs`.
   bool MovesEndedJobs = false;
   std::vector<std::vector<TaskKey>> OpenRunsByExecutor;
+  /// Where a run may be open that is not running: orders are sent for these.
+  std::vector<bool> HasUnsettledRuns;
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
   std::vector<Reservation> Reservations;
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -89,7 +89,8 @@
   if (Executor.AvoidUntil > Now ||
       Executor.LastUnansweredAt > Executor.LastAnswerAt)
     return false;
-  if (zoneSuspectSince(Executor.Info.AvailabilityZone) > Executor.LastAnswerAt)
+  if (!SuspectZones.empty() &&
+      zoneSuspectSince(Executor.Info.AvailabilityZone) > Executor.LastAnswerAt)
     return false;
   return Now < Executor.LastAnswerAt + Options.IdleRenewalWait +
                    Options.SilenceTimeout;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -7,6 +7,7 @@
 #include "common/Time.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -99,6 +100,9 @@
   uint32_t OpenRuns = 0;
   uint64_t Revision = 0; ///< Incremented by each change that must be stored.
   uint64_t RecordedRevision = 0; ///< The newest revision that is stored.
+  /// The revision in which planning found nothing to do, until an occurrence
+  /// begins.
+  std::optional<uint64_t> IdleRevision;
 };
 
 /// Identifies one task of one live job.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -372,10 +372,7 @@
 /// Drops an offered job whose row was never written.
 void CellOwner::dropOfferedJob(const std::string &JobId, TimePoint Now) {
   stopAllRuns(Jobs.at(JobId), Now);
-  std::erase_if(OpenAdviceCalls,
-                [&](const auto &Entry) { return Entry.second.JobId == JobId; });
-  DirtyJobs.erase(JobId);
-  Jobs.erase(JobId);
+  removeJob(JobId);
 }
 
 /// How long a commit takes now: a slow store is noticed by its reads, by the
--- a/src/cell/OwnerEnded.cpp
+++ b/src/cell/OwnerEnded.cpp
@@ -78,10 +78,7 @@
     return;
   std::string Id = Job.Spec.Id;
   addEndedJob(Id, endedJobOf(Job), Now);
-  std::erase_if(OpenAdviceCalls,
-                [&](const auto &Entry) { return Entry.second.JobId == Id; });
-  DirtyJobs.erase(Id);
-  Jobs.erase(Id);
+  removeJob(Id);
 }
 
 void CellOwner::addRemovals(CommitInFlight &Commit, TimePoint Now) {
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -86,6 +86,7 @@
       Now + MaxOrderDelay + maxLeaseTime(Options.Leases, MaxGrantedLease);
   Pool.reserve(Later, Demand);
   OpenRunsByExecutor[Later].push_back(Key);
+  HasUnsettledRuns[Later] = true;
   addLoad(Key);
   ++Pool[Later].OpenRuns;
   markChanged(*Key.Job);
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -82,8 +82,9 @@
 
 /// Drops recorded starts that no longer fit on executors whose capacity has
 /// shrunk. A start that may have been carried out is stopped.
-void CellOwner::dropStartsBeyondCapacity(TimePoint Now) {
-  for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
+void CellOwner::dropStartsBeyondCapacity(
+    std::span<const ExecutorIndex> Unsettled, TimePoint Now) {
+  for (ExecutorIndex I : Unsettled) {
     if (!Pool.isOvercommitted(I))
       continue;
     // What is being stopped holds its capacity until it has ended.
@@ -106,8 +107,9 @@
 
 /// Drops recorded starts on executors that have announced since that they
 /// leave. A start that may have been carried out is stopped.
-void CellOwner::dropStartsOnLeavingExecutors(TimePoint Now) {
-  for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
+void CellOwner::dropStartsOnLeavingExecutors(
+    std::span<const ExecutorIndex> Unsettled, TimePoint Now) {
+  for (ExecutorIndex I : Unsettled) {
     if (!Pool[I].Info.Draining)
       continue;
     std::vector<TaskKey> Runs = OpenRunsByExecutor[I];
@@ -123,6 +125,24 @@
   }
 }
 
+/// Executors with open runs that are recorded, starting or stopping. What runs
+/// needs no order.
+std::vector<ExecutorIndex> CellOwner::unsettledExecutors() {
+  std::vector<ExecutorIndex> Unsettled;
+  auto IsUnsettled = [](const TaskKey &Key) {
+    return Key.task().Phase != TaskPhase::Running;
+  };
+  for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
+    if (!HasUnsettledRuns[I])
+      continue;
+    const std::vector<TaskKey> &Runs = OpenRunsByExecutor[I];
+    HasUnsettledRuns[I] = std::any_of(Runs.begin(), Runs.end(), IsUnsettled);
+    if (HasUnsettledRuns[I])
+      Unsettled.push_back(I);
+  }
+  return Unsettled;
+}
+
 /// Sends the stops that make an incarnation refuse starts of runs that are
 /// over.
 void CellOwner::emitRefusals(TimePoint Now) {
@@ -142,10 +162,12 @@
 }
 
 void CellOwner::emitOrders(TimePoint Now) {
-  dropStartsBeyondCapacity(Now);
-  dropStartsOnLeavingExecutors(Now);
+  std::vector<ExecutorIndex> Unsettled = unsettledExecutors();
+  dropStartsBeyondCapacity(Unsettled, Now);
+  dropStartsOnLeavingExecutors(Unsettled, Now);
   emitRefusals(Now);
-  for (ExecutorIndex I = 0; I < OpenRunsByExecutor.size(); ++I) {
+  // Other members of a gang are stopped elsewhere.
+  for (ExecutorIndex I : unsettledExecutors()) {
     if (Pool[I].Info.Address.empty() || Pool[I].Ended)
       continue;
     for (const TaskKey &Key : OpenRunsByExecutor[I]) {
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -99,6 +99,19 @@
   return WorthlessSlackMs - LateSlackMs;
 }
 
+bool hasLongRunningStep(const JobSpec &Job) {
+  return std::any_of(Job.Steps.begin(), Job.Steps.end(),
+                     [](const StepSpec &Step) { return Step.LongRunning; });
+}
+
+/// The most urgent steps first.
+template <typename StepRefs> void sortBySlack(StepRefs &Steps) {
+  std::stable_sort(Steps.begin(), Steps.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.SlackMs < Right.SlackMs;
+                   });
+}
+
 bool hasTaskIn(const LiveStep &Step, TaskPhase Phase) {
   return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
                      [&](const LiveTask &Task) { return Task.Phase == Phase; });
@@ -131,50 +144,57 @@
   return slackOf(Speeds, Job, Occurrence, Step, Now);
 }
 
-std::vector<CellOwner::WaitingStepRef> CellOwner::waitingSteps(TimePoint Now) {
-  return stepsWhere([](const LiveJob &, const LiveStep &Step,
-                       const StepSpec &) { return hasPendingTasks(Step); },
-                    Now);
+/// Adds the job's steps that are ready and wanted.
+void CellOwner::addSteps(
+    LiveJob &Job,
+    const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
+    TimePoint Now, std::vector<WaitingStepRef> &Steps) const {
+  if (isFinal(Job.Phase))
+    return;
+  for (const auto &[Number, Occurrence] : Job.Occurrences) {
+    for (uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      if (!IsWanted(Occurrence.Steps[I], Job.Spec.Steps[I]) ||
+          !isReady(Job, Occurrence, I))
+        continue;
+      Steps.push_back({.Job = &Job,
+                       .Occurrence = Number,
+                       .Step = I,
+                       .SlackMs = slackMs(Job, Occurrence, I, Now)});
+    }
+  }
 }
 
-/// The waiting steps, and those with tasks that are to be restarted.
-std::vector<CellOwner::WaitingStepRef> CellOwner::stepsToPlan(TimePoint Now) {
-  return stepsWhere(
-      [&](const LiveJob &Job, const LiveStep &Step, const StepSpec &Spec) {
-        return hasPendingTasks(Step) ||
-               countTasksToRestart(Job, Step, Spec, Now) > 0;
-      },
-      Now);
+/// Steps with tasks to place or to record, the most urgent first.
+std::vector<CellOwner::WaitingStepRef> CellOwner::waitingSteps(TimePoint Now) {
+  std::vector<WaitingStepRef> Steps;
+  auto IsWaiting = [](const LiveStep &Step, const StepSpec &) {
+    return hasPendingTasks(Step);
+  };
+  for (auto &[Id, Job] : Jobs)
+    addSteps(Job, IsWaiting, Now, Steps);
+  sortBySlack(Steps);
+  return Steps;
 }
 
-/// Steps that are ready, the most urgent first.
-std::vector<CellOwner::WaitingStepRef> CellOwner::stepsWhere(
-    const std::function<bool(const LiveJob &, const LiveStep &,
-                             const StepSpec &)> &IsWanted,
-    TimePoint Now) {
+/// The waiting steps, and those with tasks that are to be restarted. A job in
+/// which nothing was to be planned is looked at again once it has changed.
+std::vector<CellOwner::WaitingStepRef> CellOwner::stepsToPlan(TimePoint Now) {
   std::vector<WaitingStepRef> Steps;
-  for (auto &[Id, Job] : Jobs) {
-    if (isFinal(Job.Phase))
+  for (auto &Entry : Jobs) {
+    LiveJob &Job = Entry.second;
+    if (Job.IdleRevision == Job.Revision)
       continue;
-    for (const auto &[Number, Occurrence] : Job.Occurrences) {
-      for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
-           ++StepIndex) {
-        if (!IsWanted(Job, Occurrence.Steps[StepIndex],
-                      Job.Spec.Steps[StepIndex]) ||
-            !isReady(Job, Occurrence, StepIndex))
-          continue;
-        Steps.push_back(
-            {.Job = &Job,
-             .Occurrence = Number,
-             .Step = StepIndex,
-             .SlackMs = slackOf(Speeds, Job, Occurrence, StepIndex, Now)});
-      }
-    }
+    auto IsToPlan = [&](const LiveStep &Step, const StepSpec &Spec) {
+      return hasPendingTasks(Step) ||
+             countTasksToRestart(Job, Step, Spec, Now) > 0;
+    };
+    size_t CountBefore = Steps.size();
+    addSteps(Job, IsToPlan, Now, Steps);
+    // The leases of long-running tasks run out without a change of their job.
+    if (Steps.size() == CountBefore && !hasLongRunningStep(Job.Spec))
+      Job.IdleRevision = Job.Revision;
   }
-  std::stable_sort(Steps.begin(), Steps.end(),
-                   [](const WaitingStepRef &Left, const WaitingStepRef &Right) {
-                     return Left.SlackMs < Right.SlackMs;
-                   });
+  sortBySlack(Steps);
   return Steps;
 }
 
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -64,6 +64,7 @@
   resizeExecutorTables();
   LiveTask &Task = Key.task();
   OpenRunsByExecutor[Task.Executor].push_back(Key);
+  HasUnsettledRuns[Task.Executor] = true;
   addLoad(Key);
   ++Pool[Task.Executor].OpenRuns;
   ++Key.Job->OpenRuns;
@@ -132,6 +133,7 @@
   case TaskPhase::Starting:
   case TaskPhase::Running:
     Task.Phase = TaskPhase::Stopping;
+    HasUnsettledRuns[Task.Executor] = true;
     Task.StopConfirmed = false;
     Task.NextOrderAt = Now;
     break;
@@ -514,7 +516,8 @@
 /// sent for them, so that their tasks can start elsewhere.
 void CellOwner::dropUnsentStarts(TimePoint Now) {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    if (Pool[I].OpenRuns == 0 || !(isListedAsSilent(I) || isSilent(I, Now)))
+    if (Pool[I].OpenRuns == 0 || !HasUnsettledRuns[I] ||
+        !(isListedAsSilent(I) || isSilent(I, Now)))
       continue;
     std::vector<TaskKey> Runs = OpenRunsByExecutor[I];
     for (const TaskKey &Key : Runs) {
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -28,11 +28,14 @@
 /// elsewhere needs a new ticket; outweighs the preference.
 constexpr double LateTicketPenalty = 25;
 
+/// Whether the task can run on an executor that the policy allows.
 bool isCandidate(const ExecutorPool &Pool, const ExecutorLoad &Load,
                  const PlacementRequest &Request, ExecutorIndex Index,
                  TimePoint Now) {
   const ExecutorState &Executor = Pool[Index];
-  if (!Pool.isUsable(Index, Now) || !isSuitable(Executor, *Request.Step))
+  // Most executors are full when it matters how long this takes.
+  if (!Pool.hasCapacityFor(Index, demandOf(*Request.Step)) ||
+      !Pool.isUsable(Index, Now) || !isSuitable(Executor, *Request.Step))
     return false;
   if (Index < Request.Reservations.size() &&
       Request.Reservations[Index].Active &&
@@ -44,12 +47,9 @@
     return false;
   if (!Request.Rack.empty() && Executor.Info.Rack != Request.Rack)
     return false;
-  if (!isAllowed(Request.Permissions, Index))
-    return false;
-  if (Request.TasksByExecutor &&
-      placesByAntiAffinity(*Request.Step, *Request.TasksByExecutor, Index) == 0)
-    return false;
-  return Pool.hasCapacityFor(Index, demandOf(*Request.Step));
+  return !Request.TasksByExecutor ||
+         placesByAntiAffinity(*Request.Step, *Request.TasksByExecutor, Index) >
+             0;
 }
 
 double freeShareAfter(uint32_t Free, uint32_t Reserved, uint32_t Total) {
@@ -205,8 +205,10 @@
     BestScore = Score;
   };
   if (Request.Permissions) {
-    for (const auto &Entry : *Request.Permissions)
-      Consider(Entry.first);
+    for (const auto &[Index, Entry] : *Request.Permissions) {
+      if (Entry.Allowed)
+        Consider(Index);
+    }
     return Best;
   }
   for (ExecutorIndex I = 0; I < Pool.size(); ++I)
