Keep room for urgent steps in places, not in cores

Callers of short jobs were late for long after a burst while long jobs of the same service were in time. Room was kept for urgent steps that wait for advice, by the sum of free cores. On a full fleet that sum is what is left on executors and too small for any task: of 15,840 cores 840 at least, as no more than 15,000 were ever reserved. So it covered the need of the urgent steps, and long work took each place that became free.

Free capacity and need are counted in places for tasks of the most urgent step. Work that gives way may still use executors without such a place. As kept places stand idle until calls are answered, they are a tenth of all places at most. Executors are only counted if a step is urgent.

--- a/src/cell/AdviceCandidates.cpp
+++ b/src/cell/AdviceCandidates.cpp
@@ -33,22 +33,6 @@
 /// save nothing.
 constexpr size_t MinNamedExecutors = 16;
 
-/// Tasks of the step that fit into \p Room at once, at most \p MaxPlaces.
-uint32_t placesIn(const Resources &Room, const StepSpec &Step,
-                  uint32_t MaxPlaces) {
-  constexpr uint32_t NoLimit = 1'000;
-  Resources Demand = demandOf(Step);
-  uint32_t Places = std::min(MaxPlaces, NoLimit);
-  auto Limit = [&](uint32_t Free, uint32_t Needed) {
-    if (Needed > 0)
-      Places = std::min(Places, Free / Needed);
-  };
-  Limit(Room.MilliCores, Demand.MilliCores);
-  Limit(Room.MemoryMb, Demand.MemoryMb);
-  Limit(Room.Accelerators, Demand.Accelerators);
-  return Places;
-}
-
 /// Capacity for tasks of a step in the long run.
 Resources capacityBeside(const ExecutorLoad &Load, const Resources &Capacity) {
   auto Remaining = [](uint32_t Amount, uint32_t Used) {
@@ -137,6 +121,7 @@
                        std::span<const ExecutorLoad> Loads,
                        const AdviceNeed &Need, TimePoint Now) {
   const StepSpec &Step = *Need.Step;
+  Resources Demand = demandOf(Step);
   std::vector<Candidate> Candidates;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     const ExecutorState &Executor = Pool[I];
@@ -146,7 +131,7 @@
         !isSuitable(Executor, Step) || Need.Known->count(I))
       continue;
     uint32_t MaxPlaces = placesByAntiAffinity(Step, {}, I);
-    uint32_t FreePlaces = placesIn(Pool.freeCapacity(I), Step, MaxPlaces);
+    uint32_t FreePlaces = placesIn(Pool.freeCapacity(I), Demand, MaxPlaces);
     bool IsOccupied = FreePlaces == 0 || !Pool.isUsable(I, Now) ||
                       isTooSlow(Loads[I]) || isReserved(Need, I);
     if (IsOccupied && Need.OnlyWithFreeCapacity)
@@ -157,9 +142,9 @@
                    .IsOccupied = IsOccupied,
                    .Order = orderOf(Executor, Need)};
     Resources LaterRoom = capacityBeside(Loads[I], Executor.Info.Capacity);
-    Next.Places =
-        IsOccupied ? OccupiedPlaceWeight * placesIn(LaterRoom, Step, MaxPlaces)
-                   : FreePlaces;
+    Next.Places = IsOccupied ? OccupiedPlaceWeight *
+                                   placesIn(LaterRoom, Demand, MaxPlaces)
+                             : FreePlaces;
     Candidates.push_back(Next);
   }
   double NeededPlaces = PlacesPerTask * Need.Tasks / Need.AllowedShare;
@@ -191,14 +176,15 @@
                                  const TaskCounts &TasksByExecutor,
                                  TimePoint Now) {
   AllowedPlaces Places;
+  Resources Demand = demandOf(Step);
   for (const auto &[Index, Entry] : Permissions) {
     if (!Entry.Allowed || !Pool.isUsable(Index, Now))
       continue;
     uint32_t MaxPlaces = placesByAntiAffinity(Step, TasksByExecutor, Index);
-    Places.Free += placesIn(Pool.freeCapacity(Index), Step, MaxPlaces);
+    Places.Free += placesIn(Pool.freeCapacity(Index), Demand, MaxPlaces);
     Resources LaterRoom =
         capacityBeside(Loads[Index], Pool[Index].Info.Capacity);
-    Places.Total += placesIn(LaterRoom, Step, MaxPlaces);
+    Places.Total += placesIn(LaterRoom, Demand, MaxPlaces);
   }
   return Places;
 }
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -411,6 +411,8 @@
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
+  void beginUrgentRoom(std::span<const WaitingStepRef> Steps, TimePoint Now);
+  uint32_t urgentPlacesIn(const Resources &Room) const;
   void keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue,
                 TimePoint Now);
   void planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 
 #include <algorithm>
+#include <limits>
 
 /// Planning: orders the waiting steps by slack, late jobs last, and places
 /// their tasks.
@@ -45,6 +46,9 @@
       [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
 }
 
+/// Whether others may have to give way to the step.
+bool keepsRoom(const StepSpec &Spec) { return !Spec.Gang && !Spec.LongRunning; }
+
 /// Whether a task of the step has been started before.
 bool hasRun(const LiveStep &Step) {
   return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
@@ -247,15 +251,12 @@
   resizeExecutorTables();
   std::fill(Reservations.begin(), Reservations.end(), Reservation{});
   ReservedExecutors = 0;
-  uint64_t FreeMilliCores = 0;
-  for (ExecutorIndex I = 0; I < Loads.size(); ++I) {
+  for (ExecutorIndex I = 0; I < Loads.size(); ++I)
     Loads[I].Slowness = Speeds.slowness(I, Now);
-    if (Pool.isUsable(I, Now))
-      FreeMilliCores += Pool.freeCapacity(I).MilliCores;
-  }
-  UrgentRoom.begin(FreeMilliCores);
   countOpenCalls(Now);
-  for (const WaitingStepRef &Waiting : stepsToPlan(Now)) {
+  std::vector<WaitingStepRef> Steps = stepsToPlan(Now);
+  beginUrgentRoom(Steps, Now);
+  for (const WaitingStepRef &Waiting : Steps) {
     const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
     LiveStep &Step = Waiting.step();
     if (Now > Step.PreparedAt + restartLeads(JobQueue).Advice)
@@ -275,6 +276,31 @@
   releaseHeldPlaces(0);
 }
 
+/// Places for tasks of the most urgent step.
+uint32_t CellOwner::urgentPlacesIn(const Resources &Room) const {
+  if (!UrgentRoom.demand())
+    return 0;
+  return placesIn(Room, *UrgentRoom.demand(),
+                  std::numeric_limits<uint32_t>::max());
+}
+
+/// Counts the free places for tasks of the most urgent step, the first of
+/// \p Steps, if other work would have to give way to it.
+void CellOwner::beginUrgentRoom(std::span<const WaitingStepRef> Steps,
+                                TimePoint Now) {
+  auto First = std::find_if(
+      Steps.begin(), Steps.end(),
+      [](const WaitingStepRef &Waiting) { return keepsRoom(Waiting.spec()); });
+  bool IsUrgent = First != Steps.end() && First->SlackMs < UrgentSlackMs;
+  UrgentRoom.begin(IsUrgent ? std::optional(demandOf(First->spec()))
+                            : std::nullopt);
+  for (ExecutorIndex I = 0; IsUrgent && I < Pool.size(); ++I) {
+    if (Pool.isUsable(I, Now))
+      UrgentRoom.addExecutor(urgentPlacesIn(Pool.freeCapacity(I)),
+                             urgentPlacesIn(Pool[I].Info.Capacity));
+  }
+}
+
 void CellOwner::planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                           TimePoint Now) {
   TaskCounts TasksByExecutor;
@@ -284,17 +310,14 @@
   Request.StartsAtOnce = !Step.PreparedExecutors.empty();
   std::vector<ExecutorIndex> PlacedHere;
   size_t Unplaced = 0;
-  uint64_t Room = UrgentRoom.roomFor(Waiting.SlackMs);
-  bool IsRoomKept = UrgentRoom.isKept();
-  uint64_t TaskMilliCores = demandOf(*Request.Step).MilliCores;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
       continue;
     TaskKey Key = Waiting.task(I);
     Request.AvoidSuspects = Key.task().Crashes > 0;
-    // The others give way; executors with free capacity are not missing.
-    if (IsRoomKept && Room < TaskMilliCores)
-      break;
+    // More urgent steps go before, but where they don't fit.
+    if (!UrgentRoom.mayUse(Waiting.SlackMs))
+      Request.KeptRoom = UrgentRoom.demand();
     auto Best =
         Unplaced > 0 ? std::nullopt : chooseExecutor(Pool, Loads, Request, Now);
     if (!Best && Unplaced == 0 && Request.AvoidSuspects) {
@@ -307,9 +330,9 @@
       ++Unplaced;
       continue;
     }
+    uint32_t PlacesBefore = urgentPlacesIn(Pool.freeCapacity(*Best));
     placeTask(Key, *Best, Now);
-    UrgentRoom.take(TaskMilliCores);
-    Room -= std::min(Room, TaskMilliCores);
+    UrgentRoom.take(PlacesBefore - urgentPlacesIn(Pool.freeCapacity(*Best)));
     ++TasksByExecutor[*Best];
     if (!Request.Step->BestEffort)
       continue;
@@ -319,7 +342,8 @@
   }
   for (ExecutorIndex Index : PlacedHere)
     Loads[Index].BestEffortMilliCores -= Request.Step->Size.MilliCores;
-  if (Unplaced == 0)
+  // Executors with free capacity are not missing.
+  if (Unplaced == 0 || Request.KeptRoom)
     return;
   if (Waiting.SlackMs < WorthlessSlackMs)
     reserveExecutors(Waiting, Unplaced, Now);
@@ -339,7 +363,7 @@
   /// A call without an answer for longer keeps no room.
   constexpr Millis MaxRoomWait{300};
   const StepSpec &Spec = Waiting.spec();
-  if (Spec.Gang || Spec.LongRunning)
+  if (!keepsRoom(Spec))
     return;
   const LiveStep &Step = Waiting.step();
   if (!Step.AdvicePending || Now > Step.AdviceAskedAt + MaxRoomWait)
@@ -347,9 +371,9 @@
   auto Tasks = std::count_if(
       Step.Tasks.begin(), Step.Tasks.end(),
       [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
-  double Need = static_cast<double>(Tasks) * demandOf(Spec).MilliCores /
-                AdviceShares.share(JobQueue.Name);
-  UrgentRoom.addNeed(Waiting.SlackMs, static_cast<uint64_t>(Need));
+  double Places =
+      static_cast<double>(Tasks) / AdviceShares.share(JobQueue.Name);
+  UrgentRoom.addNeed(Waiting.SlackMs, Places, demandOf(Spec));
 }
 
 void CellOwner::planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -41,6 +41,8 @@
       Request.Reservations[Index].Active &&
       Request.ExpectedRunTime > Request.Reservations[Index].FreeAfter)
     return false;
+  if (Request.KeptRoom && Pool.hasCapacityFor(Index, *Request.KeptRoom))
+    return false;
   if (isTooSlow(Load) || (Request.AvoidSuspects && Executor.Suspects > 0))
     return false;
   if (Request.Step->LongRunning && !Pool.isLossKnownInTime(Index, Now))
@@ -180,6 +182,20 @@
   return Step.AntiAffinity - std::min(Step.AntiAffinity, Used);
 }
 
+uint32_t placesIn(const Resources &Room, const Resources &Demand,
+                  uint32_t MaxPlaces) {
+  constexpr uint32_t NoLimit = 1'000;
+  uint32_t Places = std::min(MaxPlaces, NoLimit);
+  auto Limit = [&](uint32_t Free, uint32_t Needed) {
+    if (Needed > 0)
+      Places = std::min(Places, Free / Needed);
+  };
+  Limit(Room.MilliCores, Demand.MilliCores);
+  Limit(Room.MemoryMb, Demand.MemoryMb);
+  Limit(Room.Accelerators, Demand.Accelerators);
+  return Places;
+}
+
 bool isSuitable(const ExecutorState &Executor, const StepSpec &Step) {
   if (!demandOf(Step).fitsIn(Executor.Info.Capacity))
     return false;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -47,6 +47,8 @@
   bool StartsAtOnce = false;
   /// Not where a task that may crash its executor has just been started.
   bool AvoidSuspects = false;
+  /// Not where a task of this demand would fit, if set.
+  std::optional<Resources> KeptRoom;
   /// Only this rack, if set.
   std::string_view Rack;
   /// Indexed by executor.
@@ -71,6 +73,10 @@
                               const TaskCounts &TasksByExecutor,
                               ExecutorIndex Index);
 
+/// Tasks of this demand that fit into \p Room at once, at most \p MaxPlaces.
+uint32_t placesIn(const Resources &Room, const Resources &Demand,
+                  uint32_t MaxPlaces);
+
 /// Whether the executor has the step's label and enough total capacity.
 bool isSuitable(const ExecutorState &Executor, const StepSpec &Step);
 
--- a/tests/unit/UrgentBurstTest.cpp
+++ b/tests/unit/UrgentBurstTest.cpp
@@ -19,7 +19,13 @@
 /// Six fit on an executor, 900 on all.
 constexpr Resources TaskSize{.MilliCores = 2'600, .MemoryMb = 9'000};
 
+/// Four fit on an executor of this size; what is left there is of no use.
+constexpr Resources OddExecutorSize{.MilliCores = 20'000, .MemoryMb = 64'000};
+constexpr Resources OddShortSize{.MilliCores = 4'200, .MemoryMb = 9'000};
+constexpr Resources OddLongSize{.MilliCores = 4'500, .MemoryMb = 9'000};
+
 struct WorkKind {
+  Resources Size = TaskSize;
   uint32_t Tasks = 0; ///< Of a job.
   int64_t RunMs = 0;  ///< Of a task.
   int64_t JobsPerSecond = 0;
@@ -32,6 +38,11 @@
 constexpr WorkKind ShortWork{.Tasks = 10, .RunMs = 400, .JobsPerSecond = 62};
 /// Needs 675 places, and can wait for 5 s.
 constexpr WorkKind LongWork{.Tasks = 30, .RunMs = 4'500, .JobsPerSecond = 5};
+/// Needs 120 and 405 of 600 places.
+constexpr WorkKind OddShortWork{
+    .Size = OddShortSize, .Tasks = 10, .RunMs = 400, .JobsPerSecond = 30};
+constexpr WorkKind OddLongWork{
+    .Size = OddLongSize, .Tasks = 30, .RunMs = 4'500, .JobsPerSecond = 3};
 
 struct SubmittedJob {
   std::string Id;
@@ -71,7 +82,7 @@
 private:
   void submit() {
     std::string Id = fmt::format("{:016x}", NextId++);
-    Sim.submit(Simulation::makeJob(Id, Kind.Tasks, TaskSize, Kind.RunMs));
+    Sim.submit(Simulation::makeJob(Id, Kind.Tasks, Kind.Size, Kind.RunMs));
     Jobs.push_back({.Id = Id, .DueAt = Sim.Now + Millis(Kind.allowedMs())});
   }
 
@@ -82,32 +93,30 @@
   std::vector<SubmittedJob> Jobs;
 };
 
-} // namespace
-
-// clang-format off
-/// A fleet that long work fills to three quarters and short work to a quarter. A
-/// policy allows each step on a share of the executors that a call names.
-TEST_GROUP(AFleetOfLongAndShortWork) {
+/// Short and long work on the executors of one service, with a policy that
+/// allows each step on a share of the executors that a call names.
+struct MixedWork {
   Simulation Sim;
-  Stream Short{Sim, ShortWork, 0x1'0000'0000};
-  Stream Long{Sim, LongWork, 0x1};
+  Stream Short;
+  Stream Long;
 
-  void setup() override {
-    Sim.requireAdvice({.Settings = {.BaseMs = 25, .PerExecutorMs = 0.35, .Validity = Millis(2'000)},
+  MixedWork(const WorkKind &ShortKind, const WorkKind &LongKind)
+      : Short(Sim, ShortKind, 0x1'0000'0000), Long(Sim, LongKind, 0x1) {}
+
+  void addExecutors(const Resources &Size) {
+    Sim.requireAdvice({.Settings = {.BaseMs = 25,
+                                    .PerExecutorMs = 0.35,
+                                    .Validity = Millis(2'000)},
                        .AllowedShare = 0.6,
                        .Entries = 40});
     for (size_t I = 0; I < ExecutorCount; ++I)
-      Sim.addExecutor(ExecutorSize, fmt::format("r{}", I / 12));
-    Sim.CommitTimeMs = 20;
+      Sim.addExecutor(Size, fmt::format("r{}", I / 12));
+  }
+  void begin() {
     Sim.takeOver();
     Sim.runFor(500);
     load(6'000, 1, 1);
   }
-  void teardown() override {
-    for (const std::string &Violation : Sim.violations())
-      FAIL(Violation.c_str());
-  }
-
   /// \p ShortFactor and \p LongFactor: of the usual rate.
   void load(int64_t Ms, double ShortFactor, double LongFactor) {
     constexpr int64_t SliceMs = 50;
@@ -121,6 +130,24 @@
   }
 };
 
+} // namespace
+
+// clang-format off
+/// A fleet that long work fills to three quarters and short work to a quarter.
+TEST_GROUP(AFleetOfLongAndShortWork) {
+  MixedWork Work{ShortWork, LongWork};
+
+  void setup() override {
+    Work.addExecutors(ExecutorSize);
+    Work.Sim.CommitTimeMs = 20;
+    Work.begin();
+  }
+  void teardown() override {
+    for (const std::string &Violation : Work.Sim.violations())
+      FAIL(Violation.c_str());
+  }
+};
+
 /// The whole load needs 1,225 places of 900, the short work alone 550.
 TEST_GROUP_BASE(WhenShortWorkComesInABurst, TEST_GROUP_CppUTestGroupAFleetOfLongAndShortWork) {
   size_t FirstShort = 0;
@@ -128,20 +155,55 @@
 
   void setup() override {
     TEST_GROUP_CppUTestGroupAFleetOfLongAndShortWork::setup();
-    FirstShort = Short.submittedCount();
-    FirstLong = Long.submittedCount();
-    load(4'000, 2.2, 1);
+    FirstShort = Work.Short.submittedCount();
+    FirstLong = Work.Long.submittedCount();
+    Work.load(4'000, 2.2, 1);
+  }
+};
+
+/// Four tasks of either kind leave capacity on an executor that is too small for
+/// a fifth.
+TEST_GROUP(AFleetWithCapacityThatNoTaskFits) {
+  MixedWork Work{OddShortWork, OddLongWork};
+
+  void setup() override {
+    Work.addExecutors(OddExecutorSize);
+    Work.Sim.CommitTimeMs = 40;
+    Work.Sim.OwnerTurnMs = 20;
+    Work.begin();
+  }
+  void teardown() override {
+    for (const std::string &Violation : Work.Sim.violations())
+      FAIL(Violation.c_str());
+  }
+};
+
+TEST_GROUP_BASE(WhenShortWorkHasComeInABurst, TEST_GROUP_CppUTestGroupAFleetWithCapacityThatNoTaskFits) {
+  size_t FirstLater = 0;
+
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAFleetWithCapacityThatNoTaskFits::setup();
+    Work.load(4'000, 2.5, 1);
+    FirstLater = Work.Short.submittedCount();
   }
 };
 // clang-format on
 
 TEST(WhenShortWorkComesInABurst, TheShortWorkIsInTime) {
-  load(ShortWork.allowedMs(), 0, 1);
-  CHECK(Short.shareInTime(FirstShort) >= 0.95);
+  Work.load(ShortWork.allowedMs(), 0, 1);
+  CHECK(Work.Short.shareInTime(FirstShort) >= 0.95);
 }
 
 TEST(WhenShortWorkComesInABurst, TheLongWorkIsDoneInTimeAfterIt) {
-  load(5'000, 1, 0);
-  load(LongWork.allowedMs(), 0, 0);
-  CHECK(Long.shareInTime(FirstLong) >= 0.95);
+  Work.load(5'000, 1, 0);
+  Work.load(LongWork.allowedMs(), 0, 0);
+  CHECK(Work.Long.shareInTime(FirstLong) >= 0.95);
+}
+
+/// Guards against capacity that no urgent task fits in being taken for room
+/// that is left for other work.
+TEST(WhenShortWorkHasComeInABurst, LongWorkLeavesTheNextShortWorkItsPlaces) {
+  Work.load(8'000, 1, 1);
+  Work.load(OddShortWork.allowedMs(), 0, 0);
+  CHECK(Work.Short.shareInTime(FirstLater) >= 0.95);
 }
