Keep room for urgent steps between two searches, too

A step that finds no further executor to ask about looks again after 200 ms. Until then no room was kept for it, and long work took what became free. Room is now kept as long as there are suitable executors that no call of the step has named; not for a step that has asked about all that suit it (StartsLongWorkOnTheOthersAtOnce failed without this condition).

--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -49,6 +49,17 @@
 /// Whether others may have to give way to the step.
 bool keepsRoom(const StepSpec &Spec) { return !Spec.Gang && !Spec.LongRunning; }
 
+/// Whether the step may find a place on an executor that no call has named.
+bool hasUnaskedExecutor(const ExecutorPool &Pool, const LiveStep &Step,
+                        const StepSpec &Spec) {
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (Pool[I].Listed && isSuitable(Pool[I], Spec) &&
+        !Step.Permissions.contains(I))
+      return true;
+  }
+  return false;
+}
+
 /// Whether a task of the step has been started before.
 bool hasRun(const LiveStep &Step) {
   return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
@@ -366,7 +377,11 @@
   if (!keepsRoom(Spec))
     return;
   const LiveStep &Step = Waiting.step();
-  if (!Step.AdvicePending || Now > Step.AdviceAskedAt + MaxRoomWait)
+  // Between two searches it waits for places that become free elsewhere.
+  bool IsSearching = Step.AdvicePending
+                         ? Now <= Step.AdviceAskedAt + MaxRoomWait
+                         : hasUnaskedExecutor(Pool, Step, Spec);
+  if (!IsSearching)
     return;
   auto Tasks = std::count_if(
       Step.Tasks.begin(), Step.Tasks.end(),
--- a/tests/unit/UrgentBurstTest.cpp
+++ b/tests/unit/UrgentBurstTest.cpp
@@ -200,6 +200,16 @@
   CHECK(Work.Long.shareInTime(FirstLong) >= 0.95);
 }
 
+/// Guards against room that is kept for urgent steps only until they find no
+/// free executor, so that long work takes what becomes free before they look
+/// again.
+TEST(WhenShortWorkComesInABurst, TheShortWorkAfterItIsInTime) {
+  size_t FirstLater = Work.Short.submittedCount();
+  Work.load(8'000, 1, 1);
+  Work.load(ShortWork.allowedMs(), 0, 0);
+  CHECK(Work.Short.shareInTime(FirstLater) >= 0.93);
+}
+
 /// Guards against capacity that no urgent task fits in being taken for room
 /// that is left for other work.
 TEST(WhenShortWorkHasComeInABurst, LongWorkLeavesTheNextShortWorkItsPlaces) {
