--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -107,7 +107,7 @@
   uint64_t Revision = 0; ///< Incremented by each change that must be stored.
   uint64_t RecordedRevision = 0; ///< The newest revision that is stored.
   /// The revision in which planning found nothing to do, until an occurrence
-  /// begins.
+  /// begins. Tasks become waiting or done with a new revision only.
   std::optional<uint64_t> IdleRevision;
 };
 
