--- a/src/cell/AdviceCandidates.cpp
+++ b/src/cell/AdviceCandidates.cpp
@@ -33,22 +33,6 @@
 /// save nothing.
 constexpr size_t MinNamedExecutors = 16;
 
-/// Tasks of the step that fit into \p Room at once, at most \p MaxPlaces.
-uint32_t placesIn(const Resources &Room, const StepSpec &Step,
-                  uint32_t MaxPlaces) {
-  constexpr uint32_t NoLimit = 1'000;
-  Resources Demand = demandOf(Step);
-  uint32_t Places = std::min(MaxPlaces, NoLimit);
-  auto Limit = [&](uint32_t Free, uint32_t Needed) {
-    if (Needed > 0)
-      Places = std::min(Places, Free / Needed);
-  };
-  Limit(Room.MilliCores, Demand.MilliCores);
-  Limit(Room.MemoryMb, Demand.MemoryMb);
-  Limit(Room.Accelerators, Demand.Accelerators);
-  return Places;
-}
-
 /// Capacity for tasks of a step in the long run.
 Resources capacityBeside(const ExecutorLoad &Load, const Resources &Capacity) {
   auto Remaining = [](uint32_t Amount, uint32_t Used) {
@@ -68,7 +52,7 @@
   uint64_t Order = 0;
   double Places = 0;
 
-  auto rank() const { return std::tuple(IsRemote, IsOccupied, Order); }
+  auto rank() const { return std::tuple(IsRemote, IsOccupied, Order, Index); }
 };
 
 /// Members of a colocated gang need executors of one rack, so whole racks are
@@ -137,6 +121,7 @@
                        std::span<const ExecutorLoad> Loads,
                        const AdviceNeed &Need, TimePoint Now) {
   const StepSpec &Step = *Need.Step;
+  Resources Demand = demandOf(Step);
   std::vector<Candidate> Candidates;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     const ExecutorState &Executor = Pool[I];
@@ -146,7 +131,7 @@
         !isSuitable(Executor, Step) || Need.Known->count(I))
       continue;
     uint32_t MaxPlaces = placesByAntiAffinity(Step, {}, I);
-    uint32_t FreePlaces = placesIn(Pool.freeCapacity(I), Step, MaxPlaces);
+    uint32_t FreePlaces = placesIn(Pool.freeCapacity(I), Demand, MaxPlaces);
     bool IsOccupied = FreePlaces == 0 || !Pool.isUsable(I, Now) ||
                       isTooSlow(Loads[I]) || isReserved(Need, I);
     if (IsOccupied && Need.OnlyWithFreeCapacity)
@@ -157,44 +142,49 @@
                    .IsOccupied = IsOccupied,
                    .Order = orderOf(Executor, Need)};
     Resources LaterRoom = capacityBeside(Loads[I], Executor.Info.Capacity);
-    Next.Places =
-        IsOccupied ? OccupiedPlaceWeight * placesIn(LaterRoom, Step, MaxPlaces)
-                   : FreePlaces;
+    Next.Places = IsOccupied ? OccupiedPlaceWeight *
+                                   placesIn(LaterRoom, Demand, MaxPlaces)
+                             : FreePlaces;
     Candidates.push_back(Next);
   }
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const Candidate &Left, const Candidate &Right) {
-              return Left.rank() < Right.rank();
-            });
   double NeededPlaces = PlacesPerTask * Need.Tasks / Need.AllowedShare;
   double Places = 0;
   std::vector<ExecutorIndex> Named;
-  for (const Candidate &Next : Candidates) {
+  // Few of many are named, so that a heap is cheaper than sorting them all.
+  auto RanksAfter = [](const Candidate &Left, const Candidate &Right) {
+    return Left.rank() > Right.rank();
+  };
+  std::make_heap(Candidates.begin(), Candidates.end(), RanksAfter);
+  while (!Candidates.empty()) {
     bool IsEnough = Places >= NeededPlaces && Named.size() >= MinNamedExecutors;
     if (IsEnough || Named.size() == executor::MaxExecutorsPerAdviceCall)
       break;
-    Named.push_back(Next.Index);
-    Places += Next.Places;
+    std::pop_heap(Candidates.begin(), Candidates.end(), RanksAfter);
+    Named.push_back(Candidates.back().Index);
+    Places += Candidates.back().Places;
+    Candidates.pop_back();
   }
   if (Need.OnlyForWholeGang && !isWholeGangExpected(Need, Places))
     return {};
   return Named;
 }
 
-AllowedPlaces
-countAllowedPlaces(const ExecutorPool &Pool,
-                   std::span<const ExecutorLoad> Loads, const StepSpec &Step,
-                   const std::map<ExecutorIndex, Permission> &Permissions,
-                   const TaskCounts &TasksByExecutor, TimePoint Now) {
+AllowedPlaces countAllowedPlaces(const ExecutorPool &Pool,
+                                 std::span<const ExecutorLoad> Loads,
+                                 const StepSpec &Step,
+                                 const StepPermissions &Permissions,
+                                 const TaskCounts &TasksByExecutor,
+                                 TimePoint Now) {
   AllowedPlaces Places;
+  Resources Demand = demandOf(Step);
   for (const auto &[Index, Entry] : Permissions) {
     if (!Entry.Allowed || !Pool.isUsable(Index, Now))
       continue;
     uint32_t MaxPlaces = placesByAntiAffinity(Step, TasksByExecutor, Index);
-    Places.Free += placesIn(Pool.freeCapacity(Index), Step, MaxPlaces);
+    Places.Free += placesIn(Pool.freeCapacity(Index), Demand, MaxPlaces);
     Resources LaterRoom =
         capacityBeside(Loads[Index], Pool[Index].Info.Capacity);
-    Places.Total += placesIn(LaterRoom, Step, MaxPlaces);
+    Places.Total += placesIn(LaterRoom, Demand, MaxPlaces);
   }
   return Places;
 }
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -18,6 +18,7 @@
 #include "store/RowStore.h"
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace daisylanding::cell {
@@ -310,6 +311,7 @@
   void completeIfDone(LiveJob &Job, uint32_t Occurrence, TimePoint Now);
   void setFinalPhase(LiveJob &Job, JobPhase Phase);
   void dropEndedJob(LiveJob &Job, TimePoint Now);
+  void removeJob(const std::string &JobId);
   LiveJob *findJob(std::string_view JobId);
   const Queue *findQueue(std::string_view Name) const;
   std::optional<TaskKey> findTask(const executor::RunId &Id);
@@ -409,13 +411,15 @@
   };
   std::vector<WaitingStepRef> waitingSteps(TimePoint Now);
   std::vector<WaitingStepRef> stepsToPlan(TimePoint Now);
-  std::vector<WaitingStepRef>
-  stepsWhere(const std::function<bool(const LiveJob &, const LiveStep &,
-                                      const StepSpec &)> &IsWanted,
-             TimePoint Now);
+  void addSteps(
+      LiveJob &Job,
+      const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
+      TimePoint Now, std::vector<WaitingStepRef> &Steps) const;
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
   void plan(TimePoint Now);
+  void beginUrgentRoom(std::span<const WaitingStepRef> Steps, TimePoint Now);
+  uint32_t urgentPlacesIn(const Resources &Room) const;
   void keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue,
                 TimePoint Now);
   void planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
@@ -489,8 +493,11 @@
   bool isSilent(ExecutorIndex Index, TimePoint Now) const;
   bool mayGrantLease(ExecutorIndex Index, TimePoint Now) const;
   bool awaitsRowForLease(ExecutorIndex Index, TimePoint Now) const;
-  void dropStartsBeyondCapacity(TimePoint Now);
-  void dropStartsOnLeavingExecutors(TimePoint Now);
+  void dropStartsBeyondCapacity(std::span<const ExecutorIndex> Unsettled,
+                                TimePoint Now);
+  void dropStartsOnLeavingExecutors(std::span<const ExecutorIndex> Unsettled,
+                                    TimePoint Now);
+  std::vector<ExecutorIndex> unsettledExecutors();
   void emitRefusals(TimePoint Now);
   bool hasTicketExpired(const TaskKey &Key, TimePoint Now) const;
   void dropExpiredStart(const TaskKey &Key, TimePoint Now);
@@ -506,7 +513,7 @@
 
   // Commits.
   CommitInFlight buildCommit(TimePoint Now, const StoreClock &Clock);
-  void addJobs(CommitInFlight &Commit, int64_t StoreClockMs);
+  void addJobs(CommitInFlight &Commit, TimePoint Now, int64_t StoreClockMs);
   OwnerRow buildOwnerRow();
   Millis grantTime(const OwnerRow &NewRow, TimePoint Now) const;
   void listLeaseEnds(CommitInFlight &Commit, TimePoint Now,
@@ -523,7 +530,9 @@
                    TimePoint Now);
   void finishMoves(const CommitInFlight &Commit);
   void restoreQueues(CommitInFlight &Commit, TimePoint Now);
-  bool isRoutine(const LiveJob &Job, const DirtyMark &Mark) const;
+  uint64_t commitToStoreIn(const LiveJob &Job, const DirtyMark &Mark,
+                           TimePoint Now) const;
+  std::optional<double> slackOfChanges(const LiveJob &Job, TimePoint Now) const;
   bool isRemovalDue(TimePoint Now) const {
     return !Removals.empty() && Removals.front().first <= Now;
   }
@@ -549,6 +558,7 @@
   ExecutorPool Pool;
   SpeedTracker Speeds;
   std::map<std::string, LiveJob, std::less<>> Jobs;
+  std::set<std::string> RepeatingJobs; ///< Of `Jobs`.
   /// Ended jobs whose rows are not removed yet. Late pages of the job feed, and
   /// late copies of requests, name them.
   std::unordered_map<std::string, KnownEnd> EndedJobs;
@@ -556,6 +566,8 @@
   std::deque<std::string> RowsToMove; ///< Of `EndedJobs`.
   bool MovesEndedJobs = false;
   std::vector<std::vector<TaskKey>> OpenRunsByExecutor;
+  /// Where a run may be open that is not running: orders are sent for these.
+  std::vector<bool> HasUnsettledRuns;
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
   std::vector<Reservation> Reservations;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -6,6 +6,8 @@
 #include "cell/Progress.h"
 #include "common/Time.h"
 
+#include <boost/container/flat_map.hpp>
+
 #include <map>
 #include <optional>
 #include <set>
@@ -92,9 +94,13 @@
   bool RenewalPending = false; ///< A call that renews its ticket is open.
 };
 
+/// By executor. Placement walks them all for each task, so they are stored in a
+/// row.
+using StepPermissions = boost::container::flat_map<ExecutorIndex, Permission>;
+
 struct LiveStep {
   std::vector<LiveTask> Tasks;
-  std::map<ExecutorIndex, Permission> Permissions;
+  StepPermissions Permissions;
   bool AdvicePending = false; ///< A call that names further executors.
   TimePoint AdviceAskedAt{};  ///< When that call was requested.
   uint32_t OpenRenewals = 0;  ///< Calls that renew tickets.
@@ -130,6 +136,9 @@
   uint32_t OpenRuns = 0;
   uint64_t Revision = 0; ///< Incremented by each change that must be stored.
   uint64_t RecordedRevision = 0; ///< The newest revision that is stored.
+  /// The revision in which planning found nothing to do, until an occurrence
+  /// begins. Tasks become waiting or done with a new revision only.
+  std::optional<uint64_t> IdleRevision;
 };
 
 /// Identifies one task of one live job.
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 
 #include <algorithm>
+#include <limits>
 
 /// Planning: orders the waiting steps by slack, late jobs last, and places
 /// their tasks.
@@ -45,6 +46,20 @@
       [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
 }
 
+/// Whether others may have to give way to the step.
+bool keepsRoom(const StepSpec &Spec) { return !Spec.Gang && !Spec.LongRunning; }
+
+/// Whether the step may find a place on an executor that no call has named.
+bool hasUnaskedExecutor(const ExecutorPool &Pool, const LiveStep &Step,
+                        const StepSpec &Spec) {
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    if (Pool[I].Listed && isSuitable(Pool[I], Spec) &&
+        !Step.Permissions.contains(I))
+      return true;
+  }
+  return false;
+}
+
 /// Whether a task of the step has been started before.
 bool hasRun(const LiveStep &Step) {
   return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
@@ -99,57 +114,102 @@
   return WorthlessSlackMs - LateSlackMs;
 }
 
+bool hasLongRunningStep(const JobSpec &Job) {
+  return std::any_of(Job.Steps.begin(), Job.Steps.end(),
+                     [](const StepSpec &Step) { return Step.LongRunning; });
+}
+
+/// The most urgent steps first.
+template <typename StepRefs> void sortBySlack(StepRefs &Steps) {
+  std::stable_sort(Steps.begin(), Steps.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.SlackMs < Right.SlackMs;
+                   });
+}
+
+bool hasTaskIn(const LiveStep &Step, TaskPhase Phase) {
+  return std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                     [&](const LiveTask &Task) { return Task.Phase == Phase; });
+}
+
 } // namespace
 
+/// Slack of the job's change that can wait least: a start that is to be
+/// recorded, or the final phase, for which its caller waits. None if there are
+/// only ends to record.
+std::optional<double> CellOwner::slackOfChanges(const LiveJob &Job,
+                                                TimePoint Now) const {
+  std::optional<double> Least;
+  auto Consider = [&](double SlackMs) {
+    Least = std::min(SlackMs, Least.value_or(SlackMs));
+  };
+  if (isFinal(Job.Phase))
+    Consider(0);
+  for (const auto &[Number, Occurrence] : Job.Occurrences) {
+    for (uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      if (hasTaskIn(Occurrence.Steps[I], TaskPhase::Recording))
+        Consider(slackMs(Job, Occurrence, I, Now));
+    }
+  }
+  return Least;
+}
+
 double CellOwner::slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
                           uint32_t Step, TimePoint Now) const {
   return slackOf(Speeds, Job, Occurrence, Step, Now);
 }
 
-std::vector<CellOwner::WaitingStepRef> CellOwner::waitingSteps(TimePoint Now) {
-  return stepsWhere([](const LiveJob &, const LiveStep &Step,
-                       const StepSpec &) { return hasPendingTasks(Step); },
-                    Now);
+/// Adds the job's steps that are ready and wanted.
+void CellOwner::addSteps(
+    LiveJob &Job,
+    const std::function<bool(const LiveStep &, const StepSpec &)> &IsWanted,
+    TimePoint Now, std::vector<WaitingStepRef> &Steps) const {
+  if (isFinal(Job.Phase))
+    return;
+  for (const auto &[Number, Occurrence] : Job.Occurrences) {
+    for (uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      if (!IsWanted(Occurrence.Steps[I], Job.Spec.Steps[I]) ||
+          !isReady(Job, Occurrence, I))
+        continue;
+      Steps.push_back({.Job = &Job,
+                       .Occurrence = Number,
+                       .Step = I,
+                       .SlackMs = slackMs(Job, Occurrence, I, Now)});
+    }
+  }
 }
 
-/// The waiting steps, and those with tasks that are to be restarted.
-std::vector<CellOwner::WaitingStepRef> CellOwner::stepsToPlan(TimePoint Now) {
-  return stepsWhere(
-      [&](const LiveJob &Job, const LiveStep &Step, const StepSpec &Spec) {
-        return hasPendingTasks(Step) ||
-               countTasksToRestart(Job, Step, Spec, Now) > 0;
-      },
-      Now);
+/// Steps with tasks to place or to record, the most urgent first.
+std::vector<CellOwner::WaitingStepRef> CellOwner::waitingSteps(TimePoint Now) {
+  std::vector<WaitingStepRef> Steps;
+  auto IsWaiting = [](const LiveStep &Step, const StepSpec &) {
+    return hasPendingTasks(Step);
+  };
+  for (auto &[Id, Job] : Jobs)
+    addSteps(Job, IsWaiting, Now, Steps);
+  sortBySlack(Steps);
+  return Steps;
 }
 
-/// Steps that are ready, the most urgent first.
-std::vector<CellOwner::WaitingStepRef> CellOwner::stepsWhere(
-    const std::function<bool(const LiveJob &, const LiveStep &,
-                             const StepSpec &)> &IsWanted,
-    TimePoint Now) {
+/// The waiting steps, and those with tasks that are to be restarted. A job in
+/// which nothing was to be planned is looked at again once it has changed.
+std::vector<CellOwner::WaitingStepRef> CellOwner::stepsToPlan(TimePoint Now) {
   std::vector<WaitingStepRef> Steps;
-  for (auto &[Id, Job] : Jobs) {
-    if (isFinal(Job.Phase))
+  for (auto &Entry : Jobs) {
+    LiveJob &Job = Entry.second;
+    if (Job.IdleRevision == Job.Revision)
       continue;
-    for (const auto &[Number, Occurrence] : Job.Occurrences) {
-      for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
-           ++StepIndex) {
-        if (!IsWanted(Job, Occurrence.Steps[StepIndex],
-                      Job.Spec.Steps[StepIndex]) ||
-            !isReady(Job, Occurrence, StepIndex))
-          continue;
-        Steps.push_back(
-            {.Job = &Job,
-             .Occurrence = Number,
-             .Step = StepIndex,
-             .SlackMs = slackOf(Speeds, Job, Occurrence, StepIndex, Now)});
-      }
-    }
+    auto IsToPlan = [&](const LiveStep &Step, const StepSpec &Spec) {
+      return hasPendingTasks(Step) ||
+             countTasksToRestart(Job, Step, Spec, Now) > 0;
+    };
+    size_t CountBefore = Steps.size();
+    addSteps(Job, IsToPlan, Now, Steps);
+    // The leases of long-running tasks run out without a change of their job.
+    if (Steps.size() == CountBefore && !hasLongRunningStep(Job.Spec))
+      Job.IdleRevision = Job.Revision;
   }
-  std::stable_sort(Steps.begin(), Steps.end(),
-                   [](const WaitingStepRef &Left, const WaitingStepRef &Right) {
-                     return Left.SlackMs < Right.SlackMs;
-                   });
+  sortBySlack(Steps);
   return Steps;
 }
 
@@ -185,8 +245,8 @@
                                const Queue *JobQueue,
                                TaskCounts &TasksByExecutor) const {
   const LiveStep &Step = Waiting.step();
-  TasksByExecutor = countTasksByExecutor(Step);
   const StepSpec &Spec = Waiting.spec();
+  TasksByExecutor = countTasksByExecutor(Step, Spec);
   return {.Step = &Spec,
           .Permissions = permissionsOf(Step, JobQueue),
           .TasksByExecutor = &TasksByExecutor,
@@ -202,15 +262,12 @@
   resizeExecutorTables();
   std::fill(Reservations.begin(), Reservations.end(), Reservation{});
   ReservedExecutors = 0;
-  uint64_t FreeMilliCores = 0;
-  for (ExecutorIndex I = 0; I < Loads.size(); ++I) {
+  for (ExecutorIndex I = 0; I < Loads.size(); ++I)
     Loads[I].Slowness = Speeds.slowness(I, Now);
-    if (Pool.isUsable(I, Now))
-      FreeMilliCores += Pool.freeCapacity(I).MilliCores;
-  }
-  UrgentRoom.begin(FreeMilliCores);
   countOpenCalls(Now);
-  for (const WaitingStepRef &Waiting : stepsToPlan(Now)) {
+  std::vector<WaitingStepRef> Steps = stepsToPlan(Now);
+  beginUrgentRoom(Steps, Now);
+  for (const WaitingStepRef &Waiting : Steps) {
     const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
     LiveStep &Step = Waiting.step();
     if (Now > Step.PreparedAt + restartLeads(JobQueue).Advice)
@@ -230,6 +287,31 @@
   releaseHeldPlaces(0);
 }
 
+/// Places for tasks of the most urgent step.
+uint32_t CellOwner::urgentPlacesIn(const Resources &Room) const {
+  if (!UrgentRoom.demand())
+    return 0;
+  return placesIn(Room, *UrgentRoom.demand(),
+                  std::numeric_limits<uint32_t>::max());
+}
+
+/// Counts the free places for tasks of the most urgent step, the first of
+/// \p Steps, if other work would have to give way to it.
+void CellOwner::beginUrgentRoom(std::span<const WaitingStepRef> Steps,
+                                TimePoint Now) {
+  auto First = std::find_if(
+      Steps.begin(), Steps.end(),
+      [](const WaitingStepRef &Waiting) { return keepsRoom(Waiting.spec()); });
+  bool IsUrgent = First != Steps.end() && First->SlackMs < UrgentSlackMs;
+  UrgentRoom.begin(IsUrgent ? std::optional(demandOf(First->spec()))
+                            : std::nullopt);
+  for (ExecutorIndex I = 0; IsUrgent && I < Pool.size(); ++I) {
+    if (Pool.isUsable(I, Now))
+      UrgentRoom.addExecutor(urgentPlacesIn(Pool.freeCapacity(I)),
+                             urgentPlacesIn(Pool[I].Info.Capacity));
+  }
+}
+
 void CellOwner::planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                           TimePoint Now) {
   TaskCounts TasksByExecutor;
@@ -239,17 +321,14 @@
   Request.StartsAtOnce = !Step.PreparedExecutors.empty();
   std::vector<ExecutorIndex> PlacedHere;
   size_t Unplaced = 0;
-  uint64_t Room = UrgentRoom.roomFor(Waiting.SlackMs);
-  bool IsRoomKept = UrgentRoom.isKept();
-  uint64_t TaskMilliCores = demandOf(*Request.Step).MilliCores;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
       continue;
     TaskKey Key = Waiting.task(I);
     Request.AvoidSuspects = Key.task().Crashes > 0;
-    // The others give way; executors with free capacity are not missing.
-    if (IsRoomKept && Room < TaskMilliCores)
-      break;
+    // More urgent steps go before, but where they don't fit.
+    if (!UrgentRoom.mayUse(Waiting.SlackMs))
+      Request.KeptRoom = UrgentRoom.demand();
     auto Best =
         Unplaced > 0 ? std::nullopt : chooseExecutor(Pool, Loads, Request, Now);
     if (!Best && Unplaced == 0 && Request.AvoidSuspects) {
@@ -262,9 +341,9 @@
       ++Unplaced;
       continue;
     }
+    uint32_t PlacesBefore = urgentPlacesIn(Pool.freeCapacity(*Best));
     placeTask(Key, *Best, Now);
-    UrgentRoom.take(TaskMilliCores);
-    Room -= std::min(Room, TaskMilliCores);
+    UrgentRoom.take(PlacesBefore - urgentPlacesIn(Pool.freeCapacity(*Best)));
     ++TasksByExecutor[*Best];
     if (!Request.Step->BestEffort)
       continue;
@@ -274,7 +353,8 @@
   }
   for (ExecutorIndex Index : PlacedHere)
     Loads[Index].BestEffortMilliCores -= Request.Step->Size.MilliCores;
-  if (Unplaced == 0)
+  // Executors with free capacity are not missing.
+  if (Unplaced == 0 || Request.KeptRoom)
     return;
   if (Waiting.SlackMs < WorthlessSlackMs)
     reserveExecutors(Waiting, Unplaced, Now);
@@ -294,17 +374,21 @@
   /// A call without an answer for longer keeps no room.
   constexpr Millis MaxRoomWait{300};
   const StepSpec &Spec = Waiting.spec();
-  if (Spec.Gang || Spec.LongRunning)
+  if (!keepsRoom(Spec))
     return;
   const LiveStep &Step = Waiting.step();
-  if (!Step.AdvicePending || Now > Step.AdviceAskedAt + MaxRoomWait)
+  // Between two searches it waits for places that become free elsewhere.
+  bool IsSearching = Step.AdvicePending
+                         ? Now <= Step.AdviceAskedAt + MaxRoomWait
+                         : hasUnaskedExecutor(Pool, Step, Spec);
+  if (!IsSearching)
     return;
   auto Tasks = std::count_if(
       Step.Tasks.begin(), Step.Tasks.end(),
       [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
-  double Need = static_cast<double>(Tasks) * demandOf(Spec).MilliCores /
-                AdviceShares.share(JobQueue.Name);
-  UrgentRoom.addNeed(Waiting.SlackMs, static_cast<uint64_t>(Need));
+  double Places =
+      static_cast<double>(Tasks) / AdviceShares.share(JobQueue.Name);
+  UrgentRoom.addNeed(Waiting.SlackMs, Places, demandOf(Spec));
 }
 
 void CellOwner::planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
@@ -378,7 +462,7 @@
   if (ReservedExecutors >= MaxReserved)
     return;
   bool ForAnySize = Spec.Gang || (Spec.LongRunning && hasRun(Step));
-  TaskCounts TasksByExecutor = countTasksByExecutor(Step);
+  TaskCounts TasksByExecutor = countTasksByExecutor(Step, Spec);
   std::vector<std::pair<Millis, ExecutorIndex>> Candidates;
   auto Consider = [&](ExecutorIndex I) {
     bool NeedsReservation =
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -28,28 +28,30 @@
 /// elsewhere needs a new ticket; outweighs the preference.
 constexpr double LateTicketPenalty = 25;
 
+/// Whether the task can run on an executor that the policy allows.
 bool isCandidate(const ExecutorPool &Pool, const ExecutorLoad &Load,
                  const PlacementRequest &Request, ExecutorIndex Index,
                  TimePoint Now) {
   const ExecutorState &Executor = Pool[Index];
-  if (!Pool.isUsable(Index, Now) || !isSuitable(Executor, *Request.Step))
+  // Most executors are full when it matters how long this takes.
+  if (!Pool.hasCapacityFor(Index, demandOf(*Request.Step)) ||
+      !Pool.isUsable(Index, Now) || !isSuitable(Executor, *Request.Step))
     return false;
   if (Index < Request.Reservations.size() &&
       Request.Reservations[Index].Active &&
       Request.ExpectedRunTime > Request.Reservations[Index].FreeAfter)
     return false;
+  if (Request.KeptRoom && Pool.hasCapacityFor(Index, *Request.KeptRoom))
+    return false;
   if (isTooSlow(Load) || (Request.AvoidSuspects && Executor.Suspects > 0))
     return false;
   if (Request.Step->LongRunning && !Pool.isLossKnownInTime(Index, Now))
     return false;
   if (!Request.Rack.empty() && Executor.Info.Rack != Request.Rack)
     return false;
-  if (!isAllowed(Request.Permissions, Index))
-    return false;
-  if (Request.TasksByExecutor &&
-      placesByAntiAffinity(*Request.Step, *Request.TasksByExecutor, Index) == 0)
-    return false;
-  return Pool.hasCapacityFor(Index, demandOf(*Request.Step));
+  return !Request.TasksByExecutor ||
+         placesByAntiAffinity(*Request.Step, *Request.TasksByExecutor, Index) >
+             0;
 }
 
 double freeShareAfter(uint32_t Free, uint32_t Reserved, uint32_t Total) {
@@ -147,21 +149,22 @@
 
 bool isTooSlow(const ExecutorLoad &Load) { return Load.Slowness > MaxSlowness; }
 
-const std::map<ExecutorIndex, Permission> *
-permissionsOf(const LiveStep &Step, const Queue *JobQueue) {
+const StepPermissions *permissionsOf(const LiveStep &Step,
+                                     const Queue *JobQueue) {
   return JobQueue && JobQueue->Advice ? &Step.Permissions : nullptr;
 }
 
-bool isAllowed(const std::map<ExecutorIndex, Permission> *Permissions,
-               ExecutorIndex Index) {
+bool isAllowed(const StepPermissions *Permissions, ExecutorIndex Index) {
   if (!Permissions)
     return true;
   auto Found = Permissions->find(Index);
   return Found != Permissions->end() && Found->second.Allowed;
 }
 
-TaskCounts countTasksByExecutor(const LiveStep &Step) {
+TaskCounts countTasksByExecutor(const LiveStep &Step, const StepSpec &Spec) {
   TaskCounts Counts;
+  if (Spec.AntiAffinity == 0)
+    return Counts;
   for (const LiveTask &Task : Step.Tasks) {
     if (Task.Executor != NoExecutor)
       ++Counts[Task.Executor];
@@ -179,6 +182,20 @@
   return Step.AntiAffinity - std::min(Step.AntiAffinity, Used);
 }
 
+uint32_t placesIn(const Resources &Room, const Resources &Demand,
+                  uint32_t MaxPlaces) {
+  constexpr uint32_t NoLimit = 1'000;
+  uint32_t Places = std::min(MaxPlaces, NoLimit);
+  auto Limit = [&](uint32_t Free, uint32_t Needed) {
+    if (Needed > 0)
+      Places = std::min(Places, Free / Needed);
+  };
+  Limit(Room.MilliCores, Demand.MilliCores);
+  Limit(Room.MemoryMb, Demand.MemoryMb);
+  Limit(Room.Accelerators, Demand.Accelerators);
+  return Places;
+}
+
 bool isSuitable(const ExecutorState &Executor, const StepSpec &Step) {
   if (!demandOf(Step).fitsIn(Executor.Info.Capacity))
     return false;
@@ -205,8 +222,10 @@
     BestScore = Score;
   };
   if (Request.Permissions) {
-    for (const auto &Entry : *Request.Permissions)
-      Consider(Entry.first);
+    for (const auto &[Index, Entry] : *Request.Permissions) {
+      if (Entry.Allowed)
+        Consider(Index);
+    }
     return Best;
   }
   for (ExecutorIndex I = 0; I < Pool.size(); ++I)
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -38,7 +38,7 @@
 struct PlacementRequest {
   const StepSpec *Step = nullptr;
   /// Null where no policy restricts the step.
-  const std::map<ExecutorIndex, Permission> *Permissions = nullptr;
+  const StepPermissions *Permissions = nullptr;
   const TaskCounts *TasksByExecutor = nullptr; ///< For anti-affinity.
   /// Chosen before others: tickets for these are being obtained.
   std::span<const ExecutorIndex> Preferred;
@@ -47,6 +47,8 @@
   bool StartsAtOnce = false;
   /// Not where a task that may crash its executor has just been started.
   bool AvoidSuspects = false;
+  /// Not where a task of this demand would fit, if set.
+  std::optional<Resources> KeptRoom;
   /// Only this rack, if set.
   std::string_view Rack;
   /// Indexed by executor.
@@ -57,20 +59,24 @@
 };
 
 /// The policy's permissions for the step; null if no policy restricts it.
-const std::map<ExecutorIndex, Permission> *permissionsOf(const LiveStep &Step,
-                                                         const Queue *JobQueue);
+const StepPermissions *permissionsOf(const LiveStep &Step,
+                                     const Queue *JobQueue);
 
 /// Whether the policy allows the step on this executor.
-bool isAllowed(const std::map<ExecutorIndex, Permission> *Permissions,
-               ExecutorIndex Index);
+bool isAllowed(const StepPermissions *Permissions, ExecutorIndex Index);
 
-TaskCounts countTasksByExecutor(const LiveStep &Step);
+/// For the step's anti-affinity; empty if it has none.
+TaskCounts countTasksByExecutor(const LiveStep &Step, const StepSpec &Spec);
 
 /// How many more tasks of the step its anti-affinity allows on this executor.
 uint32_t placesByAntiAffinity(const StepSpec &Step,
                               const TaskCounts &TasksByExecutor,
                               ExecutorIndex Index);
 
+/// Tasks of this demand that fit into \p Room at once, at most \p MaxPlaces.
+uint32_t placesIn(const Resources &Room, const Resources &Demand,
+                  uint32_t MaxPlaces);
+
 /// Whether the executor has the step's label and enough total capacity.
 bool isSuitable(const ExecutorState &Executor, const StepSpec &Step);
 
