--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Millis LateWriteDelay{1'000};
-constexpr Millis RunDuration{250};
 constexpr uint32_t WritesPerCycle = 10;
 constexpr size_t MaxPageRows = 500;
 
@@ -371,6 +370,11 @@
   return Found == RefusedFeeds.end() ? 0 : Found->second;
 }
 
+void CellPlatform::setRunTimes(CellRunTimes NewTimes) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Times = NewTimes;
+}
+
 size_t CellPlatform::runsStarted() const {
   std::lock_guard<std::mutex> Lock(Mutex);
   return RunsStarted;
@@ -448,7 +452,7 @@
     if (AcknowledgedTasks.count(Task))
       Violations.push_back("task started after it was done: " + Task);
     Executor.RunsByTask[Task] = {.Id = RunId,
-                                 .EndTime = monotonicNow() + RunDuration};
+                                 .EndTime = monotonicNow() + Times.RunDuration};
     ++RunsStarted;
   }
   sendJson(Responder, http::StatusOk,
@@ -493,10 +497,18 @@
               {"running", Runs},
               {"finished", Executor.UnacknowledgedEnds}});
   };
-  // Caps the requested wait, so that run ends are reported within 100 ms.
-  constexpr Millis MaxWait{100};
   Millis Wait(Unacknowledged.empty() ? Body.value("wait-ms", int64_t{0}) : 0);
-  DelayedActions->schedule(std::min(Wait, MaxWait), SendReport);
+  DelayedActions->schedule(renewalWait(Executor, Wait), SendReport);
+}
+
+/// Until the next end of a run that has begun, at most for \p Requested.
+Micros CellPlatform::renewalWait(const ExecutorState &Executor,
+                                 Millis Requested) const {
+  TimePoint Now = monotonicNow();
+  Micros Wait = std::min(Requested, Times.MaxRenewalWait);
+  for (const auto &[Task, Run] : Executor.RunsByTask)
+    Wait = std::clamp(Micros(Run.EndTime - Now), Micros(0), Wait);
+  return Wait;
 }
 
 void CellPlatform::endRun(ExecutorState &Executor, const std::string &Task,
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -36,6 +36,12 @@
   uint32_t ReadBytesPerSecond = 0;
 };
 
+struct CellRunTimes {
+  Millis RunDuration{250};
+  /// Caps the wait that a renewal asks for.
+  Millis MaxRenewalWait{100};
+};
+
 class CellPlatform final : public http::Handler {
 public:
   CellPlatform() = default;
@@ -54,6 +60,8 @@
   /// before, and counts anew. Its row tells \p RowDelay later.
   void restartExecutor(const std::string &Id, Millis RowDelay);
   void setFaults(CellPlatformFaults NewFaults);
+  /// Of runs and renewals that begin later.
+  void setRunTimes(CellRunTimes NewTimes);
   /// Stores a row, as if an entry had written it.
   void putRow(const std::string &Table, const std::string &Part,
               const std::string &Key, const std::string &Value);
@@ -125,6 +133,7 @@
                const http::Responder &Responder);
   void renewLeases(ExecutorState &Executor, const Json &Body,
                    http::Responder Responder);
+  Micros renewalWait(const ExecutorState &Executor, Millis Requested) const;
   void handleAdviceCall(const Json &Body, http::Responder Responder);
   void advanceRuns(ExecutorState &Executor);
   void endRun(ExecutorState &Executor, const std::string &Task,
@@ -144,6 +153,7 @@
   std::map<std::string, ExecutorState> Executors;
   std::vector<std::shared_ptr<FeedRequest>> PendingFeeds;
   CellPlatformFaults Faults;
+  CellRunTimes Times;
   uint64_t WriteCount = 0;
   size_t RunsStarted = 0;
   std::map<std::string, size_t> RefusedFeeds; ///< By table.
