Send an owner's next commit with the answer to the last one

Commits of a busy owner took 60 to 115 ms each though the store answers in 4 ms, one at a time: starts wait for them, and what has ended keeps its place. Cause: the owner's loop reads all answers that have arrived, hundreds of them, before it handles the first; then it takes a turn; then it builds the next commit, which libcurl sends in the next poll.

MultiClient::poll now ends the calls of each round of 64 events and sends what these start, and the owner builds its next commit when the last one is answered. An answered call still can't be late: the time that calls are compared with is that of the last look at the sockets, before what it showed was handled.

Test, before: ACallStartedByAnAnswer, IsSentInTheSamePoll fails: CHECK_TRUE(receives(2)).

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -222,8 +223,7 @@
     curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
     if (auto Failure = Wake.open())
       logError("wake-pipe-failed", "error={}", Failure.message());
-    epoll_event WakeEvent{.events = EPOLLIN, .data = {.fd = Wake.readEnd()}};
-    epoll_ctl(Epoll, EPOLL_CTL_ADD, Wake.readEnd(), &WakeEvent);
+    watch(Wake.readEnd(), EPOLLIN, EPOLL_CTL_ADD);
   }
 
   Impl(const Impl &) = delete;
@@ -240,6 +240,13 @@
     close(Epoll);
   }
 
+  void watch(int Socket, uint32_t Events, int Operation) const {
+    epoll_event Event{.events = Events,
+                      .data = {.u64 = static_cast<uint32_t>(Socket)}};
+    if (epoll_ctl(Epoll, Operation, Socket, &Event) != 0)
+      logWarn("socket-not-watched", "errno={}", errno);
+  }
+
   static int onSocket(CURL *, curl_socket_t Socket, int Wanted, void *UserData,
                       void *SocketData) {
     auto *Self = static_cast<Impl *>(UserData);
@@ -248,15 +255,13 @@
       epoll_ctl(Self->Epoll, EPOLL_CTL_DEL, Socket, nullptr);
       return 0;
     }
-    epoll_event Event{.events = 0, .data = {.fd = Socket}};
+    uint32_t Events = 0;
     if (Wanted & CURL_POLL_IN)
-      Event.events |= EPOLLIN;
+      Events |= EPOLLIN;
     if (Wanted & CURL_POLL_OUT)
-      Event.events |= EPOLLOUT;
+      Events |= EPOLLOUT;
     bool IsKnown = SocketData != nullptr;
-    if (epoll_ctl(Self->Epoll, IsKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, Socket,
-                  &Event) != 0)
-      logWarn("socket-not-watched", "errno={}", errno);
+    Self->watch(Socket, Events, IsKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD);
     curl_multi_assign(Self->Multi, Socket, Self);
     return 0;
   }
@@ -349,35 +354,43 @@
     curl_multi_socket_action(Multi, CURL_SOCKET_TIMEOUT, 0, &RunningHandles);
   }
 
-  /// Reads what has arrived, after a wait for the first event.
-  void handleEvents(Millis Timeout) {
-    int Rounds = 0;
-    while (handleSomeEvents(Timeout) == MaxEventsPerRound &&
-           ++Rounds < MaxRoundsPerPoll)
+  /// Reads what has arrived, after a wait for the first event. Each round of
+  /// events ends with the calls that it completed and sends what these start,
+  /// so that neither waits for all the others. Returns a time by which all that
+  /// had arrived has been read.
+  TimePoint handleEvents(Millis Timeout) {
+    for (int Rounds = 1;; ++Rounds) {
+      std::array<epoll_event, MaxEventsPerRound> Events{};
+      int Count = epoll_wait(Epoll, Events.data(), MaxEventsPerRound,
+                             static_cast<int>(Timeout.count()));
+      TimePoint SeenAt = monotonicNow();
+      auto Seen = static_cast<size_t>(std::max(Count, 0));
+      readSockets(std::span(Events).first(Seen));
+      finishCompleted();
+      runCurlTimer(monotonicNow());
+      if (Count < MaxEventsPerRound || Rounds == MaxRoundsPerPoll)
+        return SeenAt;
       Timeout = Millis(0);
+    }
   }
 
-  int handleSomeEvents(Millis Timeout) {
-    std::array<epoll_event, MaxEventsPerRound> Events{};
-    int Count = epoll_wait(Epoll, Events.data(), MaxEventsPerRound,
-                           static_cast<int>(Timeout.count()));
-    for (int I = 0; I < Count; ++I) {
-      if (Events[I].data.fd == Wake.readEnd()) {
+  void readSockets(std::span<const epoll_event> Events) {
+    for (const epoll_event &Event : Events) {
+      auto Socket = static_cast<int>(Event.data.u64);
+      if (Socket == Wake.readEnd()) {
         Wake.drain();
         continue;
       }
       int Action = 0;
-      if (Events[I].events & EPOLLIN)
+      if (Event.events & EPOLLIN)
         Action |= CURL_CSELECT_IN;
-      if (Events[I].events & EPOLLOUT)
+      if (Event.events & EPOLLOUT)
         Action |= CURL_CSELECT_OUT;
-      if (Events[I].events & (EPOLLERR | EPOLLHUP))
+      if (Event.events & (EPOLLERR | EPOLLHUP))
         Action |= CURL_CSELECT_ERR;
       int RunningHandles = 0;
-      curl_multi_socket_action(Multi, Events[I].data.fd, Action,
-                               &RunningHandles);
+      curl_multi_socket_action(Multi, Socket, Action, &RunningHandles);
     }
-    return Count;
   }
 };
 
@@ -402,13 +415,11 @@
   Pimpl->runCurlTimer(monotonicNow());
   if (Pimpl->finishCompleted())
     Timeout = Millis(0);
-  Pimpl->handleEvents(Pimpl->pollTime(Timeout, monotonicNow()));
-  TimePoint Now = monotonicNow();
-  Pimpl->runCurlTimer(Now);
-  Pimpl->finishCompleted();
+  TimePoint ReadUntil =
+      Pimpl->handleEvents(Pimpl->pollTime(Timeout, monotonicNow()));
   // After the bytes that have arrived were read, so that a loop that was held
   // up doesn't take them for late.
-  Pimpl->finishLate(Now);
+  Pimpl->finishLate(ReadUntil);
 }
 
 void MultiClient::wake() { Pimpl->Wake.wake(); }
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -353,6 +353,8 @@
                   Context.EntryMetrics.observe(
                       "commit_ms", toSeconds(AnsweredAt - Now) * 1e3);
                   Owner->onCommit(Sequence, Result, AnsweredAt);
+                  // What has changed meanwhile shouldn't wait for a turn.
+                  sendNextCommit(AnsweredAt);
                 });
 }
 
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -174,3 +174,34 @@
                     [](const auto &Answer) { return bool(Answer); }));
   LONGS_EQUAL(Calls, Answered);
 }
+
+// clang-format off
+TEST_GROUP(ACallStartedByAnAnswer) {
+  http::MultiClient Client{{}};
+  RawServer Server{{}};
+  http::Call request() const {
+    http::Call Request;
+    Request.Url = "http://" + Server.address() + "/";
+    return Request;
+  }
+  bool receives(size_t Requests) const {
+    TimePoint GivenUpAt = monotonicNow() + Millis(3'000);
+    while (Server.requestCount() < Requests && monotonicNow() < GivenUpAt) {
+    }
+    return Server.requestCount() == Requests;
+  }
+};
+// clang-format on
+
+/// Guards against commits that wait for a turn and hundreds of other answers:
+/// an owner starts the next one with the answer to the last.
+TEST(ACallStartedByAnAnswer, IsSentInTheSamePoll) {
+  bool Answered = false;
+  Client.start(request(), [&](const http::CallResult &) {
+    Answered = true;
+    Client.start(request(), [](const http::CallResult &) {});
+  });
+  while (!Answered)
+    Client.poll(Millis(1'000));
+  CHECK_TRUE(receives(2));
+}
