Let an owner's turns follow changes, and none follow a plan at once

An owner without any job spends 300 ms of each second in turns on the users' machines: its loop takes one each 2 ms, whether or not something has changed, and one right after each plan, although the turn that planned has already sent all orders and renewals.

TurnPacer now knows of changes: answers to orders and commits, renewals with news, advice, offers and job changes make a turn due as before; without any, one each 20 ms serves the owner's timers. After a plan, the pause is that after the last turn without one.

Tests, before (the old pacer, with the new functions doing nothing): WhileNothingChanges.OnlyItsTimersCauseTurns: CHECK_FALSE(Pacer.isDue(at(19))) failed; .AChangeIsSeenByOneTurn: CHECK_FALSE(Pacer.isDue(at(10))) failed; AfterATurnThatPlanned.ItPausesAsAfterItsLastTurn: CHECK_FALSE( Pacer.isDue(at(53))) failed.

--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -57,9 +57,9 @@
               .MaxIdleConnections = maxConnections(Context.Options)}),
       JobFeed(store::MaxFeedLag),
       AdviceAnswers(std::make_shared<MpscQueue<AdviceAnswer>>(
-          AnswerCapacity, [this] { Client.wake(); })),
-      Offers(std::make_shared<cell::OfferMailbox>(OfferCapacity,
-                                                  [this] { Client.wake(); })) {}
+          AnswerCapacity, [this] { wakeForChange(); })),
+      Offers(std::make_shared<cell::OfferMailbox>(
+          OfferCapacity, [this] { wakeForChange(); })) {}
 
 OwnerLoop::~OwnerLoop() {
   AdviceAnswers->close();
@@ -78,6 +78,12 @@
 
 void OwnerLoop::release() {
   Releasing.store(true);
+  wakeForChange();
+}
+
+/// Callable from any thread.
+void OwnerLoop::wakeForChange() {
+  recordChange();
   Client.wake();
 }
 
@@ -108,8 +114,11 @@
       break;
     auto UntilTurn =
         std::chrono::ceil<Millis>(TurnPace.timeLeft(monotonicNow()));
-    Client.poll(UntilTurn > Millis(0) ? std::min(UntilTurn, MaxPollWait)
-                                      : MaxPollWait);
+    Client.poll(std::min(UntilTurn, MaxPollWait));
+    if (HasChange.exchange(false)) {
+      TurnPace.recordChange();
+      PlanPace.recordChange();
+    }
   }
   Context.Offers.unregisterOwner(Service, Offers);
   Context.OwnedServices.remove(Service);
@@ -198,6 +207,7 @@
           toMillis(Now - AcquiredAt), Counts.Pages, Counts.Rows, Counts.Bytes,
           Counts.FailedReads);
   Owner->finishLoading();
+  recordChange();
   UnreadableJobs = std::move(Stored.UnreadableJobs);
   Context.EntryMetrics.count("progress_unreadable",
                              static_cast<double>(UnreadableJobs.size()));
@@ -227,10 +237,12 @@
                         : cell::OwnerTurn::WithoutPlanning);
   TimePoint EndedAt = monotonicNow();
   (IsPlanDue ? PlanningTime : TurnTime) += Micros(EndedAt - BeganAt);
-  if (IsPlanDue)
+  if (IsPlanDue) {
     PlanPace.recordTurn(BeganAt, EndedAt, false);
-  else
+    TurnPace.restartPause(EndedAt, RenewalsLeft);
+  } else {
     TurnPace.recordTurn(BeganAt, EndedAt, RenewalsLeft);
+  }
 }
 
 void OwnerLoop::processOnce(cell::OwnerTurn Turn) {
@@ -280,23 +292,30 @@
                      [this, Id = Command.Order.Id,
                       Index = Command.Executor](const auto &Answer) {
                        Owner->onStart(Id, Index, Answer, monotonicNow());
+                       recordChange();
                      });
   for (cell::StopCommand &Command : Commands.Stops)
     Executors->stop(Command.Order,
                     [this, Id = Command.Order.Id,
                      Index = Command.Executor](const auto &Answer) {
                       Owner->onStop(Id, Index, Answer, monotonicNow());
+                      recordChange();
                     });
   for (cell::PaceCommand &Command : Commands.PaceChanges)
     Executors->pace(Command.Order,
                     [this, Id = Command.Order.Id,
                      Index = Command.Executor](const auto &Answer) {
                       Owner->onPace(Id, Index, Answer, monotonicNow());
+                      recordChange();
                     });
   for (cell::RenewalCommand &Command : Commands.Renewals)
     Executors->renewLeases(
         Command.Call, [this, Index = Command.Executor](const auto &Answer) {
           Owner->onRenewal(Index, Answer, monotonicNow());
+          // Without news, the next renewal can wait for the timers.
+          if (Answer.Outcome != executor::OrderOutcome::Done ||
+              !Answer.Ended.empty())
+            recordChange();
         });
   for (cell::AdviceCallCommand &Command : Commands.AdviceCalls)
     AdviceQueues.add(std::move(Command));
@@ -353,6 +372,7 @@
                   Context.EntryMetrics.observe(
                       "commit_ms", toSeconds(AnsweredAt - Now) * 1e3);
                   Owner->onCommit(Sequence, Result, AnsweredAt);
+                  recordChange();
                   // What has changed meanwhile shouldn't wait for a turn.
                   sendNextCommit(AnsweredAt);
                 });
@@ -368,6 +388,7 @@
       Context.StoreHealth.recordFeedPage(Now, *Page);
       onJobRows(Page->Rows);
       Owner->confirmJobFeed(Page->AnsweredAt);
+      recordChange();
       JobFeed.advance(*Page, Now);
       // Most rows come from this owner's own commits; others can wait.
       if (Page->Rows.empty())
@@ -397,6 +418,7 @@
     if (FromKey.empty())
       JobFeed.restart(Page->Version);
     onJobRows(Page->Rows);
+    recordChange();
     if (auto NextKey = store::nextPageStart(*Page))
       reloadJobs(*NextKey);
     else
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -45,6 +45,8 @@
   void continueLoading(TimePoint Now);
   void finishLoading(TimePoint Now);
   void takeTurnIfDue();
+  void recordChange() { HasChange.store(true); }
+  void wakeForChange();
   void processOnce(cell::OwnerTurn Turn);
   void executeCommands(cell::OwnerCommands Commands);
   void sendAdviceCalls(TimePoint Now);
@@ -97,6 +99,7 @@
   Micros PlanningTime{0}; ///< Of turns that plan.
   Micros TurnTime{0};     ///< Of the others.
 
+  std::atomic<bool> HasChange{false}; ///< Since the last look at the pacers.
   std::atomic<bool> Releasing{false};
   std::atomic<bool> Finished{false};
   Thread Loop;
