Make calls to hosts named by an address without libcurl

The owner of a large cell is at its processor's limit; each system call costs there, too. perf of the serve process against standin-cell (792 executors, 780 starts a second): three quarters of the owner thread's time are calls, 42 % is spent in libcurl itself, most of it in three walks at the end of each call: over all cached names (11 %), over all connections for the oldest one once the cache is full (11 %), and over all connections in curl_multi_remove_handle (9 %). On top, 16 system calls a call (strace): epoll_ctl 2.6, polls for a live socket 2.3, getsockname 1.7, getpeername 1.2. Ruled out as the largest part: JSON (5 %), configuring handles (2 %). Tried and not kept: dividing hosts among 32 multi handles, which left 16 % in libcurl and all the system calls.

MultiClient now calls hosts that are named by an IPv4 address directly (DirectCalls: one send and one receive on a connection whose socket stays registered; http_parser reads the response). Others, and calls on a fresh connection, stay with libcurl. Errors keep their meaning; Unreachable is exact: no byte was accepted by a socket. A request is sent once: libcurl sent it again when a reused connection closed. A connection that has been idle for 50 ms is looked at before its next request. Text with control characters is not sent.

What is left most: 0.6 connections opened a call, as orders to one executor at once need one each and an owner keeps 2,048.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Log.h"
 #include "common/WakePipe.h"
+#include "http/DirectCalls.h"
 
 #include <curl/curl.h>
 
@@ -195,8 +196,10 @@
   return makeResult(CurrentTransfer, Code);
 }
 
-/// The sockets of one curl multi handle in an epoll instance, so that a poll
-/// costs as much as there are events, not as many calls as are open.
+/// The sockets of all calls in an epoll instance, so that a poll costs as much
+/// as there are events, not as many calls as are open. Hosts that are named by
+/// an address are called directly, others by a curl multi handle: at the end of
+/// each call, libcurl walks all open connections and all cached names.
 struct MultiClient::Impl {
   static constexpr int MaxEventsPerRound = 64;
   /// Looks at as many sockets as a large fleet has; others come with the next
@@ -212,8 +215,9 @@
   std::vector<CURL *> IdleHandles;
   /// When curl wants to be called without an event; none if it doesn't.
   std::optional<TimePoint> CurlTimerAt;
+  DirectCalls Direct;
 
-  explicit Impl(const MultiClientOptions &Options) {
+  explicit Impl(const MultiClientOptions &Options) : Direct(Epoll, Options) {
     curl_multi_setopt(Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       Options.MaxConnectionsPerHost);
     curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, Options.MaxIdleConnections);
@@ -305,7 +309,7 @@
   }
 
   bool finishCompleted() {
-    bool AnyFinished = false;
+    bool AnyFinished = Direct.finishCompleted();
     int Remaining = 0;
     while (CURLMsg *Message = curl_multi_info_read(Multi, &Remaining)) {
       if (Message->msg != CURLMSG_DONE)
@@ -329,6 +333,7 @@
     }
     for (CURL *Handle : Late)
       finishTransfer(Handle, CURLE_OPERATION_TIMEDOUT);
+    Direct.finishLate(Now);
   }
 
   /// Until a call is late or curl wants to be called, but at most \p Timeout.
@@ -341,6 +346,10 @@
       LimitTo(*CurlTimerAt);
     if (!Deadlines.empty())
       LimitTo(Deadlines.begin()->first);
+    if (auto Deadline = Direct.nextDeadline())
+      LimitTo(*Deadline);
+    if (Direct.hasCompleted())
+      return Millis(0);
     for (const Transfer *Limited : StallLimited)
       LimitTo(Limited->stallsAt());
     return Timeout;
@@ -365,7 +374,7 @@
                              static_cast<int>(Timeout.count()));
       TimePoint SeenAt = monotonicNow();
       auto Seen = static_cast<size_t>(std::max(Count, 0));
-      readSockets(std::span(Events).first(Seen));
+      readSockets(std::span(Events).first(Seen), SeenAt);
       finishCompleted();
       runCurlTimer(monotonicNow());
       if (Count < MaxEventsPerRound || Rounds == MaxRoundsPerPoll)
@@ -374,8 +383,12 @@
     }
   }
 
-  void readSockets(std::span<const epoll_event> Events) {
+  void readSockets(std::span<const epoll_event> Events, TimePoint Now) {
     for (const epoll_event &Event : Events) {
+      if (DirectCalls::ownsEvent(Event.data.u64)) {
+        Direct.onEvent(Event.data.u64, Event.events, Now);
+        continue;
+      }
       auto Socket = static_cast<int>(Event.data.u64);
       if (Socket == Wake.readEnd()) {
         Wake.drain();
@@ -402,6 +415,10 @@
 MultiClient::~MultiClient() = default;
 
 void MultiClient::start(Call Request, CallDone Done) {
+  if (DirectCalls::accepts(Request)) {
+    Pimpl->Direct.start(std::move(Request), std::move(Done), monotonicNow());
+    return;
+  }
   auto CurrentTransfer = std::make_unique<Transfer>();
   CurrentTransfer->Request = std::move(Request);
   CurrentTransfer->Done = std::move(Done);
@@ -425,7 +442,7 @@
 void MultiClient::wake() { Pimpl->Wake.wake(); }
 
 size_t MultiClient::activeCalls() const {
-  return Pimpl->ActiveTransfers.size();
+  return Pimpl->ActiveTransfers.size() + Pimpl->Direct.activeCalls();
 }
 
 } // namespace daisylanding::http
--- /dev/null
+++ b/src/http/DirectCalls.cpp
@@ -0,0 +1,536 @@
+#include "http/DirectCalls.h"
+
+#include "common/Log.h"
+#include "http/ResponseReader.h"
+#include "http/Url.h"
+
+#include <fmt/format.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace daisylanding::http {
+
+namespace {
+
+/// Marks the event data of direct connections; the rest is their id.
+constexpr uint64_t EventMark = uint64_t{1} << 63;
+/// A connection that has been idle for longer is looked at before its next
+/// request: its server may have closed it.
+constexpr Millis TrustedIdleTime{50};
+constexpr size_t ReadBufferBytes = 64 << 10;
+
+struct Connection;
+
+/// A call and what has been received of its response.
+struct Exchange {
+  Call Request;
+  CallDone Done;
+  std::string Output; ///< The request as sent.
+  size_t Sent = 0;
+  bool RequestIssued = false; ///< A byte of it may have been sent.
+  ResponseReader Reader;
+  TimePoint StartedAt{};
+  TimePoint LastByteAt{}; ///< Of the response; its start before any.
+  std::optional<TimePoint> ConnectingSince;
+  Connection *Carrier = nullptr; ///< None while it waits for one.
+  std::multimap<TimePoint, Exchange *>::iterator Deadline;
+  std::list<std::unique_ptr<Exchange>>::iterator Position;
+  std::error_code Failure;
+
+  explicit Exchange(Call Started)
+      : Request(std::move(Started)), Reader(Request.MaxResponseBytes) {}
+
+  /// When the call is late if nothing further arrives.
+  TimePoint endsAt() const {
+    TimePoint End = StartedAt + Request.Timeout;
+    if (ConnectingSince)
+      End = std::min(End, *ConnectingSince + Request.ConnectTimeout);
+    if (Request.StallTimeout > Millis(0))
+      End = std::min(End, LastByteAt + Request.StallTimeout);
+    return End;
+  }
+};
+
+struct Host;
+
+struct Connection {
+  uint64_t Id = 0;
+  int Socket = -1;
+  Host *Peer = nullptr;
+  Exchange *Current = nullptr; ///< None while idle.
+  bool IsConnecting = true;
+  bool HasServed = false;
+  uint32_t WatchedEvents = 0;
+  TimePoint IdleSince{};
+  std::list<Connection *>::iterator IdlePosition; ///< Among all idle ones.
+};
+
+struct Host {
+  std::string Name;
+  sockaddr_in Address{};
+  std::vector<Connection *> Idle; ///< The last used one is at the end.
+  size_t OpenCount = 0;
+  std::deque<Exchange *> Waiting; ///< For a connection.
+};
+
+bool hasControlCharacter(std::string_view Text) {
+  return std::any_of(Text.begin(), Text.end(), [](char Character) {
+    return static_cast<unsigned char>(Character) < ' ';
+  });
+}
+
+/// Whether no part of the request can be taken for another part of it.
+bool isWellFormed(const Call &Request) {
+  if (hasControlCharacter(Request.Url) ||
+      Request.Url.find(' ') != std::string::npos)
+    return false;
+  return std::none_of(Request.Headers.begin(), Request.Headers.end(),
+                      [](const Header &Field) {
+                        return hasControlCharacter(Field.first) ||
+                               hasControlCharacter(Field.second);
+                      });
+}
+
+std::string writeRequest(const Call &Request) {
+  std::string Output = fmt::format(
+      "{} {} HTTP/1.1\r\nHost: {}\r\nAccept: */*\r\n", Request.Method,
+      targetOfUrl(Request.Url), hostOfUrl(Request.Url));
+  for (const Header &Field : Request.Headers)
+    Output += fmt::format("{}: {}\r\n", Field.first, Field.second);
+  if (Request.Method != "GET")
+    Output += fmt::format("Content-Length: {}\r\n", Request.Body.size());
+  Output += "\r\n";
+  if (Request.Method != "GET")
+    Output += Request.Body;
+  return Output;
+}
+
+void logIncomplete(const Exchange &Ended, std::error_code Failure) {
+  const Response &Received = Ended.Reader.response();
+  const std::string *Length = findHeader(Received.Headers, "Content-Length");
+  logWarn("answer-incomplete", "url={} received={} length={} took_ms={} why={}",
+          Ended.Request.Url, Received.Body.size(), Length ? *Length : "-",
+          toMillis(monotonicNow() - Ended.StartedAt),
+          Failure == Errc::Timeout ? "timeout" : "broken-off");
+}
+
+} // namespace
+
+struct DirectCalls::Impl {
+  int Epoll;
+  MultiClientOptions Options;
+  std::unordered_map<std::string, std::unique_ptr<Host>> Hosts;
+  std::unordered_map<uint64_t, std::unique_ptr<Connection>> Connections;
+  std::list<Connection *> Idle; ///< The first has been idle for longest.
+  std::list<std::unique_ptr<Exchange>> Active;
+  std::deque<std::unique_ptr<Exchange>> Completed;
+  /// A call may end later than its entry says, but not earlier.
+  std::multimap<TimePoint, Exchange *> Deadlines;
+  std::vector<char> ReadBuffer = std::vector<char>(ReadBufferBytes);
+  uint64_t LastConnectionId = 0;
+
+  Impl(int Epoll, const MultiClientOptions &Options)
+      : Epoll(Epoll), Options(Options) {}
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+  ~Impl() {
+    for (const auto &IdAndConnection : Connections)
+      ::close(IdAndConnection.second->Socket);
+  }
+
+  void start(Call Request, CallDone Done, TimePoint Now) {
+    auto Owned = std::make_unique<Exchange>(std::move(Request));
+    Exchange &Started = *Owned;
+    Started.Done = std::move(Done);
+    Started.StartedAt = Now;
+    Started.LastByteAt = Now;
+    Started.Position = Active.insert(Active.end(), std::move(Owned));
+    Started.Deadline = Deadlines.emplace(Started.endsAt(), &Started);
+    if (!isWellFormed(Started.Request)) {
+      complete(Started, Errc::Unreachable);
+      return;
+    }
+    Started.Output = writeRequest(Started.Request);
+    assign(Started, hostOf(Started), Now);
+  }
+
+  Host &hostOf(const Exchange &Started) {
+    std::string Name(hostOfUrl(Started.Request.Url));
+    std::unique_ptr<Host> &Found = Hosts[Name];
+    if (!Found) {
+      Found = std::make_unique<Host>();
+      Found->Address = *addressOfHost(Name);
+      Found->Name = std::move(Name);
+    }
+    return *Found;
+  }
+
+  /// Gives the call a connection, or lets it wait for one.
+  void assign(Exchange &Started, Host &Peer, TimePoint Now) {
+    while (!Peer.Idle.empty()) {
+      Connection &Reused = *Peer.Idle.back();
+      takeFromIdle(Reused);
+      if (Now - Reused.IdleSince > TrustedIdleTime && !isOpen(Reused)) {
+        close(Reused);
+        continue;
+      }
+      if (carry(Reused, Started, Now))
+        return;
+    }
+    if (Peer.OpenCount >=
+        static_cast<size_t>(std::max(1L, Options.MaxConnectionsPerHost))) {
+      Peer.Waiting.push_back(&Started);
+      return;
+    }
+    open(Started, Peer, Now);
+  }
+
+  static bool isOpen(const Connection &Checked) {
+    char Byte = 0;
+    return ::recv(Checked.Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  /// Returns false if the connection turned out to be closed before a byte of
+  /// the request was sent; it is then gone, and the call needs another one.
+  bool carry(Connection &Carrier, Exchange &Started, TimePoint Now) {
+    Carrier.Current = &Started;
+    Started.Carrier = &Carrier;
+    Started.ConnectingSince.reset();
+    if (sendRequest(Carrier))
+      return true;
+    if (Started.RequestIssued || !Carrier.HasServed) {
+      fail(Carrier, Now);
+      return true;
+    }
+    Carrier.Current = nullptr;
+    Started.Carrier = nullptr;
+    close(Carrier);
+    return false;
+  }
+
+  /// Sends as much as the socket takes. Returns false on failure.
+  bool sendRequest(Connection &Carrier) {
+    Exchange &Current = *Carrier.Current;
+    while (Current.Sent < Current.Output.size()) {
+      std::string_view Left =
+          std::string_view(Current.Output).substr(Current.Sent);
+      ssize_t Count =
+          ::send(Carrier.Socket, Left.data(), Left.size(), MSG_NOSIGNAL);
+      if (Count < 0 && errno == EINTR)
+        continue;
+      if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        break;
+      if (Count < 0)
+        return false;
+      Current.RequestIssued = true;
+      Current.Sent += static_cast<size_t>(Count);
+    }
+    bool IsAllSent = Current.Sent == Current.Output.size();
+    watch(Carrier, IsAllSent ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    return true;
+  }
+
+  void watch(Connection &Watched, uint32_t Events) {
+    if (Watched.WatchedEvents == Events)
+      return;
+    int Operation = Watched.WatchedEvents == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+    epoll_event Event{.events = Events,
+                      .data = {.u64 = EventMark | Watched.Id}};
+    if (epoll_ctl(Epoll, Operation, Watched.Socket, &Event) != 0)
+      logWarn("socket-not-watched", "errno={}", errno);
+    Watched.WatchedEvents = Events;
+  }
+
+  void open(Exchange &Started, Host &Peer, TimePoint Now) {
+    int Socket = openSocket();
+    if (Socket < 0) {
+      logWarn("socket-not-opened", "errno={}", errno);
+      complete(Started, Errc::Unreachable);
+      forgetIfUnused(Peer);
+      return;
+    }
+    auto Owned = std::make_unique<Connection>();
+    Connection &Opened = *Owned;
+    Opened.Id = ++LastConnectionId;
+    Opened.Socket = Socket;
+    Opened.Peer = &Peer;
+    Opened.Current = &Started;
+    Connections.emplace(Opened.Id, std::move(Owned));
+    ++Peer.OpenCount;
+    Started.Carrier = &Opened;
+    Started.ConnectingSince = Now;
+    rescheduleDeadline(Started);
+    const auto *Address = reinterpret_cast<const sockaddr *>(&Peer.Address);
+    if (::connect(Socket, Address, sizeof(Peer.Address)) != 0 &&
+        errno != EINPROGRESS) {
+      fail(Opened, Now);
+      return;
+    }
+    watch(Opened, EPOLLOUT);
+  }
+
+  /// Closes the connection that has been idle for longest if there are none
+  /// left. Returns -1 on failure.
+  int openSocket() {
+    constexpr int Type = SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
+    int Socket = ::socket(AF_INET, Type, 0);
+    if (Socket < 0 && !Idle.empty()) {
+      closeLongestIdle();
+      Socket = ::socket(AF_INET, Type, 0);
+    }
+    int Enabled = 1;
+    if (Socket >= 0)
+      ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &Enabled, sizeof(Enabled));
+    return Socket;
+  }
+
+  void onEvent(uint64_t Id, uint32_t Events, TimePoint Now) {
+    auto Found = Connections.find(Id);
+    if (Found == Connections.end())
+      return;
+    Connection &Ready = *Found->second;
+    if (Ready.IsConnecting) {
+      onConnected(Ready, Now);
+      return;
+    }
+    if (!Ready.Current) {
+      // Closed by its server, or not in a state to carry a call.
+      closeIdle(Ready);
+      return;
+    }
+    if ((Events & (EPOLLIN | EPOLLERR | EPOLLHUP)) && !receive(Ready, Now))
+      return;
+    if ((Events & EPOLLOUT) && !sendRequest(Ready))
+      fail(Ready, Now);
+  }
+
+  void onConnected(Connection &Ready, TimePoint Now) {
+    int Failure = 0;
+    socklen_t Size = sizeof(Failure);
+    ::getsockopt(Ready.Socket, SOL_SOCKET, SO_ERROR, &Failure, &Size);
+    if (Failure != 0) {
+      fail(Ready, Now);
+      return;
+    }
+    Ready.IsConnecting = false;
+    carry(Ready, *Ready.Current, Now);
+  }
+
+  /// Returns false if the connection no longer carries the call.
+  bool receive(Connection &Ready, TimePoint Now) {
+    Exchange &Current = *Ready.Current;
+    while (true) {
+      ssize_t Count =
+          ::recv(Ready.Socket, ReadBuffer.data(), ReadBuffer.size(), 0);
+      if (Count < 0 && errno == EINTR)
+        continue;
+      if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        return true;
+      if (Count <= 0) {
+        fail(Ready, Now);
+        return false;
+      }
+      auto Size = static_cast<size_t>(Count);
+      Response &Received = Current.Reader.response();
+      if (Received.BeganAt == TimePoint{})
+        Received.BeganAt = Now;
+      Current.LastByteAt = Now;
+      auto State = Current.Reader.read(std::span(ReadBuffer).first(Size));
+      if (State == ResponseReader::State::Malformed) {
+        fail(Ready, Now);
+        return false;
+      }
+      if (State == ResponseReader::State::Complete) {
+        onResponse(Ready, Now);
+        return false;
+      }
+      if (Size < ReadBuffer.size())
+        return true;
+    }
+  }
+
+  void onResponse(Connection &Ready, TimePoint Now) {
+    Exchange &Answered = *Ready.Current;
+    bool IsReusable = Answered.Reader.mayReuseConnection() &&
+                      Answered.Sent == Answered.Output.size();
+    complete(Answered, {});
+    Ready.Current = nullptr;
+    Ready.HasServed = true;
+    Host &Peer = *Ready.Peer;
+    if (!IsReusable) {
+      close(Ready);
+      serveWaiting(Peer, Now);
+      return;
+    }
+    Ready.IdleSince = Now;
+    Peer.Idle.push_back(&Ready);
+    Ready.IdlePosition = Idle.insert(Idle.end(), &Ready);
+    serveWaiting(Peer, Now);
+    if (Connections.size() >
+        static_cast<size_t>(std::max(1L, Options.MaxIdleConnections)))
+      closeLongestIdle();
+  }
+
+  /// Ends the connection and its call.
+  void fail(Connection &Failed, TimePoint Now) {
+    Exchange &Lost = *Failed.Current;
+    Host &Peer = *Failed.Peer;
+    complete(Lost, Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable);
+    Failed.Current = nullptr;
+    close(Failed);
+    serveWaiting(Peer, Now);
+  }
+
+  /// \p Peer may be gone afterwards.
+  void serveWaiting(Host &Peer, TimePoint Now) {
+    if (Peer.Waiting.empty()) {
+      forgetIfUnused(Peer);
+      return;
+    }
+    Exchange *Next = Peer.Waiting.front();
+    Peer.Waiting.pop_front();
+    assign(*Next, Peer, Now);
+  }
+
+  void takeFromIdle(Connection &Taken) {
+    std::erase(Taken.Peer->Idle, &Taken);
+    Idle.erase(Taken.IdlePosition);
+  }
+
+  void closeLongestIdle() {
+    if (!Idle.empty())
+      closeIdle(*Idle.front());
+  }
+
+  void closeIdle(Connection &Closed) {
+    Host &Peer = *Closed.Peer;
+    takeFromIdle(Closed);
+    close(Closed);
+    forgetIfUnused(Peer);
+  }
+
+  void forgetIfUnused(const Host &Peer) {
+    if (Peer.OpenCount == 0 && Peer.Waiting.empty())
+      Hosts.erase(std::string(Peer.Name));
+  }
+
+  /// Of a connection that is neither idle nor carries a call.
+  void close(Connection &Closed) {
+    ::close(Closed.Socket);
+    --Closed.Peer->OpenCount;
+    Connections.erase(Closed.Id);
+  }
+
+  void complete(Exchange &Ended, std::error_code Failure) {
+    Deadlines.erase(Ended.Deadline);
+    Ended.Carrier = nullptr;
+    Ended.Failure = Failure;
+    Completed.push_back(std::move(*Ended.Position));
+    Active.erase(Ended.Position);
+  }
+
+  void rescheduleDeadline(Exchange &Rescheduled) {
+    Deadlines.erase(Rescheduled.Deadline);
+    Rescheduled.Deadline =
+        Deadlines.emplace(Rescheduled.endsAt(), &Rescheduled);
+  }
+
+  static CallResult resultOf(Exchange &Ended) {
+    Response &Received = Ended.Reader.response();
+    if (!Ended.Failure)
+      return std::move(Received);
+    if (!Received.Body.empty())
+      logIncomplete(Ended, Ended.Failure);
+    return Ended.Failure;
+  }
+
+  bool finishCompleted() {
+    bool AnyFinished = !Completed.empty();
+    while (!Completed.empty()) {
+      std::unique_ptr<Exchange> Ended = std::move(Completed.front());
+      Completed.pop_front();
+      Ended->Done(resultOf(*Ended));
+    }
+    return AnyFinished;
+  }
+
+  void finishLate(TimePoint Now) {
+    while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
+      Exchange &Due = *Deadlines.begin()->second;
+      if (Due.endsAt() > Now)
+        rescheduleDeadline(Due);
+      else
+        endLate(Due, Now);
+    }
+    finishCompleted();
+  }
+
+  void endLate(Exchange &Late, TimePoint Now) {
+    Connection *Carrier = Late.Carrier;
+    Host &Peer = hostOf(Late);
+    if (!Carrier)
+      std::erase(Peer.Waiting, &Late);
+    complete(Late, Late.RequestIssued ? Errc::Timeout : Errc::Unreachable);
+    if (!Carrier)
+      return;
+    Carrier->Current = nullptr;
+    close(*Carrier);
+    serveWaiting(Peer, Now);
+  }
+};
+
+DirectCalls::DirectCalls(int Epoll, const MultiClientOptions &Options)
+    : Pimpl(std::make_unique<Impl>(Epoll, Options)) {}
+
+DirectCalls::~DirectCalls() = default;
+
+bool DirectCalls::accepts(const Call &Request) {
+  return !Request.FreshConnection && Request.Url.starts_with(HttpScheme) &&
+         addressOfHost(hostOfUrl(Request.Url)).has_value();
+}
+
+bool DirectCalls::ownsEvent(uint64_t EventData) {
+  return (EventData & EventMark) != 0;
+}
+
+void DirectCalls::start(Call Request, CallDone Done, TimePoint Now) {
+  Pimpl->start(std::move(Request), std::move(Done), Now);
+}
+
+void DirectCalls::onEvent(uint64_t EventData, uint32_t Events, TimePoint Now) {
+  Pimpl->onEvent(EventData & ~EventMark, Events, Now);
+}
+
+bool DirectCalls::finishCompleted() { return Pimpl->finishCompleted(); }
+
+void DirectCalls::finishLate(TimePoint Now) { Pimpl->finishLate(Now); }
+
+std::optional<TimePoint> DirectCalls::nextDeadline() const {
+  if (Pimpl->Deadlines.empty())
+    return std::nullopt;
+  return Pimpl->Deadlines.begin()->first;
+}
+
+bool DirectCalls::hasCompleted() const { return !Pimpl->Completed.empty(); }
+
+size_t DirectCalls::activeCalls() const {
+  return Pimpl->Active.size() + Pimpl->Completed.size();
+}
+
+} // namespace daisylanding::http
--- a/tests/standin/RawServer.h
+++ b/tests/standin/RawServer.h
@@ -17,6 +17,7 @@
 /// How a RawServer handles one request.
 enum class RawAction {
   Respond,               ///< Sends a complete response, keeps the connection.
+  RespondAndClose,       ///< Sends a complete response, then closes.
   CloseWithoutResponse,  ///< Closes the connection without a response.
   CloseAndStopListening, ///< Also accepts no further connections.
   TruncateBody,          ///< Announces ten bytes, sends four, then closes.
@@ -47,6 +48,7 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(Port); }
   size_t requestCount() const { return RequestCount.load(); }
+  size_t connectionCount() const { return ConnectionCount.load(); }
 
 private:
   struct Connection {
@@ -62,6 +64,7 @@
                           [this, NewConnection](std::error_code Error) {
                             if (Error)
                               return;
+                            ConnectionCount.fetch_add(1);
                             readHead(NewConnection);
                             acceptNext();
                           });
@@ -88,6 +91,9 @@
     case RawAction::Respond:
       send(Peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true);
       break;
+    case RawAction::RespondAndClose:
+      send(Peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+      break;
     case RawAction::TruncateBody:
       send(Peer, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart", false);
       break;
@@ -143,6 +149,7 @@
   asio::ip::tcp::acceptor Acceptor;
   uint16_t Port = 0;
   std::atomic<size_t> RequestCount{0};
+  std::atomic<size_t> ConnectionCount{0};
   Thread IoThread;
 };
 
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -205,3 +205,36 @@
     Client.poll(Millis(1'000));
   CHECK_TRUE(receives(2));
 }
+
+// clang-format off
+/// These calls are made by libcurl, which looks the name up.
+TEST_GROUP(ACallToANamedHost) {
+  http::MultiClient Client{{}};
+  http::CallResult get(const RawServer &Server) {
+    std::string Address = Server.address();
+    http::Call Request;
+    Request.Url = "http://localhost" + Address.substr(Address.find(':')) + "/";
+    Request.Timeout = Millis(3'000);
+    Request.StallTimeout = Millis(400);
+    std::optional<http::CallResult> Answer;
+    Client.start(std::move(Request), [&](http::CallResult Result) { Answer = std::move(Result); });
+    while (!Answer)
+      Client.poll(Millis(10'000));
+    return *Answer;
+  }
+};
+// clang-format on
+
+TEST(ACallToANamedHost, GetsItsAnswers) {
+  RawServer Server({});
+  for (size_t I = 0; I < 3; ++I)
+    CHECK(static_cast<bool>(get(Server)));
+  LONGS_EQUAL(1, Server.connectionCount());
+}
+
+TEST(ACallToANamedHost, EndsIfNothingFurtherArrives) {
+  RawServer Server({RawAction::Hang, RawAction::StallInBody});
+  CHECK(get(Server).error() == Errc::Timeout);
+  CHECK(get(Server).error() == Errc::Timeout);
+  CHECK(static_cast<bool>(get(Server)));
+}
