--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Log.h"
 #include "common/WakePipe.h"
+#include "http/DirectCalls.h"
 
 #include <curl/curl.h>
 
@@ -15,6 +16,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -194,8 +196,10 @@
   return makeResult(CurrentTransfer, Code);
 }
 
-/// The sockets of one curl multi handle in an epoll instance, so that a poll
-/// costs as much as there are events, not as many calls as are open.
+/// The sockets of all calls in an epoll instance, so that a poll costs as much
+/// as there are events, not as many calls as are open. Hosts that are named by
+/// an address are called directly, others by a curl multi handle: at the end of
+/// each call, libcurl walks all open connections and all cached names.
 struct MultiClient::Impl {
   static constexpr int MaxEventsPerRound = 64;
   /// Looks at as many sockets as a large fleet has; others come with the next
@@ -211,8 +215,9 @@
   std::vector<CURL *> IdleHandles;
   /// When curl wants to be called without an event; none if it doesn't.
   std::optional<TimePoint> CurlTimerAt;
+  DirectCalls Direct;
 
-  explicit Impl(const MultiClientOptions &Options) {
+  explicit Impl(const MultiClientOptions &Options) : Direct(Epoll, Options) {
     curl_multi_setopt(Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       Options.MaxConnectionsPerHost);
     curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, Options.MaxIdleConnections);
@@ -222,8 +227,7 @@
     curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
     if (auto Failure = Wake.open())
       logError("wake-pipe-failed", "error={}", Failure.message());
-    epoll_event WakeEvent{.events = EPOLLIN, .data = {.fd = Wake.readEnd()}};
-    epoll_ctl(Epoll, EPOLL_CTL_ADD, Wake.readEnd(), &WakeEvent);
+    watch(Wake.readEnd(), EPOLLIN, EPOLL_CTL_ADD);
   }
 
   Impl(const Impl &) = delete;
@@ -240,6 +244,13 @@
     close(Epoll);
   }
 
+  void watch(int Socket, uint32_t Events, int Operation) const {
+    epoll_event Event{.events = Events,
+                      .data = {.u64 = static_cast<uint32_t>(Socket)}};
+    if (epoll_ctl(Epoll, Operation, Socket, &Event) != 0)
+      logWarn("socket-not-watched", "errno={}", errno);
+  }
+
   static int onSocket(CURL *, curl_socket_t Socket, int Wanted, void *UserData,
                       void *SocketData) {
     auto *Self = static_cast<Impl *>(UserData);
@@ -248,15 +259,13 @@
       epoll_ctl(Self->Epoll, EPOLL_CTL_DEL, Socket, nullptr);
       return 0;
     }
-    epoll_event Event{.events = 0, .data = {.fd = Socket}};
+    uint32_t Events = 0;
     if (Wanted & CURL_POLL_IN)
-      Event.events |= EPOLLIN;
+      Events |= EPOLLIN;
     if (Wanted & CURL_POLL_OUT)
-      Event.events |= EPOLLOUT;
+      Events |= EPOLLOUT;
     bool IsKnown = SocketData != nullptr;
-    if (epoll_ctl(Self->Epoll, IsKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, Socket,
-                  &Event) != 0)
-      logWarn("socket-not-watched", "errno={}", errno);
+    Self->watch(Socket, Events, IsKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD);
     curl_multi_assign(Self->Multi, Socket, Self);
     return 0;
   }
@@ -300,7 +309,7 @@
   }
 
   bool finishCompleted() {
-    bool AnyFinished = false;
+    bool AnyFinished = Direct.finishCompleted();
     int Remaining = 0;
     while (CURLMsg *Message = curl_multi_info_read(Multi, &Remaining)) {
       if (Message->msg != CURLMSG_DONE)
@@ -324,6 +333,7 @@
     }
     for (CURL *Handle : Late)
       finishTransfer(Handle, CURLE_OPERATION_TIMEDOUT);
+    Direct.finishLate(Now);
   }
 
   /// Until a call is late or curl wants to be called, but at most \p Timeout.
@@ -336,6 +346,10 @@
       LimitTo(*CurlTimerAt);
     if (!Deadlines.empty())
       LimitTo(Deadlines.begin()->first);
+    if (auto Deadline = Direct.nextDeadline())
+      LimitTo(*Deadline);
+    if (Direct.hasCompleted())
+      return Millis(0);
     for (const Transfer *Limited : StallLimited)
       LimitTo(Limited->stallsAt());
     return Timeout;
@@ -349,35 +363,47 @@
     curl_multi_socket_action(Multi, CURL_SOCKET_TIMEOUT, 0, &RunningHandles);
   }
 
-  /// Reads what has arrived, after a wait for the first event.
-  void handleEvents(Millis Timeout) {
-    int Rounds = 0;
-    while (handleSomeEvents(Timeout) == MaxEventsPerRound &&
-           ++Rounds < MaxRoundsPerPoll)
+  /// Reads what has arrived, after a wait for the first event. Each round of
+  /// events ends with the calls that it completed and sends what these start,
+  /// so that neither waits for all the others. Returns a time by which all that
+  /// had arrived has been read.
+  TimePoint handleEvents(Millis Timeout) {
+    for (int Rounds = 1;; ++Rounds) {
+      std::array<epoll_event, MaxEventsPerRound> Events{};
+      int Count = epoll_wait(Epoll, Events.data(), MaxEventsPerRound,
+                             static_cast<int>(Timeout.count()));
+      TimePoint SeenAt = monotonicNow();
+      auto Seen = static_cast<size_t>(std::max(Count, 0));
+      readSockets(std::span(Events).first(Seen), SeenAt);
+      finishCompleted();
+      runCurlTimer(monotonicNow());
+      if (Count < MaxEventsPerRound || Rounds == MaxRoundsPerPoll)
+        return SeenAt;
       Timeout = Millis(0);
+    }
   }
 
-  int handleSomeEvents(Millis Timeout) {
-    std::array<epoll_event, MaxEventsPerRound> Events{};
-    int Count = epoll_wait(Epoll, Events.data(), MaxEventsPerRound,
-                           static_cast<int>(Timeout.count()));
-    for (int I = 0; I < Count; ++I) {
-      if (Events[I].data.fd == Wake.readEnd()) {
+  void readSockets(std::span<const epoll_event> Events, TimePoint Now) {
+    for (const epoll_event &Event : Events) {
+      if (DirectCalls::ownsEvent(Event.data.u64)) {
+        Direct.onEvent(Event.data.u64, Event.events, Now);
+        continue;
+      }
+      auto Socket = static_cast<int>(Event.data.u64);
+      if (Socket == Wake.readEnd()) {
         Wake.drain();
         continue;
       }
       int Action = 0;
-      if (Events[I].events & EPOLLIN)
+      if (Event.events & EPOLLIN)
         Action |= CURL_CSELECT_IN;
-      if (Events[I].events & EPOLLOUT)
+      if (Event.events & EPOLLOUT)
         Action |= CURL_CSELECT_OUT;
-      if (Events[I].events & (EPOLLERR | EPOLLHUP))
+      if (Event.events & (EPOLLERR | EPOLLHUP))
         Action |= CURL_CSELECT_ERR;
       int RunningHandles = 0;
-      curl_multi_socket_action(Multi, Events[I].data.fd, Action,
-                               &RunningHandles);
+      curl_multi_socket_action(Multi, Socket, Action, &RunningHandles);
     }
-    return Count;
   }
 };
 
@@ -389,6 +415,10 @@
 MultiClient::~MultiClient() = default;
 
 void MultiClient::start(Call Request, CallDone Done) {
+  if (DirectCalls::accepts(Request)) {
+    Pimpl->Direct.start(std::move(Request), std::move(Done), monotonicNow());
+    return;
+  }
   auto CurrentTransfer = std::make_unique<Transfer>();
   CurrentTransfer->Request = std::move(Request);
   CurrentTransfer->Done = std::move(Done);
@@ -402,19 +432,17 @@
   Pimpl->runCurlTimer(monotonicNow());
   if (Pimpl->finishCompleted())
     Timeout = Millis(0);
-  Pimpl->handleEvents(Pimpl->pollTime(Timeout, monotonicNow()));
-  TimePoint Now = monotonicNow();
-  Pimpl->runCurlTimer(Now);
-  Pimpl->finishCompleted();
+  TimePoint ReadUntil =
+      Pimpl->handleEvents(Pimpl->pollTime(Timeout, monotonicNow()));
   // After the bytes that have arrived were read, so that a loop that was held
   // up doesn't take them for late.
-  Pimpl->finishLate(Now);
+  Pimpl->finishLate(ReadUntil);
 }
 
 void MultiClient::wake() { Pimpl->Wake.wake(); }
 
 size_t MultiClient::activeCalls() const {
-  return Pimpl->ActiveTransfers.size();
+  return Pimpl->ActiveTransfers.size() + Pimpl->Direct.activeCalls();
 }
 
 } // namespace daisylanding::http
