Owner: settle ends of earlier runs in its turns, for gangs too

Would be seen: an owner's process ends (std::out_of_range in expireRuns) when the second run of an occurrence's last task lapses while the end of its first run, as done, waits for it: closing the run completed the occurrence under the loop that closed it. A job whose task is done could be given up there as one that crashes executors. And of a gang, members were started, or started once more, after an end of it had been heard while later starts of others were under way.

Cause: closing a run had a second meaning, that its task is done; gangs had been left out, in the owner as in the simulation's check.

Change: such ends are kept in a list, for tasks and gangs alike. Later runs that may have begun are stopped; once none is open, the next turn takes the task, or the gang, for done, before it plans. A start that was not sent is dropped when it is to be stopped, in place of a stop for a run that never existed. Which run has begun is no longer remembered: an end as done counts whenever no later run is open.

Tests, before: ATaskOfAnOccurrence ends with 'terminate called after throwing an instance of std::out_of_range'; AGangWhoseNextStartsGotNoAnswer 'started after its owner had heard that it was done'.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -270,15 +270,11 @@
       bool NotSent = StoredTask.Phase == TaskPhase::Recording ||
                      StoredTask.Phase == TaskPhase::Starting;
       Job.Started = Job.Started || !NotSent || StoredTask.Failures > 0;
-      Task.LastBegunRun = Task.Run;
       if (!isOpen(StoredTask.Phase))
         continue;
-      Task.LastBegunRun = Task.Run - 1;
       Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
                                       "progress", nullptr, Now);
       Task.Inherited = true;
-      Task.IsRecordedThere = StoredTask.Born != 0 &&
-                             Pool[Task.Executor].Info.Born == StoredTask.Born;
       Pool[Task.Executor].Info.Address = StoredTask.Address;
       TimePoint &LeaseEnd = Pool[Task.Executor].InheritedLeaseEnd;
       LeaseEnd = std::max(LeaseEnd, inheritedLeaseEndOn(StoredTask.Executor));
@@ -402,6 +398,7 @@
   beginDueOccurrences(Now, WallMs);
   expireRuns(Now);
   dropUnsentStarts(Now);
+  settleEarlierEnds(Now);
   if (Now >= NextOfferCheckAt) {
     NextOfferCheckAt = Now + OfferCheckInterval;
     expireOffers(Now);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -326,12 +326,12 @@
   void openRun(const TaskKey &Key);
   void closeRun(const TaskKey &Key, TaskPhase NextPhase);
   void dropRefusedStart(const TaskKey &Key, TimePoint Now);
-  void dropStart(const TaskKey &Key, TimePoint Now);
   void beginStop(const TaskKey &Key, TimePoint Now);
   void stopAllRuns(LiveJob &Job, TimePoint Now);
   void stopBrokenGangs(LiveJob &Job, TimePoint Now);
   std::optional<TaskKey> findGivenUpRun(const executor::RunEnd &End);
-  void endGivenUpRun(const TaskKey &Key, uint32_t DoneRun, TimePoint Now);
+  static bool hasLaterRun(const TaskKey &Key, uint32_t Run);
+  void endGivenUpRun(const TaskKey &Key, TimePoint Now);
   void takeForDone(const TaskKey &Key);
   void onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                 TimePoint Now);
@@ -339,9 +339,9 @@
                        TimePoint Now);
   bool rememberEnd(ExecutorIndex Index, const executor::RunEnd &End,
                    TimePoint Now);
-  void decideEarlierEnd(const TaskKey &Key);
+  bool isDoneEarlier(const TaskKey &Key);
+  void settleEarlierEnds(TimePoint Now);
   void endRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
-  void closeEndedRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
   void onGangMemberEnd(const TaskKey &Key, executor::EndKind Kind,
                        TimePoint Now);
   void countFailure(const TaskKey &Key, TimePoint Now);
@@ -566,6 +566,8 @@
   std::deque<std::string> RowsToMove; ///< Of `EndedJobs`.
   bool MovesEndedJobs = false;
   std::vector<std::vector<TaskKey>> OpenRunsByExecutor;
+  /// Their tasks are done once the later runs are over.
+  std::vector<EarlierEnd> EarlierEnds;
   /// Where a run may be open that is not running: orders are sent for these.
   std::vector<bool> HasUnsettledRuns;
   std::vector<PaceState> PaceByExecutor;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -16,8 +16,10 @@
 
 namespace daisylanding::cell {
 
-/// The end of a run that was done before a later one began, or may have begun.
+/// The end of a run that was done, heard while a later run of its task, or of a
+/// member of its gang, is open that may have begun.
 struct EarlierEnd {
+  executor::RunId Id;
   ExecutorIndex Executor = NoExecutor;
   uint64_t Number = 0; ///< Among the ends of the executor.
 };
@@ -26,10 +28,6 @@
 struct LiveTask {
   TaskPhase Phase = TaskPhase::Waiting;
   uint32_t Run = 0;
-  /// The newest run that is over and that an executor may have begun.
-  uint32_t LastBegunRun = 0;
-  /// Heard while a later run is open that may have begun.
-  std::optional<EarlierEnd> DoneEarlier;
   uint32_t Failures = 0;
   uint32_t Crashes = 0;   ///< Executors that crashed under its runs.
   bool IsSuspect = false; ///< Counted in `Suspects` of `Executor`.
@@ -44,8 +42,6 @@
   /// A renewal answer of this incarnation of `Executor` has listed the run.
   bool ListedRunning = false;
   bool Inherited = false; ///< Recorded by an earlier owner.
-  /// If inherited: `Executor` is the incarnation that it was recorded for.
-  bool IsRecordedThere = false;
   bool StopConfirmed = false;
   TimePoint ConfirmedAt{};
   TimePoint StopConfirmedAt{};
@@ -77,12 +73,6 @@
           Run.Inherited || Run.StartAttempts > 0);
 }
 
-/// The newest run of the task that an executor may have begun.
-inline uint32_t newestBegunRun(const LiveTask &Task) {
-  bool IsOpenRunNewest = isOpen(Task.Phase) && mayHaveBegun(Task);
-  return IsOpenRunNewest ? Task.Run : Task.LastBegunRun;
-}
-
 /// Whether the policy allows a step on one executor, and the ticket for it.
 struct Permission {
   bool Allowed = false;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -81,7 +81,6 @@
   Task.OrderPending = false;
   Task.Confirmed = false;
   Task.ListedRunning = false;
-  Task.IsRecordedThere = false;
   Task.StopConfirmed = false;
   Task.NextOrderAt = Now;
   Task.LeaseHeldUntil =
@@ -156,12 +155,8 @@
   Executor.LapsedRuns.clear();
   std::vector<TaskKey> LostRuns = OpenRunsByExecutor[Index];
   for (const TaskKey &Key : LostRuns) {
-    if (!isOpen(Key.task().Phase) || Key.task().Executor != Index)
-      continue; // Ended with another member of its gang.
-    if (mayHaveBegun(Key.task()))
+    if (isOpen(Key.task().Phase) && Key.task().Executor == Index)
       endRun(Key, executor::EndKind::Expired, Now);
-    else
-      dropStart(Key, Now);
   }
   countCrash(Index, CrashedRuns, Now);
 }
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -184,7 +184,7 @@
           startTimesOf(Key.step(), Task, Now).TicketedMs);
   StartDelays.record(Now - Task.TicketedAt);
   if (Key.spec().Gang || !Pool.isUsable(Index, Now)) {
-    dropStart(Key, Now);
+    endRun(Key, executor::EndKind::Stopped, Now);
     return;
   }
   closeRun(Key, TaskPhase::Waiting);
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -109,12 +109,7 @@
     beginStop(Key, Now);
     return;
   }
-  dropStart(Key, Now);
-}
-
-/// Ends a run that never began.
-void CellOwner::dropStart(const TaskKey &Key, TimePoint Now) {
-  closeEndedRun(Key, EndKind::Stopped, Now);
+  endRun(Key, EndKind::Stopped, Now);
 }
 
 void CellOwner::beginStop(const TaskKey &Key, TimePoint Now) {
@@ -124,11 +119,12 @@
     unplaceTask(Key);
     break;
   case TaskPhase::Recording:
-    // No order was sent for it.
-    closeRun(Key, TaskPhase::Waiting);
-    break;
   case TaskPhase::Starting:
   case TaskPhase::Running:
+    if (!mayHaveBegun(Task)) {
+      closeRun(Key, TaskPhase::Waiting);
+      break;
+    }
     Task.Phase = TaskPhase::Stopping;
     HasUnsettledRuns[Task.Executor] = true;
     Task.StopConfirmed = false;
@@ -162,7 +158,8 @@
                                 TimePoint Now) {
   LiveStep &Step = Key.step();
   uint32_t Run = Key.task().Run;
-  if (Kind == EndKind::Failed && Step.LastFailedGangRun < Run) {
+  if (Kind == EndKind::Failed && Step.LastFailedGangRun < Run &&
+      !isDoneEarlier(Key)) {
     Step.LastFailedGangRun = Run;
     TaskKey FirstMember = Key;
     FirstMember.Position.Index = 0;
@@ -190,21 +187,13 @@
     Pool[Task.Executor].LingeringRuns.push_back(
         {{Key.name(), Task.Run}, demandOf(Key.spec())});
     Task.CapacityReserved = false;
-    Task.LastBegunRun = Task.Run;
   }
   if (isOpen(Task.Phase))
     closeRun(Key, TaskPhase::Done);
   Task.Phase = TaskPhase::Done;
 }
 
-/// Ends a run that an executor may have begun.
 void CellOwner::endRun(const TaskKey &Key, EndKind Kind, TimePoint Now) {
-  Key.task().LastBegunRun = Key.task().Run;
-  closeEndedRun(Key, Kind, Now);
-}
-
-/// If an earlier run was done, the task is done whatever \p Kind is.
-void CellOwner::closeEndedRun(const TaskKey &Key, EndKind Kind, TimePoint Now) {
   const StepSpec &Spec = Key.spec();
   ExecutorIndex Index = Key.task().Executor;
   if (Kind == EndKind::Done) {
@@ -216,22 +205,20 @@
   } else {
     ++Counts.EndsOther;
   }
-  bool IsDone =
-      !Spec.LongRunning && (Kind == EndKind::Done || Key.task().DoneEarlier);
+  bool IsDone = !Spec.LongRunning && Kind == EndKind::Done;
   closeRun(Key, IsDone ? TaskPhase::Done : TaskPhase::Waiting);
-  decideEarlierEnd(Key);
   Key.task().LastRunEndedAt = Now;
   if (Spec.Gang)
     onGangMemberEnd(Key, Kind, Now);
-  else if (Kind == EndKind::Failed && !IsDone)
+  else if (Kind == EndKind::Failed && !isDoneEarlier(Key))
     countFailure(Key, Now);
   if (IsDone)
     completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
 
 /// The task whose run was done on an executor out of reach after its lease was
-/// taken to have expired, if no later run of it is open that may have begun. A
-/// gang only if no later run of any member may have begun.
+/// taken to have expired, if no later run of it, or of a member of its gang, is
+/// open that may have begun.
 std::optional<TaskKey> CellOwner::findGivenUpRun(const executor::RunEnd &End) {
   auto Key = findTask(End.Id);
   if (!Key || End.Kind != EndKind::Done || isFinal(Key->Job->Phase) ||
@@ -240,33 +227,31 @@
   const LiveTask &Task = Key->task();
   if (isOpen(Task.Phase) && Task.Run == End.Id.Run)
     return std::nullopt; // On another incarnation.
-  if (!Key->spec().Gang) {
-    bool IsSettled = Task.Phase == TaskPhase::Done ||
-                     (isOpen(Task.Phase) && mayHaveBegun(Task));
-    return IsSettled ? std::nullopt : Key;
-  }
-  auto IsWithoutLaterRun = [&](const LiveTask &Member) {
-    return Member.Phase != TaskPhase::Done &&
-           newestBegunRun(Member) <= End.Id.Run;
+  if (Task.Phase == TaskPhase::Done || hasLaterRun(*Key, End.Id.Run))
+    return std::nullopt;
+  return Key;
+}
+
+/// Whether a run after \p Run is open that may have begun: of the task, or of a
+/// member of its gang.
+bool CellOwner::hasLaterRun(const TaskKey &Key, uint32_t Run) {
+  auto IsLater = [&](const LiveTask &Task) {
+    return isOpen(Task.Phase) && Task.Run > Run && mayHaveBegun(Task);
   };
-  const std::vector<LiveTask> &Members = Key->step().Tasks;
-  bool AreAll = std::all_of(Members.begin(), Members.end(), IsWithoutLaterRun);
-  return AreAll ? Key : std::nullopt;
+  const std::vector<LiveTask> &Tasks = Key.step().Tasks;
+  return Key.spec().Gang ? std::any_of(Tasks.begin(), Tasks.end(), IsLater)
+                         : IsLater(Key.task());
 }
 
 /// Takes the task for done, a gang as a whole: its members end together. Later
 /// starts, which were not sent, are dropped.
-void CellOwner::endGivenUpRun(const TaskKey &Key, uint32_t DoneRun,
-                              TimePoint Now) {
+void CellOwner::endGivenUpRun(const TaskKey &Key, TimePoint Now) {
   LiveStep &Step = Key.step();
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     TaskKey Member = Key;
     Member.Position.Index = I;
-    if (I != Key.Position.Index && !Key.spec().Gang)
-      continue;
-    LiveTask &Task = Member.task();
-    Task.LastBegunRun = std::max(Task.LastBegunRun, DoneRun);
-    takeForDone(Member);
+    if (I == Key.Position.Index || Key.spec().Gang)
+      takeForDone(Member);
   }
   ++Counts.EndsDone;
   markChanged(*Key.Job);
@@ -274,34 +259,56 @@
 }
 
 /// Keeps the end of an earlier run until the open one is over, which may have
-/// begun and is stopped: the task is done, and not started once more. Returns
-/// whether the end is kept.
+/// begun and is stopped: the task, or its gang, is done, and not started once
+/// more. Returns whether the end is kept.
 bool CellOwner::rememberEnd(ExecutorIndex Index, const executor::RunEnd &End,
                             TimePoint Now) {
   auto Key = findTask(End.Id);
   if (!Key || End.Kind != EndKind::Done || isFinal(Key->Job->Phase) ||
-      Key->spec().LongRunning || Key->spec().Gang)
+      Key->spec().LongRunning || !hasLaterRun(*Key, End.Id.Run))
     return false;
-  LiveTask &Task = Key->task();
-  if (!isOpen(Task.Phase) || Task.Run <= End.Id.Run || Task.DoneEarlier)
-    return false;
-  Task.DoneEarlier = EarlierEnd{.Executor = Index, .Number = End.Sequence};
-  beginStop(*Key, Now);
+  EarlierEnds.push_back(
+      {.Id = End.Id, .Executor = Index, .Number = End.Sequence});
+  for (uint32_t I = 0; I < Key->step().Tasks.size(); ++I) {
+    TaskKey Member = *Key;
+    Member.Position.Index = I;
+    if (I == Key->Position.Index || Key->spec().Gang)
+      beginStop(Member, Now);
+  }
   return true;
 }
 
-/// The run after it is over, so that it may be acknowledged.
-void CellOwner::decideEarlierEnd(const TaskKey &Key) {
-  LiveTask &Task = Key.task();
-  if (!Task.DoneEarlier)
-    return;
-  EarlierEnd Earlier = *std::exchange(Task.DoneEarlier, std::nullopt);
-  for (ListedEnd &End : Pool[Earlier.Executor].UnacknowledgedEnds) {
-    if (End.Number != Earlier.Number)
-      continue;
-    End.IsUndecided = false;
-    End.JobRevision = Key.Job->Revision;
-  }
+/// Whether an end of an earlier run, as done, waits for the open one: of the
+/// task, or of a member of its gang.
+bool CellOwner::isDoneEarlier(const TaskKey &Key) {
+  return std::any_of(EarlierEnds.begin(), EarlierEnds.end(),
+                     [&](const EarlierEnd &Earlier) {
+                       auto Done = findTask(Earlier.Id);
+                       if (Done && Key.spec().Gang)
+                         Done->Position.Index = Key.Position.Index;
+                       return Done == Key;
+                     });
+}
+
+/// Takes tasks for done whose later runs are over. Their ends may then be
+/// acknowledged.
+void CellOwner::settleEarlierEnds(TimePoint Now) {
+  std::erase_if(EarlierEnds, [&](const EarlierEnd &Earlier) {
+    auto Key = findTask(Earlier.Id);
+    bool IsToBeDone = Key && !isFinal(Key->Job->Phase) &&
+                      Key->task().Phase != TaskPhase::Done;
+    if (IsToBeDone && hasLaterRun(*Key, Earlier.Id.Run))
+      return false;
+    if (IsToBeDone)
+      endGivenUpRun(*Key, Now);
+    for (ListedEnd &End : Pool[Earlier.Executor].UnacknowledgedEnds) {
+      if (End.Number != Earlier.Number)
+        continue;
+      End.IsUndecided = false;
+      End.JobRevision = Key ? Key->Job->Revision : End.JobRevision;
+    }
+    return true;
+  });
 }
 
 /// An end that changes nothing now: the task is done, has been started again,
@@ -354,7 +361,7 @@
   } else if (auto Key = findGivenUpRun(End)) {
     logInfo("run-ended", "task={} run={} executor={} how={} after_ms=-1",
             End.Id.Task, End.Id.Run, Executor.Info.Id, endName(End.Kind));
-    endGivenUpRun(*Key, End.Id.Run, Now);
+    endGivenUpRun(*Key, Now);
     Unacknowledged.JobId = Key->Job->Spec.Id;
     Unacknowledged.JobRevision = Key->Job->Revision;
   } else {
@@ -418,16 +425,9 @@
   for (const TaskKey &Key : AbsentRuns) {
     if (!isOpen(Key.task().Phase) || Key.task().Executor != Index)
       continue; // Ended with another member of its gang.
-    const LiveTask &Task = Key.task();
-    // Where it was recorded, nothing of it is listed: its start was not sent.
-    bool HasNotBegun = Task.Inherited && Task.IsRecordedThere &&
-                       Answer.Born == Pool[Index].Info.Born;
-    logInfo("run-absent", "task={} run={} executor={} begun={}", Key.name(),
-            Task.Run, Pool[Index].Info.Id, !HasNotBegun);
-    if (HasNotBegun)
-      dropStart(Key, Now);
-    else
-      endRun(Key, EndKind::Expired, Now);
+    logInfo("run-absent", "task={} run={} executor={}", Key.name(),
+            Key.task().Run, Pool[Index].Info.Id);
+    endRun(Key, EndKind::Expired, Now);
   }
 }
 
@@ -597,7 +597,7 @@
       logInfo("start-not-sent", "task={} run={} executor={} heard_ms_ago={}",
               Key.name(), Task.Run, Pool[I].Info.Id,
               millisSinceAnswer(Pool[I], Now));
-      dropStart(Key, Now);
+      endRun(Key, EndKind::Stopped, Now);
     }
   }
 }
@@ -646,7 +646,7 @@
       Pool[I].LapsedRuns.back().HasLapsed = true;
       endRun(Key, EndKind::Expired, Now);
       // Whether this executor has crashed may show only after the next start.
-      if (Key.task().Crashes + 1 >= MaxCrashesOfAnyCause)
+      if (Key.task().Crashes + 1 >= MaxCrashesOfAnyCause && !isDoneEarlier(Key))
         giveUpCrashingTask(Key, Now);
     }
   }
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -572,7 +572,7 @@
 }
 
 /// The owner has heard of these ends: it must not send a start of a task that
-/// is done. A gang of which a later run has begun may be started once more.
+/// is done, or of a member of its gang.
 void Simulation::recordHeardEnds(const cell::CellOwner &Receiver,
                                  const SimExecutor &Executor,
                                  const executor::RenewalAnswer &Answer) {
@@ -580,10 +580,13 @@
   if (Answer.Born != 0 && Answer.Born != Executor.BornMs)
     return;
   for (const executor::RunEnd &End : Answer.Ended) {
-    auto Ref = *cell::parseTaskName(End.Id.Task);
+    cell::TaskRef Ref = *cell::parseTaskName(End.Id.Task);
     const cell::StepSpec &Step = Specs.at(std::string(Ref.Job)).Steps[Ref.Step];
-    if (End.Kind == EndKind::Done && !Step.LongRunning && !Step.Gang)
-      HeardDone[&Receiver].insert(End.Id.Task);
+    if (End.Kind != EndKind::Done || Step.LongRunning)
+      continue;
+    HeardDone[&Receiver].insert(End.Id.Task);
+    for (Ref.Index = 0; Step.Gang && Ref.Index < Step.Count; ++Ref.Index)
+      HeardDone[&Receiver].insert(cell::taskName(Ref));
   }
 }
 
--- a/tests/unit/LateEndTest.cpp
+++ b/tests/unit/LateEndTest.cpp
@@ -27,6 +27,7 @@
   Simulation Sim;
   std::string First;
   uint32_t Members = 1;
+  uint32_t Occurrences = 0;
 
   void setup() override { begin(1); }
   void begin(uint32_t Count) {
@@ -36,6 +37,9 @@
     Sim.takeOver();
     JobSpec Job = Simulation::makeJob(JobId, Members, Size, RunMs);
     Job.Steps[0].Gang = Members > 1;
+    Job.RepeatCount = Occurrences;
+    Job.FirstRunMs = toMillis(Sim.Now.time_since_epoch());
+    Job.IntervalMs = 600'000;
     Sim.submit(Job);
     CHECK(Sim.runUntil([&] { return Sim.Started.size() == Members; }, 3'000));
     First = Sim.Started.front().Target.Id;
@@ -107,11 +111,21 @@
   }
 };
 
-TEST_GROUP_BASE(WhoseNextStartGotNoAnswer, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
+TEST_GROUP_BASE(ATaskOfAnOccurrence, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
   void setup() override {
+    Occurrences = 2;
     begin(1);
     awaitLapse();
-    for (int I = 0; I < 2; ++I)
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == 2; }, 2'000));
+  }
+};
+
+TEST_GROUP_BASE(WhoseNextStartGotNoAnswer, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
+  void setup() override { beginWithoutAnswers(1); }
+  void beginWithoutAnswers(uint32_t Count) {
+    begin(Count);
+    awaitLapse();
+    for (uint32_t I = 0; I < 2 * Members; ++I)
       Sim.executor("i-" + std::to_string(I)).Unreachable = true;
     Sim.runFor(600);
     setReachable(true);
@@ -187,6 +201,19 @@
   LONGS_EQUAL(0, Sim.executor(First).Ended.size());
 }
 
+/// Guards against an end of an occurrence's last run that completes it while
+/// the owner still looks at that run.
+TEST(ATaskOfAnOccurrence, IsDoneOnceItsSecondRunHasLapsed) {
+  auto IsOccurrenceDone = [&] {
+    auto Progress = decodeProgress(Sim.storedValue(ProgressTable, JobId));
+    return Progress && Progress->DoneOccurrences.count(0) > 0;
+  };
+  Sim.executor(Sim.Started.back().Target.Id).Unreachable = true;
+  Sim.executor(First).Unreachable = false;
+  CHECK(Sim.runUntil(IsOccurrenceDone, 10'000));
+  LONGS_EQUAL(2, Sim.runsOf(TaskId));
+}
+
 /// Guards against an end that is forgotten while a later start may have been
 /// carried out.
 TEST(WhoseNextStartGotNoAnswer, IsNotStartedOnceMore) {
@@ -196,6 +223,10 @@
 }
 
 // clang-format off
+TEST_GROUP_BASE(AGangWhoseNextStartsGotNoAnswer, TEST_GROUP_CppUTestGroupWhoseNextStartGotNoAnswer) {
+  void setup() override { beginWithoutAnswers(3); }
+};
+
 TEST_GROUP_BASE(AGangWhoseNextStartIsBeingStored, TEST_GROUP_CppUTestGroupWhoseNextStartIsBeingStored) {
   void setup() override { beginSlowly(3); }
 };
@@ -208,6 +239,13 @@
   checkDoneOnce();
 }
 
+/// Guards against a second run of a gang whose end is heard while later starts
+/// of members may have been carried out.
+TEST(AGangWhoseNextStartsGotNoAnswer, IsNotStartedOnceMore) {
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 8'000));
+  LONGS_EQUAL(Members, Sim.Started.size());
+}
+
 // clang-format off
 TEST_GROUP(AnOwnerThatStallsPastALease) {
   static constexpr int64_t StallMs = 6'000;
