Direct calls: a round of results ends before what it starts

Found by review: a caller that tries again at once with a request that can't be sent, or while no socket is to be had, kept the poll from returning. Results are now passed on a batch at a time. ThatAreRepeatedAtOnceLeaveThePoll failed before (100 tries in one poll).

--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -24,9 +24,9 @@
   /// that `Timeout` may leave a long response its time; 0 for no such limit.
   Millis StallTimeout{0};
   size_t MaxResponseBytes = 8 << 20;
-  /// Opens a new connection for this call. libcurl resends a request, even a
-  /// POST, when a reused connection closes before the response arrives, so a
-  /// request that must not be repeated needs a new connection.
+  /// Opens a new connection for this call. For named hosts, libcurl resends a
+  /// request, even a POST, when a reused connection closes before the response
+  /// arrives, so a request that must not be repeated needs a new connection.
   bool FreshConnection = false;
 };
 
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -461,13 +461,12 @@
   }
 
   bool finishCompleted() {
-    bool AnyFinished = !Completed.empty();
-    while (!Completed.empty()) {
-      std::unique_ptr<Exchange> Ended = std::move(Completed.front());
-      Completed.pop_front();
+    // Calls that are started here, and end at once, are for the next round.
+    std::deque<std::unique_ptr<Exchange>> Finished;
+    Finished.swap(Completed);
+    for (const std::unique_ptr<Exchange> &Ended : Finished)
       Ended->Done(resultOf(*Ended));
-    }
-    return AnyFinished;
+    return !Finished.empty();
   }
 
   void finishLate(TimePoint Now) {
--- a/tests/unit/DirectCallsTest.cpp
+++ b/tests/unit/DirectCallsTest.cpp
@@ -1,6 +1,7 @@
 #include "http/Client.h"
 #include "standin/RawServer.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -116,6 +117,26 @@
 }
 
 /// Guards against a header that ends its request and begins another one.
+/// Guards against a poll that never returns: a caller that tries again at once,
+/// with a request that can't be sent.
+TEST(ConcurrentCallsToAMisbehavingServer, ThatAreRepeatedAtOnceLeaveThePoll) {
+  constexpr int MaxTries = 100;
+  RawServer Server({});
+  int Tries = 0;
+  std::function<void()> Try = [&] {
+    http::Call Request = request(Server);
+    Request.Headers = {{"X-Id", "a\r\n"}};
+    Client.start(std::move(Request), [&](const http::CallResult &) {
+      if (++Tries < MaxTries)
+        Try();
+    });
+  };
+  Try();
+  Client.poll(Millis(0));
+  CHECK(Tries < MaxTries);
+  finishAll();
+}
+
 TEST(ConcurrentCallsToAMisbehavingServer, SendNoMalformedRequest) {
   RawServer Server({});
   http::Call Request = request(Server);
