--- a/tests/unit/DirectCallsTest.cpp
+++ b/tests/unit/DirectCallsTest.cpp
@@ -27,7 +27,7 @@
     Any.sin_family = AF_INET;
     Any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Size = sizeof(Address);
-    ::bind(Listener, reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
+    (void)::bind(Listener, reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
     ::listen(Listener, 0);
     ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
     for (int &Socket : Queued) {
