--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <utility>
 
 /// Runs of tasks, from placement to their confirmed end.
 namespace daisylanding::cell {
