--- a/tests/unit/DirectCallsTest.cpp
+++ b/tests/unit/DirectCallsTest.cpp
@@ -73,14 +73,14 @@
     while (Client.activeCalls() > 0)
       Client.poll(Millis(1'000));
   }
-  http::CallResult run(http::Call Request) {
+  http::CallResult finish(http::Call Request) {
     Answers.clear();
     start(std::move(Request));
     finishAll();
     LONGS_EQUAL(1, Answers.size());
     return std::move(Answers.front());
   }
-  http::CallResult post(const RawServer &Server) { return run(request(Server)); }
+  http::CallResult post(const RawServer &Server) { return finish(request(Server)); }
 };
 
 TEST_GROUP_BASE(OnAnOpenConnection, TEST_GROUP_CppUTestGroupConcurrentCallsToAMisbehavingServer) {};
@@ -108,7 +108,7 @@
   http::Call Request = request(Server);
   Request.Timeout = Millis(5'000);
   Request.MaxResponseBytes = 4;
-  CHECK(run(std::move(Request)).error() == Errc::AnswerLost);
+  CHECK(finish(std::move(Request)).error() == Errc::AnswerLost);
 }
 
 TEST(ConcurrentCallsToAMisbehavingServer, RunOutOfTimeIfItIsSilent) {
@@ -141,7 +141,7 @@
   RawServer Server({});
   http::Call Request = request(Server);
   Request.Headers = {{"X-Id", "a\r\n\r\nPOST / HTTP/1.1"}};
-  CHECK(run(std::move(Request)).error() == Errc::Unreachable);
+  CHECK(finish(std::move(Request)).error() == Errc::Unreachable);
   LONGS_EQUAL(0, Server.requestCount());
 }
 
@@ -177,7 +177,7 @@
   Request.ConnectTimeout = Millis(200);
   Request.Timeout = Millis(20'000);
   TimePoint StartedAt = monotonicNow();
-  CHECK(run(std::move(Request)).error() == Errc::Unreachable);
+  CHECK(finish(std::move(Request)).error() == Errc::Unreachable);
   CHECK(monotonicNow() - StartedAt < Millis(10'000));
 }
 
@@ -233,6 +233,6 @@
   http::Call Request = request(Server);
   Request.Headers = {{"X-Long", std::string(8 << 20, 'x')}};
   Request.Timeout = Millis(20'000);
-  CHECK(static_cast<bool>(run(std::move(Request))));
+  CHECK(static_cast<bool>(finish(std::move(Request))));
   LONGS_EQUAL(2, Server.requestCount());
 }
