Direct calls: the connections in a module of their own

The connections of all hosts, idle or not, how they are opened, kept and closed, move to ConnectionPool; the calls stay. No change of behaviour.

--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -1,41 +1,25 @@
 #include "http/DirectCalls.h"
 
 #include "common/Log.h"
+#include "http/ConnectionPool.h"
 #include "http/ResponseReader.h"
 #include "http/Url.h"
 
 #include <fmt/format.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <deque>
 #include <list>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace daisylanding::http {
 
-namespace {
-
-/// Marks the event data of direct connections; the rest is their id.
-constexpr uint64_t EventMark = uint64_t{1} << 63;
-/// A connection that has been idle for longer is looked at before its next
-/// request: its server may have closed it.
-constexpr Millis TrustedIdleTime{50};
-constexpr size_t ReadBufferBytes = 64 << 10;
-
-struct Connection;
-
 /// A call and what has been received of its response.
 struct Exchange {
   Call Request;
@@ -66,27 +50,11 @@
   }
 };
 
-struct Host;
-
-struct Connection {
-  uint64_t Id = 0;
-  int Socket = -1;
-  Host *Peer = nullptr;
-  Exchange *Current = nullptr; ///< None while idle.
-  bool IsConnecting = true;
-  bool HasServed = false;
-  uint32_t WatchedEvents = 0;
-  TimePoint IdleSince{};
-  std::list<Connection *>::iterator IdlePosition; ///< Among all idle ones.
-};
+namespace {
 
-struct Host {
-  std::string Name;
-  sockaddr_in Address{};
-  std::vector<Connection *> Idle; ///< The last used one is at the end.
-  size_t OpenCount = 0;
-  std::deque<Exchange *> Waiting; ///< For a connection.
-};
+/// Marks the event data of direct connections; the rest is their id.
+constexpr uint64_t EventMark = uint64_t{1} << 63;
+constexpr size_t ReadBufferBytes = 64 << 10;
 
 bool hasControlCharacter(std::string_view Text) {
   return std::any_of(Text.begin(), Text.end(), [](char Character) {
@@ -132,26 +100,18 @@
 } // namespace
 
 struct DirectCalls::Impl {
-  int Epoll;
   MultiClientOptions Options;
-  std::unordered_map<std::string, std::unique_ptr<Host>> Hosts;
-  std::unordered_map<uint64_t, std::unique_ptr<Connection>> Connections;
-  std::list<Connection *> Idle; ///< The first has been idle for longest.
+  ConnectionPool Pool;
   std::list<std::unique_ptr<Exchange>> Active;
   std::deque<std::unique_ptr<Exchange>> Completed;
   /// A call may end later than its entry says, but not earlier.
   std::multimap<TimePoint, Exchange *> Deadlines;
   std::vector<char> ReadBuffer = std::vector<char>(ReadBufferBytes);
-  uint64_t LastConnectionId = 0;
 
   Impl(int Epoll, const MultiClientOptions &Options)
-      : Epoll(Epoll), Options(Options) {}
-  Impl(const Impl &) = delete;
-  Impl &operator=(const Impl &) = delete;
-  ~Impl() {
-    for (const auto &IdAndConnection : Connections)
-      ::close(IdAndConnection.second->Socket);
-  }
+      : Options(Options),
+        Pool(Epoll, EventMark,
+             static_cast<size_t>(std::max(1L, Options.MaxIdleConnections))) {}
 
   void start(Call Request, CallDone Done, TimePoint Now) {
     auto Owned = std::make_unique<Exchange>(std::move(Request));
@@ -170,26 +130,13 @@
   }
 
   Host &hostOf(const Exchange &Started) {
-    std::string Name(hostOfUrl(Started.Request.Url));
-    std::unique_ptr<Host> &Found = Hosts[Name];
-    if (!Found) {
-      Found = std::make_unique<Host>();
-      Found->Address = *addressOfHost(Name);
-      Found->Name = std::move(Name);
-    }
-    return *Found;
+    return Pool.hostOf(hostOfUrl(Started.Request.Url));
   }
 
   /// Gives the call a connection, or lets it wait for one.
   void assign(Exchange &Started, Host &Peer, TimePoint Now) {
-    while (!Peer.Idle.empty()) {
-      Connection &Reused = *Peer.Idle.back();
-      takeFromIdle(Reused);
-      if (Now - Reused.IdleSince > TrustedIdleTime && !isOpen(Reused)) {
-        close(Reused);
-        continue;
-      }
-      if (carry(Reused, Started, Now))
+    while (Connection *Reused = Pool.takeIdle(Peer, Now)) {
+      if (carry(*Reused, Started, Now))
         return;
     }
     if (Peer.OpenCount >=
@@ -200,12 +147,6 @@
     open(Started, Peer, Now);
   }
 
-  static bool isOpen(const Connection &Checked) {
-    char Byte = 0;
-    return ::recv(Checked.Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
-  }
-
   /// Returns false if the connection turned out to be closed before a byte of
   /// the request was sent; it is then gone, and the call needs another one.
   bool carry(Connection &Carrier, Exchange &Started, TimePoint Now) {
@@ -220,7 +161,7 @@
     }
     Carrier.Current = nullptr;
     Started.Carrier = nullptr;
-    close(Carrier);
+    Pool.close(Carrier);
     return false;
   }
 
@@ -242,76 +183,37 @@
       Current.Sent += static_cast<size_t>(Count);
     }
     bool IsAllSent = Current.Sent == Current.Output.size();
-    watch(Carrier, IsAllSent ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    Pool.watch(Carrier, IsAllSent ? EPOLLIN : EPOLLIN | EPOLLOUT);
     return true;
   }
 
-  void watch(Connection &Watched, uint32_t Events) {
-    if (Watched.WatchedEvents == Events)
-      return;
-    int Operation = Watched.WatchedEvents == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-    epoll_event Event{.events = Events,
-                      .data = {.u64 = EventMark | Watched.Id}};
-    if (epoll_ctl(Epoll, Operation, Watched.Socket, &Event) != 0)
-      logWarn("socket-not-watched", "errno={}", errno);
-    Watched.WatchedEvents = Events;
-  }
-
   void open(Exchange &Started, Host &Peer, TimePoint Now) {
-    int Socket = openSocket();
-    if (Socket < 0) {
-      logWarn("socket-not-opened", "errno={}", errno);
+    Connection *Opened = Pool.open(Peer);
+    if (!Opened) {
       complete(Started, Errc::Unreachable);
-      forgetIfUnused(Peer);
+      Pool.forgetIfUnused(Peer);
       return;
     }
-    auto Owned = std::make_unique<Connection>();
-    Connection &Opened = *Owned;
-    Opened.Id = ++LastConnectionId;
-    Opened.Socket = Socket;
-    Opened.Peer = &Peer;
-    Opened.Current = &Started;
-    Connections.emplace(Opened.Id, std::move(Owned));
-    ++Peer.OpenCount;
-    Started.Carrier = &Opened;
+    Opened->Current = &Started;
+    Started.Carrier = Opened;
     Started.ConnectingSince = Now;
     rescheduleDeadline(Started);
-    const auto *Address = reinterpret_cast<const sockaddr *>(&Peer.Address);
-    if (::connect(Socket, Address, sizeof(Peer.Address)) != 0 &&
-        errno != EINPROGRESS) {
-      fail(Opened, Now);
-      return;
-    }
-    watch(Opened, EPOLLOUT);
-  }
-
-  /// Closes the connection that has been idle for longest if there are none
-  /// left. Returns -1 on failure.
-  int openSocket() {
-    constexpr int Type = SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
-    int Socket = ::socket(AF_INET, Type, 0);
-    if (Socket < 0 && !Idle.empty()) {
-      closeLongestIdle();
-      Socket = ::socket(AF_INET, Type, 0);
-    }
-    int Enabled = 1;
-    if (Socket >= 0)
-      ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &Enabled, sizeof(Enabled));
-    return Socket;
+    if (!Pool.connect(*Opened))
+      fail(*Opened, Now);
   }
 
   void onEvent(uint64_t Id, uint32_t Events, TimePoint Now) {
-    auto Found = Connections.find(Id);
-    if (Found == Connections.end())
+    Connection *Found = Pool.find(Id);
+    if (!Found)
       return;
-    Connection &Ready = *Found->second;
+    Connection &Ready = *Found;
     if (Ready.IsConnecting) {
       onConnected(Ready, Now);
       return;
     }
     if (!Ready.Current) {
       // Closed by its server, or not in a state to carry a call.
-      closeIdle(Ready);
+      Pool.closeIdle(Ready);
       return;
     }
     if ((Events & (EPOLLIN | EPOLLERR | EPOLLHUP)) && !receive(Ready, Now))
@@ -374,17 +276,13 @@
     Ready.HasServed = true;
     Host &Peer = *Ready.Peer;
     if (!IsReusable) {
-      close(Ready);
+      Pool.close(Ready);
       serveWaiting(Peer, Now);
       return;
     }
-    Ready.IdleSince = Now;
-    Peer.Idle.push_back(&Ready);
-    Ready.IdlePosition = Idle.insert(Idle.end(), &Ready);
+    Pool.keep(Ready, Now);
     serveWaiting(Peer, Now);
-    if (Connections.size() >
-        static_cast<size_t>(std::max(1L, Options.MaxIdleConnections)))
-      closeLongestIdle();
+    Pool.trim();
   }
 
   /// Ends the connection and its call.
@@ -393,14 +291,14 @@
     Host &Peer = *Failed.Peer;
     complete(Lost, Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable);
     Failed.Current = nullptr;
-    close(Failed);
+    Pool.close(Failed);
     serveWaiting(Peer, Now);
   }
 
   /// \p Peer may be gone afterwards.
   void serveWaiting(Host &Peer, TimePoint Now) {
     if (Peer.Waiting.empty()) {
-      forgetIfUnused(Peer);
+      Pool.forgetIfUnused(Peer);
       return;
     }
     Exchange *Next = Peer.Waiting.front();
@@ -408,35 +306,6 @@
     assign(*Next, Peer, Now);
   }
 
-  void takeFromIdle(Connection &Taken) {
-    std::erase(Taken.Peer->Idle, &Taken);
-    Idle.erase(Taken.IdlePosition);
-  }
-
-  void closeLongestIdle() {
-    if (!Idle.empty())
-      closeIdle(*Idle.front());
-  }
-
-  void closeIdle(Connection &Closed) {
-    Host &Peer = *Closed.Peer;
-    takeFromIdle(Closed);
-    close(Closed);
-    forgetIfUnused(Peer);
-  }
-
-  void forgetIfUnused(const Host &Peer) {
-    if (Peer.OpenCount == 0 && Peer.Waiting.empty())
-      Hosts.erase(std::string(Peer.Name));
-  }
-
-  /// Of a connection that is neither idle nor carries a call.
-  void close(Connection &Closed) {
-    ::close(Closed.Socket);
-    --Closed.Peer->OpenCount;
-    Connections.erase(Closed.Id);
-  }
-
   void complete(Exchange &Ended, std::error_code Failure) {
     Deadlines.erase(Ended.Deadline);
     Ended.Carrier = nullptr;
@@ -489,7 +358,7 @@
     if (!Carrier)
       return;
     Carrier->Current = nullptr;
-    close(*Carrier);
+    Pool.close(*Carrier);
     serveWaiting(Peer, Now);
   }
 };
