Direct calls: without a socket, calls end or wait for a release

Found by review: if no socket can be opened (EMFILE), the call whose turn it was ended, and those behind it waited until their deadlines, as only the end of a connection served the next one. A call was given up, too, while a connection to its host was about to be released; and each failure wrote a log line.

Cause: after the end of a connection one waiting call was served, whether it got a connection or not. Ruled out: closing idle connections to make room was there, and works.

Now all waiting calls are served as far as there are connections. If none can be opened, they wait for a release where the host has a connection, else they end as Unreachable (nothing was sent). Calls that fail while others wait are handled in a loop; before, each failure to connect nested further. The log says so with the first failure, and at most each 10 s with a count.

Tests, without the change: EndIfNoneIsLeftAndNoneCanBeOpened: CHECK(endsCalls(5)) failed after 5 s (deadlines are 60 s ahead); WaitIfNoFurtherConnectionCanBeOpened: CHECK(!receive(Only).empty()) failed; LogOnceThatNoSocketCanBeOpened: 20 lines in place of 1.

--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -17,6 +17,8 @@
 /// A connection that has been idle for longer is looked at before its next
 /// request: its server may have closed it.
 constexpr Millis TrustedIdleTime{50};
+/// Between two log lines about sockets that can't be opened.
+constexpr Millis SocketLogInterval{10'000};
 
 bool isOpen(const Connection &Checked) {
   char Byte = 0;
@@ -62,10 +64,10 @@
   return nullptr;
 }
 
-Connection *ConnectionPool::open(Host &Peer) {
+Connection *ConnectionPool::open(Host &Peer, TimePoint Now) {
   int Socket = openSocket();
   if (Socket < 0) {
-    logWarn("socket-not-opened", "errno={}", errno);
+    logSocketFailure(errno, Now);
     return nullptr;
   }
   auto Owned = std::make_unique<Connection>();
@@ -93,6 +95,16 @@
   return Socket;
 }
 
+void ConnectionPool::logSocketFailure(int Error, TimePoint Now) {
+  ++SocketFailures;
+  if (SocketFailureLoggedAt && Now - *SocketFailureLoggedAt < SocketLogInterval)
+    return;
+  logWarn("socket-not-opened", "errno={} failures={} connections={}", Error,
+          SocketFailures, Connections.size());
+  SocketFailureLoggedAt = Now;
+  SocketFailures = 0;
+}
+
 bool ConnectionPool::connect(Connection &Opened) {
   const sockaddr_in &Address = Opened.Peer->Address;
   if (::connect(Opened.Socket, reinterpret_cast<const sockaddr *>(&Address),
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -58,7 +59,7 @@
   Connection *takeIdle(Host &Peer, TimePoint Now);
   /// A new connection whose socket is not connected yet; null if no socket can
   /// be opened.
-  Connection *open(Host &Peer);
+  Connection *open(Host &Peer, TimePoint Now);
   /// Begins to connect. Returns false on failure.
   bool connect(Connection &Opened);
   void watch(Connection &Watched, uint32_t Events) const;
@@ -73,6 +74,7 @@
 
 private:
   int openSocket();
+  void logSocketFailure(int Error, TimePoint Now);
   void takeFromIdle(Connection &Taken);
   void closeLongestIdle();
 
@@ -83,6 +85,8 @@
   std::unordered_map<uint64_t, std::unique_ptr<Connection>> Connections;
   std::list<Connection *> Idle; ///< The first has been idle for longest.
   uint64_t LastConnectionId = 0;
+  size_t SocketFailures = 0; ///< Since the last line about them.
+  std::optional<TimePoint> SocketFailureLoggedAt;
 };
 
 } // namespace daisylanding::http
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -31,6 +31,7 @@
   TimePoint StartedAt{};
   TimePoint LastByteAt{}; ///< Of the response; its start before any.
   std::optional<TimePoint> ConnectingSince;
+  Host *Peer = nullptr;
   Connection *Carrier = nullptr; ///< None while it waits for one.
   std::multimap<TimePoint, Exchange *>::iterator Deadline;
   std::list<std::unique_ptr<Exchange>>::iterator Position;
@@ -126,43 +127,62 @@
       return;
     }
     Started.Output = writeRequest(Started.Request);
-    assign(Started, hostOf(Started), Now);
+    Started.Peer = &Pool.hostOf(hostOfUrl(Started.Request.Url));
+    Started.Peer->Waiting.push_back(&Started);
+    serveWaiting(*Started.Peer, Now);
   }
 
-  Host &hostOf(const Exchange &Started) {
-    return Pool.hostOf(hostOfUrl(Started.Request.Url));
+  /// Gives connections to the calls that wait for one. \p Peer may be gone
+  /// afterwards.
+  void serveWaiting(Host &Peer, TimePoint Now) {
+    while (!Peer.Waiting.empty()) {
+      Connection *Carrier = takeConnection(Peer, Now);
+      if (!Carrier)
+        break;
+      Exchange &Next = *Peer.Waiting.front();
+      Peer.Waiting.pop_front();
+      carry(*Carrier, Next, Now);
+    }
+    if (Peer.OpenCount == 0)
+      endWaiting(Peer);
+    Pool.forgetIfUnused(Peer);
   }
 
-  /// Gives the call a connection, or lets it wait for one.
-  void assign(Exchange &Started, Host &Peer, TimePoint Now) {
-    while (Connection *Reused = Pool.takeIdle(Peer, Now)) {
-      if (carry(*Reused, Started, Now))
-        return;
-    }
-    if (Peer.OpenCount >=
-        static_cast<size_t>(std::max(1L, Options.MaxConnectionsPerHost))) {
-      Peer.Waiting.push_back(&Started);
-      return;
+  /// One to send on, or to connect; null if the host has as many as it may
+  /// have, or no socket can be opened.
+  Connection *takeConnection(Host &Peer, TimePoint Now) {
+    if (Connection *Reused = Pool.takeIdle(Peer, Now))
+      return Reused;
+    auto MaxCount =
+        static_cast<size_t>(std::max(1L, Options.MaxConnectionsPerHost));
+    return Peer.OpenCount < MaxCount ? Pool.open(Peer, Now) : nullptr;
+  }
+
+  /// No connection to the host is left that could be released, and none can be
+  /// opened.
+  void endWaiting(Host &Peer) {
+    while (!Peer.Waiting.empty()) {
+      Exchange &Unserved = *Peer.Waiting.front();
+      Peer.Waiting.pop_front();
+      complete(Unserved, Errc::Unreachable);
     }
-    open(Started, Peer, Now);
   }
 
-  /// Returns false if the connection turned out to be closed before a byte of
-  /// the request was sent; it is then gone, and the call needs another one.
-  bool carry(Connection &Carrier, Exchange &Started, TimePoint Now) {
-    Carrier.Current = &Started;
-    Started.Carrier = &Carrier;
-    Started.ConnectingSince.reset();
-    if (sendRequest(Carrier))
-      return true;
-    if (Started.RequestIssued || !Carrier.HasServed) {
-      fail(Carrier, Now);
-      return true;
+  /// Sends the call, or begins to connect for it. It waits again if the
+  /// connection turns out to be closed before a byte of it was sent.
+  void carry(Connection &Carrier, Exchange &Carried, TimePoint Now) {
+    Carrier.Current = &Carried;
+    Carried.Carrier = &Carrier;
+    if (Carrier.IsConnecting) {
+      Carried.ConnectingSince = Now;
+      rescheduleDeadline(Carried);
+      if (!Pool.connect(Carrier))
+        drop(Carrier);
+      return;
     }
-    Carrier.Current = nullptr;
-    Started.Carrier = nullptr;
-    Pool.close(Carrier);
-    return false;
+    Carried.ConnectingSince.reset();
+    if (!sendRequest(Carrier))
+      drop(Carrier);
   }
 
   /// Sends as much as the socket takes. Returns false on failure.
@@ -187,21 +207,6 @@
     return true;
   }
 
-  void open(Exchange &Started, Host &Peer, TimePoint Now) {
-    Connection *Opened = Pool.open(Peer);
-    if (!Opened) {
-      complete(Started, Errc::Unreachable);
-      Pool.forgetIfUnused(Peer);
-      return;
-    }
-    Opened->Current = &Started;
-    Started.Carrier = Opened;
-    Started.ConnectingSince = Now;
-    rescheduleDeadline(Started);
-    if (!Pool.connect(*Opened))
-      fail(*Opened, Now);
-  }
-
   void onEvent(uint64_t Id, uint32_t Events, TimePoint Now) {
     Connection *Found = Pool.find(Id);
     if (!Found)
@@ -231,7 +236,9 @@
       return;
     }
     Ready.IsConnecting = false;
-    carry(Ready, *Ready.Current, Now);
+    Ready.Current->ConnectingSince.reset();
+    if (!sendRequest(Ready))
+      fail(Ready, Now);
   }
 
   /// Returns false if the connection no longer carries the call.
@@ -285,25 +292,25 @@
     Pool.trim();
   }
 
-  /// Ends the connection and its call.
+  /// Ends the connection, and its call unless that may be sent on another.
   void fail(Connection &Failed, TimePoint Now) {
-    Exchange &Lost = *Failed.Current;
     Host &Peer = *Failed.Peer;
-    complete(Lost, Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable);
-    Failed.Current = nullptr;
-    Pool.close(Failed);
+    drop(Failed);
     serveWaiting(Peer, Now);
   }
 
-  /// \p Peer may be gone afterwards.
-  void serveWaiting(Host &Peer, TimePoint Now) {
-    if (Peer.Waiting.empty()) {
-      Pool.forgetIfUnused(Peer);
-      return;
-    }
-    Exchange *Next = Peer.Waiting.front();
-    Peer.Waiting.pop_front();
-    assign(*Next, Peer, Now);
+  /// As `fail`, but leaves it to the caller to serve the calls that wait.
+  void drop(Connection &Failed) {
+    Exchange &Lost = *Failed.Current;
+    bool MayBeSent = Failed.HasServed && !Lost.RequestIssued;
+    Host &Peer = *Failed.Peer;
+    Failed.Current = nullptr;
+    Pool.close(Failed);
+    Lost.Carrier = nullptr;
+    if (MayBeSent)
+      Peer.Waiting.push_front(&Lost);
+    else
+      complete(Lost, Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable);
   }
 
   void complete(Exchange &Ended, std::error_code Failure) {
@@ -351,7 +358,7 @@
 
   void endLate(Exchange &Late, TimePoint Now) {
     Connection *Carrier = Late.Carrier;
-    Host &Peer = hostOf(Late);
+    Host &Peer = *Late.Peer;
     if (!Carrier)
       std::erase(Peer.Waiting, &Late);
     complete(Late, Late.RequestIssued ? Errc::Timeout : Errc::Unreachable);
--- /dev/null
+++ b/tests/unit/DirectCallFaultsTest.cpp
@@ -0,0 +1,206 @@
+#include "common/Thread.h"
+#include "http/Client.h"
+#include "standin/ScriptedServer.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <vector>
+
+#include <sys/resource.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisylanding;
+using standin::ScriptedServer;
+
+namespace {
+
+/// Lets no descriptor be opened while it exists.
+class NoDescriptors {
+public:
+  NoDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &Before);
+    rlimit None{.rlim_cur = 0, .rlim_max = Before.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &None);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &Before); }
+  NoDescriptors(const NoDescriptors &) = delete;
+  NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+  rlimit Before{};
+};
+
+/// Takes what is written to standard output, until it is read.
+class CapturedOutput {
+public:
+  CapturedOutput() : Saved(::dup(STDOUT_FILENO)) {
+    ::fflush(stdout);
+    ::dup2(::fileno(Captured), STDOUT_FILENO);
+  }
+  ~CapturedOutput() {
+    restore();
+    (void)::fclose(Captured);
+  }
+  CapturedOutput(const CapturedOutput &) = delete;
+  CapturedOutput &operator=(const CapturedOutput &) = delete;
+
+  size_t countLinesWith(std::string_view Event) {
+    restore();
+    ::rewind(Captured);
+    char Line[1'024];
+    size_t Count = 0;
+    while (::fgets(Line, sizeof(Line), Captured))
+      Count += std::string_view(Line).find(Event) != std::string_view::npos;
+    return Count;
+  }
+
+private:
+  void restore() {
+    if (Saved < 0)
+      return;
+    ::fflush(stdout);
+    ::dup2(Saved, STDOUT_FILENO);
+    ::close(Saved);
+    Saved = -1;
+  }
+
+  FILE *Captured = ::tmpfile();
+  int Saved;
+};
+
+constexpr std::string_view Answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(CallsToAHostByItsAddress) {
+  static constexpr Millis LongTime{60'000};
+  http::MultiClient Client{{.MaxConnectionsPerHost = 2}};
+  ScriptedServer Server;
+  std::vector<http::CallResult> Results;
+  http::Call request(const char *Method) const {
+    http::Call Request;
+    Request.Method = Method;
+    Request.Url = Server.url();
+    Request.Timeout = LongTime;
+    Request.ConnectTimeout = LongTime;
+    return Request;
+  }
+  void start(http::Call Request) {
+    Client.start(std::move(Request), [this](http::CallResult Result) { Results.push_back(std::move(Result)); });
+  }
+  bool pollUntil(const std::function<bool()> &IsReached) {
+    TimePoint GivenUpAt = monotonicNow() + Millis(5'000);
+    bool Reached = IsReached();
+    while (!Reached && monotonicNow() < GivenUpAt) {
+      Client.poll(Millis(1));
+      Reached = IsReached();
+    }
+    return Reached;
+  }
+  bool endsCalls(size_t Count) {
+    return pollUntil([&] { return Results.size() == Count; });
+  }
+  std::string receive(int Socket) {
+    std::string Received;
+    pollUntil([&] {
+      Received += ScriptedServer::receive(Socket);
+      return Received.find("\r\n\r\n") != std::string::npos;
+    });
+    return Received;
+  }
+  size_t countOf(Errc Failure) const {
+    return static_cast<size_t>(std::count_if(Results.begin(), Results.end(), [&](const auto &Result) {
+      return !Result && Result.error() == Failure;
+    }));
+  }
+};
+
+/// Two connections are busy, and three calls wait for one.
+TEST_GROUP_BASE(CallsThatWaitForAConnection, TEST_GROUP_CppUTestGroupCallsToAHostByItsAddress) {
+  int First = -1;
+  int Second = -1;
+  void setup() override {
+    for (int I = 0; I < 5; ++I)
+      start(request("POST"));
+    First = Server.accept();
+    Second = Server.accept();
+    receive(First);
+    receive(Second);
+  }
+};
+
+/// A call has been answered, and its connection is kept.
+TEST_GROUP_BASE(ACallOnAKeptConnection, TEST_GROUP_CppUTestGroupCallsToAHostByItsAddress) {
+  int Kept = -1;
+  void setup() override {
+    start(request("POST"));
+    Kept = Server.accept();
+    receive(Kept);
+    ScriptedServer::send(Kept, Answer);
+    CHECK(endsCalls(1));
+    Results.clear();
+  }
+  /// The server closes as the request arrives.
+  void closeOn(http::Call Request) {
+    start(std::move(Request));
+    receive(Kept);
+    ScriptedServer::close(Kept);
+  }
+};
+// clang-format on
+
+/// Guards against calls that wait until their deadlines for a connection that
+/// can't be opened.
+TEST(CallsThatWaitForAConnection, EndIfNoneIsLeftAndNoneCanBeOpened) {
+  NoDescriptors None;
+  ScriptedServer::close(First);
+  ScriptedServer::close(Second);
+  CHECK(endsCalls(5));
+  LONGS_EQUAL(2, countOf(Errc::AnswerLost));
+  LONGS_EQUAL(3, countOf(Errc::Unreachable));
+}
+
+TEST(CallsThatWaitForAConnection, StartOnOneThatIsReleased) {
+  NoDescriptors None;
+  ScriptedServer::close(First);
+  CHECK(endsCalls(1));
+  for (size_t Call = 2; Call <= 5; ++Call) {
+    ScriptedServer::send(Second, Answer);
+    CHECK(endsCalls(Call));
+    if (Call < 5)
+      CHECK(!receive(Second).empty());
+  }
+  LONGS_EQUAL(1, countOf(Errc::AnswerLost));
+  LONGS_EQUAL(0, countOf(Errc::Unreachable));
+}
+
+/// Guards against a call that is given up although a connection to its host is
+/// about to be released.
+TEST(CallsToAHostByItsAddress, WaitIfNoFurtherConnectionCanBeOpened) {
+  start(request("POST"));
+  int Only = Server.accept();
+  receive(Only);
+  NoDescriptors None;
+  start(request("POST"));
+  ScriptedServer::send(Only, Answer);
+  CHECK(!receive(Only).empty());
+  ScriptedServer::send(Only, Answer);
+  CHECK(endsCalls(2));
+  LONGS_EQUAL(0, countOf(Errc::Unreachable));
+}
+
+/// Guards against a log that is filled by each call that gets no socket.
+TEST(CallsToAHostByItsAddress, LogOnceThatNoSocketCanBeOpened) {
+  CapturedOutput Log;
+  {
+    NoDescriptors None;
+    for (int I = 0; I < 20; ++I)
+      start(request("POST"));
+    CHECK(endsCalls(20));
+  }
+  LONGS_EQUAL(20, countOf(Errc::Unreachable));
+  LONGS_EQUAL(1, Log.countLinesWith("event=socket-not-opened"));
+}
