Direct calls: repeat idempotent calls whose kept connection was closed

Found by review: libcurl sent a request again if a kept connection closed before a byte of the answer; direct calls end as AnswerLost. What that means to each caller:

- reads and feeds of the store (GET): they fail and are tried again after 100 ms;
- advice: a query whose answer doesn't change; tried again after a delay;
- starts: the outcome is unknown.
A repeat could be carried out by the executor's next incarnation, as a crash is just what closes connections.
The owner tries again by itself;
- renewals: an unanswered one puts the executor in doubt, and the next one acknowledges nothing and grants no lease, as another incarnation may count its ends anew.
A verbatim repeat would acknowledge ends that nobody has heard;
- commits: conditional; a repeat would be refused because of the first copy.
The owner sends them again;
- requests to endpoints: the entry tries another endpoint, and counts the slot as taken meanwhile;
- syncs of workers: sent again at the next interval.

So reads and advice are sent once more, on a new connection, if their kept connection closes within 500 ms (a round trip) without a byte of the answer. Any call is, as before, if no byte of it was sent; now also if that shows later than at the first send. A call whose repeat fails counts as sent.

Tests, without the change: IsRepeatedIfItIsAGet, IsRepeatedIfItIsMarkedAsIdempotent and IsRepeatedOnce: CHECK(pollUntil([&] { return (Next = Server.acceptWaiting()) >= 0; })) failed. IsNotRepeatedIfItIsNot- Idempotent and IsNotRepeatedAfterAByteOfItsAnswer guard the limits, and pass without it, too.

--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -24,6 +24,10 @@
   /// that `Timeout` may leave a long response its time; 0 for no such limit.
   Millis StallTimeout{0};
   size_t MaxResponseBytes = 8 << 20;
+  /// The request has the same effect if it is carried out twice, so that a
+  /// MultiClient may send it again when a kept connection turns out to be
+  /// closed. Every GET is.
+  bool Idempotent = false;
   /// Opens a new connection for this call. For named hosts, libcurl resends a
   /// request, even a POST, when a reused connection closes before the response
   /// arrives, so a request that must not be repeated needs a new connection.
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -20,6 +20,10 @@
 
 namespace daisylanding::http {
 
+/// A server that closed a kept connection before a request came is heard of
+/// within a round trip. One that closes later has given up on the request.
+constexpr Millis StaleCloseTime{500};
+
 /// A call and what has been received of its response.
 struct Exchange {
   Call Request;
@@ -29,6 +33,7 @@
   bool RequestIssued = false; ///< A byte of it may have been sent.
   ResponseReader Reader;
   TimePoint StartedAt{};
+  TimePoint IssuedAt{};   ///< When it was last given to an open connection.
   TimePoint LastByteAt{}; ///< Of the response; its start before any.
   std::optional<TimePoint> ConnectingSince;
   Host *Peer = nullptr;
@@ -49,6 +54,15 @@
       End = std::min(End, LastByteAt + Request.StallTimeout);
     return End;
   }
+
+  /// Whether it may be sent once more, on a new connection, if the kept one
+  /// that carries it is closed by its server.
+  bool mayBeRepeated(TimePoint Now) const {
+    bool IsIdempotent = Request.Method == "GET" || Request.Idempotent;
+    bool HasResponse = Reader.response().BeganAt != TimePoint{};
+    return !RequestIssued ||
+           (IsIdempotent && !HasResponse && Now - IssuedAt <= StaleCloseTime);
+  }
 };
 
 namespace {
@@ -136,10 +150,10 @@
   /// afterwards.
   void serveWaiting(Host &Peer, TimePoint Now) {
     while (!Peer.Waiting.empty()) {
-      Connection *Carrier = takeConnection(Peer, Now);
+      Exchange &Next = *Peer.Waiting.front();
+      Connection *Carrier = takeConnection(Next, Now);
       if (!Carrier)
         break;
-      Exchange &Next = *Peer.Waiting.front();
       Peer.Waiting.pop_front();
       carry(*Carrier, Next, Now);
     }
@@ -150,12 +164,23 @@
 
   /// One to send on, or to connect; null if the host has as many as it may
   /// have, or no socket can be opened.
-  Connection *takeConnection(Host &Peer, TimePoint Now) {
-    if (Connection *Reused = Pool.takeIdle(Peer, Now))
-      return Reused;
+  Connection *takeConnection(const Exchange &Next, TimePoint Now) {
+    // The server may have closed all kept connections, not just the one on
+    // which this call was sent before.
+    bool IsRepeat = Next.RequestIssued;
+    Connection *Taken = IsRepeat ? openConnection(Next, Now) : nullptr;
+    if (!Taken)
+      Taken = Pool.takeIdle(*Next.Peer, Now);
+    if (!Taken && !IsRepeat)
+      Taken = openConnection(Next, Now);
+    return Taken;
+  }
+
+  Connection *openConnection(const Exchange &Next, TimePoint Now) {
     auto MaxCount =
         static_cast<size_t>(std::max(1L, Options.MaxConnectionsPerHost));
-    return Peer.OpenCount < MaxCount ? Pool.open(Peer, Now) : nullptr;
+    return Next.Peer->OpenCount < MaxCount ? Pool.open(*Next.Peer, Now)
+                                           : nullptr;
   }
 
   /// No connection to the host is left that could be released, and none can be
@@ -164,7 +189,7 @@
     while (!Peer.Waiting.empty()) {
       Exchange &Unserved = *Peer.Waiting.front();
       Peer.Waiting.pop_front();
-      complete(Unserved, Errc::Unreachable);
+      complete(Unserved, failureOf(Unserved));
     }
   }
 
@@ -177,12 +202,18 @@
       Carried.ConnectingSince = Now;
       rescheduleDeadline(Carried);
       if (!Pool.connect(Carrier))
-        drop(Carrier);
+        drop(Carrier, Now);
       return;
     }
-    Carried.ConnectingSince.reset();
-    if (!sendRequest(Carrier))
-      drop(Carrier);
+    if (!issue(Carrier, Now))
+      drop(Carrier, Now);
+  }
+
+  bool issue(Connection &Carrier, TimePoint Now) {
+    Exchange &Issued = *Carrier.Current;
+    Issued.ConnectingSince.reset();
+    Issued.IssuedAt = Now;
+    return sendRequest(Carrier);
   }
 
   /// Sends as much as the socket takes. Returns false on failure.
@@ -236,8 +267,7 @@
       return;
     }
     Ready.IsConnecting = false;
-    Ready.Current->ConnectingSince.reset();
-    if (!sendRequest(Ready))
+    if (!issue(Ready, Now))
       fail(Ready, Now);
   }
 
@@ -292,25 +322,30 @@
     Pool.trim();
   }
 
-  /// Ends the connection, and its call unless that may be sent on another.
+  /// Ends the connection, and its call unless that may be repeated.
   void fail(Connection &Failed, TimePoint Now) {
     Host &Peer = *Failed.Peer;
-    drop(Failed);
+    drop(Failed, Now);
     serveWaiting(Peer, Now);
   }
 
   /// As `fail`, but leaves it to the caller to serve the calls that wait.
-  void drop(Connection &Failed) {
+  void drop(Connection &Failed, TimePoint Now) {
     Exchange &Lost = *Failed.Current;
-    bool MayBeSent = Failed.HasServed && !Lost.RequestIssued;
-    Host &Peer = *Failed.Peer;
+    bool IsRepeated = Failed.HasServed && Lost.mayBeRepeated(Now);
     Failed.Current = nullptr;
     Pool.close(Failed);
+    if (!IsRepeated) {
+      complete(Lost, failureOf(Lost));
+      return;
+    }
     Lost.Carrier = nullptr;
-    if (MayBeSent)
-      Peer.Waiting.push_front(&Lost);
-    else
-      complete(Lost, Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable);
+    Lost.Sent = 0;
+    Lost.Peer->Waiting.push_front(&Lost);
+  }
+
+  static Errc failureOf(const Exchange &Lost) {
+    return Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable;
   }
 
   void complete(Exchange &Ended, std::error_code Failure) {
--- a/src/http/DirectCalls.h
+++ b/src/http/DirectCalls.h
@@ -12,7 +12,10 @@
 /// IPv4 address. A call over an open connection costs one send and one receive:
 /// its socket stays registered, and no list grows with the open connections.
 ///
-/// A request is sent at most once. The sockets are watched by the epoll
+/// A request is sent once. It is sent again, on a new connection, if the kept
+/// one that it was sent on is closed by its server right away without a byte of
+/// the response, and either no byte of the request was sent or the request is
+/// idempotent. The sockets are watched by the epoll
 /// instance of a MultiClient, whose loop passes on their events.
 namespace daisylanding::http {
 
--- a/tests/standin/ScriptedServer.h
+++ b/tests/standin/ScriptedServer.h
@@ -44,14 +44,12 @@
       limitWaits(Socket);
     return Socket;
   }
-  /// Whether a connection waits to be accepted.
-  bool hasConnection() const {
+  /// The connection that waits to be accepted; -1 if there is none.
+  int acceptWaiting() const {
     ::fcntl(Listener, F_SETFL, O_NONBLOCK);
-    int Socket = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
+    int Socket = accept();
     ::fcntl(Listener, F_SETFL, 0);
-    if (Socket >= 0)
-      ::close(Socket);
-    return Socket >= 0;
+    return Socket;
   }
   /// What has arrived; empty if nothing has.
   static std::string receive(int Socket) {
--- a/tests/unit/DirectCallFaultsTest.cpp
+++ b/tests/unit/DirectCallFaultsTest.cpp
@@ -204,3 +204,66 @@
   LONGS_EQUAL(20, countOf(Errc::Unreachable));
   LONGS_EQUAL(1, Log.countLinesWith("event=socket-not-opened"));
 }
+
+/// Guards against reads that fail, and are tried again only after a delay,
+/// because the store closed a kept connection.
+TEST(ACallOnAKeptConnection, IsRepeatedIfItIsAGet) {
+  closeOn(request("GET"));
+  int Next = -1;
+  CHECK(pollUntil([&] { return (Next = Server.acceptWaiting()) >= 0; }));
+  CHECK(!receive(Next).empty());
+  ScriptedServer::send(Next, Answer);
+  CHECK(endsCalls(1));
+  CHECK(static_cast<bool>(Results.front()));
+}
+
+TEST(ACallOnAKeptConnection, IsRepeatedIfItIsMarkedAsIdempotent) {
+  http::Call Request = request("POST");
+  Request.Idempotent = true;
+  closeOn(std::move(Request));
+  int Next = -1;
+  CHECK(pollUntil([&] { return (Next = Server.acceptWaiting()) >= 0; }));
+  CHECK(!receive(Next).empty());
+  ScriptedServer::send(Next, Answer);
+  CHECK(endsCalls(1));
+  CHECK(static_cast<bool>(Results.front()));
+}
+
+TEST(ACallOnAKeptConnection, IsRepeatedOnce) {
+  closeOn(request("GET"));
+  int Next = -1;
+  CHECK(pollUntil([&] { return (Next = Server.acceptWaiting()) >= 0; }));
+  receive(Next);
+  ScriptedServer::close(Next);
+  CHECK(endsCalls(1));
+  LONGS_EQUAL(1, countOf(Errc::AnswerLost));
+  LONGS_EQUAL(-1, Server.acceptWaiting());
+}
+
+/// The server may have carried out what it did not answer.
+TEST(ACallOnAKeptConnection, WasSentThoughItsRepeatIsNot) {
+  start(request("GET"));
+  receive(Kept);
+  NoDescriptors None;
+  ScriptedServer::reset(Kept);
+  CHECK(endsCalls(1));
+  LONGS_EQUAL(1, countOf(Errc::AnswerLost));
+}
+
+/// Guards against a start, or a commit, that arrives twice.
+TEST(ACallOnAKeptConnection, IsNotRepeatedIfItIsNotIdempotent) {
+  closeOn(request("POST"));
+  CHECK(endsCalls(1));
+  LONGS_EQUAL(1, countOf(Errc::AnswerLost));
+  LONGS_EQUAL(-1, Server.acceptWaiting());
+}
+
+TEST(ACallOnAKeptConnection, IsNotRepeatedAfterAByteOfItsAnswer) {
+  start(request("GET"));
+  receive(Kept);
+  ScriptedServer::send(Kept, "H");
+  ScriptedServer::close(Kept);
+  CHECK(endsCalls(1));
+  LONGS_EQUAL(1, countOf(Errc::AnswerLost));
+  LONGS_EQUAL(-1, Server.acceptWaiting());
+}
