Direct calls: look at each kept connection before it carries a call

Found by reading the file as an attacker: a connection that had been idle for less than 50 ms was taken for usable. Bytes that its server sent after an answer, which had not been read yet, were then taken for the answer to the next request; and a request sent on a connection that had just been closed was lost (for a commit: outcome unknown). Each is now looked at first, at the cost of one recv a call. Bytes that arrive after the look can't be told from an answer.

Tests, without the change: IsNotSentWhereBytesHaveArrivedBefore and IsNotSentWhereTheServerHasClosed: CHECK(!receive(Next).empty()) failed.

--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -14,13 +14,12 @@
 
 namespace {
 
-/// A connection that has been idle for longer is looked at before its next
-/// request: its server may have closed it.
-constexpr Millis TrustedIdleTime{50};
 /// Between two log lines about sockets that can't be opened.
 constexpr Millis SocketLogInterval{10'000};
 
-bool isOpen(const Connection &Checked) {
+/// Whether it is open and nothing has arrived: bytes that answer no request
+/// must not be taken for the answer to the next one.
+bool isUsable(const Connection &Checked) {
   char Byte = 0;
   return ::recv(Checked.Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
          (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -53,11 +52,11 @@
   return Found == Connections.end() ? nullptr : Found->second.get();
 }
 
-Connection *ConnectionPool::takeIdle(Host &Peer, TimePoint Now) {
+Connection *ConnectionPool::takeIdle(Host &Peer) {
   while (!Peer.Idle.empty()) {
     Connection &Taken = *Peer.Idle.back();
     takeFromIdle(Taken);
-    if (Now - Taken.IdleSince <= TrustedIdleTime || isOpen(Taken))
+    if (isUsable(Taken))
       return &Taken;
     close(Taken);
   }
@@ -125,8 +124,7 @@
   Watched.WatchedEvents = Events;
 }
 
-void ConnectionPool::keep(Connection &Kept, TimePoint Now) {
-  Kept.IdleSince = Now;
+void ConnectionPool::keep(Connection &Kept) {
   Kept.Peer->Idle.push_back(&Kept);
   Kept.IdlePosition = Idle.insert(Idle.end(), &Kept);
 }
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -29,7 +29,6 @@
   bool IsConnecting = true;
   bool HasServed = false;
   uint32_t WatchedEvents = 0;
-  TimePoint IdleSince{};
   std::list<Connection *>::iterator IdlePosition; ///< Among all idle ones.
 };
 
@@ -54,9 +53,9 @@
   Host &hostOf(std::string_view Name);
   /// The connection with this id; null if it was closed.
   Connection *find(uint64_t Id) const;
-  /// The last used idle connection to the host that is open, no longer idle;
-  /// null if there is none.
-  Connection *takeIdle(Host &Peer, TimePoint Now);
+  /// The last used idle connection to the host that can carry a call, no longer
+  /// idle; null if there is none.
+  Connection *takeIdle(Host &Peer);
   /// A new connection whose socket is not connected yet; null if no socket can
   /// be opened.
   Connection *open(Host &Peer, TimePoint Now);
@@ -65,7 +64,7 @@
   void watch(Connection &Watched, uint32_t Events) const;
   /// Keeps a connection that has no call any more for later ones, and closes
   /// the one that has been idle for longest if there are too many.
-  void keep(Connection &Kept, TimePoint Now);
+  void keep(Connection &Kept);
   void trim();
   /// Of a connection that is neither idle nor carries a call.
   void close(Connection &Closed);
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -170,7 +170,7 @@
     bool IsRepeat = Next.RequestIssued;
     Connection *Taken = IsRepeat ? openConnection(Next, Now) : nullptr;
     if (!Taken)
-      Taken = Pool.takeIdle(*Next.Peer, Now);
+      Taken = Pool.takeIdle(*Next.Peer);
     if (!Taken && !IsRepeat)
       Taken = openConnection(Next, Now);
     return Taken;
@@ -317,7 +317,7 @@
       serveWaiting(Peer, Now);
       return;
     }
-    Pool.keep(Ready, Now);
+    Pool.keep(Ready);
     serveWaiting(Peer, Now);
     Pool.trim();
   }
--- a/tests/unit/DirectCallFaultsTest.cpp
+++ b/tests/unit/DirectCallFaultsTest.cpp
@@ -267,3 +267,28 @@
   LONGS_EQUAL(1, countOf(Errc::AnswerLost));
   LONGS_EQUAL(-1, Server.acceptWaiting());
 }
+
+/// Guards against bytes after an answer that are taken for the next answer.
+TEST(ACallOnAKeptConnection, IsNotSentWhereBytesHaveArrivedBefore) {
+  ScriptedServer::send(Kept,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
+  start(request("POST"));
+  int Next = Server.accept();
+  CHECK(!receive(Next).empty());
+  ScriptedServer::send(Next, Answer);
+  CHECK(endsCalls(1));
+  CHECK(static_cast<bool>(Results.front()));
+  STRCMP_EQUAL("ok", Results.front()->Body.c_str());
+}
+
+/// Guards against a commit that is lost because the store closed a connection
+/// right after an answer.
+TEST(ACallOnAKeptConnection, IsNotSentWhereTheServerHasClosed) {
+  ScriptedServer::close(Kept);
+  start(request("POST"));
+  int Next = Server.accept();
+  CHECK(!receive(Next).empty());
+  ScriptedServer::send(Next, Answer);
+  CHECK(endsCalls(1));
+  CHECK(static_cast<bool>(Results.front()));
+}
