Response reader: limits for all that a server may send

Found by reading it as an attacker:

- interim responses and chunk sizes could go on for ever, in one look at the socket, while the loop served nothing else and looked at no deadline: the whole response is now limited, to eight bytes for each byte that its headers and body may have;
- headers had the parser's limit for each response and for trailers, but none over all interim responses: now 64 KiB in all;
- the body of an interim response (which has none) was added to that of the response;
- a status below 100 was taken for an interim one;
- a length beyond the limit was only refused once so much had arrived;
- names with spaces were taken;
- an empty piece was the end of the response; no caller passes one.

Ruled out, by tests that pass before and after: two lengths, a length beside chunks, a length that is none or overflows, a field without colon or name, endless trailers.

Two properties: arbitrary bytes, in arbitrary pieces, stay within the limits, and are read as they are in one piece; valid responses (interim ones, chunks, trailers) are read however they are divided.

--- a/src/http/ResponseReader.h
+++ b/src/http/ResponseReader.h
@@ -10,7 +10,7 @@
 namespace daisylanding::http {
 
 /// Reads one response from the bytes of a connection. Skips interim responses
-/// (1xx). No I/O.
+/// (1xx). The result doesn't depend on how the bytes are divided. No I/O.
 class ResponseReader {
 public:
   enum class State {
@@ -19,6 +19,12 @@
     Malformed, ///< Also of a response that is too long.
   };
 
+  /// Of the names and values of all headers, those of interim responses and
+  /// trailers included.
+  static constexpr size_t MaxHeaderBytes = 64 << 10;
+  /// A chunk of one byte takes six.
+  static constexpr size_t MaxChunkedSizePerByte = 8;
+
   explicit ResponseReader(size_t MaxBodyBytes);
   ResponseReader(const ResponseReader &) = delete;
   ResponseReader &operator=(const ResponseReader &) = delete;
@@ -40,11 +46,16 @@
   }
   static const http_parser_settings &callbacks();
 
+  bool countHeaderBytes(size_t Size);
+  bool isTooLong() const;
+
   http_parser Parser{};
   size_t MaxBodyBytes;
+  size_t HeaderBytes = 0;
+  size_t BytesRead = 0;
   Response Received;
   bool InHeaderValue = false;
-  bool IsComplete = false;
+  State Reached = State::Incomplete;
   bool IsReusable = false;
 };
 
