Direct calls: no answer before the first byte of the request

Found by reading the file as an attacker: bytes that arrived before a byte of the request was sent (a server that speaks first, or one that has stopped reading) were taken for its answer. The connection is now given up; nothing was sent, so the call is Unreachable, or repeated if the connection was a kept one.

AreNotAnsweredBeforeTheyAreSent, without the change: expected <1>, but was <0> (calls that ended as Unreachable). Further tests that pass before and after: a reset within the answer, a server that never reads, an answer that comes byte by byte (the deadline holds).

--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -17,14 +17,6 @@
 /// Between two log lines about sockets that can't be opened.
 constexpr Millis SocketLogInterval{10'000};
 
-/// Whether it is open and nothing has arrived: bytes that answer no request
-/// must not be taken for the answer to the next one.
-bool isUsable(const Connection &Checked) {
-  char Byte = 0;
-  return ::recv(Checked.Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 ConnectionPool::ConnectionPool(int Epoll, uint64_t EventMark,
@@ -52,6 +44,12 @@
   return Found == Connections.end() ? nullptr : Found->second.get();
 }
 
+bool ConnectionPool::isUsable(const Connection &Checked) {
+  char Byte = 0;
+  return ::recv(Checked.Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 Connection *ConnectionPool::takeIdle(Host &Peer) {
   while (!Peer.Idle.empty()) {
     Connection &Taken = *Peer.Idle.back();
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -56,6 +56,9 @@
   /// The last used idle connection to the host that can carry a call, no longer
   /// idle; null if there is none.
   Connection *takeIdle(Host &Peer);
+  /// Whether the connection is open and nothing has arrived on it: bytes that
+  /// answer no request must not be taken for the answer to the next one.
+  static bool isUsable(const Connection &Checked);
   /// A new connection whose socket is not connected yet; null if no socket can
   /// be opened.
   Connection *open(Host &Peer, TimePoint Now);
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -267,7 +267,7 @@
       return;
     }
     Ready.IsConnecting = false;
-    if (!issue(Ready, Now))
+    if (!ConnectionPool::isUsable(Ready) || !issue(Ready, Now))
       fail(Ready, Now);
   }
 
@@ -285,6 +285,11 @@
         fail(Ready, Now);
         return false;
       }
+      if (!Current.RequestIssued) {
+        // These bytes answer nothing.
+        fail(Ready, Now);
+        return false;
+      }
       auto Size = static_cast<size_t>(Count);
       Response &Received = Current.Reader.response();
       if (Received.BeganAt == TimePoint{})
--- a/tests/unit/DirectCallFaultsTest.cpp
+++ b/tests/unit/DirectCallFaultsTest.cpp
@@ -292,3 +292,48 @@
   CHECK(endsCalls(1));
   CHECK(static_cast<bool>(Results.front()));
 }
+
+/// Guards against an answer that the server sent before it was asked.
+TEST(CallsToAHostByItsAddress, AreNotAnsweredBeforeTheyAreSent) {
+  start(request("POST"));
+  int Accepted = Server.accept();
+  ScriptedServer::send(Accepted, Answer);
+  CHECK(endsCalls(1));
+  LONGS_EQUAL(1, countOf(Errc::Unreachable));
+  STRCMP_EQUAL("", ScriptedServer::receive(Accepted).c_str());
+}
+
+TEST(CallsToAHostByItsAddress, AreLostIfTheAnswerIsBrokenOff) {
+  start(request("GET"));
+  int Accepted = Server.accept();
+  receive(Accepted);
+  ScriptedServer::send(Accepted, Answer.substr(0, Answer.size() - 1));
+  ScriptedServer::reset(Accepted);
+  CHECK(endsCalls(1));
+  LONGS_EQUAL(1, countOf(Errc::AnswerLost));
+}
+
+TEST(CallsToAHostByItsAddress, AreLateIfTheServerNeverReads) {
+  http::Call Request = request("POST");
+  Request.Body = std::string(32 << 20, 'x');
+  Request.Timeout = Millis(300);
+  start(std::move(Request));
+  Server.accept();
+  CHECK(endsCalls(1));
+  LONGS_EQUAL(1, countOf(Errc::Timeout));
+}
+
+TEST(CallsToAHostByItsAddress, AreLateIfTheAnswerComesByteByByte) {
+  http::Call Request = request("GET");
+  Request.Timeout = Millis(300);
+  Request.StallTimeout = Millis(200);
+  start(std::move(Request));
+  int Accepted = Server.accept();
+  receive(Accepted);
+  ScriptedServer::send(Accepted, "HTTP/1.1 200 OK\r\nA: ");
+  CHECK(pollUntil([&] {
+    ScriptedServer::send(Accepted, "x");
+    return !Results.empty();
+  }));
+  LONGS_EQUAL(1, countOf(Errc::Timeout));
+}
