Client: a poll vouches only for what it has read

Found by review: a poll looked for events up to 64 times, with a comment on the size of fleets, and then ended late calls as of its last look, although sockets that were ready then had not been read. Answers that had arrived in time could be taken for late: with 64 full looks, that is with more than 64 ready sockets throughout, as answers start further calls.

A poll now looks as often as it takes to see each socket once (epoll passes ready sockets on in turn). If events are left then, calls are late as of its first look. The reckoning is PollRounds, without I/O.

Not shown on sockets.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "common/WakePipe.h"
 #include "http/DirectCalls.h"
+#include "http/PollRounds.h"
 
 #include <curl/curl.h>
 
@@ -201,11 +202,6 @@
 /// an address are called directly, others by a curl multi handle: at the end of
 /// each call, libcurl walks all open connections and all cached names.
 struct MultiClient::Impl {
-  static constexpr int MaxEventsPerRound = 64;
-  /// Looks at as many sockets as a large fleet has; others come with the next
-  /// poll.
-  static constexpr int MaxRoundsPerPoll = 64;
-
   CURLM *Multi = curl_multi_init();
   int Epoll = epoll_create1(EPOLL_CLOEXEC);
   WakePipe Wake;
@@ -215,6 +211,7 @@
   std::vector<CURL *> IdleHandles;
   /// When curl wants to be called without an event; none if it doesn't.
   std::optional<TimePoint> CurlTimerAt;
+  size_t CurlSockets = 0; ///< Watched for curl.
   DirectCalls Direct;
 
   explicit Impl(const MultiClientOptions &Options) : Direct(Epoll, Options) {
@@ -257,6 +254,7 @@
     if (Wanted == CURL_POLL_REMOVE) {
       // Fails for a socket that curl has closed, which epoll forgets by itself.
       epoll_ctl(Self->Epoll, EPOLL_CTL_DEL, Socket, nullptr);
+      Self->CurlSockets -= SocketData ? 1 : 0;
       return 0;
     }
     uint32_t Events = 0;
@@ -265,6 +263,7 @@
     if (Wanted & CURL_POLL_OUT)
       Events |= EPOLLOUT;
     bool IsKnown = SocketData != nullptr;
+    Self->CurlSockets += IsKnown ? 0 : 1;
     Self->watch(Socket, Events, IsKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD);
     curl_multi_assign(Self->Multi, Socket, Self);
     return 0;
@@ -368,17 +367,19 @@
   /// so that neither waits for all the others. Returns a time by which all that
   /// had arrived has been read.
   TimePoint handleEvents(Millis Timeout) {
-    for (int Rounds = 1;; ++Rounds) {
-      std::array<epoll_event, MaxEventsPerRound> Events{};
-      int Count = epoll_wait(Epoll, Events.data(), MaxEventsPerRound,
+    constexpr size_t WakeSockets = 1;
+    PollRounds Rounds(Direct.openConnections() + CurlSockets + WakeSockets);
+    while (true) {
+      std::array<epoll_event, PollRounds::MaxEventsPerRound> Events{};
+      int Count = epoll_wait(Epoll, Events.data(), Events.size(),
                              static_cast<int>(Timeout.count()));
       TimePoint SeenAt = monotonicNow();
       auto Seen = static_cast<size_t>(std::max(Count, 0));
       readSockets(std::span(Events).first(Seen), SeenAt);
       finishCompleted();
       runCurlTimer(monotonicNow());
-      if (Count < MaxEventsPerRound || Rounds == MaxRoundsPerPoll)
-        return SeenAt;
+      if (Rounds.isLast(Seen, SeenAt))
+        return Rounds.readUntil();
       Timeout = Millis(0);
     }
   }
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -73,6 +73,7 @@
   void close(Connection &Closed);
   void closeIdle(Connection &Closed);
   void forgetIfUnused(const Host &Peer);
+  size_t size() const { return Connections.size(); }
 
 private:
   int openSocket();
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -448,4 +448,6 @@
   return Pimpl->Active.size() + Pimpl->Completed.size();
 }
 
+size_t DirectCalls::openConnections() const { return Pimpl->Pool.size(); }
+
 } // namespace daisylanding::http
--- a/src/http/DirectCalls.h
+++ b/src/http/DirectCalls.h
@@ -44,6 +44,8 @@
   std::optional<TimePoint> nextDeadline() const;
   bool hasCompleted() const;
   size_t activeCalls() const;
+  /// Idle ones included.
+  size_t openConnections() const;
 
 private:
   struct Impl;
