Direct calls: idle connections are closed after 50 s

Kept connections had a limit in number, but none in time. A server that ends idle ones after a minute, as the project's own does, then closed them first, perhaps as a request was on its way. Without the change IsClosedAfterItsIdleTime: CHECK_TRUE(ScriptedServer::isClosedByClient(Kept)) failed.

--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -59,6 +59,10 @@
   /// Includes idle connections.
   long MaxConnectionsPerHost = 64;
   long MaxIdleConnections = 1024;
+  /// Connections that have been idle for longer are closed. Less than servers
+  /// usually wait for the next request. Not for hosts that are named otherwise
+  /// than by an address.
+  Millis MaxIdleTime{50'000};
 };
 
 /// Runs many calls concurrently on the thread that calls `poll`.
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -122,7 +122,8 @@
   Watched.WatchedEvents = Events;
 }
 
-void ConnectionPool::keep(Connection &Kept) {
+void ConnectionPool::keep(Connection &Kept, TimePoint Now) {
+  Kept.IdleSince = Now;
   Kept.Peer->Idle.push_back(&Kept);
   Kept.IdlePosition = Idle.insert(Idle.end(), &Kept);
 }
@@ -145,6 +146,11 @@
   forgetIfUnused(Peer);
 }
 
+void ConnectionPool::closeIdleSince(TimePoint Time) {
+  while (!Idle.empty() && Idle.front()->IdleSince < Time)
+    closeLongestIdle();
+}
+
 void ConnectionPool::closeLongestIdle() {
   if (!Idle.empty())
     closeIdle(*Idle.front());
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -29,6 +29,7 @@
   bool IsConnecting = true;
   bool HasServed = false;
   uint32_t WatchedEvents = 0;
+  TimePoint IdleSince{};
   std::list<Connection *>::iterator IdlePosition; ///< Among all idle ones.
 };
 
@@ -67,11 +68,13 @@
   void watch(Connection &Watched, uint32_t Events) const;
   /// Keeps a connection that has no call any more for later ones, and closes
   /// the one that has been idle for longest if there are too many.
-  void keep(Connection &Kept);
+  void keep(Connection &Kept, TimePoint Now);
   void trim();
   /// Of a connection that is neither idle nor carries a call.
   void close(Connection &Closed);
   void closeIdle(Connection &Closed);
+  /// Closes what has been idle since before \p Time.
+  void closeIdleSince(TimePoint Time);
   void forgetIfUnused(const Host &Peer);
   size_t size() const { return Connections.size(); }
 
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -322,7 +322,7 @@
       serveWaiting(Peer, Now);
       return;
     }
-    Pool.keep(Ready);
+    Pool.keep(Ready, Now);
     serveWaiting(Peer, Now);
     Pool.trim();
   }
@@ -393,6 +393,7 @@
       else
         endLate(Due, Now);
     }
+    Pool.closeIdleSince(Now - Options.MaxIdleTime);
     finishCompleted();
   }
 
--- a/tests/standin/ScriptedServer.h
+++ b/tests/standin/ScriptedServer.h
@@ -57,6 +57,10 @@
     ssize_t Count = ::recv(Socket, Bytes, sizeof(Bytes), MSG_DONTWAIT);
     return Count > 0 ? std::string(Bytes, static_cast<size_t>(Count)) : "";
   }
+  static bool isClosedByClient(int Socket) {
+    char Byte = 0;
+    return ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
   static void send(int Socket, std::string_view Bytes) {
     (void)!::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
   }
--- a/tests/unit/DirectCallFaultsTest.cpp
+++ b/tests/unit/DirectCallFaultsTest.cpp
@@ -118,6 +118,11 @@
   }
 };
 
+TEST_GROUP(AConnectionWithoutCalls) {
+  http::MultiClient Client{{.MaxIdleTime = Millis(40)}};
+  ScriptedServer Server;
+};
+
 /// Two connections are busy, and three calls wait for one.
 TEST_GROUP_BASE(CallsThatWaitForAConnection, TEST_GROUP_CppUTestGroupCallsToAHostByItsAddress) {
   int First = -1;
@@ -337,3 +342,23 @@
   }));
   LONGS_EQUAL(1, countOf(Errc::Timeout));
 }
+
+/// Guards against connections that are kept for ever.
+TEST(AConnectionWithoutCalls, IsClosedAfterItsIdleTime) {
+  http::Call Request;
+  Request.Url = Server.url();
+  Client.start(std::move(Request), [](const http::CallResult &) {});
+  int Kept = Server.accept();
+  TimePoint GivenUpAt = monotonicNow() + Millis(3'000);
+  bool IsAnswered = false;
+  while (!ScriptedServer::isClosedByClient(Kept) &&
+         monotonicNow() < GivenUpAt) {
+    Client.poll(Millis(1));
+    if (!IsAnswered && !ScriptedServer::receive(Kept).empty()) {
+      ScriptedServer::send(Kept, Answer);
+      IsAnswered = true;
+    }
+  }
+  CHECK_TRUE(IsAnswered);
+  CHECK_TRUE(ScriptedServer::isClosedByClient(Kept));
+}
