Direct calls: a burst doesn't open connections that are closed before the next

At 1,820 calls a second an owner opened 0.62 connections a call. Cause: starts go to an executor in bursts, each opened a connection for every start, and as many as 792 executors need are more than the 2,048 that are kept beside their renewals. The one closed was always that idle for longest, which is the one of the next executor in turn: none was ever used again. Ruled out: the servers close none (answers without Connection: close, server's read timeout 60 s), keep-alive is heeded, the limit a host (32) and idle time play no part: with bursts of one, none is opened.

While as many connections are open as are kept, a call now waits up to 10 ms for the connection of another call that was sent to its host within the last 10 ms, and opens one only then, or at once if that connection is lost. Below the limit nothing changes.

WaitsForTheOneBeforeIt, without the change: CHECK(arrivesOn(Kept)) failed.

Where an answer takes as long as the wait, little is saved and starts are later by up to 10 ms: a higher limit of kept connections (instance.max_descriptors) avoids both.

--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -38,6 +38,7 @@
   sockaddr_in Address{};
   std::vector<Connection *> Idle; ///< The last used one is at the end.
   size_t OpenCount = 0;
+  TimePoint LastCarriedAt{};      ///< When one of them was last given a call.
   std::deque<Exchange *> Waiting; ///< For a connection.
 };
 
@@ -77,6 +78,8 @@
   void closeIdleSince(TimePoint Time);
   void forgetIfUnused(const Host &Peer);
   size_t size() const { return Connections.size(); }
+  /// A further connection replaces one that is kept.
+  bool isFull() const { return Connections.size() >= MaxConnections; }
 
 private:
   int openSocket();
--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -24,6 +24,10 @@
 /// within a round trip. One that closes later has given up on the request.
 constexpr Millis StaleCloseTime{500};
 
+/// How long a call waits for the connection of another that was just sent to
+/// its host, if a new one would replace a kept one.
+constexpr Millis ReleaseWait{10};
+
 /// A call and what has been received of its response.
 struct Exchange {
   Call Request;
@@ -35,6 +39,7 @@
   TimePoint StartedAt{};
   TimePoint IssuedAt{};   ///< When it was last given to an open connection.
   TimePoint LastByteAt{}; ///< Of the response; its start before any.
+  std::optional<TimePoint> OpensAt; ///< Until then it waits for a release.
   std::optional<TimePoint> ConnectingSince;
   Host *Peer = nullptr;
   Connection *Carrier = nullptr; ///< None while it waits for one.
@@ -55,6 +60,15 @@
     return End;
   }
 
+  bool awaitsRelease(TimePoint Now) const {
+    return !Carrier && OpensAt && Now < *OpensAt;
+  }
+
+  /// When there may be something to do for it if nothing further arrives.
+  TimePoint dueAt() const {
+    return !Carrier && OpensAt ? std::min(*OpensAt, endsAt()) : endsAt();
+  }
+
   /// Whether it may be sent once more, on a new connection, if the kept one
   /// that carries it is closed by its server.
   bool mayBeRepeated(TimePoint Now) const {
@@ -119,7 +133,7 @@
   ConnectionPool Pool;
   std::list<std::unique_ptr<Exchange>> Active;
   std::deque<std::unique_ptr<Exchange>> Completed;
-  /// A call may end later than its entry says, but not earlier.
+  /// A call may be due later than its entry says, but not earlier.
   std::multimap<TimePoint, Exchange *> Deadlines;
   std::vector<char> ReadBuffer = std::vector<char>(ReadBufferBytes);
 
@@ -142,10 +156,19 @@
     }
     Started.Output = writeRequest(Started.Request);
     Started.Peer = &Pool.hostOf(hostOfUrl(Started.Request.Url));
+    if (isReleaseNear(*Started.Peer, Now)) {
+      Started.OpensAt = Now + ReleaseWait;
+      rescheduleDeadline(Started);
+    }
     Started.Peer->Waiting.push_back(&Started);
     serveWaiting(*Started.Peer, Now);
   }
 
+  bool isReleaseNear(const Host &Peer, TimePoint Now) const {
+    return Pool.isFull() && Peer.Idle.empty() && Peer.OpenCount > 0 &&
+           Now - Peer.LastCarriedAt <= ReleaseWait;
+  }
+
   /// Gives connections to the calls that wait for one. \p Peer may be gone
   /// afterwards.
   void serveWaiting(Host &Peer, TimePoint Now) {
@@ -171,7 +194,8 @@
     Connection *Taken = IsRepeat ? openConnection(Next, Now) : nullptr;
     if (!Taken)
       Taken = Pool.takeIdle(*Next.Peer);
-    if (!Taken && !IsRepeat)
+    bool AwaitsRelease = Next.Peer->OpenCount > 0 && Next.awaitsRelease(Now);
+    if (!Taken && !IsRepeat && !AwaitsRelease)
       Taken = openConnection(Next, Now);
     return Taken;
   }
@@ -198,6 +222,7 @@
   void carry(Connection &Carrier, Exchange &Carried, TimePoint Now) {
     Carrier.Current = &Carried;
     Carried.Carrier = &Carrier;
+    Carried.Peer->LastCarriedAt = Now;
     if (Carrier.IsConnecting) {
       Carried.ConnectingSince = Now;
       rescheduleDeadline(Carried);
@@ -363,8 +388,7 @@
 
   void rescheduleDeadline(Exchange &Rescheduled) {
     Deadlines.erase(Rescheduled.Deadline);
-    Rescheduled.Deadline =
-        Deadlines.emplace(Rescheduled.endsAt(), &Rescheduled);
+    Rescheduled.Deadline = Deadlines.emplace(Rescheduled.dueAt(), &Rescheduled);
   }
 
   static CallResult resultOf(Exchange &Ended) {
@@ -388,10 +412,15 @@
   void finishLate(TimePoint Now) {
     while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
       Exchange &Due = *Deadlines.begin()->second;
-      if (Due.endsAt() > Now)
-        rescheduleDeadline(Due);
-      else
+      if (Due.endsAt() <= Now) {
         endLate(Due, Now);
+      } else if (Due.dueAt() <= Now) {
+        Due.OpensAt.reset();
+        rescheduleDeadline(Due);
+        serveWaiting(*Due.Peer, Now);
+      } else {
+        rescheduleDeadline(Due);
+      }
     }
     Pool.closeIdleSince(Now - Options.MaxIdleTime);
     finishCompleted();
--- a/tests/unit/DirectCallFaultsTest.cpp
+++ b/tests/unit/DirectCallFaultsTest.cpp
@@ -118,6 +118,44 @@
   }
 };
 
+/// As many connections are open as are kept, one of them to each host.
+TEST_GROUP(ACallBeyondTheKeptConnections) {
+  http::MultiClient Client{{.MaxIdleConnections = 2}};
+  ScriptedServer Other;
+  ScriptedServer Server;
+  size_t Answered = 0;
+  int Kept = -1;
+  int OtherKept = -1;
+  void start(const ScriptedServer &Called) {
+    http::Call Request;
+    Request.Url = Called.url();
+    Client.start(std::move(Request), [this](const http::CallResult &Result) { Answered += Result ? 1 : 0; });
+  }
+  bool pollUntil(const std::function<bool()> &IsReached) {
+    TimePoint GivenUpAt = monotonicNow() + Millis(5'000);
+    bool Reached = IsReached();
+    while (!Reached && monotonicNow() < GivenUpAt) {
+      Client.poll(Millis(1));
+      Reached = IsReached();
+    }
+    return Reached;
+  }
+  bool arrivesOn(int Socket) {
+    return pollUntil([&] { return !ScriptedServer::receive(Socket).empty(); });
+  }
+  void setup() override {
+    start(Server);
+    start(Other);
+    Kept = Server.accept();
+    OtherKept = Other.accept();
+    for (int Socket : {Kept, OtherKept}) {
+      CHECK(arrivesOn(Socket));
+      ScriptedServer::send(Socket, Answer);
+    }
+    CHECK(pollUntil([&] { return Answered == 2; }));
+  }
+};
+
 TEST_GROUP(AConnectionWithoutCalls) {
   http::MultiClient Client{{.MaxIdleTime = Millis(40)}};
   ScriptedServer Server;
@@ -362,3 +400,41 @@
   CHECK_TRUE(IsAnswered);
   CHECK_TRUE(ScriptedServer::isClosedByClient(Kept));
 }
+
+/// Guards against connections that are opened for each call of a burst, and
+/// closed before the next burst: orders to hundreds of executors.
+TEST(ACallBeyondTheKeptConnections, WaitsForTheOneBeforeIt) {
+  start(Server);
+  start(Server);
+  for (size_t Call = 3; Call <= 4; ++Call) {
+    CHECK(arrivesOn(Kept));
+    ScriptedServer::send(Kept, Answer);
+    CHECK(pollUntil([&] { return Answered == Call; }));
+  }
+  LONGS_EQUAL(-1, Server.acceptWaiting());
+  CHECK_FALSE(ScriptedServer::isClosedByClient(OtherKept));
+}
+
+TEST(ACallBeyondTheKeptConnections, IsSentOnANewOneIfNoneIsReleased) {
+  start(Server);
+  CHECK(arrivesOn(Kept));
+  start(Server);
+  int Next = -1;
+  CHECK(pollUntil([&] { return (Next = Server.acceptWaiting()) >= 0; }));
+  CHECK(arrivesOn(Next));
+  ScriptedServer::send(Next, Answer);
+  CHECK(pollUntil([&] { return Answered == 3; }));
+}
+
+TEST(ACallBeyondTheKeptConnections, IsSentAtOnceIfTheOneBeforeItIsLost) {
+  start(Server);
+  CHECK(arrivesOn(Kept));
+  start(Server);
+  ScriptedServer::send(Kept, "H");
+  ScriptedServer::close(Kept);
+  int Next = -1;
+  CHECK(pollUntil([&] { return (Next = Server.acceptWaiting()) >= 0; }));
+  CHECK(arrivesOn(Next));
+  ScriptedServer::send(Next, Answer);
+  CHECK(pollUntil([&] { return Answered == 3; }));
+}
