URLs: a query without a path belongs to the root

http://host?a=/b was called as /b, and http://host?a=b as /: the first slash after the host was taken for the path, also within the query. HasTheRootForItsPathIfThereIsOnlyAQuery, without the change: expected </?c=/d>, but was </d>.

--- a/src/http/Url.cpp
+++ b/src/http/Url.cpp
@@ -27,10 +27,12 @@
   return Rest.substr(0, Rest.find_first_of("/?"));
 }
 
-std::string_view targetOfUrl(std::string_view Url) {
+std::string targetOfUrl(std::string_view Url) {
   std::string_view Rest = withoutScheme(Url);
-  size_t Path = Rest.find('/');
-  return Path == std::string_view::npos ? "/" : Rest.substr(Path);
+  size_t HostEnd = std::min(Rest.find_first_of("/?"), Rest.size());
+  std::string_view Target = Rest.substr(HostEnd);
+  return Target.starts_with('/') ? std::string(Target)
+                                 : "/" + std::string(Target);
 }
 
 std::optional<sockaddr_in> addressOfHost(std::string_view Host) {
