--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -1,40 +1,32 @@
 #include "http/DirectCalls.h"
 
 #include "common/Log.h"
+#include "http/ConnectionPool.h"
 #include "http/ResponseReader.h"
 #include "http/Url.h"
 
 #include <fmt/format.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <deque>
 #include <list>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace daisylanding::http {
 
-namespace {
-
-/// Marks the event data of direct connections; the rest is their id.
-constexpr uint64_t EventMark = uint64_t{1} << 63;
-/// A connection that has been idle for longer is looked at before its next
-/// request: its server may have closed it.
-constexpr Millis TrustedIdleTime{50};
-constexpr size_t ReadBufferBytes = 64 << 10;
+/// A server that closed a kept connection before a request came is heard of
+/// within a round trip. One that closes later has given up on the request.
+constexpr Millis StaleCloseTime{500};
 
-struct Connection;
+/// How long a call waits for the connection of another that was just sent to
+/// its host, if a new one would replace a kept one.
+constexpr Millis ReleaseWait{10};
 
 /// A call and what has been received of its response.
 struct Exchange {
@@ -45,8 +37,11 @@
   bool RequestIssued = false; ///< A byte of it may have been sent.
   ResponseReader Reader;
   TimePoint StartedAt{};
+  TimePoint IssuedAt{};   ///< When it was last given to an open connection.
   TimePoint LastByteAt{}; ///< Of the response; its start before any.
+  std::optional<TimePoint> OpensAt; ///< Until then it waits for a release.
   std::optional<TimePoint> ConnectingSince;
+  Host *Peer = nullptr;
   Connection *Carrier = nullptr; ///< None while it waits for one.
   std::multimap<TimePoint, Exchange *>::iterator Deadline;
   std::list<std::unique_ptr<Exchange>>::iterator Position;
@@ -64,30 +59,32 @@
       End = std::min(End, LastByteAt + Request.StallTimeout);
     return End;
   }
-};
 
-struct Host;
+  bool awaitsRelease(TimePoint Now) const {
+    return !Carrier && OpensAt && Now < *OpensAt;
+  }
 
-struct Connection {
-  uint64_t Id = 0;
-  int Socket = -1;
-  Host *Peer = nullptr;
-  Exchange *Current = nullptr; ///< None while idle.
-  bool IsConnecting = true;
-  bool HasServed = false;
-  uint32_t WatchedEvents = 0;
-  TimePoint IdleSince{};
-  std::list<Connection *>::iterator IdlePosition; ///< Among all idle ones.
-};
+  /// When there may be something to do for it if nothing further arrives.
+  TimePoint dueAt() const {
+    return !Carrier && OpensAt ? std::min(*OpensAt, endsAt()) : endsAt();
+  }
 
-struct Host {
-  std::string Name;
-  sockaddr_in Address{};
-  std::vector<Connection *> Idle; ///< The last used one is at the end.
-  size_t OpenCount = 0;
-  std::deque<Exchange *> Waiting; ///< For a connection.
+  /// Whether it may be sent once more, on a new connection, if the kept one
+  /// that carries it is closed by its server.
+  bool mayBeRepeated(TimePoint Now) const {
+    bool IsIdempotent = Request.Method == "GET" || Request.Idempotent;
+    bool HasResponse = Reader.response().BeganAt != TimePoint{};
+    return !RequestIssued ||
+           (IsIdempotent && !HasResponse && Now - IssuedAt <= StaleCloseTime);
+  }
 };
 
+namespace {
+
+/// Marks the event data of direct connections; the rest is their id.
+constexpr uint64_t EventMark = uint64_t{1} << 63;
+constexpr size_t ReadBufferBytes = 64 << 10;
+
 bool hasControlCharacter(std::string_view Text) {
   return std::any_of(Text.begin(), Text.end(), [](char Character) {
     return static_cast<unsigned char>(Character) < ' ';
@@ -132,26 +129,18 @@
 } // namespace
 
 struct DirectCalls::Impl {
-  int Epoll;
   MultiClientOptions Options;
-  std::unordered_map<std::string, std::unique_ptr<Host>> Hosts;
-  std::unordered_map<uint64_t, std::unique_ptr<Connection>> Connections;
-  std::list<Connection *> Idle; ///< The first has been idle for longest.
+  ConnectionPool Pool;
   std::list<std::unique_ptr<Exchange>> Active;
   std::deque<std::unique_ptr<Exchange>> Completed;
-  /// A call may end later than its entry says, but not earlier.
+  /// A call may be due later than its entry says, but not earlier.
   std::multimap<TimePoint, Exchange *> Deadlines;
   std::vector<char> ReadBuffer = std::vector<char>(ReadBufferBytes);
-  uint64_t LastConnectionId = 0;
 
   Impl(int Epoll, const MultiClientOptions &Options)
-      : Epoll(Epoll), Options(Options) {}
-  Impl(const Impl &) = delete;
-  Impl &operator=(const Impl &) = delete;
-  ~Impl() {
-    for (const auto &IdAndConnection : Connections)
-      ::close(IdAndConnection.second->Socket);
-  }
+      : Options(Options),
+        Pool(Epoll, EventMark,
+             static_cast<size_t>(std::max(1L, Options.MaxIdleConnections))) {}
 
   void start(Call Request, CallDone Done, TimePoint Now) {
     auto Owned = std::make_unique<Exchange>(std::move(Request));
@@ -166,62 +155,90 @@
       return;
     }
     Started.Output = writeRequest(Started.Request);
-    assign(Started, hostOf(Started), Now);
+    Started.Peer = &Pool.hostOf(hostOfUrl(Started.Request.Url));
+    if (isReleaseNear(*Started.Peer, Now)) {
+      Started.OpensAt = Now + ReleaseWait;
+      rescheduleDeadline(Started);
+    }
+    Started.Peer->Waiting.push_back(&Started);
+    serveWaiting(*Started.Peer, Now);
   }
 
-  Host &hostOf(const Exchange &Started) {
-    std::string Name(hostOfUrl(Started.Request.Url));
-    std::unique_ptr<Host> &Found = Hosts[Name];
-    if (!Found) {
-      Found = std::make_unique<Host>();
-      Found->Address = *addressOfHost(Name);
-      Found->Name = std::move(Name);
-    }
-    return *Found;
+  bool isReleaseNear(const Host &Peer, TimePoint Now) const {
+    return Pool.isFull() && Peer.Idle.empty() && Peer.OpenCount > 0 &&
+           Now - Peer.LastCarriedAt <= ReleaseWait;
   }
 
-  /// Gives the call a connection, or lets it wait for one.
-  void assign(Exchange &Started, Host &Peer, TimePoint Now) {
-    while (!Peer.Idle.empty()) {
-      Connection &Reused = *Peer.Idle.back();
-      takeFromIdle(Reused);
-      if (Now - Reused.IdleSince > TrustedIdleTime && !isOpen(Reused)) {
-        close(Reused);
-        continue;
-      }
-      if (carry(Reused, Started, Now))
-        return;
-    }
-    if (Peer.OpenCount >=
-        static_cast<size_t>(std::max(1L, Options.MaxConnectionsPerHost))) {
-      Peer.Waiting.push_back(&Started);
-      return;
+  /// Gives connections to the calls that wait for one. \p Peer may be gone
+  /// afterwards.
+  void serveWaiting(Host &Peer, TimePoint Now) {
+    while (!Peer.Waiting.empty()) {
+      Exchange &Next = *Peer.Waiting.front();
+      Connection *Carrier = takeConnection(Next, Now);
+      if (!Carrier)
+        break;
+      Peer.Waiting.pop_front();
+      carry(*Carrier, Next, Now);
     }
-    open(Started, Peer, Now);
+    if (Peer.OpenCount == 0)
+      endWaiting(Peer);
+    Pool.forgetIfUnused(Peer);
   }
 
-  static bool isOpen(const Connection &Checked) {
-    char Byte = 0;
-    return ::recv(Checked.Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
+  /// One to send on, or to connect; null if the host has as many as it may
+  /// have, or no socket can be opened.
+  Connection *takeConnection(const Exchange &Next, TimePoint Now) {
+    // The server may have closed all kept connections, not just the one on
+    // which this call was sent before.
+    bool IsRepeat = Next.RequestIssued;
+    Connection *Taken = IsRepeat ? openConnection(Next, Now) : nullptr;
+    if (!Taken)
+      Taken = Pool.takeIdle(*Next.Peer);
+    bool AwaitsRelease = Next.Peer->OpenCount > 0 && Next.awaitsRelease(Now);
+    if (!Taken && !IsRepeat && !AwaitsRelease)
+      Taken = openConnection(Next, Now);
+    return Taken;
   }
 
-  /// Returns false if the connection turned out to be closed before a byte of
-  /// the request was sent; it is then gone, and the call needs another one.
-  bool carry(Connection &Carrier, Exchange &Started, TimePoint Now) {
-    Carrier.Current = &Started;
-    Started.Carrier = &Carrier;
-    Started.ConnectingSince.reset();
-    if (sendRequest(Carrier))
-      return true;
-    if (Started.RequestIssued || !Carrier.HasServed) {
-      fail(Carrier, Now);
-      return true;
+  Connection *openConnection(const Exchange &Next, TimePoint Now) {
+    auto MaxCount =
+        static_cast<size_t>(std::max(1L, Options.MaxConnectionsPerHost));
+    return Next.Peer->OpenCount < MaxCount ? Pool.open(*Next.Peer, Now)
+                                           : nullptr;
+  }
+
+  /// No connection to the host is left that could be released, and none can be
+  /// opened.
+  void endWaiting(Host &Peer) {
+    while (!Peer.Waiting.empty()) {
+      Exchange &Unserved = *Peer.Waiting.front();
+      Peer.Waiting.pop_front();
+      complete(Unserved, failureOf(Unserved));
     }
-    Carrier.Current = nullptr;
-    Started.Carrier = nullptr;
-    close(Carrier);
-    return false;
+  }
+
+  /// Sends the call, or begins to connect for it. It waits again if the
+  /// connection turns out to be closed before a byte of it was sent.
+  void carry(Connection &Carrier, Exchange &Carried, TimePoint Now) {
+    Carrier.Current = &Carried;
+    Carried.Carrier = &Carrier;
+    Carried.Peer->LastCarriedAt = Now;
+    if (Carrier.IsConnecting) {
+      Carried.ConnectingSince = Now;
+      rescheduleDeadline(Carried);
+      if (!Pool.connect(Carrier))
+        drop(Carrier, Now);
+      return;
+    }
+    if (!issue(Carrier, Now))
+      drop(Carrier, Now);
+  }
+
+  bool issue(Connection &Carrier, TimePoint Now) {
+    Exchange &Issued = *Carrier.Current;
+    Issued.ConnectingSince.reset();
+    Issued.IssuedAt = Now;
+    return sendRequest(Carrier);
   }
 
   /// Sends as much as the socket takes. Returns false on failure.
@@ -242,76 +259,22 @@
       Current.Sent += static_cast<size_t>(Count);
     }
     bool IsAllSent = Current.Sent == Current.Output.size();
-    watch(Carrier, IsAllSent ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    Pool.watch(Carrier, IsAllSent ? EPOLLIN : EPOLLIN | EPOLLOUT);
     return true;
   }
 
-  void watch(Connection &Watched, uint32_t Events) {
-    if (Watched.WatchedEvents == Events)
-      return;
-    int Operation = Watched.WatchedEvents == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-    epoll_event Event{.events = Events,
-                      .data = {.u64 = EventMark | Watched.Id}};
-    if (epoll_ctl(Epoll, Operation, Watched.Socket, &Event) != 0)
-      logWarn("socket-not-watched", "errno={}", errno);
-    Watched.WatchedEvents = Events;
-  }
-
-  void open(Exchange &Started, Host &Peer, TimePoint Now) {
-    int Socket = openSocket();
-    if (Socket < 0) {
-      logWarn("socket-not-opened", "errno={}", errno);
-      complete(Started, Errc::Unreachable);
-      forgetIfUnused(Peer);
-      return;
-    }
-    auto Owned = std::make_unique<Connection>();
-    Connection &Opened = *Owned;
-    Opened.Id = ++LastConnectionId;
-    Opened.Socket = Socket;
-    Opened.Peer = &Peer;
-    Opened.Current = &Started;
-    Connections.emplace(Opened.Id, std::move(Owned));
-    ++Peer.OpenCount;
-    Started.Carrier = &Opened;
-    Started.ConnectingSince = Now;
-    rescheduleDeadline(Started);
-    const auto *Address = reinterpret_cast<const sockaddr *>(&Peer.Address);
-    if (::connect(Socket, Address, sizeof(Peer.Address)) != 0 &&
-        errno != EINPROGRESS) {
-      fail(Opened, Now);
-      return;
-    }
-    watch(Opened, EPOLLOUT);
-  }
-
-  /// Closes the connection that has been idle for longest if there are none
-  /// left. Returns -1 on failure.
-  int openSocket() {
-    constexpr int Type = SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
-    int Socket = ::socket(AF_INET, Type, 0);
-    if (Socket < 0 && !Idle.empty()) {
-      closeLongestIdle();
-      Socket = ::socket(AF_INET, Type, 0);
-    }
-    int Enabled = 1;
-    if (Socket >= 0)
-      ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &Enabled, sizeof(Enabled));
-    return Socket;
-  }
-
   void onEvent(uint64_t Id, uint32_t Events, TimePoint Now) {
-    auto Found = Connections.find(Id);
-    if (Found == Connections.end())
+    Connection *Found = Pool.find(Id);
+    if (!Found)
       return;
-    Connection &Ready = *Found->second;
+    Connection &Ready = *Found;
     if (Ready.IsConnecting) {
       onConnected(Ready, Now);
       return;
     }
     if (!Ready.Current) {
       // Closed by its server, or not in a state to carry a call.
-      closeIdle(Ready);
+      Pool.closeIdle(Ready);
       return;
     }
     if ((Events & (EPOLLIN | EPOLLERR | EPOLLHUP)) && !receive(Ready, Now))
@@ -329,7 +292,8 @@
       return;
     }
     Ready.IsConnecting = false;
-    carry(Ready, *Ready.Current, Now);
+    if (!ConnectionPool::isUsable(Ready) || !issue(Ready, Now))
+      fail(Ready, Now);
   }
 
   /// Returns false if the connection no longer carries the call.
@@ -346,6 +310,11 @@
         fail(Ready, Now);
         return false;
       }
+      if (!Current.RequestIssued) {
+        // These bytes answer nothing.
+        fail(Ready, Now);
+        return false;
+      }
       auto Size = static_cast<size_t>(Count);
       Response &Received = Current.Reader.response();
       if (Received.BeganAt == TimePoint{})
@@ -374,67 +343,39 @@
     Ready.HasServed = true;
     Host &Peer = *Ready.Peer;
     if (!IsReusable) {
-      close(Ready);
+      Pool.close(Ready);
       serveWaiting(Peer, Now);
       return;
     }
-    Ready.IdleSince = Now;
-    Peer.Idle.push_back(&Ready);
-    Ready.IdlePosition = Idle.insert(Idle.end(), &Ready);
+    Pool.keep(Ready, Now);
     serveWaiting(Peer, Now);
-    if (Connections.size() >
-        static_cast<size_t>(std::max(1L, Options.MaxIdleConnections)))
-      closeLongestIdle();
+    Pool.trim();
   }
 
-  /// Ends the connection and its call.
+  /// Ends the connection, and its call unless that may be repeated.
   void fail(Connection &Failed, TimePoint Now) {
-    Exchange &Lost = *Failed.Current;
     Host &Peer = *Failed.Peer;
-    complete(Lost, Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable);
-    Failed.Current = nullptr;
-    close(Failed);
+    drop(Failed, Now);
     serveWaiting(Peer, Now);
   }
 
-  /// \p Peer may be gone afterwards.
-  void serveWaiting(Host &Peer, TimePoint Now) {
-    if (Peer.Waiting.empty()) {
-      forgetIfUnused(Peer);
+  /// As `fail`, but leaves it to the caller to serve the calls that wait.
+  void drop(Connection &Failed, TimePoint Now) {
+    Exchange &Lost = *Failed.Current;
+    bool IsRepeated = Failed.HasServed && Lost.mayBeRepeated(Now);
+    Failed.Current = nullptr;
+    Pool.close(Failed);
+    if (!IsRepeated) {
+      complete(Lost, failureOf(Lost));
       return;
     }
-    Exchange *Next = Peer.Waiting.front();
-    Peer.Waiting.pop_front();
-    assign(*Next, Peer, Now);
+    Lost.Carrier = nullptr;
+    Lost.Sent = 0;
+    Lost.Peer->Waiting.push_front(&Lost);
   }
 
-  void takeFromIdle(Connection &Taken) {
-    std::erase(Taken.Peer->Idle, &Taken);
-    Idle.erase(Taken.IdlePosition);
-  }
-
-  void closeLongestIdle() {
-    if (!Idle.empty())
-      closeIdle(*Idle.front());
-  }
-
-  void closeIdle(Connection &Closed) {
-    Host &Peer = *Closed.Peer;
-    takeFromIdle(Closed);
-    close(Closed);
-    forgetIfUnused(Peer);
-  }
-
-  void forgetIfUnused(const Host &Peer) {
-    if (Peer.OpenCount == 0 && Peer.Waiting.empty())
-      Hosts.erase(std::string(Peer.Name));
-  }
-
-  /// Of a connection that is neither idle nor carries a call.
-  void close(Connection &Closed) {
-    ::close(Closed.Socket);
-    --Closed.Peer->OpenCount;
-    Connections.erase(Closed.Id);
+  static Errc failureOf(const Exchange &Lost) {
+    return Lost.RequestIssued ? Errc::AnswerLost : Errc::Unreachable;
   }
 
   void complete(Exchange &Ended, std::error_code Failure) {
@@ -447,8 +388,7 @@
 
   void rescheduleDeadline(Exchange &Rescheduled) {
     Deadlines.erase(Rescheduled.Deadline);
-    Rescheduled.Deadline =
-        Deadlines.emplace(Rescheduled.endsAt(), &Rescheduled);
+    Rescheduled.Deadline = Deadlines.emplace(Rescheduled.dueAt(), &Rescheduled);
   }
 
   static CallResult resultOf(Exchange &Ended) {
@@ -472,24 +412,30 @@
   void finishLate(TimePoint Now) {
     while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
       Exchange &Due = *Deadlines.begin()->second;
-      if (Due.endsAt() > Now)
-        rescheduleDeadline(Due);
-      else
+      if (Due.endsAt() <= Now) {
         endLate(Due, Now);
+      } else if (Due.dueAt() <= Now) {
+        Due.OpensAt.reset();
+        rescheduleDeadline(Due);
+        serveWaiting(*Due.Peer, Now);
+      } else {
+        rescheduleDeadline(Due);
+      }
     }
+    Pool.closeIdleSince(Now - Options.MaxIdleTime);
     finishCompleted();
   }
 
   void endLate(Exchange &Late, TimePoint Now) {
     Connection *Carrier = Late.Carrier;
-    Host &Peer = hostOf(Late);
+    Host &Peer = *Late.Peer;
     if (!Carrier)
       std::erase(Peer.Waiting, &Late);
     complete(Late, Late.RequestIssued ? Errc::Timeout : Errc::Unreachable);
     if (!Carrier)
       return;
     Carrier->Current = nullptr;
-    close(*Carrier);
+    Pool.close(*Carrier);
     serveWaiting(Peer, Now);
   }
 };
@@ -532,4 +478,6 @@
   return Pimpl->Active.size() + Pimpl->Completed.size();
 }
 
+size_t DirectCalls::openConnections() const { return Pimpl->Pool.size(); }
+
 } // namespace daisylanding::http
