--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -3,15 +3,11 @@
 #include "cell/JsonProgress.h"
 #include "cell/OwnerRow.h"
 #include "cell/Progress.h"
-#include "platform/ExecutorClient.h"
 #include "platform/PlatformPorts.h"
-#include "standin/RawServer.h"
 #include "unit/RandomJson.h"
 
 #include <fmt/format.h>
 
-#include <limits>
-#include <optional>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -19,17 +15,11 @@
 /// What other writers may leave where an entry reads: it is refused or left
 /// out, and the entry goes on.
 using namespace daisylanding;
-using standin::RawServer;
+using test::ManyLevels;
+using test::nestedLists;
 
 namespace {
 
-/// As much as a body or a row may hold.
-constexpr size_t ManyLevels = 120'000;
-
-std::string nestedLists(size_t Levels) {
-  return std::string(Levels, '[') + std::string(Levels, ']');
-}
-
 /// An entry of an executor with other members in place of, or beside, its own.
 std::string entry(const std::string &Address, const std::string &Capacity,
                   const std::string &More = "") {
@@ -139,111 +129,6 @@
   CHECK_FALSE(static_cast<bool>(Codec.parseJob(Deep, Error)));
 }
 
-// clang-format off
-/// An executor, or something else at its address.
-TEST_GROUP(AnAnswerToAnOrder) {
-  http::MultiClient Client{{}};
-  platform::ExecutorClient Port{{}, Client};
-  template <typename Answer, typename Sender>
-  Answer waitFor(Sender Send) {
-    std::optional<Answer> Received;
-    Send([&](Answer Result) { Received = std::move(Result); });
-    while (!Received)
-      Client.poll(Millis(10'000));
-    return *Received;
-  }
-  executor::OrderAnswer startWith(const std::string &Body, const std::string &Status) {
-    RawServer Server({}, Body, Status);
-    return waitFor<executor::OrderAnswer>([&](auto Done) {
-      Port.start({.Target = {.Address = Server.address(), .Id = "i-1"}}, Done);
-    });
-  }
-  executor::RenewalAnswer renewWith(const std::string &Body) {
-    RawServer Server({}, Body);
-    return waitFor<executor::RenewalAnswer>([&](auto Done) {
-      Port.renewLeases({.Target = {.Address = Server.address(), .Id = "i-1"}}, Done);
-    });
-  }
-  executor::Advice adviceWith(const std::string &Validity) {
-    RawServer Server({}, R"({"allowed":[],"validity-ms":)" + Validity + "}");
-    platform::AdviceClient Advisor(Server.address(), Client);
-    return *waitFor<Result<executor::Advice>>([&](auto Done) {
-      Advisor.requestAdvice({.Timeout = Millis(10'000)}, Done);
-    });
-  }
-};
-// clang-format on
-
-/// Guards against an answer that ends the process: an exception left the
-/// callback of the call.
-TEST(AnAnswerToAnOrder, WhoseReasonIsNoTextIsARefusal) {
-  for (const char *Body : {R"({"reason":7})", R"({"reason":null})",
-                           R"({"reason":{}})", R"({"reason":[]})"})
-    CHECK(startWith(Body, "409 Conflict").Outcome ==
-          executor::OrderOutcome::Rejected);
-}
-
-/// Guards against lease ends beyond all time.
-TEST(AnAnswerToAnOrder, WhoseClockIsNoTimeTellsNone) {
-  for (const char *Clock : {"1e30", "-1", "-1e30", "9223372036854775807",
-                            "18446744073709551615", "\"7\"", "null"})
-    CHECK_FALSE(startWith(fmt::format(R"({{"clock-ms":{}}})", Clock), "200 OK")
-                    .ClockMs.has_value());
-  LONGS_EQUAL(482'113, *startWith(R"({"clock-ms":482113})", "200 OK").ClockMs);
-  LONGS_EQUAL(482'113,
-              *startWith(R"({"clock-ms":482113.7})", "200 OK").ClockMs);
-}
-
-/// Guards against run numbers cut down to those of other runs, end numbers
-/// after which all further ends would count as known, and a list that is none,
-/// by which every run would have ended.
-TEST(AnAnswerToAnOrder, WithARowThatIsNoRunIsDroppedAsAWhole) {
-  for (const char *Lists :
-       {R"("running":[["t",4294967298]],"finished":[])",
-        R"("running":[["t",-1]],"finished":[])",
-        R"("running":[["t",1.5]],"finished":[])",
-        R"("running":[],"finished":[[1,"t",4294967298,"done",""]])",
-        R"("running":[],"finished":[[18446744073709551615,"t",1,"done",""]])",
-        R"("running":[],"finished":[[-1,"t",1,"done",""]])",
-        R"("running":[],"finished":[[1e30,"t",1,"done",""]])",
-        R"("running":7,"finished":[])", R"("running":null,"finished":[])",
-        R"("running":{},"finished":[])", R"("running":[],"finished":null)"})
-    CHECK(renewWith(fmt::format(R"({{"clock-ms":1,{}}})", Lists)).Outcome ==
-          executor::OrderOutcome::Unknown);
-  CHECK(renewWith(nestedLists(ManyLevels)).Outcome ==
-        executor::OrderOutcome::Unknown);
-}
-
-/// Only a report about the run, which decides nothing.
-TEST(AnAnswerToAnOrder, WithAnOddMeasurementLeavesItOut) {
-  auto Answer = renewWith(R"({"clock-ms":1,"finished":[],
-      "running":[["a",1,"",-1,-1e30],["b",1,"",1e30,1e300],["c",1,"",41,0.5]]})");
-  CHECK(Answer.Outcome == executor::OrderOutcome::Done);
-  LONGS_EQUAL(0, Answer.Running[0].Percent);
-  DOUBLES_EQUAL(0, Answer.Running[0].Usage, 0);
-  LONGS_EQUAL(0, Answer.Running[1].Percent);
-  DOUBLES_EQUAL(0, Answer.Running[1].Usage, 0);
-  LONGS_EQUAL(41, Answer.Running[2].Percent);
-  DOUBLES_EQUAL(0.5, Answer.Running[2].Usage, 0);
-}
-
-/// Guards against an answer whose incarnation, as of the far future, ends the
-/// runs of the real one.
-TEST(AnAnswerToAnOrder, OfAnIncarnationThatIsNoTimeIsDropped) {
-  for (const char *Born : {"-1", "1.5", "1e30", "9223372036854775807", "null"})
-    CHECK(renewWith(
-              fmt::format(R"({{"running":[],"finished":[],"born":{}}})", Born))
-              .Outcome == executor::OrderOutcome::Unknown);
-}
-
-/// Guards against tickets that never lapse, or times that wrap.
-TEST(AnAnswerToAnOrder, WithTicketsOfNoSensibleValidityGrantsNone) {
-  for (const char *Validity : {"-1", "1e30", "9223372036854775807", "null"})
-    LONGS_EQUAL(0, adviceWith(Validity).Validity.count());
-  LONGS_EQUAL(2'000, adviceWith("2000").Validity.count());
-  LONGS_EQUAL(2'000, adviceWith("2000.5").Validity.count());
-}
-
 // clang-format off
 TEST_GROUP(AConfigurationOfTheOperator) {
   platform::PlatformDocumentCodec Codec;
--- a/tests/unit/RandomJson.h
+++ b/tests/unit/RandomJson.h
@@ -12,6 +12,13 @@
 /// Documents that no sound writer leaves.
 namespace daisylanding::test {
 
+/// As much as a body or a row may hold.
+constexpr size_t ManyLevels = 120'000;
+
+inline std::string nestedLists(size_t Levels) {
+  return std::string(Levels, '[') + std::string(Levels, ']');
+}
+
 /// Numbers at the limits of their types and of what is allowed, and others.
 inline nlohmann::json randomNumber() {
   using Limits = std::numeric_limits<int64_t>;
