--- a/src/executor/ExecutorPort.h
+++ b/src/executor/ExecutorPort.h
@@ -30,6 +30,17 @@
   int64_t Born = 0;
 };
 
+/// An executor whose start is stated as later than this from now, on this
+/// entry's wall clock, is none to use. Wall clocks differ by seconds, and jump
+/// by minutes.
+constexpr std::chrono::hours MaxBornAhead{1};
+
+/// Whether that is so: the statement would end the incarnation that runs under
+/// the id, and all later ones would count as earlier.
+inline bool isBornAhead(int64_t Born, Micros WallNow) {
+  return Born > toMillis(WallNow + MaxBornAhead);
+}
+
 /// The executor that a call is meant for.
 struct ExecutorTarget {
   std::string Address; ///< host:port.
--- a/src/node/ExecutorList.cpp
+++ b/src/node/ExecutorList.cpp
@@ -145,10 +145,7 @@
     logOddEntry(Row, "malformed");
     return;
   }
-  // It would end the incarnation that runs under the id, and all later ones
-  // would count as earlier.
-  Updated.BornAhead =
-      Info->Born > toMillis(Micros(wallMicros()) + MaxBornAhead);
+  Updated.BornAhead = executor::isBornAhead(Info->Born, Micros(wallMicros()));
   if (!Updated.BornAhead)
     Updated.Info = std::move(*Info);
 }
--- a/src/node/ExecutorList.h
+++ b/src/node/ExecutorList.h
@@ -20,10 +20,6 @@
   /// which a draining executor must stop receiving them.
   static constexpr Millis FullReadInterval{700};
   static constexpr Millis RetryDelay{100};
-  /// An executor whose start is stated as later than this from now, on this
-  /// entry's wall clock, is not listed until that is no longer so. Wall clocks
-  /// differ by seconds, and jump by minutes.
-  static constexpr std::chrono::hours MaxBornAhead{1};
   /// Of entries that name no executor to use. Their writer may rewrite them at
   /// any rate.
   static constexpr uint64_t MaxOddEntryLines = 10;
@@ -50,7 +46,9 @@
   struct ListedExecutor {
     uint64_t Version = 0;
     std::optional<executor::ExecutorInfo> Info;
-    bool BornAhead = false; ///< By more than `MaxBornAhead`.
+    /// Its start is stated as too far ahead: not listed until that is no longer
+    /// so.
+    bool BornAhead = false;
   };
 
   void readAll();
--- a/tests/unit/OddAnswerTest.cpp
+++ b/tests/unit/OddAnswerTest.cpp
@@ -128,6 +128,24 @@
               .Outcome == executor::OrderOutcome::Unknown);
 }
 
+/// Guards against an answer that ends the runs of an executor that goes on, and
+/// after which each real start counts as an earlier one.
+TEST(AnAnswerToAnOrder, OfAnIncarnationStartedFarAheadIsDropped) {
+  constexpr int64_t MinuteMs = 60'000;
+  int64_t NowMs = toMillis(Micros(wallMicros()));
+  auto OutcomeWith = [&](int64_t Born) {
+    return renewWith(
+               fmt::format(R"({{"running":[],"finished":[],"born":{}}})", Born))
+        .Outcome;
+  };
+  for (int64_t Born :
+       {NowMs + 120 * MinuteMs, NowMs * 1'000, int64_t{253'402'300'799'999}})
+    CHECK(OutcomeWith(Born) == executor::OrderOutcome::Unknown);
+  // Wall clocks may differ.
+  for (int64_t Born : {int64_t{0}, NowMs, NowMs + 10 * MinuteMs})
+    CHECK(OutcomeWith(Born) == executor::OrderOutcome::Done);
+}
+
 /// Guards against tickets that never lapse, or times that wrap.
 TEST(AnAnswerToAnOrder, WithTicketsOfNoSensibleValidityGrantsNone) {
   for (const char *Validity : {"-1", "1e30", "9223372036854775807", "null"})
