--- a/tests/unit/OddAnswerTest.cpp
+++ b/tests/unit/OddAnswerTest.cpp
@@ -90,10 +90,13 @@
 TEST(AnAnswerToAnOrder, WithARowThatIsNoRunIsDroppedAsAWhole) {
   for (const char *Lists :
        {R"("running":[["t",4294967298]],"finished":[])",
+        R"("running":[["t",0]],"finished":[])",
         R"("running":[["t",-1]],"finished":[])",
         R"("running":[["t",1.5]],"finished":[])",
         R"("running":[],"finished":[[1,"t",4294967298,"done",""]])",
         R"("running":[],"finished":[[18446744073709551615,"t",1,"done",""]])",
+        R"("running":[],"finished":[[1,"t",0,"done",""]])",
+        R"("running":[],"finished":[[0,"t",1,"done",""]])",
         R"("running":[],"finished":[[-1,"t",1,"done",""]])",
         R"("running":[],"finished":[[1e30,"t",1,"done",""]])",
         R"("running":7,"finished":[])", R"("running":null,"finished":[])",
@@ -119,6 +122,24 @@
   LONGS_EQUAL(0, Answer.Running[3].Percent);
 }
 
+/// Guards against a progress row that the store refuses for its size, with all
+/// that the owner commits beside it.
+TEST(AnAnswerToAnOrder, WithACheckpointThatNoRowHoldsLeavesItOut) {
+  auto Renew = [&](size_t Bytes) {
+    std::string Checkpoint(Bytes, 'c');
+    return renewWith(fmt::format(
+        R"({{"running":[["a",1,"{0}",1,1]],"finished":[[1,"b",1,"done","{0}"]]}})",
+        Checkpoint));
+  };
+  for (size_t Bytes : {300'000, 257}) {
+    auto Answer = Renew(Bytes);
+    CHECK(Answer.Outcome == executor::OrderOutcome::Done);
+    LONGS_EQUAL(0, Answer.Running[0].Checkpoint.size());
+    LONGS_EQUAL(0, Answer.Ended[0].Checkpoint.size());
+  }
+  LONGS_EQUAL(256, Renew(256).Running[0].Checkpoint.size());
+}
+
 /// Guards against an answer whose incarnation, as of the far future, ends the
 /// runs of the real one.
 TEST(AnAnswerToAnOrder, OfAnIncarnationThatIsNoTimeIsDropped) {
@@ -154,6 +175,84 @@
   LONGS_EQUAL(2'000, adviceWith("2000.5").Validity.count());
 }
 
+namespace {
+
+const char *const SoundRenewal = R"({"clock-ms":482113,"born":1700000000000,
+    "running":[["a.0.1.17",2,"00bb",41,0.5],["a.0.1.18",1,"",100,7]],
+    "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.8",3,"failed","0c"]]})";
+
+std::string randomStatus() {
+  return *rc::gen::element<std::string>(
+      "200 OK", "200 OK", "200 OK", "409 Conflict", "421 Misdirected",
+      "429 Busy", "503 Busy", "400 Bad", "599 Odd", "204 Nothing");
+}
+
+void checkClock(const std::optional<int64_t> &ClockMs) {
+  constexpr int64_t CenturyMs = 100LL * 366 * 24 * 3'600'000;
+  if (ClockMs)
+    RC_ASSERT(*ClockMs >= 0 && *ClockMs <= CenturyMs);
+}
+
+void checkRun(const executor::RunId &Id, const std::string &Checkpoint) {
+  RC_ASSERT(Id.Run >= 1U);
+  RC_ASSERT(Checkpoint.size() <= 256U);
+}
+
+void checkRenewal(const executor::RenewalAnswer &Answer) {
+  checkClock(Answer.ClockMs);
+  bool IsDone = Answer.Outcome == executor::OrderOutcome::Done;
+  RC_ASSERT(IsDone ||
+            (Answer.Running.empty() && Answer.Ended.empty() && !Answer.Born));
+  RC_ASSERT(Answer.Born >= 0);
+  RC_ASSERT(!executor::isBornAhead(Answer.Born, Micros(wallMicros())));
+  for (const executor::RunStatus &Run : Answer.Running) {
+    checkRun(Run.Id, Run.Checkpoint);
+    RC_ASSERT(Run.Percent <= 100U);
+    RC_ASSERT(Run.Usage >= 0 && Run.Usage <= 1e9);
+  }
+  for (const executor::RunEnd &End : Answer.Ended) {
+    checkRun(End.Id, End.Checkpoint);
+    RC_ASSERT(End.Sequence >= 1U);
+    RC_ASSERT(std::cmp_less_equal(End.Sequence, MaxExactInteger));
+    RC_ASSERT(End.Kind <= executor::EndKind::GangIncomplete);
+  }
+}
+
+} // namespace
+
+/// Guards against what nobody thought of: nothing throws, ends the process, or
+/// is out of range.
+TEST(AnAnswerToAnOrder, WhateverItIsIsReadOrRefused) {
+  const char *SoundOrder = R"({"clock-ms":482113,"reason":"fence"})";
+  const char *SoundAdvice =
+      R"({"allowed":[["i-1","t1"],["i-2","t2"]],"validity-ms":2000})";
+  CHECK(rc::check("answers", [&] {
+    for (int I = 0; I < 5; ++I)
+      checkRenewal(renewWith(test::oddVersionOf(SoundRenewal), randomStatus()));
+    auto Order = startWith(test::oddVersionOf(SoundOrder), randomStatus());
+    checkClock(Order.ClockMs);
+    RC_ASSERT(Order.Outcome <= executor::OrderOutcome::Unknown);
+    auto Advice = adviseWith(test::oddVersionOf(SoundAdvice), randomStatus());
+    constexpr Millis Day{24 * 3'600'000};
+    if (Advice)
+      RC_ASSERT(Advice->Validity >= Millis(0) && Advice->Validity <= Day);
+  }));
+}
+
+/// The random changes above are made to one that is read as a whole.
+TEST(AnAnswerToAnOrder, ThatIsSoundIsReadAsAWhole) {
+  auto Answer = renewWith(SoundRenewal);
+  CHECK(Answer.Outcome == executor::OrderOutcome::Done);
+  LONGS_EQUAL(2, Answer.Running.size());
+  LONGS_EQUAL(41, Answer.Running[0].Percent);
+  STRCMP_EQUAL("00bb", Answer.Running[0].Checkpoint.c_str());
+  LONGS_EQUAL(2, Answer.Ended.size());
+  CHECK(Answer.Ended[1].Kind == executor::EndKind::Failed);
+  LONGS_EQUAL(59, Answer.Ended[1].Sequence);
+  LONGS_EQUAL(3, Answer.Ended[1].Id.Run);
+  CHECK(Answer.Born == 1'700'000'000'000);
+}
+
 // clang-format off
 /// The store, or something else at its address.
 TEST_GROUP(AnAnswerOfTheStore) {
