A run that the answer of a later incarnation lists is not over

Cause: when an executor answers with a later start than before, the runs of the earlier incarnation were over, also one that the same answer lists as running. It was stopped there as unknown, and started elsewhere at once: twice at the same time. An executor that goes on may state a later start when its wall clock is set. Class of fault: a conclusion held above what was heard directly.

Ruled out: that ignoring starts up to an hour ahead mends it. Wall clocks differ, and a real restart would not be heard.

Change: a run that the answer lists goes on under the incarnation that listed it.

After one such answer alone the others count as of an earlier incarnation: the run is started again once its lease must have ended, within 30 s, and the executor is not used.

Conclusion: the odd start costs the executor its use, and no longer breaks the rule. An answer that lists nothing while the run goes on still ends it, as it does without an odd start.

--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -115,12 +115,15 @@
   bool HoldsLease = Pool[Earlier].GrantUnanswered;
   std::vector<TaskKey> Runs = OpenRunsByExecutor[Earlier];
   for (const TaskKey &Key : Runs) {
-    if (!mayReachNext(Key, Now))
+    const LiveTask &Task = Key.task();
+    // Such a run goes on, however it came there: it must not be started again.
+    bool IsListed =
+        mayHaveBegun(Task) && Answer && Answer->lists({Key.name(), Task.Run});
+    if (!IsListed && !mayReachNext(Key, Now))
       continue;
     HoldsLease = true;
     moveRun(Key, Later, Now);
-    const LiveTask &Task = Key.task();
-    if (!Task.Inherited && !(Answer && Answer->lists({Key.name(), Task.Run})))
+    if (!Task.Inherited && !IsListed)
       beginStop(Key, Now);
   }
   // What was sent by the clock of the earlier one.
--- a/tests/unit/RestartUnderIdTest.cpp
+++ b/tests/unit/RestartUnderIdTest.cpp
@@ -214,6 +214,34 @@
   checkThatItRunsTwice();
 }
 
+/// Guards against a task that runs twice at once: an executor that goes on
+/// states a later start than before, as of a clock that was set, and its run
+/// counted as over although it lists it.
+TEST(WithARunAndRoomElsewhere, TheExecutorStatesALaterStartAndGoesOn) {
+  Sim.StopTimeMs = 1'000;
+  Sim.executor(Id).BornMs += 600'000;
+  CHECK_TRUE(Sim.runUntil(
+      [&] { return Sim.storedPhase(LaterId) == JobPhase::Completed; }, 20'000));
+  LONGS_EQUAL(1, Sim.runsOf(taskOf(LaterId)));
+}
+
+/// The same, of one answer alone: the others count as of an earlier incarnation
+/// and renew no lease here, so that the run is over once the lease has ended.
+TEST(WithARunAndRoomElsewhere, OneAnswerStatesALaterStart) {
+  Sim.StopTimeMs = 1'000;
+  Sim.RunTimeFor = [](const std::string &, int64_t) { return 300; };
+  Sim.executor(Id).Running.begin()->second.EndsAt = Sim.Now + Millis(60'000);
+  Sim.Owner->onRenewal(0,
+                       {.Outcome = executor::OrderOutcome::Done,
+                        .ClockMs = Sim.executor(Id).clockMs(Sim.Now),
+                        .Born = Sim.executor(Id).BornMs + 600'000,
+                        .Running = {{.Id = {taskOf(LaterId), 1}}}},
+                       Sim.Now);
+  CHECK_TRUE(Sim.runUntil(
+      [&] { return Sim.storedPhase(LaterId) == JobPhase::Completed; }, 30'000));
+  LONGS_EQUAL(2, Sim.runsOf(taskOf(LaterId)));
+}
+
 /// Leases are by the clock of the later incarnation, which reads less.
 TEST(WithARunAndRoomElsewhere, TheNextIncarnationIsCutOffWithARun) {
   Sim.executor(OtherId).Unreachable = true;
