--- a/tests/unit/DirectCallsTest.cpp
+++ b/tests/unit/DirectCallsTest.cpp
@@ -116,7 +116,6 @@
   CHECK(post(Server).error() == Errc::Timeout);
 }
 
-/// Guards against a header that ends its request and begins another one.
 /// Guards against a poll that never returns: a caller that tries again at once,
 /// with a request that can't be sent.
 TEST(ConcurrentCallsToAMisbehavingServer, ThatAreRepeatedAtOnceLeaveThePoll) {
@@ -137,6 +136,7 @@
   finishAll();
 }
 
+/// Guards against a header that ends its request and begins another one.
 TEST(ConcurrentCallsToAMisbehavingServer, SendNoMalformedRequest) {
   RawServer Server({});
   http::Call Request = request(Server);
