A failed run heard of late counts as an attempt

Cause: the end of a run whose executor was out of reach, and which was taken for lapsed, was looked at only if it was `done`. One that had `failed` was ignored and acknowledged, so that its task was started again beyond max-attempts. Suspected by review; the tests show it.

Ruled out: that the rule as it is written was broken in the simulation. It counts ends that are acknowledged without a lapse of the lease between, and a run is taken for lapsed once its lease has ended there.

Change: such an end counts once, whatever the phase of the task; not for tasks that last, not if the task is done, or is known to be done once a later run is over. It is acknowledged with the commit that stores the count. A gang counts one failure a run; counted runs are kept, in place of the newest one, since late ends come in any order. A later run goes on unless no attempt is left. Then the job has failed and open runs are stopped. A later run that ends as done after all doesn't change that: the status page defines `failed` as max-attempts failures, the state may have been shown already and must not change, and that run would not have begun had its owner heard in time.

A successor knows the stored count, not which runs are in it. Runs that were over when it loaded the task count once it has heard of more of them than are stored; later runs always. So no run counts twice, no job fails before its attempts are used up, and nothing is started by an owner that has itself heard of the last failure. A failure that no earlier owner has stored may stay uncounted if an earlier owner has counted another one: the number is a lower bound there. To be exact, the stored progress would have to name the runs given up.

`Crashes` isn't touched: an executor that answers has its lapsed runs dropped from those that a crash may have cost, before its ends are read. Only if its address went to another incarnation before that has the run been counted as a crash already; it then counts as both (by reading, no test).

RandomLapses, RunNoTaskTwice is as strict as before: no run fails there, and a failed job passes only if a task of it has failed as often as is allowed.

Conclusion: the fault is mended in the simulation.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -264,6 +264,9 @@
       LiveTask &Task = Key.task();
       Task.Run = StoredTask.Run;
       Task.Failures = StoredTask.Failures;
+      Task.KnownFailures.restore(StoredTask.Failures);
+      Task.LastRunBeforeLoad =
+          isOpen(StoredTask.Phase) ? StoredTask.Run - 1 : StoredTask.Run;
       Task.Crashes = StoredTask.Crashes;
       Task.Checkpoint = StoredTask.Checkpoint;
       Task.Phase = StoredTask.Phase;
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -344,7 +344,8 @@
   void endRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
   void onGangMemberEnd(const TaskKey &Key, executor::EndKind Kind,
                        TimePoint Now);
-  void countFailure(const TaskKey &Key, TimePoint Now);
+  bool countFailure(const TaskKey &Key, uint32_t Run, TimePoint Now);
+  bool countLateFailure(const executor::RunEnd &End, TimePoint Now);
   void onRunningTask(ExecutorIndex Index, const executor::RunStatus &Running,
                      TimePoint Now);
   void endAbsentRuns(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CELL_LIVEJOB_H
 
 #include "cell/ExecutorPool.h"
+#include "cell/FailedRuns.h"
 #include "cell/JobSpec.h"
 #include "cell/Progress.h"
 #include "common/Time.h"
@@ -29,6 +30,9 @@
   TaskPhase Phase = TaskPhase::Waiting;
   uint32_t Run = 0;
   uint32_t Failures = 0;
+  FailedRuns KnownFailures; ///< Those of a gang are with its first member.
+  /// The newest run that was over when this owner loaded the task.
+  uint32_t LastRunBeforeLoad = 0;
   uint32_t Crashes = 0;   ///< Executors that crashed under its runs.
   bool IsSuspect = false; ///< Counted in `Suspects` of `Executor`.
   ExecutorIndex Executor = NoExecutor;
@@ -101,8 +105,6 @@
   /// expire soon, or whose executors leave.
   std::vector<ExecutorIndex> PreparedExecutors;
   TimePoint PreparedAt{};
-  /// The newest run that was counted as failed.
-  uint32_t LastFailedGangRun = 0;
 };
 
 struct LiveOccurrence {
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -134,21 +134,30 @@
   }
 }
 
-void CellOwner::countFailure(const TaskKey &Key, TimePoint Now) {
-  LiveTask &Task = Key.task();
+/// Counts a failed run as an attempt of the task, or of its gang, for which the
+/// first member stands. Returns whether it had not been counted before.
+bool CellOwner::countFailure(const TaskKey &Key, uint32_t Run, TimePoint Now) {
+  TaskKey Counted = Key;
+  if (Key.spec().Gang)
+    Counted.Position.Index = 0;
+  LiveTask &Task = Counted.task();
+  bool MayBeStored = Run <= Key.task().LastRunBeforeLoad;
+  if (!Key.spec().LongRunning && !Task.KnownFailures.add(Run, MayBeStored))
+    return false;
   ++Task.Failures;
   ++Counts.EndsFailed;
   if (Key.spec().LongRunning || isFinal(Key.Job->Phase))
-    return;
+    return true;
   const Queue *JobQueue = findQueue(Key.Job->Spec.Queue);
   uint32_t MaxFailures = JobQueue ? JobQueue->MaxAttempts : 1;
   if (Task.Failures < MaxFailures)
-    return;
+    return true;
   ++Counts.JobsFailed;
   logInfo("job-failed", "job={} task={} failures={} allowed={}",
-          Key.Job->Spec.Id, Key.name(), Task.Failures, MaxFailures);
+          Key.Job->Spec.Id, Counted.name(), Task.Failures, MaxFailures);
   setFinalPhase(*Key.Job, JobPhase::Failed);
   stopAllRuns(*Key.Job, Now);
+  return true;
 }
 
 /// Applies the end of a member to the whole gang: after `Done` all members are
@@ -156,14 +165,8 @@
 void CellOwner::onGangMemberEnd(const TaskKey &Key, EndKind Kind,
                                 TimePoint Now) {
   LiveStep &Step = Key.step();
-  uint32_t Run = Key.task().Run;
-  if (Kind == EndKind::Failed && Step.LastFailedGangRun < Run &&
-      !isDoneEarlier(Key)) {
-    Step.LastFailedGangRun = Run;
-    TaskKey FirstMember = Key;
-    FirstMember.Position.Index = 0;
-    countFailure(FirstMember, Now);
-  }
+  if (Kind == EndKind::Failed && !isDoneEarlier(Key))
+    countFailure(Key, Key.task().Run, Now);
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     TaskKey OtherMember = Key;
     OtherMember.Position.Index = I;
@@ -210,7 +213,7 @@
   if (Spec.Gang)
     onGangMemberEnd(Key, Kind, Now);
   else if (Kind == EndKind::Failed && !isDoneEarlier(Key))
-    countFailure(Key, Now);
+    countFailure(Key, Key.task().Run, Now);
   if (IsDone)
     completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
@@ -310,8 +313,28 @@
   });
 }
 
+/// Counts a run that failed on an executor out of reach, after its lease was
+/// taken to have expired, as an attempt of its task. A later run of it goes on,
+/// unless the task has no attempt left: its job has then failed, whatever that
+/// run would end as. Returns whether the run counts.
+bool CellOwner::countLateFailure(const executor::RunEnd &End, TimePoint Now) {
+  auto Key = findTask(End.Id);
+  if (!Key || End.Kind != EndKind::Failed || isFinal(Key->Job->Phase) ||
+      Key->spec().LongRunning)
+    return false;
+  const LiveTask &Task = Key->task();
+  if (isOpen(Task.Phase) && Task.Run == End.Id.Run)
+    return false; // On another incarnation.
+  if (Task.Phase == TaskPhase::Done || isDoneEarlier(*Key) ||
+      !countFailure(*Key, End.Id.Run, Now))
+    return false;
+  Key->Job->Started = true;
+  markChanged(*Key->Job);
+  return true;
+}
+
 /// An end that changes nothing now: the task is done, has been started again,
-/// or its job has ended.
+/// or its job has ended, or the run has been counted as failed.
 ListedEnd CellOwner::ignoredEnd(ExecutorIndex Index,
                                 const executor::RunEnd &End, TimePoint Now) {
   ListedEnd Ignored{.Number = End.Sequence,
@@ -363,6 +386,12 @@
     endGivenUpRun(*Key, Now);
     Unacknowledged.JobId = Key->Job->Spec.Id;
     Unacknowledged.JobRevision = Key->Job->Revision;
+  } else if (countLateFailure(End, Now)) {
+    const LiveJob &Job = *findTask(End.Id)->Job;
+    logInfo("run-ended", "task={} run={} executor={} how={} after_ms=-1",
+            End.Id.Task, End.Id.Run, Executor.Info.Id, endName(End.Kind));
+    Unacknowledged.JobId = Job.Spec.Id;
+    Unacknowledged.JobRevision = Job.Revision;
   } else {
     Unacknowledged = ignoredEnd(Index, End, Now);
   }
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -63,7 +63,9 @@
   LeaseEndMs = std::max(LeaseEndMs, std::min(EndMs, clockMs(Now) + MaxLeaseMs));
 }
 
-Simulation::Simulation(uint64_t Seed) : Rng(Seed), Config(makeConfig()) {
+Simulation::Simulation(uint64_t Seed)
+    : Rng(Seed), Config(makeConfig()),
+      Attempts(Config->Queues.front().MaxAttempts) {
   EndKindFor = [](const std::string &) { return EndKind::Done; };
   RunTimeFor = [](const std::string &, int64_t Estimate) { return Estimate; };
 }
@@ -572,7 +574,7 @@
 }
 
 /// The owner has heard of these ends: it must not send a start of a task that
-/// is done, or of a member of its gang.
+/// is done, or of a member of its gang, nor of one without an attempt left.
 void Simulation::recordHeardEnds(const cell::CellOwner &Receiver,
                                  const SimExecutor &Executor,
                                  const executor::RenewalAnswer &Answer) {
@@ -582,7 +584,11 @@
   for (const executor::RunEnd &End : Answer.Ended) {
     cell::TaskRef Ref = *cell::parseTaskName(End.Id.Task);
     const cell::StepSpec &Step = Specs.at(std::string(Ref.Job)).Steps[Ref.Step];
-    if (End.Kind != EndKind::Done || Step.LongRunning)
+    if (Step.LongRunning)
+      continue;
+    if (End.Kind == EndKind::Failed)
+      Attempts.onHeard(&Receiver, *limitedUnitOf(End.Id.Task), End.Id.Run);
+    if (End.Kind != EndKind::Done)
       continue;
     HeardDone[&Receiver].insert(End.Id.Task);
     for (Ref.Index = 0; Step.Gang && Ref.Index < Step.Count; ++Ref.Index)
@@ -596,6 +602,11 @@
   if (KeepsHistory && HeardDone[Sender].count(Order.Id.Task))
     Violations.push_back(
         "started after its owner had heard that it was done: " + Order.Id.Task);
+  auto Unit = KeepsHistory ? limitedUnitOf(Order.Id.Task) : std::nullopt;
+  if (Unit && Attempts.hasHeardLastAttempt(Sender, *Unit))
+    Violations.push_back(
+        "started after its owner had heard of its last attempt: " +
+        Order.Id.Task);
   auto Answer = [this, Sender, Order,
                  Index](const executor::OrderAnswer &Result) {
     notify(Sender, [this, Order, Index, Result](cell::CellOwner &Receiver) {
@@ -669,6 +680,7 @@
   }
   if (KeepsHistory) {
     checkStart(Executor, Order);
+    noteStart(Order.Id.Task);
     Started.push_back(Order);
   }
   auto Ref = *cell::parseTaskName(Order.Id.Task);
@@ -764,6 +776,40 @@
   }
 }
 
+/// The name under which failed runs of the task count as attempts: that of its
+/// gang, if it is a member. None for a task that lasts.
+std::optional<std::string>
+Simulation::limitedUnitOf(const std::string &Task) const {
+  cell::TaskRef Ref = *cell::parseTaskName(Task);
+  const cell::StepSpec &Step = Specs.at(std::string(Ref.Job)).Steps[Ref.Step];
+  if (Step.LongRunning)
+    return std::nullopt;
+  return Step.Gang ? cell::stepName(Ref) : Task;
+}
+
+void Simulation::noteAcknowledgedFailure(const executor::RunId &Id) {
+  auto Unit = limitedUnitOf(Id.Task);
+  if (!Unit)
+    return;
+  Attempts.onAcknowledged(*Unit, Id.Run);
+  checkAttempts(*Unit);
+}
+
+void Simulation::noteStart(const std::string &Task) {
+  auto Unit = limitedUnitOf(Task);
+  if (!Unit)
+    return;
+  Attempts.onStarted(*Unit, Now);
+  checkAttempts(*Unit);
+}
+
+/// Nothing is started after the last attempt that is allowed has failed, if its
+/// end is acknowledged then or later.
+void Simulation::checkAttempts(const std::string &Unit) {
+  if (Attempts.isExceeded(Unit))
+    Violations.push_back("started after its last attempt: " + Unit);
+}
+
 executor::OrderAnswer Simulation::handleStop(SimExecutor &Executor,
                                              const executor::StopOrder &Order) {
   executor::OrderAnswer Answer{.ClockMs = Executor.clockMs(Now)};
@@ -811,7 +857,11 @@
   if (Call.LeaseEndMs)
     Executor.grantLease(*Call.LeaseEndMs, Now);
   for (const executor::RunEnd &End : Executor.Ended) {
-    if (End.Sequence > Call.AcknowledgedEnd || End.Kind != EndKind::Done)
+    if (End.Sequence > Call.AcknowledgedEnd)
+      continue;
+    if (End.Kind == EndKind::Failed && End.Sequence > Executor.LastVoidEnd)
+      noteAcknowledgedFailure(End.Id);
+    if (End.Kind != EndKind::Done)
       continue;
     DoneTasks[End.Id.Task] = End.Id.Run;
     if (End.Sequence > Executor.LastVoidEnd)
@@ -834,6 +884,9 @@
   HighestEndedRun = std::max(HighestEndedRun, Run);
   Executor.Ended.push_back(
       {.Sequence = ++Executor.EndCount, .Id = {Task, Run}, .Kind = Kind});
+  auto Unit = limitedUnitOf(Task);
+  if (Unit && Kind == EndKind::Failed)
+    Attempts.onFailed(*Unit, Run, Now);
   auto Ref = *cell::parseTaskName(Task);
   if (!Specs.at(std::string(Ref.Job)).Steps[Ref.Step].Gang)
     return;
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -5,6 +5,7 @@
 #include "cell/CellOwner.h"
 #include "cell/EndedJob.h"
 #include "common/Random.h"
+#include "unit/AttemptCheck.h"
 
 #include <chrono>
 #include <functional>
@@ -162,6 +163,10 @@
   bool isOpen(const std::string &Task) const;
   const std::vector<std::string> &violations() const { return Violations; }
   size_t runsOf(const std::string &Task) const;
+  /// Whether a task, or a gang, of the job has failed as often as is allowed.
+  bool mayFail(const std::string &JobId) const {
+    return Attempts.mayFail(JobId);
+  }
   /// Sends a start once more, as a copy that was delayed.
   void carryOutAgain(const executor::StartOrder &Order) {
     handleStart(executor(Order.Target.Id), Order);
@@ -258,6 +263,10 @@
                        const SimExecutor &Executor,
                        const executor::RenewalAnswer &Answer);
   void checkStart(SimExecutor &Executor, const executor::StartOrder &Order);
+  std::optional<std::string> limitedUnitOf(const std::string &Task) const;
+  void noteAcknowledgedFailure(const executor::RunId &Id);
+  void noteStart(const std::string &Task);
+  void checkAttempts(const std::string &Unit);
   int64_t clockMs() const { return toMillis(Now.time_since_epoch()); }
   cell::StoreClock storeClock() const {
     return {.MinMs = clockMs(), .MaxMs = clockMs()};
@@ -293,6 +302,7 @@
   std::set<std::string> ConfirmedTasks;
   /// Tasks that an owner has heard of as done.
   std::map<const cell::CellOwner *, std::set<std::string>> HeardDone;
+  AttemptCheck Attempts;
   std::vector<std::string> Violations;
 };
 
--- a/tests/unit/LateEndTest.cpp
+++ b/tests/unit/LateEndTest.cpp
@@ -2,11 +2,12 @@
 
 #include <CppUTest/TestHarness.h>
 
-/// A run that is done where its owner can't hear of it, until the owner takes
-/// it for lapsed and prepares, or sends, the next start.
+/// A run that is done, or fails, where its owner can't hear of it, until the
+/// owner takes it for lapsed and prepares, or sends, the next start.
 using namespace daisylanding;
 using namespace daisylanding::cell;
 using namespace daisylanding::cellsim;
+using daisylanding::executor::EndKind;
 using daisylanding::executor::OrderOutcome;
 using daisylanding::executor::StartOrder;
 
@@ -19,6 +20,8 @@
 constexpr int64_t SlowCommitMs = 400;
 /// Until an executor that is in reach again is heard.
 constexpr int64_t ContactMs = 700;
+/// Long enough for an end to be heard meanwhile.
+constexpr int64_t LongRunMs = 2'000;
 
 } // namespace
 
@@ -28,6 +31,7 @@
   std::string First;
   uint32_t Members = 1;
   uint32_t Occurrences = 0;
+  bool Lasts = false;
 
   void setup() override { begin(1); }
   void begin(uint32_t Count) {
@@ -37,6 +41,7 @@
     Sim.takeOver();
     JobSpec Job = Simulation::makeJob(JobId, Members, Size, RunMs);
     Job.Steps[0].Gang = Members > 1;
+    Job.Steps[0].LongRunning = Lasts;
     Job.RepeatCount = Occurrences;
     Job.FirstRunMs = toMillis(Sim.Now.time_since_epoch());
     Job.IntervalMs = 600'000;
@@ -185,9 +190,7 @@
 /// Guards against a third run, of a task that is known to be done, once the
 /// second one has ended otherwise.
 TEST(WhoseNextRunHasBegun, IsNotStartedOnceMore) {
-  Sim.EndKindFor = [](const std::string &) {
-    return executor::EndKind::Failed;
-  };
+  Sim.EndKindFor = [](const std::string &) { return EndKind::Failed; };
   setReachable(true);
   CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
   LONGS_EQUAL(2, Sim.Started.size());
@@ -246,6 +249,224 @@
   LONGS_EQUAL(Members, Sim.Started.size());
 }
 
+// clang-format off
+TEST_GROUP_BASE(ARunFailedOutOfReach, TEST_GROUP_CppUTestGroupARunDoneOutOfReach) {
+  void setup() override { beginFailing(1); }
+  void setEnds(EndKind Kind) {
+    Sim.EndKindFor = [Kind](const std::string &) { return Kind; };
+  }
+  void beginFailing(uint32_t Count) {
+    setEnds(EndKind::Failed);
+    begin(Count);
+    Sim.RunTimeFor = [](const std::string &, int64_t) { return LongRunMs; };
+    awaitLapse();
+  }
+  void awaitNextRun() {
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == size_t{2} * Members; }, 2'000));
+  }
+  bool isFailed() { return Sim.storedPhase(JobId) == JobPhase::Failed; }
+  TaskProgress stored() {
+    auto Progress = decodeProgress(Sim.storedValue(ProgressTable, JobId));
+    return Progress ? Progress->Tasks.at({0, 0, 0}) : TaskProgress{};
+  }
+  /// The count is stored, but no executor is told so before the next owner
+  /// hears the same ends.
+  void countThenTakeOver() {
+    setReachable(true);
+    CHECK(Sim.runUntil([&] { return Sim.Owner->counts().EndsFailed == 1; }, 2'000));
+    setReachable(false);
+    CHECK(Sim.runUntil([&] { return stored().Failures == 1; }, 2'000));
+    Sim.takeOver();
+    LONGS_EQUAL(1, Sim.executor(First).Ended.size());
+    setReachable(true);
+    CHECK(Sim.runUntil([&] { return Sim.executor(First).Ended.empty(); }, 2'000));
+  }
+  void checkFailsWith(size_t Starts) {
+    CHECK(Sim.runUntil([&] { return isFailed(); }, 6'000));
+    Sim.runFor(1'000);
+    LONGS_EQUAL(Starts, Sim.Started.size());
+  }
+};
+
+TEST_GROUP_BASE(WhoseNextRunHasBegunMeanwhile, TEST_GROUP_CppUTestGroupARunFailedOutOfReach) {
+  void setup() override {
+    beginFailing(1);
+    awaitNextRun();
+  }
+};
+
+TEST_GROUP_BASE(AGangThatFailedOutOfReach, TEST_GROUP_CppUTestGroupARunFailedOutOfReach) {
+  void setup() override {
+    beginFailing(3);
+    awaitNextRun();
+  }
+};
+
+TEST_GROUP_BASE(ALastingTaskThatFailedOutOfReach, TEST_GROUP_CppUTestGroupARunFailedOutOfReach) {
+  void setup() override {
+    Lasts = true;
+    beginFailing(1);
+    awaitNextRun();
+  }
+};
+
+/// As many runs as are allowed.
+TEST_GROUP_BASE(TwoRunsFailedOutOfReach, TEST_GROUP_CppUTestGroupARunFailedOutOfReach) {
+  void setup() override { beginTwoFailing(); }
+  void beginTwoFailing() {
+    beginFailing(1);
+    Sim.addExecutor(Size);
+    Sim.RunTimeFor = [](const std::string &, int64_t Estimate) { return Estimate; };
+    awaitNextRun();
+    Sim.executor(Sim.Started[1].Target.Id).Unreachable = true;
+    Sim.RunTimeFor = [](const std::string &, int64_t) { return LongRunMs; };
+    Sim.runFor(1'000);
+  }
+  void awaitSecondLapse() {
+    CHECK(Sim.runUntil([&] { return Sim.Owner->counts().ExpiredRuns == 2; }, 8'000));
+  }
+  void setBothReachable() {
+    for (size_t I = 0; I < 2; ++I)
+      Sim.executor(Sim.Started[I].Target.Id).Unreachable = false;
+  }
+};
+
+TEST_GROUP_BASE(WhoseThirdStartIsBeingStored, TEST_GROUP_CppUTestGroupTwoRunsFailedOutOfReach) {
+  void setup() override {
+    beginTwoFailing();
+    Sim.CommitTimeMs = 1'000;
+    awaitSecondLapse();
+  }
+};
+
+TEST_GROUP_BASE(WhoseThirdRunHasBegun, TEST_GROUP_CppUTestGroupTwoRunsFailedOutOfReach) {
+  void setup() override {
+    beginTwoFailing();
+    awaitSecondLapse();
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == 3; }, 2'000));
+  }
+};
+// clang-format on
+
+/// Guards against a start beyond the attempts of a task one of whose failures
+/// is heard while it runs again.
+TEST(WhoseNextRunHasBegunMeanwhile, IsNotStartedBeyondItsAttempts) {
+  setReachable(true);
+  checkFailsWith(2);
+}
+
+/// Guards against a job that fails as if a lost run of its task had counted:
+/// only its failure does, and the run that goes on is done.
+TEST(WhoseNextRunHasBegunMeanwhile, LeavesTheNextRunGoingOn) {
+  setEnds(EndKind::Done);
+  setReachable(true);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  LONGS_EQUAL(2, Sim.Started.size());
+}
+
+/// Guards against a failure that counts as a crash of its executor as well.
+TEST(WhoseNextRunHasBegunMeanwhile, IsNotCountedAsACrash) {
+  setReachable(true);
+  Sim.runFor(ContactMs);
+  LONGS_EQUAL(1, stored().Failures);
+  LONGS_EQUAL(0, stored().Crashes);
+}
+
+/// Guards against an executor that forgets an end before its count is stored.
+TEST(WhoseNextRunHasBegunMeanwhile, ItsEndIsAcknowledgedOnceItsCountIsStored) {
+  setEnds(EndKind::Done);
+  // A commit without the count is in flight when the end is heard.
+  Sim.CommitTimeMs = 1'000;
+  Sim.runFor(400);
+  setReachable(true);
+  CHECK(
+      Sim.runUntil([&] { return Sim.Owner->counts().EndsFailed == 1; }, 2'000));
+  CHECK(Sim.runUntil(
+      [&] {
+        return stored().Failures == 1 || Sim.executor(First).Ended.empty();
+      },
+      3'000));
+  LONGS_EQUAL(1, Sim.executor(First).Ended.size());
+  CHECK(Sim.runUntil([&] { return Sim.executor(First).Ended.empty(); }, 3'000));
+}
+
+/// Guards against a failure that the next owner counts once more, as it is
+/// listed again.
+TEST(WhoseNextRunHasBegunMeanwhile, IsCountedOnceIfTheNextOwnerHearsItToo) {
+  setEnds(EndKind::Done);
+  countThenTakeOver();
+  LONGS_EQUAL(1, stored().Failures);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  LONGS_EQUAL(2, Sim.Started.size());
+}
+
+/// Guards against a failure that is not counted since the owner that gave the
+/// run up is gone.
+TEST(WhoseNextRunHasBegunMeanwhile, CountsIfTheNextOwnerHearsItFirst) {
+  Sim.takeOver();
+  setReachable(true);
+  checkFailsWith(2);
+}
+
+/// Guards against a gang that counts a failure for each of its members.
+TEST(AGangThatFailedOutOfReach, CountsOnce) {
+  setReachable(true);
+  Sim.runFor(ContactMs);
+  LONGS_EQUAL(1, stored().Failures);
+  CHECK_FALSE(isFailed());
+}
+
+/// Guards against a gang whose failure the next owner counts once more.
+TEST(AGangThatFailedOutOfReach, IsCountedOnceIfTheNextOwnerHearsItToo) {
+  setEnds(EndKind::Done);
+  countThenTakeOver();
+  LONGS_EQUAL(1, stored().Failures);
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 4'000));
+  LONGS_EQUAL(2 * Members, Sim.Started.size());
+}
+
+/// Guards against a start beyond the attempts of a gang.
+TEST(AGangThatFailedOutOfReach, IsNotStartedBeyondItsAttempts) {
+  setReachable(true);
+  checkFailsWith(size_t{2} * Members);
+}
+
+/// Guards against a limit of attempts for tasks that last.
+TEST(ALastingTaskThatFailedOutOfReach, GoesOn) {
+  setReachable(true);
+  Sim.runFor(ContactMs);
+  LONGS_EQUAL(0, stored().Failures);
+  CHECK(Sim.runUntil([&] { return Sim.Started.size() == 4; }, 8'000));
+}
+
+/// Guards against a start whose record is in a commit when the last failure
+/// that is allowed is heard.
+TEST(WhoseThirdStartIsBeingStored, IsNotStartedBeyondItsAttempts) {
+  setBothReachable();
+  checkFailsWith(2);
+}
+
+/// Guards against a run that goes on although its task has no attempt left.
+TEST(WhoseThirdRunHasBegun, IsStopped) {
+  setBothReachable();
+  checkFailsWith(3);
+  CHECK_FALSE(Sim.isOpen(TaskId));
+}
+
+/// Guards against a job that is shown as failed and then as completed: a run
+/// that would not have begun, had its owner heard in time, ends as done before
+/// its stop arrives.
+TEST(WhoseThirdRunHasBegun, ItsJobStaysFailedIfItIsDoneAfterAll) {
+  setEnds(EndKind::Done);
+  Sim.StopTimeMs = 2 * LongRunMs;
+  setBothReachable();
+  checkFailsWith(3);
+  Sim.runFor(LongRunMs);
+  CHECK(isFailed());
+  CHECK_FALSE(Sim.isOpen(TaskId));
+  LONGS_EQUAL(0, Sim.executor(Sim.Started.back().Target.Id).Ended.size());
+}
+
 // clang-format off
 TEST_GROUP(AnOwnerThatStallsPastALease) {
   static constexpr int64_t StallMs = 6'000;
--- a/tests/unit/RandomLapsesTest.cpp
+++ b/tests/unit/RandomLapsesTest.cpp
@@ -20,8 +20,10 @@
 /// One play with random faults.
 class LapsePlay {
 public:
-  explicit LapsePlay(uint64_t Seed)
-      : Seed(Seed), Sim(Seed), Rng(Seed * 11 + 3) {}
+  /// \p FailedShare of the runs, chosen at random, fail.
+  explicit LapsePlay(uint64_t Seed, double FailedShare = 0)
+      : Seed(Seed), Sim(Seed), Rng(Seed * 11 + 3), EndRng(Seed * 13 + 1),
+        FailedShare(FailedShare) {}
 
   void run() {
     setUp();
@@ -46,6 +48,10 @@
   static constexpr Millis QuietTime{60'000};
 
   void setUp() {
+    Sim.EndKindFor = [this](const std::string &) {
+      return EndRng.uniform() < FailedShare ? executor::EndKind::Failed
+                                            : executor::EndKind::Done;
+    };
     Sim.Faults = {.OrderAnswerLost = 0.02, .CommitAnswerLost = 0.03};
     // The simulated policy service serves one owner.
     NeedsAdvice = Rng.below(2) == 0;
@@ -127,9 +133,13 @@
       Sim.executor(Entry.first).Unreachable = false;
   }
 
+  /// Whether the jobs are completed, but for those that have failed with cause.
   bool isCompleted() const {
     for (size_t I = 1; I <= JobCount; ++I) {
-      if (Sim.storedPhase(fmt::format("{:016x}", I)) != JobPhase::Completed)
+      std::string Id = fmt::format("{:016x}", I);
+      JobPhase Phase = Sim.storedPhase(Id);
+      bool IsExhausted = Phase == JobPhase::Failed && Sim.mayFail(Id);
+      if (Phase != JobPhase::Completed && !IsExhausted)
         return false;
     }
     return true;
@@ -145,6 +155,8 @@
   uint64_t Seed;
   Simulation Sim;
   Random Rng;
+  Random EndRng; ///< Of how runs end.
+  double FailedShare;
   bool NeedsAdvice = false;
   size_t JobCount = 0;
   std::map<std::string, TimePoint> CutUntil;
@@ -157,3 +169,13 @@
   for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
     LapsePlay(Seed).run();
 }
+
+/// Guards against starts beyond the attempts of a task whose failed run was
+/// heard after its lease was taken to have expired, and against jobs that fail
+/// before their attempts are used up.
+TEST(RandomLapses, StartNoTaskBeyondItsAttempts) {
+  constexpr uint64_t Seeds = 60;
+  constexpr double FailedShare = 0.4;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    LapsePlay(Seed, FailedShare).run();
+}
