A ticket refusal leaves a newer ticket valid

Cause: a start that is refused for its ticket voided the step's ticket on that executor, whichever it was. If a newer one had come while the start was on its way, for another task of the step, that one was voided as well: the other start, recorded or about to be, was dropped, and one more call for advice was made.

Ruled out: that a start is sent with the newer ticket before its refusal is known; the ticket of an order is the one at its sending.

Change: only a ticket that was granted at or before the sending of the refused start is voided. A step without a permission there no longer gets an empty one.

Measured: without the fix KeepsATicketThatCameSince fails: CHECK(grantedMs(Second) < RefusedMs), the second start carries a ticket granted after the refusal. GetsANewTicketForTheNext, that the refused ticket isn't sent again, passes before and after. Simulated executors can answer starts late.

--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -20,6 +20,14 @@
 /// No starts are sent to an executor for this long after it refused one.
 constexpr Millis RefusalPause{300};
 
+/// Voids the ticket of a start that was sent at \p SentAt and refused. One that
+/// was granted since may be valid.
+void voidTicket(LiveStep &Step, ExecutorIndex Index, TimePoint SentAt) {
+  auto Found = Step.Permissions.find(Index);
+  if (Found != Step.Permissions.end() && Found->second.GrantedAt <= SentAt)
+    Found->second.ValidUntil = {};
+}
+
 } // namespace
 
 executor::ExecutorTarget CellOwner::targetOf(ExecutorIndex Index) const {
@@ -367,12 +375,11 @@
         std::max(Pool[Index].AvoidUntil, Now + RefusalPause);
     dropRefusedStart(Key, Now);
     break;
-  case OrderOutcome::TicketInvalid: {
+  case OrderOutcome::TicketInvalid:
     ++Counts.TicketRefusals;
-    Key.step().Permissions[Index].ValidUntil = {};
+    voidTicket(Key.step(), Index, Task.StartSentAt);
     dropRefusedStart(Key, Now);
     break;
-  }
   case OrderOutcome::Rejected:
   case OrderOutcome::Unhealthy:
     Pool.recordFailure(Index, Now);
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -641,8 +641,11 @@
                                  .ClockMs = Executor.clockMs(Now)};
     if (!Refused)
       Result = handleStart(Executor, Order);
+    int64_t DelayMs = StartAnswerDelayFor ? StartAnswerDelayFor(Order) : 0;
     if (AnswerLost || Executor.AnswersLost)
       schedule(OrderTimeoutMs, [Answer] { Answer({}); });
+    else if (DelayMs > 0)
+      schedule(DelayMs, [Answer, Result] { Answer(Result); });
     else
       Answer(Result);
   });
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -199,6 +199,8 @@
   std::function<std::optional<executor::OrderOutcome>(
       const executor::StartOrder &)>
       RefusalFor;
+  /// By how many ms the answer to a start is late.
+  std::function<int64_t(const executor::StartOrder &)> StartAnswerDelayFor;
   std::unique_ptr<cell::CellOwner> Owner;
   /// One that is paused, or was when another took over.
   std::unique_ptr<cell::CellOwner> OldOwner;
--- a/tests/unit/RefusedStartTest.cpp
+++ b/tests/unit/RefusedStartTest.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace daisylanding;
@@ -116,3 +118,70 @@
   CHECK_EQUAL(1, Sim.Started.size());
   CHECK_EQUAL(2, Sim.Started.front().Id.Run);
 }
+
+// clang-format off
+/// Two tasks of a step that start one after the other on the same executor. The
+/// first start is refused for its ticket.
+TEST_GROUP_BASE(WhoseFirstStartIsRefused,
+                TEST_GROUP_CppUTestGroupAnOwnerWhoseStartsNeedTickets) {
+  static constexpr Resources TwoPlaces{.MilliCores = 2'000, .MemoryMb = 8'000};
+  std::string Step;
+
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOwnerWhoseStartsNeedTickets::setup();
+    Sim.addExecutor(TwoPlaces);
+    Sim.takeOver();
+    Sim.runFor(500);
+  }
+
+  /// A task of another job keeps the second place for so long.
+  void submitBoth(int64_t OtherRunMs, int64_t RefusalDelayMs) {
+    submit(OtherRunMs);
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == 1; }, 1'000));
+    std::string Id = fmt::format("{:016x}", ++Submitted);
+    Step = Id + ".0.0";
+    auto IsFirst = [this](const executor::StartOrder &Order) {
+      return Order.Id.Task == Step + ".0" && Order.Id.Run == 1;
+    };
+    Sim.RefusalFor = [IsFirst](const executor::StartOrder &Order) {
+      return IsFirst(Order) ? std::optional(executor::OrderOutcome::TicketInvalid) : std::nullopt;
+    };
+    Sim.StartAnswerDelayFor = [IsFirst, RefusalDelayMs](const executor::StartOrder &Order) {
+      return IsFirst(Order) ? RefusalDelayMs : 0;
+    };
+    Sim.submit(Simulation::makeJob(Id, 2, TaskSize, 300));
+    CHECK(Sim.runUntil([&] { return Sim.Owner->counts().Starts == 2; }, 1'000));
+  }
+  void awaitRefusal() {
+    CHECK(Sim.runUntil([&] { return Sim.Owner->counts().TicketRefusals == 1; }, 4'000));
+  }
+  const executor::StartOrder &awaitStart(const std::string &Task) {
+    CHECK(Sim.runUntil([&] { return Sim.runsOf(Task) > 0; }, 3'000));
+    return *std::find_if(Sim.Started.begin(), Sim.Started.end(),
+                         [&](const auto &Order) { return Order.Id.Task == Task; });
+  }
+  /// When the ticket was granted, which is its text here.
+  static int64_t grantedMs(const executor::StartOrder &Order) { return std::stoll(Order.Ticket); }
+  int64_t nowMs() const { return toMillis(Sim.Now.time_since_epoch()); }
+};
+// clang-format on
+
+/// Guards against a ticket that is voided by the refusal of a start that was
+/// sent before it was granted.
+TEST(WhoseFirstStartIsRefused, KeepsATicketThatCameSince) {
+  submitBoth(1'900, 2'050);
+  Sim.CommitTimeMs = 300;
+  awaitRefusal();
+  int64_t RefusedMs = nowMs();
+  const executor::StartOrder &Second = awaitStart(Step + ".1");
+  CHECK(grantedMs(Second) < RefusedMs);
+  LONGS_EQUAL(1, Second.Id.Run);
+}
+
+/// The ticket that was refused is not sent again.
+TEST(WhoseFirstStartIsRefused, GetsANewTicketForTheNext) {
+  submitBoth(100, 0);
+  awaitRefusal();
+  int64_t RefusedMs = nowMs();
+  CHECK(grantedMs(awaitStart(Step + ".0")) >= RefusedMs);
+}
