--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -329,23 +329,12 @@
   void beginStop(const TaskKey &Key, TimePoint Now);
   void stopAllRuns(LiveJob &Job, TimePoint Now);
   void stopBrokenGangs(LiveJob &Job, TimePoint Now);
-  std::optional<TaskKey> findGivenUpRun(const executor::RunEnd &End);
-  static bool hasLaterRun(const TaskKey &Key, uint32_t Run);
-  void endGivenUpRun(const TaskKey &Key, TimePoint Now);
-  void takeForDone(const TaskKey &Key);
   void onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                 TimePoint Now);
-  ListedEnd ignoredEnd(ExecutorIndex Index, const executor::RunEnd &End,
-                       TimePoint Now);
-  bool rememberEnd(ExecutorIndex Index, const executor::RunEnd &End,
-                   TimePoint Now);
-  bool isDoneEarlier(const TaskKey &Key);
-  void settleEarlierEnds(TimePoint Now);
   void endRun(const TaskKey &Key, executor::EndKind Kind, TimePoint Now);
   void onGangMemberEnd(const TaskKey &Key, executor::EndKind Kind,
                        TimePoint Now);
   bool countFailure(const TaskKey &Key, uint32_t Run, TimePoint Now);
-  bool countLateFailure(const executor::RunEnd &End, TimePoint Now);
   void onRunningTask(ExecutorIndex Index, const executor::RunStatus &Running,
                      TimePoint Now);
   void endAbsentRuns(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
@@ -360,6 +349,22 @@
   bool isAskedInVain(ExecutorIndex Index) const;
   void expireRuns(TimePoint Now);
 
+  // Ends of runs that were given up.
+  void takeForDone(const TaskKey &Key);
+  std::optional<TaskKey> findGivenUpRun(const executor::RunEnd &End);
+  static bool hasLaterRun(const TaskKey &Key, uint32_t Run);
+  void endGivenUpRun(const TaskKey &Key, TimePoint Now);
+  bool rememberEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                   TimePoint Now);
+  bool isDoneEarlier(const TaskKey &Key);
+  void settleEarlierEnds(TimePoint Now);
+  bool countLateFailure(const executor::RunEnd &End, TimePoint Now);
+  ListedEnd ignoredEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                       TimePoint Now);
+  void logLateEnd(ExecutorIndex Index, const executor::RunEnd &End) const;
+  ListedEnd onLateEnd(ExecutorIndex Index, const executor::RunEnd &End,
+                      TimePoint Now);
+
   // Incarnations of executors.
   ExecutorIndex noteIncarnation(const std::string &Id, int64_t Born,
                                 std::string_view HeardFrom,
--- a/src/executor/ExecutorPort.cpp
+++ b/src/executor/ExecutorPort.cpp
@@ -12,4 +12,10 @@
   return Names[static_cast<size_t>(Outcome)];
 }
 
+std::string_view endName(EndKind Kind) {
+  constexpr std::array<std::string_view, 6> Names = {
+      "done", "failed", "stopped", "lapsed", "broken", "alone"};
+  return Names[static_cast<size_t>(Kind)];
+}
+
 } // namespace daisylanding::executor
--- a/src/executor/ExecutorPort.h
+++ b/src/executor/ExecutorPort.h
@@ -123,6 +123,8 @@
   GangIncomplete   ///< Ended because other members did not start in time.
 };
 
+std::string_view endName(EndKind Kind);
+
 /// A run that has ended, as its executor reports it.
 struct RunEnd {
   uint64_t Sequence = 0; ///< Counts the run ends of an incarnation from 1.
