--- /dev/null
+++ b/src/cell/OwnerPace.cpp
@@ -0,0 +1,73 @@
+#include "cell/CellOwner.h"
+
+#include <algorithm>
+
+/// The pace of best-effort tasks beside tasks that serve users.
+namespace daisylanding::cell {
+
+/// Slows best-effort tasks beside tasks that serve users: at once when the
+/// users' tail latency nears its target, and back up in steps when it is far
+/// below.
+void CellOwner::adjustPace(ExecutorIndex Index, TimePoint Now) {
+  /// Tail latency as a share of its target.
+  constexpr double SlowDownRatio = 0.8;
+  constexpr double SpeedUpRatio = 0.55;
+  constexpr uint32_t MinPercent = 10;
+  constexpr uint32_t PercentStep = 15;
+  constexpr Millis MinSlowDownInterval{250};
+  constexpr Millis MinSpeedUpInterval{700};
+  double WorstRatio = 0;
+  bool ServesUsers = false;
+  for (const TaskKey &Key : OpenRunsByExecutor[Index]) {
+    const StepSpec &Spec = Key.spec();
+    const LiveTask &Task = Key.task();
+    if (Spec.TailLatencyTarget.count() <= 0 || Task.Phase != TaskPhase::Running)
+      continue;
+    ServesUsers = true;
+    WorstRatio = std::max(
+        WorstRatio,
+        Task.Usage / static_cast<double>(Spec.TailLatencyTarget.count()));
+  }
+  PaceState &Pace = PaceByExecutor[Index];
+  if (!ServesUsers) {
+    Pace.Percent = 100;
+  } else if (WorstRatio > SlowDownRatio &&
+             Now >= Pace.ChangedAt + MinSlowDownInterval) {
+    uint32_t HalvedPercent = Pace.Percent / 2;
+    Pace.Percent = HalvedPercent < MinPercent ? 0 : HalvedPercent;
+    Pace.ChangedAt = Now;
+  } else if (WorstRatio < SpeedUpRatio && Pace.Percent < 100 &&
+             Now >= Pace.ChangedAt + MinSpeedUpInterval) {
+    Pace.Percent = std::min(100U, Pace.Percent + PercentStep);
+    Pace.ChangedAt = Now;
+  }
+  for (const TaskKey &Key : OpenRunsByExecutor[Index]) {
+    LiveTask &Task = Key.task();
+    bool NeedsOrder = Key.spec().BestEffort &&
+                      Task.Phase == TaskPhase::Running &&
+                      Task.PacePercent != Pace.Percent;
+    if (!NeedsOrder)
+      continue;
+    Task.PacePercent = Pace.Percent;
+    Commands.PaceChanges.push_back({.Executor = Index,
+                                    .Order = {.Target = targetOf(Index),
+                                              .Id = {Key.name(), Task.Run},
+                                              .Percent = Pace.Percent,
+                                              .FencingToken = Row.Epoch}});
+  }
+}
+
+void CellOwner::onPace(const executor::RunId &Id, ExecutorIndex Index,
+                       const executor::OrderAnswer &Answer, TimePoint Now) {
+  /// Differs from any pace, so the order is repeated after the next renewal.
+  constexpr uint32_t UnknownPacePercent = 101;
+  if (Answer.Outcome == executor::OrderOutcome::Done) {
+    Pool.recordAnswer(Index, Answer.ClockMs, Now);
+    return;
+  }
+  auto Key = findTask(Id);
+  if (Key && Key->task().Run == Id.Run)
+    Key->task().PacePercent = UnknownPacePercent;
+}
+
+} // namespace daisylanding::cell
