Commands and status of an owner get headers of their own

Out of it go the plain structs: what an owner has its caller send (OwnerCommands.h), and what it tells of itself (OwnerStatus.h).

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -8,7 +8,9 @@
 #include "cell/ExecutorPool.h"
 #include "cell/LiveJob.h"
 #include "cell/Offer.h"
+#include "cell/OwnerCommands.h"
 #include "cell/OwnerRow.h"
+#include "cell/OwnerStatus.h"
 #include "cell/Placement.h"
 #include "cell/RenewalTurn.h"
 #include "cell/SpeedTracker.h"
@@ -50,103 +52,10 @@
   Millis StatusRetention{120'000};
 };
 
-/// A start whose record is committed, so that it may be sent.
-struct StartCommand {
-  ExecutorIndex Executor = NoExecutor;
-  executor::StartOrder Order;
-};
-
-struct StopCommand {
-  ExecutorIndex Executor = NoExecutor;
-  executor::StopOrder Order;
-};
-
-struct RenewalCommand {
-  ExecutorIndex Executor = 0;
-  executor::RenewalCall Call;
-};
-
-struct PaceCommand {
-  ExecutorIndex Executor = NoExecutor;
-  executor::PaceOrder Order;
-};
-
-/// Why advice is requested: for a step without any, on executors that it has no
-/// permission for, or because tickets have expired.
-enum class AdviceReason : uint8_t { First, Further, Renewal };
-
-/// An advice call that has not been assigned to an entry's advice queue.
-struct AdviceCallCommand {
-  uint64_t Id = 0;
-  AdviceReason Reason = AdviceReason::First;
-  TimePoint RequestedAt{};
-  executor::AdviceCall Call;
-  TimePoint DueAt{};     ///< When the step's slack is used up.
-  double ExpectedMs = 0; ///< Service time, without waiting.
-};
-
-/// Actions requested by one `advance`; the caller's loop carries them out.
-struct OwnerCommands {
-  std::vector<StartCommand> Starts;
-  std::vector<StopCommand> Stops;
-  std::vector<RenewalCommand> Renewals;
-  bool RenewalsLeft = false; ///< More are due than one turn requests.
-  std::vector<PaceCommand> PaceChanges;
-  std::vector<AdviceCallCommand> AdviceCalls;
-};
-
 /// What a turn of the owner does. Planning looks at all waiting steps and takes
 /// longest; orders and renewals must not wait for it.
 enum class OwnerTurn : uint8_t { Full, WithoutPlanning };
 
-/// Event counts since the owner was created, for metrics.
-struct OwnerCounts {
-  uint64_t Starts = 0;
-  uint64_t EndsDone = 0;
-  uint64_t EndsFailed = 0;
-  uint64_t EndsOther = 0;
-  uint64_t TicketRefusals = 0;
-  uint64_t CapacityRefusals = 0;
-  uint64_t ExpiredRuns = 0;
-  uint64_t Stragglers = 0;
-  uint64_t JobsCompleted = 0;
-  uint64_t JobsFailed = 0;
-  uint64_t JobsCancelled = 0;
-};
-
-/// Current totals of an owner.
-struct OwnerStatus {
-  size_t LiveJobs = 0;
-  size_t WaitingSteps = 0;
-  size_t StepsWithoutAdvice = 0;
-  size_t OpenRuns = 0;
-  size_t Executors = 0; ///< In the instance list.
-  size_t Usable = 0;    ///< Of those, the ones that may be sent tasks.
-  double CommitMs = 0;
-  uint32_t TotalCores = 0;    ///< Of listed executors.
-  uint32_t ReservedCores = 0; ///< For open and placed runs.
-  size_t PlacedTasks = 0;     ///< They wait for a valid ticket.
-  uint32_t PlacedCores = 0;   ///< Reserved for placed tasks.
-};
-
-/// A waiting step and the number of executors left after each placement check
-/// in turn: label and size (`Suitable`), policy (`Allowed`), health (`Usable`),
-/// free capacity (`WithFreeCapacity`).
-struct WaitingStepReport {
-  std::string Job;
-  uint32_t Step = 0;
-  uint32_t Tasks = 0;
-  Resources Size; ///< Of one task.
-  bool Gang = false;
-  bool Colocate = false;
-  Millis Age{0};
-  double SlackMs = 0;
-  uint32_t Suitable = 0;
-  uint32_t Allowed = 0;
-  uint32_t Usable = 0;
-  uint32_t WithFreeCapacity = 0;
-};
-
 /// Schedules all jobs of one service: places tasks on executors and follows
 /// their runs. A start is committed to the store before it is sent, and a run
 /// end before it is acknowledged to the executor. Does no I/O; used by one
--- /dev/null
+++ b/src/cell/OwnerStatus.h
@@ -0,0 +1,64 @@
+#ifndef DAISYLANDING_CELL_OWNERSTATUS_H
+#define DAISYLANDING_CELL_OWNERSTATUS_H
+
+#include "common/Resources.h"
+#include "common/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+/// What an owner tells of itself, for logs, metrics and operators.
+namespace daisylanding::cell {
+
+/// Event counts since the owner was created, for metrics.
+struct OwnerCounts {
+  uint64_t Starts = 0;
+  uint64_t EndsDone = 0;
+  uint64_t EndsFailed = 0;
+  uint64_t EndsOther = 0;
+  uint64_t TicketRefusals = 0;
+  uint64_t CapacityRefusals = 0;
+  uint64_t ExpiredRuns = 0;
+  uint64_t Stragglers = 0;
+  uint64_t JobsCompleted = 0;
+  uint64_t JobsFailed = 0;
+  uint64_t JobsCancelled = 0;
+};
+
+/// Current totals of an owner.
+struct OwnerStatus {
+  size_t LiveJobs = 0;
+  size_t WaitingSteps = 0;
+  size_t StepsWithoutAdvice = 0;
+  size_t OpenRuns = 0;
+  size_t Executors = 0; ///< In the instance list.
+  size_t Usable = 0;    ///< Of those, the ones that may be sent tasks.
+  double CommitMs = 0;
+  uint32_t TotalCores = 0;    ///< Of listed executors.
+  uint32_t ReservedCores = 0; ///< For open and placed runs.
+  size_t PlacedTasks = 0;     ///< They wait for a valid ticket.
+  uint32_t PlacedCores = 0;   ///< Reserved for placed tasks.
+};
+
+/// A waiting step and the number of executors left after each placement check
+/// in turn: label and size (`Suitable`), policy (`Allowed`), health (`Usable`),
+/// free capacity (`WithFreeCapacity`).
+struct WaitingStepReport {
+  std::string Job;
+  uint32_t Step = 0;
+  uint32_t Tasks = 0;
+  Resources Size; ///< Of one task.
+  bool Gang = false;
+  bool Colocate = false;
+  Millis Age{0};
+  double SlackMs = 0;
+  uint32_t Suitable = 0;
+  uint32_t Allowed = 0;
+  uint32_t Usable = 0;
+  uint32_t WithFreeCapacity = 0;
+};
+
+} // namespace daisylanding::cell
+
+#endif
