Random plays share their scaffolding

RandomLapsesTest and RandomRestartsTest had the same setup, jobs, loop and checks at the end. They are RandomPlay now; the tests define their faults and when a job is over.

--- a/tests/unit/RandomLapsesTest.cpp
+++ b/tests/unit/RandomLapsesTest.cpp
@@ -1,6 +1,4 @@
-#include "unit/CellSim.h"
-
-#include <fmt/format.h>
+#include "unit/RandomPlay.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -17,60 +15,30 @@
 
 namespace {
 
-/// One play with random faults.
-class LapsePlay {
+constexpr PlayOptions LapseOptions{
+    .Executors = 8,
+    .ExecutorSize = {.MilliCores = 2'000, .MemoryMb = 4'000},
+    .TicketValidity = Millis(700),
+    .Faults = {.OrderAnswerLost = 0.02, .CommitAnswerLost = 0.03},
+    .MinRunTime = Millis(100),
+    .MaxRunTime = Millis(3'100),
+    .FaultTime = Millis(30'000),
+    .MaxStepTime = Millis(300),
+    .SettleTime = Millis(3'000)};
+
+class LapsePlay : public RandomPlay {
 public:
   /// \p FailedShare of the runs, chosen at random, fail.
   explicit LapsePlay(uint64_t Seed, double FailedShare = 0)
-      : Seed(Seed), Sim(Seed), Rng(Seed * 11 + 3), EndRng(Seed * 13 + 1),
-        FailedShare(FailedShare) {}
-
-  void run() {
-    setUp();
-    TimePoint End = Sim.Now + FaultTime;
-    while (Sim.Now < End) {
-      injectFault();
-      endCuts();
-      submitJob();
-      Sim.runFor(20 + static_cast<int64_t>(Rng.below(300)));
-    }
-    endFaults();
-    Sim.runUntil([&] { return isCompleted(); }, QuietTime.count());
-    // Ends that were out of reach are heard and acknowledged.
-    Sim.runFor(3'000);
-    checkEnd();
-  }
-
-private:
-  static constexpr size_t ExecutorCount = 8;
-  static constexpr size_t MaxJobs = 60;
-  static constexpr Millis FaultTime{30'000};
-  static constexpr Millis QuietTime{60'000};
-
-  void setUp() {
-    Sim.EndKindFor = [this](const std::string &) {
+      : RandomPlay(Seed, Seed * 11 + 3, LapseOptions), EndRng(Seed * 13 + 1) {
+    Sim.EndKindFor = [this, FailedShare](const std::string &) {
       return EndRng.uniform() < FailedShare ? executor::EndKind::Failed
                                             : executor::EndKind::Done;
     };
-    Sim.Faults = {.OrderAnswerLost = 0.02, .CommitAnswerLost = 0.03};
-    // The simulated policy service serves one owner.
-    NeedsAdvice = Rng.below(2) == 0;
-    if (NeedsAdvice)
-      Sim.requireAdvice({.Settings = {.BaseMs = 25,
-                                      .PerExecutorMs = 0.35,
-                                      .Validity = Millis(700)},
-                         .AllowedShare = 0.9,
-                         .Entries = 4});
-    for (size_t I = 0; I < ExecutorCount; ++I) {
-      std::string Id = Sim.addExecutor({.MilliCores = 2'000, .MemoryMb = 4'000},
-                                       fmt::format("r{}", I / 2));
-      Sim.executor(Id).ClockRate =
-          0.98 + 0.01 * static_cast<double>(Rng.below(4));
-    }
-    Sim.takeOver();
   }
 
-  void injectFault() {
+private:
+  void injectFault() override {
     constexpr std::array<int64_t, 4> TurnTimesMs = {0, 0, 300, 1'500};
     constexpr std::array<int64_t, 4> CommitTimesMs = {10, 100, 300, 700};
     switch (Rng.below(12)) {
@@ -92,11 +60,12 @@
     default:
       break;
     }
+    endCuts();
   }
 
   /// A lease lasts for 4 to 5 s.
   void cutExecutor() {
-    std::string Id = fmt::format("i-{}", Rng.below(ExecutorCount));
+    std::string Id = randomExecutor();
     Sim.executor(Id).Unreachable = true;
     CutUntil[Id] =
         Sim.Now + Millis(1'000 + static_cast<int64_t>(Rng.below(7'000)));
@@ -109,56 +78,21 @@
     }
   }
 
-  void submitJob() {
-    if (JobCount == MaxJobs || Rng.below(2) == 0)
-      return;
-    auto Tasks = static_cast<uint32_t>(1 + Rng.below(3));
-    Resources Size{.MilliCores = 1'000, .MemoryMb = 100};
-    JobSpec Job =
-        Simulation::makeJob(fmt::format("{:016x}", ++JobCount), Tasks, Size,
-                            100 + static_cast<int64_t>(Rng.below(3'000)));
-    if (Rng.below(3) == 0) {
-      Job.Steps.push_back(Job.Steps[0]);
-      Job.Steps[1].Dependencies = {0};
-    }
-    Job.Steps[0].Gang = Rng.below(5) == 0;
-    Sim.submit(Job);
-  }
-
-  void endFaults() {
-    Sim.Faults = {};
+  void endFaults() override {
     Sim.OwnerTurnMs = 0;
     Sim.CommitTimeMs = 10;
     for (const auto &Entry : CutUntil)
       Sim.executor(Entry.first).Unreachable = false;
   }
 
-  /// Whether the jobs are completed, but for those that have failed with cause.
-  bool isCompleted() const {
-    for (size_t I = 1; I <= JobCount; ++I) {
-      std::string Id = fmt::format("{:016x}", I);
-      JobPhase Phase = Sim.storedPhase(Id);
-      bool IsExhausted = Phase == JobPhase::Failed && Sim.mayFail(Id);
-      if (Phase != JobPhase::Completed && !IsExhausted)
-        return false;
-    }
-    return true;
-  }
-
-  void checkEnd() const {
-    for (const std::string &Violation : Sim.violations())
-      FAIL(fmt::format("seed {}: {}", Seed, Violation).c_str());
-    if (!isCompleted())
-      FAIL(fmt::format("seed {}: jobs are not completed", Seed).c_str());
+  /// Completed, or failed with cause.
+  bool isOver(const std::string &JobId) const override {
+    JobPhase Phase = Sim.storedPhase(JobId);
+    return Phase == JobPhase::Completed ||
+           (Phase == JobPhase::Failed && Sim.mayFail(JobId));
   }
 
-  uint64_t Seed;
-  Simulation Sim;
-  Random Rng;
   Random EndRng; ///< Of how runs end.
-  double FailedShare;
-  bool NeedsAdvice = false;
-  size_t JobCount = 0;
   std::map<std::string, TimePoint> CutUntil;
 };
 
