Test, failing: a start under way to an executor that restarts is dropped

Fault: a restart of an executor under its id is heard of while a start is in flight. CellOwner::moveRun clears OrderPending and Confirmed, so that mayHaveBegun says no; beginStop, which since drops what has not begun, then drops the run in place of stopping it. The next incarnation may carry the start out, and takes up to its stop time to end the run; the task is started elsewhere meanwhile. A member of a gang is dropped without its others.

--- /dev/null
+++ b/tests/unit/LateEndFaultsTest.cpp
@@ -0,0 +1,73 @@
+#include "unit/CellSim.h"
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+
+/// Faults that a review has found: tasks that are started beside a run of
+/// theirs, given up though they are done, or not started.
+using namespace daisylanding;
+using namespace daisylanding::cell;
+using namespace daisylanding::cellsim;
+
+namespace {
+
+constexpr const char *JobId = "00000000000000a1";
+constexpr const char *TaskId = "00000000000000a1.0.0.0";
+/// One task fits on an executor.
+constexpr Resources Size{.MilliCores = 4'000, .MemoryMb = 4'000};
+constexpr int64_t RunMs = 300;
+/// Until an executor that is in reach again is heard.
+constexpr int64_t ContactMs = 700;
+
+} // namespace
+
+// clang-format off
+/// Its next incarnation carries the start out, unheard.
+TEST_GROUP(AStartUnderWayToAnExecutorThatRestarts) {
+  Simulation Sim;
+  std::string First = Sim.addExecutor(Size);
+  std::string Second = Sim.addExecutor(Size);
+
+  void setup() override {
+    Sim.StopTimeMs = 1'000;
+    Sim.executor(Second).Info.Draining = true;
+    Sim.RunTimeFor = [](const std::string &, int64_t) { return 3'000; };
+    Sim.takeOver();
+    Sim.runFor(500);
+    awaitRenewal();
+    Sim.executor(First).AnswersLost = true;
+    Sim.submit(Simulation::makeJob(JobId, 1, Size, RunMs));
+    Sim.restartExecutor(First, 5, 100);
+    CHECK(Sim.runUntil([&] { return Sim.isOpen(TaskId); }, 60));
+    Sim.setDraining(Second, false);
+  }
+  void teardown() override {
+    for (const std::string &Violation : Sim.violations())
+      FAIL(Violation.c_str());
+  }
+  /// To the first executor: its answer is still to come.
+  void awaitRenewal() {
+    size_t Seen = Sim.Renewals.size();
+    auto IsSent = [&] {
+      return std::any_of(Sim.Renewals.begin() + static_cast<ptrdiff_t>(Seen), Sim.Renewals.end(),
+                         [&](const executor::RenewalCall &Call) { return Call.Target.Id == First; });
+    };
+    CHECK(Sim.runUntil(IsSent, 1'000));
+    Sim.runFor(5);
+  }
+};
+// clang-format on
+
+/// Guards against a second run beside the one that a start without an answer
+/// has begun: it must be stopped, not dropped.
+TEST(AStartUnderWayToAnExecutorThatRestarts,
+     IsStoppedBeforeItsTaskRunsElsewhere) {
+  Sim.runFor(300);
+  Sim.executor(First).AnswersLost = false;
+  Sim.runFor(5'000);
+}
