Test, failing: a job whose task is known as done is given up for a crash

Fails on purpose until the fault is mended: the job is shown as failed, not as completed.

Fault: CellOwner::countCrashOf gives a task up without a look at ends that wait for a later run (isDoneEarlier), as endRun, onGangMemberEnd and expireRuns do.

--- a/tests/unit/LateEndFaultsTest.cpp
+++ b/tests/unit/LateEndFaultsTest.cpp
@@ -71,3 +71,51 @@
   Sim.executor(First).AnswersLost = false;
   Sim.runFor(5'000);
 }
+
+// clang-format off
+/// It has lost two executors shortly after its start. Its third run was done
+/// out of reach, and taken for lapsed; its fourth is being stopped.
+TEST_GROUP(ATaskKnownAsDoneThatLostExecutors) {
+  Simulation Sim;
+
+  void setup() override {
+    for (int I = 0; I < 8; ++I)
+      Sim.addExecutor(Size);
+    Sim.StopTimeMs = 3'000;
+    Sim.CrashTimeFor = [this](const std::string &) -> std::optional<int64_t> {
+      if (Sim.Started.size() > 2)
+        return std::nullopt;
+      return 50;
+    };
+    Sim.RunTimeFor = [this](const std::string &, int64_t Estimate) { return Sim.Started.size() > 3 ? 60'000 : Estimate; };
+    Sim.takeOver();
+    Sim.submit(Simulation::makeJob(JobId, 1, Size, RunMs));
+    awaitRuns(3, 20'000);
+    Sim.runFor(60);
+    executorOf(3).Unreachable = true;
+    awaitRuns(4, 10'000);
+    Sim.runFor(60);
+    executorOf(4).Unreachable = true;
+    executorOf(3).Unreachable = false;
+    Sim.runFor(ContactMs);
+  }
+  void teardown() override {
+    for (const std::string &Violation : Sim.violations())
+      FAIL(Violation.c_str());
+  }
+  SimExecutor &executorOf(size_t Run) { return Sim.executor(Sim.Started.at(Run - 1).Target.Id); }
+  void awaitRuns(size_t Count, int64_t LimitMs) {
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == Count; }, LimitMs));
+  }
+};
+// clang-format on
+
+/// Guards against a job that is shown as failed although its task is done: the
+/// crash under the later run says nothing about it.
+TEST(ATaskKnownAsDoneThatLostExecutors, IsNotGivenUpForTheNextCrash) {
+  Sim.crashExecutor(executorOf(4).Info.Id, 50);
+  CHECK(Sim.runUntil([&] { return isFinal(Sim.storedPhase(JobId)); }, 10'000));
+  LONGS_EQUAL(static_cast<int>(JobPhase::Completed),
+              static_cast<int>(Sim.storedPhase(JobId)));
+  LONGS_EQUAL(4, Sim.Started.size());
+}
