Test, failing: all of a fleet is reserved once it has been replaced

Fault: CellOwner::reserveExecutors may reserve half of Pool.size(), which counts each incarnation that ever was. Once as many have ended as are left, steps that can't be placed (gangs, lasting tasks) reserve all.

--- a/tests/unit/LateEndFaultsTest.cpp
+++ b/tests/unit/LateEndFaultsTest.cpp
@@ -119,3 +119,46 @@
               static_cast<int>(Sim.storedPhase(JobId)));
   LONGS_EQUAL(4, Sim.Started.size());
 }
+
+// clang-format off
+/// All executors that it began with have been replaced by others. A lasting
+/// task takes half of each, so that no gang of five fits, and one is waiting.
+TEST_GROUP(AFleetThatHasBeenReplaced) {
+  static constexpr uint32_t FleetSize = 4;
+  static constexpr Resources Half{.MilliCores = 2'000, .MemoryMb = 2'000};
+  Simulation Sim;
+
+  void setup() override {
+    addFleet();
+    Sim.takeOver();
+    Sim.runFor(500);
+    for (uint32_t I = 0; I < FleetSize; ++I)
+      Sim.loseExecutor("i-" + std::to_string(I));
+    addFleet();
+    Sim.runFor(5'000);
+    submit("00000000000000b1", FleetSize, 600'000, [](StepSpec &Step) {
+      Step.LongRunning = true;
+      Step.AntiAffinity = 1;
+    });
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == FleetSize; }, 3'000));
+    submit("00000000000000b2", FleetSize + 1, 5'000, [](StepSpec &Step) { Step.Gang = true; });
+    Sim.runFor(100);
+  }
+  void addFleet() {
+    for (uint32_t I = 0; I < FleetSize; ++I)
+      Sim.addExecutor(Size);
+  }
+  void submit(const char *Id, uint32_t Tasks, int64_t Ms, const std::function<void(StepSpec &)> &Change) {
+    JobSpec Job = Simulation::makeJob(Id, Tasks, Half, Ms);
+    Change(Job.Steps[0]);
+    Sim.submit(Job);
+  }
+};
+// clang-format on
+
+/// Guards against work that finds every executor reserved for a gang: half of
+/// those that there are may be, not half of all that there ever were.
+TEST(AFleetThatHasBeenReplaced, LeavesHalfOfItToOtherWork) {
+  submit(JobId, 1, 8'000, [](StepSpec &) {});
+  CHECK(Sim.runUntil([&] { return Sim.runsOf(TaskId) == 1; }, 1'000));
+}
