Test, failing: no task is started while commits outlast tickets

Fault: dropExpiredStart gives the record up together with the ticket, so that the next ticket waits for another commit. The ticket alone would have to be renewed: emitStart reads it when it sends.

--- a/tests/unit/LateEndFaultsTest.cpp
+++ b/tests/unit/LateEndFaultsTest.cpp
@@ -162,3 +162,29 @@
   submit(JobId, 1, 8'000, [](StepSpec &) {});
   CHECK(Sim.runUntil([&] { return Sim.runsOf(TaskId) == 1; }, 1'000));
 }
+
+// clang-format off
+/// Each commit takes longer than a ticket is valid.
+TEST_GROUP(AnOwnerWhoseCommitsOutlastTickets) {
+  static constexpr Millis Validity{700};
+  Simulation Sim;
+
+  void setup() override {
+    Sim.requireAdvice({.Settings = {.BaseMs = 20, .PerExecutorMs = 1, .Validity = Validity},
+                       .AllowedShare = 1,
+                       .Entries = 4});
+    for (int I = 0; I < 4; ++I)
+      Sim.addExecutor(Size);
+    Sim.takeOver();
+    Sim.runFor(500);
+    Sim.CommitTimeMs = Validity.count() + 100;
+  }
+};
+// clang-format on
+
+/// Guards against a task that is recorded over and over and never started.
+TEST(AnOwnerWhoseCommitsOutlastTickets, StillStartsTasks) {
+  Sim.submit(Simulation::makeJob(JobId, 1, Size, RunMs));
+  Sim.runFor(15'000);
+  CHECK(!Sim.Started.empty());
+}
