Test, failing: a successor starts a task that its predecessor knew as done

Fails on purpose: 3 runs in place of 2. The end of a first run is heard while the second one is stopped; the owner is replaced before it is over; the next owner hears that the second one has been stopped before it hears of the end of the first, and starts a third.

The end is acknowledged after the third start, and the lease of the first executor has expired before: by the rule on tasks that run twice the start is not a fault, only wasted work. The progress row would have to tell of ends that wait for a later run.

--- a/tests/unit/LateEndFaultsTest.cpp
+++ b/tests/unit/LateEndFaultsTest.cpp
@@ -188,3 +188,47 @@
   Sim.runFor(15'000);
   CHECK(!Sim.Started.empty());
 }
+
+// clang-format off
+/// The owner has heard that the first run is done, and stops the second.
+TEST_GROUP(AnEndHeardByAnEarlierOwner) {
+  Simulation Sim;
+
+  void setup() override {
+    for (int I = 0; I < 3; ++I)
+      Sim.addExecutor(Size);
+    Sim.RunTimeFor = [this](const std::string &, int64_t Estimate) { return Sim.Started.size() == 2 ? 60'000 : Estimate; };
+    Sim.takeOver();
+    Sim.submit(Simulation::makeJob(JobId, 1, Size, RunMs));
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == 1; }, 3'000));
+    Sim.runFor(50);
+    first().Unreachable = true;
+    CHECK(Sim.runUntil([&] { return Sim.Started.size() == 2; }, 10'000));
+    Sim.runFor(100);
+    Sim.StopTimeMs = 400;
+    first().Unreachable = false;
+    CHECK(Sim.runUntil([&] { return isStopOrdered(); }, 2'000));
+    Sim.takeOver();
+    Sim.cutsOf(*Sim.Owner).Executors.insert(first().Info.Id);
+  }
+  void teardown() override {
+    for (const std::string &Violation : Sim.violations())
+      FAIL(Violation.c_str());
+  }
+  SimExecutor &first() { return Sim.executor(Sim.Started[0].Target.Id); }
+  /// The executor refuses further starts of the second run from then on.
+  bool isStopOrdered() {
+    return Sim.executor(Sim.Started[1].Target.Id).HighestEndedRun.count(TaskId) > 0;
+  }
+};
+// clang-format on
+
+/// Guards against a third run of a task whose first run an owner has heard of
+/// as done.
+TEST(AnEndHeardByAnEarlierOwner, IsNotForgottenByItsSuccessor) {
+  Sim.runFor(2'000);
+  Sim.cutsOf(*Sim.Owner).Executors.clear();
+  CHECK(Sim.runUntil(
+      [&] { return Sim.storedPhase(JobId) == JobPhase::Completed; }, 10'000));
+  LONGS_EQUAL(2, Sim.Started.size());
+}
