Test, failing: no room is kept for urgent steps beside one of a rare shape

Fails on purpose until the fault is mended.

Fault: since room is counted in places for a task of the most urgent step alone (beginUrgentRoom). If that step fits on few executors, hardly a place is kept, for any step.

--- a/tests/unit/UrgentBurstTest.cpp
+++ b/tests/unit/UrgentBurstTest.cpp
@@ -44,6 +44,13 @@
 constexpr WorkKind OddLongWork{
     .Size = OddLongSize, .Tasks = 30, .RunMs = 4'500, .JobsPerSecond = 3};
 
+/// More than five executors with an accelerator can do: some wait at any time.
+constexpr WorkKind AcceleratedWork{
+    .Size = {.MilliCores = 2'000, .MemoryMb = 4'000, .Accelerators = 1},
+    .Tasks = 1,
+    .RunMs = 400,
+    .JobsPerSecond = 18};
+
 struct SubmittedJob {
   std::string Id;
   TimePoint DueAt{};
@@ -161,6 +168,36 @@
   }
 };
 
+/// Short work of another shape, which fits on few executors, waits as well.
+TEST_GROUP(AFleetWithShortWorkOfTwoShapes) {
+  MixedWork Work{ShortWork, LongWork};
+  Stream Accelerated{Work.Sim, AcceleratedWork, 0x2'0000'0000};
+  size_t FirstShort = 0;
+
+  void setup() override {
+    constexpr size_t AcceleratedCount = 5;
+    Work.addExecutors(ExecutorSize);
+    for (size_t I = 0; I < AcceleratedCount; ++I)
+      Work.Sim.addExecutor({.MilliCores = 2'400, .MemoryMb = 8'000, .Accelerators = 1}, "rx");
+    Work.Sim.CommitTimeMs = 20;
+    Work.Sim.takeOver();
+    Work.Sim.runFor(500);
+    load(6'000, 1, 1);
+    FirstShort = Work.Short.submittedCount();
+  }
+  void teardown() override {
+    for (const std::string &Violation : Work.Sim.violations())
+      FAIL(Violation.c_str());
+  }
+  void load(int64_t Ms, double ShortFactor, double LongFactor) {
+    constexpr int64_t SliceMs = 50;
+    for (int64_t Elapsed = 0; Elapsed < Ms; Elapsed += SliceMs) {
+      Accelerated.arrive(SliceMs, 1);
+      Work.load(SliceMs, ShortFactor, LongFactor);
+    }
+  }
+};
+
 /// Four tasks of either kind leave capacity on an executor that is too small for
 /// a fifth.
 TEST_GROUP(AFleetWithCapacityThatNoTaskFits) {
@@ -217,3 +254,12 @@
   Work.load(OddShortWork.allowedMs(), 0, 0);
   CHECK(Work.Short.shareInTime(FirstLater) >= 0.95);
 }
+
+/// Guards against room that is counted in places for the most urgent step
+/// alone: where these are few, no room is kept for the other urgent steps.
+TEST(AFleetWithShortWorkOfTwoShapes, TheMoreCommonShapeIsInTimeInABurst) {
+  load(4'000, 2.2, 1);
+  load(8'000, 1, 1);
+  load(ShortWork.allowedMs(), 0, 0);
+  CHECK(Work.Short.shareInTime(FirstShort) >= 0.93);
+}
