A start under way to an executor that restarts is not dropped

Cause: an executor restarts under its id while a start to it is in flight. moveRun makes the run one of the next incarnation and clears OrderPending and Confirmed, so that mayHaveBegun says no. Since beginStop drops what has not begun, in place of stopping it: the task was started elsewhere while the next incarnation carried the start out, or was still stopping it (TWICE). A member of a gang was dropped without its others.

Ruled out: that the random plays with restarts show it; they have no start in flight at the restart together with a slow stop.

Change: a run that moves to the next incarnation counts as a start without an answer.

--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -79,6 +79,8 @@
   Task.Executor = Later;
   Task.CapacityReserved = true;
   Task.OrderPending = false;
+  // The later incarnation may have begun it, or still may.
+  Task.StartUnanswered = true;
   Task.Confirmed = false;
   Task.ListedRunning = false;
   Task.StopConfirmed = false;
