A job whose task is known as done is not given up for a crash

Cause: while the end of a first run, as done, waits for a later run to be over, the crash of that run's executor counted as an attempt of the task and could end its job as failed. endRun, onGangMemberEnd and expireRuns look for such an end; countCrashOf didn't.

Change: it does.

Measured: ATaskKnownAsDone, IsNotGivenUpForTheNextCrash expected 2 (completed), but was 3 (failed) before, and passes.

--- a/src/cell/OwnerCrashes.cpp
+++ b/src/cell/OwnerCrashes.cpp
@@ -81,7 +81,7 @@
           Run.Id.Task, Run.Id.Run, Pool[Index].Info.Id,
           toMillis(Run.KnownRunTime), Run.HasLapsed, YoungSuspects,
           Task.Crashes, Allowed);
-  if (Task.Crashes >= Allowed)
+  if (Task.Crashes >= Allowed && !isDoneEarlier(*Key))
     giveUpCrashingTask(*Key, Now);
 }
 
