Executors that are gone don't count among those that may be reserved

Cause: steps that can't be placed may reserve half of the executors, reckoned from all incarnations that the owner ever knew.

Change: half of those that are listed, counted once a plan.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -488,7 +488,8 @@
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
   std::vector<Reservation> Reservations;
-  size_t ReservedExecutors = 0;  ///< Active among `Reservations`.
+  size_t ReservedExecutors = 0; ///< Active among `Reservations`.
+  size_t MaxReservedExecutors = 0;
   RoomForUrgentSteps UrgentRoom; ///< Of the present planning turn.
   /// Kept during one planning turn for tasks that are to be restarted.
   std::vector<std::pair<ExecutorIndex, Resources>> HeldPlaces;
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -196,6 +196,11 @@
   }
 
   size_t size() const { return Executors.size(); }
+  size_t listedCount() const {
+    return static_cast<size_t>(
+        std::count_if(Executors.begin(), Executors.end(),
+                      [](const ExecutorState &E) { return E.Listed; }));
+  }
   ExecutorState &operator[](ExecutorIndex Index) { return Executors[Index]; }
   const ExecutorState &operator[](ExecutorIndex Index) const {
     return Executors[Index];
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -260,6 +260,9 @@
   resizeExecutorTables();
   std::fill(Reservations.begin(), Reservations.end(), Reservation{});
   ReservedExecutors = 0;
+  // The pool also holds executors that are gone.
+  MaxReservedExecutors = static_cast<size_t>(
+      MaxReservedShare * static_cast<double>(Pool.listedCount()));
   for (ExecutorIndex I = 0; I < Loads.size(); ++I)
     Loads[I].Slowness = Speeds.slowness(I, Now);
   countOpenCalls(Now);
@@ -455,9 +458,7 @@
   const StepSpec &Spec = Waiting.spec();
   const auto *Permissions =
       permissionsOf(Step, findQueue(Waiting.Job->Spec.Queue));
-  auto MaxReserved =
-      static_cast<size_t>(MaxReservedShare * static_cast<double>(Pool.size()));
-  if (ReservedExecutors >= MaxReserved)
+  if (ReservedExecutors >= MaxReservedExecutors)
     return;
   bool ForAnySize = Spec.Gang || (Spec.LongRunning && hasRun(Step));
   TaskCounts TasksByExecutor = countTasksByExecutor(Step, Spec);
@@ -481,8 +482,8 @@
       Consider(I);
   }
   std::sort(Candidates.begin(), Candidates.end());
-  for (size_t I = 0;
-       I < Candidates.size() && I < Count && ReservedExecutors < MaxReserved;
+  for (size_t I = 0; I < Candidates.size() && I < Count &&
+                     ReservedExecutors < MaxReservedExecutors;
        ++I) {
     Reservations[Candidates[I].second] = {.Active = true,
                                           .FreeAfter = Candidates[I].first};
