make sanitize: the unit tests under sanitizers

It builds the unit tests at -O1 with SANITIZER (address and undefined behaviour together, unless set) in a folder of their own and runs them; the first finding ends the run.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all packages build test demo bench chaos format tidy models clean
+.PHONY: all packages build test sanitize demo bench chaos format tidy models clean
 
 all: build
 
@@ -14,6 +14,14 @@
 test: build
 	cd $(BUILD) && RC_PARAMS="seed=1" ctest --output-on-failure -j 4
 
+SANITIZER ?= address,undefined
+sanitize:
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug \
+	  -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1 -fno-sanitize-recover=all" \
+	  -DDAISYLANDING_SANITIZER=$(SANITIZER)
+	cmake --build $(BUILD)-sanitize --target unit-tests
+	RC_PARAMS="seed=1" $(BUILD)-sanitize/unit-tests
+
 demo: packages build
 	rm -rf $(BUILD)/demo-run
 	$(BUILD)/demo $(BUILD) $(BUILD)/demo-run demo/sohar.toml demo/akureyri.toml
