Log lines hold no control characters

Cause: texts of other machines (a refusal's reason, a task's name) were logged as they came, so that a line break in one began a line of its own, and forged any event. Found by reading.

Change: control characters are written as '?'.

--- a/src/common/Log.cpp
+++ b/src/common/Log.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/chrono.h>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 
@@ -37,6 +38,19 @@
 std::mutex OutputMutex;
 LogLimiter Limiter(MaxLinesPerSecond);
 
+/// Other machines' texts must neither begin a line of their own nor control a
+/// terminal.
+void replaceControlCharacters(std::string &Text) {
+  std::replace_if(
+      Text.begin(), Text.end(),
+      [](char Character) {
+        constexpr unsigned char Delete = 0x7f;
+        auto Code = static_cast<unsigned char>(Character);
+        return Code < ' ' || Code == Delete;
+      },
+      '?');
+}
+
 /// A single write per line, so that lines of several processes that share the
 /// output do not interleave.
 void writeLine(LogLevel Level, std::string_view Event,
@@ -44,10 +58,11 @@
   constexpr int64_t MicrosPerSecond = 1'000'000;
   int64_t WallTimeMicros = wallMicros();
   std::time_t Seconds = WallTimeMicros / MicrosPerSecond;
-  std::string Line =
-      fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:06}Z level={} event={} {}\n",
-                  fmt::gmtime(Seconds), WallTimeMicros % MicrosPerSecond,
-                  levelName(Level), Event, Fields);
+  std::string Line = fmt::format(
+      "{:%Y-%m-%dT%H:%M:%S}.{:06}Z level={} event={} {}", fmt::gmtime(Seconds),
+      WallTimeMicros % MicrosPerSecond, levelName(Level), Event, Fields);
+  replaceControlCharacters(Line);
+  Line += '\n';
   if (::write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
     Limiter.recordDropped();
 }
--- a/tests/unit/DirectCallFaultsTest.cpp
+++ b/tests/unit/DirectCallFaultsTest.cpp
@@ -1,9 +1,9 @@
 #include "common/Thread.h"
 #include "http/Client.h"
 #include "standin/ScriptedServer.h"
+#include "unit/CapturedOutput.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <vector>
 
 #include <sys/resource.h>
@@ -31,44 +31,6 @@
   rlimit Before{};
 };
 
-/// Takes what is written to standard output, until it is read.
-class CapturedOutput {
-public:
-  CapturedOutput() : Saved(::dup(STDOUT_FILENO)) {
-    ::fflush(stdout);
-    ::dup2(::fileno(Captured), STDOUT_FILENO);
-  }
-  ~CapturedOutput() {
-    restore();
-    (void)::fclose(Captured);
-  }
-  CapturedOutput(const CapturedOutput &) = delete;
-  CapturedOutput &operator=(const CapturedOutput &) = delete;
-
-  size_t countLinesWith(std::string_view Event) {
-    restore();
-    ::rewind(Captured);
-    char Line[1'024];
-    size_t Count = 0;
-    while (::fgets(Line, sizeof(Line), Captured))
-      Count += std::string_view(Line).find(Event) != std::string_view::npos;
-    return Count;
-  }
-
-private:
-  void restore() {
-    if (Saved < 0)
-      return;
-    ::fflush(stdout);
-    ::dup2(Saved, STDOUT_FILENO);
-    ::close(Saved);
-    Saved = -1;
-  }
-
-  FILE *Captured = ::tmpfile();
-  int Saved;
-};
-
 constexpr std::string_view Answer =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
