The end of a run that was never recorded changes nothing

Cause: findTask looked at the task's name alone, so that an executor that lists an end as done of a run that its task has never had, such as run 1 of a task that waits, completed its job. Found by reading. Runs are recorded before they are sent, so that no sound end can be of such a run.

Change: findTask finds the task of a recorded run only.

Measured: ATaskThatHasNeverRun, IsNotDoneByAnEndOfAnUnknownRun failed at its last CHECK before (the job was not queued any more), and passes.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -56,6 +56,7 @@
   return Found == Jobs.end() ? nullptr : &Found->second;
 }
 
+/// The task of a run; none if no such run was recorded.
 std::optional<TaskKey> CellOwner::findTask(const executor::RunId &Id) {
   auto Ref = parseTaskName(Id.Task);
   if (!Ref)
@@ -69,7 +70,8 @@
                 Ref->Index < Occurrence->second.Steps[Ref->Step].Tasks.size();
   if (!Exists)
     return std::nullopt;
-  return TaskKey{Job, {Ref->Occurrence, Ref->Step, Ref->Index}};
+  TaskKey Key{Job, {Ref->Occurrence, Ref->Step, Ref->Index}};
+  return Id.Run <= Key.task().Run ? std::optional(Key) : std::nullopt;
 }
 
 /// Returns the task if this run of it is open on the executor.
--- a/tests/unit/LateEndTest.cpp
+++ b/tests/unit/LateEndTest.cpp
@@ -495,3 +495,27 @@
   LONGS_EQUAL(1, Sim.Started.size());
   LONGS_EQUAL(0, Sim.Owner->counts().ExpiredRuns);
 }
+
+// clang-format off
+TEST_GROUP(ATaskThatHasNeverRun) {
+  Simulation Sim;
+
+  void setup() override {
+    Sim.addExecutor(Size);
+    Sim.takeOver();
+    Resources TooLarge{.MilliCores = 2 * Size.MilliCores, .MemoryMb = Size.MemoryMb};
+    Sim.submit(Simulation::makeJob(JobId, 1, TooLarge, RunMs));
+    Sim.runFor(500);
+  }
+};
+// clang-format on
+
+/// Guards against a job that is shown as completed as an executor lists the end
+/// of a run that was never recorded.
+TEST(ATaskThatHasNeverRun, IsNotDoneByAnEndOfAnUnknownRun) {
+  SimExecutor &Lying = Sim.executor("i-0");
+  Lying.Ended.push_back(
+      {.Sequence = ++Lying.EndCount, .Id = {TaskId, 1}, .Kind = EndKind::Done});
+  CHECK(Sim.runUntil([&] { return Lying.Ended.empty(); }, 5'000));
+  CHECK(Sim.storedPhase(JobId) == JobPhase::Queued);
+}
