--- a/tests/unit/LateEndFaultsTest.cpp
+++ b/tests/unit/LateEndFaultsTest.cpp
@@ -1,4 +1,5 @@
 #include "unit/CellSim.h"
+#include "unit/SingleTaskJob.h"
 
 #include <fmt/format.h>
 
@@ -8,24 +9,12 @@
 #include <functional>
 #include <optional>
 
-/// Faults that a review has found: tasks that are started beside a run of
-/// theirs, given up though they are done, or not started.
+/// Tasks that are started beside a run of theirs, given up though they are
+/// done, or not started.
 using namespace daisylanding;
 using namespace daisylanding::cell;
 using namespace daisylanding::cellsim;
 
-namespace {
-
-constexpr const char *JobId = "00000000000000a1";
-constexpr const char *TaskId = "00000000000000a1.0.0.0";
-/// One task fits on an executor.
-constexpr Resources Size{.MilliCores = 4'000, .MemoryMb = 4'000};
-constexpr int64_t RunMs = 300;
-/// Until an executor that is in reach again is heard.
-constexpr int64_t ContactMs = 700;
-
-} // namespace
-
 // clang-format off
 /// Its next incarnation carries the start out, unheard.
 TEST_GROUP(AStartUnderWayToAnExecutorThatRestarts) {
--- a/tests/unit/LateEndTest.cpp
+++ b/tests/unit/LateEndTest.cpp
@@ -1,4 +1,5 @@
 #include "unit/CellSim.h"
+#include "unit/SingleTaskJob.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,13 +14,7 @@
 
 namespace {
 
-constexpr const char *JobId = "00000000000000a1";
-constexpr const char *TaskId = "00000000000000a1.0.0.0";
-constexpr Resources Size{.MilliCores = 4'000, .MemoryMb = 4'000};
-constexpr int64_t RunMs = 300;
 constexpr int64_t SlowCommitMs = 400;
-/// Until an executor that is in reach again is heard.
-constexpr int64_t ContactMs = 700;
 /// Long enough for an end to be heard meanwhile.
 constexpr int64_t LongRunMs = 2'000;
 
