--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -43,7 +43,7 @@
   uint32_t Run = 0;
   std::string How;
   std::string Saved;
-  bool TakenNote = false; ///< `last-seen` has reached it.
+  std::optional<TimePoint> TakenNoteAt; ///< `last-seen` has reached it then.
 };
 
 struct ExecutorSettings {
@@ -56,6 +56,9 @@
 
 class Fleet;
 
+/// Executors have been up for this long when a play begins.
+constexpr Millis UpTime{480'000};
+
 /// One executor, with a server of its own. Starts what it is told to start.
 class Executor final : public http::Handler {
 public:
@@ -94,9 +97,12 @@
 
   Fleet &Parent;
   ExecutorSettings Settings;
-  TimePoint BornAt = monotonicNow();
-  int64_t BornMs = wallMicros() / 1'000;
+  TimePoint BornAt = monotonicNow() - UpTime;
+  int64_t BornMs = wallMicros() / 1'000 - UpTime.count();
   bool IsUp = true;
+  bool IsCutOff = false;
+  std::optional<Millis> GrantDelay; ///< Of the next renewal with a lease.
+  std::optional<std::pair<TimePoint, Json>> DelayedGrant;
   bool IsGrey = false; ///< Fails what it starts.
   uint64_t Token = 0;
   int64_t LeaseEndMs = 0;
@@ -118,6 +124,15 @@
   void setWork(const std::string &JobId, uint32_t Step, Work What);
   /// The executor crashes: it runs nothing, answers nothing and doesn't return.
   void crash(const std::string &Id);
+  /// The executor crashes, and starts again under its id.
+  void restart(const std::string &Id);
+  /// Whether the executor is cut off: calls don't reach it, but it runs on.
+  void cutOff(const std::string &Id, bool IsCutOff);
+  /// The next renewal that grants a lease there gets no answer, and is carried
+  /// out \p Delay later.
+  void delayNextGrant(const std::string &Id, Millis Delay);
+  /// Whether the delayed renewal has been carried out.
+  bool isDelayedGrantDone() const;
   /// Whether the executor fails what it starts.
   void setGrey(const std::string &Id, bool IsGrey);
   /// The runs of the job's tasks fail.
@@ -155,6 +170,7 @@
   std::vector<StartEvent> Starts;
   std::vector<EndEvent> EndsSeen;
   std::set<std::string> WholeGangs; ///< Runs whose members were all present.
+  bool DelayedGrantDone = false;
   TimePoint AdvancedAt{};
   TimePoint NextHeartbeat{};
   uint64_t Beats = 0;
--- a/review/standin/Stage.h
+++ b/review/standin/Stage.h
@@ -27,7 +27,7 @@
   std::string Service;
   uint32_t Count = 3;
   uint32_t MilliCores = 16'000;
-  std::string FirstKind = "a"; ///< The label of the first one; others have "a".
+  uint32_t KindBCount = 0; ///< The first ones have the label "b", others "a".
 };
 
 /// The status and the body of an answer; status 0 if there was none.
