Review: a gang that can never be placed starves another job

Cause: a gang without places reserves executors, also if they could never hold it, and what ranks behind it is kept off them.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The executor that alone suits a lasting task fails what it starts for 2 s.
+# A gang that can never be placed comes before a job that can.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves out the disruption. Needs the build of the deploy file and
 # review/build.sh.
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 Folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$Folder"' EXIT
-timeout -k 2 115 target/review-stage grey-executor "$Folder" target/daisylanding \
+timeout -k 2 115 target/review-stage hopeless-gang "$Folder" target/daisylanding \
   review/4/record.txt
 Code=$?
 [ "$Code" -le 1 ] || Code=2
