--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -184,26 +184,39 @@
   }
 }
 
-/// A large repeated job comes beside small ones.
+/// A large repeated job comes beside small ones. Each occurrence is as large as
+/// the largest job of the site's class `amend-check`: 5 steps, 44 tasks wide,
+/// 14 s of work.
 Verdict playLargeJob(Stage &Play, bool Trouble) {
+  constexpr uint32_t Steps = 5;
+  constexpr uint32_t Width = 44;
+  constexpr uint32_t Occurrences = 30;
+  constexpr uint32_t MilliCores = 5;
+  constexpr Millis Duration{14'000};
+  constexpr Millis Interval{500};
   Route Queue{.Name = "r-1", .PathPrefix = "/q/", .Service = "s1"};
   if (!Play.start({Queue}, {{.Service = "s1", .Count = 6}}, 3))
     return Verdict::CouldNotRun;
   auto IdOf = [](uint32_t Number) { return fmt::format("{:016x}", Number); };
   const std::string LargeId = IdOf(0xffff);
-  Play.executors().setWork(LargeId, 0,
-                           {.Count = 400,
-                            .MilliCores = 5,
-                            .Duration = Millis(20'000),
-                            .Checkpointing = true});
-  if (Trouble &&
-      Play.send(0, "POST", "/q/" + LargeId,
-                fmt::format(R"({{"spec":"x","steps":[{{"count":400,"cpu":5,)"
-                            R"("est-runtime-ms":20000,"checkpointing":true}}],)"
-                            R"("repeat-count":12,"first-run-ms":{},)"
-                            R"("interval-ms":1000}})",
-                            wallMicros() / 1'000 + 500))
-              .Status != http::StatusOk)
+  nlohmann::json Large = {{"spec", "x"},
+                          {"steps", nlohmann::json::array()},
+                          {"repeat-count", Occurrences},
+                          {"first-run-ms", wallMicros() / 1'000 + 500},
+                          {"interval-ms", Interval.count()}};
+  for (uint32_t Step = 0; Step < Steps; ++Step) {
+    Large["steps"].push_back({{"count", Width},
+                              {"cpu", MilliCores},
+                              {"est-runtime-ms", Duration.count()},
+                              {"checkpointing", true}});
+    Play.executors().setWork(LargeId, Step,
+                             {.Count = Width,
+                              .MilliCores = MilliCores,
+                              .Duration = Duration,
+                              .Checkpointing = true});
+  }
+  if (Trouble && Play.send(0, "POST", "/q/" + LargeId, Large.dump()).Status !=
+                     http::StatusOk)
     return Verdict::CouldNotRun;
   constexpr uint32_t SmallJobs = 40;
   std::vector<uint32_t> Accepted;
