A job keeps the terms of its queue

Cause: the owner looked up attempts, advice and latency in the configuration in force. While a job's queue was not there, one failure of a task failed the job, and starts were sent without the ticket that they need, refused and repeated at once.

The terms as of the acceptance are stored with the job, apart from its work, so that the version before reads such a row and copies of a request stay the same. The configuration in force goes before them. A job whose terms are known from neither waits: nothing is started or given up, and the limit of failures is applied once it is known. Ruled out: keeping removed queues in the owner alone, which a successor doesn't know, and an owner that has not heard yet of a queue just added never did.

--- a/src/cell/CellConfig.cpp
+++ b/src/cell/CellConfig.cpp
@@ -2,6 +2,13 @@
 
 namespace daisylanding::cell {
 
+Queue termsOf(const Queue &Configured) {
+  Queue Terms = Configured;
+  Terms.Host.clear();
+  Terms.PathPrefix.clear();
+  return Terms;
+}
+
 const Queue *CellConfig::findQueueByPath(std::string_view Host,
                                          std::string_view Path) const {
   const Queue *Best = nullptr;
--- a/src/cell/CellConfig.h
+++ b/src/cell/CellConfig.h
@@ -42,6 +42,9 @@
   std::optional<AdviceSettings> Advice;
 };
 
+/// The queue without its address: what a job keeps of it.
+Queue termsOf(const Queue &Configured);
+
 /// One complete version of the cell's configuration.
 struct CellConfig {
   uint64_t Version = 0;
--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -21,18 +21,6 @@
   setConfig(std::move(Config));
 }
 
-void CellOwner::setConfig(std::shared_ptr<const CellConfig> NewConfig) {
-  Config = std::move(NewConfig);
-  QueuesByName.clear();
-  for (const Queue &Configured : Config->Queues)
-    QueuesByName.emplace(Configured.Name, &Configured);
-}
-
-const Queue *CellOwner::findQueue(std::string_view Name) const {
-  auto Found = QueuesByName.find(Name);
-  return Found == QueuesByName.end() ? nullptr : Found->second;
-}
-
 /// When the store's clock has reached \p StoreClockMs for certain.
 TimePoint CellOwner::timeOfStoreClock(int64_t StoreClockMs) const {
   return Options.CreatedAt +
@@ -104,6 +92,7 @@
   LiveJob &Added = Jobs[Id];
   Added.Spec = std::move(Spec);
   Added.AcceptedAt = AcceptedAt;
+  learnTerms(Added);
   if (Added.Spec.RepeatCount > 0)
     RepeatingJobs.insert(Id);
   return Added;
@@ -118,32 +107,12 @@
   Jobs.erase(JobId);
 }
 
-/// Sum of estimates along the job's longest chain of dependent steps.
-Millis CellOwner::criticalPathOf(const LiveJob &Job) const {
-  std::vector<Millis> StepEnds;
-  Millis Longest{0};
-  for (const StepSpec &Step : Job.Spec.Steps) {
-    Millis Begin{0};
-    for (uint32_t Dependency : Step.Dependencies)
-      Begin = std::max(Begin, StepEnds[Dependency]);
-    StepEnds.push_back(Begin + Step.Estimate);
-    Longest = std::max(Longest, StepEnds.back());
-  }
-  return Longest;
-}
-
 void CellOwner::beginOccurrence(LiveJob &Job, uint32_t Number,
                                 TimePoint BeginsAt) {
   Job.IdleRevision.reset();
   LiveOccurrence &Occurrence = Job.Occurrences[Number];
-  const Queue *JobQueue = findQueue(Job.Spec.Queue);
-  double Stretch = JobQueue ? JobQueue->Stretch : 1;
-  Millis TargetLatency = JobQueue ? JobQueue->TargetLatency : Millis(0);
-  Millis CriticalPath = criticalPathOf(Job);
   Occurrence.BeginsAt = BeginsAt;
-  Occurrence.DueAt = BeginsAt + TargetLatency +
-                     Millis(static_cast<int64_t>(
-                         Stretch * static_cast<double>(CriticalPath.count())));
+  Occurrence.DueAt = dueAt(Job, BeginsAt);
   for (const StepSpec &Step : Job.Spec.Steps) {
     Occurrence.Steps.emplace_back();
     Occurrence.Steps.back().Tasks.resize(Step.Count);
@@ -401,6 +370,7 @@
   if (Deposed || Released || Loading)
     return {};
   beginDueOccurrences(Now, WallMs);
+  failJobsOutOfAttempts(Now);
   expireRuns(Now);
   dropUnsentStarts(Now);
   settleEarlierEnds(Now);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -223,6 +223,11 @@
   void removeJob(const std::string &JobId);
   LiveJob *findJob(std::string_view JobId);
   const Queue *findQueue(std::string_view Name) const;
+  const Queue *queueOf(const LiveJob &Job) const;
+  void learnTerms(LiveJob &Job);
+  TimePoint dueAt(const LiveJob &Job, TimePoint BeginsAt) const;
+  void failIfOutOfAttempts(const TaskKey &Key, TimePoint Now);
+  void failJobsOutOfAttempts(TimePoint Now);
   std::optional<TaskKey> findTask(const executor::RunId &Id);
   std::optional<TaskKey> findOpenRun(const executor::RunId &Id,
                                      ExecutorIndex Index);
@@ -476,6 +481,8 @@
   SpeedTracker Speeds;
   std::map<std::string, LiveJob, std::less<>> Jobs;
   std::set<std::string> RepeatingJobs; ///< Of `Jobs`.
+  /// The terms of a job's queue have become known since its failures.
+  bool HasNewTerms = false;
   /// Ended jobs whose rows are not removed yet. Late pages of the job feed, and
   /// late copies of requests, name them.
   std::unordered_map<std::string, KnownEnd> EndedJobs;
--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -112,6 +112,39 @@
   return Document;
 }
 
+json encodeTerms(const Queue &Terms) {
+  json Document = {{"service", Terms.Service},
+                   {"max_attempts", Terms.MaxAttempts},
+                   {"stretch", Terms.Stretch}};
+  putNumber(Document, "priority", Terms.Priority);
+  putNumber(Document, "target", Terms.TargetLatency.count());
+  if (Terms.Advice)
+    Document["advice"] = {{"base", Terms.Advice->BaseMs},
+                          {"each", Terms.Advice->PerExecutorMs},
+                          {"validity", Terms.Advice->Validity.count()}};
+  return Document;
+}
+
+Queue decodeTerms(const json &Document, const std::string &Name,
+                  NumberReader &Numbers) {
+  constexpr double MaxStretch = 1e6;
+  constexpr double MaxAdviceMs = 1e6;
+  Queue Terms{
+      .Name = Name,
+      .Service = Document.value("service", std::string()),
+      .Priority = Numbers.field<uint32_t>(Document, "priority", 0),
+      .MaxAttempts = Numbers.field<uint32_t>(Document, "max_attempts", 1),
+      .Stretch = Numbers.realField(Document, "stretch", 1, 0, MaxStretch),
+      .TargetLatency = durationField(Document, "target", Numbers)};
+  auto Advice = Document.find("advice");
+  if (Advice != Document.end())
+    Terms.Advice = {
+        .BaseMs = Numbers.realField(*Advice, "base", 0, 0, MaxAdviceMs),
+        .PerExecutorMs = Numbers.realField(*Advice, "each", 0, 0, MaxAdviceMs),
+        .Validity = durationField(*Advice, "validity", Numbers)};
+  return Terms;
+}
+
 bool parseNumber(std::string_view Text, uint32_t &Number) {
   auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Number);
   return Parsed.ec == std::errc() && Parsed.ptr == Text.data() + Text.size();
@@ -142,6 +175,8 @@
   json Document = encodeWork(Job);
   Document["id"] = Job.Id;
   Document["accepted"] = Job.AcceptedMs;
+  if (Job.Terms)
+    Document["terms"] = encodeTerms(*Job.Terms);
   return Document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -162,6 +197,8 @@
         Numbers.field<int64_t>(Document, "first_run", 0, 0, MaxFirstRunMs);
     Job.IntervalMs = durationField(Document, "interval", Numbers).count();
     Job.AcceptedMs = Numbers.field<int64_t>(Document, "accepted", 0);
+    if (Document.contains("terms"))
+      Job.Terms = decodeTerms(Document["terms"], Job.Queue, Numbers);
     if (Numbers.failed() || !areStepsValid(Job.Steps))
       return Errc::Malformed;
     return Job;
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -1,11 +1,13 @@
 #ifndef DAISYLANDING_CELL_JOBSPEC_H
 #define DAISYLANDING_CELL_JOBSPEC_H
 
+#include "cell/CellConfig.h"
 #include "common/Error.h"
 #include "common/Resources.h"
 #include "common/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +46,9 @@
   int64_t FirstRunMs = 0;   ///< Wall clock time of the first occurrence.
   int64_t IntervalMs = 0;
   int64_t AcceptedMs = 0; ///< On the store's clock.
+  /// Those of its queue when the job was accepted, for use while the queue is
+  /// not in the configuration. None if an earlier version has stored the job.
+  std::optional<cell::Queue> Terms;
 };
 
 /// Limits of a submitted job.
@@ -60,7 +65,8 @@
 std::string encodeJob(const JobSpec &Job);
 Result<JobSpec> decodeJob(std::string_view Text);
 
-/// Whether two jobs are equal except for their ids and times of acceptance.
+/// Whether two jobs are equal except for what their acceptance adds: id, time
+/// and terms.
 bool isSameWork(const JobSpec &Left, const JobSpec &Right);
 /// Equal for jobs of the same work, also in other processes.
 uint64_t workHash(const JobSpec &Job);
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -254,8 +254,9 @@
             Request.Position.Step, Answer.error().message());
     return;
   }
-  const std::string &QueueName = findJob(Request.JobId)->Spec.Queue;
-  const Queue *JobQueue = findQueue(QueueName);
+  const LiveJob &Job = *findJob(Request.JobId);
+  const std::string &QueueName = Job.Spec.Queue;
+  const Queue *JobQueue = queueOf(Job);
   if (JobQueue && JobQueue->Advice)
     CallDelays.record(
         QueueName, serviceMs(*JobQueue->Advice, Request.AskedExecutors.size()),
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -177,8 +177,8 @@
   auto Found = Permissions.find(Key.task().Executor);
   if (Found == Permissions.end() || Now < Found->second.ValidUntil)
     return false;
-  const Queue *JobQueue = findQueue(Key.Job->Spec.Queue);
-  return JobQueue && JobQueue->Advice;
+  const Queue *JobQueue = queueOf(*Key.Job);
+  return !JobQueue || JobQueue->Advice;
 }
 
 /// Drops a recorded start that was not sent before its ticket expired. The task
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -269,7 +269,9 @@
   std::vector<WaitingStepRef> Steps = stepsToPlan(Now);
   beginUrgentRoom(Steps, Now);
   for (const WaitingStepRef &Waiting : Steps) {
-    const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
+    const Queue *JobQueue = queueOf(*Waiting.Job);
+    if (!JobQueue)
+      continue; // A start may need a ticket.
     LiveStep &Step = Waiting.step();
     if (Now > Step.PreparedAt + restartLeads(JobQueue).Advice)
       Step.PreparedExecutors.clear();
@@ -484,8 +486,7 @@
                                  TimePoint Now) {
   const LiveStep &Step = Waiting.step();
   const StepSpec &Spec = Waiting.spec();
-  const auto *Permissions =
-      permissionsOf(Step, findQueue(Waiting.Job->Spec.Queue));
+  const auto *Permissions = permissionsOf(Step, queueOf(*Waiting.Job));
   if (ReservedExecutors >= MaxReservedExecutors)
     return;
   bool ForAnySize = Spec.Gang || (Spec.LongRunning && hasRun(Step));
--- a/src/cell/OwnerRestart.cpp
+++ b/src/cell/OwnerRestart.cpp
@@ -78,8 +78,8 @@
                                         TimePoint Now) const {
   if (!Spec.LongRunning || Spec.Gang)
     return 0;
-  return countTasksToRestart(
-      Step, Spec, restartLeads(findQueue(Job.Spec.Queue)).Advice, Now);
+  return countTasksToRestart(Step, Spec, restartLeads(queueOf(Job)).Advice,
+                             Now);
 }
 
 /// Prepares the restart of the step's tasks whose leases expire soon or whose
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -139,17 +139,7 @@
     return false;
   ++Task.Failures;
   ++Counts.EndsFailed;
-  if (Key.spec().LongRunning || isFinal(Key.Job->Phase))
-    return true;
-  const Queue *JobQueue = findQueue(Key.Job->Spec.Queue);
-  uint32_t MaxFailures = JobQueue ? JobQueue->MaxAttempts : 1;
-  if (Task.Failures < MaxFailures)
-    return true;
-  ++Counts.JobsFailed;
-  logInfo("job-failed", "job={} task={} failures={} allowed={}",
-          Key.Job->Spec.Id, Counted.name(), Task.Failures, MaxFailures);
-  setFinalPhase(*Key.Job, JobPhase::Failed);
-  stopAllRuns(*Key.Job, Now);
+  failIfOutOfAttempts(Counted, Now);
   return true;
 }
 
--- a/src/cell/OwnerStatus.cpp
+++ b/src/cell/OwnerStatus.cpp
@@ -18,7 +18,7 @@
   uint64_t ReservedMilliCores = 0;
   for (const WaitingStepRef &Waiting : waitingSteps(Now)) {
     const LiveStep &Step = Waiting.step();
-    const Queue *JobQueue = findQueue(Waiting.Job->Spec.Queue);
+    const Queue *JobQueue = queueOf(*Waiting.Job);
     ++Status.WaitingSteps;
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty())
       ++Status.StepsWithoutAdvice;
@@ -58,7 +58,7 @@
                                Now - Waiting.occurrence().BeginsAt),
                            .SlackMs = Waiting.SlackMs};
   const auto *Permissions =
-      permissionsOf(Waiting.step(), findQueue(Waiting.Job->Spec.Queue));
+      permissionsOf(Waiting.step(), queueOf(*Waiting.Job));
   TaskCounts TasksByExecutor = countTasksByExecutor(Waiting.step(), Spec);
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     if (!Pool[I].Listed || !isSuitable(Pool[I], Spec))
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -218,6 +218,7 @@
   }
   Job->Id = Request->JobId;
   Job->Queue = Request->Queue->Name;
+  Job->Terms = cell::termsOf(*Request->Queue);
   Job->AcceptedMs = Context.StoreHealth.clockMillis(monotonicNow());
   offer(Request, *Job);
 }
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -88,6 +88,18 @@
   Config = std::move(NewConfig);
 }
 
+void Simulation::setQueueConfigured(bool IsConfigured) {
+  auto NewConfig = std::make_shared<cell::CellConfig>(*makeConfig());
+  ++NewConfig->Version;
+  if (Policy)
+    NewConfig->Queues.front().Advice = Policy->Settings;
+  if (!IsConfigured)
+    NewConfig->Queues.clear();
+  Config = std::move(NewConfig);
+  if (Owner)
+    Owner->setConfig(Config);
+}
+
 std::vector<executor::ExecutorInfo> Simulation::instanceList() const {
   std::vector<executor::ExecutorInfo> List;
   for (const auto &Entry : Executors) {
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -104,6 +104,9 @@
   /// Requires tickets of this policy from now on. To be called before the first
   /// owner takes over.
   void requireAdvice(const SimPolicy &NewPolicy);
+  /// Removes the queue of the jobs from the configuration, of which the owner
+  /// hears at once, or adds it again.
+  void setQueueConfigured(bool IsConfigured);
   /// A new owner takes over the service; without a name, an entry that never
   /// held it.
   void takeOver(const std::string &Holder = "");
