Crashes: a run that was never confirmed is no young run

Cause: a known run time of 0 stood both for a run that had just begun and for one of which nothing is known, and the former is what the limit of three is for. Ruled out: losing the limit for tasks that crash executors before these answer, which has to hold; hence such runs count on for the limit of any cause, five.

A run counts as young only if its executor has confirmed it; earlier crashes under unconfirmed runs, as far as this owner has seen them, move the limit of three up to five. A crash doesn't count for a start whose stop is confirmed, or after which the executor answered for half a second and more. The count in memory alone: after a change of owner the earlier crashes count in full. Stored and sent formats are as before.

Tests: IsNotGivenUpForThreeCrashesBeforeThem and IsNotGivenUpForCrashesAfterItsStop failed with the former rule put back (the job was given up after three crashes); ThatCrashesExecutorsBeforeTheyAnswer (at most five starts) passes before and after; CrashingTaskTest is unchanged and passes.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -296,6 +296,7 @@
                      TimePoint RenewalSentAt, TimePoint Now);
 
   // Crashes of executors.
+  bool mayHaveCrashed(const LiveTask &Run) const;
   LostRun lostRun(const TaskKey &Key) const;
   std::vector<LostRun> lostRunsOn(ExecutorIndex Index) const;
   void countCrash(ExecutorIndex Index, std::span<const LostRun> Runs,
--- a/src/cell/CrashPolicy.h
+++ b/src/cell/CrashPolicy.h
@@ -4,6 +4,7 @@
 #include "common/Time.h"
 #include "executor/ExecutorPort.h"
 
+#include <algorithm>
 #include <cstdint>
 
 /// Which of the runs on a crashed executor may be the cause, and after how many
@@ -16,7 +17,8 @@
   /// How long the executor is known to have gone on with the run; 0 if it
   /// never confirmed it.
   Micros KnownRunTime{0};
-  bool HasLapsed = false; ///< Its lease expired before the crash was known.
+  bool IsConfirmed = false; ///< The executor has reported it.
+  bool HasLapsed = false;   ///< Its lease expired before the crash was known.
 
   /// Whether its start may have crashed the executor.
   bool isYoung() const {
@@ -30,6 +32,20 @@
   }
 };
 
+/// When the start of a run was sent, and what its executor has answered since.
+struct UnconfirmedStart {
+  TimePoint SentAt{}; ///< The last try.
+  TimePoint LastAnswerAt{};
+  bool IsRefused = false; ///< The executor will carry out no copy of it.
+
+  /// Whether the start may have crashed the executor. One that does is carried
+  /// out soon after it was sent, and answered by nothing after that.
+  bool mayHaveCrashed() const {
+    constexpr Millis MaxArrivalTime{500};
+    return !IsRefused && LastAnswerAt < SentAt + MaxArrivalTime;
+  }
+};
+
 /// How long a task that lost its executor waits for one where no other such
 /// task has just been started: together they would be lost again, and nothing
 /// would tell the cause. Lasting tasks, whose restart has a time bound, don't
@@ -38,10 +54,15 @@
 
 /// What a crash tells about one of the runs lost in it.
 struct CrashEvidence {
+  /// It had begun just before. A run that its executor never confirmed may not
+  /// have begun at all, and isn't young in this sense.
   bool IsYoung = false;
   /// Of the tasks lost with it, those with a young run that lost executors
   /// before; a gang counts as one.
   uint32_t YoungSuspects = 0;
+  /// Of the earlier crashes of its task, those under runs that their executors
+  /// never confirmed.
+  uint32_t Unconfirmed = 0;
   /// The run had lapsed, and its task may have been started again, before the
   /// crash was known.
   bool IsLate = false;
@@ -55,9 +76,12 @@
 /// runs beside the cause of a crash are lost with it, so that a task is given
 /// up the sooner the more points to it.
 constexpr uint32_t maxCrashes(const CrashEvidence &Evidence) {
+  constexpr uint32_t MaxYoungCrashes = 3;
+  uint32_t OfAnyCause =
+      Evidence.IsLate ? MaxCrashesOfAnyCause - 1 : MaxCrashesOfAnyCause;
   if (Evidence.IsYoung && Evidence.YoungSuspects <= 1)
-    return 3;
-  return Evidence.IsLate ? MaxCrashesOfAnyCause - 1 : MaxCrashesOfAnyCause;
+    return std::min(MaxYoungCrashes + Evidence.Unconfirmed, OfAnyCause);
+  return OfAnyCause;
 }
 
 } // namespace daisylanding::cell
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -33,7 +33,9 @@
   FailedRuns KnownFailures; ///< Those of a gang are with its first member.
   /// The newest run that was over when this owner loaded the task.
   uint32_t LastRunBeforeLoad = 0;
-  uint32_t Crashes = 0;   ///< Executors that crashed under its runs.
+  uint32_t Crashes = 0; ///< Executors that crashed under its runs.
+  /// Of these, under runs that were never confirmed, since the owner's load.
+  uint32_t UnconfirmedCrashes = 0;
   bool IsSuspect = false; ///< Counted in `Suspects` of `Executor`.
   ExecutorIndex Executor = NoExecutor;
   std::string Checkpoint;
--- a/src/cell/OwnerCrashes.cpp
+++ b/src/cell/OwnerCrashes.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-/// Whether a crash of its executor counts for the run.
-bool mayHaveCrashed(const LiveTask &Run) {
-  return Run.Confirmed || Run.OrderPending || Run.StartUnanswered ||
-         Run.Inherited;
-}
-
 /// The members of a gang start together, as one.
 std::string startedWith(const TaskKey &Key) {
   if (!Key.spec().Gang)
@@ -27,10 +21,23 @@
 
 } // namespace
 
+/// Whether a crash of its executor counts for the open run.
+bool CellOwner::mayHaveCrashed(const LiveTask &Run) const {
+  // What an earlier owner has sent isn't known.
+  if (Run.Confirmed || Run.Inherited)
+    return true;
+  if (!Run.OrderPending && !Run.StartUnanswered)
+    return false;
+  UnconfirmedStart Start{.SentAt = Run.StartSentAt,
+                         .LastAnswerAt = Pool[Run.Executor].LastAnswerAt,
+                         .IsRefused = Run.StopConfirmed};
+  return Start.mayHaveCrashed();
+}
+
 /// The run as it stands when its executor is lost.
 LostRun CellOwner::lostRun(const TaskKey &Key) const {
   const LiveTask &Task = Key.task();
-  LostRun Run{.Id = {Key.name(), Task.Run}};
+  LostRun Run{.Id = {Key.name(), Task.Run}, .IsConfirmed = Task.Confirmed};
   if (Task.Confirmed)
     Run.KnownRunTime =
         std::max(Micros(0),
@@ -70,15 +77,22 @@
   if (!Key || isFinal(Key->Job->Phase) || Key->task().Phase == TaskPhase::Done)
     return;
   LiveTask &Task = Key->task();
-  Task.Crashes = Run.isProven() ? 0 : Task.Crashes + 1;
+  if (Run.isProven()) {
+    Task.Crashes = 0;
+    Task.UnconfirmedCrashes = 0;
+  } else {
+    ++Task.Crashes;
+    Task.UnconfirmedCrashes += Run.IsConfirmed ? 0 : 1;
+  }
   markChanged(*Key->Job);
-  uint32_t Allowed = maxCrashes({.IsYoung = Run.isYoung(),
+  uint32_t Allowed = maxCrashes({.IsYoung = Run.IsConfirmed && Run.isYoung(),
                                  .YoungSuspects = YoungSuspects,
+                                 .Unconfirmed = Task.UnconfirmedCrashes,
                                  .IsLate = Run.HasLapsed});
   logInfo("run-crashed",
-          "task={} run={} executor={} ran_ms={} lapsed={} suspects={} "
-          "crashes={} allowed={}",
-          Run.Id.Task, Run.Id.Run, Pool[Index].Info.Id,
+          "task={} run={} executor={} confirmed={} ran_ms={} lapsed={} "
+          "suspects={} crashes={} allowed={}",
+          Run.Id.Task, Run.Id.Run, Pool[Index].Info.Id, Run.IsConfirmed,
           toMillis(Run.KnownRunTime), Run.HasLapsed, YoungSuspects,
           Task.Crashes, Allowed);
   if (Task.Crashes >= Allowed && !isDoneEarlier(*Key))
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -511,11 +511,15 @@
         continue;
       ++Counts.ExpiredRuns;
       logLapse(Key, Now);
-      Pool[I].LapsedRuns.push_back(lostRun(Key));
-      Pool[I].LapsedRuns.back().HasLapsed = true;
+      bool MayHaveCrashed = mayHaveCrashed(Key.task());
+      if (MayHaveCrashed) {
+        Pool[I].LapsedRuns.push_back(lostRun(Key));
+        Pool[I].LapsedRuns.back().HasLapsed = true;
+      }
       endRun(Key, EndKind::Expired, Now);
       // Whether this executor has crashed may show only after the next start.
-      if (Key.task().Crashes + 1 >= MaxCrashesOfAnyCause && !isDoneEarlier(Key))
+      if (MayHaveCrashed && Key.task().Crashes + 1 >= MaxCrashesOfAnyCause &&
+          !isDoneEarlier(Key))
         giveUpCrashingTask(Key, Now);
     }
   }
