Lapses: a renewal that failed long ago isn't asking

Cause: RenewalMissed says that a renewal has failed since the last answer, however long ago. It is now read together with its time: a failure counts as asking for 2 s.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -256,7 +256,7 @@
   void dropUnsentStarts(TimePoint Now);
   void logLapse(const TaskKey &Key, TimePoint Now) const;
   void logAbsence(const TaskKey &Key) const;
-  bool isAskedInVain(ExecutorIndex Index) const;
+  bool isAskedInVain(ExecutorIndex Index, TimePoint Now) const;
   void expireRuns(TimePoint Now);
 
   // Ends of runs that were given up.
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -129,6 +129,7 @@
   bool RenewalFailed = false;  ///< The last one got no answer.
   /// One has failed, or was refused, since the last that was carried out.
   bool RenewalMissed = false;
+  TimePoint RenewalMissedAt{}; ///< The newest of these.
   /// A call got no answer, or the clock fell: another incarnation may answer
   /// under the same id. Until a renewal that was sent later is answered,
   /// nothing is sent that is only meant for this one.
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -43,6 +43,7 @@
             Executor.Info.Id, Answer.Born, Executor.Info.Born);
   Executor.RenewalFailed = true;
   Executor.RenewalMissed = true;
+  Executor.RenewalMissedAt = Now;
   Pool.recordUnanswered(Index, Now);
   return std::nullopt;
 }
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -328,6 +328,7 @@
   if (Answer.Outcome != OrderOutcome::Done) {
     constexpr Millis RenewalRetryDelay{150};
     Executor.RenewalMissed = true;
+    Executor.RenewalMissedAt = Now;
     if (Answer.Outcome == OrderOutcome::NotSent ||
         Answer.Outcome == OrderOutcome::Unknown) {
       Executor.RenewalFailed = true;
@@ -488,19 +489,22 @@
           mayGrantLease(Index, Now));
 }
 
-/// Whether the executor was asked and did not answer. One that nobody has asked
-/// in time may have ends to tell of.
-bool CellOwner::isAskedInVain(ExecutorIndex Index) const {
+/// Whether the executor was asked of late and did not answer. One that nobody
+/// has asked in time may have ends to tell of.
+bool CellOwner::isAskedInVain(ExecutorIndex Index, TimePoint Now) const {
+  /// Renewals to a silent executor fail more often than this.
+  constexpr Millis MaxMissAge{2'000};
   const ExecutorState &Executor = Pool[Index];
-  return Executor.Ended || Executor.RenewalMissed ||
-         Executor.Info.Address.empty();
+  bool IsMissed =
+      Executor.RenewalMissed && Now <= Executor.RenewalMissedAt + MaxMissAge;
+  return Executor.Ended || IsMissed || Executor.Info.Address.empty();
 }
 
 void CellOwner::expireRuns(TimePoint Now) {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     if (Pool[I].OpenRuns == 0 || !Pool.areLeasesExpired(I, Now))
       continue;
-    if (!isAskedInVain(I)) {
+    if (!isAskedInVain(I, Now)) {
       Pool[I].NextRenewalAt = std::min(Pool[I].NextRenewalAt, Now);
       continue;
     }
