--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -260,7 +260,8 @@
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void dropUnsentStarts(TimePoint Now);
   void logLapse(const TaskKey &Key, TimePoint Now) const;
-  bool isAskedInVain(ExecutorIndex Index) const;
+  void logAbsence(const TaskKey &Key) const;
+  bool isAskedInVain(ExecutorIndex Index, TimePoint Now) const;
   void expireRuns(TimePoint Now);
 
   // Ends of runs that were given up.
@@ -300,6 +301,7 @@
                      TimePoint RenewalSentAt, TimePoint Now);
 
   // Crashes of executors.
+  bool mayHaveCrashed(const LiveTask &Run) const;
   LostRun lostRun(const TaskKey &Key) const;
   std::vector<LostRun> lostRunsOn(ExecutorIndex Index) const;
   void countCrash(ExecutorIndex Index, std::span<const LostRun> Runs,
@@ -424,10 +426,12 @@
   bool hasTicketExpired(const TaskKey &Key, TimePoint Now) const;
   void dropExpiredStart(const TaskKey &Key, TimePoint Now);
   void emitOrders(TimePoint Now);
+  void logStart(const TaskKey &Key) const;
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
   bool isRenewalDue(ExecutorIndex Index, TimePoint Now) const;
   bool hasOverdueRun(ExecutorIndex Index, TimePoint Now) const;
+  void logAcknowledgement(ExecutorIndex Index, uint64_t Number);
   void emitRenewal(ExecutorIndex Index, TimePoint Now);
   void emitRenewals(TimePoint Now);
   void adjustPace(ExecutorIndex Index, TimePoint Now);
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -129,6 +129,7 @@
   bool RenewalFailed = false;  ///< The last one got no answer.
   /// One has failed, or was refused, since the last that was carried out.
   bool RenewalMissed = false;
+  TimePoint RenewalMissedAt{}; ///< The newest of these.
   /// A call got no answer, or the clock fell: another incarnation may answer
   /// under the same id. Until a renewal that was sent later is answered,
   /// nothing is sent that is only meant for this one.
@@ -162,6 +163,7 @@
   uint32_t OpenRuns = 0;         ///< Runs that were recorded and are not over.
   uint64_t LastProcessedEnd = 0; ///< Number of the newest run end processed.
   uint64_t AcknowledgedEnd = 0;
+  uint64_t AcknowledgementSent = 0; ///< The highest in any renewal.
   std::deque<ListedEnd> UnacknowledgedEnds;
   std::vector<LingeringRun> LingeringRuns;
   std::vector<LostRun> LapsedRuns; ///< Since its last answer.
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -203,10 +203,10 @@
   // An end that comes with an answer given at once may be as old as the time
   // without a renewal at the executor.
   logInfo("run-ended",
-          "task={} run={} executor={} how={} after_ms={} unheard_ms={} "
-          "renewal_ms={}",
+          "task={} run={} executor={} how={} number={} after_ms={} "
+          "unheard_ms={} renewal_ms={}",
           End.Id.Task, End.Id.Run, Executor.Info.Id,
-          executor::endName(End.Kind),
+          executor::endName(End.Kind), End.Sequence,
           Task.Confirmed ? toMillis(Now - Task.RunningSince) : -1,
           toMillis(Executor.RenewalSentAt - Executor.RenewalAnsweredAt),
           toMillis(Now - Executor.RenewalSentAt));
@@ -252,6 +252,19 @@
     Member.Checkpoint = Running.Checkpoint;
 }
 
+/// Logs what tells a run that its executor never had, or has lost, from one
+/// whose end was acknowledged unheard.
+void CellOwner::logAbsence(const TaskKey &Key) const {
+  const LiveTask &Task = Key.task();
+  const ExecutorState &Executor = Pool[Task.Executor];
+  logInfo("run-absent",
+          "task={} run={} executor={} born={} confirmed={} stopped={} "
+          "inherited={} acknowledged={} newest_end={} epoch={}",
+          Key.name(), Task.Run, Executor.Info.Id, Executor.Info.Born,
+          Task.Confirmed, Task.StopConfirmed, Task.Inherited,
+          Executor.AcknowledgementSent, Executor.LastProcessedEnd, Row.Epoch);
+}
+
 /// Ends runs that are missing from a renewal answer, if the executor had
 /// confirmed the run or its stop before the renewal was sent.
 void CellOwner::endAbsentRuns(ExecutorIndex Index,
@@ -272,8 +285,7 @@
   for (const TaskKey &Key : AbsentRuns) {
     if (!isOpen(Key.task().Phase) || Key.task().Executor != Index)
       continue; // Ended with another member of its gang.
-    logInfo("run-absent", "task={} run={} executor={}", Key.name(),
-            Key.task().Run, Pool[Index].Info.Id);
+    logAbsence(Key);
     endRun(Key, EndKind::Expired, Now);
   }
 }
@@ -306,6 +318,7 @@
   if (Answer.Outcome != OrderOutcome::Done) {
     constexpr Millis RenewalRetryDelay{150};
     Executor.RenewalMissed = true;
+    Executor.RenewalMissedAt = Now;
     if (Answer.Outcome == OrderOutcome::NotSent ||
         Answer.Outcome == OrderOutcome::Unknown) {
       Executor.RenewalFailed = true;
@@ -466,19 +479,22 @@
           mayGrantLease(Index, Now));
 }
 
-/// Whether the executor was asked and did not answer. One that nobody has asked
-/// in time may have ends to tell of.
-bool CellOwner::isAskedInVain(ExecutorIndex Index) const {
+/// Whether the executor was asked of late and did not answer. One that nobody
+/// has asked in time may have ends to tell of.
+bool CellOwner::isAskedInVain(ExecutorIndex Index, TimePoint Now) const {
+  /// Renewals to a silent executor fail more often than this.
+  constexpr Millis MaxMissAge{2'000};
   const ExecutorState &Executor = Pool[Index];
-  return Executor.Ended || Executor.RenewalMissed ||
-         Executor.Info.Address.empty();
+  bool IsMissed =
+      Executor.RenewalMissed && Now <= Executor.RenewalMissedAt + MaxMissAge;
+  return Executor.Ended || IsMissed || Executor.Info.Address.empty();
 }
 
 void CellOwner::expireRuns(TimePoint Now) {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     if (Pool[I].OpenRuns == 0 || !Pool.areLeasesExpired(I, Now))
       continue;
-    if (!isAskedInVain(I)) {
+    if (!isAskedInVain(I, Now)) {
       Pool[I].NextRenewalAt = std::min(Pool[I].NextRenewalAt, Now);
       continue;
     }
@@ -489,11 +505,15 @@
         continue;
       ++Counts.ExpiredRuns;
       logLapse(Key, Now);
-      Pool[I].LapsedRuns.push_back(lostRun(Key));
-      Pool[I].LapsedRuns.back().HasLapsed = true;
+      bool MayHaveCrashed = mayHaveCrashed(Key.task());
+      if (MayHaveCrashed) {
+        Pool[I].LapsedRuns.push_back(lostRun(Key));
+        Pool[I].LapsedRuns.back().HasLapsed = true;
+      }
       endRun(Key, EndKind::Expired, Now);
       // Whether this executor has crashed may show only after the next start.
-      if (Key.task().Crashes + 1 >= MaxCrashesOfAnyCause && !isDoneEarlier(Key))
+      if (MayHaveCrashed && Key.task().Crashes + 1 >= MaxCrashesOfAnyCause &&
+          !isDoneEarlier(Key))
         giveUpCrashingTask(Key, Now);
     }
   }
