A fencing token for each life of an executor

Cause: fencing tokens told owners apart, not the lives of an executor that starts again under its id. A life that had seen no token carried out starts, renewals with leases and acknowledgements, and paces of the one before.

Ruled out: stops of all starts that may come late, as before (a rule for each kind of order, none for renewals); no order to an id for 12 s.

Change: the token is the owner's epoch plus the number of lives that the owner has learned of. Epochs rise by 2^20; the row states the highest token as "epoch", so that entries of the version before take over with a higher one, and the owner's own epoch beside it. The life that answers under the earlier token is asked again at once; an open run whose start may have reached it is over unless that answer lists it. Refusals of an older token of this owner depose nobody. Stops of starts that may come late are removed.

The test of the epoch after 4 expects the next multiple of the stride in place of 5, as strict as before.

Conclusion: what remains is the time before the first call with the new token.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -15,7 +15,8 @@
 
 CellOwner::CellOwner(OwnerOptions Options,
                      std::shared_ptr<const CellConfig> Config)
-    : Options(std::move(Options)), Pool(this->Options.Leases),
+    : Options(std::move(Options)),
+      Pool(this->Options.Leases, this->Options.AcquiredRow.Epoch),
       RowVersion(this->Options.RowVersion), Row(this->Options.AcquiredRow),
       Loading(this->Options.Loading) {
   setConfig(std::move(Config));
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -279,20 +279,17 @@
                                 std::string_view HeardFrom,
                                 const executor::RenewalAnswer *Answer,
                                 TimePoint Now);
-  std::optional<ExecutorIndex> sourceOf(ExecutorIndex Index,
-                                        const executor::RenewalAnswer &Answer,
-                                        TimePoint Now);
+  bool isFromSameLife(ExecutorIndex Index,
+                      const executor::RenewalAnswer &Answer, TimePoint Now);
   void onRestart(ExecutorIndex Earlier, ExecutorIndex Later,
                  const executor::RenewalAnswer *Answer, TimePoint Now);
   bool mayReachNext(const TaskKey &Key, TimePoint Now) const;
   void moveRun(const TaskKey &Key, ExecutorIndex Later, TimePoint Now);
-  void refuseLateStarts(ExecutorIndex Earlier, ExecutorIndex Later,
-                        TimePoint Now);
   void onIncarnationEnded(ExecutorIndex Index, TimePoint Now);
   void endIncarnation(ExecutorIndex Index, std::vector<LostRun> CrashedRuns,
                       TimePoint Now);
   void onRenewalDone(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
-                     TimePoint RenewalSentAt, TimePoint Now);
+                     TimePoint Now);
 
   // Crashes of executors.
   LostRun lostRun(const TaskKey &Key) const;
@@ -415,12 +412,13 @@
   void dropStartsOnLeavingExecutors(std::span<const ExecutorIndex> Unsettled,
                                     TimePoint Now);
   std::vector<ExecutorIndex> unsettledExecutors();
-  void emitRefusals(TimePoint Now);
   bool hasTicketExpired(const TaskKey &Key, TimePoint Now) const;
   void dropExpiredStart(const TaskKey &Key, TimePoint Now);
   void emitOrders(TimePoint Now);
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
+  void emitStopOf(const executor::RunId &Id, ExecutorIndex Index);
+  void onFenced(ExecutorIndex Index);
   bool isRenewalDue(ExecutorIndex Index, TimePoint Now) const;
   bool hasOverdueRun(ExecutorIndex Index, TimePoint Now) const;
   void emitRenewal(ExecutorIndex Index, TimePoint Now);
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -25,6 +25,7 @@
   auto Index = static_cast<ExecutorIndex>(Executors.size());
   Executors.emplace_back();
   Executors.back().Info.Id = Id;
+  Executors.back().FencingToken = Epoch;
   IndexById.emplace(Id, Index);
   return Index;
 }
@@ -45,8 +46,13 @@
   bool IsListed = Executors[Newest].Listed || Executors[Newest].EntryOutdated;
   Executors[Newest].Listed = false;
   Executors[Newest].EntryOutdated = false;
+  // Below the next owner's epoch.
+  uint64_t Token =
+      std::min(Executors[Newest].FencingToken + 1, Epoch + EpochStride - 1);
+  HighestToken = std::max(HighestToken, Token);
   Executors.emplace_back();
   Executors.back().Info = std::move(Info);
+  Executors.back().FencingToken = Token;
   Executors.back().EntryOutdated = IsListed;
   IndexById.insert_or_assign(Executors.back().Info.Id, Index);
   return Index;
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CELL_EXECUTORPOOL_H
 
 #include "cell/CrashPolicy.h"
+#include "cell/OwnerRow.h"
 #include "common/Time.h"
 #include "executor/ExecutorPort.h"
 
@@ -112,9 +113,6 @@
 struct LateStart {
   executor::RunId Id;
   TimePoint Until{}; ///< Not after this.
-  /// The run is over: stops are sent until one is confirmed.
-  bool IsToBeRefused = false;
-  TimePoint NextStopAt{};
 };
 
 /// One incarnation of an executor and the owner's state for it.
@@ -123,7 +121,10 @@
   bool Listed = false;     ///< In the newest instance list.
   bool EverListed = false; ///< Was in some instance list.
   bool Ended = false;      ///< This incarnation has ended for certain.
-  /// Has answered to this owner's fencing token.
+  /// In all that is sent to this incarnation; higher than that of the one
+  /// before.
+  uint64_t FencingToken = 0;
+  /// Has answered to that token, and refuses what was sent with lower ones.
   bool TokenConfirmed = false;
   bool RenewalPending = false; ///< A renewal is in flight.
   bool RenewalFailed = false;  ///< The last one got no answer.
@@ -178,7 +179,9 @@
 /// The executors of one service: their capacity, reachability and leases.
 class ExecutorPool {
 public:
-  explicit ExecutorPool(LeaseOptions Options) : Options(Options) {}
+  /// Fencing tokens begin with \p Epoch.
+  explicit ExecutorPool(LeaseOptions Options, uint64_t Epoch = 0)
+      : Options(Options), Epoch(Epoch), HighestToken(Epoch) {}
 
   /// Applies a new instance list. Returns the incarnations listed for the first
   /// time. Entries of earlier incarnations than the newest are ignored.
@@ -187,14 +190,17 @@
   /// The newest incarnation under the id; added as unlisted if unknown.
   ExecutorIndex findOrAdd(std::string_view Id);
   /// The same after another incarnation, started at \p Born, was heard of. A
-  /// later one than the newest is added; if the newest has not been stated, it
-  /// is taken to be this one.
+  /// later one than the newest is added, with a higher fencing token; if the
+  /// newest has not been stated, it is taken to be this one.
   ExecutorIndex findOrAdd(std::string_view Id, int64_t Born);
   /// The newest incarnation under the same id.
   ExecutorIndex newestOf(ExecutorIndex Index) const {
     return IndexById.at(Executors[Index].Info.Id);
   }
 
+  bool isNewest(ExecutorIndex Index) const { return newestOf(Index) == Index; }
+  uint64_t highestToken() const { return HighestToken; }
+
   size_t size() const { return Executors.size(); }
   size_t listedCount() const {
     return static_cast<size_t>(
@@ -227,11 +233,6 @@
   /// A start got no answer.
   void recordLateStart(ExecutorIndex Index, const executor::RunId &Id,
                        TimePoint Now);
-  /// The executor has confirmed a stop, and will refuse starts of the run.
-  void recordRefusal(ExecutorIndex Index, const executor::RunId &Id) {
-    for (LateStart &Start : Executors[Index].LateStarts)
-      Start.IsToBeRefused &= Start.Id != Id;
-  }
   /// Whether a copy of a start may still be carried out.
   bool mayStartLate(ExecutorIndex Index, const executor::RunId &Id,
                     TimePoint Now) const;
@@ -267,6 +268,8 @@
   TimePoint zoneSuspectSince(const std::string &Zone) const;
 
   LeaseOptions Options;
+  uint64_t Epoch = 0;
+  uint64_t HighestToken = 0;
   std::vector<ExecutorState> Executors;
   std::unordered_map<std::string, ExecutorIndex> IndexById;
   std::unordered_map<std::string, TimePoint> SuspectZones;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -45,7 +45,9 @@
   bool Confirmed = false; ///< The executor has reported the run.
   /// A renewal answer of this incarnation of `Executor` has listed the run.
   bool ListedRunning = false;
-  bool Inherited = false; ///< Recorded by an earlier owner.
+  /// Sent with a lower fencing token than that of `Executor`, by an earlier
+  /// owner or to an earlier incarnation.
+  bool Inherited = false;
   bool StopConfirmed = false;
   TimePoint ConfirmedAt{};
   TimePoint StopConfirmedAt{};
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -193,6 +193,7 @@
   // answers to copies of older commits must not be taken for answers to this
   // one.
   NewRow.Sequence = ++LastBuiltSequence;
+  NewRow.HighestToken = Pool.highestToken();
   // While loading, what the last owner wrote about its jobs still holds.
   if (Loading)
     return NewRow;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -5,7 +5,8 @@
 #include <algorithm>
 
 /// Executors that end, or start again under their id. Orders name the id alone,
-/// so that what was sent to one incarnation may be carried out by the next.
+/// so that what was sent to one incarnation may be carried out by the next,
+/// until that one has been called with its own fencing token.
 namespace daisylanding::cell {
 
 /// The newest incarnation under the id after one that started at \p Born was
@@ -27,24 +28,25 @@
   return Newest;
 }
 
-/// The incarnation that a renewal answer is from; none if it is not from the
-/// newest, and tells nothing any more.
-std::optional<ExecutorIndex>
-CellOwner::sourceOf(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
-                    TimePoint Now) {
-  if (Pool.newestOf(Index) != Index)
-    return std::nullopt;
+/// Whether a renewal answer is from the incarnation that the renewal was meant
+/// for, and that is the newest. What a later one does under the earlier token
+/// is not settled; it is asked again under its own.
+bool CellOwner::isFromSameLife(ExecutorIndex Index,
+                               const executor::RenewalAnswer &Answer,
+                               TimePoint Now) {
+  if (!Pool.isNewest(Index))
+    return false;
   ExecutorState &Executor = Pool[Index];
   if (Answer.Born == 0 || Answer.Born >= Executor.Info.Born)
     return noteIncarnation(std::string(Executor.Info.Id), Answer.Born,
-                           "renewal", &Answer, Now);
+                           "renewal", &Answer, Now) == Index;
   if (!Executor.RenewalFailed)
     logWarn("executor-born-fell", "executor={} born={} newest={}",
             Executor.Info.Id, Answer.Born, Executor.Info.Born);
   Executor.RenewalFailed = true;
   Executor.RenewalMissed = true;
   Pool.recordUnanswered(Index, Now);
-  return std::nullopt;
+  return false;
 }
 
 /// Whether the start of an open run may have reached the incarnation after the
@@ -61,8 +63,8 @@
 }
 
 /// Makes an open run one of a later incarnation that may have been sent its
-/// start. The run is over once that one has refused it or reported its end; for
-/// a run of an earlier owner, whose orders it refuses, once it has answered.
+/// start. The run is over if that one doesn't list it in the first answer under
+/// its own token: from then on it refuses the start.
 void CellOwner::moveRun(const TaskKey &Key, ExecutorIndex Later,
                         TimePoint Now) {
   LiveTask &Task = Key.task();
@@ -79,8 +81,8 @@
   Task.Executor = Later;
   Task.CapacityReserved = true;
   Task.OrderPending = false;
-  // The later incarnation may have begun it, or still may.
-  Task.StartUnanswered = true;
+  Task.StartUnanswered = false;
+  Task.Inherited = true;
   Task.Confirmed = false;
   Task.ListedRunning = false;
   Task.StopConfirmed = false;
@@ -95,25 +97,11 @@
   markChanged(*Key.Job);
 }
 
-/// Has a later incarnation refuse starts of runs that are over, copies of which
-/// may still be carried out.
-void CellOwner::refuseLateStarts(ExecutorIndex Earlier, ExecutorIndex Later,
-                                 TimePoint Now) {
-  for (LateStart Start : Pool[Earlier].LateStarts) {
-    if (Now > Start.Until)
-      continue;
-    Start.IsToBeRefused = !findOpenRun(Start.Id, Later);
-    Start.NextStopAt = {};
-    Pool[Later].LateStarts.push_back(std::move(Start));
-  }
-}
-
 void CellOwner::onRestart(ExecutorIndex Earlier, ExecutorIndex Later,
                           const executor::RenewalAnswer *Answer,
                           TimePoint Now) {
   resizeExecutorTables();
-  Pool[Later].NextRenewalAt =
-      Answer ? Now + Options.Leases.MinRenewalInterval : Now;
+  Pool[Later].NextRenewalAt = Now;
   bool HoldsLease = Pool[Earlier].GrantUnanswered;
   std::vector<TaskKey> Runs = OpenRunsByExecutor[Earlier];
   for (const TaskKey &Key : Runs) {
@@ -125,13 +113,12 @@
       continue;
     HoldsLease = true;
     moveRun(Key, Later, Now);
-    if (!Task.Inherited && !IsListed)
-      beginStop(Key, Now);
   }
+  // Copies may outlast this incarnation, too.
+  Pool[Later].LateStarts = Pool[Earlier].LateStarts;
   // What was sent by the clock of the earlier one.
   if (HoldsLease)
     Pool.recordLongLease(Later, Now);
-  refuseLateStarts(Earlier, Later, Now);
   // Moved runs may still go on, or have never begun before the restart.
   endIncarnation(Earlier, lostRunsOn(Earlier), Now);
 }
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -72,7 +72,7 @@
                    .Id = {Key.name(), Task.Run},
                    .Spec = Key.Job->Spec.Payload,
                    .LeaseEndMs = *LeaseEnd,
-                   .FencingToken = Row.Epoch,
+                   .FencingToken = Pool[Task.Executor].FencingToken,
                    .Checkpoint = Task.Checkpoint};
   auto Found = Key.step().Permissions.find(Task.Executor);
   if (Found != Key.step().Permissions.end())
@@ -84,10 +84,29 @@
   LiveTask &Task = Key.task();
   Task.OrderPending = true;
   Task.NextOrderAt = Now + StopRetryDelay;
-  Commands.Stops.push_back({.Executor = Task.Executor,
-                            .Order = {.Target = targetOf(Task.Executor),
-                                      .Id = {Key.name(), Task.Run},
-                                      .FencingToken = Row.Epoch}});
+  emitStopOf({Key.name(), Task.Run}, Task.Executor);
+}
+
+void CellOwner::emitStopOf(const executor::RunId &Id, ExecutorIndex Index) {
+  Commands.Stops.push_back(
+      {.Executor = Index,
+       .Order = {.Target = targetOf(Index),
+                 .Id = Id,
+                 .FencingToken = Pool[Index].FencingToken}});
+}
+
+/// An executor that has restarted refuses what its earlier incarnations were
+/// sent; only a refusal of its newest token tells of another owner.
+void CellOwner::onFenced(ExecutorIndex Index) {
+  if (!Pool.isNewest(Index)) {
+    logInfo("late-order-refused", "executor={} born={} token={}",
+            Pool[Index].Info.Id, Pool[Index].Info.Born,
+            Pool[Index].FencingToken);
+    return;
+  }
+  logWarn("owner-fenced", "service={} executor={} token={}", Options.Service,
+          Pool[Index].Info.Id, Pool[Index].FencingToken);
+  Deposed = true;
 }
 
 /// Drops recorded starts that no longer fit on executors whose capacity has
@@ -153,24 +172,6 @@
   return Unsettled;
 }
 
-/// Sends the stops that make an incarnation refuse starts of runs that are
-/// over.
-void CellOwner::emitRefusals(TimePoint Now) {
-  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    if (Pool[I].Ended || Pool[I].Info.Address.empty())
-      continue;
-    for (LateStart &Start : Pool[I].LateStarts) {
-      if (!Start.IsToBeRefused || Now > Start.Until || Now < Start.NextStopAt)
-        continue;
-      Start.NextStopAt = Now + StopRetryDelay;
-      Commands.Stops.push_back({.Executor = I,
-                                .Order = {.Target = targetOf(I),
-                                          .Id = Start.Id,
-                                          .FencingToken = Row.Epoch}});
-    }
-  }
-}
-
 /// Whether the executor would refuse the start for its ticket.
 bool CellOwner::hasTicketExpired(const TaskKey &Key, TimePoint Now) const {
   const auto &Permissions = Key.step().Permissions;
@@ -203,7 +204,6 @@
   std::vector<ExecutorIndex> Unsettled = unsettledExecutors();
   dropStartsBeyondCapacity(Unsettled, Now);
   dropStartsOnLeavingExecutors(Unsettled, Now);
-  emitRefusals(Now);
   std::vector<TaskKey> ExpiredStarts;
   // Other members of a gang are stopped elsewhere.
   for (ExecutorIndex I : unsettledExecutors()) {
@@ -278,7 +278,7 @@
   ExecutorState &Executor = Pool[Index];
   RenewalCommand Command{.Executor = Index};
   Command.Call = {.Target = targetOf(Index),
-                  .FencingToken = Row.Epoch,
+                  .FencingToken = Executor.FencingToken,
                   .AcknowledgedEnd =
                       Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
   if (mayGrantLease(Index, Now) && !Executor.InDoubt)
@@ -323,7 +323,7 @@
       Answer.Outcome != OrderOutcome::Replaced)
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
   if (Answer.Outcome == OrderOutcome::Fenced)
-    Deposed = true;
+    onFenced(Index);
   if (Answer.Outcome == OrderOutcome::Replaced) {
     // This start came too late to be the cause.
     if (auto Refused = findOpenRun(Id, Index))
@@ -409,12 +409,10 @@
 
 void CellOwner::onStop(const executor::RunId &Id, ExecutorIndex Index,
                        const executor::OrderAnswer &Answer, TimePoint Now) {
-  if (Answer.Outcome == OrderOutcome::Done) {
+  if (Answer.Outcome == OrderOutcome::Done)
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
-    Pool.recordRefusal(Index, Id);
-  }
   if (Answer.Outcome == OrderOutcome::Fenced)
-    Deposed = true;
+    onFenced(Index);
   if (Answer.Outcome == OrderOutcome::Replaced)
     onIncarnationEnded(Index, Now);
   auto Key = findOpenRun(Id, Index);
--- a/src/cell/OwnerPace.cpp
+++ b/src/cell/OwnerPace.cpp
@@ -49,11 +49,12 @@
     if (!NeedsOrder)
       continue;
     Task.PacePercent = Pace.Percent;
-    Commands.PaceChanges.push_back({.Executor = Index,
-                                    .Order = {.Target = targetOf(Index),
-                                              .Id = {Key.name(), Task.Run},
-                                              .Percent = Pace.Percent,
-                                              .FencingToken = Row.Epoch}});
+    Commands.PaceChanges.push_back(
+        {.Executor = Index,
+         .Order = {.Target = targetOf(Index),
+                   .Id = {Key.name(), Task.Run},
+                   .Percent = Pace.Percent,
+                   .FencingToken = Pool[Index].FencingToken}});
   }
 }
 
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -2,6 +2,8 @@
 
 #include "common/Json.h"
 
+#include <algorithm>
+
 namespace daisylanding::cell {
 
 using nlohmann::json;
@@ -9,7 +11,8 @@
 std::string encodeOwnerRow(const OwnerRow &Row) {
   json Document = {{"holder", Row.Holder},
                    {"relay", Row.RelayAddress},
-                   {"epoch", Row.Epoch},
+                   {"epoch", std::max(Row.Epoch, Row.HighestToken)},
+                   {"owner_epoch", Row.Epoch},
                    {"sequence", Row.Sequence},
                    {"released", Row.Released},
                    {"largest_millicores", Row.LargestEntry.MilliCores},
@@ -42,7 +45,9 @@
     NumberReader Numbers;
     Row.Holder = Document.at("holder").get<std::string>();
     Row.RelayAddress = Document.value("relay", std::string());
-    Row.Epoch = Numbers.whole<uint64_t>(Document.at("epoch"));
+    Row.HighestToken = Numbers.whole<uint64_t>(Document.at("epoch"));
+    Row.Epoch =
+        Numbers.field<uint64_t>(Document, "owner_epoch", Row.HighestToken);
     Row.Sequence = Numbers.whole<uint64_t>(Document.at("sequence"));
     Row.Released = Document.at("released").get<bool>();
     Row.LargestEntry = {.MilliCores = Numbers.field<uint32_t>(
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -30,12 +30,25 @@
   return std::string(JobId) + "/cancel";
 }
 
+/// Distance between the epochs of one owner and the next, which leaves tokens
+/// for that many lives of an executor under one owner.
+constexpr uint64_t EpochStride = uint64_t{1} << 20;
+
+/// The epoch of the owner that follows one whose highest token is given: the
+/// next multiple of `EpochStride`.
+constexpr uint64_t nextEpoch(uint64_t HighestToken) {
+  return (HighestToken / EpochStride + 1) * EpochStride;
+}
+
 /// The owner of a service. Each commit of the owner rewrites the row, so that
 /// its version is the precondition of the next commit.
 struct OwnerRow {
-  std::string Holder;         ///< Entry name and incarnation.
-  std::string RelayAddress;   ///< Address of the holder's relay; host:port.
-  uint64_t Epoch = 0;         ///< Fencing token; grows with each owner.
+  std::string Holder;       ///< Entry name and incarnation.
+  std::string RelayAddress; ///< Address of the holder's relay; host:port.
+  uint64_t Epoch = 0;       ///< Grows with each owner.
+  /// The highest fencing token that the owner has issued; at least `Epoch`.
+  /// Versions with one token for each owner take it for the epoch.
+  uint64_t HighestToken = 0;
   uint64_t Sequence = 0;      ///< Commit count of this owner.
   bool Released = false;      ///< Any entry may acquire the service at once.
   EntryCapacity LargestEntry; ///< Of all entries that the owner knows.
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -232,10 +232,7 @@
                               TimePoint Now) {
   auto Key = findOpenRun(Running.Id, Index);
   if (!Key) {
-    Commands.Stops.push_back({.Executor = Index,
-                              .Order = {.Target = targetOf(Index),
-                                        .Id = Running.Id,
-                                        .FencingToken = Row.Epoch}});
+    emitStopOf(Running.Id, Index);
     return;
   }
   LiveTask &Task = Key->task();
@@ -273,7 +270,7 @@
     bool Confirmed = Task.Confirmed && Task.ConfirmedAt < RenewalSentAt;
     bool Stopped = Task.Phase == TaskPhase::Stopping && Task.StopConfirmed &&
                    Task.StopConfirmedAt < RenewalSentAt;
-    // Orders of earlier owners are fenced by this renewal.
+    // What was sent with lower tokens is fenced by this renewal.
     if (!Confirmed && !Stopped && !Task.Inherited)
       continue;
     if (!Answer.lists({Key.name(), Task.Run}))
@@ -306,7 +303,7 @@
   Executor.RenewalPending = false;
   Executor.NextRenewalAt = Now + Options.Leases.MinRenewalInterval;
   if (Answer.Outcome == OrderOutcome::Fenced) {
-    Deposed = true;
+    onFenced(Index);
     return;
   }
   if (Answer.Outcome == OrderOutcome::Replaced) {
@@ -324,16 +321,16 @@
     Executor.NextRenewalAt = Now + RenewalRetryDelay;
     return;
   }
-  TimePoint RenewalSentAt = Executor.RenewalSentAt;
-  if (auto Source = sourceOf(Index, Answer, Now))
-    onRenewalDone(*Source, Answer, RenewalSentAt, Now);
+  if (isFromSameLife(Index, Answer, Now))
+    onRenewalDone(Index, Answer, Now);
 }
 
 void CellOwner::onRenewalDone(ExecutorIndex Index,
                               const executor::RenewalAnswer &Answer,
-                              TimePoint RenewalSentAt, TimePoint Now) {
+                              TimePoint Now) {
   Pool.recordAnswer(Index, Answer.ClockMs, Now);
   ExecutorState &Executor = Pool[Index];
+  TimePoint RenewalSentAt = Executor.RenewalSentAt;
   Executor.InDoubt &= RenewalSentAt <= Executor.DoubtedAt;
   Executor.GrantUnanswered = false;
   Executor.LapsedRuns.clear(); // It was cut off, not lost.
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -47,10 +47,11 @@
 }
 
 cell::OwnerRow OwnerWatch::successorRow(std::string Holder) const {
-  cell::OwnerRow Successor{
-      .Holder = std::move(Holder), .Epoch = 1, .LeasesEndMs = 0};
+  uint64_t LastToken = Row ? std::max(Row->Epoch, Row->HighestToken) : 0;
+  cell::OwnerRow Successor{.Holder = std::move(Holder),
+                           .Epoch = cell::nextEpoch(LastToken),
+                           .LeasesEndMs = 0};
   if (Row) {
-    Successor.Epoch = Row->Epoch + 1;
     Successor.LeasesEndMs = Row->LeasesEndMs;
     Successor.SilentLeaseEnds = Row->SilentLeaseEnds;
     Successor.LargestEntry = Row->LargestEntry;
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -189,7 +189,7 @@
 TEST(AWatchedOwner, IsReplacedWithinTwoSecondsOfItsDeath) {
   Watch.recordRow(10, Row, Quick, at(1'500));
   CHECK_TRUE(Watch.shouldAcquire("b/1", 0, at(1'500)));
-  LONGS_EQUAL(5, Watch.successorRow("b/1").Epoch);
+  CHECK_EQUAL(EpochStride, Watch.successorRow("b/1").Epoch);
 }
 
 TEST(AWatchedOwner, IsNotReplacedForSilenceInAStoreOutage) {
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -205,12 +205,14 @@
 void Simulation::takeOver(const std::string &Holder) {
   if (Owner)
     killOwner();
-  cell::OwnerRow Row{.Holder = Holder.empty() ? "e" + std::to_string(Epoch + 1)
+  ++Takeovers;
+  cell::OwnerRow Row{.Holder = Holder.empty() ? "e" + std::to_string(Takeovers)
                                               : Holder,
-                     .Epoch = ++Epoch};
+                     .Epoch = cell::EpochStride};
   auto OldRow = Rows.find({cell::OwnerTable, cell::OwnerKey});
   if (OldRow != Rows.end()) {
     auto Old = cell::decodeOwnerRow(OldRow->second.Value);
+    Row.Epoch = cell::nextEpoch(Old->HighestToken);
     Row.LeasesEndMs = Old->LeasesEndMs;
     Row.SilentLeaseEnds = Old->SilentLeaseEnds;
   }
@@ -520,10 +522,30 @@
       });
     });
   }
+  for (const cell::PaceCommand &Command : Commands.PaceChanges)
+    sendPace(Command, Target);
   for (const cell::RenewalCommand &Command : Commands.Renewals)
     sendRenewal(Command, Target);
 }
 
+void Simulation::sendPace(const cell::PaceCommand &Command,
+                          const cell::CellOwner *Sender) {
+  Paces.push_back(Command.Order);
+  schedule(TransitMs, [this, Sender, Command] {
+    SimExecutor &Executor = executor(Command.Order.Target.Id);
+    executor::OrderAnswer Answer;
+    if (isReachable(Executor, Sender))
+      Answer = handlePace(Executor, Command.Order);
+    if (Executor.Replaced)
+      Answer.Outcome = OrderOutcome::Replaced;
+    if (Executor.AnswersLost)
+      Answer = {};
+    notify(Sender, [this, Command, Answer](cell::CellOwner &Receiver) {
+      Receiver.onPace(Command.Order.Id, Command.Executor, Answer, Now);
+    });
+  });
+}
+
 void Simulation::sendRenewal(const cell::RenewalCommand &Command,
                              const cell::CellOwner *Sender) {
   if (KeepsHistory)
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -43,6 +43,7 @@
   uint32_t Run = 0;
   TimePoint EndsAt{};
   Resources Size;
+  uint32_t PacePercent = 100; ///< As ordered; its work goes on as before.
 };
 
 constexpr TimePoint SimulationStart{Millis(1'000'000)};
@@ -168,8 +169,14 @@
     return Attempts.mayFail(JobId);
   }
   /// Sends a start once more, as a copy that was delayed.
-  void carryOutAgain(const executor::StartOrder &Order) {
-    handleStart(executor(Order.Target.Id), Order);
+  executor::OrderAnswer carryOutAgain(const executor::StartOrder &Order) {
+    return handleStart(executor(Order.Target.Id), Order);
+  }
+  executor::RenewalAnswer carryOutAgain(const executor::RenewalCall &Call) {
+    return handleRenewal(executor(Call.Target.Id), Call);
+  }
+  executor::OrderAnswer carryOutAgain(const executor::PaceOrder &Order) {
+    return handlePace(executor(Order.Target.Id), Order);
   }
 
   FaultRates Faults;
@@ -199,12 +206,15 @@
   std::function<std::optional<executor::OrderOutcome>(
       const executor::StartOrder &)>
       RefusalFor;
+  /// What a renewal answer states for a running task.
+  std::function<double(const std::string &)> UsageFor;
   /// By how many ms the answer to a start is late.
   std::function<int64_t(const executor::StartOrder &)> StartAnswerDelayFor;
   std::unique_ptr<cell::CellOwner> Owner;
   /// One that is paused, or was when another took over.
   std::unique_ptr<cell::CellOwner> OldOwner;
   std::vector<executor::RenewalCall> Renewals;    ///< All that were sent.
+  std::vector<executor::PaceOrder> Paces;         ///< All that were sent.
   std::vector<executor::StartOrder> Started;      ///< All starts carried out.
   std::vector<store::Transaction> AppliedCommits; ///< All that took effect.
   TimePoint Now = SimulationStart;
@@ -244,6 +254,8 @@
                  const cell::CellOwner *Sender);
   void sendRenewal(const cell::RenewalCommand &Command,
                    const cell::CellOwner *Sender);
+  void sendPace(const cell::PaceCommand &Command,
+                const cell::CellOwner *Sender);
   bool isReachable(const SimExecutor &Executor,
                    const cell::CellOwner *Sender) const;
   void sendAdviceCalls();
@@ -251,6 +263,8 @@
   bool isTicketValid(const executor::StartOrder &Order) const;
   executor::OrderAnswer handleStart(SimExecutor &Executor,
                                     const executor::StartOrder &Order);
+  executor::OrderAnswer handlePace(SimExecutor &Executor,
+                                   const executor::PaceOrder &Order);
   executor::OrderAnswer handleStop(SimExecutor &Executor,
                                    const executor::StopOrder &Order);
   void endStoppedRun(SimExecutor &Executor, const executor::RunId &Id);
@@ -286,7 +300,7 @@
   std::map<std::string, std::unique_ptr<SimExecutor>> Executors;
   std::vector<Event> PendingEvents;
   uint64_t NextEvent = 0;
-  uint64_t Epoch = 0;
+  uint64_t Takeovers = 0;
   /// Kept so that their addresses, which late answers refer to, stay unique.
   std::vector<std::unique_ptr<cell::CellOwner>> EndedOwners;
   std::map<const cell::CellOwner *, OwnerCuts> Cuts;
--- a/tests/unit/CellSimExecutors.cpp
+++ b/tests/unit/CellSimExecutors.cpp
@@ -183,6 +183,21 @@
     Violations.push_back("started after its last attempt: " + Unit);
 }
 
+executor::OrderAnswer Simulation::handlePace(SimExecutor &Executor,
+                                             const executor::PaceOrder &Order) {
+  executor::OrderAnswer Answer{.ClockMs = Executor.clockMs(Now)};
+  if (Order.FencingToken < Executor.FencingToken) {
+    Answer.Outcome = OrderOutcome::Fenced;
+    return Answer;
+  }
+  Executor.FencingToken = Order.FencingToken;
+  Answer.Outcome = OrderOutcome::Done;
+  auto Found = Executor.Running.find(Order.Id.Task);
+  if (Found != Executor.Running.end() && Found->second.Run == Order.Id.Run)
+    Found->second.PacePercent = Order.Percent;
+  return Answer;
+}
+
 executor::OrderAnswer Simulation::handleStop(SimExecutor &Executor,
                                              const executor::StopOrder &Order) {
   executor::OrderAnswer Answer{.ClockMs = Executor.clockMs(Now)};
@@ -244,7 +259,8 @@
     return End.Sequence <= Call.AcknowledgedEnd;
   });
   for (const auto &[Task, Run] : Executor.Running)
-    Answer.Running.push_back({.Id = {Task, Run.Run}});
+    Answer.Running.push_back(
+        {.Id = {Task, Run.Run}, .Usage = UsageFor ? UsageFor(Task) : 0});
   Answer.Ended = Executor.Ended;
   return Answer;
 }
