Leases by the clock of an earlier life, also for successors

Cause: whether a late renewal may have granted such a lease was forgotten with the next answer, and no successor was told.

Ruled out: a list of unanswered renewals in the row (as long as the fleet when a zone is cut off).

Change: the lease counts as lasting 10.2 s from the first answer under the new token, or from when the last earlier order can come by the executor's clock. The wait of 22 s for each moved run is removed. The token is raised before the first renewal after a call without an answer, too; a start that is refused for it is sent again.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -46,6 +46,9 @@
 TimePoint CellOwner::inheritedLeaseEndOn(const std::string &ExecutorId) const {
   const OwnerRow &Acquired = Options.AcquiredRow;
   TimePoint End = timeOfStoreClock(Acquired.LeasesEndMs.value_or(0));
+  auto Long = Acquired.LongLeaseEnds.find(ExecutorId);
+  if (Long != Acquired.LongLeaseEnds.end())
+    return std::max(End, timeOfStoreClock(Long->second));
   auto Found = Acquired.SilentLeaseEnds.find(ExecutorId);
   if (Found == Acquired.SilentLeaseEnds.end())
     return End;
@@ -281,6 +284,9 @@
       Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
                                       "progress", nullptr, Now);
       Task.Inherited = true;
+      Pool[Task.Executor].KnownToEarlierOwner |=
+          StoredTask.Born != 0 &&
+          StoredTask.Born == Pool[Task.Executor].Info.Born;
       Pool[Task.Executor].Info.Address = StoredTask.Address;
       TimePoint &LeaseEnd = Pool[Task.Executor].InheritedLeaseEnd;
       LeaseEnd = std::max(LeaseEnd, inheritedLeaseEndOn(StoredTask.Executor));
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -288,6 +288,12 @@
   void onIncarnationEnded(ExecutorIndex Index, TimePoint Now);
   void endIncarnation(ExecutorIndex Index, std::vector<LostRun> CrashedRuns,
                       TimePoint Now);
+  TimePoint longLeaseEndOn(ExecutorIndex Index,
+                           const executor::RenewalAnswer &Answer,
+                           TimePoint Now) const;
+  void greet(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
+             TimePoint Now);
+  void listLongLeases(OwnerRow &NewRow, TimePoint Now, const StoreClock &Clock);
   void onRenewalDone(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
                      TimePoint Now);
 
@@ -418,7 +424,7 @@
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
   void emitStopOf(const executor::RunId &Id, ExecutorIndex Index);
-  void onFenced(ExecutorIndex Index);
+  void onFenced(ExecutorIndex Index, bool IsOfLowerToken);
   bool isRenewalDue(ExecutorIndex Index, TimePoint Now) const;
   bool hasOverdueRun(ExecutorIndex Index, TimePoint Now) const;
   void emitRenewal(ExecutorIndex Index, TimePoint Now);
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -30,6 +30,27 @@
   return Index;
 }
 
+/// The next higher token, below the next owner's epoch.
+uint64_t ExecutorPool::tokenAfter(uint64_t Token) {
+  uint64_t Next = std::min(Token + 1, Epoch + EpochStride - 1);
+  HighestToken = std::max(HighestToken, Next);
+  return Next;
+}
+
+void ExecutorPool::raiseToken(ExecutorIndex Index, TimePoint Now) {
+  ExecutorState &Executor = Executors[Index];
+  Executor.FencingToken = tokenAfter(Executor.FencingToken);
+  Executor.TokenRaisedAt = Now;
+  Executor.TokenUsed = false;
+}
+
+bool ExecutorPool::mayCarryLowerToken(ExecutorIndex Index,
+                                      TimePoint Now) const {
+  const ExecutorState &Executor = Executors[Index];
+  return !isNewest(Index) || (Executor.TokenRaisedAt != TimePoint{} &&
+                              Now <= Executor.TokenRaisedAt + MaxAnswerDelay);
+}
+
 ExecutorIndex ExecutorPool::findOrAdd(std::string_view Id, int64_t Born) {
   ExecutorIndex Newest = findOrAdd(Id);
   int64_t KnownBorn = Executors[Newest].Info.Born;
@@ -46,10 +67,7 @@
   bool IsListed = Executors[Newest].Listed || Executors[Newest].EntryOutdated;
   Executors[Newest].Listed = false;
   Executors[Newest].EntryOutdated = false;
-  // Below the next owner's epoch.
-  uint64_t Token =
-      std::min(Executors[Newest].FencingToken + 1, Epoch + EpochStride - 1);
-  HighestToken = std::max(HighestToken, Token);
+  uint64_t Token = tokenAfter(Executors[Newest].FencingToken);
   Executors.emplace_back();
   Executors.back().Info = std::move(Info);
   Executors.back().FencingToken = Token;
@@ -190,13 +208,31 @@
   Executor.FirstExtendedAt.reset();
 }
 
-void ExecutorPool::recordLongLease(ExecutorIndex Index, TimePoint Now) {
+void ExecutorPool::recordLongLease(ExecutorIndex Index, TimePoint Until) {
   ExecutorState &Executor = Executors[Index];
-  Executor.LongLeaseEnd = Now + maxLeaseTime(Options, MaxGrantedLease);
+  Executor.LongLeaseEnd = Until + maxLeaseTime(Options, MaxGrantedLease);
   Executor.InheritedLeaseEnd =
       std::max(Executor.InheritedLeaseEnd, Executor.LongLeaseEnd);
 }
 
+void ExecutorPool::confirmToken(ExecutorIndex Index, TimePoint LongLeaseEnd,
+                                TimePoint InheritedLeaseEnd) {
+  ExecutorState &Executor = Executors[Index];
+  Executor.TokenConfirmed = true;
+  Executor.LongLeaseEnd = LongLeaseEnd;
+  Executor.InheritedLeaseEnd = std::max(InheritedLeaseEnd, LongLeaseEnd);
+}
+
+TimePoint ExecutorPool::longLeaseEnd(const std::optional<int64_t> &ClockMs,
+                                     TimePoint Now) const {
+  // Its clock began when it started. Until the restart is noticed, orders are
+  // still sent by the earlier clock.
+  Millis LastOrder = Options.IdleRenewalWait + Options.SilenceTimeout;
+  TimePoint StartedBy = Now - Millis(ClockMs.value_or(0));
+  TimePoint GrantedBy = std::min(Now, StartedBy + LastOrder + MaxOrderDelay);
+  return GrantedBy + maxLeaseTime(Options, MaxGrantedLease);
+}
+
 std::optional<int64_t> ExecutorPool::extendLease(ExecutorIndex Index,
                                                  TimePoint Now) {
   ExecutorState &Executor = Executors[Index];
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -137,8 +137,12 @@
   TimePoint DoubtedAt{}; ///< The last sign of it.
   /// The newest instance list describes an earlier incarnation.
   bool EntryOutdated = false;
-  /// A renewal has granted a lease since the last one that was answered.
-  bool GrantUnanswered = false;
+  /// More than bare renewals has been sent with `FencingToken`.
+  bool TokenUsed = false;
+  TimePoint TokenRaisedAt{};
+  /// An earlier owner has started runs on this incarnation, which has answered
+  /// to its token.
+  bool KnownToEarlierOwner = false;
   TimePoint RenewalSentAt{};
   TimePoint RenewalAnsweredAt{}; ///< The one before.
   TimePoint NextRenewalAt{};
@@ -238,8 +242,23 @@
                     TimePoint Now) const;
   void recordAnswer(ExecutorIndex Index, const std::optional<int64_t> &ClockMs,
                     TimePoint Now);
-  /// A lease by the clock of an earlier incarnation may have been granted.
-  void recordLongLease(ExecutorIndex Index, TimePoint Now);
+  /// A lease by the clock of an earlier incarnation may be granted there until
+  /// \p Until.
+  void recordLongLease(ExecutorIndex Index, TimePoint Until);
+  /// The executor has answered to its token, and carries out no more of what
+  /// was sent with lower ones. \p LongLeaseEnd is for leases by the clock of an
+  /// earlier incarnation, \p InheritedLeaseEnd for those of earlier owners.
+  void confirmToken(ExecutorIndex Index, TimePoint LongLeaseEnd,
+                    TimePoint InheritedLeaseEnd);
+  /// When all leases by the clock of an earlier incarnation have expired, for
+  /// an executor that answers to its token for the first time.
+  TimePoint longLeaseEnd(const std::optional<int64_t> &ClockMs,
+                         TimePoint Now) const;
+  /// Raises the fencing token of an executor that may have restarted, so that
+  /// its next call fences what was sent before.
+  void raiseToken(ExecutorIndex Index, TimePoint Now);
+  /// Whether an order that is refused now may have carried a lower token.
+  bool mayCarryLowerToken(ExecutorIndex Index, TimePoint Now) const;
   /// The lease end to request now, in ms on the executor's clock; none before
   /// that clock is known.
   std::optional<int64_t> extendLease(ExecutorIndex Index, TimePoint Now);
@@ -263,6 +282,7 @@
   const LeaseOptions &options() const { return Options; }
 
 private:
+  uint64_t tokenAfter(uint64_t Token);
   TimePoint ownLeasesEnd(ExecutorIndex Index) const;
   size_t avoidedCount(TimePoint Now) const;
   TimePoint zoneSuspectSince(const std::string &Zone) const;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -52,8 +52,6 @@
   TimePoint ConfirmedAt{};
   TimePoint StopConfirmedAt{};
   TimePoint NextOrderAt{};
-  /// Its lease may be by the clock of an earlier incarnation, and last so long.
-  TimePoint LeaseHeldUntil{};
   TimePoint RunningSince{};
   uint32_t StartAttempts = 0;
   uint32_t Percent = 0; ///< Of the work, as last reported.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -234,6 +234,7 @@
   NewRow.LeasesEndMs = std::max(
       Options.AcquiredRow.LeasesEndMs.value_or(0),
       Clock.MaxMs + leaseHorizon(Options.Leases, LongestGrant).count());
+  listLongLeases(NewRow, Now, Clock);
   // An executor that answers again gets leases only with the next row, which
   // must not take too much of a lease.
   bool IsStoreQuick = 2 * LastCommitTime < Options.Leases.LeaseDuration / 4;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -49,6 +49,57 @@
   return false;
 }
 
+/// When all leases by the clock of an earlier incarnation have expired on an
+/// executor that answers to its token for the first time. One that was started
+/// shortly before may have carried out late orders of an earlier owner to the
+/// incarnation before it, unless that owner had called it.
+TimePoint CellOwner::longLeaseEndOn(ExecutorIndex Index,
+                                    const executor::RenewalAnswer &Answer,
+                                    TimePoint Now) const {
+  const ExecutorState &Executor = Pool[Index];
+  const OwnerRow &Acquired = Options.AcquiredRow;
+  auto Listed = Acquired.LongLeaseEnds.find(Executor.Info.Id);
+  TimePoint ListedEnd = Listed == Acquired.LongLeaseEnds.end()
+                            ? TimePoint{}
+                            : timeOfStoreClock(Listed->second);
+  bool IsFirstOwner = Acquired.LeasesEndMs == 0;
+  bool FollowsAnother = Executor.LongLeaseEnd != TimePoint{};
+  if (!FollowsAnother && (IsFirstOwner || Executor.KnownToEarlierOwner))
+    return ListedEnd;
+  return std::max(ListedEnd, Pool.longLeaseEnd(Answer.ClockMs, Now));
+}
+
+/// The executor has answered to its token for the first time.
+void CellOwner::greet(ExecutorIndex Index,
+                      const executor::RenewalAnswer &Answer, TimePoint Now) {
+  const ExecutorState &Executor = Pool[Index];
+  TimePoint LongLeaseEnd = longLeaseEndOn(Index, Answer, Now);
+  // An idle executor may keep a lease for runs that are started there.
+  Pool.confirmToken(Index, LongLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
+  logInfo("executor-greeted",
+          "executor={} born={} token={} running={} ended={} long_lease_ms={}",
+          Executor.Info.Id, Executor.Info.Born, Executor.FencingToken,
+          Answer.Running.size(), Answer.Ended.size(),
+          std::max<int64_t>(0, toMillis(LongLeaseEnd - Now)));
+}
+
+/// States in the row which leases by the clocks of earlier incarnations outlast
+/// all others.
+void CellOwner::listLongLeases(OwnerRow &NewRow, TimePoint Now,
+                               const StoreClock &Clock) {
+  int64_t LeasesEndMs = NewRow.LeasesEndMs.value_or(0);
+  NewRow.LongLeaseEnds = Options.AcquiredRow.LongLeaseEnds;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    const ExecutorState &Executor = Pool[I];
+    if (Executor.Ended || Executor.LongLeaseEnd <= Now)
+      continue;
+    int64_t EndMs = Clock.MaxMs + toMillis(Executor.LongLeaseEnd - Now) + 1;
+    NewRow.LongLeaseEnds.insert_or_assign(Executor.Info.Id, EndMs);
+  }
+  std::erase_if(NewRow.LongLeaseEnds,
+                [&](const auto &Entry) { return Entry.second <= LeasesEndMs; });
+}
+
 /// Whether the start of an open run may have reached the incarnation after the
 /// run's, or still may.
 bool CellOwner::mayReachNext(const TaskKey &Key, TimePoint Now) const {
@@ -87,8 +138,6 @@
   Task.ListedRunning = false;
   Task.StopConfirmed = false;
   Task.NextOrderAt = Now;
-  Task.LeaseHeldUntil =
-      Now + MaxOrderDelay + maxLeaseTime(Options.Leases, MaxGrantedLease);
   Pool.reserve(Later, Demand);
   OpenRunsByExecutor[Later].push_back(Key);
   HasUnsettledRuns[Later] = true;
@@ -102,7 +151,6 @@
                           TimePoint Now) {
   resizeExecutorTables();
   Pool[Later].NextRenewalAt = Now;
-  bool HoldsLease = Pool[Earlier].GrantUnanswered;
   std::vector<TaskKey> Runs = OpenRunsByExecutor[Earlier];
   for (const TaskKey &Key : Runs) {
     const LiveTask &Task = Key.task();
@@ -111,14 +159,12 @@
         mayHaveBegun(Task) && Answer && Answer->lists({Key.name(), Task.Run});
     if (!IsListed && !mayReachNext(Key, Now))
       continue;
-    HoldsLease = true;
     moveRun(Key, Later, Now);
   }
   // Copies may outlast this incarnation, too.
   Pool[Later].LateStarts = Pool[Earlier].LateStarts;
-  // What was sent by the clock of the earlier one.
-  if (HoldsLease)
-    Pool.recordLongLease(Later, Now);
+  // By the clock of the earlier one, as long as it isn't fenced.
+  Pool.recordLongLease(Later, Now + MaxOrderDelay);
   // Moved runs may still go on, or have never begun before the restart.
   endIncarnation(Earlier, lostRunsOn(Earlier), Now);
 }
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -66,6 +66,7 @@
     return;
   Task.OrderPending = true;
   Task.StartSentAt = Now;
+  Pool[Task.Executor].TokenUsed = true;
   ++Counts.Starts;
   StartCommand Command{.Executor = Task.Executor};
   Command.Order = {.Target = targetOf(Task.Executor),
@@ -95,10 +96,10 @@
                  .FencingToken = Pool[Index].FencingToken}});
 }
 
-/// An executor that has restarted refuses what its earlier incarnations were
-/// sent; only a refusal of its newest token tells of another owner.
-void CellOwner::onFenced(ExecutorIndex Index) {
-  if (!Pool.isNewest(Index)) {
+/// An executor refuses what was sent with a lower token than its newest, which
+/// is never carried out; only a refusal of the newest tells of another owner.
+void CellOwner::onFenced(ExecutorIndex Index, bool IsOfLowerToken) {
+  if (IsOfLowerToken) {
     logInfo("late-order-refused", "executor={} born={} token={}",
             Pool[Index].Info.Id, Pool[Index].Info.Born,
             Pool[Index].FencingToken);
@@ -276,6 +277,9 @@
 
 void CellOwner::emitRenewal(ExecutorIndex Index, TimePoint Now) {
   ExecutorState &Executor = Pool[Index];
+  // Another incarnation may answer, and fence what was sent before.
+  if (Executor.InDoubt && Executor.TokenUsed)
+    Pool.raiseToken(Index, Now);
   RenewalCommand Command{.Executor = Index};
   Command.Call = {.Target = targetOf(Index),
                   .FencingToken = Executor.FencingToken,
@@ -283,7 +287,8 @@
                       Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
   if (mayGrantLease(Index, Now) && !Executor.InDoubt)
     Command.Call.LeaseEndMs = Pool.extendLease(Index, Now);
-  Executor.GrantUnanswered |= Command.Call.LeaseEndMs.has_value();
+  Executor.TokenUsed |=
+      Command.Call.LeaseEndMs || Command.Call.AcknowledgedEnd > 0;
   if (Executor.TokenConfirmed && !Executor.InDoubt)
     Command.Call.MaxWait = Executor.OpenRuns > 0
                                ? Options.Leases.BusyRenewalWait
@@ -323,7 +328,7 @@
       Answer.Outcome != OrderOutcome::Replaced)
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
   if (Answer.Outcome == OrderOutcome::Fenced)
-    onFenced(Index);
+    onFenced(Index, Pool.mayCarryLowerToken(Index, Now));
   if (Answer.Outcome == OrderOutcome::Replaced) {
     // This start came too late to be the cause.
     if (auto Refused = findOpenRun(Id, Index))
@@ -366,6 +371,7 @@
     Task.ConfirmedAt = Now;
     Task.NextOrderAt = TimePoint::max();
     break;
+  case OrderOutcome::Fenced:
   case OrderOutcome::LeaseTooLate:
     Task.NextOrderAt = Now + OrderRetryDelay;
     break;
@@ -401,7 +407,6 @@
     Task.StartUnanswered = true;
     Task.NextOrderAt = Now + OrderRetryDelay;
     break;
-  case OrderOutcome::Fenced:
   case OrderOutcome::Replaced:
     break;
   }
@@ -412,7 +417,7 @@
   if (Answer.Outcome == OrderOutcome::Done)
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
   if (Answer.Outcome == OrderOutcome::Fenced)
-    onFenced(Index);
+    onFenced(Index, Pool.mayCarryLowerToken(Index, Now));
   if (Answer.Outcome == OrderOutcome::Replaced)
     onIncarnationEnded(Index, Now);
   auto Key = findOpenRun(Id, Index);
--- a/src/cell/OwnerPace.cpp
+++ b/src/cell/OwnerPace.cpp
@@ -49,6 +49,7 @@
     if (!NeedsOrder)
       continue;
     Task.PacePercent = Pace.Percent;
+    Pool[Index].TokenUsed = true;
     Commands.PaceChanges.push_back(
         {.Executor = Index,
          .Order = {.Target = targetOf(Index),
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -19,6 +19,8 @@
                    {"largest_link_kbit", Row.LargestEntry.LinkKbitPerSecond},
                    {"pending", Row.PendingJobs},
                    {"silent", Row.SilentLeaseEnds}};
+  if (!Row.LongLeaseEnds.empty())
+    Document["long_leases"] = Row.LongLeaseEnds;
   if (Row.LeasesEndMs)
     Document["leases_end_ms"] = *Row.LeasesEndMs;
   return Document.dump();
@@ -60,6 +62,9 @@
     if (Document.contains("silent"))
       Row.SilentLeaseEnds =
           decodeNumbers<int64_t>(Document.at("silent"), Numbers);
+    if (Document.contains("long_leases"))
+      Row.LongLeaseEnds =
+          decodeNumbers<int64_t>(Document.at("long_leases"), Numbers);
     if (Numbers.failed())
       return Errc::Malformed;
     return Row;
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -61,6 +61,10 @@
   /// leases have expired there. The holder grants none there as long as they
   /// are listed.
   std::map<std::string, int64_t> SilentLeaseEnds;
+  /// Executors that have restarted under their id, and the store clock in ms at
+  /// which leases by an earlier incarnation's clock have expired there, if that
+  /// is after `LeasesEndMs`. Empty in rows of versions that don't tell.
+  std::map<std::string, int64_t> LongLeaseEnds;
 };
 
 std::string encodeOwnerRow(const OwnerRow &Row);
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -63,7 +63,6 @@
   Task.StartUnanswered = false;
   Task.Confirmed = false;
   Task.ListedRunning = false;
-  Task.LeaseHeldUntil = {};
   Task.Inherited = false;
   Task.StopConfirmed = false;
   Task.StartAttempts = 0;
@@ -303,7 +302,7 @@
   Executor.RenewalPending = false;
   Executor.NextRenewalAt = Now + Options.Leases.MinRenewalInterval;
   if (Answer.Outcome == OrderOutcome::Fenced) {
-    onFenced(Index);
+    onFenced(Index, !Pool.isNewest(Index));
     return;
   }
   if (Answer.Outcome == OrderOutcome::Replaced) {
@@ -328,24 +327,16 @@
 void CellOwner::onRenewalDone(ExecutorIndex Index,
                               const executor::RenewalAnswer &Answer,
                               TimePoint Now) {
+  if (!Pool[Index].TokenConfirmed)
+    greet(Index, Answer, Now);
   Pool.recordAnswer(Index, Answer.ClockMs, Now);
   ExecutorState &Executor = Pool[Index];
   TimePoint RenewalSentAt = Executor.RenewalSentAt;
   Executor.InDoubt &= RenewalSentAt <= Executor.DoubtedAt;
-  Executor.GrantUnanswered = false;
   Executor.LapsedRuns.clear(); // It was cut off, not lost.
   Executor.RenewalFailed = false;
   Executor.RenewalMissed = false;
   RowOutdated |= isListedAsSilent(Index);
-  if (!Executor.TokenConfirmed) {
-    Executor.TokenConfirmed = true;
-    // An idle executor may keep a lease for runs that are started there.
-    Executor.InheritedLeaseEnd = std::max(
-        Executor.InheritedLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
-    logInfo("executor-greeted", "executor={} born={} running={} ended={}",
-            Executor.Info.Id, Executor.Info.Born, Answer.Running.size(),
-            Answer.Ended.size());
-  }
   for (const executor::RunEnd &End : Answer.Ended)
     onRunEnd(Index, End, Now);
   for (const executor::RunStatus &Running : Answer.Running)
@@ -492,7 +483,7 @@
     std::vector<TaskKey> LostRuns = OpenRunsByExecutor[I];
     for (const TaskKey &Key : LostRuns) {
       if (!isOpen(Key.task().Phase) || Key.task().Executor != I ||
-          !mayHaveBegun(Key.task()) || Now <= Key.task().LeaseHeldUntil)
+          !mayHaveBegun(Key.task()))
         continue;
       ++Counts.ExpiredRuns;
       logLapse(Key, Now);
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -54,6 +54,7 @@
   if (Row) {
     Successor.LeasesEndMs = Row->LeasesEndMs;
     Successor.SilentLeaseEnds = Row->SilentLeaseEnds;
+    Successor.LongLeaseEnds = Row->LongLeaseEnds;
     Successor.LargestEntry = Row->LargestEntry;
     // Until the new owner has counted its jobs.
     Successor.PendingJobs = Row->PendingJobs;
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -215,6 +215,7 @@
     Row.Epoch = cell::nextEpoch(Old->HighestToken);
     Row.LeasesEndMs = Old->LeasesEndMs;
     Row.SilentLeaseEnds = Old->SilentLeaseEnds;
+    Row.LongLeaseEnds = Old->LongLeaseEnds;
   }
   Rows[{cell::OwnerTable, cell::OwnerKey}] = {cell::encodeOwnerRow(Row),
                                               ++Version};
--- a/tests/unit/LateOrdersTest.cpp
+++ b/tests/unit/LateOrdersTest.cpp
@@ -16,6 +16,8 @@
 constexpr const char *LaterId = "00000000000000a2";
 constexpr int64_t ShortRunMs = 300;
 constexpr int64_t LongRunMs = 60'000;
+/// No lease lasts longer.
+constexpr int64_t LeaseLimitMs = 14'000;
 constexpr uint32_t LowPace = 10;
 
 std::string taskOf(const char *JobId, uint32_t Index = 0) {
@@ -59,6 +61,14 @@
     Sim.submit(Simulation::makeJob(JobId, 1, Small, RunMs));
     CHECK(Sim.runUntil([&] { return runsHere(JobId); }, 5'000));
   }
+  /// The run is lost to the owner, which starts it on another executor.
+  void cutOff() {
+    Sim.addExecutor(Wide);
+    Sim.runFor(500);
+    Sim.executor(Id).Unreachable = true;
+    Sim.runFor(LeaseLimitMs);
+    LONGS_EQUAL(2, Sim.runsOf(taskOf(LaterId)));
+  }
 };
 
 /// The owner has heard of the restart.
@@ -83,6 +93,7 @@
   Sim.runFor(5'000);
   CHECK(Sim.carryOutAgain(Renewal).Outcome == executor::OrderOutcome::Fenced);
   CHECK(leaseLeftMs() < 6'000);
+  cutOff();
 }
 
 /// Guards against an acknowledgement by the numbers of the earlier life, which
@@ -148,3 +159,61 @@
                        Sim.Now);
   CHECK_TRUE(Sim.Owner->deposed());
 }
+
+/// Guards against an owner that is deposed, or drops a start, as a call without
+/// an answer has raised its token beside the start.
+TEST(AnExecutorWithLateOrders, GetsAStartAgainThatItRefusedForItsToken) {
+  size_t Refusals = 0;
+  Sim.RefusalFor = [&](const executor::StartOrder &) {
+    return Refusals++ == 0 ? std::optional(executor::OrderOutcome::Fenced)
+                           : std::nullopt;
+  };
+  Sim.executor(Id).AnswersLost = true;
+  Sim.runFor(100);
+  Sim.executor(Id).AnswersLost = false;
+  startHere(LaterId, LongRunMs);
+  CHECK_FALSE(Sim.Owner->deposed());
+  LONGS_EQUAL(1, Sim.runsOf(taskOf(LaterId)));
+}
+
+/// Guards against a second run beside one on an executor that is cut off, whose
+/// lease a late renewal granted before the first call to its new life. Renewals
+/// were answered in between.
+TEST(AnExecutorWithLateOrders, HoldsALeaseThatWasGrantedBeforeItsFirstCall) {
+  Sim.restartExecutor(Id, 0, 100);
+  Sim.runFor(5);
+  Sim.carryOutAgain(Renewal);
+  CHECK(leaseLeftMs() > 9'000);
+  Sim.runFor(300);
+  startHere(LaterId, LongRunMs);
+  cutOff();
+}
+
+/// Guards against the same with a successor, which knows nothing of the
+/// restart.
+TEST(AnExecutorWithLateOrders, HoldsALeaseThatItsNextOwnerIsNotTold) {
+  Sim.killOwner();
+  Sim.restartExecutor(Id, 0, 100);
+  Sim.runFor(1'500);
+  Sim.carryOutAgain(Renewal);
+  Sim.takeOver("e2/1");
+  startHere(LaterId, LongRunMs);
+  cutOff();
+}
+
+/// Guards against a successor that doesn't know of a long lease that the last
+/// owner knew of.
+TEST(AnExecutorWithLateOrders, HoldsALeaseThatTheRowTellsOf) {
+  Sim.restartExecutor(Id, 0, 100);
+  Sim.runFor(5);
+  Sim.carryOutAgain(Renewal);
+  Sim.runFor(1'000);
+  startHere(LaterId, LongRunMs);
+  Sim.runFor(500);
+  CHECK_FALSE(Sim.ownerRow().LongLeaseEnds.empty());
+  Sim.executor(Id).Unreachable = true;
+  Sim.takeOver("e2/1");
+  Sim.addExecutor(Wide);
+  Sim.runFor(LeaseLimitMs);
+  LONGS_EQUAL(2, Sim.runsOf(taskOf(LaterId)));
+}
