The pace of a run is known or ordered again

Cause: a new owner took the pace of each best-effort task for 100 and sent none; a late copy of a pace order changed it unseen.

Change: the pace of an inherited run is unknown until the first order. After an order without an answer it is sent once more when no copy can come any more.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -284,6 +284,7 @@
       Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
                                       "progress", nullptr, Now);
       Task.Inherited = true;
+      Task.PacePercent = UnknownPace;
       Pool[Task.Executor].KnownToEarlierOwner |=
           StoredTask.Born != 0 &&
           StoredTask.Born == Pool[Task.Executor].Info.Born;
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -429,6 +429,7 @@
   bool hasOverdueRun(ExecutorIndex Index, TimePoint Now) const;
   void emitRenewal(ExecutorIndex Index, TimePoint Now);
   void emitRenewals(TimePoint Now);
+  PaceState &updatePace(ExecutorIndex Index, TimePoint Now);
   void adjustPace(ExecutorIndex Index, TimePoint Now);
   executor::ExecutorTarget targetOf(ExecutorIndex Index) const;
 
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -25,6 +25,9 @@
   uint64_t Number = 0; ///< Among the ends of the executor.
 };
 
+/// Differs from any pace, so that the next renewal orders one.
+constexpr uint32_t UnknownPace = 101;
+
 /// State of a task in its owner.
 struct LiveTask {
   TaskPhase Phase = TaskPhase::Waiting;
@@ -56,7 +59,10 @@
   uint32_t StartAttempts = 0;
   uint32_t Percent = 0; ///< Of the work, as last reported.
   double Usage = 0;
-  uint32_t PacePercent = 100;
+  uint32_t PacePercent = 100; ///< `UnknownPace` after an order that failed.
+  /// A late copy of a pace order may come until then; the pace is then ordered
+  /// once more.
+  TimePoint PaceRepeatAt = TimePoint::max();
   bool SpeedRecorded = false; ///< The run was counted in the speed tracker.
   Millis RunTime{0};          ///< Of the run that ended as done.
 
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -134,6 +134,7 @@
   Task.OrderPending = false;
   Task.StartUnanswered = false;
   Task.Inherited = true;
+  Task.PacePercent = UnknownPace;
   Task.Confirmed = false;
   Task.ListedRunning = false;
   Task.StopConfirmed = false;
--- a/src/cell/OwnerPace.cpp
+++ b/src/cell/OwnerPace.cpp
@@ -5,10 +5,11 @@
 /// The pace of best-effort tasks beside tasks that serve users.
 namespace daisylanding::cell {
 
-/// Slows best-effort tasks beside tasks that serve users: at once when the
-/// users' tail latency nears its target, and back up in steps when it is far
+/// The pace of best-effort tasks on the executor: lowered at once when the
+/// users' tail latency nears its target, and raised in steps when it is far
 /// below.
-void CellOwner::adjustPace(ExecutorIndex Index, TimePoint Now) {
+CellOwner::PaceState &CellOwner::updatePace(ExecutorIndex Index,
+                                            TimePoint Now) {
   /// Tail latency as a share of its target.
   constexpr double SlowDownRatio = 0.8;
   constexpr double SpeedUpRatio = 0.55;
@@ -41,13 +42,23 @@
     Pace.Percent = std::min(100U, Pace.Percent + PercentStep);
     Pace.ChangedAt = Now;
   }
+  return Pace;
+}
+
+/// Orders the pace of best-effort tasks that have another one, an unknown one,
+/// or one that a late copy of an order may have changed.
+void CellOwner::adjustPace(ExecutorIndex Index, TimePoint Now) {
+  const PaceState &Pace = updatePace(Index, Now);
   for (const TaskKey &Key : OpenRunsByExecutor[Index]) {
     LiveTask &Task = Key.task();
+    bool IsRepeatDue = Now > Task.PaceRepeatAt;
     bool NeedsOrder = Key.spec().BestEffort &&
                       Task.Phase == TaskPhase::Running &&
-                      Task.PacePercent != Pace.Percent;
+                      (Task.PacePercent != Pace.Percent || IsRepeatDue);
     if (!NeedsOrder)
       continue;
+    if (IsRepeatDue)
+      Task.PaceRepeatAt = TimePoint::max();
     Task.PacePercent = Pace.Percent;
     Pool[Index].TokenUsed = true;
     Commands.PaceChanges.push_back(
@@ -61,15 +72,18 @@
 
 void CellOwner::onPace(const executor::RunId &Id, ExecutorIndex Index,
                        const executor::OrderAnswer &Answer, TimePoint Now) {
-  /// Differs from any pace, so the order is repeated after the next renewal.
-  constexpr uint32_t UnknownPacePercent = 101;
-  if (Answer.Outcome == executor::OrderOutcome::Done) {
+  using executor::OrderOutcome;
+  if (Answer.Outcome == OrderOutcome::Done) {
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
     return;
   }
   auto Key = findTask(Id);
-  if (Key && Key->task().Run == Id.Run)
-    Key->task().PacePercent = UnknownPacePercent;
+  if (!Key || Key->task().Run != Id.Run)
+    return;
+  LiveTask &Task = Key->task();
+  Task.PacePercent = UnknownPace;
+  if (Answer.Outcome == OrderOutcome::Unknown)
+    Task.PaceRepeatAt = Now + MaxOrderDelay;
 }
 
 } // namespace daisylanding::cell
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -69,6 +69,7 @@
   Task.Percent = 0;
   Task.Usage = 0;
   Task.PacePercent = 100;
+  Task.PaceRepeatAt = TimePoint::max();
   Task.SpeedRecorded = false;
   Task.NextOrderAt = {};
   if (Key.Job->Phase == JobPhase::Queued)
--- a/tests/unit/LateOrdersTest.cpp
+++ b/tests/unit/LateOrdersTest.cpp
@@ -14,6 +14,8 @@
 constexpr Resources Wide{.MilliCores = 8'000, .MemoryMb = 4'000};
 constexpr const char *EarlierId = "00000000000000a1";
 constexpr const char *LaterId = "00000000000000a2";
+constexpr const char *ServingId = "00000000000000a3";
+constexpr const char *BestEffortId = "00000000000000a4";
 constexpr int64_t ShortRunMs = 300;
 constexpr int64_t LongRunMs = 60'000;
 /// No lease lasts longer.
@@ -217,3 +219,50 @@
   Sim.runFor(LeaseLimitMs);
   LONGS_EQUAL(2, Sim.runsOf(taskOf(LaterId)));
 }
+
+// clang-format off
+/// Beside a task that serves users too slowly, a best-effort task is paced down.
+TEST_GROUP(ABestEffortTaskThatWasPacedDown) {
+  static constexpr double TargetMs = 100;
+  Simulation Sim;
+  std::string Id = Sim.addExecutor(Wide);
+  double TailMs = 2 * TargetMs;
+
+  void setup() override {
+    Sim.RunTimeFor = [](const std::string &, int64_t) { return LongRunMs; };
+    Sim.UsageFor = [&](const std::string &Task) { return Task.starts_with(ServingId) ? TailMs : 0; };
+    Sim.takeOver("e1/1");
+    JobSpec Serving = Simulation::makeJob(ServingId, 1, Small, LongRunMs);
+    Serving.Steps[0].LongRunning = true;
+    Serving.Steps[0].TailLatencyTarget = Millis(static_cast<int64_t>(TargetMs));
+    Sim.submit(Serving);
+    JobSpec BestEffort = Simulation::makeJob(BestEffortId, 1, Small, LongRunMs);
+    BestEffort.Steps[0].BestEffort = true;
+    Sim.submit(BestEffort);
+    CHECK(Sim.runUntil([&] { return Sim.isOpen(taskOf(ServingId)) && Sim.isOpen(taskOf(BestEffortId)); }, 3'000));
+    CHECK(Sim.runUntil([&] { return pace() < LowPace; }, 5'000));
+  }
+  uint32_t pace() { return Sim.executor(Id).Running.at(taskOf(BestEffortId)).PacePercent; }
+  bool isAtFullSpeedWithin(int64_t Ms) { return Sim.runUntil([&] { return pace() == 100; }, Ms); }
+};
+// clang-format on
+
+/// Guards against a run that is left paced down: its next owner took it for
+/// running at full speed.
+TEST(ABestEffortTaskThatWasPacedDown, GetsItsPaceBackFromTheNextOwner) {
+  TailMs = 0;
+  Sim.takeOver("e2/1");
+  CHECK_TRUE(isAtFullSpeedWithin(3'000));
+}
+
+/// Guards against a run that is left paced down by a late copy of an order.
+TEST(ABestEffortTaskThatWasPacedDown, GetsItsPaceBackAfterALateCopy) {
+  constexpr ExecutorIndex OnlyOne = 0;
+  executor::PaceOrder Down = Sim.Paces.back();
+  Sim.Owner->onPace(Down.Id, OnlyOne, {}, Sim.Now);
+  TailMs = 0;
+  CHECK_TRUE(isAtFullSpeedWithin(8'000));
+  Sim.carryOutAgain(Down);
+  CHECK(pace() < LowPace);
+  CHECK_TRUE(isAtFullSpeedWithin(toMillis(MaxOrderDelay)));
+}
