--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -15,7 +15,8 @@
 
 CellOwner::CellOwner(OwnerOptions Options,
                      std::shared_ptr<const CellConfig> Config)
-    : Options(std::move(Options)), Pool(this->Options.Leases),
+    : Options(std::move(Options)),
+      Pool(this->Options.Leases, this->Options.AcquiredRow.Epoch),
       RowVersion(this->Options.RowVersion), Row(this->Options.AcquiredRow),
       Loading(this->Options.Loading) {
   setConfig(std::move(Config));
@@ -33,6 +34,9 @@
 TimePoint CellOwner::inheritedLeaseEndOn(const std::string &ExecutorId) const {
   const OwnerRow &Acquired = Options.AcquiredRow;
   TimePoint End = timeOfStoreClock(Acquired.LeasesEndMs.value_or(0));
+  auto Long = Acquired.LongLeaseEnds.find(ExecutorId);
+  if (Long != Acquired.LongLeaseEnds.end())
+    return std::max(End, timeOfStoreClock(Long->second));
   auto Found = Acquired.SilentLeaseEnds.find(ExecutorId);
   if (Found == Acquired.SilentLeaseEnds.end())
     return End;
@@ -249,6 +253,10 @@
       Task.Executor = noteIncarnation(StoredTask.Executor, StoredTask.Born,
                                       "progress", nullptr, Now);
       Task.Inherited = true;
+      Task.PacePercent = UnknownPace;
+      Pool[Task.Executor].KnownToEarlierOwner |=
+          StoredTask.Born != 0 &&
+          StoredTask.Born == Pool[Task.Executor].Info.Born;
       Pool[Task.Executor].Info.Address = StoredTask.Address;
       TimePoint &LeaseEnd = Pool[Task.Executor].InheritedLeaseEnd;
       LeaseEnd = std::max(LeaseEnd, inheritedLeaseEndOn(StoredTask.Executor));
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CELL_EXECUTORPOOL_H
 
 #include "cell/CrashPolicy.h"
+#include "cell/OwnerRow.h"
 #include "common/Time.h"
 #include "executor/ExecutorPort.h"
 
@@ -112,9 +113,6 @@
 struct LateStart {
   executor::RunId Id;
   TimePoint Until{}; ///< Not after this.
-  /// The run is over: stops are sent until one is confirmed.
-  bool IsToBeRefused = false;
-  TimePoint NextStopAt{};
 };
 
 /// One incarnation of an executor and the owner's state for it.
@@ -123,7 +121,10 @@
   bool Listed = false;     ///< In the newest instance list.
   bool EverListed = false; ///< Was in some instance list.
   bool Ended = false;      ///< This incarnation has ended for certain.
-  /// Has answered to this owner's fencing token.
+  /// In all that is sent to this incarnation; higher than that of the one
+  /// before.
+  uint64_t FencingToken = 0;
+  /// Has answered to that token, and refuses what was sent with lower ones.
   bool TokenConfirmed = false;
   bool RenewalPending = false; ///< A renewal is in flight.
   bool RenewalFailed = false;  ///< The last one got no answer.
@@ -137,8 +138,12 @@
   TimePoint DoubtedAt{}; ///< The last sign of it.
   /// The newest instance list describes an earlier incarnation.
   bool EntryOutdated = false;
-  /// A renewal has granted a lease since the last one that was answered.
-  bool GrantUnanswered = false;
+  /// More than bare renewals has been sent with `FencingToken`.
+  bool TokenUsed = false;
+  TimePoint TokenRaisedAt{};
+  /// An earlier owner has started runs on this incarnation, which has answered
+  /// to its token.
+  bool KnownToEarlierOwner = false;
   TimePoint RenewalSentAt{};
   TimePoint RenewalAnsweredAt{}; ///< The one before.
   TimePoint NextRenewalAt{};
@@ -180,7 +185,9 @@
 /// The executors of one service: their capacity, reachability and leases.
 class ExecutorPool {
 public:
-  explicit ExecutorPool(LeaseOptions Options) : Options(Options) {}
+  /// Fencing tokens begin with \p Epoch.
+  explicit ExecutorPool(LeaseOptions Options, uint64_t Epoch = 0)
+      : Options(Options), Epoch(Epoch), HighestToken(Epoch) {}
 
   /// Applies a new instance list. Returns the incarnations listed for the first
   /// time. Entries of earlier incarnations than the newest are ignored.
@@ -189,14 +196,17 @@
   /// The newest incarnation under the id; added as unlisted if unknown.
   ExecutorIndex findOrAdd(std::string_view Id);
   /// The same after another incarnation, started at \p Born, was heard of. A
-  /// later one than the newest is added; if the newest has not been stated, it
-  /// is taken to be this one.
+  /// later one than the newest is added, with a higher fencing token; if the
+  /// newest has not been stated, it is taken to be this one.
   ExecutorIndex findOrAdd(std::string_view Id, int64_t Born);
   /// The newest incarnation under the same id.
   ExecutorIndex newestOf(ExecutorIndex Index) const {
     return IndexById.at(Executors[Index].Info.Id);
   }
 
+  bool isNewest(ExecutorIndex Index) const { return newestOf(Index) == Index; }
+  uint64_t highestToken() const { return HighestToken; }
+
   size_t size() const { return Executors.size(); }
   size_t listedCount() const {
     return static_cast<size_t>(
@@ -229,18 +239,28 @@
   /// A start got no answer.
   void recordLateStart(ExecutorIndex Index, const executor::RunId &Id,
                        TimePoint Now);
-  /// The executor has confirmed a stop, and will refuse starts of the run.
-  void recordRefusal(ExecutorIndex Index, const executor::RunId &Id) {
-    for (LateStart &Start : Executors[Index].LateStarts)
-      Start.IsToBeRefused &= Start.Id != Id;
-  }
   /// Whether a copy of a start may still be carried out.
   bool mayStartLate(ExecutorIndex Index, const executor::RunId &Id,
                     TimePoint Now) const;
   void recordAnswer(ExecutorIndex Index, const std::optional<int64_t> &ClockMs,
                     TimePoint Now);
-  /// A lease by the clock of an earlier incarnation may have been granted.
-  void recordLongLease(ExecutorIndex Index, TimePoint Now);
+  /// A lease by the clock of an earlier incarnation may be granted there until
+  /// \p Until.
+  void recordLongLease(ExecutorIndex Index, TimePoint Until);
+  /// The executor has answered to its token, and carries out no more of what
+  /// was sent with lower ones. \p LongLeaseEnd is for leases by the clock of an
+  /// earlier incarnation, \p InheritedLeaseEnd for those of earlier owners.
+  void confirmToken(ExecutorIndex Index, TimePoint LongLeaseEnd,
+                    TimePoint InheritedLeaseEnd);
+  /// When all leases by the clock of an earlier incarnation have expired, for
+  /// an executor that answers to its token for the first time.
+  TimePoint longLeaseEnd(const std::optional<int64_t> &ClockMs,
+                         TimePoint Now) const;
+  /// Raises the fencing token of an executor that may have restarted, so that
+  /// its next call fences what was sent before.
+  void raiseToken(ExecutorIndex Index, TimePoint Now);
+  /// Whether an order that is refused now may have carried a lower token.
+  bool mayCarryLowerToken(ExecutorIndex Index, TimePoint Now) const;
   /// The lease end to request now, in ms on the executor's clock; none before
   /// that clock is known.
   std::optional<int64_t> extendLease(ExecutorIndex Index, TimePoint Now);
@@ -264,11 +284,14 @@
   const LeaseOptions &options() const { return Options; }
 
 private:
+  uint64_t tokenAfter(uint64_t Token);
   TimePoint ownLeasesEnd(ExecutorIndex Index) const;
   size_t avoidedCount(TimePoint Now) const;
   TimePoint zoneSuspectSince(const std::string &Zone) const;
 
   LeaseOptions Options;
+  uint64_t Epoch = 0;
+  uint64_t HighestToken = 0;
   std::vector<ExecutorState> Executors;
   std::unordered_map<std::string, ExecutorIndex> IndexById;
   std::unordered_map<std::string, TimePoint> SuspectZones;
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -25,6 +25,9 @@
   uint64_t Number = 0; ///< Among the ends of the executor.
 };
 
+/// Differs from any pace, so that the next renewal orders one.
+constexpr uint32_t UnknownPace = 101;
+
 /// State of a task in its owner.
 struct LiveTask {
   TaskPhase Phase = TaskPhase::Waiting;
@@ -47,18 +50,21 @@
   bool Confirmed = false; ///< The executor has reported the run.
   /// A renewal answer of this incarnation of `Executor` has listed the run.
   bool ListedRunning = false;
-  bool Inherited = false; ///< Recorded by an earlier owner.
+  /// Sent with a lower fencing token than that of `Executor`, by an earlier
+  /// owner or to an earlier incarnation.
+  bool Inherited = false;
   bool StopConfirmed = false;
   TimePoint ConfirmedAt{};
   TimePoint StopConfirmedAt{};
   TimePoint NextOrderAt{};
-  /// Its lease may be by the clock of an earlier incarnation, and last so long.
-  TimePoint LeaseHeldUntil{};
   TimePoint RunningSince{};
   uint32_t StartAttempts = 0;
   uint32_t Percent = 0; ///< Of the work, as last reported.
   double Usage = 0;
-  uint32_t PacePercent = 100;
+  uint32_t PacePercent = 100; ///< `UnknownPace` after an order that failed.
+  /// A late copy of a pace order may come until then; the pace is then ordered
+  /// once more.
+  TimePoint PaceRepeatAt = TimePoint::max();
   bool SpeedRecorded = false; ///< The run was counted in the speed tracker.
   Millis RunTime{0};          ///< Of the run that ended as done.
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -193,6 +193,7 @@
   // answers to copies of older commits must not be taken for answers to this
   // one.
   NewRow.Sequence = ++LastBuiltSequence;
+  NewRow.HighestToken = Pool.highestToken();
   // While loading, what the last owner wrote about its jobs still holds.
   if (Loading)
     return NewRow;
@@ -233,6 +234,7 @@
   NewRow.LeasesEndMs = std::max(
       Options.AcquiredRow.LeasesEndMs.value_or(0),
       Clock.MaxMs + leaseHorizon(Options.Leases, LongestGrant).count());
+  listLongLeases(NewRow, Now, Clock);
   // An executor that answers again gets leases only with the next row, which
   // must not take too much of a lease.
   bool IsStoreQuick = 2 * LastCommitTime < Options.Leases.LeaseDuration / 4;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -5,7 +5,8 @@
 #include <algorithm>
 
 /// Executors that end, or start again under their id. Orders name the id alone,
-/// so that what was sent to one incarnation may be carried out by the next.
+/// so that what was sent to one incarnation may be carried out by the next,
+/// until that one has been called with its own fencing token.
 namespace daisylanding::cell {
 
 /// The newest incarnation under the id after one that started at \p Born was
@@ -27,17 +28,18 @@
   return Newest;
 }
 
-/// The incarnation that a renewal answer is from; none if it is not from the
-/// newest, and tells nothing any more.
-std::optional<ExecutorIndex>
-CellOwner::sourceOf(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
-                    TimePoint Now) {
-  if (Pool.newestOf(Index) != Index)
-    return std::nullopt;
+/// Whether a renewal answer is from the incarnation that the renewal was meant
+/// for, and that is the newest. What a later one does under the earlier token
+/// is not settled; it is asked again under its own.
+bool CellOwner::isFromSameLife(ExecutorIndex Index,
+                               const executor::RenewalAnswer &Answer,
+                               TimePoint Now) {
+  if (!Pool.isNewest(Index))
+    return false;
   ExecutorState &Executor = Pool[Index];
   if (Answer.Born == 0 || Answer.Born >= Executor.Info.Born)
     return noteIncarnation(std::string(Executor.Info.Id), Answer.Born,
-                           "renewal", &Answer, Now);
+                           "renewal", &Answer, Now) == Index;
   if (!Executor.RenewalFailed)
     logWarn("executor-born-fell", "executor={} born={} newest={}",
             Executor.Info.Id, Answer.Born, Executor.Info.Born);
@@ -45,7 +47,58 @@
   Executor.RenewalMissed = true;
   Executor.RenewalMissedAt = Now;
   Pool.recordUnanswered(Index, Now);
-  return std::nullopt;
+  return false;
+}
+
+/// When all leases by the clock of an earlier incarnation have expired on an
+/// executor that answers to its token for the first time. One that was started
+/// shortly before may have carried out late orders of an earlier owner to the
+/// incarnation before it, unless that owner had called it.
+TimePoint CellOwner::longLeaseEndOn(ExecutorIndex Index,
+                                    const executor::RenewalAnswer &Answer,
+                                    TimePoint Now) const {
+  const ExecutorState &Executor = Pool[Index];
+  const OwnerRow &Acquired = Options.AcquiredRow;
+  auto Listed = Acquired.LongLeaseEnds.find(Executor.Info.Id);
+  TimePoint ListedEnd = Listed == Acquired.LongLeaseEnds.end()
+                            ? TimePoint{}
+                            : timeOfStoreClock(Listed->second);
+  bool IsFirstOwner = Acquired.LeasesEndMs == 0;
+  bool FollowsAnother = Executor.LongLeaseEnd != TimePoint{};
+  if (!FollowsAnother && (IsFirstOwner || Executor.KnownToEarlierOwner))
+    return ListedEnd;
+  return std::max(ListedEnd, Pool.longLeaseEnd(Answer.ClockMs, Now));
+}
+
+/// The executor has answered to its token for the first time.
+void CellOwner::greet(ExecutorIndex Index,
+                      const executor::RenewalAnswer &Answer, TimePoint Now) {
+  const ExecutorState &Executor = Pool[Index];
+  TimePoint LongLeaseEnd = longLeaseEndOn(Index, Answer, Now);
+  // An idle executor may keep a lease for runs that are started there.
+  Pool.confirmToken(Index, LongLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
+  logInfo("executor-greeted",
+          "executor={} born={} token={} running={} ended={} long_lease_ms={}",
+          Executor.Info.Id, Executor.Info.Born, Executor.FencingToken,
+          Answer.Running.size(), Answer.Ended.size(),
+          std::max<int64_t>(0, toMillis(LongLeaseEnd - Now)));
+}
+
+/// States in the row which leases by the clocks of earlier incarnations outlast
+/// all others.
+void CellOwner::listLongLeases(OwnerRow &NewRow, TimePoint Now,
+                               const StoreClock &Clock) {
+  int64_t LeasesEndMs = NewRow.LeasesEndMs.value_or(0);
+  NewRow.LongLeaseEnds = Options.AcquiredRow.LongLeaseEnds;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    const ExecutorState &Executor = Pool[I];
+    if (Executor.Ended || Executor.LongLeaseEnd <= Now)
+      continue;
+    int64_t EndMs = Clock.MaxMs + toMillis(Executor.LongLeaseEnd - Now) + 1;
+    NewRow.LongLeaseEnds.insert_or_assign(Executor.Info.Id, EndMs);
+  }
+  std::erase_if(NewRow.LongLeaseEnds,
+                [&](const auto &Entry) { return Entry.second <= LeasesEndMs; });
 }
 
 /// Whether the start of an open run may have reached the incarnation after the
@@ -62,8 +115,8 @@
 }
 
 /// Makes an open run one of a later incarnation that may have been sent its
-/// start. The run is over once that one has refused it or reported its end; for
-/// a run of an earlier owner, whose orders it refuses, once it has answered.
+/// start. The run is over if that one doesn't list it in the first answer under
+/// its own token: from then on it refuses the start.
 void CellOwner::moveRun(const TaskKey &Key, ExecutorIndex Later,
                         TimePoint Now) {
   LiveTask &Task = Key.task();
@@ -80,14 +133,13 @@
   Task.Executor = Later;
   Task.CapacityReserved = true;
   Task.OrderPending = false;
-  // The later incarnation may have begun it, or still may.
-  Task.StartUnanswered = true;
+  Task.StartUnanswered = false;
+  Task.Inherited = true;
+  Task.PacePercent = UnknownPace;
   Task.Confirmed = false;
   Task.ListedRunning = false;
   Task.StopConfirmed = false;
   Task.NextOrderAt = Now;
-  Task.LeaseHeldUntil =
-      Now + MaxOrderDelay + maxLeaseTime(Options.Leases, MaxGrantedLease);
   Pool.reserve(Later, Demand);
   OpenRunsByExecutor[Later].push_back(Key);
   HasUnsettledRuns[Later] = true;
@@ -96,26 +148,11 @@
   markChanged(*Key.Job);
 }
 
-/// Has a later incarnation refuse starts of runs that are over, copies of which
-/// may still be carried out.
-void CellOwner::refuseLateStarts(ExecutorIndex Earlier, ExecutorIndex Later,
-                                 TimePoint Now) {
-  for (LateStart Start : Pool[Earlier].LateStarts) {
-    if (Now > Start.Until)
-      continue;
-    Start.IsToBeRefused = !findOpenRun(Start.Id, Later);
-    Start.NextStopAt = {};
-    Pool[Later].LateStarts.push_back(std::move(Start));
-  }
-}
-
 void CellOwner::onRestart(ExecutorIndex Earlier, ExecutorIndex Later,
                           const executor::RenewalAnswer *Answer,
                           TimePoint Now) {
   resizeExecutorTables();
-  Pool[Later].NextRenewalAt =
-      Answer ? Now + Options.Leases.MinRenewalInterval : Now;
-  bool HoldsLease = Pool[Earlier].GrantUnanswered;
+  Pool[Later].NextRenewalAt = Now;
   std::vector<TaskKey> Runs = OpenRunsByExecutor[Earlier];
   for (const TaskKey &Key : Runs) {
     const LiveTask &Task = Key.task();
@@ -124,15 +161,12 @@
         mayHaveBegun(Task) && Answer && Answer->lists({Key.name(), Task.Run});
     if (!IsListed && !mayReachNext(Key, Now))
       continue;
-    HoldsLease = true;
     moveRun(Key, Later, Now);
-    if (!Task.Inherited && !IsListed)
-      beginStop(Key, Now);
   }
-  // What was sent by the clock of the earlier one.
-  if (HoldsLease)
-    Pool.recordLongLease(Later, Now);
-  refuseLateStarts(Earlier, Later, Now);
+  // Copies may outlast this incarnation, too.
+  Pool[Later].LateStarts = Pool[Earlier].LateStarts;
+  // By the clock of the earlier one, as long as it isn't fenced.
+  Pool.recordLongLease(Later, Now + MaxOrderDelay);
   // Moved runs may still go on, or have never begun before the restart.
   endIncarnation(Earlier, lostRunsOn(Earlier), Now);
 }
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -79,13 +79,14 @@
   logStart(Key);
   Task.OrderPending = true;
   Task.StartSentAt = Now;
+  Pool[Task.Executor].TokenUsed = true;
   ++Counts.Starts;
   StartCommand Command{.Executor = Task.Executor};
   Command.Order = {.Target = targetOf(Task.Executor),
                    .Id = {Key.name(), Task.Run},
                    .Spec = Key.Job->Spec.Payload,
                    .LeaseEndMs = *LeaseEnd,
-                   .FencingToken = Row.Epoch,
+                   .FencingToken = Pool[Task.Executor].FencingToken,
                    .Checkpoint = Task.Checkpoint};
   auto Found = Key.step().Permissions.find(Task.Executor);
   if (Found != Key.step().Permissions.end())
@@ -97,10 +98,29 @@
   LiveTask &Task = Key.task();
   Task.OrderPending = true;
   Task.NextOrderAt = Now + StopRetryDelay;
-  Commands.Stops.push_back({.Executor = Task.Executor,
-                            .Order = {.Target = targetOf(Task.Executor),
-                                      .Id = {Key.name(), Task.Run},
-                                      .FencingToken = Row.Epoch}});
+  emitStopOf({Key.name(), Task.Run}, Task.Executor);
+}
+
+void CellOwner::emitStopOf(const executor::RunId &Id, ExecutorIndex Index) {
+  Commands.Stops.push_back(
+      {.Executor = Index,
+       .Order = {.Target = targetOf(Index),
+                 .Id = Id,
+                 .FencingToken = Pool[Index].FencingToken}});
+}
+
+/// An executor refuses what was sent with a lower token than its newest, which
+/// is never carried out; only a refusal of the newest tells of another owner.
+void CellOwner::onFenced(ExecutorIndex Index, bool IsOfLowerToken) {
+  if (IsOfLowerToken) {
+    logInfo("late-order-refused", "executor={} born={} token={}",
+            Pool[Index].Info.Id, Pool[Index].Info.Born,
+            Pool[Index].FencingToken);
+    return;
+  }
+  logWarn("owner-fenced", "service={} executor={} token={}", Options.Service,
+          Pool[Index].Info.Id, Pool[Index].FencingToken);
+  Deposed = true;
 }
 
 /// Drops recorded starts that no longer fit on executors whose capacity has
@@ -166,24 +186,6 @@
   return Unsettled;
 }
 
-/// Sends the stops that make an incarnation refuse starts of runs that are
-/// over.
-void CellOwner::emitRefusals(TimePoint Now) {
-  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
-    if (Pool[I].Ended || Pool[I].Info.Address.empty())
-      continue;
-    for (LateStart &Start : Pool[I].LateStarts) {
-      if (!Start.IsToBeRefused || Now > Start.Until || Now < Start.NextStopAt)
-        continue;
-      Start.NextStopAt = Now + StopRetryDelay;
-      Commands.Stops.push_back({.Executor = I,
-                                .Order = {.Target = targetOf(I),
-                                          .Id = Start.Id,
-                                          .FencingToken = Row.Epoch}});
-    }
-  }
-}
-
 /// Whether the executor would refuse the start for its ticket.
 bool CellOwner::hasTicketExpired(const TaskKey &Key, TimePoint Now) const {
   const auto &Permissions = Key.step().Permissions;
@@ -216,7 +218,6 @@
   std::vector<ExecutorIndex> Unsettled = unsettledExecutors();
   dropStartsBeyondCapacity(Unsettled, Now);
   dropStartsOnLeavingExecutors(Unsettled, Now);
-  emitRefusals(Now);
   std::vector<TaskKey> ExpiredStarts;
   // Other members of a gang are stopped elsewhere.
   for (ExecutorIndex I : unsettledExecutors()) {
@@ -302,14 +303,18 @@
 
 void CellOwner::emitRenewal(ExecutorIndex Index, TimePoint Now) {
   ExecutorState &Executor = Pool[Index];
+  // Another incarnation may answer, and fence what was sent before.
+  if (Executor.InDoubt && Executor.TokenUsed)
+    Pool.raiseToken(Index, Now);
   RenewalCommand Command{.Executor = Index};
   Command.Call = {.Target = targetOf(Index),
-                  .FencingToken = Row.Epoch,
+                  .FencingToken = Executor.FencingToken,
                   .AcknowledgedEnd =
                       Executor.InDoubt ? 0 : Executor.AcknowledgedEnd};
   if (mayGrantLease(Index, Now) && !Executor.InDoubt)
     Command.Call.LeaseEndMs = Pool.extendLease(Index, Now);
-  Executor.GrantUnanswered |= Command.Call.LeaseEndMs.has_value();
+  Executor.TokenUsed |=
+      Command.Call.LeaseEndMs || Command.Call.AcknowledgedEnd > 0;
   if (Executor.TokenConfirmed && !Executor.InDoubt)
     Command.Call.MaxWait = Executor.OpenRuns > 0
                                ? Options.Leases.BusyRenewalWait
@@ -350,7 +355,7 @@
       Answer.Outcome != OrderOutcome::Replaced)
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
   if (Answer.Outcome == OrderOutcome::Fenced)
-    Deposed = true;
+    onFenced(Index, Pool.mayCarryLowerToken(Index, Now));
   if (Answer.Outcome == OrderOutcome::Replaced) {
     // This start came too late to be the cause.
     if (auto Refused = findOpenRun(Id, Index))
@@ -393,6 +398,7 @@
     Task.ConfirmedAt = Now;
     Task.NextOrderAt = TimePoint::max();
     break;
+  case OrderOutcome::Fenced:
   case OrderOutcome::LeaseTooLate:
     Task.NextOrderAt = Now + OrderRetryDelay;
     break;
@@ -428,7 +434,6 @@
     Task.StartUnanswered = true;
     Task.NextOrderAt = Now + OrderRetryDelay;
     break;
-  case OrderOutcome::Fenced:
   case OrderOutcome::Replaced:
     break;
   }
@@ -436,12 +441,10 @@
 
 void CellOwner::onStop(const executor::RunId &Id, ExecutorIndex Index,
                        const executor::OrderAnswer &Answer, TimePoint Now) {
-  if (Answer.Outcome == OrderOutcome::Done) {
+  if (Answer.Outcome == OrderOutcome::Done)
     Pool.recordAnswer(Index, Answer.ClockMs, Now);
-    Pool.recordRefusal(Index, Id);
-  }
   if (Answer.Outcome == OrderOutcome::Fenced)
-    Deposed = true;
+    onFenced(Index, Pool.mayCarryLowerToken(Index, Now));
   if (Answer.Outcome == OrderOutcome::Replaced)
     onIncarnationEnded(Index, Now);
   auto Key = findOpenRun(Id, Index);
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -63,13 +63,13 @@
   Task.StartUnanswered = false;
   Task.Confirmed = false;
   Task.ListedRunning = false;
-  Task.LeaseHeldUntil = {};
   Task.Inherited = false;
   Task.StopConfirmed = false;
   Task.StartAttempts = 0;
   Task.Percent = 0;
   Task.Usage = 0;
   Task.PacePercent = 100;
+  Task.PaceRepeatAt = TimePoint::max();
   Task.SpeedRecorded = false;
   Task.NextOrderAt = {};
   if (Key.Job->Phase == JobPhase::Queued)
@@ -222,10 +222,7 @@
                               TimePoint Now) {
   auto Key = findOpenRun(Running.Id, Index);
   if (!Key) {
-    Commands.Stops.push_back({.Executor = Index,
-                              .Order = {.Target = targetOf(Index),
-                                        .Id = Running.Id,
-                                        .FencingToken = Row.Epoch}});
+    emitStopOf(Running.Id, Index);
     return;
   }
   LiveTask &Task = Key->task();
@@ -276,7 +273,7 @@
     bool Confirmed = Task.Confirmed && Task.ConfirmedAt < RenewalSentAt;
     bool Stopped = Task.Phase == TaskPhase::Stopping && Task.StopConfirmed &&
                    Task.StopConfirmedAt < RenewalSentAt;
-    // Orders of earlier owners are fenced by this renewal.
+    // What was sent with lower tokens is fenced by this renewal.
     if (!Confirmed && !Stopped && !Task.Inherited)
       continue;
     if (!Answer.lists({Key.name(), Task.Run}))
@@ -308,7 +305,7 @@
   Executor.RenewalPending = false;
   Executor.NextRenewalAt = Now + Options.Leases.MinRenewalInterval;
   if (Answer.Outcome == OrderOutcome::Fenced) {
-    Deposed = true;
+    onFenced(Index, !Pool.isNewest(Index));
     return;
   }
   if (Answer.Outcome == OrderOutcome::Replaced) {
@@ -327,31 +324,23 @@
     Executor.NextRenewalAt = Now + RenewalRetryDelay;
     return;
   }
-  TimePoint RenewalSentAt = Executor.RenewalSentAt;
-  if (auto Source = sourceOf(Index, Answer, Now))
-    onRenewalDone(*Source, Answer, RenewalSentAt, Now);
+  if (isFromSameLife(Index, Answer, Now))
+    onRenewalDone(Index, Answer, Now);
 }
 
 void CellOwner::onRenewalDone(ExecutorIndex Index,
                               const executor::RenewalAnswer &Answer,
-                              TimePoint RenewalSentAt, TimePoint Now) {
+                              TimePoint Now) {
+  if (!Pool[Index].TokenConfirmed)
+    greet(Index, Answer, Now);
   Pool.recordAnswer(Index, Answer.ClockMs, Now);
   ExecutorState &Executor = Pool[Index];
+  TimePoint RenewalSentAt = Executor.RenewalSentAt;
   Executor.InDoubt &= RenewalSentAt <= Executor.DoubtedAt;
-  Executor.GrantUnanswered = false;
   Executor.LapsedRuns.clear(); // It was cut off, not lost.
   Executor.RenewalFailed = false;
   Executor.RenewalMissed = false;
   RowOutdated |= isListedAsSilent(Index);
-  if (!Executor.TokenConfirmed) {
-    Executor.TokenConfirmed = true;
-    // An idle executor may keep a lease for runs that are started there.
-    Executor.InheritedLeaseEnd = std::max(
-        Executor.InheritedLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
-    logInfo("executor-greeted", "executor={} born={} running={} ended={}",
-            Executor.Info.Id, Executor.Info.Born, Answer.Running.size(),
-            Answer.Ended.size());
-  }
   for (const executor::RunEnd &End : Answer.Ended)
     onRunEnd(Index, End, Now);
   for (const executor::RunStatus &Running : Answer.Running)
@@ -501,7 +490,7 @@
     std::vector<TaskKey> LostRuns = OpenRunsByExecutor[I];
     for (const TaskKey &Key : LostRuns) {
       if (!isOpen(Key.task().Phase) || Key.task().Executor != I ||
-          !mayHaveBegun(Key.task()) || Now <= Key.task().LeaseHeldUntil)
+          !mayHaveBegun(Key.task()))
         continue;
       ++Counts.ExpiredRuns;
       logLapse(Key, Now);
