A job's id is unique over all services

Cause: a job had to be absent from one partition only, that of the service to which its queue is sent now. After a configuration had sent the queue to another service, a copy of an answered request was stored there, and all tasks ran again.

Ruled out: that queries or cancels are wrong as well (they read all partitions); a read of all partitions for each request, and a table of ids with a transaction of its own, as too dear (docs/design/platform.md weighs them).

Change: the owner row states the configuration by which its owner accepts jobs and the queues that it sends elsewhere and of which the partition may hold jobs; rows of ended jobs tell their queue, once all entries can read it. Entries ask such a service before they pass a job on, wait for the statement of one that may still store the job, and ask nobody else. The commit that states a version fences what entries write by an older one; owners refuse offers of queues that are served elsewhere.

--- a/src/cell/CellConfig.h
+++ b/src/cell/CellConfig.h
@@ -69,12 +69,23 @@
     if (Current && Current->Version >= NewConfig->Version)
       return false;
     Current = std::move(NewConfig);
+    History.push_back(Current);
+    if (History.size() > MaxHistory)
+      History.erase(History.begin());
     return true;
   }
+  /// The last versions that were in force, the newest last.
+  std::vector<std::shared_ptr<const CellConfig>> history() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return History;
+  }
 
 private:
+  static constexpr size_t MaxHistory = 4;
+
   mutable std::mutex Mutex;
   std::shared_ptr<const CellConfig> Current;
+  std::vector<std::shared_ptr<const CellConfig>> History;
 };
 
 } // namespace daisylanding::cell
--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -218,6 +218,10 @@
     NewOffer.Done(OfferOutcome::StoredBefore);
     return;
   }
+  if (!Existing && !mayStoreJobsOf(NewOffer.Job.Queue)) {
+    NewOffer.Done(OfferOutcome::NotOwner);
+    return;
+  }
   if (!Existing) {
     accept(std::move(NewOffer.Job), AcceptedAt, Now);
     Existing = findJob(Id);
@@ -245,7 +249,8 @@
       addEndedJob(Spec.Id,
                   {.Phase = Progress->Phase,
                    .EndedMs = Progress->EndedMs,
-                   .WorkHash = workHash(Spec)},
+                   .WorkHash = workHash(Spec),
+                   .Queue = Spec.Queue},
                   Now);
       return;
     }
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -107,9 +107,13 @@
   /// Whether the rows of ended jobs are moved to the table of ended jobs, which
   /// all entries have to know.
   void setMovesEndedJobs(bool Moves) { MovesEndedJobs = Moves; }
+  /// Whether these rows tell their queue, which all entries have to read.
+  void setStoresQueueOfEnded(bool Stores) { StoresQueueOfEnded = Stores; }
   /// Adds a job from the table of ended jobs.
   void addEndedRow(const std::string &JobId, const EndedJob &Ended,
                    TimePoint Now);
+  /// All rows of that table were added.
+  void finishEndedRows() { EndedRowsRead = true; }
   /// Sets the present latency of store reads, in ms.
   void setStoreReadMs(double Ms) { StoreReadMs = Ms; }
   /// The store answers again after a silence: a commit that it didn't answer is
@@ -440,11 +444,13 @@
   void addRemovals(CommitInFlight &Commit, TimePoint Now);
   void addMoves(CommitInFlight &Commit, int64_t StoreClockMs);
   static bool mayMove(const CommitInFlight &Commit, const LiveJob &Job);
-  static void moveRows(CommitInFlight &Commit, const std::string &JobId,
-                       const EndedJob &Ended);
+  void moveRows(CommitInFlight &Commit, const std::string &JobId,
+                EndedJob Ended) const;
   static EndedJob endedJobOf(const LiveJob &Job);
   void addEndedJob(const std::string &JobId, const EndedJob &Ended,
                    TimePoint Now);
+  void countEnded(const EndedJob &Ended);
+  void forgetEnded(const std::string &JobId);
   void finishMoves(const CommitInFlight &Commit);
   void restoreQueues(CommitInFlight &Commit, TimePoint Now);
   uint64_t commitToStoreIn(const LiveJob &Job, const DirtyMark &Mark,
@@ -468,6 +474,17 @@
   void acknowledgeEnds();
   JobProgress progressOf(const LiveJob &Job) const;
 
+  // Queues that are served elsewhere.
+  bool isServedElsewhere(std::string_view QueueName) const;
+  bool mayStoreJobsOf(std::string_view QueueName) const;
+  bool mayStateConfig() const;
+  bool isNewConfigDue() const;
+  void dropOffersServedElsewhere(TimePoint Now);
+  void stateConfig(CommitInFlight &Commit, TimePoint Now);
+  void listMovedQueues(QueueStatement &Statement, TimePoint Now);
+  void noteLeftQueues(TimePoint Now);
+  bool isHoldingKnown() const;
+
   OwnerOptions Options;
   std::shared_ptr<const CellConfig> Config;
   /// Those of `Config`, which may have thousands.
@@ -482,6 +499,18 @@
   std::deque<std::pair<TimePoint, std::string>> Removals;
   std::deque<std::string> RowsToMove; ///< Of `EndedJobs`.
   bool MovesEndedJobs = false;
+  bool StoresQueueOfEnded = false;
+  bool EndedRowsRead = false;
+  bool HoldingKnown = false; ///< All stored jobs are known.
+  /// Of `EndedJobs`, by queue; under no name those whose rows don't tell it.
+  std::map<std::string, size_t> EndedByQueue;
+  /// The configuration that this owner stated last.
+  std::shared_ptr<const CellConfig> StatedConfig;
+  /// When the newest version was stated; entries may have stored jobs by an
+  /// older one until then.
+  TimePoint ConfigStatedAt{};
+  /// Queues that were served here before that, and until when they are listed.
+  std::map<std::string, TimePoint> LeftQueues;
   std::vector<std::vector<TaskKey>> OpenRunsByExecutor;
   /// Their tasks are done once the later runs are over.
   std::vector<EarlierEnd> EarlierEnds;
--- a/src/cell/EndedJob.cpp
+++ b/src/cell/EndedJob.cpp
@@ -2,15 +2,18 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 
-/// The stored text: a version, the phase, the time of the end and the hash in
-/// hexadecimal digits, as in `1;completed;81234;5c0e7a21d94b36f8`.
+/// The stored text: a version, the phase, the time of the end, the hash in
+/// hexadecimal digits, and in version 2 the queue, as in
+/// `2;completed;81234;5c0e7a21d94b36f8;batch`.
 namespace daisylanding::cell {
 
 namespace {
 
-constexpr std::string_view VersionPrefix = "1;";
+constexpr std::string_view PrefixWithoutQueue = "1;";
+constexpr std::string_view PrefixWithQueue = "2;";
 constexpr int HexBase = 16;
 
 /// Takes the number that \p Text consists of.
@@ -21,31 +24,41 @@
   return Code == std::errc() && End == TextEnd;
 }
 
+/// Cuts the text before the next semicolon off \p Text, or all of it.
+std::string_view takeField(std::string_view &Text) {
+  std::string_view Field = Text.substr(0, Text.find(';'));
+  Text.remove_prefix(std::min(Field.size() + 1, Text.size()));
+  return Field;
+}
+
 } // namespace
 
 std::string encodeEndedJob(const EndedJob &Job) {
-  return fmt::format("{}{};{};{:x}", VersionPrefix, phaseName(Job.Phase),
-                     Job.EndedMs, Job.WorkHash);
+  if (Job.Queue.empty())
+    return fmt::format("{}{};{};{:x}", PrefixWithoutQueue, phaseName(Job.Phase),
+                       Job.EndedMs, Job.WorkHash);
+  return fmt::format("{}{};{};{:x};{}", PrefixWithQueue, phaseName(Job.Phase),
+                     Job.EndedMs, Job.WorkHash, Job.Queue);
 }
 
 Result<EndedJob> decodeEndedJob(std::string_view Text) {
   constexpr int DecimalBase = 10;
-  if (!Text.starts_with(VersionPrefix))
-    return Errc::Malformed;
-  Text.remove_prefix(VersionPrefix.size());
-  size_t PhaseEnd = Text.find(';');
-  size_t TimeEnd = Text.rfind(';');
-  if (PhaseEnd == std::string_view::npos || TimeEnd == PhaseEnd)
+  bool HasQueue = Text.starts_with(PrefixWithQueue);
+  if (!HasQueue && !Text.starts_with(PrefixWithoutQueue))
     return Errc::Malformed;
+  Text.remove_prefix(PrefixWithQueue.size());
   EndedJob Job;
-  auto Phase = phaseOf(Text.substr(0, PhaseEnd));
+  auto Phase = phaseOf(takeField(Text));
   bool IsWhole = Phase && isFinal(*Phase) &&
-                 parseWhole(Text.substr(PhaseEnd + 1, TimeEnd - PhaseEnd - 1),
-                            Job.EndedMs, DecimalBase) &&
-                 parseWhole(Text.substr(TimeEnd + 1), Job.WorkHash, HexBase);
-  if (!IsWhole)
+                 parseWhole(takeField(Text), Job.EndedMs, DecimalBase);
+  std::string_view Hash = HasQueue ? takeField(Text) : Text;
+  if (!IsWhole || !parseWhole(Hash, Job.WorkHash, HexBase))
     return Errc::Malformed;
   Job.Phase = *Phase;
+  if (HasQueue)
+    Job.Queue = Text;
+  if (HasQueue && Job.Queue.empty())
+    return Errc::Malformed;
   return Job;
 }
 
--- a/src/cell/EntryCapacity.cpp
+++ b/src/cell/EntryCapacity.cpp
@@ -9,6 +9,13 @@
 namespace {
 
 constexpr const char *KnowsEndedField = "knows_ended";
+constexpr const char *KnowsQueueOfEndedField = "knows_ended_queue";
+
+bool isTrue(std::string_view Text, const char *Name) {
+  auto Document = parseJson(Text);
+  auto Field = Document.find(Name);
+  return Field != Document.end() && *Field == true;
+}
 
 } // namespace
 
@@ -26,7 +33,8 @@
 std::string encodeEntryCapacity(const EntryCapacity &Capacity) {
   nlohmann::json Document = {{"millicores", Capacity.MilliCores},
                              {"link_kbit", Capacity.LinkKbitPerSecond},
-                             {KnowsEndedField, true}};
+                             {KnowsEndedField, true},
+                             {KnowsQueueOfEndedField, true}};
   return Document.dump();
 }
 
@@ -46,9 +54,11 @@
 }
 
 bool knowsEndedJobs(std::string_view Text) {
-  auto Document = parseJson(Text);
-  auto Field = Document.find(KnowsEndedField);
-  return Field != Document.end() && *Field == true;
+  return isTrue(Text, KnowsEndedField);
+}
+
+bool knowsQueueOfEnded(std::string_view Text) {
+  return isTrue(Text, KnowsQueueOfEndedField);
 }
 
 } // namespace daisylanding::cell
--- a/src/cell/EntryCapacity.h
+++ b/src/cell/EntryCapacity.h
@@ -32,6 +32,8 @@
 Result<EntryCapacity> decodeEntryCapacity(std::string_view Text);
 /// Whether the entry that wrote this form knows the table of ended jobs.
 bool knowsEndedJobs(std::string_view Text);
+/// Whether it reads rows of ended jobs that tell their queue.
+bool knowsQueueOfEnded(std::string_view Text);
 
 } // namespace daisylanding::cell
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -89,7 +89,7 @@
     return InFlight->Transaction;
   }
   bool IsDue = !DirtyJobs.empty() || Releasing || RowOutdated ||
-               isRemovalDue(Now) ||
+               isRemovalDue(Now) || isNewConfigDue() ||
                Now >= LastCommitAt + Options.HeartbeatInterval;
   if (!IsDue || (!Loading && !mayWriteFirstRow(Now)))
     return std::nullopt;
@@ -112,6 +112,8 @@
   Tx.Preconditions.push_back(
       {.Table = OwnerTable, .Key = OwnerKey, .Version = RowVersion});
   expireOffers(Now);
+  dropOffersServedElsewhere(Now);
+  stateConfig(Commit, Now);
   addJobs(Commit, Now, Clock.MinMs);
   addRemovals(Commit, Now);
   addMoves(Commit, Clock.MinMs);
@@ -315,6 +317,8 @@
   LastCommitTime = Now - Commit.TimedFrom;
   AverageCommitMs +=
       LatencyWeight * (toSeconds(LastCommitTime) * 1e3 - AverageCommitMs);
+  if (Commit.Row.Queues.ConfigVersion != Row.Queues.ConfigVersion)
+    ConfigStatedAt = Now;
   Row = Commit.Row;
   RowVersion = Version;
   HoldsOffersBack = false;
--- a/src/cell/OwnerEnded.cpp
+++ b/src/cell/OwnerEnded.cpp
@@ -34,7 +34,8 @@
 EndedJob CellOwner::endedJobOf(const LiveJob &Job) {
   return {.Phase = Job.Phase,
           .EndedMs = Job.EndedMs,
-          .WorkHash = workHash(Job.Spec)};
+          .WorkHash = workHash(Job.Spec),
+          .Queue = Job.Spec.Queue};
 }
 
 bool CellOwner::mayMove(const CommitInFlight &Commit, const LiveJob &Job) {
@@ -43,7 +44,9 @@
 }
 
 void CellOwner::moveRows(CommitInFlight &Commit, const std::string &JobId,
-                         const EndedJob &Ended) {
+                         EndedJob Ended) const {
+  if (!StoresQueueOfEnded)
+    Ended.Queue.clear();
   Commit.Transaction.Writes.push_back(
       {.Table = EndedTable, .Key = JobId, .Value = encodeEndedJob(Ended)});
   removeJobRows(Commit.Transaction, JobId);
@@ -53,7 +56,9 @@
 /// Keeps an ended job in mind until its rows are removed.
 void CellOwner::addEndedJob(const std::string &JobId, const EndedJob &Ended,
                             TimePoint Now) {
+  forgetEnded(JobId);
   EndedJobs[JobId] = {.Job = Ended};
+  countEnded(Ended);
   RowsToMove.push_back(JobId);
   Removals.emplace_back(Now + 2 * Options.StatusRetention, JobId);
 }
@@ -66,9 +71,25 @@
     return;
   }
   // The commit of an offer of this job is refused.
-  if (EndedJobs.try_emplace(JobId, KnownEnd{.Job = Ended, .Moved = true})
-          .second)
-    Removals.emplace_back(Now + 2 * Options.StatusRetention, JobId);
+  if (!EndedJobs.try_emplace(JobId, KnownEnd{.Job = Ended, .Moved = true})
+           .second)
+    return;
+  countEnded(Ended);
+  Removals.emplace_back(Now + 2 * Options.StatusRetention, JobId);
+}
+
+void CellOwner::countEnded(const EndedJob &Ended) {
+  ++EndedByQueue[Ended.Queue];
+}
+
+void CellOwner::forgetEnded(const std::string &JobId) {
+  auto Found = EndedJobs.find(JobId);
+  if (Found == EndedJobs.end())
+    return;
+  auto Counted = EndedByQueue.find(Found->second.Job.Queue);
+  if (--Counted->second == 0)
+    EndedByQueue.erase(Counted);
+  EndedJobs.erase(Found);
 }
 
 /// Drops a job whose final phase is stored and that has no open runs.
@@ -128,7 +149,7 @@
       Found->second.Moved = true;
   }
   for (const std::string &Id : Commit.RemovedJobs)
-    EndedJobs.erase(Id);
+    forgetEnded(Id);
 }
 
 /// Takes back what a refused commit would have moved and removed.
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -18,6 +18,11 @@
                    {"silent", Row.SilentLeaseEnds}};
   if (Row.LeasesEndMs)
     Document["leases_end_ms"] = *Row.LeasesEndMs;
+  if (Row.Queues.ConfigVersion != 0) {
+    Document["config"] = Row.Queues.ConfigVersion;
+    Document["moved"] = Row.Queues.MovedQueues;
+    Document["moved_any"] = Row.Queues.MayHoldAny;
+  }
   return Document.dump();
 }
 
@@ -55,6 +60,12 @@
     if (Document.contains("silent"))
       Row.SilentLeaseEnds =
           decodeNumbers<int64_t>(Document.at("silent"), Numbers);
+    if (Document.contains("config")) {
+      Row.Queues.ConfigVersion = Numbers.whole<uint64_t>(Document["config"]);
+      Row.Queues.MovedQueues =
+          Document.at("moved").get<std::set<std::string>>();
+      Row.Queues.MayHoldAny = Document.at("moved_any").get<bool>();
+    }
     if (Numbers.failed())
       return Errc::Malformed;
     return Row;
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CELL_OWNERROW_H
 
 #include "cell/EntryCapacity.h"
+#include "cell/QueueStatement.h"
 #include "common/Error.h"
 
 #include <cstdint>
@@ -48,6 +49,7 @@
   /// leases have expired there. The holder grants none there as long as they
   /// are listed.
   std::map<std::string, int64_t> SilentLeaseEnds;
+  QueueStatement Queues;
 };
 
 std::string encodeOwnerRow(const OwnerRow &Row);
--- a/src/node/EntryCapacities.cpp
+++ b/src/node/EntryCapacities.cpp
@@ -19,12 +19,22 @@
   return Largest;
 }
 
-bool allKnowEndedJobs(const store::RowPage &Page) {
+namespace {
+
+bool isSaidByAll(const store::RowPage &Page, bool (*Says)(std::string_view)) {
   return !Page.Rows.empty() && !Page.HasMore &&
          std::all_of(Page.Rows.begin(), Page.Rows.end(),
-                     [](const store::Row &Row) {
-                       return cell::knowsEndedJobs(Row.Value);
-                     });
+                     [&](const store::Row &Row) { return Says(Row.Value); });
+}
+
+} // namespace
+
+bool allKnowEndedJobs(const store::RowPage &Page) {
+  return isSaidByAll(Page, cell::knowsEndedJobs);
+}
+
+bool allKnowQueueOfEnded(const store::RowPage &Page) {
+  return isSaidByAll(Page, cell::knowsQueueOfEnded);
 }
 
 } // namespace daisylanding::node
--- a/src/node/EntryCapacities.h
+++ b/src/node/EntryCapacities.h
@@ -12,6 +12,8 @@
 /// Whether each entry in that table runs a version that knows the table of
 /// ended jobs.
 bool allKnowEndedJobs(const store::RowPage &Page);
+/// Whether each reads rows of ended jobs that tell their queue.
+bool allKnowQueueOfEnded(const store::RowPage &Page);
 
 } // namespace daisylanding::node
 
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -57,6 +57,31 @@
   std::map<std::string, std::string> Relays;
 };
 
+/// What the services' owners state of their queues, from the owner rows last
+/// read.
+class QueueStatements {
+public:
+  void set(const std::string &Service, cell::QueueStatement Statement) {
+    auto Shared =
+        std::make_shared<const cell::QueueStatement>(std::move(Statement));
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Services[Service] = std::move(Shared);
+  }
+  /// Never null; states nothing if no row was read.
+  std::shared_ptr<const cell::QueueStatement>
+  of(const std::string &Service) const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    auto It = Services.find(Service);
+    return It == Services.end() ? Unstated : It->second;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, std::shared_ptr<const cell::QueueStatement>> Services;
+  std::shared_ptr<const cell::QueueStatement> Unstated =
+      std::make_shared<const cell::QueueStatement>();
+};
+
 /// Time of the store's last answer, its clock and its read latency, as observed
 /// by all loops of the process.
 class StoreMonitor {
@@ -204,6 +229,7 @@
   cell::SharedConfig Config;
   PendingJobCounts PendingJobs;
   OwnerAddresses Owners;
+  QueueStatements Statements;
   cell::OfferRegistry Offers;
   StoreMonitor StoreHealth;
   ServiceStatuses OwnedServices;
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -219,7 +219,7 @@
   Job->Id = Request->JobId;
   Job->Queue = Request->Queue->Name;
   Job->AcceptedMs = Context.StoreHealth.clockMillis(monotonicNow());
-  offer(Request, *Job);
+  checkPlaces(Request, *Job);
 }
 
 /// Offers the job to the owner, which stores many jobs in one commit. Stores it
@@ -355,9 +355,14 @@
   JobWrite Write{.Job = Job,
                  .Deadline = Request->Deadline - AnswerMargin,
                  .MayExist = Request->OutcomeUnknown,
-                 .Done = [this, Request](WriteOutcome Outcome) {
-                   onJobWritten(Request, Outcome);
-                 }};
+                 .MayStore =
+                     [this, Request](uint64_t StatedVersion) {
+                       return mayStoreBy(*Request, StatedVersion);
+                     },
+                 .Done =
+                     [this, Request](WriteOutcome Outcome) {
+                       onJobWritten(Request, Outcome);
+                     }};
   It->second.add(std::move(Write), Now);
   TimerQueue.schedule(Request->Deadline - AnswerMargin, [this, Request] {
     if (!Request->Answered)
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -8,6 +8,7 @@
 #include "node/EntryContext.h"
 #include "node/JobWriter.h"
 #include "node/OfferPolicy.h"
+#include "node/QueuePlaces.h"
 #include "relay/RelayLoop.h"
 
 #include <optional>
@@ -52,6 +53,8 @@
     bool OfferRetried = false;
     /// The owner has answered, or the offer has timed out.
     bool OfferSettled = false;
+    bool SearchWatched = false;   ///< Other services are asked for the job.
+    bool SearchDone = false;      ///< None of them has it.
     uint32_t CancelsInFlight = 0; ///< Unanswered copies of the cancel.
   };
   using RequestPtr = std::shared_ptr<PendingRequest>;
@@ -59,6 +62,16 @@
   void run();
   void route(const RequestPtr &Request);
   void submit(const RequestPtr &Request);
+  void checkPlaces(const RequestPtr &Request, const cell::JobSpec &Job);
+  PlaceCheck checkOf(const PendingRequest &Request,
+                     const std::string &Service) const;
+  bool mayStoreBy(const PendingRequest &Request, uint64_t StatedVersion) const;
+  void awaitStatement(const RequestPtr &Request, const cell::JobSpec &Job);
+  void watchSearch(const RequestPtr &Request);
+  void refuseLateSearch(const RequestPtr &Request);
+  void searchJobRow(const RequestPtr &Request, const cell::JobSpec &Job);
+  void searchEndedRow(const RequestPtr &Request, const cell::JobSpec &Job);
+  void answerFound(const RequestPtr &Request, bool IsSameWork);
   void offer(const RequestPtr &Request, const cell::JobSpec &Job);
   void onOfferOutcome(const RequestPtr &Request, const cell::JobSpec &Job,
                       const Result<cell::OfferOutcome> &Outcome);
@@ -87,6 +100,9 @@
   void readRow(const RequestPtr &Request, const char *Table,
                const std::string &Partition,
                std::function<void(const std::string *)> OnValue);
+  void readEndedJob(
+      const RequestPtr &Request, const std::string &Partition,
+      std::function<void(const std::optional<cell::EndedJob> &)> OnJob);
   void
   readEndedPhase(const RequestPtr &Request, const std::string &Partition,
                  std::function<void(std::optional<cell::JobPhase>)> OnPhase);
--- a/src/node/IntakeQueries.cpp
+++ b/src/node/IntakeQueries.cpp
@@ -32,6 +32,8 @@
                          .To = Request->JobId + '0'};
   Store->read(Range, [this, Request, OnRows = std::move(OnRows)](
                          const Result<store::RowPage> &Page) {
+    if (Request->Answered)
+      return;
     if (Page)
       OnRows(Page->Rows);
     else
@@ -39,26 +41,35 @@
   });
 }
 
-/// Reads the row of a job that has ended; without a phase if there is none.
-/// Refuses the request if the read fails.
+/// Reads the row of a job that has ended; none if there is no row. Refuses the
+/// request if the read fails.
+void IntakeLoop::readEndedJob(
+    const RequestPtr &Request, const std::string &Partition,
+    std::function<void(const std::optional<cell::EndedJob> &)> OnJob) {
+  readRow(Request, cell::EndedTable, Partition,
+          [this, Request, OnJob = std::move(OnJob)](const std::string *Value) {
+            if (!Value) {
+              OnJob(std::nullopt);
+              return;
+            }
+            auto Ended = cell::decodeEndedJob(*Value);
+            if (Ended) {
+              OnJob(*Ended);
+              return;
+            }
+            logError("ended-job-unreadable", "job={}", Request->JobId);
+            refuse(Request, "record-unreadable");
+          });
+}
+
 void IntakeLoop::readEndedPhase(
     const RequestPtr &Request, const std::string &Partition,
     std::function<void(std::optional<cell::JobPhase>)> OnPhase) {
-  readRow(
-      Request, cell::EndedTable, Partition,
-      [this, Request, OnPhase = std::move(OnPhase)](const std::string *Value) {
-        if (!Value) {
-          OnPhase(std::nullopt);
-          return;
-        }
-        auto Ended = cell::decodeEndedJob(*Value);
-        if (Ended) {
-          OnPhase(Ended->Phase);
-          return;
-        }
-        logError("ended-job-unreadable", "job={}", Request->JobId);
-        refuse(Request, "record-unreadable");
-      });
+  readEndedJob(Request, Partition,
+               [OnPhase = std::move(OnPhase)](
+                   const std::optional<cell::EndedJob> &Ended) {
+                 OnPhase(Ended ? std::optional(Ended->Phase) : std::nullopt);
+               });
 }
 
 /// Reads the row under the job's id; null if there is none. Refuses the request
--- a/src/node/JobWriter.cpp
+++ b/src/node/JobWriter.cpp
@@ -5,6 +5,8 @@
 #include "common/Log.h"
 
 #include <algorithm>
+#include <charconv>
+#include <limits>
 
 namespace daisylanding::node {
 
@@ -47,7 +49,7 @@
   while (!Queue.empty() && InFlight.size() < MaxBatchJobs) {
     JobWrite Write = std::move(Queue.front());
     Queue.pop_front();
-    if (Now >= Write.Deadline) {
+    if (Now >= Write.Deadline || !passesFence(Write)) {
       Write.Done(Write.MayExist ? WriteOutcome::Unknown
                                 : WriteOutcome::Refused);
       continue;
@@ -61,8 +63,12 @@
                           .Value = cell::encodeJob(Write.Job)});
     InFlight.push_back(std::move(Write));
   }
+  Fence.IsFresh = false;
   if (InFlight.empty())
     return;
+  Tx->Preconditions.push_back({.Table = cell::StatedConfigTable,
+                               .Key = cell::StatedConfigKey,
+                               .Version = Fence.RowVersion});
   ++CurrentBatch;
   BatchSentAt = Now;
   MayBeStored = false;
@@ -141,15 +147,51 @@
   scheduleRetry(Now);
 }
 
+/// Whether the job may be stored by what the owner states. If that was read for
+/// an earlier batch, the batch is sent without it and reads it anew.
+bool JobWriter::passesFence(const JobWrite &Write) {
+  if (!Write.MayStore || Write.MayStore(Fence.ConfigVersion))
+    return true;
+  if (Fence.IsFresh) {
+    logInfo("write-fenced", "service={} job={} stated={}", Service,
+            Write.Job.Id, Fence.ConfigVersion);
+    return false;
+  }
+  Fence = {};
+  return true;
+}
+
+/// Reads what the owner states from the rows of a refused batch.
+void JobWriter::readFence(const store::TransactionResult &Result) {
+  Fence = {.IsFresh = true};
+  for (const store::Row &Row : Result.CurrentRows) {
+    if (Row.Table != cell::StatedConfigTable ||
+        Row.Version == store::AbsentVersion)
+      continue;
+    Fence.RowVersion = Row.Version;
+    const char *End = Row.Value.data() + Row.Value.size();
+    auto Parsed = std::from_chars(Row.Value.data(), End, Fence.ConfigVersion);
+    if (Parsed.ec == std::errc() && Parsed.ptr == End)
+      continue;
+    logError("stated-config-unreadable", "service={} version={}", Service,
+             Row.Version);
+    // Newer than any that an entry knows.
+    Fence.ConfigVersion = std::numeric_limits<uint64_t>::max();
+  }
+}
+
 /// Completes the jobs that are already stored; the others go into the next
 /// batch.
 void JobWriter::completeConflict(const store::TransactionResult &Result) {
+  readFence(Result);
   for (JobWrite &Write : InFlight) {
-    auto StoredRow = std::find_if(
-        Result.CurrentRows.begin(), Result.CurrentRows.end(),
-        [&](const store::Row &Row) {
-          return Row.Key == Write.Job.Id && Row.Version != store::AbsentVersion;
-        });
+    auto StoredRow =
+        std::find_if(Result.CurrentRows.begin(), Result.CurrentRows.end(),
+                     [&](const store::Row &Row) {
+                       return Row.Table != cell::StatedConfigTable &&
+                              Row.Key == Write.Job.Id &&
+                              Row.Version != store::AbsentVersion;
+                     });
     if (StoredRow == Result.CurrentRows.end()) {
       Queue.push_front(std::move(Write));
       continue;
--- a/src/node/JobWriter.h
+++ b/src/node/JobWriter.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_NODE_JOBWRITER_H
 
 #include "cell/JobSpec.h"
+#include "cell/QueueStatement.h"
 #include "common/Timers.h"
 #include "store/RowStore.h"
 
@@ -26,6 +27,9 @@
   cell::JobSpec Job;
   TimePoint Deadline{};  ///< For reporting the outcome.
   bool MayExist = false; ///< An earlier try may still take effect.
+  /// Whether it may be stored while the owner states a configuration of that
+  /// version; always without one.
+  std::function<bool(uint64_t)> MayStore;
   std::function<void(WriteOutcome)> Done;
 };
 
@@ -35,8 +39,11 @@
 /// Stores the jobs of one service in batches, one transaction at a time; jobs
 /// that arrive meanwhile go into the next batch. With one transaction per job,
 /// a slow store's queue for the service's partition would fill up and delay its
-/// owner's commits. It rests after a batch that had to wait for others, so that
-/// many entries leave the partition to the owner. Single-threaded.
+/// owner's commits. A batch requires that the owner states the same
+/// configuration as when it was made: a copy that is carried out late must not
+/// store a job of a queue that has moved to another service. It rests after a
+/// batch that had to wait for others, so that many entries leave the partition
+/// to the owner. Single-threaded.
 class JobWriter {
 public:
   JobWriter(std::string Service, store::RowStore &Store, Timers &TimerQueue,
@@ -53,6 +60,13 @@
 private:
   using Batch = std::vector<JobWrite>;
 
+  /// The row in which the owner states its configuration, as last read.
+  struct ConfigFence {
+    uint64_t RowVersion = store::AbsentVersion;
+    uint64_t ConfigVersion = 0;
+    bool IsFresh = false; ///< Just read, for the next batch.
+  };
+
   void sendNextBatch(TimePoint Now);
   void sendCopy(const std::shared_ptr<const store::Transaction> &Tx,
                 uint64_t BatchNumber);
@@ -61,6 +75,8 @@
   void onResult(uint64_t BatchNumber, const store::TransactionResult &Result);
   void completeBatch(const store::TransactionResult &Result, TimePoint Now);
   void completeConflict(const store::TransactionResult &Result);
+  bool passesFence(const JobWrite &Write);
+  void readFence(const store::TransactionResult &Result);
   void scheduleRetry(TimePoint Now);
   void pauseFor(Micros Duration, TimePoint Now);
 
@@ -70,6 +86,7 @@
   HedgeDelay DelayBeforeHedge;
   std::deque<JobWrite> Queue;
   Batch InFlight;
+  ConfigFence Fence;
   /// Number of the batch in flight, or of the last one.
   uint64_t CurrentBatch = 0;
   TimePoint BatchSentAt{};
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -222,6 +222,7 @@
         Owner->addEndedRow(JobId, Ended, monotonicNow());
       },
       [this, Now] {
+        Owner->finishEndedRows();
         logInfo("ended-jobs-loaded", "service={} epoch={} took_ms={}", Service,
                 OwnRow.Epoch, toMillis(monotonicNow() - Now));
       });
@@ -473,6 +474,7 @@
                   return;
                 Owner->setLargestEntry(largestEntryIn(*Page));
                 Owner->setMovesEndedJobs(allKnowEndedJobs(*Page));
+                Owner->setStoresQueueOfEnded(allKnowQueueOfEnded(*Page));
               });
 }
 
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -56,6 +56,7 @@
     Successor.LargestEntry = Row->LargestEntry;
     // Until the new owner has counted its jobs.
     Successor.PendingJobs = Row->PendingJobs;
+    Successor.Queues = Row->Queues;
   }
   return Successor;
 }
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -158,6 +158,45 @@
   LONGS_EQUAL(40, Platform.runsStarted());
 }
 
+// clang-format off
+TEST_GROUP_BASE(WhoseQueueMovesToAnotherService, TEST_GROUP_CppUTestGroupWithTenJobs) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupWithTenJobs::setup();
+    CHECK(allDone(0));
+    json Route = {{"name", "q"}, {"host", "jobs.example"}, {"path-prefix", "/q/"}, {"service", "t"},
+                  {"target-latency-ms", 1'000}, {"stretch", 2.0}, {"max-attempts", 2}};
+    json Added = Route;
+    Added["name"] = "added";
+    Added["path-prefix"] = "/added/";
+    json Config = {{"version", 2}, {"routes", {Route, Added}}, {"services", {{{"name", "s"}}, {{"name", "t"}}}}};
+    Platform.putRow("op", "", "config", Config.dump());
+    for (int I = 0; I < 2; ++I)
+      CHECK(eventually([&] { return get(I, 0, "/added/") == 200; }));
+  }
+  bool isStoredIn(const char *Service, int Number) {
+    return !Platform.rowValue("jobs", Service, jobId(Number)).empty();
+  }
+};
+// clang-format on
+
+/// Guards against a job that is stored, and runs, once more in the service that
+/// its queue was sent to, when a copy of its request arrives.
+TEST(WhoseQueueMovesToAnotherService, ACopyOfARequestIsStillKnown) {
+  for (int I = 1; I <= 10; ++I) {
+    LONGS_EQUAL(200, submit(I % 2, I, 4));
+    CHECK_FALSE(isStoredIn("t", I));
+  }
+  LONGS_EQUAL(409, submit(0, 3, 5));
+  STRCMP_EQUAL("completed", state(1, 3).c_str());
+}
+
+TEST(WhoseQueueMovesToAnotherService, ANewJobIsStoredInTheNewService) {
+  LONGS_EQUAL(200, submit(0, 11, 4));
+  CHECK(isStoredIn("t", 11));
+  LONGS_EQUAL(200, submit(1, 11, 4));
+  LONGS_EQUAL(40, Platform.runsStarted());
+}
+
 /// Guards against entries that end, or stop following the list, because of odd
 /// rows in it.
 TEST(ACellOfTwoEntries, OddEntriesAmongThoseOfTheExecutorsDoNoHarm) {
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -88,6 +88,16 @@
   Config = std::move(NewConfig);
 }
 
+void Simulation::changeConfig(
+    const std::function<void(cell::CellConfig &)> &Change) {
+  auto NewConfig = std::make_shared<cell::CellConfig>(*Config);
+  ++NewConfig->Version;
+  Change(*NewConfig);
+  Config = std::move(NewConfig);
+  if (Owner)
+    Owner->setConfig(Config);
+}
+
 std::vector<executor::ExecutorInfo> Simulation::instanceList() const {
   std::vector<executor::ExecutorInfo> List;
   for (const auto &Entry : Executors) {
@@ -213,6 +223,7 @@
     auto Old = cell::decodeOwnerRow(OldRow->second.Value);
     Row.LeasesEndMs = Old->LeasesEndMs;
     Row.SilentLeaseEnds = Old->SilentLeaseEnds;
+    Row.Queues = Old->Queues;
   }
   Rows[{cell::OwnerTable, cell::OwnerKey}] = {cell::encodeOwnerRow(Row),
                                               ++Version};
@@ -232,6 +243,7 @@
   }
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
   Owner->setMovesEndedJobs(MovesEndedJobs);
+  Owner->setStoresQueueOfEnded(StoresQueueOfEnded);
   LoadingOwners.insert(Owner.get());
   if (LoadTimeMs == 0) {
     loadStoredJobs(*Owner);
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -104,6 +104,8 @@
   /// Requires tickets of this policy from now on. To be called before the first
   /// owner takes over.
   void requireAdvice(const SimPolicy &NewPolicy);
+  /// Puts the next version of the configuration in force.
+  void changeConfig(const std::function<void(cell::CellConfig &)> &Change);
   /// A new owner takes over the service; without a name, an entry that never
   /// held it.
   void takeOver(const std::string &Holder = "");
@@ -183,7 +185,8 @@
   /// Whether messages are kept and starts are checked, which takes longer than
   /// the owner's work on large fleets.
   bool KeepsHistory = true;
-  bool MovesEndedJobs = true; ///< Of owners that take over from then on.
+  bool MovesEndedJobs = true;     ///< Of owners that take over from then on.
+  bool StoresQueueOfEnded = true; ///< The same.
   bool StoreDown = false;
   bool FeedsSilent = false; ///< Instance list and job feed are not confirmed.
   bool StoreSilent = false; ///< Commits get no answer and are not carried out.
--- a/tests/unit/EndedJobTest.cpp
+++ b/tests/unit/EndedJobTest.cpp
@@ -299,8 +299,12 @@
                .EndedMs = 81'234,
                .WorkHash = 0xf000'0000'0000'000fU};
   CHECK(*decodeEndedJob(encodeEndedJob(Job)) == Job);
-  for (const char *Text : {"", "1;", "1;completed", "1;running;1;f",
-                           "1;completed;x;f", "1;completed;1;", "2;failed;1;f"})
+  Job.Queue = "a;b";
+  CHECK(*decodeEndedJob(encodeEndedJob(Job)) == Job);
+  for (const char *Text :
+       {"", "1;", "1;completed", "1;running;1;f", "1;completed;x;f",
+        "1;completed;1;", "1;failed;1;f;q", "2;failed;1;f", "2;failed;1;f;",
+        "3;failed;1;f;q"})
     CHECK_FALSE(bool(decodeEndedJob(Text)));
 }
 
@@ -315,3 +319,15 @@
   Page.Rows.back().Value = "?";
   CHECK_FALSE(node::allKnowEndedJobs(Page));
 }
+
+/// Entries of earlier versions can't read rows that tell the queue.
+TEST(EndedJobs, TellTheirQueueOnlyIfAllEntriesReadIt) {
+  store::RowPage Page;
+  Page.Rows.push_back({.Key = "e0", .Value = encodeEntryCapacity({})});
+  CHECK(node::allKnowQueueOfEnded(Page));
+  Page.Rows.push_back(
+      {.Key = "e1",
+       .Value = R"({"millicores":500,"link_kbit":0,"knows_ended":true})"});
+  CHECK(node::allKnowEndedJobs(Page));
+  CHECK_FALSE(node::allKnowQueueOfEnded(Page));
+}
--- a/tests/unit/JobWriterTest.cpp
+++ b/tests/unit/JobWriterTest.cpp
@@ -158,6 +158,63 @@
   CHECK(Store.Transactions[1].entryCount() <= store::MaxTransactionEntries);
 }
 
+// clang-format off
+/// By the configuration of version 5; the owner may state a newer one.
+TEST_GROUP_BASE(WithAnOlderConfiguration, TEST_GROUP_CppUTestGroupAnEntryThatStoresJobs) {
+  void setup() override {
+    Writer.add({.Job = makeJob(1),
+                .Deadline = Now + Millis(60'000),
+                .MayStore = [](uint64_t Stated) { return Stated <= 5; },
+                .Done = [this](WriteOutcome Outcome) { Outcomes[1] = Outcome; }}, Now);
+  }
+  void answerStated(size_t Index, const char *ConfigVersion, uint64_t RowVersion) {
+    store::TransactionResult Conflict{.Outcome = store::TransactionOutcome::Conflict};
+    Conflict.CurrentRows.push_back({.Table = cell::StatedConfigTable,
+                                    .Key = cell::StatedConfigKey,
+                                    .Value = ConfigVersion,
+                                    .Version = RowVersion});
+    Store.answer(Index, Conflict);
+  }
+};
+// clang-format on
+
+/// Guards against a write that is carried out in the old service, after the
+/// queue has moved and its new service has found no copy of the job there.
+TEST(WithAnOlderConfiguration, ABatchRequiresWhatTheOwnerStates) {
+  CHECK(isRequiredAbsent(Store.Transactions[0], cell::StatedConfigTable,
+                         cell::StatedConfigKey));
+  answerStated(0, "5", 33);
+  LONGS_EQUAL(2, Store.Transactions.size());
+  LONGS_EQUAL(33, Store.Transactions[1].Preconditions.back().Version);
+  Store.answer(1, {.Outcome = store::TransactionOutcome::Committed});
+  CHECK(Outcomes[1] == WriteOutcome::Stored);
+}
+
+TEST(WithAnOlderConfiguration, AJobIsRefusedOnceTheOwnerStatesTheNewerOne) {
+  answerStated(0, "5", 33);
+  answerStated(1, "7", 44);
+  LONGS_EQUAL(2, Store.Transactions.size());
+  CHECK(Outcomes[1] == WriteOutcome::Refused);
+}
+
+TEST(WithAnOlderConfiguration, ALaterJobIsRefusedOnlyByWhatIsStatedThen) {
+  answerStated(0, "7", 33);
+  CHECK(Outcomes[1] == WriteOutcome::Refused);
+  Writer.add({.Job = makeJob(2),
+              .Deadline = Now + Millis(60'000),
+              .MayStore = [](uint64_t Stated) { return Stated == 8; },
+              .Done = [this](WriteOutcome Outcome) { Outcomes[2] = Outcome; }},
+             Now);
+  LONGS_EQUAL(2, Store.Transactions.size());
+  answerStated(1, "8", 55);
+  LONGS_EQUAL(55, Store.Transactions[2].Preconditions.back().Version);
+}
+
+TEST(WithAnOlderConfiguration, AnUnreadableStatementStoresNothing) {
+  answerStated(0, "x", 33);
+  CHECK(Outcomes[1] == WriteOutcome::Refused);
+}
+
 TEST(WhileABatchIsInFlight, ARefusedJobIsReportedAtOnce) {
   Store.answer(0, {.Outcome = store::TransactionOutcome::NotApplied});
   CHECK(Outcomes[1] == WriteOutcome::Refused);
