Settings take seconds, and fractions

Cause: the template appended "000" to grace-s and status_s. These may be fractions, and 7.5000 was refused as no whole number, so that no entry started. The bounds in milliseconds had the same fault: a fraction was refused.

Ruled out: the fields of [instance]; its shares took fractions before, and max_descriptors is a count.

Change: drain_limit_s and status_kept_s beside the names in milliseconds, one of both; all durations of these settings may be fractions, within the limits as before.

Conclusion: settings of earlier versions stay valid.

--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -15,7 +15,8 @@
   SectionReader EntrySection(Root, "entry", File, Problems);
   EntrySection.name("name", Parsed.Name);
   EntrySection.name("zone", Parsed.AvailabilityZone);
-  EntrySection.millis("drain_limit_ms", Parsed.DrainLimit, 500, OneMinuteMs);
+  EntrySection.duration("drain_limit_ms", "drain_limit_s", Parsed.DrainLimit,
+                        500, OneMinuteMs);
   EntrySection.choice("log_level", Parsed.LogLevel,
                       {"debug", "info", "warn", "error"});
   SectionReader ListenSection(Root, "listen", File, Problems);
@@ -34,10 +35,11 @@
   InstanceSection.integer("max_descriptors", Parsed.MaxDescriptors, 256,
                           1'048'576);
   SectionReader BoundsSection(Root, "bounds", File, Problems);
-  BoundsSection.millis("drain_ms", Parsed.MaxDrainDelay, 1'300, OneDayMs);
-  BoundsSection.millis("cancel_ms", Parsed.MaxCancelDelay, 1'300, OneDayMs);
-  BoundsSection.millis("max_lease_ms", Parsed.MaxLease, 1'000, OneDayMs);
-  BoundsSection.millis("status_kept_ms", Parsed.StatusRetention, 0, OneDayMs);
+  BoundsSection.duration("drain_ms", Parsed.MaxDrainDelay, 1'300, OneDayMs);
+  BoundsSection.duration("cancel_ms", Parsed.MaxCancelDelay, 1'300, OneDayMs);
+  BoundsSection.duration("max_lease_ms", Parsed.MaxLease, 1'000, OneDayMs);
+  BoundsSection.duration("status_kept_ms", "status_kept_s",
+                         Parsed.StatusRetention, 0, OneDayMs);
 }
 
 } // namespace
--- a/src/config/SectionReader.h
+++ b/src/config/SectionReader.h
@@ -91,6 +91,26 @@
     Destination = Millis(Value);
   }
 
+  /// An optional duration under either of two keys: in milliseconds, or in
+  /// seconds. Whole or a fraction, from \p MinMs to \p MaxMs milliseconds;
+  /// rounded down.
+  void duration(std::string_view MillisKey, std::string_view SecondsKey,
+                Millis &Destination, int64_t MinMs, int64_t MaxMs) {
+    constexpr double MsPerSecond = 1e3;
+    scaled(MillisKey, Destination, 1, MinMs, MaxMs);
+    const toml::node *Node = find(SecondsKey);
+    if (Node && find(MillisKey))
+      report(Errc::OutOfRange, SecondsKey, Node,
+             fmt::format("only one of {} and {}", MillisKey, SecondsKey));
+    else
+      scaled(SecondsKey, Destination, MsPerSecond, MinMs, MaxMs);
+  }
+  /// The same under the first key alone.
+  void duration(std::string_view MillisKey, Millis &Destination, int64_t MinMs,
+                int64_t MaxMs) {
+    scaled(MillisKey, Destination, 1, MinMs, MaxMs);
+  }
+
   void listenAddress(std::string_view Key, ListenAddress &Destination) {
     const toml::node *Node = find(Key);
     auto Value = Node ? Node->value_exact<std::string>() : std::nullopt;
@@ -162,6 +182,25 @@
   }
 
 private:
+  /// A number of units of \p MsPerUnit milliseconds.
+  void scaled(std::string_view Key, Millis &Destination, double MsPerUnit,
+              int64_t MinMs, int64_t MaxMs) {
+    const toml::node *Node = find(Key);
+    if (!Node)
+      return;
+    bool IsNumber = Node->is_integer() || Node->is_floating_point();
+    auto Units = IsNumber ? Node->value<double>() : std::nullopt;
+    double Ms = Units.value_or(-1) * MsPerUnit;
+    // Also false if it is not a number.
+    if (Ms >= static_cast<double>(MinMs) && Ms <= static_cast<double>(MaxMs))
+      Destination = Millis(static_cast<int64_t>(Ms));
+    else
+      report(Errc::OutOfRange, Key, Node,
+             fmt::format("a number from {} to {}",
+                         static_cast<double>(MinMs) / MsPerUnit,
+                         static_cast<double>(MaxMs) / MsPerUnit));
+  }
+
   static bool parseListenAddress(std::string_view Text,
                                  ListenAddress &Address) {
     size_t Colon = Text.rfind(':');
--- /dev/null
+++ b/tests/unit/CellSettingsTest.cpp
@@ -0,0 +1,61 @@
+#include "config/CellSettings.h"
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisylanding;
+using namespace daisylanding::config;
+
+// clang-format off
+TEST_GROUP(SettingsWithBounds) {
+  std::vector<SettingsProblem> Problems;
+
+  Result<CellSettings> read(const std::string &Entry, const std::string &Bounds) {
+    return parseCellSettings(
+        fmt::format("[entry]\nname = \"e\"\nzone = \"z\"\n{}\n"
+                    "[listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\n"
+                    "relay = \"127.0.0.1:3\"\noperators = \"127.0.0.1:4\"\n"
+                    "[services]\nstore = \"127.0.0.1:5\"\n[bounds]\n{}\n", Entry, Bounds),
+        "f.toml", Problems);
+  }
+};
+// clang-format on
+
+/// Guards against an entry that refuses its settings, since a bound in seconds
+/// is a fraction.
+TEST(SettingsWithBounds, TakeFractions) {
+  auto Settings =
+      read("drain_limit_s = 7.5", "drain_ms = 2000.5\ncancel_ms = 2999.9\n"
+                                  "max_lease_ms = 9000.0\n"
+                                  "status_kept_s = 0.25");
+  CHECK_TRUE(static_cast<bool>(Settings));
+  CHECK(Settings->DrainLimit == Millis(7'500));
+  CHECK(Settings->MaxDrainDelay == Millis(2'000));
+  CHECK(Settings->MaxCancelDelay == Millis(2'999));
+  CHECK(Settings->MaxLease == Millis(9'000));
+  CHECK(Settings->StatusRetention == Millis(250));
+}
+
+TEST(SettingsWithBounds, TakeWholeNumbersOfEitherUnit) {
+  auto Settings = read("drain_limit_s = 6", "status_kept_ms = 90000");
+  CHECK_TRUE(static_cast<bool>(Settings));
+  CHECK(Settings->DrainLimit == Millis(6'000));
+  CHECK(Settings->StatusRetention == Millis(90'000));
+}
+
+TEST(SettingsWithBounds, AreCheckedInEitherUnit) {
+  CHECK_FALSE(static_cast<bool>(read("drain_limit_s = 61",
+                                     "status_kept_s = nan\ndrain_ms = true\n"
+                                     "max_lease_ms = \"9000\"")));
+  LONGS_EQUAL(4, Problems.size());
+  STRCMP_EQUAL("entry.drain_limit_s", Problems[0].Key.c_str());
+  STRCMP_EQUAL("a number from 0.5 to 60", Problems[0].Allowed.c_str());
+}
+
+TEST(SettingsWithBounds, AreNotGivenInBothUnits) {
+  CHECK_FALSE(
+      static_cast<bool>(read("drain_limit_s = 6\ndrain_limit_ms = 6000", "")));
+  LONGS_EQUAL(1, Problems.size());
+  STRCMP_EQUAL("entry.drain_limit_s", Problems[0].Key.c_str());
+}
