--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -23,6 +23,11 @@
     Document["long_leases"] = Row.LongLeaseEnds;
   if (Row.LeasesEndMs)
     Document["leases_end_ms"] = *Row.LeasesEndMs;
+  if (Row.Queues.ConfigVersion != 0) {
+    Document["config"] = Row.Queues.ConfigVersion;
+    Document["moved"] = Row.Queues.MovedQueues;
+    Document["moved_any"] = Row.Queues.MayHoldAny;
+  }
   return Document.dump();
 }
 
@@ -65,6 +70,12 @@
     if (Document.contains("long_leases"))
       Row.LongLeaseEnds =
           decodeNumbers<int64_t>(Document.at("long_leases"), Numbers);
+    if (Document.contains("config")) {
+      Row.Queues.ConfigVersion = Numbers.whole<uint64_t>(Document["config"]);
+      Row.Queues.MovedQueues =
+          Document.at("moved").get<std::set<std::string>>();
+      Row.Queues.MayHoldAny = Document.at("moved_any").get<bool>();
+    }
     if (Numbers.failed())
       return Errc::Malformed;
     return Row;
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CELL_OWNERROW_H
 
 #include "cell/EntryCapacity.h"
+#include "cell/QueueStatement.h"
 #include "common/Error.h"
 
 #include <cstdint>
@@ -65,6 +66,7 @@
   /// which leases by an earlier incarnation's clock have expired there, if that
   /// is after `LeasesEndMs`. Empty in rows of versions that don't tell.
   std::map<std::string, int64_t> LongLeaseEnds;
+  QueueStatement Queues;
 };
 
 std::string encodeOwnerRow(const OwnerRow &Row);
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -89,12 +89,21 @@
 }
 
 void Simulation::setQueueConfigured(bool IsConfigured) {
-  auto NewConfig = std::make_shared<cell::CellConfig>(*makeConfig());
+  changeConfig([&](cell::CellConfig &NewConfig) {
+    NewConfig.Queues.clear();
+    if (!IsConfigured)
+      return;
+    NewConfig.Queues = makeConfig()->Queues;
+    if (Policy)
+      NewConfig.Queues.front().Advice = Policy->Settings;
+  });
+}
+
+void Simulation::changeConfig(
+    const std::function<void(cell::CellConfig &)> &Change) {
+  auto NewConfig = std::make_shared<cell::CellConfig>(*Config);
   ++NewConfig->Version;
-  if (Policy)
-    NewConfig->Queues.front().Advice = Policy->Settings;
-  if (!IsConfigured)
-    NewConfig->Queues.clear();
+  Change(*NewConfig);
   Config = std::move(NewConfig);
   if (Owner)
     Owner->setConfig(Config);
@@ -228,6 +237,7 @@
     Row.LeasesEndMs = Old->LeasesEndMs;
     Row.SilentLeaseEnds = Old->SilentLeaseEnds;
     Row.LongLeaseEnds = Old->LongLeaseEnds;
+    Row.Queues = Old->Queues;
   }
   Rows[{cell::OwnerTable, cell::OwnerKey}] = {cell::encodeOwnerRow(Row),
                                               ++Version};
@@ -247,6 +257,7 @@
   }
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
   Owner->setMovesEndedJobs(MovesEndedJobs);
+  Owner->setStoresQueueOfEnded(StoresQueueOfEnded);
   LoadingOwners.insert(Owner.get());
   if (LoadTimeMs == 0) {
     loadStoredJobs(*Owner);
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -108,6 +108,8 @@
   /// Removes the queue of the jobs from the configuration, of which the owner
   /// hears at once, or adds it again.
   void setQueueConfigured(bool IsConfigured);
+  /// Puts the next version of the configuration in force.
+  void changeConfig(const std::function<void(cell::CellConfig &)> &Change);
   /// A new owner takes over the service; without a name, an entry that never
   /// held it.
   void takeOver(const std::string &Holder = "");
@@ -193,7 +195,8 @@
   /// Whether messages are kept and starts are checked, which takes longer than
   /// the owner's work on large fleets.
   bool KeepsHistory = true;
-  bool MovesEndedJobs = true; ///< Of owners that take over from then on.
+  bool MovesEndedJobs = true;     ///< Of owners that take over from then on.
+  bool StoresQueueOfEnded = true; ///< The same.
   bool StoreDown = false;
   bool FeedsSilent = false; ///< Instance list and job feed are not confirmed.
   bool StoreSilent = false; ///< Commits get no answer and are not carried out.
