--- a/src/node/IntakeQueries.cpp
+++ b/src/node/IntakeQueries.cpp
@@ -62,6 +62,7 @@
           });
 }
 
+/// The same for its phase alone.
 void IntakeLoop::readEndedPhase(
     const RequestPtr &Request, const std::string &Partition,
     std::function<void(std::optional<cell::JobPhase>)> OnPhase) {
