All members of a gang resume from one checkpoint

Cause: the checkpoint in the end of a run was kept for its member alone, that in a list of runs for all. After a crash under a gang the others are stopped, each with a checkpoint of its own. Ruled out: the start, which sends what is kept.

keepCheckpoint stores both, and what a successor loads. Any member's value is valid for the gang; the newest heard is kept.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -239,7 +239,7 @@
       Task.LastRunBeforeLoad =
           isOpen(StoredTask.Phase) ? StoredTask.Run - 1 : StoredTask.Run;
       Task.Crashes = StoredTask.Crashes;
-      Task.Checkpoint = StoredTask.Checkpoint;
+      keepCheckpoint(Key, StoredTask.Checkpoint);
       Task.Phase = StoredTask.Phase;
       bool NotSent = StoredTask.Phase == TaskPhase::Recording ||
                      StoredTask.Phase == TaskPhase::Starting;
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -249,6 +249,7 @@
   void onGangMemberEnd(const TaskKey &Key, executor::EndKind Kind,
                        TimePoint Now);
   bool countFailure(const TaskKey &Key, uint32_t Run, TimePoint Now);
+  static void keepCheckpoint(const TaskKey &Key, const std::string &Checkpoint);
   void onRunningTask(ExecutorIndex Index, const executor::RunStatus &Running,
                      TimePoint Now);
   void endAbsentRuns(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -185,6 +185,20 @@
     completeIfDone(*Key.Job, Key.Position.Occurrence, Now);
 }
 
+/// The next run resumes from the checkpoint, if there is one; all members of a
+/// gang from the same.
+void CellOwner::keepCheckpoint(const TaskKey &Key,
+                               const std::string &Checkpoint) {
+  if (Checkpoint.empty())
+    return;
+  if (!Key.spec().Gang) {
+    Key.task().Checkpoint = Checkpoint;
+    return;
+  }
+  for (LiveTask &Member : Key.step().Tasks)
+    Member.Checkpoint = Checkpoint;
+}
+
 void CellOwner::onRunEnd(ExecutorIndex Index, const executor::RunEnd &End,
                          TimePoint Now) {
   ExecutorState &Executor = Pool[Index];
@@ -198,8 +212,7 @@
     return;
   }
   LiveTask &Task = Key->task();
-  if (!End.Checkpoint.empty())
-    Task.Checkpoint = End.Checkpoint;
+  keepCheckpoint(*Key, End.Checkpoint);
   // An end that comes with an answer given at once may be as old as the time
   // without a renewal at the executor.
   logInfo("run-ended",
@@ -241,15 +254,7 @@
   Task.Inherited = false;
   if (Task.Phase == TaskPhase::Starting)
     Task.Phase = TaskPhase::Running;
-  if (Running.Checkpoint.empty())
-    return;
-  if (!Key->spec().Gang) {
-    Task.Checkpoint = Running.Checkpoint;
-    return;
-  }
-  // All members of a gang must resume from the same checkpoint.
-  for (LiveTask &Member : Key->step().Tasks)
-    Member.Checkpoint = Running.Checkpoint;
+  keepCheckpoint(*Key, Running.Checkpoint);
 }
 
 /// Ends runs that are missing from a renewal answer, if the executor had
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -193,6 +193,8 @@
   /// How a run of a task ends, and after how many ms, given its estimate.
   std::function<executor::EndKind(const std::string &)> EndKindFor;
   std::function<int64_t(const std::string &, int64_t)> RunTimeFor;
+  /// The checkpoint that a task has saved when a run of it ends, if any.
+  std::function<std::string(const std::string &)> CheckpointFor;
   /// After how many ms a run crashes its executor, if it does.
   std::function<std::optional<int64_t>(const std::string &)> CrashTimeFor;
   int64_t CrashedForMs = 3'000; ///< Until a crashed executor is back.
--- a/tests/unit/CellSimExecutors.cpp
+++ b/tests/unit/CellSimExecutors.cpp
@@ -256,7 +256,10 @@
   uint32_t &HighestEndedRun = Executor.HighestEndedRun[Task];
   HighestEndedRun = std::max(HighestEndedRun, Run);
   Executor.Ended.push_back(
-      {.Sequence = ++Executor.EndCount, .Id = {Task, Run}, .Kind = Kind});
+      {.Sequence = ++Executor.EndCount,
+       .Id = {Task, Run},
+       .Kind = Kind,
+       .Checkpoint = CheckpointFor ? CheckpointFor(Task) : std::string()});
   auto Unit = limitedUnitOf(Task);
   if (Unit && Kind == EndKind::Failed)
     Attempts.onFailed(*Unit, Run, Now);
