Ejected and slow executors are used where no other suits

Cause: placement excluded ejected and slow executors without a look at what is left for the task, and each failure beyond the third doubled the time of ejection, also of runs that failed together. A lasting task that suits one executor waited for up to 12 s. Ruled out: a shorter ejection for all, which gives up its use where there is a choice.

Where the executors that are neither ejected nor slow couldn't hold the tasks even empty, a second choice takes slow ones at once, and ejected ones 1.5 s after the first failure that ejected them. The pause after a refusal is kept apart from ejection.

Measured: without the second choice LastResortTest fails in 3 of its 5 tests (the lasting task has no run 2.5 s after its failure, no slow executor for a task, none for a gang); the other two hold the price. With it they pass.

--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -13,6 +13,8 @@
 /// An answer that takes longer is given up. A clock that reads less by more was
 /// started anew, and the order that was answered has granted a lease by it.
 constexpr Millis MaxAnswerDelay{1'500};
+static_assert(BaseEjectionTime + RestartReserve <= MaxRestartDelay,
+              "a lasting task that suits one executor waits for it too long");
 /// At most this share of the executors is ejected at once.
 constexpr double MaxEjectedShare = 0.34;
 
@@ -81,7 +83,8 @@
   return Added;
 }
 
-bool ExecutorPool::isUsable(ExecutorIndex Index, TimePoint Now) const {
+/// Whether it takes starts, as far as is known.
+bool ExecutorPool::isReachable(ExecutorIndex Index, TimePoint Now) const {
   const ExecutorState &Executor = Executors[Index];
   if (!Executor.Listed || Executor.Ended || !Executor.TokenConfirmed ||
       Executor.Info.Draining)
@@ -240,7 +243,8 @@
 size_t ExecutorPool::avoidedCount(TimePoint Now) const {
   return static_cast<size_t>(std::count_if(
       Executors.begin(), Executors.end(), [&](const ExecutorState &Executor) {
-        return Executor.Listed && Executor.AvoidUntil > Now;
+        return Executor.Listed &&
+               std::max(Executor.AvoidUntil, Executor.EjectedUntil) > Now;
       }));
 }
 
@@ -254,7 +258,10 @@
     return;
   int64_t EjectionMs = BaseEjectionTime.count()
                        << std::min(Executor.Ejections, 4U);
-  Executor.AvoidUntil = Now + std::min(Millis(EjectionMs), MaxEjectionTime);
+  Executor.EjectedUntil = Now + std::min(Millis(EjectionMs), MaxEjectionTime);
+  // Runs that fail together don't prolong the wait of those that suit no other.
+  if (Executor.LastResortFrom <= Now)
+    Executor.LastResortFrom = Now + BaseEjectionTime;
   // The next failure ejects it again.
   Executor.ConsecutiveFailures = EjectionThreshold - 1;
   ++Executor.Ejections;
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -172,7 +172,10 @@
 
   uint32_t ConsecutiveFailures = 0;
   uint32_t Ejections = 0;
-  TimePoint AvoidUntil{};
+  TimePoint AvoidUntil{}; ///< After a refusal.
+  TimePoint EjectedUntil{};
+  /// From then on it may be used again where no other executor suits.
+  TimePoint LastResortFrom{};
 };
 
 /// The executors of one service: their capacity, reachability and leases.
@@ -207,7 +210,14 @@
   }
 
   /// Whether a task may be started there now.
-  bool isUsable(ExecutorIndex Index, TimePoint Now) const;
+  bool isUsable(ExecutorIndex Index, TimePoint Now) const {
+    return Executors[Index].EjectedUntil <= Now && isReachable(Index, Now);
+  }
+  /// The same for a task for which no other executor suits: ejection must not
+  /// keep it waiting for long.
+  bool isLastResort(ExecutorIndex Index, TimePoint Now) const {
+    return Executors[Index].LastResortFrom <= Now && isReachable(Index, Now);
+  }
   bool hasCapacityFor(ExecutorIndex Index, const Resources &Size) const;
   void reserve(ExecutorIndex Index, const Resources &Size);
   void release(ExecutorIndex Index, const Resources &Size);
@@ -262,6 +272,7 @@
   const LeaseOptions &options() const { return Options; }
 
 private:
+  bool isReachable(ExecutorIndex Index, TimePoint Now) const;
   TimePoint ownLeasesEnd(ExecutorIndex Index) const;
   size_t avoidedCount(TimePoint Now) const;
   TimePoint zoneSuspectSince(const std::string &Zone) const;
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -28,6 +28,15 @@
 /// elsewhere needs a new ticket; outweighs the preference.
 constexpr double LateTicketPenalty = 25;
 
+/// Whether the executor takes tasks of the request, as far as its state goes.
+bool isOpenTo(const ExecutorPool &Pool, const ExecutorLoad &Load,
+              const PlacementRequest &Request, ExecutorIndex Index,
+              TimePoint Now) {
+  if (Request.UsesLastResort)
+    return Pool.isLastResort(Index, Now);
+  return Pool.isUsable(Index, Now) && !isTooSlow(Load);
+}
+
 /// Whether the task can run on an executor that the policy allows.
 bool isCandidate(const ExecutorPool &Pool, const ExecutorLoad &Load,
                  const PlacementRequest &Request, ExecutorIndex Index,
@@ -35,7 +44,8 @@
   const ExecutorState &Executor = Pool[Index];
   // Most executors are full when it matters how long this takes.
   if (!Pool.hasCapacityFor(Index, demandOf(*Request.Step)) ||
-      !Pool.isUsable(Index, Now) || !isSuitable(Executor, *Request.Step))
+      !isOpenTo(Pool, Load, Request, Index, Now) ||
+      !isSuitable(Executor, *Request.Step))
     return false;
   if (Index < Request.Reservations.size() &&
       Request.Reservations[Index].Active &&
@@ -43,7 +53,7 @@
     return false;
   if (Request.KeptRoom && Pool.hasCapacityFor(Index, *Request.KeptRoom))
     return false;
-  if (isTooSlow(Load) || (Request.AvoidSuspects && Executor.Suspects > 0))
+  if (Request.AvoidSuspects && Executor.Suspects > 0)
     return false;
   if (Request.Step->LongRunning && !Pool.isLossKnownInTime(Index, Now))
     return false;
@@ -121,6 +131,85 @@
   return Score;
 }
 
+/// Calls \p Visit with the executors that the policy allows, until it returns
+/// true.
+template <typename Function>
+void visitAllowed(const ExecutorPool &Pool, const PlacementRequest &Request,
+                  Function Visit) {
+  if (!Request.Permissions) {
+    for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+      if (Visit(I))
+        return;
+    }
+    return;
+  }
+  for (const auto &[Index, Entry] : *Request.Permissions) {
+    if (Entry.Allowed && Visit(Index))
+      return;
+  }
+}
+
+/// Whether those executors of the allowed ones for which \p IsOpen returns true
+/// could hold \p Count tasks, if only lasting tasks were there.
+template <typename Predicate>
+bool canHold(const ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
+             const PlacementRequest &Request, uint32_t Count,
+             Predicate IsOpen) {
+  auto Remaining = [](uint32_t Amount, uint32_t Used) {
+    return Amount - std::min(Amount, Used);
+  };
+  Resources Demand = demandOf(*Request.Step);
+  uint32_t Places = 0;
+  visitAllowed(Pool, Request, [&](ExecutorIndex Index) {
+    if (!IsOpen(Index) || !isSuitable(Pool[Index], *Request.Step))
+      return false;
+    const Resources &Total = Pool[Index].Info.Capacity;
+    const Resources &Held = Loads[Index].LongRunningDemand;
+    Resources Room{.MilliCores = Remaining(Total.MilliCores, Held.MilliCores),
+                   .MemoryMb = Remaining(Total.MemoryMb, Held.MemoryMb),
+                   .Accelerators =
+                       Remaining(Total.Accelerators, Held.Accelerators)};
+    uint32_t MaxPlaces =
+        Request.TasksByExecutor
+            ? placesByAntiAffinity(*Request.Step, *Request.TasksByExecutor,
+                                   Index)
+            : std::numeric_limits<uint32_t>::max();
+    Places += placesIn(Room, Demand, MaxPlaces);
+    return Places >= Count;
+  });
+  return Places >= Count;
+}
+
+/// Whether the tasks find all their places, some time, without a last resort.
+bool canDoWithoutLastResort(const ExecutorPool &Pool,
+                            std::span<const ExecutorLoad> Loads,
+                            const PlacementRequest &Request, uint32_t Count,
+                            TimePoint Now) {
+  return canHold(Pool, Loads, Request, Count, [&](ExecutorIndex Index) {
+    return isOpenTo(Pool, Loads[Index], Request, Index, Now);
+  });
+}
+
+/// The best candidate, if any.
+std::optional<ExecutorIndex>
+chooseCandidate(const ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
+                const PlacementRequest &Request, TimePoint Now) {
+  std::optional<ExecutorIndex> Best;
+  double BestScore = 0;
+  visitAllowed(Pool, Request, [&](ExecutorIndex Index) {
+    if (!isCandidate(Pool, Loads[Index], Request, Index, Now))
+      return false;
+    double Score = scoreOf(Pool, Loads[Index], *Request.Step, Index) +
+                   delayScoreOf(Request, Index, Now);
+    if (!Best || Score < BestScore) {
+      Best = Index;
+      BestScore = Score;
+    }
+    return false;
+  });
+  return Best;
+}
+
 std::optional<std::vector<ExecutorIndex>>
 placeGang(ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
           PlacementRequest Request, uint32_t Count, TimePoint Now) {
@@ -131,7 +220,7 @@
   Resources Demand = demandOf(*Request.Step);
   std::vector<ExecutorIndex> Members;
   while (Members.size() < Count) {
-    auto Best = chooseExecutor(Pool, Loads, Request, Now);
+    auto Best = chooseCandidate(Pool, Loads, Request, Now);
     if (!Best)
       break;
     Pool.reserve(*Best, Demand);
@@ -205,32 +294,28 @@
                    Step.Constraint) != Executor.Info.Labels.end();
 }
 
+bool canEverHold(const ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
+                 const PlacementRequest &Request, uint32_t Count,
+                 TimePoint Now) {
+  /// One that has been silent for longer is not expected back.
+  constexpr Millis MaxSilence{10'000};
+  return canHold(Pool, Loads, Request, Count, [&](ExecutorIndex Index) {
+    const ExecutorState &Executor = Pool[Index];
+    return Executor.Listed && !Executor.Ended && !Executor.Info.Draining &&
+           Now < Executor.LastAnswerAt + MaxSilence;
+  });
+}
+
 std::optional<ExecutorIndex> chooseExecutor(const ExecutorPool &Pool,
                                             std::span<const ExecutorLoad> Loads,
                                             const PlacementRequest &Request,
                                             TimePoint Now) {
-  std::optional<ExecutorIndex> Best;
-  double BestScore = 0;
-  auto Consider = [&](ExecutorIndex Index) {
-    if (!isCandidate(Pool, Loads[Index], Request, Index, Now))
-      return;
-    double Score = scoreOf(Pool, Loads[Index], *Request.Step, Index) +
-                   delayScoreOf(Request, Index, Now);
-    if (Best && Score >= BestScore)
-      return;
-    Best = Index;
-    BestScore = Score;
-  };
-  if (Request.Permissions) {
-    for (const auto &[Index, Entry] : *Request.Permissions) {
-      if (Entry.Allowed)
-        Consider(Index);
-    }
+  auto Best = chooseCandidate(Pool, Loads, Request, Now);
+  if (Best || canDoWithoutLastResort(Pool, Loads, Request, 1, Now))
     return Best;
-  }
-  for (ExecutorIndex I = 0; I < Pool.size(); ++I)
-    Consider(I);
-  return Best;
+  PlacementRequest LastResort = Request;
+  LastResort.UsesLastResort = true;
+  return chooseCandidate(Pool, Loads, LastResort, Now);
 }
 
 std::optional<std::vector<ExecutorIndex>>
@@ -250,7 +335,12 @@
         return Found;
     }
   }
-  return placeGang(Pool, Loads, Request, Count, Now);
+  auto Found = placeGang(Pool, Loads, Request, Count, Now);
+  if (Found || canDoWithoutLastResort(Pool, Loads, Request, Count, Now))
+    return Found;
+  PlacementRequest LastResort = Request;
+  LastResort.UsesLastResort = true;
+  return placeGang(Pool, Loads, LastResort, Count, Now);
 }
 
 } // namespace daisylanding::cell
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -47,6 +47,8 @@
   bool StartsAtOnce = false;
   /// Not where a task that may crash its executor has just been started.
   bool AvoidSuspects = false;
+  /// Also on executors that are slow, or ejected: no others can hold the tasks.
+  bool UsesLastResort = false;
   /// Not where a task of this demand would fit, if set.
   std::optional<Resources> KeptRoom;
   /// Only this rack, if set.
@@ -86,6 +88,12 @@
                                             const PlacementRequest &Request,
                                             TimePoint Now);
 
+/// Whether executors that the step may use could hold \p Count of its tasks, if
+/// only lasting tasks were there.
+bool canEverHold(const ExecutorPool &Pool, std::span<const ExecutorLoad> Loads,
+                 const PlacementRequest &Request, uint32_t Count,
+                 TimePoint Now);
+
 /// Executors for \p Count tasks at once, or none if they don't all fit. \p Pool
 /// is restored before returning.
 std::optional<std::vector<ExecutorIndex>>
