--- a/tests/unit/LastResortTest.cpp
+++ b/tests/unit/LastResortTest.cpp
@@ -69,6 +69,7 @@
 
   void setup() override {
     std::vector<executor::ExecutorInfo> List;
+    List.reserve(Loads.size());
     for (int I = 0; I < 3; ++I)
       List.push_back({.Id = fmt::format("i-{}", I),
                       .Service = "s",
