A job of any size goes on and never stops its service

Cause: all occurrences of a job were stored in one row, nothing bounded a commit's bytes, and a transaction that the store refuses for what it is (400) was sent again unchanged for good.

Change: - Progress of more than 48 KB is stored in several rows, one for 64 tasks of an occurrence, of which the changed ones are written. All changes of an occurrence are in one commit. Below that, rows are byte for byte as before. The version before takes a split job for unreadable and leaves it alone. - A commit counts bytes; what there is no room for waits for the next one. Ends are acknowledged, and starts sent, once the rows that tell of them are stored. - Occurrences that are done are ranges, in the owner and in a split row. - At most 1,000 occurrences of a job are open, with 8,000 tasks. - A job whose row would be too large is refused as it is handed in, with the field; batches of jobs count bytes. - A commit that the store rejects (400, 413) is built anew without the job that takes most of it, which is tried again after 10 s. - The simulated store and the stand-in reject what is too large.

Ruled out: a split by declared size, text cut into pieces, raw objects, a bound on tasks alone (reasons in docs/design/platform.md).

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -136,6 +136,7 @@
                                 TimePoint BeginsAt) {
   Job.IdleRevision.reset();
   LiveOccurrence &Occurrence = Job.Occurrences[Number];
+  Occurrence.StoredRevision = Job.Revision;
   const Queue *JobQueue = findQueue(Job.Spec.Queue);
   double Stretch = JobQueue ? JobQueue->Stretch : 1;
   Millis TargetLatency = JobQueue ? JobQueue->TargetLatency : Millis(0);
@@ -150,6 +151,13 @@
   }
 }
 
+/// Whether one more occurrence may be open beside those that are.
+bool CellOwner::mayBeginOccurrence(const LiveJob &Job) {
+  size_t Open = Job.Occurrences.size();
+  size_t Tasks = (Open + 1) * tasksPerOccurrence(Job.Spec);
+  return Open == 0 || (Open < MaxOpenOccurrences && Tasks <= MaxOpenTasks);
+}
+
 void CellOwner::beginDueOccurrences(TimePoint Now, int64_t WallMs) {
   /// Wall clocks of instances differ slightly. An occurrence must not start
   /// before its time; one that starts this much late is acceptable.
@@ -163,8 +171,13 @@
           Job.Spec.FirstRunMs + Job.NextOccurrence * Job.Spec.IntervalMs;
       if (WallMs < DueMs + ClockSkewMs)
         break;
-      uint32_t Number = Job.NextOccurrence++;
-      if (!Job.DoneOccurrences.count(Number) && !Job.Occurrences.count(Number))
+      uint32_t Number = Job.NextOccurrence;
+      bool IsNew =
+          !Job.DoneOccurrences.count(Number) && !Job.Occurrences.count(Number);
+      if (IsNew && !mayBeginOccurrence(Job))
+        break;
+      ++Job.NextOccurrence;
+      if (IsNew)
         beginOccurrence(Job, Number, Now - Millis(WallMs - DueMs));
     }
   }
@@ -241,7 +254,7 @@
     bool HasOpenRuns = std::any_of(
         Progress->Tasks.begin(), Progress->Tasks.end(),
         [](const auto &Entry) { return isOpen(Entry.second.Phase); });
-    if (!HasOpenRuns) {
+    if (!HasOpenRuns && Progress->OccurrencesInRows.empty()) {
       addEndedJob(Spec.Id,
                   {.Phase = Progress->Phase,
                    .EndedMs = Progress->EndedMs,
@@ -259,6 +272,7 @@
     Job.Phase = Progress->Phase;
     Job.EndedMs = Progress->EndedMs;
     Job.DoneOccurrences = Progress->DoneOccurrences;
+    restoreRows(Job, *Progress);
     for (const auto &[Position, StoredTask] : Progress->Tasks) {
       if (!Job.Occurrences.count(Position.Occurrence))
         beginOccurrence(Job, Position.Occurrence, AcceptedAt);
@@ -294,6 +308,8 @@
     stopAllRuns(Job, Now);
   else
     stopBrokenGangs(Job, Now);
+  if (hasRowsToRemove(Job))
+    markChanged(Job);
 }
 
 /// Stops the remaining members of gangs of which some members had ended under
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -161,11 +161,32 @@
   longestWaitingSteps(size_t MaxCount, Millis MinAge, TimePoint Now);
 
 private:
+  /// What a commit stores of a job.
+  struct JobChange {
+    std::string JobId;
+    uint64_t Revision = 0;
+    std::optional<std::string> Tasks; ///< Those in its first progress row.
+    std::map<uint32_t, std::vector<TaskMark>> Rows; ///< By occurrence.
+    std::vector<uint32_t> RemovedRows;              ///< Of these occurrences.
+    /// Occurrences whose changes this commit has no room for, and the revisions
+    /// as of which they are stored.
+    std::map<uint32_t, uint64_t> LeftOut;
+  };
+
+  /// Room that a commit has for the changes of a job.
+  struct CommitRoom {
+    size_t Entries = 0;
+    size_t Bytes = 0;
+
+    bool holds(const store::Transaction &Tx) const {
+      return Tx.entryCount() <= Entries && Tx.byteCount() <= Bytes;
+    }
+  };
+
   struct CommitInFlight {
     store::Transaction Transaction;
     OwnerRow Row;
-    /// Ids and stored revisions.
-    std::vector<std::pair<std::string, uint64_t>> Jobs;
+    std::vector<JobChange> Jobs;
     std::vector<executor::RunId> Starts;
     TimePoint FirstSentAt{};
     TimePoint TimedFrom{}; ///< Its time counts from here, without silences.
@@ -210,6 +231,7 @@
   // Jobs and their steps.
   LiveJob &insertJob(JobSpec Spec, TimePoint AcceptedAt);
   void beginOccurrence(LiveJob &Job, uint32_t Number, TimePoint BeginsAt);
+  static bool mayBeginOccurrence(const LiveJob &Job);
   void beginDueOccurrences(TimePoint Now, int64_t WallMs);
   bool isReady(const LiveJob &Job, const LiveOccurrence &Occurrence,
                uint32_t Step) const;
@@ -436,7 +458,8 @@
   void listLeaseEnds(CommitInFlight &Commit, TimePoint Now,
                      const StoreClock &Clock);
   bool mayWriteFirstRow(TimePoint Now);
-  void addJob(CommitInFlight &Commit, LiveJob &Job, int64_t StoreClockMs);
+  bool hasJobsToStore(TimePoint Now) const;
+  bool storesAllJobs(const CommitInFlight &Commit, TimePoint Now) const;
   void addRemovals(CommitInFlight &Commit, TimePoint Now);
   void addMoves(CommitInFlight &Commit, int64_t StoreClockMs);
   static bool mayMove(const CommitInFlight &Commit, const LiveJob &Job);
@@ -455,6 +478,8 @@
   }
   void onCommitted(uint64_t Version, TimePoint Now);
   void onConflict(const store::TransactionResult &Result, TimePoint Now);
+  void onRejected(TimePoint Now);
+  void setAside(const std::string &JobId, TimePoint Now);
   Micros resendDelay() const;
   void answerOffers(const std::string &JobId, OfferOutcome Outcome);
   bool isInFlight(const std::string &JobId) const;
@@ -466,7 +491,30 @@
   void expireOffers(TimePoint Now);
   void dropOfferedJob(const std::string &JobId, TimePoint Now);
   void acknowledgeEnds();
-  JobProgress progressOf(const LiveJob &Job) const;
+
+  // Progress of jobs, in one row or in several.
+  static JobProgress progressHeadOf(const LiveJob &Job);
+  void addTasks(uint32_t Number, const LiveOccurrence &Occurrence,
+                std::map<TaskPosition, TaskProgress> &Tasks) const;
+  static CommitRoom roomIn(const CommitInFlight &Commit, size_t MaxEntries);
+  void addJob(CommitInFlight &Commit, LiveJob &Job, size_t MaxEntries,
+              int64_t StoreClockMs);
+  static std::vector<executor::RunId> startsToRecord(LiveJob &Job,
+                                                     const JobChange &Change);
+  void addWholeProgress(LiveJob &Job, store::Transaction &Part,
+                        JobChange &Change) const;
+  static void splitProgress(LiveJob &Job);
+  bool addSplitProgress(const LiveJob &Job, const CommitRoom &Room,
+                        store::Transaction &Part, JobChange &Change) const;
+  static void addRowRemovals(const LiveJob &Job, const CommitRoom &Room,
+                             store::Transaction &Part, JobChange &Change);
+  void addOccurrenceRows(const LiveJob &Job, uint32_t Number,
+                         const CommitRoom &Room, store::Transaction &Part,
+                         JobChange &Change) const;
+  static bool needsRows(const LiveJob &Job, uint32_t Occurrence);
+  static bool hasRowsToRemove(const LiveJob &Job);
+  static void restoreRows(LiveJob &Job, const JobProgress &Progress);
+  void finishChange(JobChange &Change);
 
   OwnerOptions Options;
   std::shared_ptr<const CellConfig> Config;
--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -138,6 +138,13 @@
          });
 }
 
+uint32_t tasksPerOccurrence(const JobSpec &Job) {
+  uint32_t Tasks = 0;
+  for (const StepSpec &Step : Job.Steps)
+    Tasks += Step.Count;
+  return Tasks;
+}
+
 std::string encodeJob(const JobSpec &Job) {
   json Document = encodeWork(Job);
   Document["id"] = Job.Id;
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -49,13 +49,23 @@
 /// Limits of a submitted job.
 constexpr size_t MaxPayloadBytes = 4'000;
 constexpr uint32_t MaxSteps = 64;
-/// Keeps progress within the size of one row.
+/// Of one occurrence: its progress, in several rows if need be, fits one
+/// transaction.
 constexpr uint32_t MaxTasks = 800;
+/// Of an encoded job, which is one row; what its acceptance adds fits beside.
+constexpr size_t MaxJobBytes = 60'000;
+/// Occurrences of one job that are open at a time, and their tasks: further
+/// ones that are due begin as these end. A single one always begins.
+constexpr size_t MaxOpenOccurrences = 1'000;
+constexpr size_t MaxOpenTasks = 8'000;
 constexpr size_t JobIdDigits = 16;
 
 /// Whether \p Text is a job's id: 16 hexadecimal digits.
 bool isJobId(std::string_view Text);
 
+/// Of all steps.
+uint32_t tasksPerOccurrence(const JobSpec &Job);
+
 /// The stored form of a job. `decodeJob` errors: Malformed.
 std::string encodeJob(const JobSpec &Job);
 Result<JobSpec> decodeJob(std::string_view Text);
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -107,10 +107,27 @@
   TimePoint PreparedAt{};
 };
 
+/// What must be stored of a task when it changes. Its checkpoint is stored with
+/// the next change of a task in the same row.
+struct TaskMark {
+  TaskPhase Phase = TaskPhase::Waiting; ///< Waiting, starting or done.
+  uint32_t Run = 0;
+  uint32_t Failures = 0;
+  uint32_t Crashes = 0;
+  ExecutorIndex Executor = NoExecutor;
+
+  bool operator==(const TaskMark &) const = default;
+};
+
 struct LiveOccurrence {
   TimePoint BeginsAt{}; ///< Its latency is counted from here.
   TimePoint DueAt{};    ///< When it should be done.
   std::vector<LiveStep> Steps;
+  /// Of a job whose progress is split: what its rows tell, of the tasks of all
+  /// steps; empty if that isn't known.
+  std::vector<TaskMark> StoredMarks;
+  /// The job's revision as of which its rows are up to date.
+  uint64_t StoredRevision = 0;
 };
 
 struct LiveJob {
@@ -123,11 +140,18 @@
   TimePoint AcceptedAt{};
   int64_t EndedMs = 0;
   std::map<uint32_t, LiveOccurrence> Occurrences; ///< Begun and not done.
-  std::set<uint32_t> DoneOccurrences;
+  OccurrenceSet DoneOccurrences;
   uint32_t NextOccurrence = 0;
   uint32_t OpenRuns = 0;
   uint64_t Revision = 0; ///< Incremented by each change that must be stored.
   uint64_t RecordedRevision = 0; ///< The newest revision that is stored.
+  bool IsSplit = false;          ///< Its progress is stored in several rows.
+  std::set<uint32_t> OccurrencesInRows; ///< Those with rows, if it is split.
+  /// The tasks in its first progress row, as stored. They stay there until the
+  /// occurrences have rows of their own.
+  std::string StoredTasks = encodeTasks({});
+  /// The store has rejected a commit with its changes; they wait until then.
+  TimePoint SetAsideUntil{};
   /// The revision in which planning found nothing to do, until an occurrence
   /// begins. Tasks become waiting or done with a new revision only.
   std::optional<uint64_t> IdleRevision;
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -20,44 +20,11 @@
 constexpr Millis CommitAnswerWait{10'000};
 /// Slower commits are logged.
 constexpr Millis SlowCommitThreshold{200};
-/// Upper bound of the entries that a job takes in one commit, also at its end.
-constexpr size_t EntriesPerJob = 4;
+/// After a commit was rejected for a job's changes, until they are tried again.
+constexpr Millis SetAsideTime{10'000};
 
 } // namespace
 
-JobProgress CellOwner::progressOf(const LiveJob &Job) const {
-  JobProgress Progress;
-  Progress.Phase = Job.Phase;
-  Progress.EndedMs = Job.EndedMs;
-  Progress.DoneOccurrences = Job.DoneOccurrences;
-  // Nothing of an ended job is started again, so that its tasks would only make
-  // every later load longer.
-  if (isFinal(Job.Phase) && Job.OpenRuns == 0)
-    return Progress;
-  for (const auto &[Number, Occurrence] : Job.Occurrences) {
-    for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
-         ++StepIndex) {
-      for (uint32_t I = 0; I < Occurrence.Steps[StepIndex].Tasks.size(); ++I) {
-        const LiveTask &Task = Occurrence.Steps[StepIndex].Tasks[I];
-        if (Task.Run == 0 && Task.Failures == 0)
-          continue;
-        TaskProgress &StoredTask = Progress.Tasks[{Number, StepIndex, I}];
-        StoredTask.Phase = Task.Phase;
-        StoredTask.Run = Task.Run;
-        StoredTask.Failures = Task.Failures;
-        StoredTask.Crashes = Task.Crashes;
-        StoredTask.Checkpoint = Task.Checkpoint;
-        if (isOpen(Task.Phase)) {
-          StoredTask.Executor = Pool[Task.Executor].Info.Id;
-          StoredTask.Address = Pool[Task.Executor].Info.Address;
-          StoredTask.Born = Pool[Task.Executor].Info.Born;
-        }
-      }
-    }
-  }
-  return Progress;
-}
-
 /// Whether the first row after the load is due. It waits a little for answers
 /// of the executors, as it lists those without one, which then get no leases
 /// until the next row.
@@ -88,7 +55,7 @@
     ++InFlight->Resends;
     return InFlight->Transaction;
   }
-  bool IsDue = !DirtyJobs.empty() || Releasing || RowOutdated ||
+  bool IsDue = hasJobsToStore(Now) || Releasing || RowOutdated ||
                isRemovalDue(Now) ||
                Now >= LastCommitAt + Options.HeartbeatInterval;
   if (!IsDue || (!Loading && !mayWriteFirstRow(Now)))
@@ -115,7 +82,7 @@
   addJobs(Commit, Now, Clock.MinMs);
   addRemovals(Commit, Now);
   addMoves(Commit, Clock.MinMs);
-  Commit.Row.Released = Releasing && Commit.Jobs.size() == DirtyJobs.size();
+  Commit.Row.Released = Releasing && storesAllJobs(Commit, Now);
   if (!Loading)
     listLeaseEnds(Commit, Now, Clock);
   Tx.Writes.push_back({.Table = OwnerTable,
@@ -124,6 +91,27 @@
   return Commit;
 }
 
+/// Whether a job has changes to store that are not set aside.
+bool CellOwner::hasJobsToStore(TimePoint Now) const {
+  return std::any_of(DirtyJobs.begin(), DirtyJobs.end(),
+                     [&](const auto &Entry) {
+                       return Now >= Jobs.at(Entry.first).SetAsideUntil;
+                     });
+}
+
+/// Whether no change is left for a later commit, but for those set aside.
+bool CellOwner::storesAllJobs(const CommitInFlight &Commit,
+                              TimePoint Now) const {
+  auto Wanted = static_cast<size_t>(
+      std::count_if(DirtyJobs.begin(), DirtyJobs.end(), [&](const auto &Entry) {
+        return Now >= Jobs.at(Entry.first).SetAsideUntil;
+      }));
+  return Commit.Jobs.size() == Wanted &&
+         std::all_of(
+             Commit.Jobs.begin(), Commit.Jobs.end(),
+             [](const JobChange &Change) { return Change.LeftOut.empty(); });
+}
+
 /// The commit that should store the job's changes at the latest. Others may
 /// fill the commits before it: starts hold capacity until they are recorded,
 /// those of urgent steps lose value as well, and ends only have to be
@@ -156,6 +144,8 @@
   std::vector<std::pair<StoredRank, LiveJob *>> StoredJobs;
   for (const auto &[Id, Mark] : DirtyJobs) {
     LiveJob &Job = Jobs.at(Id);
+    if (Now < Job.SetAsideUntil)
+      continue;
     if (Job.Stored)
       StoredJobs.emplace_back(
           StoredRank(commitToStoreIn(Job, Mark, Now), Mark.Number), &Job);
@@ -179,7 +169,7 @@
     while (Next < Candidates.size() &&
            Commit.Transaction.entryCount() + OwnerRowEntries + EntriesPerJob <=
                MaxEntries)
-      addJob(Commit, *Candidates[Next++].second, StoreClockMs);
+      addJob(Commit, *Candidates[Next++].second, MaxEntries, StoreClockMs);
     return Next;
   };
   size_t Next = AddJobsFrom(OfferedJobs, 0, store::MaxTransactionEntries / 2);
@@ -249,46 +239,6 @@
   }
 }
 
-void CellOwner::addJob(CommitInFlight &Commit, LiveJob &Job,
-                       int64_t StoreClockMs) {
-  const std::string &Id = Job.Spec.Id;
-  store::Transaction &Tx = Commit.Transaction;
-  if (isFinal(Job.Phase) && Job.EndedMs == 0)
-    Job.EndedMs = std::max<int64_t>(1, StoreClockMs);
-  size_t StartsBefore = Commit.Starts.size();
-  for (const auto &[Number, Occurrence] : Job.Occurrences) {
-    for (uint32_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
-         ++StepIndex) {
-      for (uint32_t I = 0; I < Occurrence.Steps[StepIndex].Tasks.size(); ++I) {
-        const LiveTask &Task = Occurrence.Steps[StepIndex].Tasks[I];
-        if (Task.Phase == TaskPhase::Recording)
-          Commit.Starts.push_back(
-              {TaskKey{&Job, {Number, StepIndex, I}}.name(), Task.Run});
-      }
-    }
-  }
-  // Jobs that are not stored can't have been cancelled.
-  if (Commit.Starts.size() > StartsBefore && Job.Stored)
-    Tx.Preconditions.push_back({.Table = JobTable, .Key = cancelKey(Id)});
-  if (!Job.Stored) {
-    Tx.Preconditions.push_back({.Table = JobTable, .Key = Id});
-    Tx.Preconditions.push_back({.Table = EndedTable, .Key = Id});
-    Tx.Writes.push_back(
-        {.Table = JobTable, .Key = Id, .Value = encodeJob(Job.Spec)});
-    Commit.OfferedJobs.push_back(Id);
-  }
-  Commit.Jobs.emplace_back(Id, Job.Revision);
-  if (mayMove(Commit, Job)) {
-    moveRows(Commit, Id, endedJobOf(Job));
-    return;
-  }
-  // Queued jobs have no progress to store.
-  if (Job.Phase != JobPhase::Queued)
-    Tx.Writes.push_back({.Table = ProgressTable,
-                         .Key = Id,
-                         .Value = encodeProgress(progressOf(Job))});
-}
-
 void CellOwner::acknowledgeEnds() {
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     ExecutorState &Executor = Pool[I];
@@ -327,14 +277,8 @@
   if (Commit.GrantTime > Millis(0))
     LeasesGrantedUntil = Commit.FirstSentAt + Commit.GrantTime;
   Released = Row.Released;
-  for (const auto &[Id, Revision] : Commit.Jobs) {
-    LiveJob &Job = Jobs.at(Id);
-    Job.RecordedRevision = Revision;
-    DirtyJobs.erase(Id);
-    if (Job.Revision != Revision)
-      DirtyJobs.emplace(Id, DirtyMark{.Number = NextDirtyNumber++,
-                                      .Sequence = LastBuiltSequence});
-  }
+  for (JobChange &Change : Commit.Jobs)
+    finishChange(Change);
   for (const executor::RunId &Start : Commit.Starts) {
     auto Key = findTask(Start);
     bool IsCurrent = Key && Key->task().Phase == TaskPhase::Recording &&
@@ -355,8 +299,8 @@
     answerOffers(Id, OfferOutcome::Stored);
   }
   acknowledgeEnds();
-  for (const auto &Entry : Commit.Jobs)
-    dropEndedJob(Jobs.at(Entry.first), Now);
+  for (const JobChange &Change : Commit.Jobs)
+    dropEndedJob(Jobs.at(Change.JobId), Now);
   finishMoves(Commit);
 }
 
@@ -549,6 +493,47 @@
   return Millis(static_cast<int64_t>(DelayMs));
 }
 
+/// The store takes no transaction like the one in flight: what it would store
+/// is built anew, without the job that takes most of it. None of its copies was
+/// carried out.
+void CellOwner::onRejected(TimePoint Now) {
+  std::map<std::string, size_t> BytesByJob;
+  for (const store::RowWrite &Write : InFlight->Transaction.Writes) {
+    std::string JobId = Write.Key.substr(0, Write.Key.find('/'));
+    if (findJob(JobId))
+      BytesByJob[JobId] += Write.Value.size();
+  }
+  auto Largest = std::max_element(BytesByJob.begin(), BytesByJob.end(),
+                                  [](const auto &Left, const auto &Right) {
+                                    return Left.second < Right.second;
+                                  });
+  bool HasJobs = Largest != BytesByJob.end();
+  logError("commit-rejected",
+           "service={} commit={} entries={} bytes={} jobs={} largest_job={} "
+           "largest_bytes={}",
+           Options.Service, InFlight->Row.Sequence,
+           InFlight->Transaction.entryCount(),
+           InFlight->Transaction.byteCount(), BytesByJob.size(),
+           HasJobs ? Largest->first : "none", HasJobs ? Largest->second : 0);
+  restoreQueues(*InFlight, Now);
+  InFlight.reset();
+  RetryCommitAt = Now + CommitRetryDelay;
+  if (HasJobs)
+    setAside(Largest->first, Now);
+}
+
+/// Stores the job's changes later, and those of others meanwhile. One that
+/// isn't stored yet is dropped.
+void CellOwner::setAside(const std::string &JobId, TimePoint Now) {
+  LiveJob &Job = Jobs.at(JobId);
+  if (!Job.Stored) {
+    dropOfferedJob(JobId, Now);
+    answerOffers(JobId, OfferOutcome::Expired);
+    return;
+  }
+  Job.SetAsideUntil = Now + SetAsideTime;
+}
+
 void CellOwner::onCommit(uint64_t Sequence,
                          const store::TransactionResult &Result,
                          TimePoint Now) {
@@ -561,6 +546,9 @@
   case store::TransactionOutcome::Conflict:
     onConflict(Result, Now);
     break;
+  case store::TransactionOutcome::Rejected:
+    onRejected(Now);
+    break;
   case store::TransactionOutcome::NotApplied:
   case store::TransactionOutcome::Unknown:
     logInfo("commit-not-confirmed", "service={} commit={} refused={} age_ms={}",
--- a/src/cell/OwnerEnded.cpp
+++ b/src/cell/OwnerEnded.cpp
@@ -39,7 +39,7 @@
 
 bool CellOwner::mayMove(const CommitInFlight &Commit, const LiveJob &Job) {
   return Commit.MovesEnds && Job.Stored && isFinal(Job.Phase) &&
-         Job.OpenRuns == 0;
+         Job.OpenRuns == 0 && Job.OccurrencesInRows.empty();
 }
 
 void CellOwner::moveRows(CommitInFlight &Commit, const std::string &JobId,
@@ -71,10 +71,11 @@
     Removals.emplace_back(Now + 2 * Options.StatusRetention, JobId);
 }
 
-/// Drops a job whose final phase is stored and that has no open runs.
+/// Drops a job whose final phase is stored and that has no open runs. The rows
+/// of its occurrences are removed before.
 void CellOwner::dropEndedJob(LiveJob &Job, TimePoint Now) {
   if (!isFinal(Job.Phase) || Job.OpenRuns > 0 ||
-      Job.RecordedRevision != Job.Revision)
+      !Job.OccurrencesInRows.empty() || Job.RecordedRevision != Job.Revision)
     return;
   std::string Id = Job.Spec.Id;
   addEndedJob(Id, endedJobOf(Job), Now);
--- a/src/cell/Progress.cpp
+++ b/src/cell/Progress.cpp
@@ -21,6 +21,10 @@
 /// what is not 0: `e` the executor's place in the list, `f` failures, `c`
 /// crashes, `k` the checkpoint. `*` counts equal tasks in a row.
 ///
+/// If occurrences have rows of their own, the done ones are `@` and ranges, as
+/// in `@0-17,19`. Versions that don't know such rows take the progress for
+/// unreadable, and leave the job alone: they would start its tasks once more.
+///
 /// The list of executors may end with one without a name, whose address holds
 /// the start times of those before it, in their order: `0:3:7,8`. Versions that
 /// don't know these read an executor that no task names.
@@ -32,6 +36,7 @@
     "queued", "running", "completed", "failed", "cancelled"};
 constexpr std::string_view VersionPrefix = "2;";
 constexpr char FieldEnd = ';';
+constexpr char SplitMark = '@';
 
 std::string withLength(std::string_view Bytes) {
   return fmt::format("{}:{}", Bytes.size(), Bytes);
@@ -116,7 +121,7 @@
   uint32_t Repeats = 0;
 };
 
-std::string encodeTasks(const std::map<TaskPosition, TaskProgress> &Tasks,
+std::string encodeSteps(const std::map<TaskPosition, TaskProgress> &Tasks,
                         ExecutorTable &Executors) {
   StepWriter Writer;
   std::optional<TaskPosition> Step;
@@ -270,6 +275,40 @@
   return !Source.failed();
 }
 
+std::string encodeEach(const OccurrenceSet &Occurrences) {
+  std::string Text;
+  for (const auto &[First, Last] : Occurrences.ranges()) {
+    for (uint64_t Number = First; Number <= Last; ++Number)
+      Text += fmt::format("{}{}", Text.empty() ? "" : ",", Number);
+  }
+  return Text;
+}
+
+std::string encodeRanges(const OccurrenceSet &Occurrences) {
+  std::string Text;
+  for (const auto &[First, Last] : Occurrences.ranges()) {
+    Text += fmt::format("{}{}", Text.empty() ? "" : ",", First);
+    if (Last != First)
+      Text += fmt::format("-{}", Last);
+  }
+  return Text;
+}
+
+OccurrenceSet decodeOccurrences(Scanner &Source, bool AsRanges) {
+  OccurrenceSet Occurrences;
+  while (!Source.failed() && !Source.accept(FieldEnd)) {
+    auto First = Source.number<uint32_t>();
+    bool IsRange = AsRanges && Source.accept('-');
+    uint32_t Last = IsRange ? Source.number<uint32_t>() : First;
+    if (Last < First)
+      Source.fail();
+    if (!Source.failed())
+      Occurrences.insertRange(First, Last);
+    Source.accept(',');
+  }
+  return Occurrences;
+}
+
 } // namespace
 
 std::string_view phaseName(JobPhase Phase) {
@@ -292,12 +331,21 @@
 }
 
 std::string encodeProgress(const JobProgress &Progress) {
+  return encodeProgressHead(Progress) + encodeTasks(Progress.Tasks);
+}
+
+std::string encodeProgressHead(const JobProgress &Progress) {
+  std::string Done = Progress.IsSplit
+                         ? SplitMark + encodeRanges(Progress.DoneOccurrences)
+                         : encodeEach(Progress.DoneOccurrences);
+  return fmt::format("{}{};{};{};", VersionPrefix, phaseName(Progress.Phase),
+                     Progress.EndedMs, Done);
+}
+
+std::string encodeTasks(const std::map<TaskPosition, TaskProgress> &Tasks) {
   ExecutorTable Executors;
-  std::string Tasks = encodeTasks(Progress.Tasks, Executors);
-  return fmt::format("{}{};{};{};{};{}", VersionPrefix,
-                     phaseName(Progress.Phase), Progress.EndedMs,
-                     fmt::join(Progress.DoneOccurrences, ","), Executors.text(),
-                     Tasks);
+  std::string Steps = encodeSteps(Tasks, Executors);
+  return Executors.text() + FieldEnd + Steps;
 }
 
 Result<JobPhase> decodePhase(std::string_view Text) {
@@ -320,10 +368,8 @@
   JobProgress Progress{.Phase = *Phase};
   Progress.EndedMs = Source.number<int64_t>();
   Source.expect(FieldEnd);
-  while (!Source.failed() && !Source.accept(FieldEnd)) {
-    Progress.DoneOccurrences.insert(Source.number<uint32_t>());
-    Source.accept(',');
-  }
+  Progress.IsSplit = Source.accept(SplitMark);
+  Progress.DoneOccurrences = decodeOccurrences(Source, Progress.IsSplit);
   std::vector<NamedExecutor> Executors = decodeExecutors(Source);
   while (!Source.failed() && !Source.atEnd()) {
     if (!decodeStep(Source, Executors, Progress))
--- a/src/cell/Progress.h
+++ b/src/cell/Progress.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CELL_PROGRESS_H
 
 #include "cell/JobSpec.h"
+#include "cell/OccurrenceSet.h"
 #include "executor/ExecutorPort.h"
 
 #include <map>
@@ -77,11 +78,18 @@
   /// When the final phase was stored, on the store's clock.
   int64_t EndedMs = 0;
   std::map<TaskPosition, TaskProgress> Tasks;
-  std::set<uint32_t> DoneOccurrences; ///< Their tasks have no entries.
+  OccurrenceSet DoneOccurrences; ///< Their tasks have no entries.
+  /// Whether occurrences have rows of their own, as one row can't hold all.
+  bool IsSplit = false;
+  std::set<uint32_t> OccurrencesInRows; ///< With rows of their own.
 };
 
-/// Of a task's phase, encodes only whether its run is open or it is done.
+/// Of a task's phase, encodes only whether its run is open or it is done. The
+/// text is that of the head, and then of the tasks.
 std::string encodeProgress(const JobProgress &Progress);
+/// Encodes all but the tasks.
+std::string encodeProgressHead(const JobProgress &Progress);
+std::string encodeTasks(const std::map<TaskPosition, TaskProgress> &Tasks);
 /// Also reads the rows of earlier versions. Errors: Malformed.
 Result<JobProgress> decodeProgress(std::string_view Text);
 /// Decodes the phase alone. Errors: Malformed.
--- a/src/node/JobWriter.cpp
+++ b/src/node/JobWriter.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Each job takes two preconditions and one write; this keeps a batch under the
-/// store's limits on entries and bytes per transaction.
+/// store's limit on entries per transaction.
 constexpr size_t MaxBatchJobs = 30;
 constexpr Millis BaseRetryDelay{60};
 constexpr uint32_t MaxRetryDoublings = 4;
@@ -44,7 +44,8 @@
     return;
   auto Tx = std::make_shared<store::Transaction>();
   Tx->Partition = Service;
-  while (!Queue.empty() && InFlight.size() < MaxBatchJobs) {
+  while (!Queue.empty() && InFlight.size() < MaxBatchJobs &&
+         Tx->byteCount() + store::MaxRowBytes <= store::MaxTransactionBytes) {
     JobWrite Write = std::move(Queue.front());
     Queue.pop_front();
     if (Now >= Write.Deadline) {
--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -79,15 +79,16 @@
 }
 
 void ServiceLoader::addProgressRow(const store::Row &Row) {
-  auto Progress = cell::decodeProgress(Row.Value);
-  if (Progress) {
-    Loaded.Progress.emplace(Row.Key, std::move(*Progress));
-    return;
-  }
-  // Restarting the job could run its tasks twice. It stays unscheduled until an
-  // owner can read its record.
-  logError("progress-unreadable", "job={} version={}", Row.Key, Row.Version);
-  Loaded.UnreadableJobs.insert(Row.Key);
+  if (!Progress.add(Row))
+    logError("progress-unreadable", "key={} version={}", Row.Key, Row.Version);
+}
+
+StoredService ServiceLoader::take() {
+  // Restarting such a job could run its tasks twice. It stays unscheduled until
+  // an owner can read its record.
+  Loaded.UnreadableJobs = Progress.unreadableJobs();
+  Loaded.Progress = Progress.take();
+  return std::move(Loaded);
 }
 
 } // namespace daisylanding::node
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -2,7 +2,7 @@
 #define DAISYLANDING_NODE_SERVICELOADER_H
 
 #include "cell/JobSpec.h"
-#include "cell/Progress.h"
+#include "cell/ProgressRows.h"
 #include "common/Timers.h"
 #include "store/RowStore.h"
 
@@ -51,7 +51,7 @@
   TimePoint lastProgressAt() const { return LastProgressAt; }
   const LoadCounts &counts() const { return Counts; }
   /// The rows read. To be called once, when done.
-  StoredService take() { return std::move(Loaded); }
+  StoredService take();
 
 private:
   void readPage(const std::string &Table, const std::string &FromKey);
@@ -65,6 +65,7 @@
   Timers &TimerQueue;
   std::function<void(int64_t)> OnStoreAnswer;
   StoredService Loaded;
+  cell::ProgressReader Progress;
   LoadCounts Counts;
   TimePoint LastProgressAt{};
   size_t OpenTables = 0; ///< Not read to their end.
--- a/src/store/RowStore.h
+++ b/src/store/RowStore.h
@@ -57,6 +57,13 @@
   /// How long the answer is waited for. A slow store takes seconds.
   Millis AnswerWait = DefaultAnswerWait;
 
+  /// The number that MaxTransactionBytes limits.
+  size_t byteCount() const {
+    size_t Bytes = 0;
+    for (const RowWrite &Write : Writes)
+      Bytes += Write.Table.size() + Write.Key.size() + Write.Value.size();
+    return Bytes;
+  }
   /// The number that MaxTransactionEntries limits.
   size_t entryCount() const {
     return Preconditions.size() + Writes.size() + Removals.size();
@@ -65,11 +72,17 @@
 
 /// Limit on preconditions, writes and removals together in one transaction.
 constexpr size_t MaxTransactionEntries = 100;
+/// Limit on the bytes of a row's value.
+constexpr size_t MaxRowBytes = 65'536;
+/// Limit on the bytes that a transaction writes. The store takes a megabyte:
+/// values grow by a third on their way, and all entries have names.
+constexpr size_t MaxTransactionBytes = 700'000;
 
 enum class TransactionOutcome : uint8_t {
   Committed,
   Conflict,   ///< A precondition failed; nothing was written.
-  NotApplied, ///< The store refused, or the call was never sent.
+  NotApplied, ///< The store refused for now, or the call was never sent.
+  Rejected,   ///< The store takes no such transaction; nothing was written.
   Unknown     ///< No answer; it may have been or may yet be applied.
 };
 
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -13,6 +13,9 @@
 constexpr Millis LateWriteDelay{1'000};
 constexpr uint32_t WritesPerCycle = 10;
 constexpr size_t MaxPageRows = 500;
+constexpr size_t MaxTransactionEntries = 100;
+constexpr size_t MaxTransactionBytes = 1'000'000;
+constexpr size_t MaxRowBytes = 65'536;
 
 } // namespace
 
@@ -84,7 +87,7 @@
   }
   std::string_view Path = http::targetPath(Request.Target);
   if (Path == "/-/rows-tx")
-    handleTransaction(Json::parse(Request.Body), Responder);
+    handleTransactionCall(Request.Body, Responder);
   else if (Path == "/-/rows-get")
     handleRead(Request, std::move(Responder));
   else
@@ -109,6 +112,31 @@
       });
 }
 
+/// Whether the store takes a transaction of this size.
+bool CellPlatform::isTaken(const Json &Body, size_t Bytes) {
+  size_t Entries = Body.at("expected-rev").size() + Body.at("writes").size() +
+                   Body.at("remove").size();
+  if (Entries > MaxTransactionEntries || Bytes > MaxTransactionBytes)
+    return false;
+  const Json &Writes = Body.at("writes");
+  return std::all_of(Writes.begin(), Writes.end(), [](const Json &Write) {
+    auto Value = decodeBase64(Write.at("value").get<std::string>());
+    return Value && Value->size() <= MaxRowBytes;
+  });
+}
+
+void CellPlatform::handleTransactionCall(const std::string &Text,
+                                         const http::Responder &Responder) {
+  Json Body = Json::parse(Text);
+  if (isTaken(Body, Text.size())) {
+    handleTransaction(Body, Responder);
+    return;
+  }
+  Violations.push_back("transaction of " + std::to_string(Text.size()) +
+                       " bytes beyond the store's limits");
+  sendJson(Responder, http::StatusBadRequest, Json::object());
+}
+
 void CellPlatform::queueTransaction(const Json &Body,
                                     const http::Responder &Responder) {
   TimePoint Now = monotonicNow();
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -118,6 +118,9 @@
 
   void handleStoreCall(const http::Request &Request, http::Responder Responder);
   void handleRead(const http::Request &Request, http::Responder Responder);
+  static bool isTaken(const Json &Body, size_t Bytes);
+  void handleTransactionCall(const std::string &Text,
+                             const http::Responder &Responder);
   void handleTransaction(const Json &Body, const http::Responder &Responder);
   void queueTransaction(const Json &Body, const http::Responder &Responder);
   Json applyTransaction(const Json &Body, bool &ConditionsMet);
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -1,5 +1,7 @@
 #include "unit/CellSim.h"
 
+#include "cell/ProgressRows.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -248,10 +250,7 @@
   for (const auto &[Id, Job] : Specs) {
     if (storedValue(cell::JobTable, Id).empty())
       continue;
-    std::string Text = storedValue(cell::ProgressTable, Id);
-    std::optional<cell::JobProgress> Progress;
-    if (!Text.empty())
-      Progress = *cell::decodeProgress(Text);
+    std::optional<cell::JobProgress> Progress = storedProgress(Id);
     bool Cancelled = !storedValue(cell::JobTable, cell::cancelKey(Id)).empty();
     Target.restore(Job, Progress, Cancelled, Now, Now);
   }
@@ -356,8 +355,37 @@
     Action(*OldOwner);
 }
 
+bool Simulation::isTaken(const store::Transaction &Tx) const {
+  constexpr size_t BytesPerEntry = 60; ///< Beside names and values.
+  const std::string Partition = "s";
+  auto BytesOf = [&](const auto &Entry) {
+    return BytesPerEntry + Partition.size() + Entry.Table.size() +
+           Entry.Key.size();
+  };
+  size_t Bytes = 0;
+  bool AreRowsTaken = true;
+  for (const store::Precondition &Condition : Tx.Preconditions)
+    Bytes += BytesOf(Condition);
+  for (const store::RowRemoval &Removal : Tx.Removals)
+    Bytes += BytesOf(Removal);
+  for (const store::RowWrite &Write : Tx.Writes) {
+    constexpr size_t GroupBytes = 3;
+    constexpr size_t EncodedGroupBytes = 4;
+    Bytes += BytesOf(Write) + (Write.Value.size() + GroupBytes - 1) /
+                                  GroupBytes * EncodedGroupBytes;
+    AreRowsTaken = AreRowsTaken && Write.Value.size() <= Limits.RowBytes;
+  }
+  return AreRowsTaken && Bytes <= Limits.TransactionBytes &&
+         Tx.entryCount() <= Limits.Entries;
+}
+
 store::TransactionResult Simulation::apply(const store::Transaction &Tx) {
   store::TransactionResult Result;
+  if (!isTaken(Tx)) {
+    ++RejectedCommits;
+    Result.Outcome = store::TransactionOutcome::Rejected;
+    return Result;
+  }
   Result.StoreClockMs = clockMs();
   bool ConditionsHold = true;
   for (const store::Precondition &Condition : Tx.Preconditions) {
@@ -695,6 +723,37 @@
   return Found;
 }
 
+std::optional<cell::JobProgress>
+Simulation::storedProgress(const std::string &JobId) const {
+  cell::ProgressReader Reader;
+  auto Row = Rows.lower_bound({cell::ProgressTable, JobId});
+  for (; Row != Rows.end() && Row->first.first == cell::ProgressTable &&
+         Row->first.second.starts_with(JobId);
+       ++Row)
+    Reader.add({.Key = Row->first.second, .Value = Row->second.Value});
+  std::map<std::string, cell::JobProgress> Found = Reader.take();
+  if (Found.empty())
+    return std::nullopt;
+  return std::move(Found.begin()->second);
+}
+
+/// Of a job with several rows, reads only the row that has the task.
+std::optional<cell::TaskProgress>
+Simulation::storedTask(const cell::JobSpec &Job,
+                       const cell::TaskPosition &Position) const {
+  std::string RowKey =
+      cell::progressRowKey(Job.Id, cell::progressRowOf(Job, Position));
+  for (const std::string &Key : {RowKey, Job.Id}) {
+    auto Progress = cell::decodeProgress(storedValue(cell::ProgressTable, Key));
+    if (!Progress)
+      continue;
+    auto Found = Progress->Tasks.find(Position);
+    if (Found != Progress->Tasks.end())
+      return Found->second;
+  }
+  return std::nullopt;
+}
+
 cell::JobPhase Simulation::storedPhase(const std::string &JobId) const {
   auto Ended = cell::decodeEndedJob(storedValue(cell::EndedTable, JobId));
   if (Ended)
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -89,6 +89,13 @@
   size_t CommitBytes = 0;
 };
 
+/// What the store takes; it rejects a transaction beyond these.
+struct StoreLimits {
+  size_t Entries = 100;
+  size_t RowBytes = 65'536;
+  size_t TransactionBytes = 1'000'000; ///< As sent, with values in base64.
+};
+
 /// Connections of one owner that are cut.
 struct OwnerCuts {
   bool Store = false;              ///< Its commits are not carried out.
@@ -154,6 +161,9 @@
 
   SimExecutor &executor(const std::string &Id) { return *Executors.at(Id); }
   bool hasExecutor(const std::string &Id) const { return Executors.count(Id); }
+  /// As a successor reads it from all rows of the job.
+  std::optional<cell::JobProgress>
+  storedProgress(const std::string &JobId) const;
   cell::JobPhase storedPhase(const std::string &JobId) const;
   /// As a live job or as one that has ended.
   bool isStored(const std::string &JobId) const;
@@ -179,6 +189,8 @@
   int64_t OwnerTurnMs = 0;
   int64_t LoadTimeMs = 0; ///< From a takeover until the stored jobs are read.
   size_t CommitsSent = 0;
+  StoreLimits Limits;
+  size_t RejectedCommits = 0; ///< Those beyond the store's limits.
   OwnerCost Cost;
   /// Whether messages are kept and starts are checked, which takes longer than
   /// the owner's work on large fleets.
@@ -190,6 +202,8 @@
   /// How a run of a task ends, and after how many ms, given its estimate.
   std::function<executor::EndKind(const std::string &)> EndKindFor;
   std::function<int64_t(const std::string &, int64_t)> RunTimeFor;
+  /// The checkpoint of a running task.
+  std::function<std::string(const std::string &)> CheckpointFor;
   /// After how many ms a run crashes its executor, if it does.
   std::function<std::optional<int64_t>(const std::string &)> CrashTimeFor;
   int64_t CrashedForMs = 3'000; ///< Until a crashed executor is back.
@@ -236,7 +250,11 @@
   void notify(const cell::CellOwner *Target, const OwnerAction &Action);
   void deliver(const cell::CellOwner *Target, const OwnerAction &Action);
   void schedule(int64_t Ms, std::function<void()> Action);
+  bool isTaken(const store::Transaction &Tx) const;
   store::TransactionResult apply(const store::Transaction &Tx);
+  std::optional<cell::TaskProgress>
+  storedTask(const cell::JobSpec &Job,
+             const cell::TaskPosition &Position) const;
   void sendCommit(cell::CellOwner &Sender);
   void executeCommands(const cell::OwnerCommands &Commands,
                        cell::CellOwner &Sender);
--- a/tests/unit/CellSimExecutors.cpp
+++ b/tests/unit/CellSimExecutors.cpp
@@ -114,14 +114,8 @@
     Violations.push_back("capacity exceeded: " + Executor.Info.Id + " by " +
                          Task + " run " + std::to_string(Order.Id.Run) +
                          " beside " + std::to_string(Executor.Running.size()));
-  std::string Text = storedValue(cell::ProgressTable, std::string(Ref.Job));
-  auto Progress = cell::decodeProgress(Text);
-  auto StoredTask =
-      Progress ? Progress->Tasks.find({Ref.Occurrence, Ref.Step, Ref.Index})
-               : std::map<cell::TaskPosition, cell::TaskProgress>::iterator{};
-  bool IsRecorded = Progress && StoredTask != Progress->Tasks.end() &&
-                    StoredTask->second.Run >= Order.Id.Run;
-  if (!IsRecorded)
+  auto StoredTask = storedTask(Job, {Ref.Occurrence, Ref.Step, Ref.Index});
+  if (!StoredTask || StoredTask->Run < Order.Id.Run)
     Violations.push_back("started before its record was stored: " + Task);
   for (uint32_t Dependency : Job.Steps[Ref.Step].Dependencies) {
     for (uint32_t I = 0; I < Job.Steps[Dependency].Count; ++I) {
@@ -244,7 +238,9 @@
     return End.Sequence <= Call.AcknowledgedEnd;
   });
   for (const auto &[Task, Run] : Executor.Running)
-    Answer.Running.push_back({.Id = {Task, Run.Run}});
+    Answer.Running.push_back(
+        {.Id = {Task, Run.Run},
+         .Checkpoint = CheckpointFor ? CheckpointFor(Task) : ""});
   Answer.Ended = Executor.Ended;
   return Answer;
 }
