--- a/src/cell/OwnerEnded.cpp
+++ b/src/cell/OwnerEnded.cpp
@@ -40,7 +40,7 @@
 
 bool CellOwner::mayMove(const CommitInFlight &Commit, const LiveJob &Job) {
   return Commit.MovesEnds && Job.Stored && isFinal(Job.Phase) &&
-         Job.OpenRuns == 0;
+         Job.OpenRuns == 0 && Job.OccurrencesInRows.empty();
 }
 
 void CellOwner::moveRows(CommitInFlight &Commit, const std::string &JobId,
@@ -92,10 +92,11 @@
   EndedJobs.erase(Found);
 }
 
-/// Drops a job whose final phase is stored and that has no open runs.
+/// Drops a job whose final phase is stored and that has no open runs. The rows
+/// of its occurrences are removed before.
 void CellOwner::dropEndedJob(LiveJob &Job, TimePoint Now) {
   if (!isFinal(Job.Phase) || Job.OpenRuns > 0 ||
-      Job.RecordedRevision != Job.Revision)
+      !Job.OccurrencesInRows.empty() || Job.RecordedRevision != Job.Revision)
     return;
   std::string Id = Job.Spec.Id;
   addEndedJob(Id, endedJobOf(Job), Now);
--- a/tests/unit/CellSimExecutors.cpp
+++ b/tests/unit/CellSimExecutors.cpp
@@ -114,14 +114,8 @@
     Violations.push_back("capacity exceeded: " + Executor.Info.Id + " by " +
                          Task + " run " + std::to_string(Order.Id.Run) +
                          " beside " + std::to_string(Executor.Running.size()));
-  std::string Text = storedValue(cell::ProgressTable, std::string(Ref.Job));
-  auto Progress = cell::decodeProgress(Text);
-  auto StoredTask =
-      Progress ? Progress->Tasks.find({Ref.Occurrence, Ref.Step, Ref.Index})
-               : std::map<cell::TaskPosition, cell::TaskProgress>::iterator{};
-  bool IsRecorded = Progress && StoredTask != Progress->Tasks.end() &&
-                    StoredTask->second.Run >= Order.Id.Run;
-  if (!IsRecorded)
+  auto StoredTask = storedTask(Job, {Ref.Occurrence, Ref.Step, Ref.Index});
+  if (!StoredTask || StoredTask->Run < Order.Id.Run)
     Violations.push_back("started before its record was stored: " + Task);
   for (uint32_t Dependency : Job.Steps[Ref.Step].Dependencies) {
     for (uint32_t I = 0; I < Job.Steps[Dependency].Count; ++I) {
@@ -260,7 +254,9 @@
   });
   for (const auto &[Task, Run] : Executor.Running)
     Answer.Running.push_back(
-        {.Id = {Task, Run.Run}, .Usage = UsageFor ? UsageFor(Task) : 0});
+        {.Id = {Task, Run.Run},
+         .Checkpoint = RunningCheckpointFor ? RunningCheckpointFor(Task) : "",
+         .Usage = UsageFor ? UsageFor(Task) : 0});
   Answer.Ended = Executor.Ended;
   return Answer;
 }
@@ -271,11 +267,12 @@
   Executor.Running.erase(Task);
   uint32_t &HighestEndedRun = Executor.HighestEndedRun[Task];
   HighestEndedRun = std::max(HighestEndedRun, Run);
-  Executor.Ended.push_back(
-      {.Sequence = ++Executor.EndCount,
-       .Id = {Task, Run},
-       .Kind = Kind,
-       .Checkpoint = CheckpointFor ? CheckpointFor(Task) : std::string()});
+  Executor.Ended.push_back({.Sequence = ++Executor.EndCount,
+                            .Id = {Task, Run},
+                            .Kind = Kind,
+                            .Checkpoint = EndCheckpointFor
+                                              ? EndCheckpointFor(Task)
+                                              : std::string()});
   auto Unit = limitedUnitOf(Task);
   if (Unit && Kind == EndKind::Failed)
     Attempts.onFailed(*Unit, Run, Now);
--- a/tests/unit/GangCheckpointTest.cpp
+++ b/tests/unit/GangCheckpointTest.cpp
@@ -24,7 +24,7 @@
   void setup() override {
     constexpr Resources Size{.MilliCores = 4'000, .MemoryMb = 4'000};
     constexpr size_t Spares = 3;
-    Sim.CheckpointFor = [](const std::string &Task) { return "saved-by-" + Task; };
+    Sim.EndCheckpointFor = [](const std::string &Task) { return "saved-by-" + Task; };
     for (size_t I = 0; I < Members + Spares; ++I)
       Executors.push_back(Sim.addExecutor(Size));
     Sim.takeOver();
