Crashes under moved runs count, also for the next owner; limits known late

Found by the review of the merged parts, each with a test whose scene failed there: - A run that was moved to the next incarnation and isn't listed there ended without a crash being counted: 28 crashes in 90 s, the job still running. What was lost with the incarnation before is kept with the run, and counted if it ends absent (IsGivenUpIfTheyKeepTheirIds). - Stored crashes count as unconfirmed for the next owner, which can't tell: with two of them, one confirmed crash gave the job up (IsNotGivenUpByTheNextOwnerEither). The limit is five then; the rule allows it. - An owner that is the first to know the limit of failures started a task beyond it (IsFailedByTheNextOwnerThatKnowsTheLimit).

OwnerOptions has a header of its own.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -262,6 +262,7 @@
       Task.LastRunBeforeLoad =
           isOpen(StoredTask.Phase) ? StoredTask.Run - 1 : StoredTask.Run;
       Task.Crashes = StoredTask.Crashes;
+      Task.UnconfirmedCrashes = StoredTask.Crashes;
       keepCheckpoint(Key, StoredTask.Checkpoint);
       Task.Phase = StoredTask.Phase;
       bool NotSent = StoredTask.Phase == TaskPhase::Recording ||
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -9,6 +9,7 @@
 #include "cell/LiveJob.h"
 #include "cell/Offer.h"
 #include "cell/OwnerCommands.h"
+#include "cell/OwnerOptions.h"
 #include "cell/OwnerRow.h"
 #include "cell/OwnerStatus.h"
 #include "cell/Placement.h"
@@ -25,33 +26,6 @@
 
 namespace daisylanding::cell {
 
-/// The store's steady clock, in ms, as far as an entry can tell.
-struct StoreClock {
-  int64_t MinMs = 0;
-  int64_t MaxMs = 0;
-};
-
-struct OwnerOptions {
-  std::string Service;     ///< Also the partition key of all its rows.
-  OwnerRow AcquiredRow;    ///< As written on acquiring the service.
-  uint64_t RowVersion = 0; ///< Version of `AcquiredRow` in the store.
-  LeaseOptions Leases;
-  StoreClock ClockAtCreation; ///< Store clock at `CreatedAt`.
-  TimePoint CreatedAt{};
-  /// No start is planned or sent when the instance list was last confirmed
-  /// longer ago: an executor may be draining.
-  Millis MaxInstanceListAge{900};
-  /// No start is planned or sent when the job feed was last confirmed longer
-  /// ago: a cancellation may have been missed.
-  Millis MaxJobFeedAge{1'900};
-  Millis HeartbeatInterval{300}; ///< Longest time between two commits.
-  /// Whether the stored jobs are still to be read. Until `finishLoading` the
-  /// owner only renews its row.
-  bool Loading = false;
-  /// How long the status of ended jobs can be read.
-  Millis StatusRetention{120'000};
-};
-
 /// What a turn of the owner does. Planning looks at all waiting steps and takes
 /// longest; orders and renewals must not wait for it.
 enum class OwnerTurn : uint8_t { Full, WithoutPlanning };
@@ -66,7 +40,10 @@
 
   void setConfig(std::shared_ptr<const CellConfig> NewConfig);
   /// Ends the loading state; `restore` has been called for all stored jobs.
-  void finishLoading() { Loading = false; }
+  void finishLoading() {
+    Loading = false;
+    HasNewTerms = true; // An earlier owner may not have known them.
+  }
   /// Loads a stored job. Called for each stored job before anything else.
   void restore(JobSpec Spec, const std::optional<JobProgress> &Progress,
                bool Cancelled, TimePoint AcceptedAt, TimePoint Now);
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -38,8 +38,12 @@
   /// The newest run that was over when this owner loaded the task.
   uint32_t LastRunBeforeLoad = 0;
   uint32_t Crashes = 0; ///< Executors that crashed under its runs.
-  /// Of these, under runs that were never confirmed, since the owner's load.
+  /// Of these, under runs that this owner knows not to have been confirmed, or
+  /// before its load.
   uint32_t UnconfirmedCrashes = 0;
+  /// The open run as it was lost with an earlier incarnation of `Executor`,
+  /// unless it turns out to go on in this one.
+  std::optional<LostRun> LostBefore;
   bool IsSuspect = false; ///< Counted in `Suspects` of `Executor`.
   ExecutorIndex Executor = NoExecutor;
   std::string Checkpoint;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -154,14 +154,21 @@
   resizeExecutorTables();
   Pool[Later].NextRenewalAt = Now;
   std::vector<TaskKey> Runs = OpenRunsByExecutor[Earlier];
+  std::vector<LostRun> MayBeLost = lostRunsOn(Earlier);
   for (const TaskKey &Key : Runs) {
-    const LiveTask &Task = Key.task();
+    LiveTask &Task = Key.task();
     // Such a run goes on, however it came there: it must not be started again.
     bool IsListed =
         mayHaveBegun(Task) && Answer && Answer->lists({Key.name(), Task.Run});
     if (!IsListed && !mayReachNext(Key, Now))
       continue;
     moveRun(Key, Later, Now);
+    auto Lost = std::find_if(
+        MayBeLost.begin(), MayBeLost.end(), [&](const LostRun &Run) {
+          return Run.Id == executor::RunId{Key.name(), Task.Run};
+        });
+    if (Lost != MayBeLost.end() && !Pool[Earlier].Info.Draining)
+      Task.LostBefore = *Lost;
   }
   // Copies may outlast this incarnation, too.
   Pool[Later].LateStarts = Pool[Earlier].LateStarts;
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 /// Runs of tasks, from placement to their confirmed end.
 namespace daisylanding::cell {
@@ -64,6 +65,7 @@
   Task.Confirmed = false;
   Task.ListedRunning = false;
   Task.Inherited = false;
+  Task.LostBefore.reset();
   Task.StopConfirmed = false;
   Task.StartAttempts = 0;
   Task.Percent = 0;
@@ -242,6 +244,7 @@
   Task.Percent = Running.Percent;
   Task.Usage = Running.Usage;
   Task.ListedRunning = true;
+  Task.LostBefore.reset();
   if (!Task.Confirmed) {
     Task.Confirmed = true;
     Task.ConfirmedAt = Now;
@@ -288,7 +291,10 @@
     if (!isOpen(Key.task().Phase) || Key.task().Executor != Index)
       continue; // Ended with another member of its gang.
     logAbsence(Key);
+    auto LostBefore = std::exchange(Key.task().LostBefore, std::nullopt);
     endRun(Key, EndKind::Expired, Now);
+    if (LostBefore)
+      countCrash(Index, {&*LostBefore, 1}, Now);
   }
 }
 
--- a/tests/unit/QueueOutOfConfigTest.cpp
+++ b/tests/unit/QueueOutOfConfigTest.cpp
@@ -124,6 +124,25 @@
   LONGS_EQUAL(2, Sim.runsOf(TaskId));
 }
 
+/// Guards against a start beyond the limit by an owner that is the first to
+/// know it, as the failures came under one that didn't.
+TEST(AJobWhoseQueueIsRemoved, IsFailedByTheNextOwnerThatKnowsTheLimit) {
+  Sim.takeOver();
+  Sim.runFor(ContactMs);
+  FailuresLeft = 5;
+  submit(false);
+  CHECK_TRUE(Sim.runUntil([&] { return Sim.runsOf(TaskId) == 2; }, 3'000));
+  Sim.setQueueConfigured(false);
+  Sim.takeOver();
+  Sim.runFor(3'000);
+  CHECK_FALSE(isFinal(Sim.storedPhase(JobId)));
+  Sim.killOwner();
+  Sim.setQueueConfigured(true);
+  Sim.takeOver();
+  CHECK_TRUE(isShownAs(JobPhase::Failed, 6'000));
+  LONGS_EQUAL(2, Sim.runsOf(TaskId));
+}
+
 /// Guards against starts without a ticket while the queue is out of the
 /// configuration: each was refused, and repeated at once.
 TEST(WhoseStartsNeedTickets, IsStartedWithOneOnly) {
--- a/tests/unit/UnconfirmedCrashTest.cpp
+++ b/tests/unit/UnconfirmedCrashTest.cpp
@@ -84,6 +84,26 @@
   LONGS_EQUAL(1, Sim.runsOf(TaskId));
 }
 
+/// Guards against a job that is given up for one crash under its task, as the
+/// next owner takes crashes under starts that never arrived for more.
+TEST(WhoseStartsDoNotArrive, IsNotGivenUpByTheNextOwnerEither) {
+  submit();
+  for (uint32_t Run = 1; Run <= 2; ++Run)
+    crashUnderStart(Run, 0);
+  CHECK(Sim.runUntil(
+      [&] {
+        auto Progress = decodeProgress(Sim.storedValue(ProgressTable, JobId));
+        return Progress && Progress->Tasks.at({0, 0, 0}).Crashes == 2;
+      },
+      StartLimitMs));
+  size_t Begun = 0;
+  Sim.CrashTimeFor = [&](const std::string &) {
+    return ++Begun == 1 ? std::optional<int64_t>(100) : std::nullopt;
+  };
+  Sim.takeOver();
+  CHECK(Sim.runUntil([&] { return isCompleted(); }, 2 * StartLimitMs));
+}
+
 /// Guards against crashes that count for a start that the executor has refused,
 /// and of which it carries out no copy, as its stop is confirmed.
 TEST(WhoseStartsDoNotArrive, IsNotGivenUpForCrashesAfterItsStop) {
@@ -120,6 +140,27 @@
   checkGivenUp();
 }
 
+/// Guards against a task that crashes executors without end, as its run is
+/// taken for one of the next incarnation, which doesn't have it.
+TEST(ThatCrashesExecutorsBeforeTheyAnswer, IsGivenUpIfTheyKeepTheirIds) {
+  constexpr size_t MaxRounds = 12;
+  Sim.CrashTimeFor = nullptr;
+  submit();
+  size_t Crashes = 0;
+  while (Crashes < MaxRounds && !isFailed()) {
+    size_t Earlier = Sim.runsOf(TaskId);
+    if (!Sim.runUntil(
+            [&] { return isFailed() || Sim.runsOf(TaskId) > Earlier; },
+            StartLimitMs) ||
+        isFailed())
+      break;
+    ++Crashes;
+    Sim.restartExecutor(Sim.Started.back().Target.Id, BackAfterMs, BackAfterMs);
+  }
+  CHECK(isFailed());
+  CHECK(Crashes <= ManyCrashes);
+}
+
 TEST(ThatCrashesExecutorsBeforeTheyAnswer, IsGivenUpWithItsGang) {
   JobSpec Job = Simulation::makeJob(JobId, 3, Size, RunMs);
   Job.Steps[0].Gang = true;
