An entry that has missed versions doesn't go by those it knows

Cause: an entry that was cut off reads the newest configuration as a whole. The versions that it has had in force were taken for all that there were, so that a queue which was elsewhere in between seemed never to have left: the entry asked nobody and offered the job, which the other service may hold.

Change: a version that comes from a full read clears the history of versions. Without a known older version an entry waits until the other services state the newest one, as one does that has just started.

Price: none in steady state, where versions come from the feed.

--- a/src/cell/CellConfig.h
+++ b/src/cell/CellConfig.h
@@ -66,18 +66,22 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     return Current;
   }
-  /// Returns false if the version in force is the same or newer.
-  bool replaceIfNewer(std::shared_ptr<const CellConfig> NewConfig) {
+  /// Returns false if the version in force is the same or newer. Unless
+  /// \p FollowsCurrent, others may have been in force between the two.
+  bool replaceIfNewer(std::shared_ptr<const CellConfig> NewConfig,
+                      bool FollowsCurrent) {
     std::lock_guard<std::mutex> Lock(Mutex);
     if (Current && Current->Version >= NewConfig->Version)
       return false;
+    if (!FollowsCurrent)
+      History.clear();
     Current = std::move(NewConfig);
     History.push_back(Current);
     if (History.size() > MaxHistory)
       History.erase(History.begin());
     return true;
   }
-  /// The last versions that were in force, the newest last.
+  /// The last versions that were in force, the newest last, without a gap.
   std::vector<std::shared_ptr<const CellConfig>> history() const {
     std::lock_guard<std::mutex> Lock(Mutex);
     return History;
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void ConfigFollower::apply(const store::Row &Row) {
+void ConfigFollower::apply(const store::Row &Row, bool IsFromFeed) {
   const DocumentCodec &Codec = Context.Platform.codec();
   if (Row.Key != Codec.configKey() || Row.Deleted)
     return;
@@ -25,9 +25,11 @@
   uint64_t Version = Config->Version;
   size_t Queues = Config->Queues.size();
   if (Context.Config.replaceIfNewer(
-          std::make_shared<const cell::CellConfig>(std::move(*Config)))) {
-    logInfo("config-in-force", "version={} queues={} row={} bytes={}", Version,
-            Queues, Row.Version, Row.Value.size());
+          std::make_shared<const cell::CellConfig>(std::move(*Config)),
+          IsFromFeed)) {
+    logInfo("config-in-force",
+            "version={} queues={} row={} bytes={} from_feed={}", Version,
+            Queues, Row.Version, Row.Value.size(), IsFromFeed);
     Context.Events.add("config-in-force", std::to_string(Version));
   }
 }
@@ -53,7 +55,7 @@
     }
     Context.StoreHealth.recordAnswer(monotonicNow(), Page->StoreClockMs);
     for (const store::Row &Row : Page->Rows)
-      apply(Row);
+      apply(Row, false);
     Cursor.restart(Page->Version);
     followFeed();
   });
@@ -74,7 +76,7 @@
     }
     Context.StoreHealth.recordFeedPage(monotonicNow(), *Page);
     for (const store::Row &Row : Page->Rows)
-      apply(Row);
+      apply(Row, true);
     Cursor.advance(*Page, monotonicNow());
     followFeed();
   });
--- a/src/node/ConfigFollower.h
+++ b/src/node/ConfigFollower.h
@@ -21,7 +21,8 @@
 private:
   void readAll();
   void followFeed();
-  void apply(const store::Row &Row);
+  /// \p IsFromFeed: no version between is missed.
+  void apply(const store::Row &Row, bool IsFromFeed);
   uint64_t versionInForce() const;
 
   EntryContext &Context;
--- a/tests/unit/MovedQueueTest.cpp
+++ b/tests/unit/MovedQueueTest.cpp
@@ -331,6 +331,22 @@
   CHECK_FALSE(node::mayStore(view(), 8));
 }
 
+/// Guards against an entry that was cut off while the queue was sent elsewhere
+/// and back, and takes the versions that it knows for all there were.
+TEST(AnEntryWithTheNewerConfiguration, AwaitsAllStatementsIfItMissedVersions) {
+  SharedConfig Shared;
+  Shared.replaceIfNewer(configOf(5, "t"), true);
+  Shared.replaceIfNewer(configOf(7, "t"), false);
+  auto History = Shared.history();
+  node::QueueView View{
+      .Queue = *Served, .ConfigVersion = 7, .History = History};
+  CHECK(node::checkOtherService(View, "s", {.ConfigVersion = 5}) ==
+        node::PlaceCheck::AwaitStatement);
+  CHECK(node::checkOtherService(View, "s", {.ConfigVersion = 7}) ==
+        node::PlaceCheck::None);
+  CHECK_FALSE(node::mayStore(View, 5));
+}
+
 TEST(AnEntryWithTheNewerConfiguration, StoresJobsOfAQueueThatHasNotMoved) {
   Served = &Configs.back()->Queues.back();
   CHECK_TRUE(node::mayStore(view(), 5));
