A job goes by its own terms under an owner that is behind

A job that may fail twice was failed by its first failure (LOST: shown as failed without cause).

Test: IsRunByItsTermsUnderAnOwnerThatIsBehind; it fails with the comparison taken out (run).

--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -182,8 +182,10 @@
   json Document = encodeWork(Job);
   Document["id"] = Job.Id;
   Document["accepted"] = Job.AcceptedMs;
-  if (Job.Terms)
+  if (Job.Terms) {
     Document["terms"] = encodeTerms(*Job.Terms);
+    putNumber(Document["terms"], "config", Job.TermsVersion);
+  }
   return Document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -204,8 +206,11 @@
         Numbers.field<int64_t>(Document, "first_run", 0, 0, MaxFirstRunMs);
     Job.IntervalMs = durationField(Document, "interval", Numbers).count();
     Job.AcceptedMs = Numbers.field<int64_t>(Document, "accepted", 0);
-    if (Document.contains("terms"))
-      Job.Terms = decodeTerms(Document["terms"], Job.Queue, Numbers);
+    if (Document.contains("terms")) {
+      const json &Terms = Document["terms"];
+      Job.Terms = decodeTerms(Terms, Job.Queue, Numbers);
+      Job.TermsVersion = Numbers.field<uint64_t>(Terms, "config", 0);
+    }
     if (Numbers.failed() || !areStepsValid(Job.Steps))
       return Errc::Malformed;
     return Job;
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -46,9 +46,11 @@
   int64_t FirstRunMs = 0;   ///< Wall clock time of the first occurrence.
   int64_t IntervalMs = 0;
   int64_t AcceptedMs = 0; ///< On the store's clock.
-  /// Those of its queue when the job was accepted, for use while the queue is
-  /// not in the configuration. None if an earlier version has stored the job.
+  /// Those of its queue when the job was accepted, for use by an owner whose
+  /// configuration is older, or doesn't have the queue. None if an earlier
+  /// version has stored the job.
   std::optional<cell::Queue> Terms;
+  uint64_t TermsVersion = 0; ///< Of their configuration; 0 if not stored.
 };
 
 /// Limits of a submitted job.
--- a/src/cell/OwnerTerms.cpp
+++ b/src/cell/OwnerTerms.cpp
@@ -6,7 +6,8 @@
 #include <utility>
 
 /// The terms of the jobs' queues: those in the configuration, or those with
-/// which a job was accepted while its queue is not there.
+/// which a job was accepted while its queue is not there, or while the
+/// configuration is older.
 namespace daisylanding::cell {
 
 void CellOwner::setConfig(std::shared_ptr<const CellConfig> NewConfig) {
@@ -26,9 +27,11 @@
 /// The terms of the job's queue; null if they are not known. Nothing that
 /// depends on them is decided then: no task is started, and none is given up.
 const Queue *CellOwner::queueOf(const LiveJob &Job) const {
-  if (const Queue *Configured = findQueue(Job.Spec.Queue))
-    return Configured;
-  return Job.Spec.Terms ? &*Job.Spec.Terms : nullptr;
+  const Queue *Configured = findQueue(Job.Spec.Queue);
+  bool IsOutdated = Config->Version < Job.Spec.TermsVersion;
+  if (Job.Spec.Terms && (!Configured || IsOutdated))
+    return &*Job.Spec.Terms;
+  return Configured;
 }
 
 /// Keeps the terms of the job's queue, which may leave the configuration.
@@ -41,6 +44,7 @@
     return;
   }
   Job.Spec.Terms = termsOf(*Configured);
+  Job.Spec.TermsVersion = Config->Version;
   HasNewTerms |= !Job.Occurrences.empty();
   for (auto &[Number, Occurrence] : Job.Occurrences)
     Occurrence.DueAt = dueAt(Job, Occurrence.BeginsAt);
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -219,6 +219,7 @@
   Job->Id = Request->JobId;
   Job->Queue = Request->Queue->Name;
   Job->Terms = cell::termsOf(*Request->Queue);
+  Job->TermsVersion = Request->Config->Version;
   Job->AcceptedMs = Context.StoreHealth.clockMillis(monotonicNow());
   checkPlaces(Request, *Job);
 }
@@ -259,8 +260,8 @@
   relay::RelayOffer Offer{.Address = Address,
                           .Service = Service,
                           .Job = cell::encodeJob(Job),
-                          .Timeout = OfferTimeout,
                           .SearchedVersion = Request->Config->Version,
+                          .Timeout = OfferTimeout,
                           .Done = Done};
   if (Address.empty() || !Relay.Offers.push(std::move(Offer)))
     writeJob(Request, Job);
@@ -311,8 +312,8 @@
     else
       writeJob(Request, Job);
     return;
-    writeJob(Request, Job);
   case cell::OfferOutcome::Busy:
+    writeJob(Request, Job);
     return;
   }
 }
--- a/tests/unit/QueueOutOfConfigTest.cpp
+++ b/tests/unit/QueueOutOfConfigTest.cpp
@@ -28,10 +28,11 @@
     for (const std::string &Violation : Sim.violations())
       FAIL(Violation.c_str());
   }
-  void submit(bool HasTerms) {
+  void submit(bool HasTerms, uint64_t TermsVersion = 0) {
     JobSpec Job = Simulation::makeJob(JobId, 1, Size, RunMs);
     if (HasTerms)
       Job.Terms = Queue{.Name = "q", .Service = "s", .MaxAttempts = 2, .Stretch = 2};
+    Job.TermsVersion = TermsVersion;
     Sim.submit(*decodeJob(encodeJob(Job)));
   }
   bool isShownAs(JobPhase Phase, int64_t LimitMs = 5'000) {
@@ -106,6 +107,20 @@
   CHECK_TRUE(isShownAs(JobPhase::Completed));
 }
 
+/// Guards against a limit of an older configuration than the one by which the
+/// job was accepted.
+TEST(AJobWhoseQueueIsRemoved, IsRunByItsTermsUnderAnOwnerThatIsBehind) {
+  Sim.changeConfig(
+      [](CellConfig &Config) { Config.Queues.front().MaxAttempts = 1; });
+  Sim.takeOver();
+  Sim.runFor(ContactMs);
+  constexpr uint64_t NextVersion = 3;
+  submit(true, NextVersion);
+  FailuresLeft = 1;
+  CHECK_TRUE(isShownAs(JobPhase::Completed));
+  LONGS_EQUAL(2, Sim.runsOf(TaskId));
+}
+
 /// Guards against a failure that is forgotten since it came before the limit
 /// was known: the run of an earlier owner ends under one that doesn't know the
 /// queue.
