A start's log line tells what was known of its place

For a report of a start in a wrong place (ROUTE) the logs told neither the service and the labels of the executor as its owner knew them, nor how old that was, nor how many runs of the step it counted there. One line of some 120 bytes more a start, within the limit of lines a second.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -432,7 +432,7 @@
   bool hasTicketExpired(const TaskKey &Key, TimePoint Now) const;
   void dropExpiredStart(const TaskKey &Key, TimePoint Now);
   void emitOrders(TimePoint Now);
-  void logStart(const TaskKey &Key) const;
+  void logStart(const TaskKey &Key, TimePoint Now) const;
   void emitStart(const TaskKey &Key, TimePoint Now);
   void emitStop(const TaskKey &Key, TimePoint Now);
   void emitStopOf(const executor::RunId &Id, ExecutorIndex Index);
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -3,6 +3,8 @@
 
 #include "common/Log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 /// Start and stop orders, lease renewals, and the answers to orders.
@@ -57,16 +59,27 @@
   return Now < LeasesGrantedUntil && !IsReleased && !isListedAsSilent(Index);
 }
 
-/// Logs a start that is about to be sent, by what a later owner or a late copy
-/// can be told from it.
-void CellOwner::logStart(const TaskKey &Key) const {
+/// Logs a start that is about to be sent: by what a later owner or a late copy
+/// can be told from it, and what is known of the place.
+void CellOwner::logStart(const TaskKey &Key, TimePoint Now) const {
   const LiveTask &Task = Key.task();
-  const executor::ExecutorInfo &Executor = Pool[Task.Executor].Info;
+  const ExecutorState &Executor = Pool[Task.Executor];
+  const executor::ExecutorInfo &Info = Executor.Info;
   bool IsFirstTry = Task.StartSentAt < Task.TicketedAt;
+  const std::vector<LiveTask> &Tasks = Key.step().Tasks;
+  auto RunsThere =
+      std::count_if(Tasks.begin(), Tasks.end(), [&](const LiveTask &Other) {
+        return Other.Executor == Task.Executor;
+      });
   logInfo("start-sent",
-          "task={} run={} executor={} born={} epoch={} row_version={} first={}",
-          Key.name(), Task.Run, Executor.Id, Executor.Born, Row.Epoch,
-          RowVersion, IsFirstTry);
+          "task={} run={} executor={} born={} epoch={} row_version={} first={} "
+          "service={} labels={} wanted_label={} listed={} list_ms_ago={} "
+          "step_runs_there={} anti_affinity={}",
+          Key.name(), Task.Run, Info.Id, Info.Born, Row.Epoch, RowVersion,
+          IsFirstTry, Info.Service, fmt::join(Info.Labels, ","),
+          Key.spec().Constraint, Executor.Listed,
+          toMillis(Now - InstanceListConfirmedAt), RunsThere,
+          Key.spec().AntiAffinity);
 }
 
 void CellOwner::emitStart(const TaskKey &Key, TimePoint Now) {
@@ -76,7 +89,7 @@
   auto LeaseEnd = Pool.extendLease(Task.Executor, Now);
   if (!LeaseEnd)
     return;
-  logStart(Key);
+  logStart(Key, Now);
   Task.OrderPending = true;
   Task.StartSentAt = Now;
   Pool[Task.Executor].TokenUsed = true;
