No starts beside runs that the owner doesn't have

Cause: capacity and anti-affinity are counted from the runs that the owner has open. Ruled out: runs that linger after their gang is done (their capacity is kept, and their step starts nothing more); starts given up without an answer (stopped first, or too late for their lease).

Change: an executor that lists such a run gets no starts until an answer lists none, for 3 s at most. `run-unknown` is logged.

Price: none while all runs are known.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -255,6 +255,9 @@
   static void keepCheckpoint(const TaskKey &Key, const std::string &Checkpoint);
   void onRunningTask(ExecutorIndex Index, const executor::RunStatus &Running,
                      TimePoint Now);
+  void stopUnknownRun(ExecutorIndex Index, const executor::RunId &Id,
+                      TimePoint Now);
+  bool areRunsKnown(ExecutorIndex Index, const executor::RenewalAnswer &Answer);
   void endAbsentRuns(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
                      TimePoint RenewalSentAt, TimePoint Now);
   void releaseLingeringRuns(ExecutorIndex Index,
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -113,7 +113,7 @@
   if (!Executor.Listed || Executor.Ended || !Executor.TokenConfirmed ||
       Executor.Info.Draining)
     return false;
-  if (Executor.AvoidUntil > Now ||
+  if (Executor.AvoidUntil > Now || hasUnknownRuns(Index, Now) ||
       Executor.LastUnansweredAt > Executor.LastAnswerAt)
     return false;
   if (!SuspectZones.empty() &&
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -55,6 +55,10 @@
 /// An order without an answer may be carried out this much later.
 constexpr Millis MaxOrderDelay{12'000};
 
+/// A run that the owner doesn't have is stopped, which takes less, with calls
+/// that are repeated. What is listed for longer can't be stopped.
+constexpr Millis MaxUnknownRunTime{3'000};
+
 /// Longest time that a lease takes to expire, on an executor's slow clock.
 constexpr Millis maxLeaseTime(const LeaseOptions &Options, Millis Lease) {
   return Millis(static_cast<int64_t>(static_cast<double>(Lease.count()) /
@@ -171,6 +175,9 @@
   uint64_t AcknowledgementSent = 0; ///< The highest in any renewal.
   std::deque<ListedEnd> UnacknowledgedEnds;
   std::vector<LingeringRun> LingeringRuns;
+  /// Since when its answers list runs that the owner doesn't have. They are
+  /// stopped, and use capacity until they have ended.
+  std::optional<TimePoint> UnknownRunsSince;
   std::vector<LostRun> LapsedRuns; ///< Since its last answer.
   std::vector<LateStart> LateStarts;
   /// Tasks that lost an executor before, from their placement here until they
@@ -230,6 +237,11 @@
   bool isLastResort(ExecutorIndex Index, TimePoint Now) const {
     return Executors[Index].LastResortFrom <= Now && isReachable(Index, Now);
   }
+  /// Whether runs that the owner doesn't have use capacity there.
+  bool hasUnknownRuns(ExecutorIndex Index, TimePoint Now) const {
+    const auto &Since = Executors[Index].UnknownRunsSince;
+    return Since && Now < *Since + MaxUnknownRunTime;
+  }
   bool hasCapacityFor(ExecutorIndex Index, const Resources &Size) const;
   void reserve(ExecutorIndex Index, const Resources &Size);
   void release(ExecutorIndex Index, const Resources &Size);
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -249,7 +249,8 @@
       }
       // After a renewal without an answer another incarnation may have the
       // start, and by a clock that reads less.
-      bool IsStartable = IsToBeStarted && !Pool[I].RenewalFailed;
+      bool IsStartable = IsToBeStarted && !Pool[I].RenewalFailed &&
+                         !Pool.hasUnknownRuns(I, Now);
       if (IsStartable && mayStart(Now))
         emitStart(Key, Now);
       if (Task.Phase == TaskPhase::Stopping && !Task.StopConfirmed)
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -232,12 +232,37 @@
                                             .JobRevision = Key->Job->Revision});
 }
 
+/// Stops a listed run that is not open here. Unless it ends with its gang, it
+/// was carried out late, and nobody has counted it.
+void CellOwner::stopUnknownRun(ExecutorIndex Index, const executor::RunId &Id,
+                               TimePoint Now) {
+  emitStopOf(Id, Index);
+  ExecutorState &Executor = Pool[Index];
+  bool IsLingering =
+      std::any_of(Executor.LingeringRuns.begin(), Executor.LingeringRuns.end(),
+                  [&](const LingeringRun &Run) { return Run.Id == Id; });
+  if (IsLingering || Executor.UnknownRunsSince)
+    return;
+  Executor.UnknownRunsSince = Now;
+  logInfo("run-unknown", "task={} run={} executor={} born={} token={}", Id.Task,
+          Id.Run, Executor.Info.Id, Executor.Info.Born, Executor.FencingToken);
+}
+
+/// Whether the answer lists no run but those that the owner has.
+bool CellOwner::areRunsKnown(ExecutorIndex Index,
+                             const executor::RenewalAnswer &Answer) {
+  return std::all_of(Answer.Running.begin(), Answer.Running.end(),
+                     [&](const executor::RunStatus &Running) {
+                       return findOpenRun(Running.Id, Index).has_value();
+                     });
+}
+
 void CellOwner::onRunningTask(ExecutorIndex Index,
                               const executor::RunStatus &Running,
                               TimePoint Now) {
   auto Key = findOpenRun(Running.Id, Index);
   if (!Key) {
-    emitStopOf(Running.Id, Index);
+    stopUnknownRun(Index, Running.Id, Now);
     return;
   }
   LiveTask &Task = Key->task();
@@ -354,6 +379,8 @@
   RowOutdated |= isListedAsSilent(Index);
   for (const executor::RunEnd &End : Answer.Ended)
     onRunEnd(Index, End, Now);
+  if (Executor.UnknownRunsSince && areRunsKnown(Index, Answer))
+    Executor.UnknownRunsSince.reset();
   for (const executor::RunStatus &Running : Answer.Running)
     onRunningTask(Index, Running, Now);
   if (Answer.Ended.size() < executor::MaxRunEndsPerAnswer)
