Process tests: a queue goes to a third service and comes back

With real programs now, too: a copy after a second move and after the move back, a new job of the first service then, a query and a cancel of a job whose queue has moved on.

--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -163,15 +163,21 @@
   void setup() override {
     TEST_GROUP_CppUTestGroupWithTenJobs::setup();
     CHECK(allDone(0));
-    json Route = {{"name", "q"}, {"host", "jobs.example"}, {"path-prefix", "/q/"}, {"service", "t"},
+    sendQueueTo("t", 2);
+  }
+  /// Each version has a queue of its own, too, by which its arrival is seen.
+  void sendQueueTo(const char *Service, int Version) {
+    json Route = {{"name", "q"}, {"host", "jobs.example"}, {"path-prefix", "/q/"}, {"service", Service},
                   {"target-latency-ms", 1'000}, {"stretch", 2.0}, {"max-attempts", 2}};
     json Added = Route;
-    Added["name"] = "added";
-    Added["path-prefix"] = "/added/";
-    json Config = {{"version", 2}, {"routes", {Route, Added}}, {"services", {{{"name", "s"}}, {{"name", "t"}}}}};
+    std::string Prefix = fmt::format("/added-{}/", Version);
+    Added["name"] = fmt::format("added-{}", Version);
+    Added["path-prefix"] = Prefix;
+    json Config = {{"version", Version}, {"routes", {Route, Added}},
+                   {"services", {{{"name", "s"}}, {{"name", "t"}}, {{"name", "u"}}}}};
     Platform.putRow("op", "", "config", Config.dump());
     for (int I = 0; I < 2; ++I)
-      CHECK(eventually([&] { return get(I, 0, "/added/") == 200; }));
+      CHECK(eventually([&] { return get(I, 0, Prefix) == 200; }));
   }
   bool isStoredIn(const char *Service, int Number) {
     return !Platform.rowValue("jobs", Service, jobId(Number)).empty();
@@ -190,6 +196,34 @@
   STRCMP_EQUAL("completed", state(1, 3).c_str());
 }
 
+/// Guards against a second copy in a third service, and in the first one once
+/// the queue has come back.
+TEST(WhoseQueueMovesToAnotherService, ACopyIsKnownWhereverTheQueueGoesNext) {
+  LONGS_EQUAL(200, submit(0, 11, 4));
+  CHECK(isStoredIn("t", 11));
+  sendQueueTo("u", 3);
+  for (int Number : {1, 11}) {
+    LONGS_EQUAL(200, submit(1, Number, 4));
+    CHECK_FALSE(isStoredIn("u", Number));
+  }
+  sendQueueTo("s", 4);
+  LONGS_EQUAL(200, submit(0, 11, 4));
+  CHECK_FALSE(isStoredIn("s", 11));
+  LONGS_EQUAL(200, submit(1, 12, 4));
+  CHECK(isStoredIn("s", 12));
+}
+
+/// Guards against a query or a cancel that asks the queue's new service only.
+TEST(WhoseQueueMovesToAnotherService, AQueryAndACancelFindTheJob) {
+  LONGS_EQUAL(200, submit(0, 11, 4));
+  sendQueueTo("u", 3);
+  STRCMP_EQUAL("queued", state(1, 11).c_str());
+  auto Cancelled = call(1, 0, "DELETE", "/q/" + jobId(11), "");
+  CHECK_TRUE(static_cast<bool>(Cancelled));
+  LONGS_EQUAL(200, Cancelled->Status);
+  CHECK(eventually([&] { return state(0, 11) == "cancelled"; }));
+}
+
 TEST(WhoseQueueMovesToAnotherService, ANewJobIsStoredInTheNewService) {
   LONGS_EQUAL(200, submit(0, 11, 4));
   CHECK(isStoredIn("t", 11));
