--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -184,7 +184,8 @@
   Document["accepted"] = Job.AcceptedMs;
   if (Job.Terms) {
     Document["terms"] = encodeTerms(*Job.Terms);
-    putNumber(Document["terms"], "config", Job.TermsVersion);
+    putNumber(Document["terms"], "config",
+              static_cast<int64_t>(Job.TermsVersion));
   }
   return Document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
