--- a/tests/unit/UnknownRunTest.cpp
+++ b/tests/unit/UnknownRunTest.cpp
@@ -1,5 +1,8 @@
 #include "unit/CellSim.h"
 
+#include <algorithm>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 /// Runs that an executor lists and its owner doesn't have open: they are
