review: a late start in an executor's next life runs a task twice (case 8)

Cause: a run whose start got no answer is given up by the leases of the life that was last heard, though the next life, behind a cut, may still carry the start out.

--- a/review/standin-2/Trial.cpp
+++ b/review/standin-2/Trial.cpp
@@ -62,6 +62,11 @@
 void TrialPlatform::handle(http::Request Incoming, http::Responder Respond) {
   std::string_view Path = http::targetPath(Incoming.Target);
   std::string Executor = executorOf(Incoming);
+  if (isSwallowed(Incoming, Executor)) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Unanswered.push_back(std::move(Respond));
+    return;
+  }
   if (Path == "/-/run-start") {
     std::string Task = json::parse(Incoming.Body).at("task");
     bool IsRefused = false;
@@ -111,6 +116,55 @@
     Unhealthy.erase(Executor);
 }
 
+bool TrialPlatform::isSwallowed(const http::Request &Incoming,
+                                const std::string &Executor) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  if (KeepsNextStart && http::targetPath(Incoming.Target) == "/-/run-start") {
+    KeepsNextStart = false;
+    KeptStart = Incoming;
+    Cut = Executor;
+    Events.add("start-kept-and-executor-cut",
+               {{"executor", Executor}, {"order", json::parse(Incoming.Body)}});
+  }
+  return !Cut.empty() && Executor == Cut;
+}
+
+void TrialPlatform::keepNextStart() {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  KeepsNextStart = true;
+}
+
+std::string TrialPlatform::cutExecutor() const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Cut;
+}
+
+void TrialPlatform::endCut() {
+  Events.add("cut-ended", {{"executor", cutExecutor()}});
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Cut.clear();
+}
+
+void TrialPlatform::carryOutKeptStart(int64_t ClockMs, Millis MaxLease) {
+  std::optional<http::Request> Kept;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Kept = std::exchange(KeptStart, std::nullopt);
+  }
+  if (!Kept)
+    return;
+  json Order = json::parse(Kept->Body);
+  std::string Task = Order.at("task");
+  Order["expiry-ms"] = std::min(Order.at("expiry-ms").get<int64_t>(),
+                                ClockMs + MaxLease.count());
+  Kept->Body = Order.dump();
+  std::string Executor = executorOf(*Kept);
+  Inner.handle(std::move(*Kept), [this, Executor, Task](http::Response Reply) {
+    Events.add("start-carried-out-late", {{"executor", Executor}});
+    noteStart(Executor, Task, Reply.Status);
+  });
+}
+
 void TrialPlatform::setBorn(const std::string &Executor, int64_t BornMs) {
   std::lock_guard<std::mutex> Lock(Mutex);
   Born[Executor] = BornMs;
@@ -174,17 +228,17 @@
   return !Server->start();
 }
 
-void Trial::configure() {
-  json Queue = {
-      {"name", "q"},
-      {"host", "jobs.example"},
-      {"path-prefix", "/q/"},
-      {"service", ServiceName},
-      {"target-latency-ms", 1'000},
-      {"stretch", 2.0},
-      {"max-attempts", 3},
-      {"advice",
-       {{"decision-ms", 19.0}, {"period-ms", 0.28}, {"validity-ms", 2'000}}}};
+void Trial::configure(bool WithAdvice) {
+  json Queue = {{"name", "q"},
+                {"host", "jobs.example"},
+                {"path-prefix", "/q/"},
+                {"service", ServiceName},
+                {"target-latency-ms", 1'000},
+                {"stretch", 2.0},
+                {"max-attempts", 3}};
+  if (WithAdvice)
+    Queue["advice"] = {
+        {"decision-ms", 19.0}, {"period-ms", 0.28}, {"validity-ms", 2'000}};
   json Config = {{"version", 1},
                  {"routes", {Queue}},
                  {"services", {{{"name", ServiceName}}}}};
@@ -211,6 +265,16 @@
   Inner.putRow("servers", "", Entry.Id, Row.dump());
 }
 
+void Trial::unlistExecutor(const std::string &Id) {
+  json Removal = {{"table", "servers"}, {"part", ""}, {"key", Id}};
+  json Body = {{"expected-rev", json::array()},
+               {"writes", json::array()},
+               {"remove", json::array({Removal})}};
+  Events.add("executor-unlisted", {{"executor", Id}});
+  Inner.handle({.Method = "POST", .Target = "/-/rows-tx", .Body = Body.dump()},
+               [](http::Response) {});
+}
+
 void Trial::startEntry(size_t Index) {
   const uint16_t *Own = &Ports[Index * PortsPerEntry];
   std::string File = fmt::format("{}/e{}.toml", WorkFolder, Index);
--- a/review/standin-2/Trial.h
+++ b/review/standin-2/Trial.h
@@ -67,6 +67,16 @@
   /// From now on the executor's answers state this start time.
   void setBorn(const std::string &Executor, int64_t BornMs);
 
+  /// The next start, at whichever executor it arrives, is kept and not
+  /// answered, and that executor is cut off with it.
+  void keepNextStart();
+  /// The executor that is cut off; empty before.
+  std::string cutExecutor() const;
+  void endCut();
+  /// The executor carries out the start that was kept. Its lease is shortened
+  /// to one of \p MaxLease from \p ClockMs, the executor's clock.
+  void carryOutKeptStart(int64_t ClockMs, Millis MaxLease);
+
   /// Jobs of which an executor has begun a task.
   std::set<std::string> begunJobs() const;
   /// Starts that executors have carried out, by task.
@@ -76,9 +86,17 @@
   void noteStart(const std::string &Executor, const std::string &Task,
                  uint16_t Status);
 
+  /// Whether the call is to be left without an answer.
+  bool isSwallowed(const http::Request &Incoming, const std::string &Executor);
+
   standin::CellPlatform &Inner;
   Record &Events;
   mutable std::mutex Mutex;
+  bool KeepsNextStart = false;
+  std::optional<http::Request> KeptStart;
+  std::string Cut;
+  /// Calls without an answer; their connections stay open.
+  std::vector<http::Responder> Unanswered;
   std::set<std::string> Unhealthy;
   std::map<std::string, int64_t> Born;
   std::map<std::string, int> Starts;
@@ -94,10 +112,12 @@
   /// Serves the platform. Returns false if that is not possible.
   bool startPlatform();
   /// Stores the configuration: service `s` with the queue `q`.
-  void configure();
+  void configure(bool WithAdvice = true);
   void addExecutor(const ExecutorEntry &Entry);
   /// Stores the entry of an executor, as the executor itself would.
   void listExecutor(const ExecutorEntry &Entry);
+  /// Removes the entry of an executor that has been silent for too long.
+  void unlistExecutor(const std::string &Id);
   void startEntry(size_t Index);
   /// Whether the entry tells the balancer that it is ready.
   bool isReady(size_t Index);
