--- a/review/standin-2/Trial.cpp
+++ b/review/standin-2/Trial.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/OwnerRow.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -193,9 +194,9 @@
   ++Starts[Task];
 }
 
-Trial::Trial(std::string CaseFolder, size_t EntryCount)
-    : Events(CaseFolder + "/record.txt"), Platform(Inner, Events),
-      Folder(std::move(CaseFolder)), Entries(EntryCount) {
+Trial::Trial(const std::string &Folder, size_t EntryCount)
+    : Events(Folder + "/record.txt"), Platform(Inner, Events),
+      Entries(EntryCount) {
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   if (::mkdtemp(Pattern.data()))
--- a/review/standin-2/Trial.h
+++ b/review/standin-2/Trial.h
@@ -11,7 +11,6 @@
 
 #include <cstdio>
 #include <map>
-#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -106,7 +105,7 @@
 class Trial {
 public:
   /// \p Folder is the case's, in which `record.txt` is written.
-  Trial(std::string Folder, size_t EntryCount);
+  Trial(const std::string &Folder, size_t EntryCount);
   ~Trial();
 
   /// Serves the platform. Returns false if that is not possible.
@@ -139,7 +138,6 @@
 private:
   std::string address(uint16_t Port) const;
 
-  std::string Folder;
   std::string WorkFolder; ///< Of settings and logs; temporary.
   uint16_t PlatformPort = 0;
   std::vector<uint16_t> Ports; ///< Four of each entry.
