--- a/review/standin-2/BornMain.cpp
+++ b/review/standin-2/BornMain.cpp
@@ -24,8 +24,6 @@
 constexpr size_t JobCount = 3;
 constexpr Millis WaitingTime{25'000};
 constexpr Millis ReadyTimeout{15'000};
-/// Far beyond the end of the case: the entry of the next start is listed here.
-constexpr Millis Never{3'600'000};
 
 } // namespace
 
@@ -42,6 +40,7 @@
                      .Label = "a",
                      .MilliCores = MilliCores,
                      .BornMs = wallMs()});
+  Run.prepareExecutor(ExecutorId, MilliCores);
   for (size_t I = 0; I < EntryCount; ++I)
     Run.startEntry(I);
   if (!Run.waitUntilReady(ReadyTimeout))
@@ -52,16 +51,14 @@
                          .Label = Label,
                          .MilliCores = MilliCores,
                          .BornMs = wallMs()};
-  Run.addExecutor(Executor);
+  Run.beginLife(Executor);
   if (Trouble) {
     std::this_thread::sleep_for(CrashAfter);
     Run.Inner.killExecutor(ExecutorId);
     Run.Events.add("executor-crashed", {{"executor", ExecutorId}});
     std::this_thread::sleep_for(BackAfter);
     Executor.BornMs = wallMs() - ClockStep.count();
-    Run.Platform.setBorn(ExecutorId, Executor.BornMs);
-    Run.Inner.restartExecutor(ExecutorId, Never);
-    Run.listExecutor(Executor);
+    Run.beginLife(Executor);
   }
   std::this_thread::sleep_for(JobsAfter);
   std::string Answer;
--- a/review/standin-2/LateStartMain.cpp
+++ b/review/standin-2/LateStartMain.cpp
@@ -20,6 +20,10 @@
 constexpr Millis UnlistedAfter{4'500}; ///< Three heartbeat intervals.
 constexpr Millis CutTime{5'500};
 constexpr Millis ObservedTime{9'000};
+/// Other jobs, so that one late start is within the share of late orders.
+constexpr size_t OtherJobs = 24;
+constexpr Millis OtherJobsAfter{700};
+constexpr double MaxLateShare = 0.055;
 constexpr Millis MaxHold{10'000};
 constexpr Millis ReadyTimeout{15'000};
 constexpr Millis Never{3'600'000};
@@ -30,6 +34,17 @@
     std::this_thread::sleep_for(Left);
 }
 
+/// Returns how many were accepted.
+size_t submitOthers(Trial &Run) {
+  size_t Accepted = 0;
+  std::string Answer;
+  for (size_t I = 0; I < OtherJobs; ++I)
+    Accepted += Run.call(I % EntryCount, "POST", jobId(100 + I),
+                         jobBody(1, 500, RunTime.count(), ""),
+                         Answer) == http::StatusOk;
+  return Accepted;
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -72,6 +87,8 @@
     }
     BeganAt = monotonicNow();
     std::string Id = Run.Platform.cutExecutor();
+    sleepUntil(BeganAt + OtherJobsAfter);
+    submitOthers(Run);
     sleepUntil(BeganAt + CrashAfter);
     Run.Inner.killExecutor(Id);
     Run.Events.add("executor-crashed", {{"executor", Id}});
@@ -90,6 +107,8 @@
     Run.Platform.endCut();
     Run.listExecutor(Reborn);
   }
+  if (!Trouble)
+    submitOthers(Run);
   sleepUntil(BeganAt + ObservedTime);
   size_t Twice = 0;
   for (const std::string &Violation : Run.Inner.violations()) {
@@ -100,6 +119,11 @@
   for (const auto &[Task, Number] : Run.Platform.starts())
     Starts += static_cast<size_t>(Number);
   Run.Events.add("end", {{"starts", Starts}, {"twice", Twice}});
-  fmt::print("starts={} twice={}\n", Starts, Twice);
+  // Besides these, stops and renewals are orders, too.
+  double LateShare = Trouble ? 1.0 / static_cast<double>(Starts) : 0;
+  fmt::print("starts={} twice={} late_share={:.3f}\n", Starts, Twice,
+             LateShare);
+  if (LateShare > MaxLateShare)
+    return CouldNotRun;
   return Twice > 0 ? Broken : Held;
 }
--- a/review/standin-2/PendingMain.cpp
+++ b/review/standin-2/PendingMain.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr size_t EntryCount = 4;
-constexpr size_t ExecutorCount = 20;
-/// A tenth of the executors fail all that they start.
+constexpr size_t ExecutorCount = 24;
+/// A twelfth of the executors refuse all starts.
 constexpr size_t UnhealthyCount = 2;
 constexpr Millis UnhealthyTime{6'500};
 constexpr size_t JobCount = 24;
--- a/review/standin-2/Trial.cpp
+++ b/review/standin-2/Trial.cpp
@@ -239,7 +239,7 @@
                 {"max-attempts", 3}};
   if (WithAdvice)
     Queue["advice"] = {
-        {"decision-ms", 19.0}, {"period-ms", 0.28}, {"validity-ms", 2'000}};
+        {"decision-ms", 5.0}, {"period-ms", 0.0}, {"validity-ms", 1'500}};
   json Config = {{"version", 1},
                  {"routes", {Queue}},
                  {"services", {{{"name", ServiceName}}}}};
@@ -248,8 +248,19 @@
 
 void Trial::addExecutor(const ExecutorEntry &Entry) {
   Inner.addExecutor(Entry.Id, address(PlatformPort), Entry.MilliCores);
-  if (Entry.BornMs != 0)
-    Platform.setBorn(Entry.Id, Entry.BornMs);
+  Platform.setBorn(Entry.Id, Entry.BornMs);
+  listExecutor(Entry);
+}
+
+void Trial::prepareExecutor(const std::string &Id, uint32_t MilliCores) {
+  Inner.addExecutor(Id, address(PlatformPort), MilliCores);
+  unlistExecutor(Id);
+}
+
+void Trial::beginLife(const ExecutorEntry &Entry) {
+  constexpr Millis Never{3'600'000}; // Its entry is listed here.
+  Platform.setBorn(Entry.Id, Entry.BornMs);
+  Inner.restartExecutor(Entry.Id, Never);
   listExecutor(Entry);
 }
 
@@ -352,6 +363,7 @@
   Events.add("call", {{"entry", Entry},
                       {"method", Method},
                       {"job", JobId},
+                      {"body", Body},
                       {"status", Status},
                       {"answer", Answer}});
   return Status;
--- a/review/standin-2/Trial.h
+++ b/review/standin-2/Trial.h
@@ -112,7 +112,13 @@
   bool startPlatform();
   /// Stores the configuration: service `s` with the queue `q`.
   void configure(bool WithAdvice = true);
+  /// Adds an executor that is up. To be called before the entries start.
   void addExecutor(const ExecutorEntry &Entry);
+  /// Makes an executor known to the stand-in that starts later, and is not
+  /// listed before. To be called before the entries start.
+  void prepareExecutor(const std::string &Id, uint32_t MilliCores);
+  /// The executor starts, knows nothing of before, and lists itself.
+  void beginLife(const ExecutorEntry &Entry);
   /// Stores the entry of an executor, as the executor itself would.
   void listExecutor(const ExecutorEntry &Entry);
   /// Removes the entry of an executor that has been silent for too long.
