--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,13 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-set -u
-HERE=$(cd "$(dirname "$0")" && pwd)
-ROOT=$(cd "$HERE/../.." && pwd)
-PROGRAM="$ROOT/target/review/lasting-gang"
-[ -x "$PROGRAM" ] && [ -x "$ROOT/target/daisylanding" ] || exit 2
-FOLDER=$(mktemp -d)
-trap 'rm -rf "$FOLDER"' EXIT
-timeout -k 5 110 "$PROGRAM" "$HERE" "$FOLDER" "$ROOT/target/daisylanding"
-CODE=$?
-[ "$CODE" -le 1 ] || CODE=2
-exit "$CODE"
+# Runs the case; see claim.txt.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-2/Pending ] && [ -x target/daisylanding ] || exit 2
+exec target/review-2/Pending review/9
--- a/review/standin-3/ExecutorFarm.cpp
+++ b/review/standin-3/ExecutorFarm.cpp
@@ -111,8 +111,8 @@
   }
   Called.Running[Task] = {.Number = Number, .StartedAt = Now};
   LastOpenAt[jobOf(Task)] = Now;
-  Write(fmt::format("start task={} run={} executor={}", Task, Number,
-                    Called.Id));
+  Write(
+      fmt::format("start task={} run={} executor={}", Task, Number, Called.Id));
   answer(Respond, http::StatusOk, Json::object(), Called);
 }
 
@@ -120,8 +120,8 @@
                         const http::Responder &Respond) {
   std::string Task = Body.at("task");
   uint32_t Number = Body.at("run-id");
-  Write(fmt::format("stop task={} run={} executor={}", Task, Number,
-                    Called.Id));
+  Write(
+      fmt::format("stop task={} run={} executor={}", Task, Number, Called.Id));
   uint32_t &Highest = Called.HighestEnded[Task];
   Highest = std::max(Highest, Number);
   auto Running = Called.Running.find(Task);
@@ -172,9 +172,10 @@
       if (Finished.size() < MaxListedEnds)
         Finished.push_back(End);
     }
-    answer(Waiting.Respond, http::StatusOk,
-           {{"born", Asked.BornMs}, {"running", Running}, {"finished", Finished}},
-           Asked);
+    answer(
+        Waiting.Respond, http::StatusOk,
+        {{"born", Asked.BornMs}, {"running", Running}, {"finished", Finished}},
+        Asked);
     return true;
   });
 }
@@ -228,10 +229,9 @@
     return Millis(0);
   std::lock_guard<std::mutex> Lock(Mutex);
   auto Found = LastOpenAt.find(JobId);
-  return Found == LastOpenAt.end()
-             ? Millis(0)
-             : std::chrono::duration_cast<Millis>(monotonicNow() -
-                                                  Found->second);
+  return Found == LastOpenAt.end() ? Millis(0)
+                                   : std::chrono::duration_cast<Millis>(
+                                         monotonicNow() - Found->second);
 }
 
 } // namespace daisylanding::review
--- a/review/standin-3/ExecutorFarm.h
+++ b/review/standin-3/ExecutorFarm.h
@@ -56,15 +56,16 @@
     uint64_t FencingToken = 0;
     int64_t LeaseEndMs = 0;
     uint64_t EndCount = 0;
-    std::map<std::string, Run> Running;            ///< By task.
-    std::map<std::string, uint32_t> HighestEnded;  ///< Run by task.
+    std::map<std::string, Run> Running;           ///< By task.
+    std::map<std::string, uint32_t> HighestEnded; ///< Run by task.
     Json Finished = Json::array();
     std::vector<Hold> Holds;
 
     int64_t clockMs(TimePoint Now) const { return toMillis(Now - StartedAt); }
   };
 
-  void start(Executor &Called, const Json &Body, const http::Responder &Respond);
+  void start(Executor &Called, const Json &Body,
+             const http::Responder &Respond);
   void stop(Executor &Called, const Json &Body, const http::Responder &Respond);
   void hold(Executor &Called, const Json &Body, http::Responder Respond);
   bool isFenced(Executor &Called, const Json &Body,
--- a/review/9/Case.cpp
+++ b/review/standin-3/LastingGangMain.cpp
@@ -50,8 +50,10 @@
     return Farm.openRuns(GangId) == TasksPerJob &&
            Farm.openRuns(SinglesId) == TasksPerJob;
   };
-  if (!waitFor(AllAtWork, StartTime))
+  if (!waitFor(AllAtWork, StartTime)) {
+    Record.write("the jobs don't start");
     return NotRun;
+  }
   std::this_thread::sleep_for(WorkTime);
   if (HasTrouble) {
     Record.write("the tasks of both jobs end as done");
--- a/review/standin-3/Rig.cpp
+++ b/review/standin-3/Rig.cpp
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <random>
+
 namespace daisylanding::review {
 
 namespace {
@@ -25,15 +27,24 @@
 } // namespace
 
 uint16_t freePort() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  (void)::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
-  socklen_t Size = sizeof(Address);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
-  ::close(Socket);
-  return ntohs(Address.sin_port);
+  // Below those that outgoing connections get, which could take it meanwhile.
+  constexpr int FirstPort = 12'000;
+  constexpr int PortCount = 20'000;
+  static std::mt19937 Source{std::random_device()()};
+  std::uniform_int_distribution<int> Offset(0, PortCount - 1);
+  while (true) {
+    auto Port = static_cast<uint16_t>(FirstPort + Offset(Source));
+    int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Port);
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int Failure =
+        ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    ::close(Socket);
+    if (Failure == 0)
+      return Port;
+  }
 }
 
 RecordFile::RecordFile(const std::string &Path) : Out(Path) {}
@@ -61,8 +72,10 @@
   StoreServer.emplace(serverOptions(StorePort), Store);
   uint16_t FarmPort = freePort();
   FarmServer.emplace(serverOptions(FarmPort), Farm);
-  if (StoreServer->start() || FarmServer->start())
+  if (StoreServer->start() || FarmServer->start()) {
+    Record.write("a stand-in can't listen");
     return false;
+  }
   constexpr bool WithAdvice = false;
   Store.configure(1, WithAdvice);
   for (int I = 0; I < ExecutorCount; ++I) {
@@ -76,8 +89,10 @@
   TimePoint Deadline = monotonicNow() + MaxStartTime;
   for (const Entry &Started : Entries) {
     while (!isReady(Started)) {
-      if (monotonicNow() > Deadline)
+      if (monotonicNow() > Deadline) {
+        Record.write("an entry isn't ready");
         return false;
+      }
       std::this_thread::sleep_for(PollInterval);
     }
   }
--- a/review/standin-3/Rig.h
+++ b/review/standin-3/Rig.h
@@ -16,7 +16,7 @@
 
 namespace daisylanding::review {
 
-/// A port on which nothing listens.
+/// A port on which nothing listens, and that no outgoing connection gets.
 uint16_t freePort();
 
 /// The lines of a case's record.txt, each with the time since the start.
