--- a/review/standin-3/ExecutorFarm.cpp
+++ b/review/standin-3/ExecutorFarm.cpp
@@ -27,9 +27,16 @@
   });
 }
 
-ExecutorFarm::~ExecutorFarm() {
+ExecutorFarm::~ExecutorFarm() { shutDown(); }
+
+void ExecutorFarm::shutDown() {
   Stopping.store(true);
-  Ticker.join();
+  if (Ticker.joinable())
+    Ticker.join();
+  std::lock_guard<std::mutex> Lock(Mutex);
+  constexpr bool HasNews = true;
+  for (auto &Entry : Executors)
+    answerHolds(Entry.second, HasNews, monotonicNow());
 }
 
 void ExecutorFarm::add(const std::string &Id, int64_t BornMs) {
@@ -47,6 +54,10 @@
 
 void ExecutorFarm::handle(http::Request Request, http::Responder Respond) {
   std::lock_guard<std::mutex> Lock(Mutex);
+  if (Stopping.load()) {
+    Respond({.Status = http::StatusUnavailable, .Body = "{}"});
+    return;
+  }
   const std::string *Id =
       http::findHeader(Request.Headers, "X-Daisylanding-Expect-Instance");
   auto Found = Id ? Executors.find(*Id) : Executors.end();
@@ -185,10 +196,10 @@
   TimePoint Now = monotonicNow();
   for (auto &[Id, Ticked] : Executors) {
     bool HasLapsed = Ticked.clockMs(Now) > Ticked.LeaseEndMs;
-    bool HasNews = HasLapsed && !Ticked.Running.empty();
     while (HasLapsed && !Ticked.Running.empty())
       endRun(Ticked, std::string(Ticked.Running.begin()->first), "lapsed");
-    answerHolds(Ticked, HasNews, Now);
+    // A call waits for an end, also of a run that was stopped.
+    answerHolds(Ticked, !Ticked.Finished.empty(), Now);
   }
 }
 
--- a/review/standin-3/ExecutorFarm.h
+++ b/review/standin-3/ExecutorFarm.h
@@ -29,6 +29,9 @@
   ~ExecutorFarm() override;
 
   void add(const std::string &Id, int64_t BornMs);
+  /// Answers the calls that wait, and takes no more. To be called before the
+  /// server that sends the answers is destroyed.
+  void shutDown();
   void handle(http::Request Request, http::Responder Respond) override;
 
   /// Ends the open runs of a job as \p How, all at one moment. Returns their
@@ -81,7 +84,7 @@
   mutable std::mutex Mutex;
   std::map<std::string, Executor> Executors;
   std::map<std::string, TimePoint> LastOpenAt; ///< By job.
-  std::atomic<bool> Stopping{false};
+  std::atomic<bool> Stopping{false};           ///< Set once.
   std::thread Ticker;
 };
 
--- a/review/standin-3/Rig.cpp
+++ b/review/standin-3/Rig.cpp
@@ -64,6 +64,7 @@
 
 Rig::~Rig() {
   Processes.clear();
+  Farm.shutDown();
   Store.shutDown();
 }
 
