Workspaces: keys of callers, the workspace of a job, one funnel for capacity

Cause: the configuration's workspaces (keys, weight, cap) were not read. Every caller was served on every queue, and no cap was kept.

Change: workspaces and public queues are decoded into types of their own; a request on a queue that isn't public needs a known key (401 otherwise, without a store call); a job keeps its workspace in its row and in offers; another workspace's key may not cancel it or take its id.

Nothing changes for configurations without workspaces.

--- a/src/cell/CellConfig.cpp
+++ b/src/cell/CellConfig.cpp
@@ -29,4 +29,12 @@
   return nullptr;
 }
 
+const Workspace *CellConfig::findWorkspace(std::string_view Name) const {
+  for (const Workspace &Candidate : Workspaces) {
+    if (Candidate.Name == Name)
+      return &Candidate;
+  }
+  return nullptr;
+}
+
 } // namespace daisylanding::cell
--- a/src/cell/CellConfig.h
+++ b/src/cell/CellConfig.h
@@ -1,6 +1,8 @@
 #ifndef DAISYLANDING_CELL_CELLCONFIG_H
 #define DAISYLANDING_CELL_CELLCONFIG_H
 
+#include "cell/KeyRing.h"
+#include "cell/Workspace.h"
 #include "common/Time.h"
 #include "http/RequestScanner.h"
 
@@ -40,6 +42,7 @@
   double Stretch = 1;      ///< Allowed multiple of a job's critical path.
   Millis TargetLatency{0}; ///< Allowed in addition to `Stretch`.
   std::optional<AdviceSettings> Advice;
+  bool IsPublic = false; ///< Its callers need no key.
 };
 
 /// The queue without its address: what a job keeps of it.
@@ -50,6 +53,9 @@
   uint64_t Version = 0;
   std::vector<Queue> Queues;
   std::vector<std::string> Services;
+  /// If there are none, callers need no keys.
+  std::vector<Workspace> Workspaces;
+  KeyRing Keys; ///< Of `Workspaces`, by their index.
   http::RequestLimits Limits;
 
   /// The queue of \p Host (without a port) with the longest prefix of \p Path;
@@ -57,6 +63,7 @@
   const Queue *findQueueByPath(std::string_view Host,
                                std::string_view Path) const;
   const Queue *findQueue(std::string_view Name) const;
+  const Workspace *findWorkspace(std::string_view Name) const;
 };
 
 /// The configuration in force, shared between threads. Versions only rise.
--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -196,7 +196,7 @@
     return;
   }
   LiveJob *Existing = findJob(Id);
-  if (Existing && !isSameWork(Existing->Spec, NewOffer.Job)) {
+  if (Existing && !isSameRequest(Existing->Spec, NewOffer.Job)) {
     NewOffer.Done(OfferOutcome::OtherWork);
     return;
   }
@@ -285,8 +285,7 @@
       Pool[Task.Executor].Info.Address = StoredTask.Address;
       TimePoint &LeaseEnd = Pool[Task.Executor].InheritedLeaseEnd;
       LeaseEnd = std::max(LeaseEnd, inheritedLeaseEndOn(StoredTask.Executor));
-      Pool.reserve(Task.Executor, demandOf(Key.spec()));
-      Task.CapacityReserved = true;
+      reserveCapacity(Key);
       openRun(Key);
     }
   }
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -17,6 +17,7 @@
 #include "cell/SpeedTracker.h"
 #include "cell/StartDelay.h"
 #include "cell/UrgentRoom.h"
+#include "cell/WorkspaceCaps.h"
 #include "executor/AdvicePort.h"
 #include "store/RowStore.h"
 
@@ -237,6 +238,9 @@
   void resizeExecutorTables();
 
   // Runs.
+  void reserveCapacity(const TaskKey &Key);
+  void releaseCapacity(const TaskKey &Key);
+  void releaseLingeringRun(ExecutorIndex Index, const LingeringRun &Run);
   void placeTask(const TaskKey &Key, ExecutorIndex Index, TimePoint Now);
   void unplaceTask(const TaskKey &Key);
   void recordRun(const TaskKey &Key, TimePoint Now);
@@ -535,6 +539,7 @@
   std::unordered_map<std::string_view, const Queue *> QueuesByName;
   ExecutorPool Pool;
   SpeedTracker Speeds;
+  WorkspaceCaps Caps;
   std::map<std::string, LiveJob, std::less<>> Jobs;
   std::set<std::string> RepeatingJobs; ///< Of `Jobs`.
   /// The terms of a job's queue have become known since its failures.
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -111,6 +111,8 @@
 struct LingeringRun {
   executor::RunId Id;
   Resources Size;
+  std::string Workspace;  ///< Of its job.
+  Resources WorkspaceUse; ///< As counted for the workspace.
 };
 
 /// A start that got no answer, so that a copy of it may be carried out late.
--- a/src/cell/JobSpec.cpp
+++ b/src/cell/JobSpec.cpp
@@ -182,6 +182,7 @@
   json Document = encodeWork(Job);
   Document["id"] = Job.Id;
   Document["accepted"] = Job.AcceptedMs;
+  putText(Document, "workspace", Job.Workspace);
   if (Job.Terms) {
     Document["terms"] = encodeTerms(*Job.Terms);
     putNumber(Document["terms"], "config",
@@ -207,6 +208,7 @@
         Numbers.field<int64_t>(Document, "first_run", 0, 0, MaxFirstRunMs);
     Job.IntervalMs = durationField(Document, "interval", Numbers).count();
     Job.AcceptedMs = Numbers.field<int64_t>(Document, "accepted", 0);
+    Job.Workspace = Document.value("workspace", std::string());
     if (Document.contains("terms")) {
       const json &Terms = Document["terms"];
       Job.Terms = decodeTerms(Terms, Job.Queue, Numbers);
@@ -224,6 +226,12 @@
   return encodeWork(Left) == encodeWork(Right);
 }
 
+bool isSameRequest(const JobSpec &Left, const JobSpec &Right) {
+  bool MayBeSameWorkspace = Left.Workspace.empty() || Right.Workspace.empty() ||
+                            Left.Workspace == Right.Workspace;
+  return MayBeSameWorkspace && isSameWork(Left, Right);
+}
+
 uint64_t workHash(const JobSpec &Job) {
   std::string Text =
       encodeWork(Job).dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -46,6 +46,9 @@
   int64_t FirstRunMs = 0;   ///< Wall clock time of the first occurrence.
   int64_t IntervalMs = 0;
   int64_t AcceptedMs = 0; ///< On the store's clock.
+  /// Whose key it was submitted with; empty if with none, or if a version
+  /// without workspaces has stored it.
+  std::string Workspace;
   /// Those of its queue when the job was accepted, for use by an owner whose
   /// configuration is older, or doesn't have the queue. None if an earlier
   /// version has stored the job.
@@ -77,9 +80,12 @@
 std::string encodeJob(const JobSpec &Job);
 Result<JobSpec> decodeJob(std::string_view Text);
 
-/// Whether two jobs are equal except for what their acceptance adds: id, time
-/// and terms.
+/// Whether two jobs are equal except for what their acceptance adds: id, time,
+/// workspace and terms.
 bool isSameWork(const JobSpec &Left, const JobSpec &Right);
+/// Whether two jobs are copies of one request: of the same work, and not of two
+/// workspaces. A job without a workspace may be a copy of any.
+bool isSameRequest(const JobSpec &Left, const JobSpec &Right);
 /// Equal for jobs of the same work, also in other processes.
 uint64_t workHash(const JobSpec &Job);
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -394,7 +394,7 @@
 void CellOwner::adoptStoredJob(JobSpec StoredJob, TimePoint Now) {
   std::string Id = StoredJob.Id;
   const LiveJob &OfferedJob = Jobs.at(Id);
-  bool IsSame = isSameWork(StoredJob, OfferedJob.Spec);
+  bool IsSame = isSameRequest(StoredJob, OfferedJob.Spec);
   TimePoint AcceptedAt = OfferedJob.AcceptedAt;
   dropOfferedJob(Id, Now);
   accept(std::move(StoredJob), AcceptedAt, Now);
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -121,17 +121,14 @@
                         TimePoint Now) {
   LiveTask &Task = Key.task();
   ExecutorIndex Earlier = Task.Executor;
-  Resources Demand = demandOf(Key.spec());
   clearSuspect(Key);
   std::erase(OpenRunsByExecutor[Earlier], Key);
   removeLoad(Key);
   --Pool[Earlier].OpenRuns;
-  if (Task.CapacityReserved)
-    Pool.release(Earlier, Demand);
+  releaseCapacity(Key);
   if (Task.OrderPending)
     Pool.recordLateStart(Earlier, {Key.name(), Task.Run}, Now);
   Task.Executor = Later;
-  Task.CapacityReserved = true;
   Task.OrderPending = false;
   Task.StartUnanswered = false;
   Task.Inherited = true;
@@ -140,7 +137,7 @@
   Task.ListedRunning = false;
   Task.StopConfirmed = false;
   Task.NextOrderAt = Now;
-  Pool.reserve(Later, Demand);
+  reserveCapacity(Key);
   OpenRunsByExecutor[Later].push_back(Key);
   HasUnsettledRuns[Later] = true;
   addLoad(Key);
@@ -194,7 +191,7 @@
   ExecutorState &Executor = Pool[Index];
   Executor.Ended = true;
   for (const LingeringRun &Run : Executor.LingeringRuns)
-    Pool.release(Index, Run.Size);
+    releaseLingeringRun(Index, Run);
   Executor.LingeringRuns.clear();
   Executor.UnacknowledgedEnds.clear();
   std::move(Executor.LapsedRuns.begin(), Executor.LapsedRuns.end(),
--- a/src/cell/OwnerLateEnds.cpp
+++ b/src/cell/OwnerLateEnds.cpp
@@ -18,7 +18,10 @@
   if (isOpen(Task.Phase) && mayHaveBegun(Task)) {
     // Its capacity is released when its executor no longer lists it.
     Pool[Task.Executor].LingeringRuns.push_back(
-        {{Key.name(), Task.Run}, demandOf(Key.spec())});
+        {.Id = {Key.name(), Task.Run},
+         .Size = demandOf(Key.spec()),
+         .Workspace = Key.Job->Spec.Workspace,
+         .WorkspaceUse = Key.spec().Size});
     Task.CapacityReserved = false;
   }
   if (isOpen(Task.Phase))
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -24,23 +24,37 @@
 
 } // namespace
 
+/// Counts the capacity of a placed or open run on its executor, and for its
+/// workspace.
+void CellOwner::reserveCapacity(const TaskKey &Key) {
+  LiveTask &Task = Key.task();
+  Task.CapacityReserved = true;
+  Pool.reserve(Task.Executor, demandOf(Key.spec()));
+  Caps.reserve(Key.Job->Spec.Workspace, Key.spec().Size);
+}
+
+void CellOwner::releaseCapacity(const TaskKey &Key) {
+  LiveTask &Task = Key.task();
+  if (!std::exchange(Task.CapacityReserved, false))
+    return;
+  Pool.release(Task.Executor, demandOf(Key.spec()));
+  Caps.release(Key.Job->Spec.Workspace, Key.spec().Size);
+}
+
 void CellOwner::placeTask(const TaskKey &Key, ExecutorIndex Index,
                           TimePoint Now) {
   LiveTask &Task = Key.task();
   Task.Phase = TaskPhase::Placed;
   Task.PlacedAt = Now;
   Task.Executor = Index;
-  Task.CapacityReserved = true;
-  Pool.reserve(Index, demandOf(Key.spec()));
+  reserveCapacity(Key);
   markSuspect(Key);
 }
 
 void CellOwner::unplaceTask(const TaskKey &Key) {
   LiveTask &Task = Key.task();
   clearSuspect(Key);
-  if (Task.CapacityReserved)
-    Pool.release(Task.Executor, demandOf(Key.spec()));
-  Task.CapacityReserved = false;
+  releaseCapacity(Key);
   Task.Phase = TaskPhase::Waiting;
   Task.Executor = NoExecutor;
 }
@@ -87,9 +101,7 @@
   removeLoad(Key);
   --Pool[Task.Executor].OpenRuns;
   --Key.Job->OpenRuns;
-  if (Task.CapacityReserved)
-    Pool.release(Task.Executor, demandOf(Key.spec()));
-  Task.CapacityReserved = false;
+  releaseCapacity(Key);
   Task.Phase = NextPhase;
   Task.Executor = NoExecutor;
   markChanged(*Key.Job);
@@ -323,13 +335,19 @@
   }
 }
 
+void CellOwner::releaseLingeringRun(ExecutorIndex Index,
+                                    const LingeringRun &Run) {
+  Pool.release(Index, Run.Size);
+  Caps.release(Run.Workspace, Run.WorkspaceUse);
+}
+
 void CellOwner::releaseLingeringRuns(ExecutorIndex Index,
                                      const executor::RenewalAnswer &Answer) {
   auto &Runs = Pool[Index].LingeringRuns;
   std::erase_if(Runs, [&](const LingeringRun &Run) {
     bool IsListed = Answer.lists(Run.Id);
     if (!IsListed)
-      Pool.release(Index, Run.Size);
+      releaseLingeringRun(Index, Run);
     return !IsListed;
   });
 }
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -45,6 +45,7 @@
   static constexpr Phrase Phrases[] = {{200, "OK"},
                                        {202, "Accepted"},
                                        {400, "Bad Request"},
+                                       {401, "Unauthorized"},
                                        {404, "Not Found"},
                                        {405, "Method Not Allowed"},
                                        {408, "Request Timeout"},
@@ -81,6 +82,20 @@
   return nullptr;
 }
 
+std::string_view bearerToken(const std::vector<Header> &Headers) {
+  constexpr std::string_view Scheme = "Bearer ";
+  const std::string *Field = findHeader(Headers, "Authorization");
+  if (!Field || Field->size() <= Scheme.size() ||
+      strncasecmp(Field->data(), Scheme.data(), Scheme.size()) != 0)
+    return {};
+  std::string_view Token = *Field;
+  Token.remove_prefix(Scheme.size());
+  size_t First = Token.find_first_not_of(' ');
+  if (First == std::string_view::npos)
+    return {};
+  return Token.substr(First, Token.find_last_not_of(' ') + 1 - First);
+}
+
 std::string_view targetPath(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -32,6 +32,7 @@
   StatusOk = 200,
   StatusAccepted = 202,
   StatusBadRequest = 400,
+  StatusUnauthorized = 401,
   StatusNotFound = 404,
   StatusMethodNotAllowed = 405,
   StatusRequestTimeout = 408,
@@ -60,6 +61,10 @@
 const std::string *findHeader(const std::vector<Header> &Headers,
                               std::string_view Name);
 
+/// The token of the `Authorization` header with the scheme `Bearer`
+/// (RFC 6750); empty if there is none.
+std::string_view bearerToken(const std::vector<Header> &Headers);
+
 /// The path of a request target, without its query.
 std::string_view targetPath(std::string_view Target);
 
--- a/src/node/IntakeIdentity.cpp
+++ b/src/node/IntakeIdentity.cpp
@@ -138,7 +138,7 @@
                 }
                 auto StoredJob = cell::decodeJob(Rows.front().Value);
                 if (StoredJob) {
-                  answerFound(Request, cell::isSameWork(*StoredJob, Job));
+                  answerFound(Request, cell::isSameRequest(*StoredJob, Job));
                   return;
                 }
                 logError("job-unreadable", "job={}", Request->JobId);
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -3,6 +3,7 @@
 #include "cell/OwnerRow.h"
 #include "cell/Progress.h"
 #include "common/Log.h"
+#include "node/CallerKeys.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -105,15 +106,19 @@
   Context.EntryMetrics.observe(
       fmt::format("answer_ms{{method=\"{}\"}}", Request->HttpRequest.Method),
       DurationMs);
-  logInfo("answered", "method={} job={} queue={} status={} why={} ms={:.0f}",
+  logInfo("answered",
+          "method={} job={} queue={} workspace={} status={} why={} ms={:.0f}",
           Request->HttpRequest.Method, Request->JobId,
-          Request->Queue ? Request->Queue->Name : "-", Status, Reason,
+          Request->Queue ? Request->Queue->Name : "-",
+          Request->Workspace.empty() ? "-" : Request->Workspace, Status, Reason,
           DurationMs);
   http::Response Response{.Status = Status, .Body = std::move(Body)};
   Response.Headers.emplace_back("Content-Type", "application/json");
   if (Status == http::StatusUnavailable ||
       Status == http::StatusTooManyRequests)
     Response.Headers.emplace_back("Retry-After", RetryAfterSeconds);
+  if (Status == http::StatusUnauthorized)
+    Response.Headers.emplace_back("WWW-Authenticate", "Bearer");
   if (Context.Draining.load())
     Response.Headers.emplace_back("Connection", "close");
   OpenRequests.fetch_sub(1);
@@ -160,6 +165,14 @@
     answer(Request, http::StatusNotFound, "{}", "no-such-queue");
     return;
   }
+  KeyCheck Caller =
+      checkKey(*Request->Config, *Request->Queue, Request->HttpRequest);
+  if (!Caller.Allowed) {
+    answer(Request, http::StatusUnauthorized, "{}", "unknown-key");
+    return;
+  }
+  if (Caller.Workspace)
+    Request->Workspace = Caller.Workspace->Name;
   std::string_view JobPath = Path.substr(Request->Queue->PathPrefix.size());
   const std::string &Method = Request->HttpRequest.Method;
   if (JobPath.empty() && Method == "GET") {
@@ -218,6 +231,7 @@
   }
   Job->Id = Request->JobId;
   Job->Queue = Request->Queue->Name;
+  Job->Workspace = Request->Workspace;
   Job->Terms = cell::termsOf(*Request->Queue);
   Job->TermsVersion = Request->Config->Version;
   Job->AcceptedMs = Context.StoreHealth.clockMillis(monotonicNow());
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -46,6 +46,7 @@
     const cell::Queue *Queue = nullptr;
     std::shared_ptr<const cell::CellConfig> Config; ///< Keeps `Queue` alive.
     std::string JobId;
+    std::string Workspace;               ///< Of its key; empty if it has none.
     std::vector<std::string> Partitions; ///< Not yet searched for the job.
     /// A write got no answer and may still take effect.
     bool OutcomeUnknown = false;
@@ -87,6 +88,8 @@
   void query(const RequestPtr &Request);
   void queryProgress(const RequestPtr &Request, const std::string &Partition);
   void queryJobRow(const RequestPtr &Request, const std::string &Partition);
+  static bool isOwnJob(const PendingRequest &Request,
+                       std::string_view StoredText);
   void cancel(const RequestPtr &Request);
   void cancelEnded(const RequestPtr &Request, const std::string &Partition);
   void answerCancelOfEnded(const RequestPtr &Request,
--- a/src/node/JobWriter.cpp
+++ b/src/node/JobWriter.cpp
@@ -31,7 +31,7 @@
     return Ended && Ended->WorkHash == cell::workHash(Job);
   }
   auto StoredJob = cell::decodeJob(StoredRow.Value);
-  return StoredJob && cell::isSameWork(*StoredJob, Job);
+  return StoredJob && cell::isSameRequest(*StoredJob, Job);
 }
 
 } // namespace
