--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -4,6 +4,7 @@
 #include "cell/Progress.h"
 #include "common/Log.h"
 #include "node/CallerKeys.h"
+#include "node/CountedStore.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -79,7 +80,8 @@
 }
 
 void IntakeLoop::run() {
-  Store = Context.Platform.makeRowStore(Client);
+  Store = std::make_unique<CountedStore>(Context.Platform.makeRowStore(Client),
+                                         Context.EntryMetrics, "intake");
   while (!Loop.stopping()) {
     RequestPtr Request;
     while (Arrivals.pop(Request))
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -1,6 +1,7 @@
 #include "node/OwnerLoop.h"
 
 #include "common/Log.h"
+#include "node/CountedStore.h"
 #include "node/EntryCapacities.h"
 
 #include <fmt/format.h>
@@ -93,7 +94,8 @@
           OwnRow.Epoch, OwnRow.Holder);
   Context.Events.add("service-taken", Service,
                      fmt::format("epoch={}", OwnRow.Epoch));
-  Store = Context.Platform.makeRowStore(Client);
+  Store = std::make_unique<CountedStore>(Context.Platform.makeRowStore(Client),
+                                         Context.EntryMetrics, "owner");
   Executors = Context.Platform.makeExecutorPort(Client);
   createOwner();
   AcquiredAt = monotonicNow();
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -1,6 +1,7 @@
 #include "node/WatchLoop.h"
 
 #include "common/Log.h"
+#include "node/CountedStore.h"
 #include "node/EntryCapacities.h"
 
 #include <functional>
@@ -52,7 +53,8 @@
 }
 
 void WatchLoop::run() {
-  Store = Context.Platform.makeRowStore(Client);
+  Store = std::make_unique<CountedStore>(Context.Platform.makeRowStore(Client),
+                                         Context.EntryMetrics, "watch");
   Config = std::make_unique<ConfigFollower>(Context, *Store, TimerQueue);
   Config->start();
   announceEntry();
