--- a/src/cell/OwnerStatus.h
+++ b/src/cell/OwnerStatus.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// What an owner tells of itself, for logs, metrics and operators.
 namespace daisylanding::cell {
@@ -26,6 +27,22 @@
   uint64_t JobsCancelled = 0;
 };
 
+/// Most workspaces that an owner tells of, the busiest first.
+constexpr size_t MaxReportedWorkspaces = 100;
+
+/// One workspace on the executors of one service.
+struct WorkspaceStatus {
+  std::string Name;
+  uint32_t Weight = 1;
+  Resources Used;       ///< By open and placed runs.
+  double UsedShare = 0; ///< Of the service, by what it uses most of; decayed.
+  double FairShare = 0; ///< Beyond it, its work goes after that of others.
+  bool IsBeyondShare = false;
+  size_t WaitingSteps = 0;
+  Millis OldestWait{0};
+  uint64_t Refused = 0; ///< Jobs, since the owner was created.
+};
+
 /// Current totals of an owner.
 struct OwnerStatus {
   size_t LiveJobs = 0;
@@ -39,6 +56,8 @@
   uint32_t ReservedCores = 0; ///< For open and placed runs.
   size_t PlacedTasks = 0;     ///< They wait for a valid ticket.
   uint32_t PlacedCores = 0;   ///< Reserved for placed tasks.
+  /// Empty in a configuration without workspaces.
+  std::vector<WorkspaceStatus> Workspaces;
 };
 
 /// A waiting step and the number of executors left after each placement check
