Configuration check, and status of workspaces

Cause: an operator saw only after sending a configuration that entries can't read it, and then no field, or that a queue in it is never reached. What a workspace is configured to, and uses, was shown nowhere. A cap that is no object was read as no limit.

Ruled out: a second decoder for the check; it would accept other documents than entries do. Names of the platform's fields in the check itself: findings name a place, which the codec turns into a path.

Change: the decoder reports each invalid field by its path instead of one reason, without keys, and no longer logs; the follower logs the first, with the version in force. `status workspaces` asks /v1/workspaces. Verbs of two words go before those of one.

--- a/src/cell/KeyRing.cpp
+++ b/src/cell/KeyRing.cpp
@@ -51,4 +51,10 @@
   return std::nullopt;
 }
 
+void KeyRing::visit(
+    const std::function<void(std::string_view, uint32_t)> &Visit) const {
+  for (const auto &[Hash, Held] : Keys)
+    Visit(Held.Key, Held.Workspace);
+}
+
 } // namespace daisylanding::cell
--- a/src/cell/KeyRing.h
+++ b/src/cell/KeyRing.h
@@ -4,6 +4,7 @@
 #include "common/Error.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,9 @@
   /// The index of the workspace that has the key.
   std::optional<uint32_t> find(std::string_view Key) const;
   size_t size() const { return Keys.size(); }
+  /// Calls \p Visit with each key and the index of its workspace.
+  void visit(const std::function<void(std::string_view Key, uint32_t Workspace)>
+                 &Visit) const;
 
 private:
   struct Entry {
--- a/src/entry/Main.cpp
+++ b/src/entry/Main.cpp
@@ -3,6 +3,7 @@
 #include "entry/Entry.h"
 #include "node/Node.h"
 #include "operator/Client.h"
+#include "operator/ConfigVerb.h"
 #include "platform/PlatformPorts.h"
 
 #include <fmt/format.h>
@@ -96,22 +97,59 @@
   return Index < Arguments.size() && Arguments[Index] == Text;
 }
 
-int runCheck(std::span<char *> Arguments) {
-  bool Help = isArgument(Arguments, 0, "--help");
-  if (Arguments.size() != 1 || Help) {
-    fmt::print(Help ? stdout : stderr,
-               "usage: daisylanding config check FILE\n");
-    return Help ? 0 : UsageError;
-  }
-  bool Valid = config::isCellSettings(Arguments[0])
-                   ? loadCellSettings(Arguments[0]).has_value()
-                   : loadEntrySettings(Arguments[0]).has_value();
+int checkSettings(const std::string &File) {
+  bool Valid = config::isCellSettings(File)
+                   ? loadCellSettings(File).has_value()
+                   : loadEntrySettings(File).has_value();
   if (!Valid)
     return 1;
-  fmt::print("{}: ok\n", Arguments[0]);
+  fmt::print("{}: ok\n", File);
   return 0;
 }
 
+/// The arguments of `config check`; nullopt if they are wrong.
+std::optional<op::ConfigCheckOptions>
+parseCheckOptions(std::span<char *> Arguments) {
+  char *Against = nullptr;
+  int PrintJson = 0;
+  const poptOption Table[] = {
+      {"against", 'a', POPT_ARG_STRING, static_cast<void *>(&Against), 0,
+       nullptr, nullptr},
+      {"json", 'j', POPT_ARG_NONE, static_cast<void *>(&PrintJson), 0, nullptr,
+       nullptr},
+      {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
+  std::vector<const char *> CommandLine = {"daisylanding config check"};
+  CommandLine.insert(CommandLine.end(), Arguments.begin(), Arguments.end());
+  poptContext Context =
+      poptGetContext("daisylanding", static_cast<int>(CommandLine.size()),
+                     CommandLine.data(), Table, 0);
+  int Code = poptGetNextOpt(Context);
+  const char *File = poptGetArg(Context);
+  bool IsValid = Code == -1 && File && !poptPeekArg(Context);
+  op::ConfigCheckOptions Options{.File = File ? File : "",
+                                 .Against = Against ? Against : "",
+                                 .PrintJson = PrintJson != 0};
+  std::free(Against);
+  poptFreeContext(Context);
+  if (!IsValid)
+    return std::nullopt;
+  return Options;
+}
+
+/// Checks a settings file, or a document of the operator's configuration.
+int runCheck(std::span<char *> Arguments) {
+  bool Help = isArgument(Arguments, 0, "--help");
+  auto Options = parseCheckOptions(Arguments);
+  if (Options && op::isConfigDocument(Options->File))
+    return op::runConfigCheck(*Options, platform::PlatformDocumentCodec());
+  bool IsPlain = Options && Options->Against.empty() && !Options->PrintJson;
+  if (IsPlain)
+    return checkSettings(Options->File);
+  fmt::print(Help ? stdout : stderr, "usage: daisylanding config check FILE "
+                                     "[--against FILE|HOST:PORT] [--json]\n");
+  return Help ? 0 : UsageError;
+}
+
 } // namespace
 
 int run(std::span<char *> Arguments) {
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -13,13 +13,29 @@
 
 } // namespace
 
+/// Names the first field that is not as allowed.
+void ConfigFollower::logUnreadable(const store::Row &Row,
+                                   std::span<const ConfigProblem> Problems) {
+  for (const ConfigProblem &Problem : Problems) {
+    if (!Problem.IsFatal)
+      continue;
+    logError("config-unreadable",
+             "row={} in_force={} field={} allowed=\"{}\" problems={}",
+             Row.Version, versionInForce(), Problem.Field, Problem.Allowed,
+             Problems.size());
+    Context.EntryMetrics.count("configs_unreadable");
+    return;
+  }
+}
+
 void ConfigFollower::apply(const store::Row &Row, bool IsFromFeed) {
   const DocumentCodec &Codec = Context.Platform.codec();
   if (Row.Key != Codec.configKey() || Row.Deleted)
     return;
-  auto Config = Codec.parseConfig(Row.Value);
+  std::vector<ConfigProblem> Problems;
+  auto Config = Codec.parseConfig(Row.Value, Problems);
   if (!Config) {
-    logError("config-unreadable", "version={}", Row.Version);
+    logUnreadable(Row, Problems);
     return;
   }
   uint64_t Version = Config->Version;
@@ -44,7 +60,8 @@
   const DocumentCodec &Codec = Context.Platform.codec();
   store::RangeRead Range{
       .Table = Codec.configTable(), .From = Codec.configKey(), .Limit = 1};
-  Store.read(Range, [this](const Result<store::RowPage> &Page) {
+  TimePoint SentAt = monotonicNow();
+  Store.read(Range, [this, SentAt](const Result<store::RowPage> &Page) {
     if (!Page) {
       logInfo("config-read-failed", "error={} in_force={}",
               Page.error().message(), versionInForce());
@@ -56,6 +73,7 @@
     Context.StoreHealth.recordAnswer(monotonicNow(), Page->StoreClockMs);
     for (const store::Row &Row : Page->Rows)
       apply(Row, false);
+    Context.ConfirmedConfig.record(SentAt);
     Cursor.restart(Page->Version);
     followFeed();
   });
@@ -65,21 +83,25 @@
   store::ChangeQuery Query{.Table = Context.Platform.codec().configTable(),
                            .After = Cursor.position(),
                            .MaxWait = FeedWait};
-  Store.readChanges(Query, [this](const Result<store::ChangePage> &Page) {
-    if (!Page) {
-      logInfo("config-feed-lost", "error={} in_force={} after={}",
-              Page.error().message(), versionInForce(), Cursor.position());
-      Context.EntryMetrics.count("config_feeds_lost");
-      TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
-                          [this] { readAll(); });
-      return;
-    }
-    Context.StoreHealth.recordFeedPage(monotonicNow(), *Page);
-    for (const store::Row &Row : Page->Rows)
-      apply(Row, true);
-    Cursor.advance(*Page, monotonicNow());
-    followFeed();
-  });
+  TimePoint SentAt = monotonicNow();
+  Store.readChanges(
+      Query, [this, SentAt](const Result<store::ChangePage> &Page) {
+        if (!Page) {
+          logInfo("config-feed-lost", "error={} in_force={} after={}",
+                  Page.error().message(), versionInForce(), Cursor.position());
+          Context.EntryMetrics.count("config_feeds_lost");
+          TimerQueue.schedule(monotonicNow() + ReadRetryDelay,
+                              [this] { readAll(); });
+          return;
+        }
+        Context.StoreHealth.recordFeedPage(monotonicNow(), *Page);
+        for (const store::Row &Row : Page->Rows)
+          apply(Row, true);
+        // A change made while the page was awaited may be missing from it.
+        Context.ConfirmedConfig.record(SentAt);
+        Cursor.advance(*Page, monotonicNow());
+        followFeed();
+      });
 }
 
 } // namespace daisylanding::node
--- a/src/node/ConfigFollower.h
+++ b/src/node/ConfigFollower.h
@@ -5,6 +5,8 @@
 #include "node/EntryContext.h"
 #include "store/FeedCursor.h"
 
+#include <span>
+
 namespace daisylanding::node {
 
 /// Keeps the entry's configuration up to date: reads it as a whole, then
@@ -23,6 +25,8 @@
   void followFeed();
   /// \p IsFromFeed: no version between is missed.
   void apply(const store::Row &Row, bool IsFromFeed);
+  void logUnreadable(const store::Row &Row,
+                     std::span<const ConfigProblem> Problems);
   uint64_t versionInForce() const;
 
   EntryContext &Context;
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -179,6 +179,25 @@
   ClockReading MaxClock;
 };
 
+/// Until when the store has confirmed the configuration in force. Shared
+/// between threads.
+class ConfigConfirmation {
+public:
+  /// The store answered a read that was sent at \p SentAt.
+  void record(TimePoint SentAt) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    ConfirmedAt = std::max(ConfirmedAt, SentAt);
+  }
+  TimePoint confirmedAt() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return ConfirmedAt;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  TimePoint ConfirmedAt{};
+};
+
 /// A live job as last published by its owner.
 struct JobStatus {
   std::string Id;
@@ -227,6 +246,7 @@
   std::string Incarnation;
   const Ports &Platform;
   cell::SharedConfig Config;
+  ConfigConfirmation ConfirmedConfig;
   PendingJobCounts PendingJobs;
   OwnerAddresses Owners;
   QueueStatements Statements;
--- a/src/node/Ports.h
+++ b/src/node/Ports.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_NODE_PORTS_H
 
 #include "cell/CellConfig.h"
+#include "cell/ConfigCheck.h"
 #include "cell/JobSpec.h"
 #include "executor/AdvicePort.h"
 #include "executor/ExecutorPort.h"
@@ -19,12 +20,31 @@
   std::string Allowed;
 };
 
+constexpr size_t MaxConfigProblems = 100;
+
+/// What is wrong with a document of the operator's configuration.
+struct ConfigProblem {
+  std::string Field;   ///< Its path in the document.
+  std::string Allowed; ///< Never tells a key.
+  /// The document is refused; otherwise the field does less than it seems to.
+  bool IsFatal = true;
+};
+
 /// Converts the platform's documents from and to this project's types.
 class DocumentCodec {
 public:
   virtual ~DocumentCodec() = default;
   /// Errors of the parse functions: Malformed; parseJob also OutOfRange.
-  virtual Result<cell::CellConfig> parseConfig(std::string_view Text) const = 0;
+  Result<cell::CellConfig> parseConfig(std::string_view Text) const {
+    std::vector<ConfigProblem> Ignored;
+    return parseConfig(Text, Ignored);
+  }
+  /// Appends what is wrong to \p Problems, at most `MaxConfigProblems`.
+  virtual Result<cell::CellConfig>
+  parseConfig(std::string_view Text,
+              std::vector<ConfigProblem> &Problems) const = 0;
+  /// The path of a field in the document.
+  virtual std::string fieldPath(const cell::ConfigPlace &Place) const = 0;
   virtual Result<executor::ExecutorInfo>
   parseExecutor(std::string_view Id, std::string_view Text) const = 0;
   virtual Result<cell::JobSpec> parseJob(std::string_view Text,
--- a/src/node/StatusApi.cpp
+++ b/src/node/StatusApi.cpp
@@ -1,5 +1,7 @@
 #include "node/StatusApi.h"
 
+#include "node/ConfigDocument.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -32,6 +34,33 @@
       {"phase", Job.Phase}, {"open_runs", Job.OpenRuns}, {"age_ms", Job.AgeMs}};
 }
 
+json useToJson(const std::string &Service, const cell::WorkspaceStatus &Use) {
+  return {{"service", Service},
+          {"used",
+           {{"milli_cores", Use.Used.MilliCores},
+            {"memory_mb", Use.Used.MemoryMb},
+            {"accelerators", Use.Used.Accelerators}}},
+          {"used_share", Use.UsedShare},
+          {"fair_share", Use.FairShare},
+          {"beyond_share", Use.IsBeyondShare},
+          {"waiting_steps", Use.WaitingSteps},
+          {"oldest_wait_ms", Use.OldestWait.count()},
+          {"refused", Use.Refused}};
+}
+
+/// What the owners in this process tell of the workspace.
+json usesOf(const std::string &Workspace,
+            const std::map<std::string, ServiceStatus> &Owned) {
+  json Uses = json::array();
+  for (const auto &[Service, Status] : Owned) {
+    for (const cell::WorkspaceStatus &Use : Status.State.Workspaces) {
+      if (Use.Name == Workspace)
+        Uses.push_back(useToJson(Service, Use));
+    }
+  }
+  return Uses;
+}
+
 } // namespace
 
 void StatusApi::handle(http::Request Request, http::Responder Respond) {
@@ -52,6 +81,8 @@
     return status();
   if (Path == "/v1/config")
     return config();
+  if (Path == "/v1/workspaces")
+    return workspaces();
   if (Path == "/v1/timeline")
     return timeline(Request);
   if (Path == JobsPath)
@@ -100,18 +131,30 @@
   if (!Config)
     return errorResponse(http::StatusUnavailable, Errc::NotReady, "config",
                          "no configuration has been loaded yet");
-  json Queues = json::array();
-  for (const cell::Queue &Queue : Config->Queues)
-    Queues.push_back({{"name", Queue.Name},
-                      {"host", Queue.Host},
-                      {"path_prefix", Queue.PathPrefix},
-                      {"service", Queue.Service},
-                      {"priority", Queue.Priority},
-                      {"max_attempts", Queue.MaxAttempts},
-                      {"stretch", Queue.Stretch},
-                      {"target_latency_ms", Queue.TargetLatency.count()}});
-  return jsonResponse(http::StatusOk,
-                      {{"version", Config->Version}, {"queues", Queues}});
+  return jsonResponse(http::StatusOk, configToJson(*Config));
+}
+
+/// The workspaces of the configuration, and what they use of the services that
+/// this entry owns.
+http::Response StatusApi::workspaces() const {
+  auto Config = Context.Config.current();
+  if (!Config)
+    return errorResponse(http::StatusUnavailable, Errc::NotReady, "config",
+                         "no configuration has been loaded yet");
+  std::vector<size_t> KeyCounts = cell::countKeys(*Config);
+  auto Owned = Context.OwnedServices.all();
+  json Workspaces = json::array();
+  for (size_t I = 0; I < Config->Workspaces.size(); ++I) {
+    json Shown = workspaceToJson(Config->Workspaces[I], KeyCounts[I]);
+    Shown["services"] = usesOf(Config->Workspaces[I].Name, Owned);
+    Workspaces.push_back(std::move(Shown));
+  }
+  json Services = json::array();
+  for (const auto &[Service, Status] : Owned)
+    Services.push_back(Service);
+  return jsonResponse(http::StatusOk, {{"config_version", Config->Version},
+                                       {"services_owned_here", Services},
+                                       {"workspaces", Workspaces}});
 }
 
 /// Jobs of the services that this entry owns, at most one second old.
--- a/src/node/StatusApi.h
+++ b/src/node/StatusApi.h
@@ -19,6 +19,7 @@
   http::Response route(const http::Request &Request) const;
   http::Response status() const;
   http::Response config() const;
+  http::Response workspaces() const;
   http::Response jobs(std::string_view Id) const;
   http::Response timeline(const http::Request &Request) const;
 
--- a/src/operator/Client.cpp
+++ b/src/operator/Client.cpp
@@ -248,6 +248,8 @@
   std::string_view Action = Cmd->SelectedVerb->Action;
   if (!Cmd->SelectedVerb->ChangeKind.empty())
     return changeConfig(*Cmd, Client);
+  if (Group == "status" && Action == "workspaces")
+    return showDocument(*Cmd, Client, "/v1/workspaces");
   if (Group == "status")
     return showDocument(*Cmd, Client, "/v1/status");
   if (Group == "config")
--- a/src/operator/CommandLine.cpp
+++ b/src/operator/CommandLine.cpp
@@ -85,7 +85,8 @@
 void printUsage() {
   fmt::print("usage: daisylanding VERB [OPTIONS]\n\n"
              "  serve --config FILE         run the entry daemon\n"
-             "  config check FILE           check a settings file\n");
+             "  config check FILE           check settings, or a cell's "
+             "configuration\n");
   for (const Verb &ListedVerb : allVerbs())
     fmt::print("  {:<27} {}\n",
                fmt::format("{} {} {}", ListedVerb.Group, ListedVerb.Action,
@@ -101,13 +102,13 @@
 const Verb *selectVerb(std::span<char *> Arguments, size_t &ConsumedCount) {
   if (Arguments.empty())
     return nullptr;
-  ConsumedCount = 1;
-  if (const Verb *SingleWordVerb = findVerb(Arguments[0], ""))
-    return SingleWordVerb;
-  if (Arguments.size() < 2)
-    return nullptr;
   ConsumedCount = 2;
-  return findVerb(Arguments[0], Arguments[1]);
+  if (Arguments.size() >= ConsumedCount) {
+    if (const Verb *TwoWordVerb = findVerb(Arguments[0], Arguments[1]))
+      return TwoWordVerb;
+  }
+  ConsumedCount = 1;
+  return findVerb(Arguments[0], "");
 }
 
 bool parseOptions(poptContext Context, Command &Cmd) {
--- a/src/operator/Verbs.cpp
+++ b/src/operator/Verbs.cpp
@@ -56,6 +56,13 @@
      "show entries, shards, versions in force and cut-off zones",
      "",
      {}},
+    {"status",
+     "workspaces",
+     "",
+     "show a cell's workspaces: cap, weight, number of keys, what runs and "
+     "waits",
+     "",
+     {}},
     {"config", "show", "", "show the configuration in force", "", {}},
     {"class", "set", "NAME", "create a class or change its targets",
      "set-class", ClassOptions},
--- a/tests/unit/ConfigFollowerTest.cpp
+++ b/tests/unit/ConfigFollowerTest.cpp
@@ -1,5 +1,6 @@
 #include "node/ConfigFollower.h"
 #include "platform/PlatformPorts.h"
+#include "unit/CapturedOutput.h"
 
 #include <fmt/format.h>
 
@@ -103,3 +104,42 @@
   LONGS_EQUAL(9, version());
   LONGS_EQUAL(80, Store.LastQuery.After);
 }
+
+/// Guards against a withdrawn key that is taken for longer than allowed: a page
+/// without rows may miss what changed while it was awaited.
+TEST(AnEntryThatFollowsTheConfiguration, IsConfirmedAsOfWhenItAsked) {
+  TimePoint AskedBefore = monotonicNow();
+  CHECK(Context.ConfirmedConfig.confirmedAt() > TimePoint{});
+  CHECK(Context.ConfirmedConfig.confirmedAt() <= AskedBefore);
+  Store.answerFeed(store::ChangePage{});
+  CHECK(Context.ConfirmedConfig.confirmedAt() <= AskedBefore);
+  TimePoint AskedAgain = monotonicNow();
+  Store.answerFeed(store::ChangePage{});
+  CHECK(Context.ConfirmedConfig.confirmedAt() <= AskedAgain);
+  CHECK(Context.ConfirmedConfig.confirmedAt() >= AskedBefore);
+}
+
+TEST(WhenItsFeedIsLost, ItIsNotConfirmedUntilARead) {
+  TimePoint LastConfirmed = Context.ConfirmedConfig.confirmedAt();
+  retry();
+  Store.answerRead(Errc::Timeout);
+  CHECK(Context.ConfirmedConfig.confirmedAt() == LastConfirmed);
+  retry();
+  Store.answerRead(store::RowPage{.Rows = {configRow(3, 40)}, .Version = 80});
+  CHECK(Context.ConfirmedConfig.confirmedAt() > LastConfirmed);
+}
+
+/// Guards against a key that is in a log.
+TEST(AnEntryThatFollowsTheConfiguration, NamesTheFieldThatItCannotRead) {
+  store::Row Odd = configRow(7, 60);
+  Odd.Value = R"({"version":7,"routes":[],"services":[],"tenants":[
+      {"name":"a","api-keys":["secret"]},{"name":"b","api-keys":["secret"]}]})";
+  auto LinesWith = [&](const char *Text) {
+    CapturedOutput Output;
+    Store.answerFeed(store::ChangePage{.Rows = {Odd}});
+    return Output.countLinesWith(Text);
+  };
+  LONGS_EQUAL(1, LinesWith("field=tenants[1].api-keys[0]"));
+  LONGS_EQUAL(0, LinesWith("secret"));
+  LONGS_EQUAL(3, version());
+}
