Keys: refused when they can't be confirmed; cancels without a key

Cause: an entry that the store doesn't answer goes on taking keys that may have been withdrawn. And at any public queue, a caller without a key could cancel a job of any workspace.

Ruled out: the time of an answer as that of its confirmation: a feed page without rows may miss what changed while it was awaited, so reads confirm as of when they were sent. 401 while unconfirmed: an unknown key may have been added meanwhile. No cancel at all without a key: callers of a queue that has become public may send none any more.

Change: `bounds.key_confirmation_ms` (0, off, by default): beyond it, requests that need a key get 503, with one log line a second. `mayCancel` replaces `isOwnJob`. Tests that a job keeps its workspace for a successor, over the relay and for copies, and of keys from the process on. The stand-in configures keys.

--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -1,3 +1,4 @@
+#include "cell/KeyRing.h"
 #include "policy/CommitPacer.h"
 #include "policy/CreditPlanner.h"
 #include "policy/EndpointPicker.h"
@@ -77,6 +78,28 @@
     ->Arg(1'375)
     ->Arg(11'000);
 
+/// Looks up the key of a caller, known or not, among 10,000 of 70 workspaces.
+void benchmarkKeyLookup(benchmark::State &State) {
+  constexpr uint32_t Workspaces = 70;
+  constexpr uint32_t Keys = 10'000;
+  bool IsKnown = State.range(0) != 0;
+  cell::KeyRing Ring;
+  std::vector<std::string> Sent;
+  for (uint32_t I = 0; I < Keys; ++I) {
+    std::string Key = fmt::format("{:032x}", I * 7'919ULL);
+    if (Ring.add(Key, I % Workspaces))
+      State.SkipWithError("no key");
+    Sent.push_back(IsKnown ? Key : Key + "-");
+  }
+  size_t Next = 0;
+  for (auto Iteration : State) {
+    benchmark::DoNotOptimize(Ring.find(Sent[Next]));
+    Next = (Next + 1) % Sent.size();
+  }
+  State.SetItemsProcessed(State.iterations());
+}
+BENCHMARK(benchmarkKeyLookup)->Name("key-lookup")->Arg(0)->Arg(1);
+
 /// Places a gang of 16 tasks on an empty pool.
 void benchmarkGangPlacement(benchmark::State &State) {
   InstancePool Pool = makePool(State.range(0));
--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -40,6 +40,8 @@
   BoundsSection.duration("max_lease_ms", Parsed.MaxLease, 1'000, OneDayMs);
   BoundsSection.duration("status_kept_ms", "status_kept_s",
                          Parsed.StatusRetention, 0, OneDayMs);
+  BoundsSection.duration("key_confirmation_ms", Parsed.KeyConfirmation, 0,
+                         OneDayMs);
 }
 
 } // namespace
--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -35,6 +35,9 @@
   Millis MaxLease{10'000}; ///< The longest lease that an executor grants.
   /// How long the status of ended jobs is available.
   Millis StatusRetention{120'000};
+  /// How long callers' keys are trusted after the store has last confirmed the
+  /// configuration; 0: for as long as no other is known.
+  Millis KeyConfirmation{0};
 };
 
 Result<CellSettings> parseCellSettings(std::string_view Text,
--- a/src/node/CallerKeys.h
+++ b/src/node/CallerKeys.h
@@ -20,6 +20,24 @@
 KeyCheck checkKey(const cell::CellConfig &Config, const cell::Queue &Queue,
                   const http::Request &Request);
 
+/// Whether callers of the queue need a key.
+bool needsKey(const cell::CellConfig &Config, const cell::Queue &Queue);
+
+/// Whether the store has not confirmed the configuration for longer than keys
+/// are trusted (\p Limit, 0: always), so that any key may be withdrawn.
+bool areKeysOutdated(TimePoint ConfirmedAt, Millis Limit, TimePoint Now);
+
+/// A caller who has been let into a queue.
+struct CallerIdentity {
+  const cell::CellConfig &Config;
+  const cell::Queue &Queue;
+  std::string_view Workspace; ///< Of its key; empty if it has none.
+};
+
+/// Whether the caller may cancel the job stored as \p StoredText: one of its
+/// workspace, one that is counted for none, or one of its own public queue.
+bool mayCancel(const CallerIdentity &Caller, std::string_view StoredText);
+
 } // namespace daisylanding::node
 
 #endif
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -149,6 +149,25 @@
   answer(Request, Status, Body.dump(), Field);
 }
 
+/// Whether the request needs a key, and the entry can't know any more whether
+/// keys are valid.
+bool IntakeLoop::refusesKeys(const PendingRequest &Request, TimePoint Now) {
+  TimePoint ConfirmedAt = Context.ConfirmedConfig.confirmedAt();
+  Millis Limit = Context.Options.KeyConfirmation;
+  if (!needsKey(*Request.Config, *Request.Queue) ||
+      !areKeysOutdated(ConfirmedAt, Limit, Now))
+    return false;
+  Context.EntryMetrics.count("requests_with_unconfirmed_keys");
+  uint64_t Dropped = 0;
+  if (OutdatedKeysLog.admit(Now, Dropped))
+    logWarn("keys-unconfirmed",
+            "queue={} version={} confirmed_ms_ago={} limit_ms={} "
+            "lines_dropped={}",
+            Request.Queue->Name, Request.Config->Version,
+            toMillis(Now - ConfirmedAt), Limit.count(), Dropped);
+  return true;
+}
+
 void IntakeLoop::route(const RequestPtr &Request) {
   Request->Deadline =
       deadlineOf(Request->HttpRequest,
@@ -165,6 +184,11 @@
     answer(Request, http::StatusNotFound, "{}", "no-such-queue");
     return;
   }
+  // Before the keys are looked up: an unknown one may have been added since.
+  if (refusesKeys(*Request, monotonicNow())) {
+    refuse(Request, "keys-unconfirmed");
+    return;
+  }
   KeyCheck Caller =
       checkKey(*Request->Config, *Request->Queue, Request->HttpRequest);
   if (!Caller.Allowed) {
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_NODE_INTAKELOOP_H
 #define DAISYLANDING_NODE_INTAKELOOP_H
 
+#include "common/LogLimiter.h"
 #include "common/Ring.h"
 #include "common/Thread.h"
 #include "common/Timers.h"
@@ -88,8 +89,7 @@
   void query(const RequestPtr &Request);
   void queryProgress(const RequestPtr &Request, const std::string &Partition);
   void queryJobRow(const RequestPtr &Request, const std::string &Partition);
-  static bool isOwnJob(const PendingRequest &Request,
-                       std::string_view StoredText);
+  bool refusesKeys(const PendingRequest &Request, TimePoint Now);
   void cancel(const RequestPtr &Request);
   void cancelEnded(const RequestPtr &Request, const std::string &Partition);
   void answerCancelOfEnded(const RequestPtr &Request,
@@ -125,6 +125,7 @@
   http::MultiClient Client;
   relay::RelayLoop &Relay;
   OfferPolicy Policy;
+  LogLimiter OutdatedKeysLog{1};
   SharedQueue<RequestPtr> Arrivals;
   SharedQueue<std::function<void()>> OfferOutcomes;
   std::unique_ptr<store::RowStore> Store;
--- a/src/node/IntakeQueries.cpp
+++ b/src/node/IntakeQueries.cpp
@@ -4,6 +4,7 @@
 #include "cell/OwnerRow.h"
 #include "cell/Progress.h"
 #include "common/Log.h"
+#include "node/CallerKeys.h"
 
 /// Requests that look up a stored job: queries and cancels.
 namespace daisylanding::node {
@@ -156,15 +157,6 @@
       });
 }
 
-/// Whether the caller's key may cancel the job: not if the job is another
-/// workspace's.
-bool IntakeLoop::isOwnJob(const PendingRequest &Request,
-                          std::string_view StoredText) {
-  auto Job = cell::decodeJob(StoredText);
-  return !Job || Job->Workspace.empty() || Request.Workspace.empty() ||
-         Job->Workspace == Request.Workspace;
-}
-
 void IntakeLoop::cancel(const RequestPtr &Request) {
   auto Partition = nextPartition(Request);
   if (!Partition)
@@ -173,7 +165,10 @@
               [this, Request, Partition](const std::vector<store::Row> &Rows) {
                 if (Rows.empty())
                   cancelEnded(Request, *Partition);
-                else if (!isOwnJob(*Request, Rows.front().Value))
+                else if (!mayCancel({.Config = *Request->Config,
+                                     .Queue = *Request->Queue,
+                                     .Workspace = Request->Workspace},
+                                    Rows.front().Value))
                   answer(Request, http::StatusGone, "{}", "other-workspace");
                 else if (Rows.size() > 1)
                   answer(Request, http::StatusOk, "{}", "cancelled-before");
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -78,13 +78,13 @@
   static uint16_t port(int Entry, int Listener) {
     return static_cast<uint16_t>(FirstEntryPort + Entry * PortsPerEntry + Listener);
   }
-  void startEntry(int Entry, uint16_t StorePort = PlatformPort) {
+  void startEntry(int Entry, uint16_t StorePort = PlatformPort, const char *Bounds = "") {
     std::string File = fmt::format("{}/entry{}.toml", Folder, Entry);
     std::ofstream(File) << fmt::format(
         "[entry]\nname = \"e{}\"\nzone = \"za\"\n[listen]\ncallers = \"127.0.0.1:{}\"\n"
         "readiness = \"127.0.0.1:{}\"\nrelay = \"127.0.0.1:{}\"\noperators = \"127.0.0.1:{}\"\n"
-        "[services]\nstore = \"127.0.0.1:{}\"\nadvice = \"127.0.0.1:{}\"\n",
-        Entry, port(Entry, 0), port(Entry, 1), port(Entry, 2), port(Entry, 3), StorePort, PlatformPort);
+        "[services]\nstore = \"127.0.0.1:{}\"\nadvice = \"127.0.0.1:{}\"\n[bounds]\n{}\n",
+        Entry, port(Entry, 0), port(Entry, 1), port(Entry, 2), port(Entry, 3), StorePort, PlatformPort, Bounds);
     harness::Process Child({"./daisylanding", "serve", "--config", File}, fmt::format("{}/entry{}.log", Folder, Entry));
     if (static_cast<size_t>(Entry) < Entries.size())
       Entries[static_cast<size_t>(Entry)] = std::move(Child);
@@ -118,6 +118,17 @@
     auto Answer = callWith(Caller, Entry, 0, "POST", "/q/" + jobId(Number), jobBody(Tasks));
     return Answer ? Answer->Status : 0;
   }
+  /// The status of the answer to how many jobs wait.
+  int countWith(int Entry, const std::string &Path, const std::string &Key) {
+    http::Call Request;
+    Request.Url = fmt::format("http://127.0.0.1:{}{}", port(Entry, 0), Path);
+    Request.Headers = {{"Host", "jobs.example"}};
+    if (!Key.empty())
+      Request.Headers.emplace_back("Authorization", "Bearer " + Key);
+    Request.FreshConnection = true;
+    auto Answer = Client.perform(Request);
+    return Answer ? Answer->Status : 0;
+  }
   std::string state(int Entry, int Number) {
     auto Answer = call(Entry, 0, "GET", "/q/" + jobId(Number));
     if (!Answer || Answer->Status != 200)
@@ -596,6 +607,46 @@
   LONGS_EQUAL(200, submit(0, 1, 1));
 }
 
+TEST(ACellOfTwoEntries, TakesCallersByTheirKeysUntilTheyAreWithdrawn) {
+  Platform.configureKeys(2, {"first", "second"});
+  for (int Entry : {0, 1}) {
+    CHECK(eventually([&] { return countWith(Entry, "/q/", "") == 401; }));
+    LONGS_EQUAL(401, countWith(Entry, "/q/", "unknown"));
+    LONGS_EQUAL(200, countWith(Entry, "/q/", "first"));
+    LONGS_EQUAL(200, countWith(Entry, "/open/", ""));
+  }
+  Platform.configureKeys(3, {"second"});
+  for (int Entry : {0, 1}) {
+    CHECK(eventually([&] { return countWith(Entry, "/q/", "first") == 401; }));
+    LONGS_EQUAL(200, countWith(Entry, "/q/", "second"));
+  }
+  auto Shown = call(0, 3, "GET", "/v1/workspaces");
+  CHECK(Shown && Shown->Status == 200);
+  json Workspace = json::parse(Shown->Body)["workspaces"][0];
+  STRCMP_EQUAL("a", Workspace["name"].get<std::string>().c_str());
+  LONGS_EQUAL(1, Workspace["keys"].get<int>());
+  CHECK(Shown->Body.find("second") == std::string::npos);
+}
+
+TEST(ACellOfTwoEntries, RefusesKeysThatTheStoreHasLongNotConfirmed) {
+  constexpr int StrictEntry = 2;
+  startEntry(StrictEntry, PlatformPort, "key_confirmation_ms = 2500");
+  Platform.configureKeys(2, {"first"});
+  CHECK(eventually([&] { return countWith(0, "/q/", "") == 401; }));
+  CHECK(eventually(
+      [&] { return countWith(StrictEntry, "/q/", "first") == 200; }));
+  Platform.setFaults({.StoreUnavailable = true});
+  CHECK(eventually(
+      [&] { return countWith(StrictEntry, "/q/", "first") == 503; }));
+  LONGS_EQUAL(503, countWith(StrictEntry, "/q/", "unknown"));
+  LONGS_EQUAL(200, countWith(StrictEntry, "/open/", ""));
+  LONGS_EQUAL(200, countWith(0, "/q/", "first"));
+  Platform.setFaults({});
+  CHECK(eventually(
+      [&] { return countWith(StrictEntry, "/q/", "first") == 200; }));
+  Entries.pop_back();
+}
+
 TEST(ACellOfTwoEntries, ServesItsStatusToOperators) {
   CHECK(eventually([&] {
     auto Status = call(0, 3, "GET", "/v1/status");
--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -336,9 +336,26 @@
     Route["path-prefix"] = fmt::format("/q{}/", I);
     Routes.push_back(Route);
   }
-  Json Config = {{"version", Version},
-                 {"routes", Routes},
-                 {"services", {{{"name", "s"}}}}};
+  putConfig({{"version", Version},
+             {"routes", Routes},
+             {"services", {{{"name", "s"}}}}});
+}
+
+void CellPlatform::configureKeys(uint64_t Version,
+                                 const std::vector<std::string> &Keys) {
+  Json Route = {{"name", "q"},
+                {"host", "jobs.example"},
+                {"path-prefix", "/q/"},
+                {"service", "s"}};
+  Json Open = Route;
+  Open.update({{"name", "open"}, {"path-prefix", "/open/"}, {"public", true}});
+  putConfig({{"version", Version},
+             {"routes", {Route, Open}},
+             {"services", {{{"name", "s"}}}},
+             {"tenants", {{{"name", "a"}, {"api-keys", Keys}}}}});
+}
+
+void CellPlatform::putConfig(const Json &Config) {
   std::lock_guard<std::mutex> Lock(Mutex);
   Rows[{"op", "", "config"}] = {encodeBase64(Config.dump()), ++StoreVersion,
                                 false};
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -51,6 +51,9 @@
   /// Stores the configuration row: service `s` with the queue `/q/`, and
   /// \p FurtherQueues more, from `/q0/` on.
   void configure(uint64_t Version, bool WithAdvice, size_t FurtherQueues = 0);
+  /// Stores the configuration row with one workspace `a` that has these keys,
+  /// the queue `/q/`, and a public queue `/open/`.
+  void configureKeys(uint64_t Version, const std::vector<std::string> &Keys);
   void addExecutor(const std::string &Id, const std::string &Address,
                    uint32_t MilliCores);
   /// Drops all runs of the executor and stops answering its calls. It stays
@@ -146,6 +149,7 @@
   static int64_t executorClockMs(const ExecutorState &Executor) {
     return toMillis(monotonicNow() - Executor.StartedAt);
   }
+  void putConfig(const Json &Config);
   void putExecutorRow(const std::string &Id);
   static void sendJson(const http::Responder &Responder, uint16_t Status,
                        const Json &Body);
--- a/tests/unit/CallerKeysTest.cpp
+++ b/tests/unit/CallerKeysTest.cpp
@@ -1,4 +1,5 @@
 #include "node/CallerKeys.h"
+#include "cell/JobSpec.h"
 #include "platform/PlatformPorts.h"
 
 #include <fmt/format.h>
@@ -35,6 +36,31 @@
     return node::checkKey(Config, *Config.findQueue("closed"), request(Authorization));
   }
 };
+
+TEST_GROUP_BASE(AJobOfAWorkspace, TEST_GROUP_CppUTestGroupOnAQueueThatNeedsAKey) {
+  bool mayCancel(const char *Queue, const char *Workspace, const char *JobWorkspace = "a") const {
+    cell::JobSpec Job{.Id = "00000000000000a1", .Queue = "open", .Steps = {{}}, .Workspace = JobWorkspace};
+    return node::mayCancel({.Config = Config, .Queue = *Config.findQueue(Queue), .Workspace = Workspace},
+                           cell::encodeJob(Job));
+  }
+};
+
+TEST_GROUP_BASE(AVersionThatTakesAKeyAway, TEST_GROUP_CppUTestGroupAConfigurationWithWorkspaces) {
+  cell::SharedConfig InForce;
+  bool apply(uint64_t Version, const std::string &Workspaces) {
+    cell::CellConfig Config = *parse(Workspaces);
+    Config.Version = Version;
+    return InForce.replaceIfNewer(std::make_shared<const cell::CellConfig>(std::move(Config)), true);
+  }
+  bool isKnown(const std::string &Key) const {
+    auto Config = InForce.current();
+    return node::checkKey(*Config, *Config->findQueue("closed"), request("Bearer " + Key)).Allowed;
+  }
+  void setup() override {
+    CHECK(apply(1, R"(,"tenants":[{"name":"a","api-keys":["k1","k2"]}])"));
+    CHECK(apply(2, R"(,"tenants":[{"name":"a","api-keys":["k2","k3"]}])"));
+  }
+};
 // clang-format on
 
 TEST(AConfigurationWithWorkspaces, NamesTheirCapsAndWeights) {
@@ -97,3 +123,62 @@
   STRCMP_EQUAL("a", node::checkKey(Config, Open, request("Bearer k1"))
                         .Workspace->Name.c_str());
 }
+
+TEST(AJobOfAWorkspace, IsNotCancelledWithAnotherWorkspacesKey) {
+  CHECK(mayCancel("closed", "a"));
+  CHECK_FALSE(mayCancel("closed", "b"));
+  CHECK_FALSE(mayCancel("open", "b"));
+}
+
+/// Guards against a caller without a key who cancels, at a public queue, a job
+/// of a queue that needs one.
+TEST(AJobOfAWorkspace, IsCancelledWithoutAKeyOnlyAtItsOwnPublicQueue) {
+  CHECK(mayCancel("open", ""));
+  Config.Queues.push_back({.Name = "other", .Service = "s", .IsPublic = true});
+  CHECK_FALSE(mayCancel("other", ""));
+}
+
+TEST(AJobOfAWorkspace, OrOfNoneIsCancelledByAnyoneLetIn) {
+  CHECK(mayCancel("closed", "b", ""));
+  Config.Workspaces.clear();
+  CHECK(mayCancel("closed", ""));
+}
+
+TEST(AVersionThatTakesAKeyAway, AddsOthersAtOnce) {
+  CHECK_FALSE(isKnown("k1"));
+  CHECK(isKnown("k2"));
+  CHECK(isKnown("k3"));
+}
+
+TEST(AVersionThatTakesAKeyAway, IsNotFollowedByOneBeforeIt) {
+  CHECK_FALSE(apply(1, R"(,"tenants":[{"name":"a","api-keys":["k1"]}])"));
+  CHECK_FALSE(apply(2, R"(,"tenants":[{"name":"a","api-keys":["k1"]}])"));
+  CHECK_FALSE(isKnown("k1"));
+}
+
+// clang-format off
+TEST_GROUP(AnEntryThatTheStoreDoesNotAnswer) {
+  static constexpr TimePoint ConfirmedAt{Millis(50'000)};
+  static constexpr Millis Limit{5'000};
+};
+// clang-format on
+
+TEST(AnEntryThatTheStoreDoesNotAnswer, TrustsKeysUntilTheirLimit) {
+  Micros Moment{1};
+  CHECK_FALSE(
+      node::areKeysOutdated(ConfirmedAt, Limit, ConfirmedAt + Limit - Moment));
+  CHECK(node::areKeysOutdated(ConfirmedAt, Limit, ConfirmedAt + Limit));
+}
+
+TEST(AnEntryThatTheStoreDoesNotAnswer, TrustsThemForGoodWithoutALimit) {
+  CHECK_FALSE(node::areKeysOutdated(ConfirmedAt, Millis(0),
+                                    ConfirmedAt + Millis(3'600'000)));
+}
+
+TEST(AnEntryThatTheStoreDoesNotAnswer, GoesOnWithPublicQueues) {
+  cell::CellConfig Config;
+  CHECK_FALSE(node::needsKey(Config, {.IsPublic = false}));
+  Config.Workspaces.push_back({.Name = "a"});
+  CHECK(node::needsKey(Config, {.IsPublic = false}));
+  CHECK_FALSE(node::needsKey(Config, {.IsPublic = true}));
+}
--- a/tests/unit/CellSettingsTest.cpp
+++ b/tests/unit/CellSettingsTest.cpp
@@ -59,3 +59,9 @@
   LONGS_EQUAL(1, Problems.size());
   STRCMP_EQUAL("entry.drain_limit_s", Problems[0].Key.c_str());
 }
+
+TEST(SettingsWithBounds, TrustKeysForGoodUnlessTheyTellForHowLong) {
+  CHECK(read("", "")->KeyConfirmation == Millis(0));
+  CHECK(read("", "key_confirmation_ms = 5000")->KeyConfirmation ==
+        Millis(5'000));
+}
--- a/tests/unit/RelayLoopTest.cpp
+++ b/tests/unit/RelayLoopTest.cpp
@@ -32,6 +32,7 @@
 
 cell::JobSpec makeJob(const std::string &Id) {
   cell::JobSpec Job;
+  Job.Workspace = "a";
   Job.Id = Id;
   Job.Queue = "q";
   Job.Steps.push_back({.Count = 1});
@@ -100,6 +101,14 @@
   CHECK(*OfferResult == cell::OfferOutcome::Expired);
 }
 
+TEST(AnEntryOfferingToABusyOwner, TheOwnerReceivesTheWorkspaceOfTheJob) {
+  offer(FirstJobId, Millis(60'000));
+  cell::Offer Taken = takeOffer();
+  STRCMP_EQUAL("a", Taken.Job.Workspace.c_str());
+  Taken.Done(cell::OfferOutcome::Stored);
+  CHECK(*Results.waitFor(FirstJobId) == cell::OfferOutcome::Stored);
+}
+
 TEST(AnEntryOfferingToABusyOwner, TheOwnerReceivesTheTimeLeft) {
   offer(FirstJobId, Millis(60'000));
   cell::Offer FirstTaken = takeOffer();
