Caps of workspaces over all services: rights, grants, the row, the feed

Cause: each owner counted what a workspace has running on its own executors only, and nothing kept the sum below the workspace's cap.

An owner has a right to a part of each cap and spends it without asking. Rights move by grants in a row that the owner's own commits write; the decisions are pure functions (CapShares), the ledger is WorkspaceCaps. A step that its cap holds back reserves no executor, asks for no advice and keeps no room. A task wider than its cap is refused at its entry (400). Without caps that services share, no row is read or written.

Ruled out: granting a service's last unused right step by step to one that only wants more, which used up the reserve for bursts; taking a configuration that follows with a gap for one that lowers nothing (a version between may have had a higher cap).

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -17,8 +17,8 @@
                      std::shared_ptr<const CellConfig> Config)
     : Options(std::move(Options)),
       Pool(this->Options.Leases, this->Options.AcquiredRow.Epoch),
-      RowVersion(this->Options.RowVersion), Row(this->Options.AcquiredRow),
-      Loading(this->Options.Loading) {
+      Caps(this->Options.Service), RowVersion(this->Options.RowVersion),
+      Row(this->Options.AcquiredRow), Loading(this->Options.Loading) {
   setConfig(std::move(Config));
 }
 
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -78,6 +78,15 @@
   /// returned; results of older transactions are ignored.
   void onCommit(uint64_t Sequence, const store::TransactionResult &Result,
                 TimePoint Now);
+  /// Whether workspaces have caps that other services share. All rows of
+  /// `CapTable` are to be read then, this service's last.
+  bool sharesCaps() const { return Caps.isShared(); }
+  void restoreCaps(const std::optional<CapRow> &Own) { Caps.restore(Own); }
+  bool capsRestored() const { return Caps.restored(); }
+  void addCapRow(const std::string &Service, const CapRow &CapRow,
+                 uint64_t Version) {
+    Caps.addRow(Service, CapRow, Version);
+  }
   /// Sets the capacity that later commits name as that of the largest entry.
   void setLargestEntry(const EntryCapacity &Largest) {
     Row.LargestEntry = Largest;
@@ -184,6 +193,7 @@
     /// Whether ends are moved with it. If many jobs have changes to store,
     /// these need its entries.
     bool MovesEnds = false;
+    uint64_t CapRevision = 0; ///< Of the row of caps; 0 if it has none.
   };
 
   /// The oldest change of a job that is not stored.
@@ -355,11 +365,16 @@
                              TimePoint Now) const;
   void plan(TimePoint Now);
   void beginUrgentRoom(std::span<const WaitingStepRef> Steps, TimePoint Now);
-  static std::optional<Resources>
-  mostWantedDemand(std::span<const WaitingStepRef> Steps);
+  std::optional<Resources>
+  mostWantedDemand(std::span<const WaitingStepRef> Steps) const;
   uint32_t urgentPlacesIn(const Resources &Room) const;
   void keepRoom(const WaitingStepRef &Waiting, const Queue &JobQueue,
                 TimePoint Now);
+  uint32_t startableTasks(const WaitingStepRef &Waiting) const;
+  bool isHeldByCap(const WaitingStepRef &Waiting) const;
+  void noteCapWait(const WaitingStepRef &Waiting) const;
+  void shareCaps(std::span<const WaitingStepRef> Steps, TimePoint Now);
+  void addCapRow(CommitInFlight &Commit);
   void planTasks(const WaitingStepRef &Waiting, const Queue *JobQueue,
                  TimePoint Now);
   void planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -118,6 +118,7 @@
   /// expire soon, or whose executors leave.
   std::vector<ExecutorIndex> PreparedExecutors;
   TimePoint PreparedAt{};
+  bool WaitsForCap = false; ///< Of the job's workspace; it was logged.
 };
 
 /// Whether a task of the step has been started before.
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -56,7 +56,7 @@
     return InFlight->Transaction;
   }
   bool IsDue = hasJobsToStore(Now) || Releasing || RowOutdated ||
-               isRemovalDue(Now) || isNewConfigDue() ||
+               isRemovalDue(Now) || isNewConfigDue() || Caps.isRowDue() ||
                Now >= LastCommitAt + Options.HeartbeatInterval;
   if (!IsDue || (!Loading && !mayWriteFirstRow(Now)))
     return std::nullopt;
@@ -81,6 +81,7 @@
   expireOffers(Now);
   dropOutdatedOffers(Now);
   stateConfig(Commit, Now);
+  addCapRow(Commit);
   addJobs(Commit, Now, Clock.MinMs);
   addRemovals(Commit, Now);
   addMoves(Commit, Clock.MinMs);
@@ -283,6 +284,8 @@
   if (Commit.GrantTime > Millis(0))
     LeasesGrantedUntil = Commit.FirstSentAt + Commit.GrantTime;
   Released = Row.Released;
+  if (Commit.CapRevision > 0)
+    Caps.noteWritten(Commit.CapRevision);
   for (JobChange &Change : Commit.Jobs)
     finishChange(Change);
   for (const executor::RunId &Start : Commit.Starts) {
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -261,6 +261,8 @@
     if (Now > Step.PreparedAt + restartLeads(JobQueue).Advice)
       Step.PreparedExecutors.clear();
     if (JobQueue && JobQueue->Advice && Step.Permissions.empty()) {
+      if (isHeldByCap(Waiting))
+        continue; // Others shouldn't wait for its calls, or its room.
       requestAdvice(Waiting, *JobQueue, Now);
       keepRoom(Waiting, *JobQueue, Now);
       continue;
@@ -273,6 +275,7 @@
     prepareRestarts(Waiting, JobQueue, Now);
   }
   releaseHeldPlaces(0);
+  shareCaps(Steps, Now);
 }
 
 /// Places for tasks of the demand that urgent steps want most.
@@ -287,12 +290,12 @@
 /// begin with the most urgent. One that fits on few executors would keep hardly
 /// any room for the others.
 std::optional<Resources>
-CellOwner::mostWantedDemand(std::span<const WaitingStepRef> Steps) {
+CellOwner::mostWantedDemand(std::span<const WaitingStepRef> Steps) const {
   std::vector<std::pair<Resources, uint64_t>> CoresByDemand;
   for (const WaitingStepRef &Waiting : Steps) {
     if (Waiting.SlackMs >= UrgentSlackMs)
       break;
-    if (!keepsRoom(Waiting.spec()))
+    if (!keepsRoom(Waiting.spec()) || isHeldByCap(Waiting))
       continue;
     Resources Demand = demandOf(Waiting.spec());
     auto Found =
@@ -300,12 +303,8 @@
                      [&](const auto &Entry) { return Entry.first == Demand; });
     if (Found == CoresByDemand.end())
       Found = CoresByDemand.emplace(CoresByDemand.end(), Demand, 0);
-    const std::vector<LiveTask> &Tasks = Waiting.step().Tasks;
-    auto Count =
-        std::count_if(Tasks.begin(), Tasks.end(), [](const LiveTask &Task) {
-          return Task.Phase == TaskPhase::Waiting;
-        });
-    Found->second += Demand.MilliCores * static_cast<uint64_t>(Count);
+    Found->second +=
+        static_cast<uint64_t>(Demand.MilliCores) * startableTasks(Waiting);
   }
   auto Most = std::max_element(CoresByDemand.begin(), CoresByDemand.end(),
                                [](const auto &Left, const auto &Right) {
@@ -337,9 +336,13 @@
   Request.StartsAtOnce = !Step.PreparedExecutors.empty();
   std::vector<ExecutorIndex> PlacedHere;
   size_t Unplaced = 0;
+  uint32_t MayStart = startableTasks(Waiting);
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
       continue;
+    if (MayStart == 0)
+      break;
+    --MayStart;
     TaskKey Key = Waiting.task(I);
     Request.AvoidSuspects = Key.task().Crashes > 0;
     // More urgent steps go before, but where they don't fit.
@@ -399,18 +402,14 @@
                          : hasUnaskedExecutor(Pool, Step, Spec);
   if (!IsSearching)
     return;
-  auto Tasks = std::count_if(
-      Step.Tasks.begin(), Step.Tasks.end(),
-      [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
-  double Places =
-      static_cast<double>(Tasks) / AdviceShares.share(JobQueue.Name);
+  double Places = startableTasks(Waiting) / AdviceShares.share(JobQueue.Name);
   UrgentRoom.addNeed(Waiting.SlackMs, Places, demandOf(Spec));
 }
 
 void CellOwner::planGang(const WaitingStepRef &Waiting, const Queue *JobQueue,
                          TimePoint Now) {
   LiveStep &Step = Waiting.step();
-  if (!allWaiting(Step))
+  if (!allWaiting(Step) || startableTasks(Waiting) < Step.Tasks.size())
     return;
   TaskCounts TasksByExecutor;
   PlacementRequest Request =
--- a/src/cell/OwnerTerms.cpp
+++ b/src/cell/OwnerTerms.cpp
@@ -12,6 +12,7 @@
 
 void CellOwner::setConfig(std::shared_ptr<const CellConfig> NewConfig) {
   Config = std::move(NewConfig);
+  Caps.setConfig(*Config);
   QueuesByName.clear();
   for (const Queue &Configured : Config->Queues)
     QueuesByName.emplace(Configured.Name, &Configured);
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/OwnerRow.h"
 #include "cell/Progress.h"
+#include "cell/WideTask.h"
 #include "common/Log.h"
 #include "node/CallerKeys.h"
 
@@ -229,6 +230,14 @@
     answerProblem(Request, http::StatusBadRequest, Error.Field, Error.Allowed);
     return;
   }
+  // Such a task could never start.
+  const cell::Workspace *Owner =
+      Request->Config->findWorkspace(Request->Workspace);
+  if (auto Wide = Owner ? cell::findWideTask(*Job, *Owner) : std::nullopt) {
+    Error = Context.Platform.codec().wideTaskError(*Wide);
+    answerProblem(Request, http::StatusBadRequest, Error.Field, Error.Allowed);
+    return;
+  }
   Job->Id = Request->JobId;
   Job->Queue = Request->Queue->Name;
   Job->Workspace = Request->Workspace;
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -105,6 +105,11 @@
       *Store, Context.Platform.codec(), TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
   Instances->start();
+  Caps = std::make_unique<CapFeed>(
+      Service, *Owner, *Store, TimerQueue,
+      [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); },
+      [this] { recordChange(); });
+  Caps->follow(Context.Config.current());
   while (!Loop.stopping()) {
     TimerQueue.runDue(monotonicNow());
     if (Loader)
@@ -271,6 +276,7 @@
   if (Config->Version != ConfigVersion) {
     ConfigVersion = Config->Version;
     Owner->setConfig(Config);
+    Caps->follow(Config);
   }
   if (auto ChangedExecutors = Instances->takeChanges())
     Owner->setExecutors(*ChangedExecutors, Now);
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -7,6 +7,7 @@
 #include "common/Thread.h"
 #include "common/Timers.h"
 #include "node/AdviceLoop.h"
+#include "node/CapFeed.h"
 #include "node/EndedLoader.h"
 #include "node/EntryContext.h"
 #include "node/ExecutorList.h"
@@ -88,6 +89,7 @@
   std::set<std::string> UnreadableJobs;  ///< Never scheduled.
 
   std::unique_ptr<ExecutorList> Instances;
+  std::unique_ptr<CapFeed> Caps;
   uint64_t ConfigVersion = 0;
   TimePoint NextEntryRead{};
   TimePoint LastStoreAnswer{}; ///< As of the last turn.
--- a/src/node/Ports.h
+++ b/src/node/Ports.h
@@ -3,6 +3,7 @@
 
 #include "cell/CellConfig.h"
 #include "cell/JobSpec.h"
+#include "cell/WideTask.h"
 #include "executor/AdvicePort.h"
 #include "executor/ExecutorPort.h"
 #include "http/Client.h"
@@ -31,6 +32,9 @@
                                          FieldError &Error) const = 0;
   virtual std::string formatState(std::string_view StateName) const = 0;
   virtual std::string formatPending(uint64_t Count) const = 0;
+  /// The field of a request's body that the task is too wide in, and what is
+  /// allowed.
+  virtual FieldError wideTaskError(const cell::WideTask &Task) const = 0;
   /// Location of the operator's configuration and of the instance list.
   virtual std::string configTable() const = 0;
   virtual std::string configKey() const = 0;
