Order of work between workspaces, and refusals of what can't be useful

When one workspace sends far more than its usual, the short jobs of all others were accepted and done too late: waiting steps were sorted by slack alone.

A workspace's weight is the jobs a second that it may send (SendRate) and its share of a full service (FairOrder: dominant share, averaged over seconds). Steps of jobs beyond the rate, and of workspaces beyond their share, go after those of others by an extended slack, so that advice calls, kept room and reservations follow the same order. The owner refuses an unknown job that could begin only after its useful time (BacklogEstimate); the entry asks the store before it tells the caller, with a Retry-After from the stated backlog (AdmissionPolicy). Without workspaces nothing changes.

Ruled out: refusals by statements in entries, which are old and can't tell a copy of an accepted job.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -177,6 +177,8 @@
     Added.NextOccurrence = 1;
     beginOccurrence(Added, 0, AcceptedAt);
   }
+  countSentJob(Added);
+  noteArrival(Added, Now);
   logInfo("job-taken", "job={} queue={} steps={} age_ms={}", Added.Spec.Id,
           Added.Spec.Queue, Added.Spec.Steps.size(),
           toMillis(Now - AcceptedAt));
@@ -211,6 +213,10 @@
     NewOffer.Done(OfferOutcome::NotOwner);
     return;
   }
+  if (!Existing && refusesForBacklog(NewOffer.Job, AcceptedAt, Now)) {
+    NewOffer.Done(OfferOutcome::Refused);
+    return;
+  }
   if (!Existing) {
     accept(std::move(NewOffer.Job), AcceptedAt, Now);
     Existing = findJob(Id);
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -2,10 +2,12 @@
 #define DAISYLANDING_CELL_CELLOWNER_H
 
 #include "cell/AdviceCandidates.h"
+#include "cell/BacklogEstimate.h"
 #include "cell/CellConfig.h"
 #include "cell/CrashPolicy.h"
 #include "cell/EndedJob.h"
 #include "cell/ExecutorPool.h"
+#include "cell/FairOrder.h"
 #include "cell/LiveJob.h"
 #include "cell/Offer.h"
 #include "cell/OwnerCommands.h"
@@ -14,6 +16,7 @@
 #include "cell/OwnerStatus.h"
 #include "cell/Placement.h"
 #include "cell/RenewalTurn.h"
+#include "cell/SendRate.h"
 #include "cell/SpeedTracker.h"
 #include "cell/StartDelay.h"
 #include "cell/UrgentRoom.h"
@@ -44,6 +47,7 @@
   void finishLoading() {
     Loading = false;
     HasNewTerms = true; // An earlier owner may not have known them.
+    countRestoredJobs();
   }
   /// Loads a stored job. Called for each stored job before anything else.
   void restore(JobSpec Spec, const std::optional<JobProgress> &Progress,
@@ -353,6 +357,41 @@
       TimePoint Now, std::vector<WaitingStepRef> &Steps) const;
   WaitingStepReport reportOf(const WaitingStepRef &Waiting,
                              TimePoint Now) const;
+
+  // Order between workspaces, and refusals.
+  bool hasWorkspaces() const { return !WorkspacesByName.empty(); }
+  uint32_t weightOf(std::string_view WorkspaceName) const;
+  void countSentJob(LiveJob &Job);
+  void uncountSentJob(const LiveJob &Job);
+  void countRestoredJobs();
+  double yieldMs(const LiveJob &Job, const LiveStep &Step,
+                 const StepSpec &Spec) const;
+  void addYieldTimes(std::vector<WaitingStepRef> &Steps) const;
+  /// Slack in the order between workspaces.
+  double rankMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
+                uint32_t Step, TimePoint Now) const;
+  void updateShares(std::span<const WaitingStepRef> Steps, TimePoint Now);
+  void logShareChanges(std::span<const FairOrder::Change> Changes,
+                       TimePoint Now);
+  BacklogEstimate::Item backlogItem(const LiveJob &Job, uint32_t Step,
+                                    uint64_t Tasks, double RankMs) const;
+  void estimateBacklog(std::span<const WaitingStepRef> Steps, TimePoint Now);
+  void noteArrival(const LiveJob &Job, TimePoint Now);
+  CapacitySum capacityFor(const WorkClass &Class, TimePoint Now) const;
+  CapacitySum capacityLeftFor(const WorkClass &Class, std::string_view Name,
+                              TimePoint Now) const;
+  Millis waitFor(const WorkClass &Class, std::string_view Name, bool Yields,
+                 double SlackMs, TimePoint Now) const;
+  bool hasFreePlaceFor(const StepSpec &Spec, TimePoint Now) const;
+  bool mayRefuse(const JobSpec &Job, TimePoint Now) const;
+  bool refusesForBacklog(const JobSpec &Job, TimePoint AcceptedAt,
+                         TimePoint Now);
+  void countRefusal(std::string_view WorkspaceName);
+  void stateBacklog(OwnerRow &NewRow, TimePoint Now,
+                    const StoreClock &Clock) const;
+  std::vector<WorkspaceStatus>
+  workspaceStatuses(std::span<const WaitingStepRef> Steps, TimePoint Now) const;
+
   void plan(TimePoint Now);
   void beginUrgentRoom(std::span<const WaitingStepRef> Steps, TimePoint Now);
   static std::optional<Resources>
@@ -537,9 +576,19 @@
   std::shared_ptr<const CellConfig> Config;
   /// Those of `Config`, which may have thousands.
   std::unordered_map<std::string_view, const Queue *> QueuesByName;
+  std::unordered_map<std::string_view, const Workspace *> WorkspacesByName;
   ExecutorPool Pool;
   SpeedTracker Speeds;
   WorkspaceCaps Caps;
+  SendRate SendRates;
+  FairOrder Order;
+  TimePoint SharesLoggedAt{};
+  BacklogEstimate Backlog;
+  BacklogStatement StatedBacklog;
+  /// Those with waiting steps that go after the steps of others.
+  std::set<std::string, std::less<>> YieldingWorkspaces;
+  TimePoint BacklogAt{};
+  std::map<std::string, uint64_t, std::less<>> RefusedByWorkspace;
   std::map<std::string, LiveJob, std::less<>> Jobs;
   std::set<std::string> RepeatingJobs; ///< Of `Jobs`.
   /// The terms of a job's queue have become known since its failures.
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -158,6 +158,8 @@
   uint64_t SearchedVersion = 0;
   bool Started = false; ///< A task is known to have been started.
   bool Cancelled = false;
+  /// Its workspace had sent more jobs than its rate allows.
+  bool IsBeyondRate = false;
   TimePoint AcceptedAt{};
   int64_t EndedMs = 0;
   std::map<uint32_t, LiveOccurrence> Occurrences; ///< Begun and not done.
--- a/src/cell/Offer.h
+++ b/src/cell/Offer.h
@@ -23,7 +23,8 @@
   NotOwner,  ///< Nothing was done; another entry owns the service.
   Busy,      ///< Nothing was done; too many offers wait.
   Unknown,   ///< The owner lost the service with the commit in flight.
-  Expired    ///< Nothing was done; the commit would be answered too late.
+  Expired,   ///< Nothing was done; the commit would be answered too late.
+  Refused    ///< Nothing was done; the job couldn't be done in useful time.
 };
 
 using OfferDone = std::function<void(OfferOutcome)>;
--- a/src/cell/OwnerAdvice.cpp
+++ b/src/cell/OwnerAdvice.cpp
@@ -230,8 +230,8 @@
     return std::nullopt;
   }
   const LiveJob &Job = *findJob(Request.JobId);
-  double SlackMs = slackMs(Job, Job.Occurrences.at(Request.Position.Occurrence),
-                           Request.Position.Step, Now);
+  double SlackMs = rankMs(Job, Job.Occurrences.at(Request.Position.Occurrence),
+                          Request.Position.Step, Now);
   return Now + Micros(static_cast<int64_t>(SlackMs * 1e3));
 }
 
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -85,8 +85,10 @@
   addRemovals(Commit, Now);
   addMoves(Commit, Clock.MinMs);
   Commit.Row.Released = Releasing && storesAllJobs(Commit, Now);
-  if (!Loading)
+  if (!Loading) {
     listLeaseEnds(Commit, Now, Clock);
+    stateBacklog(Commit.Row, Now, Clock);
+  }
   Tx.Writes.push_back({.Table = OwnerTable,
                        .Key = OwnerKey,
                        .Value = encodeOwnerRow(Commit.Row)});
@@ -322,7 +324,9 @@
 
 /// Drops an offered job whose row was never written.
 void CellOwner::dropOfferedJob(const std::string &JobId, TimePoint Now) {
-  stopAllRuns(Jobs.at(JobId), Now);
+  LiveJob &Job = Jobs.at(JobId);
+  stopAllRuns(Job, Now);
+  uncountSentJob(Job);
   removeJob(JobId);
 }
 
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -1,23 +1,21 @@
 #include "cell/CellOwner.h"
 
+#include "cell/UsefulTime.h"
+
 #include <algorithm>
 #include <limits>
 
-/// Planning: orders the waiting steps by slack, late jobs last, and places
-/// their tasks.
+/// Planning: orders the waiting steps by slack, late jobs last and those of
+/// workspaces that send or use too much after others, and places their tasks.
 namespace daisylanding::cell {
 
 namespace {
 
 /// Share of the remaining work by which estimates may be too long.
 constexpr double EstimateTolerance = 0.25;
-/// A job has no value left once this multiple of its allowed time (begin to
-/// due) has passed since its begin.
-constexpr double WorthlessAllowanceFactor = 3;
 /// Late jobs have less value left than jobs that can be in time, so they rank
 /// as if they had this much more slack.
 constexpr double LatePenaltyMs = 1'500;
-constexpr double WorthlessSlackMs = 1e9;
 /// Share of executors that may be reserved for waiting steps.
 constexpr double MaxReservedShare = 0.5;
 
@@ -170,6 +168,7 @@
   };
   for (auto &[Id, Job] : Jobs)
     addSteps(Job, IsWaiting, Now, Steps);
+  addYieldTimes(Steps);
   sortBySlack(Steps);
   return Steps;
 }
@@ -192,6 +191,8 @@
     if (Steps.size() == CountBefore && !hasLongRunningStep(Job.Spec))
       Job.IdleRevision = Job.Revision;
   }
+  updateShares(Steps, Now);
+  addYieldTimes(Steps);
   sortBySlack(Steps);
   return Steps;
 }
@@ -252,6 +253,7 @@
     Loads[I].Slowness = Speeds.slowness(I, Now);
   countOpenCalls(Now);
   std::vector<WaitingStepRef> Steps = stepsToPlan(Now);
+  estimateBacklog(Steps, Now);
   beginUrgentRoom(Steps, Now);
   for (const WaitingStepRef &Waiting : Steps) {
     const Queue *JobQueue = queueOf(*Waiting.Job);
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -8,6 +8,39 @@
 
 using nlohmann::json;
 
+namespace {
+
+json encodeBacklog(const BacklogStatement &Statement) {
+  json Entries = json::array();
+  for (const QueueBacklog &Entry : Statement.Entries)
+    Entries.push_back({{"queue", Entry.Queue},
+                       {"workspace", Entry.Workspace},
+                       {"wait_s", Entry.WaitSeconds}});
+  return {{"at_ms", Statement.AtMs}, {"waits", std::move(Entries)}};
+}
+
+/// States nothing if it can't be read: the row holds without it.
+BacklogStatement decodeBacklog(const json &Document) {
+  try {
+    const json &Source = Document.at("backlog");
+    NumberReader Numbers;
+    BacklogStatement Statement{.AtMs =
+                                   Numbers.whole<int64_t>(Source.at("at_ms"))};
+    for (const json &Entry : Source.at("waits"))
+      Statement.Entries.push_back(
+          {.Queue = Entry.at("queue").get<std::string>(),
+           .Workspace = Entry.at("workspace").get<std::string>(),
+           .WaitSeconds = Numbers.whole<uint32_t>(Entry.at("wait_s"))});
+    bool IsReadable = !Numbers.failed() &&
+                      Statement.Entries.size() <= BacklogStatement::MaxEntries;
+    return IsReadable ? Statement : BacklogStatement{};
+  } catch (const json::exception &) {
+    return {};
+  }
+}
+
+} // namespace
+
 std::string encodeOwnerRow(const OwnerRow &Row) {
   json Document = {{"holder", Row.Holder},
                    {"relay", Row.RelayAddress},
@@ -28,6 +61,8 @@
     Document["moved"] = Row.Queues.MovedQueues;
     Document["moved_any"] = Row.Queues.MayHoldAny;
   }
+  if (!Row.Backlog.Entries.empty())
+    Document["backlog"] = encodeBacklog(Row.Backlog);
   return Document.dump();
 }
 
@@ -78,6 +113,8 @@
     }
     if (Numbers.failed())
       return Errc::Malformed;
+    if (Document.contains("backlog"))
+      Row.Backlog = decodeBacklog(Document);
     return Row;
   } catch (const json::exception &) {
     return Errc::Malformed;
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -1,6 +1,7 @@
 #ifndef DAISYLANDING_CELL_OWNERROW_H
 #define DAISYLANDING_CELL_OWNERROW_H
 
+#include "cell/BacklogStatement.h"
 #include "cell/EntryCapacity.h"
 #include "cell/QueueStatement.h"
 #include "common/Error.h"
@@ -67,6 +68,7 @@
   /// is after `LeasesEndMs`. Empty in rows of versions that don't tell.
   std::map<std::string, int64_t> LongLeaseEnds;
   QueueStatement Queues;
+  BacklogStatement Backlog;
 };
 
 std::string encodeOwnerRow(const OwnerRow &Row);
--- a/src/cell/OwnerStatus.cpp
+++ b/src/cell/OwnerStatus.cpp
@@ -16,7 +16,9 @@
   uint64_t PlacedMilliCores = 0;
   uint64_t TotalMilliCores = 0;
   uint64_t ReservedMilliCores = 0;
-  for (const WaitingStepRef &Waiting : waitingSteps(Now)) {
+  std::vector<WaitingStepRef> Steps = waitingSteps(Now);
+  Status.Workspaces = workspaceStatuses(Steps, Now);
+  for (const WaitingStepRef &Waiting : Steps) {
     const LiveStep &Step = Waiting.step();
     const Queue *JobQueue = queueOf(*Waiting.Job);
     ++Status.WaitingSteps;
--- a/src/cell/OwnerTerms.cpp
+++ b/src/cell/OwnerTerms.cpp
@@ -15,6 +15,9 @@
   QueuesByName.clear();
   for (const Queue &Configured : Config->Queues)
     QueuesByName.emplace(Configured.Name, &Configured);
+  WorkspacesByName.clear();
+  for (const Workspace &Configured : Config->Workspaces)
+    WorkspacesByName.emplace(Configured.Name, &Configured);
   for (auto &[Id, Job] : Jobs)
     learnTerms(Job);
 }
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -82,6 +82,31 @@
       std::make_shared<const cell::QueueStatement>();
 };
 
+/// What the services' owners state of their backlogs, from the owner rows last
+/// read.
+class BacklogStatements {
+public:
+  void set(const std::string &Service, cell::BacklogStatement Statement) {
+    auto Shared =
+        std::make_shared<const cell::BacklogStatement>(std::move(Statement));
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Services[Service] = std::move(Shared);
+  }
+  /// Never null; states nothing if no row was read.
+  std::shared_ptr<const cell::BacklogStatement>
+  of(const std::string &Service) const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    auto It = Services.find(Service);
+    return It == Services.end() ? Unstated : It->second;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, std::shared_ptr<const cell::BacklogStatement>> Services;
+  std::shared_ptr<const cell::BacklogStatement> Unstated =
+      std::make_shared<const cell::BacklogStatement>();
+};
+
 /// Time of the store's last answer, its clock and its read latency, as observed
 /// by all loops of the process.
 class StoreMonitor {
@@ -230,6 +255,7 @@
   PendingJobCounts PendingJobs;
   OwnerAddresses Owners;
   QueueStatements Statements;
+  BacklogStatements Backlogs;
   cell::OfferRegistry Offers;
   StoreMonitor StoreHealth;
   ServiceStatuses OwnedServices;
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -23,8 +23,6 @@
 constexpr double HedgeReadFactor = 25;
 constexpr Millis MinHedgeDelay{200};
 constexpr Millis SilenceCheckInterval{150};
-/// Requests that the store refuses are retried by the caller, not here.
-constexpr const char *RetryAfterSeconds = "1";
 
 std::string_view hostOf(const http::Request &Request) {
   const std::string *Host = http::findHeader(Request.Headers, "Host");
@@ -41,6 +39,10 @@
                                 ReadFactor * Store.readLatencyMs())));
 }
 
+std::string inWholeSeconds(Millis Time) {
+  return std::to_string(std::chrono::ceil<std::chrono::seconds>(Time).count());
+}
+
 TimePoint deadlineOf(const http::Request &Request,
                      const std::string &HeaderName, TimePoint ArrivedAt) {
   const std::string *Header = http::findHeader(Request.Headers, HeaderName);
@@ -116,7 +118,8 @@
   Response.Headers.emplace_back("Content-Type", "application/json");
   if (Status == http::StatusUnavailable ||
       Status == http::StatusTooManyRequests)
-    Response.Headers.emplace_back("Retry-After", RetryAfterSeconds);
+    Response.Headers.emplace_back("Retry-After",
+                                  inWholeSeconds(Request->RetryAfter));
   if (Status == http::StatusUnauthorized)
     Response.Headers.emplace_back("WWW-Authenticate", "Bearer");
   if (Context.Draining.load())
@@ -329,6 +332,13 @@
   case cell::OfferOutcome::Busy:
     writeJob(Request, Job);
     return;
+  case cell::OfferOutcome::Refused:
+    // A copy that was sent before may still be stored.
+    if (Request->OutcomeUnknown)
+      writeJob(Request, Job);
+    else
+      confirmRefusal(Request, Job);
+    return;
   }
 }
 
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -5,6 +5,7 @@
 #include "common/Thread.h"
 #include "common/Timers.h"
 #include "http/Server.h"
+#include "node/AdmissionPolicy.h"
 #include "node/EntryContext.h"
 #include "node/JobWriter.h"
 #include "node/OfferPolicy.h"
@@ -27,6 +28,8 @@
   /// A working store answers some loop of this process several times within
   /// this period.
   static constexpr Millis StoreSilenceLimit{1'000};
+  /// Told with a refusal, unless a backlog is to be waited for.
+  static constexpr Millis DefaultRetryAfter{1'000};
 
   IntakeLoop(EntryContext &Context, relay::RelayLoop &Relay);
   ~IntakeLoop() override { stop(); }
@@ -57,6 +60,7 @@
     bool SearchWatched = false;   ///< Other services are asked for the job.
     bool SearchDone = false;      ///< None of them has it.
     uint32_t CancelsInFlight = 0; ///< Unanswered copies of the cancel.
+    Millis RetryAfter = DefaultRetryAfter; ///< If it is refused.
   };
   using RequestPtr = std::shared_ptr<PendingRequest>;
 
@@ -80,6 +84,10 @@
                       const Result<cell::OfferOutcome> &Outcome);
   void onOfferFailure(const RequestPtr &Request, const cell::JobSpec &Job,
                       std::error_code Failure, TimePoint Now);
+  void confirmRefusal(const RequestPtr &Request, const cell::JobSpec &Job);
+  void confirmNotEnded(const RequestPtr &Request, const cell::JobSpec &Job);
+  void answerKnown(const RequestPtr &Request, bool IsSameWork);
+  void refuseForBacklog(const RequestPtr &Request);
   static Millis timeLeft(const RequestPtr &Request, TimePoint Now);
   void failSubmit(const RequestPtr &Request, std::string_view Reason);
   using TransactionPtr = std::shared_ptr<const store::Transaction>;
@@ -125,6 +133,7 @@
   http::MultiClient Client;
   relay::RelayLoop &Relay;
   OfferPolicy Policy;
+  AdmissionPolicy Admission;
   SharedQueue<RequestPtr> Arrivals;
   SharedQueue<std::function<void()>> OfferOutcomes;
   std::unique_ptr<store::RowStore> Store;
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace daisylanding::node {
 
 namespace {
@@ -45,6 +47,16 @@
   return static_cast<long>(Options.MaxDescriptors / 2);
 }
 
+/// A workspace's name as the value of a metric's label.
+std::string labelValue(std::string_view Name) {
+  std::string Value;
+  for (char C : Name) {
+    bool IsPlain = C != '"' && C != '\\' && C != '\n';
+    Value += IsPlain ? C : '_';
+  }
+  return Value;
+}
+
 } // namespace
 
 OwnerLoop::OwnerLoop(EntryContext &Context, AdviceLoop &Advice,
@@ -500,6 +512,34 @@
           Calls.WorkMs);
 }
 
+/// Each name that was ever published stays a time series, so that there are
+/// only so many.
+void OwnerLoop::publishWorkspaces(
+    std::span<const cell::WorkspaceStatus> Workspaces) {
+  for (const cell::WorkspaceStatus &Status : Workspaces) {
+    if (LabeledWorkspaces.size() < cell::MaxReportedWorkspaces)
+      LabeledWorkspaces.insert(Status.Name);
+  }
+  for (const std::string &Name : LabeledWorkspaces) {
+    auto Found =
+        std::find_if(Workspaces.begin(), Workspaces.end(),
+                     [&](const auto &Status) { return Status.Name == Name; });
+    bool IsBusy = Found != Workspaces.end();
+    cell::WorkspaceStatus Status = IsBusy ? *Found : cell::WorkspaceStatus{};
+    auto SetGauge = [&](const char *Metric, double Value) {
+      Context.EntryMetrics.gauge(
+          fmt::format("{}{{service=\"{}\",workspace=\"{}\"}}", Metric, Service,
+                      labelValue(Name)),
+          Value);
+    };
+    SetGauge("workspace_used_share", Status.UsedShare);
+    SetGauge("workspace_fair_share", Status.FairShare);
+    SetGauge("workspace_waiting_steps",
+             static_cast<double>(Status.WaitingSteps));
+    SetGauge("workspace_refused", static_cast<double>(Status.Refused));
+  }
+}
+
 void OwnerLoop::publishStatus(TimePoint Now) {
   NextPublish = Now + PublishInterval;
   const cell::OwnerCounts &Counts = Owner->counts();
@@ -545,6 +585,7 @@
         fmt::format("{}{{service=\"{}\"}}", Name, Service),
         static_cast<double>(Value));
   };
+  publishWorkspaces(State.Workspaces);
   SetGauge("starts", Counts.Starts);
   SetGauge("ends_done", Counts.EndsDone);
   SetGauge("ends_failed", Counts.EndsFailed);
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -59,6 +59,7 @@
   TimePoint acceptedAt(const cell::JobSpec &Job, TimePoint Now) const;
   void recordStoreAnswer(int64_t StoreMillis);
   void publishStatus(TimePoint Now);
+  void publishWorkspaces(std::span<const cell::WorkspaceStatus> Workspaces);
   void logAdviceCalls();
 
   EntryContext &Context;
@@ -84,8 +85,9 @@
 
   TimePoint AcquiredAt{};
   std::unique_ptr<EndedLoader> LoaderOfEnded;
-  std::unique_ptr<ServiceLoader> Loader; ///< Null once the load is done.
-  std::set<std::string> UnreadableJobs;  ///< Never scheduled.
+  std::unique_ptr<ServiceLoader> Loader;   ///< Null once the load is done.
+  std::set<std::string> UnreadableJobs;    ///< Never scheduled.
+  std::set<std::string> LabeledWorkspaces; ///< With metrics of their own.
 
   std::unique_ptr<ExecutorList> Instances;
   uint64_t ConfigVersion = 0;
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -182,6 +182,7 @@
     Context.PendingJobs.set(Service, Row->PendingJobs);
     Context.Owners.set(Service, Row->Released ? "" : Row->RelayAddress);
     Context.Statements.set(Service, Row->Queues);
+    Context.Backlogs.set(Service, Row->Backlog);
     Watch.Owner.recordRow(Page->Rows.front().Version, *Row, Now - RequestedAt,
                           Now);
   });
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -17,6 +17,12 @@
 /// Added to a call's own timeout for the round trip between the entries.
 constexpr Millis CallGrace{100};
 
+/// Owners refuse jobs since the schema was generated last. Entries of a version
+/// that doesn't know the verdict take the outcome for unknown, and store the
+/// job themselves.
+constexpr auto RefusedVerdict = static_cast<wire::Verdict>(
+    static_cast<uint16_t>(wire::Verdict::EXPIRED) + 1);
+
 wire::Verdict toWire(cell::OfferOutcome Outcome) {
   switch (Outcome) {
   case cell::OfferOutcome::Stored:
@@ -31,6 +37,8 @@
     return wire::Verdict::BUSY;
   case cell::OfferOutcome::Expired:
     return wire::Verdict::EXPIRED;
+  case cell::OfferOutcome::Refused:
+    return RefusedVerdict;
   case cell::OfferOutcome::Unknown:
     break;
   }
@@ -38,6 +46,8 @@
 }
 
 cell::OfferOutcome fromWire(wire::Verdict WireOutcome) {
+  if (WireOutcome == RefusedVerdict)
+    return cell::OfferOutcome::Refused;
   switch (WireOutcome) {
   case wire::Verdict::STORED:
     return cell::OfferOutcome::Stored;
--- a/tests/unit/RelayLoopTest.cpp
+++ b/tests/unit/RelayLoopTest.cpp
@@ -109,3 +109,11 @@
   CHECK_TRUE(static_cast<bool>(OfferResult));
   CHECK(*OfferResult == cell::OfferOutcome::Stored);
 }
+
+TEST(AnEntryOfferingToABusyOwner, TheEntryIsToldThatAJobIsRefused) {
+  offer(FirstJobId, Millis(60'000));
+  takeOffer().Done(cell::OfferOutcome::Refused);
+  Result<cell::OfferOutcome> OfferResult = Results.waitFor(FirstJobId);
+  CHECK_TRUE(static_cast<bool>(OfferResult));
+  CHECK(*OfferResult == cell::OfferOutcome::Refused);
+}
