--- a/bench/OwnerBench.cpp
+++ b/bench/OwnerBench.cpp
@@ -23,23 +23,27 @@
 class Arrivals {
 public:
   Arrivals(Simulation &World, int64_t Executors, uint32_t TasksPerJob,
-           double Use)
-      : World(World), TasksPerJob(TasksPerJob),
+           double Use, std::string Workspace = "")
+      : World(World), TasksPerJob(TasksPerJob), Workspace(std::move(Workspace)),
         JobsPerStep(Use * MaxStartsPerExecutor *
                     static_cast<double>(Executors) * ArrivalStepMs / 1e3 /
                     TasksPerJob) {}
 
   void step() {
     Due += JobsPerStep;
-    for (; Due >= 1; Due -= 1)
-      World.submit(Simulation::makeJob(fmt::format("{:016x}", ++Submitted),
-                                       TasksPerJob, TaskSize, TaskMs));
+    for (; Due >= 1; Due -= 1) {
+      cell::JobSpec Job = Simulation::makeJob(
+          fmt::format("{:016x}", ++Submitted), TasksPerJob, TaskSize, TaskMs);
+      Job.Workspace = Workspace;
+      World.submit(std::move(Job));
+    }
     World.runFor(ArrivalStepMs);
   }
 
 private:
   Simulation &World;
   uint32_t TasksPerJob;
+  std::string Workspace; ///< Of the jobs; empty: none.
   double JobsPerStep;
   double Due = 0;
   uint64_t Submitted = 0;
@@ -94,6 +98,40 @@
     ->UseManualTime()
     ->Unit(benchmark::kMillisecond);
 
+/// One workspace sends all; the others that are configured wait for nothing.
+void benchmarkIdleWorkspaces(benchmark::State &State) {
+  constexpr int64_t Executors = 70;
+  constexpr uint32_t TasksPerJob = 8;
+  constexpr double Use = 1.3;
+  for (auto Iteration : State) {
+    Simulation World;
+    World.KeepsHistory = false;
+    for (int64_t I = 0; I < Executors; ++I)
+      World.addExecutor(ExecutorSize, fmt::format("r{}", I / 12));
+    World.takeOver();
+    World.changeConfig([&](cell::CellConfig &Config) {
+      for (int64_t I = 0; I < State.range(0); ++I)
+        Config.Workspaces.push_back({.Name = fmt::format("w{}", I)});
+    });
+    World.runFor(500);
+    Arrivals Load(World, Executors, TasksPerJob, Use, "w0");
+    World.Cost = {};
+    for (int64_t Ms = 0; Ms < RunMs; Ms += ArrivalStepMs)
+      Load.step();
+    State.SetIterationTime(
+        std::chrono::duration<double>(World.Cost.Turns).count());
+  }
+}
+BENCHMARK(benchmarkIdleWorkspaces)
+    ->Name("idle_workspaces")
+    ->ArgName("workspaces")
+    ->Arg(20)
+    ->Arg(70)
+    ->Arg(1'000)
+    ->Iterations(1)
+    ->UseManualTime()
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 
 } // namespace daisylanding::bench
--- a/src/cell/BacklogStatement.h
+++ b/src/cell/BacklogStatement.h
@@ -23,7 +23,7 @@
 /// What an owner tells, in its row, of the queues and workspaces that wait; of
 /// nothing in a calm service.
 struct BacklogStatement {
-  static constexpr size_t MaxEntries = 64;
+  static constexpr size_t MaxEntries = 32;
 
   int64_t AtMs = 0; ///< On the store's clock.
   std::vector<QueueBacklog> Entries;
--- a/src/cell/OwnerOrder.cpp
+++ b/src/cell/OwnerOrder.cpp
@@ -18,8 +18,8 @@
 /// The service is full when its executors are used to this part, by what is
 /// used most: what is left is in pieces.
 constexpr double FullShare = 0.8;
-/// Work that yields is taken to get at least this part of the capacity.
-constexpr uint64_t MaxLeftDivisor = 20;
+/// Work that yields is taken to get at least one part in so many.
+constexpr uint64_t LeastPartLeft = 20;
 /// Between two log lines about shares.
 constexpr Millis ShareLogInterval{1'000};
 /// Workspaces whose refusals are counted.
@@ -126,7 +126,7 @@
   logShareChanges(Order.update(ByName, UsedBy, All, IsFull, Now), Now);
 }
 
-/// One line at a time; it tells how many others there were.
+/// At most one line an interval; it tells how many others there were.
 void CellOwner::logShareChanges(std::span<const FairOrder::Change> Changes,
                                 TimePoint Now) {
   if (Changes.empty() || Now < SharesLoggedAt + ShareLogInterval)
@@ -182,7 +182,7 @@
 
 /// Until the next turn, the jobs that arrive are added one by one.
 void CellOwner::noteArrival(const LiveJob &Job, TimePoint Now) {
-  if (!hasWorkspaces() || Job.Occurrences.empty() ||
+  if (!hasWorkspaces() || Job.Occurrences.empty() || Job.Spec.Steps.empty() ||
       Job.Spec.Steps.front().LongRunning)
     return;
   const LiveOccurrence &Occurrence = Job.Occurrences.begin()->second;
@@ -217,7 +217,7 @@
       Used += Caps.used(Entry.first);
   }
   auto Subtract = [](uint64_t &From, uint64_t Part) {
-    From = std::max(From / MaxLeftDivisor, From - std::min(From, Part));
+    From = std::max(From / LeastPartLeft, From - std::min(From, Part));
   };
   if (Class.NeedsAccelerators)
     Subtract(Left.Accelerators, Used.Accelerators);
@@ -257,7 +257,7 @@
   bool IsViewYoung = mayStart(Now) && EndedRowsRead &&
                      Now < BacklogAt + Options.MaxInstanceListAge;
   return hasWorkspaces() && !Job.Workspace.empty() && IsViewYoung &&
-         Job.RepeatCount == 0 &&
+         Job.RepeatCount == 0 && !Job.Steps.empty() &&
          std::none_of(Job.Steps.begin(), Job.Steps.end(),
                       [](const StepSpec &Step) { return Step.LongRunning; });
 }
