Places: run times as they are, and how long a wait for a near place pays

Cause: tasks run a multiple of their time away from their data's rack, and gangs across racks. Placement knew a fixed penalty for that: it took a far place as soon as one was free, preferred a slow near executor to a quick far one, and took far runs for those of a slow executor.

Ruled out: a wait without regard to the work that comes meanwhile, since a rack that is full all the time then only gets a queue; a library's quantile estimators, which keep one quantile each and can't tell how long a running task still takes.

Change: RunTimes keeps a histogram of run time over declared time by queue and image, and holds the speeds. RoomForecast tells when an executor has room. PlaceWait shares near places out among the steps that want them and decides which wait, until when. Far runs no longer count as slow executors or stragglers. All of it acts only with bounds.spread_factor above 1, for steps with an affinity or gangs with colocate.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -12,9 +12,10 @@
 #include "cell/OwnerOptions.h"
 #include "cell/OwnerRow.h"
 #include "cell/OwnerStatus.h"
+#include "cell/PlaceWait.h"
 #include "cell/Placement.h"
 #include "cell/RenewalTurn.h"
-#include "cell/SpeedTracker.h"
+#include "cell/RunTimes.h"
 #include "cell/StartDelay.h"
 #include "cell/UrgentRoom.h"
 #include "cell/WorkspaceCaps.h"
@@ -267,6 +268,7 @@
   void releaseLingeringRuns(ExecutorIndex Index,
                             const executor::RenewalAnswer &Answer);
   void learnRunTime(const TaskKey &Key, TimePoint Now);
+  void recordRunTime(const TaskKey &Key, Millis RunTime, TimePoint Now);
   void restartStragglers(ExecutorIndex Index, TimePoint Now);
   bool isStraggler(const TaskKey &Key, TimePoint Now);
   void dropUnsentStarts(TimePoint Now);
@@ -330,6 +332,8 @@
   static bool mayJoinSuspects(const TaskKey &Key, TimePoint Now);
 
   // Planning.
+  /// From here on, the job of a step has no value left.
+  static constexpr double WorthlessSlackMs = 1e9;
   struct WaitingStepRef {
     LiveJob *Job = nullptr;
     uint32_t Occurrence = 0;
@@ -388,7 +392,7 @@
   double slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
                  uint32_t Step, TimePoint Now) const;
   void reserveExecutors(const WaitingStepRef &Waiting, size_t Count,
-                        TimePoint Now);
+                        TimePoint Now, std::string_view Rack = {});
   std::optional<Millis> timeUntilFree(ExecutorIndex Index, const StepSpec &Spec,
                                       TimePoint Now) const;
   PlacementRequest placementRequestFor(const WaitingStepRef &Waiting,
@@ -397,6 +401,45 @@
   void addLoad(const TaskKey &Key);
   void removeLoad(const TaskKey &Key);
 
+  // Waits for near places.
+  static WorkClass workClassOf(const TaskKey &Key) {
+    return {.Queue = Key.Job->Spec.Queue, .Image = Key.spec().Image};
+  }
+  bool isSpread(const StepSpec &Spec,
+                std::span<const ExecutorIndex> Members) const;
+  double spreadOf(const TaskKey &Key) const;
+  Millis timeLeft(const TaskKey &Key, double Share, TimePoint Now) const;
+  RoomForecast forecastOf(ExecutorIndex Index, TimePoint Now) const;
+  Millis delayOfStart(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                      ExecutorIndex Index, TimePoint StartsAt) const;
+  bool mayWaitForPlace(const WaitingStepRef &Waiting) const;
+  PlaceBid bidOf(const WaitingStepRef &Waiting, const Queue &JobQueue,
+                 std::map<ExecutorIndex, size_t> &Rooms, TimePoint Now) const;
+  void countPlaceDemand(const WaitingStepRef &Waiting, PlaceBid &Bid,
+                        TimePoint Now);
+  void beginPlaceWaits(std::span<const WaitingStepRef> Steps, TimePoint Now);
+  void beginPlaceWait(const WaitingStepRef &Waiting, const PlaceShare &Share,
+                      std::string_view Rack, TimePoint Now);
+  bool awaitsPlace(const TaskKey &Key, PlacementRequest &Request);
+  void notePlace(const TaskKey &Key, ExecutorIndex Index);
+  void countPlaceWait(bool IsNear);
+  double shareOfExecutor(const StepSpec &Spec) const;
+  WaitTerms waitTermsOf(const WaitingStepRef &Waiting, TimePoint Now) const;
+  std::optional<Millis> timeUntilRackHolds(const PlacementRequest &Request,
+                                           uint32_t Count,
+                                           const WaitTerms &Terms,
+                                           TimePoint Now) const;
+  struct RackWait {
+    std::string Rack;
+    Millis FreeIn{0};
+  };
+  std::optional<RackWait> soonestRack(const PlacementRequest &Request,
+                                      uint32_t Count, const WaitTerms &Terms,
+                                      TimePoint Now) const;
+  bool awaitsRack(const WaitingStepRef &Waiting,
+                  std::span<const ExecutorIndex> Members,
+                  PlacementRequest Request, TimePoint Now);
+
   // Restarts of long-running tasks whose leases expire soon, or whose executors
   // leave.
   bool isLapsing(const LiveTask &Run, Millis Within, TimePoint Now) const;
@@ -538,7 +581,7 @@
   /// Those of `Config`, which may have thousands.
   std::unordered_map<std::string_view, const Queue *> QueuesByName;
   ExecutorPool Pool;
-  SpeedTracker Speeds;
+  RunTimes Times;
   WorkspaceCaps Caps;
   std::map<std::string, LiveJob, std::less<>> Jobs;
   std::set<std::string> RepeatingJobs; ///< Of `Jobs`.
@@ -573,6 +616,10 @@
   size_t ReservedExecutors = 0; ///< Active among `Reservations`.
   size_t MaxReservedExecutors = 0;
   RoomForUrgentSteps UrgentRoom; ///< Of the present planning turn.
+  /// Of steps that ask for near places, in the present planning turn.
+  std::unordered_map<const LiveStep *, PlaceShare> PlaceShares;
+  WaitOutcomes PlaceWaitOutcomes;
+  RackDemand PlaceDemand;
   /// Kept during one planning turn for tasks that are to be restarted.
   std::vector<std::pair<ExecutorIndex, Resources>> HeldPlaces;
   std::map<std::string, DirtyMark> DirtyJobs; ///< With changes to store.
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -72,6 +72,7 @@
   TimePoint PaceRepeatAt = TimePoint::max();
   bool SpeedRecorded = false; ///< The run was counted in the speed tracker.
   Millis RunTime{0};          ///< Of the run that ended as done.
+  bool AwaitedPlace = false;  ///< Could have started at a far place before.
 
   /// End of the last run, as far as this owner has seen it.
   TimePoint LastRunEndedAt{};
@@ -118,6 +119,10 @@
   /// expire soon, or whose executors leave.
   std::vector<ExecutorIndex> PreparedExecutors;
   TimePoint PreparedAt{};
+  /// The end of its wait for near places, once one has begun. There is one wait
+  /// only: estimates that slip must not prolong it.
+  std::optional<TimePoint> PlaceWaitUntil;
+  bool IsDemandCounted = false; ///< For the places that it asks for.
 };
 
 /// Whether a task of the step has been started before.
--- a/src/cell/OwnerOptions.h
+++ b/src/cell/OwnerOptions.h
@@ -39,6 +39,9 @@
   OtherServices *Others = nullptr;
   /// How long the status of ended jobs can be read.
   Millis StatusRetention{120'000};
+  /// How many times as long tasks take away from the rack of their data, or
+  /// from the others of their gang. 1: it makes no difference that is known.
+  double SpreadFactor = 1;
 };
 
 } // namespace daisylanding::cell
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -17,7 +17,6 @@
 /// Late jobs have less value left than jobs that can be in time, so they rank
 /// as if they had this much more slack.
 constexpr double LatePenaltyMs = 1'500;
-constexpr double WorthlessSlackMs = 1e9;
 /// Share of executors that may be reserved for waiting steps.
 constexpr double MaxReservedShare = 0.5;
 
@@ -78,8 +77,9 @@
 /// the rest at a multiple of its allowed time. Jobs without remaining value
 /// rank last, so that they don't displace others. Long-running tasks that have
 /// run before are due at once.
-double slackOf(const SpeedTracker &Speeds, const LiveJob &Job,
-               const LiveOccurrence &Occurrence, uint32_t Step, TimePoint Now) {
+double slackOf(const SpeedTracker &Speeds, double WorthlessSlackMs,
+               const LiveJob &Job, const LiveOccurrence &Occurrence,
+               uint32_t Step, TimePoint Now) {
   auto LeftMs = static_cast<double>(toMillis(Occurrence.DueAt - Now));
   auto WorkMs = static_cast<double>(
       remainingCriticalPath(Speeds, Job.Spec, Step).count());
@@ -139,7 +139,7 @@
 
 double CellOwner::slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
                           uint32_t Step, TimePoint Now) const {
-  return slackOf(Speeds, Job, Occurrence, Step, Now);
+  return slackOf(Times.speeds(), WorthlessSlackMs, Job, Occurrence, Step, Now);
 }
 
 /// Adds the job's steps that are ready and wanted.
@@ -234,11 +234,12 @@
           .Permissions = permissionsOf(Step, JobQueue),
           .TasksByExecutor = &TasksByExecutor,
           .Preferred = Step.PreparedExecutors,
+          .SpreadFactor = Options.SpreadFactor,
           .Reservations = Reservations,
-          .ExpectedRunTime =
-              Spec.LongRunning ? Millis::max()
-                               : Speeds.expectedRunTime(Waiting.Job->Spec.Queue,
-                                                        Spec.Estimate)};
+          .ExpectedRunTime = Spec.LongRunning
+                                 ? Millis::max()
+                                 : Times.speeds().expectedRunTime(
+                                       Waiting.Job->Spec.Queue, Spec.Estimate)};
 }
 
 void CellOwner::plan(TimePoint Now) {
@@ -249,10 +250,11 @@
   MaxReservedExecutors = static_cast<size_t>(
       MaxReservedShare * static_cast<double>(Pool.listedCount()));
   for (ExecutorIndex I = 0; I < Loads.size(); ++I)
-    Loads[I].Slowness = Speeds.slowness(I, Now);
+    Loads[I].Slowness = Times.speeds().slowness(I, Now);
   countOpenCalls(Now);
   std::vector<WaitingStepRef> Steps = stepsToPlan(Now);
   beginUrgentRoom(Steps, Now);
+  beginPlaceWaits(Steps, Now);
   for (const WaitingStepRef &Waiting : Steps) {
     const Queue *JobQueue = queueOf(*Waiting.Job);
     if (!JobQueue)
@@ -341,6 +343,8 @@
     if (Step.Tasks[I].Phase != TaskPhase::Waiting)
       continue;
     TaskKey Key = Waiting.task(I);
+    if (awaitsPlace(Key, Request))
+      continue;
     Request.AvoidSuspects = Key.task().Crashes > 0;
     // More urgent steps go before, but where they don't fit.
     if (!UrgentRoom.mayUse(Waiting.SlackMs))
@@ -359,6 +363,7 @@
     }
     uint32_t PlacesBefore = urgentPlacesIn(Pool.freeCapacity(*Best));
     placeTask(Key, *Best, Now);
+    notePlace(Key, *Best);
     UrgentRoom.take(PlacesBefore - urgentPlacesIn(Pool.freeCapacity(*Best)));
     ++TasksByExecutor[*Best];
     if (!Request.Step->BestEffort)
@@ -428,6 +433,8 @@
       requestAdvice(Waiting, *JobQueue, Now);
     return;
   }
+  if (awaitsRack(Waiting, *Executors, Request, Now))
+    return;
   for (uint32_t I = 0; I < Count; ++I)
     placeTask(Waiting.task(I), (*Executors)[I], Now);
 }
--- a/src/cell/OwnerReservations.cpp
+++ b/src/cell/OwnerReservations.cpp
@@ -29,8 +29,8 @@
     if (Key.spec().LongRunning)
       continue;
     const LiveTask &Task = Key.task();
-    Millis ExpectedTime =
-        Speeds.expectedRunTime(Key.Job->Spec.Queue, Key.spec().Estimate);
+    Millis ExpectedTime = Times.speeds().expectedRunTime(Key.Job->Spec.Queue,
+                                                         Key.spec().Estimate);
     Millis Elapsed(Task.Confirmed ? toMillis(Now - Task.RunningSince) : 0);
     RunEnds.emplace_back(std::max(Millis(0), ExpectedTime - Elapsed),
                          demandOf(Key.spec()));
@@ -55,9 +55,9 @@
 /// wide tasks, or for long-running tasks that have run before. Less urgent work
 /// is kept off them: a stream of small tasks would starve the step. Members of
 /// a gang start together, so that each of its executors may be used until the
-/// last of them is free.
+/// last of them is free. Only on \p Rack, if set.
 void CellOwner::reserveExecutors(const WaitingStepRef &Waiting, size_t Count,
-                                 TimePoint Now) {
+                                 TimePoint Now, std::string_view Rack) {
   const LiveStep &Step = Waiting.step();
   const StepSpec &Spec = Waiting.spec();
   const auto *Permissions = permissionsOf(Step, queueOf(*Waiting.Job));
@@ -70,8 +70,9 @@
     bool NeedsReservation =
         ForAnySize || isWide(demandOf(Spec), Pool[I].Info.Capacity);
     if (!NeedsReservation || Reservations[I].Active ||
-        !isAllowed(Permissions, I) || !Pool.isUsable(I, Now) ||
-        !isSuitable(Pool[I], Spec) ||
+        !isAllowed(Permissions, I) ||
+        (!Rack.empty() && Pool[I].Info.Rack != Rack) ||
+        !Pool.isUsable(I, Now) || !isSuitable(Pool[I], Spec) ||
         placesByAntiAffinity(Spec, TasksByExecutor, I) == 0)
       return;
     if (auto Delay = timeUntilFree(I, Spec, Now))
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -419,8 +419,18 @@
     return;
   Task.RunTime = Millis(toMillis(Now - Task.RunningSince));
   if (!Task.SpeedRecorded)
-    Speeds.recordRunTime(Task.Executor, Key.Job->Spec.Queue, Spec.Estimate,
-                         Task.RunTime, Now);
+    recordRunTime(Key, Task.RunTime, Now);
+}
+
+/// As it would be at a near place.
+void CellOwner::recordRunTime(const TaskKey &Key, Millis RunTime,
+                              TimePoint Now) {
+  double NearMs = static_cast<double>(RunTime.count()) / spreadOf(Key);
+  Times.record({.Executor = Key.task().Executor,
+                .Work = workClassOf(Key),
+                .Declared = Key.spec().Estimate,
+                .Taken = Millis(static_cast<int64_t>(NearMs))},
+               Now);
 }
 
 /// Whether the run is expected to end sooner if it is restarted on another
@@ -442,16 +452,16 @@
   if (!IsEligible)
     return false;
   double ElapsedMs = static_cast<double>(toMillis(Now - Task.RunningSince));
-  auto ExpectedMs = static_cast<double>(
-      Speeds.expectedRunTime(Key.Job->Spec.Queue, Spec.Estimate).count());
+  Millis Expected =
+      Times.speeds().expectedRunTime(Key.Job->Spec.Queue, Spec.Estimate);
+  double ExpectedMs = spreadOf(Key) * static_cast<double>(Expected.count());
   if (ElapsedMs < OverdueFactor * ExpectedMs)
     return false;
   double Percent = std::max(1.0, static_cast<double>(Task.Percent));
   double PredictedMs = ElapsedMs * 100 / Percent;
   if (!Task.SpeedRecorded && Task.Run == 1) {
     Task.SpeedRecorded = true;
-    Speeds.recordRunTime(Task.Executor, Key.Job->Spec.Queue, Spec.Estimate,
-                         Millis(static_cast<int64_t>(PredictedMs)), Now);
+    recordRunTime(Key, Millis(static_cast<int64_t>(PredictedMs)), Now);
   }
   double ElsewhereMs = ExpectedMs;
   bool HasComparison = false;
@@ -467,7 +477,7 @@
     HasComparison = true;
   }
   if (!HasComparison &&
-      Speeds.slowness(Task.Executor, Now) < SlowExecutorFactor)
+      Times.speeds().slowness(Task.Executor, Now) < SlowExecutorFactor)
     return false;
   double LeftMs = PredictedMs - ElapsedMs;
   return LeftMs > MinGainFactor * ElsewhereMs + RestartCostMs;
@@ -481,7 +491,7 @@
     logInfo("straggler",
             "task={} run={} executor={} percent={} slowness={:.1f}", Key.name(),
             Key.task().Run, Pool[Index].Info.Id, Key.task().Percent,
-            Speeds.slowness(Index, Now));
+            Times.speeds().slowness(Index, Now));
     beginStop(Key, Now);
   }
 }
--- a/src/cell/OwnerStatus.h
+++ b/src/cell/OwnerStatus.h
@@ -21,6 +21,8 @@
   uint64_t CapacityRefusals = 0;
   uint64_t ExpiredRuns = 0;
   uint64_t Stragglers = 0;
+  uint64_t PlaceWaits = 0;    ///< Tasks that waited for a near place.
+  uint64_t PlaceWaitHits = 0; ///< Of these, those that got one.
   uint64_t JobsCompleted = 0;
   uint64_t JobsFailed = 0;
   uint64_t JobsCancelled = 0;
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -18,6 +18,9 @@
 constexpr double SlownessWeight = 1.5;
 /// Score of a rack other than the one nearest to the step's data.
 constexpr double RemoteRackPenalty = 4;
+/// Score per doubling of run times, for work that asks for a near place, if it
+/// is known by how much far ones are slower. Outweighs how full executors are.
+constexpr double NearWorkWeight = 4;
 /// Score of using an executor with accelerators for work that needs none.
 constexpr double AcceleratorPenalty = 2;
 /// Score of an executor for which a long-running task needs a new ticket first.
@@ -59,6 +62,8 @@
     return false;
   if (!Request.Rack.empty() && Executor.Info.Rack != Request.Rack)
     return false;
+  if (!Request.AvoidedRack.empty() && Executor.Info.Rack == Request.AvoidedRack)
+    return false;
   return !Request.TasksByExecutor ||
          placesByAntiAffinity(*Request.Step, *Request.TasksByExecutor, Index) >
              0;
@@ -71,10 +76,24 @@
          static_cast<double>(Total);
 }
 
+/// Score of the time that a task takes there.
+double runTimeScoreOf(const PlacementRequest &Request, const ExecutorLoad &Load,
+                      const std::string &Rack) {
+  const StepSpec &Step = *Request.Step;
+  bool IsFar = !Step.Affinity.empty() && Rack != Step.Affinity;
+  double Doublings =
+      Step.BestEffort ? 0 : std::log2(std::max(Load.Slowness, 0.25));
+  if (Step.Affinity.empty() || Request.SpreadFactor <= 1)
+    return SlownessWeight * Doublings + (IsFar ? RemoteRackPenalty : 0);
+  double FarDoublings = IsFar ? std::log2(Request.SpreadFactor) : 0;
+  return NearWorkWeight * (Doublings + FarDoublings);
+}
+
 /// Lower is better. Prefers the fullest executor that fits, to keep large
 /// blocks of capacity free; best-effort tasks go where most is unused.
 double scoreOf(const ExecutorPool &Pool, const ExecutorLoad &Load,
-               const StepSpec &Step, ExecutorIndex Index) {
+               const PlacementRequest &Request, ExecutorIndex Index) {
+  const StepSpec &Step = *Request.Step;
   const ExecutorState &Executor = Pool[Index];
   Resources FreeCapacity = Pool.freeCapacity(Index);
   Resources Demand = demandOf(Step);
@@ -95,16 +114,12 @@
     if (Step.TailLatencyTarget.count() > 0 && Load.BestEffortTasks)
       Score += InterferencePenalty;
   }
-  if (!Step.BestEffort)
-    Score += SlownessWeight * std::log2(std::max(Load.Slowness, 0.25));
   if (Step.Size.Accelerators)
     Score += 2 * freeShareAfter(FreeCapacity.Accelerators, Demand.Accelerators,
                                 Total.Accelerators);
   else if (Total.Accelerators)
     Score += AcceleratorPenalty;
-  if (!Step.Affinity.empty() && Executor.Info.Rack != Step.Affinity)
-    Score += RemoteRackPenalty;
-  return Score;
+  return Score + runTimeScoreOf(Request, Load, Executor.Info.Rack);
 }
 
 bool needsNewTicket(const PlacementRequest &Request, ExecutorIndex Index,
@@ -199,7 +214,7 @@
   visitAllowed(Pool, Request, [&](ExecutorIndex Index) {
     if (!isCandidate(Pool, Loads[Index], Request, Index, Now))
       return false;
-    double Score = scoreOf(Pool, Loads[Index], *Request.Step, Index) +
+    double Score = scoreOf(Pool, Loads[Index], Request, Index) +
                    delayScoreOf(Request, Index, Now);
     if (!Best || Score < BestScore) {
       Best = Index;
--- a/src/cell/Placement.h
+++ b/src/cell/Placement.h
@@ -53,6 +53,10 @@
   std::optional<Resources> KeptRoom;
   /// Only this rack, if set.
   std::string_view Rack;
+  /// Not this rack, if set.
+  std::string_view AvoidedRack;
+  /// By how much tasks are slower away from their data; 1 if not known.
+  double SpreadFactor = 1;
   /// Indexed by executor.
   std::span<const Reservation> Reservations;
   /// Of one task. A task that ends before a reserved executor is needed may run
--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -40,6 +40,7 @@
   BoundsSection.duration("max_lease_ms", Parsed.MaxLease, 1'000, OneDayMs);
   BoundsSection.duration("status_kept_ms", "status_kept_s",
                          Parsed.StatusRetention, 0, OneDayMs);
+  BoundsSection.number("spread_factor", Parsed.SpreadFactor, 1, 100);
 }
 
 } // namespace
--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -35,6 +35,9 @@
   Millis MaxLease{10'000}; ///< The longest lease that an executor grants.
   /// How long the status of ended jobs is available.
   Millis StatusRetention{120'000};
+  /// How many times as long tasks take away from the rack of their data, or
+  /// from the others of their gang; 1 if it is not known.
+  double SpreadFactor = 1;
 };
 
 Result<CellSettings> parseCellSettings(std::string_view Text,
--- a/src/config/SectionReader.h
+++ b/src/config/SectionReader.h
@@ -84,6 +84,20 @@
              fmt::format("a number above 0, at most {}", Max));
   }
 
+  /// An optional number from \p Min to \p Max.
+  void number(std::string_view Key, double &Destination, double Min,
+              double Max) {
+    const toml::node *Node = find(Key);
+    if (!Node)
+      return;
+    auto Value = Node->value<double>();
+    if (Value && *Value >= Min && *Value <= Max)
+      Destination = *Value;
+    else
+      report(Errc::OutOfRange, Key, Node,
+             fmt::format("a number from {} to {}", Min, Max));
+  }
+
   void millis(std::string_view Key, Millis &Destination, int64_t Min,
               int64_t Max) {
     int64_t Value = Destination.count();
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -158,8 +158,8 @@
                              .CreatedAt = Now,
                              .Loading = true,
                              .Others = &OtherServices,
-                             .StatusRetention =
-                                 Context.Options.StatusRetention};
+                             .StatusRetention = Context.Options.StatusRetention,
+                             .SpreadFactor = Context.Options.SpreadFactor};
   Options.Leases.LeaseDuration =
       std::min(Options.Leases.LeaseDuration, Context.Options.MaxLease);
   Options.MaxInstanceListAge = Context.Options.MaxDrainDelay - OrderTransitTime;
@@ -553,6 +553,8 @@
   SetGauge("room_refusals", Counts.CapacityRefusals);
   SetGauge("lapses", Counts.ExpiredRuns);
   SetGauge("stragglers", Counts.Stragglers);
+  SetGauge("place_waits", Counts.PlaceWaits);
+  SetGauge("place_wait_hits", Counts.PlaceWaitHits);
   SetGauge("jobs_completed", Counts.JobsCompleted);
   SetGauge("jobs_failed", Counts.JobsFailed);
   SetGauge("jobs_cancelled", Counts.JobsCancelled);
--- a/tests/unit/CellSettingsTest.cpp
+++ b/tests/unit/CellSettingsTest.cpp
@@ -59,3 +59,18 @@
   LONGS_EQUAL(1, Problems.size());
   STRCMP_EQUAL("entry.drain_limit_s", Problems[0].Key.c_str());
 }
+
+TEST(SettingsWithBounds, TakeASpreadFactor) {
+  auto Settings = read("", "spread_factor = 1.5");
+  CHECK_TRUE(static_cast<bool>(Settings));
+  DOUBLES_EQUAL(1.5, Settings->SpreadFactor, 0);
+}
+
+TEST(SettingsWithBounds, NeedNoSpreadFactor) {
+  DOUBLES_EQUAL(1, read("", "")->SpreadFactor, 0);
+}
+
+TEST(SettingsWithBounds, TakeNoSpreadFactorByWhichFarPlacesAreFaster) {
+  CHECK_FALSE(static_cast<bool>(read("", "spread_factor = 0.5")));
+  STRCMP_EQUAL("bounds.spread_factor", Problems[0].Key.c_str());
+}
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -265,7 +265,9 @@
                              .ClockAtCreation = storeClock(),
                              .CreatedAt = Now,
                              .Loading = true,
-                             .Others = &OtherServices};
+                             .Others = &OtherServices,
+                             .SpreadFactor =
+                                 KnowsSpreadFactor ? SpreadFactor : 1};
   if (Policy) {
     std::vector<cell::AdviceQueueInfo> Queues;
     for (size_t I = 0; I < Policy->Entries; ++I)
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -209,6 +209,9 @@
 
   FaultRates Faults;
   cell::LeaseOptions Leases; ///< Of owners that take over from now on.
+  double SpreadFactor = 1;   ///< Of runs away from their data.
+  /// Whether owners that take over from then on know that factor.
+  bool KnowsSpreadFactor = true;
   int64_t CommitTimeMs = 10;
   /// The owner's loop comes round only this often; answers wait for it.
   int64_t OwnerTurnMs = 0;
--- a/tests/unit/CellSimExecutors.cpp
+++ b/tests/unit/CellSimExecutors.cpp
@@ -61,6 +61,9 @@
   auto Ref = *cell::parseTaskName(Order.Id.Task);
   const cell::StepSpec &Step = Specs.at(std::string(Ref.Job)).Steps[Ref.Step];
   int64_t RunTimeMs = RunTimeFor(Order.Id.Task, Step.Estimate.count());
+  if (!Step.Affinity.empty() && Step.Affinity != Executor.Info.Rack)
+    RunTimeMs =
+        static_cast<int64_t>(SpreadFactor * static_cast<double>(RunTimeMs));
   Executor.Running[Order.Id.Task] = {.Run = Order.Id.Run,
                                      .EndsAt = Now + Millis(RunTimeMs),
                                      .Size = Step.Size};
