--- a/src/cell/OwnerOrder.cpp
+++ b/src/cell/OwnerOrder.cpp
@@ -147,9 +147,9 @@
           .Queue = Job.Spec.Queue,
           .Workspace = Job.Spec.Workspace,
           .RankMs = RankMs,
-          .Work =
-              workOf(demandOf(Spec), Tasks,
-                     Speeds.expectedRunTime(Job.Spec.Queue, Spec.Estimate))};
+          .Work = workOf(
+              demandOf(Spec), Tasks,
+              Times.speeds().expectedRunTime(Job.Spec.Queue, Spec.Estimate))};
 }
 
 /// Sums up what waits, in its order: what can't be useful any more goes last,
--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -42,6 +42,7 @@
                          Parsed.StatusRetention, 0, OneDayMs);
   BoundsSection.duration("key_confirmation_ms", Parsed.KeyConfirmation, 0,
                          OneDayMs);
+  BoundsSection.number("spread_factor", Parsed.SpreadFactor, 1, 100);
 }
 
 } // namespace
--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -38,6 +38,9 @@
   /// How long callers' keys are trusted after the store has last confirmed the
   /// configuration; 0: for as long as no other is known.
   Millis KeyConfirmation{0};
+  /// How many times as long tasks take away from the rack of their data, or
+  /// from the others of their gang; 1 if it is not known.
+  double SpreadFactor = 1;
 };
 
 Result<CellSettings> parseCellSettings(std::string_view Text,
--- a/tests/unit/CellSettingsTest.cpp
+++ b/tests/unit/CellSettingsTest.cpp
@@ -65,3 +65,18 @@
   CHECK(read("", "key_confirmation_ms = 5000")->KeyConfirmation ==
         Millis(5'000));
 }
+
+TEST(SettingsWithBounds, TakeASpreadFactor) {
+  auto Settings = read("", "spread_factor = 1.5");
+  CHECK_TRUE(static_cast<bool>(Settings));
+  DOUBLES_EQUAL(1.5, Settings->SpreadFactor, 0);
+}
+
+TEST(SettingsWithBounds, NeedNoSpreadFactor) {
+  DOUBLES_EQUAL(1, read("", "")->SpreadFactor, 0);
+}
+
+TEST(SettingsWithBounds, TakeNoSpreadFactorByWhichFarPlacesAreFaster) {
+  CHECK_FALSE(static_cast<bool>(read("", "spread_factor = 0.5")));
+  STRCMP_EQUAL("bounds.spread_factor", Problems[0].Key.c_str());
+}
