Callers: one budget for what their requests may hold

Callers could run an entry out of memory: nothing bounded the sum of unfinished bodies, of requests sent ahead, nor what many short fields, trailers or chunks of one byte take as records. Sixty-four connections that stop short kept the load balancer from readiness.

Ruled out: refusing the newest request (a crowd that stops short keeps others out for its whole timeout); a fixed part for each connection (less than one legal body); limits by address by default (callers behind a proxy share one).

RequestBudget accounts for all connections of a server, without a network, and names which to close: unfinished messages by bytes times age. RequestScanner tells what a message takes, and limits its fields. A whole request counts until the last reference to it is gone. ConnectionLimiter counts connections, closing the one that is oldest without a whole request, also when few descriptors are left; the library's count is off for callers and readiness, and remains for trusted clients, which wait to be accepted. Readiness has a small budget of its own. Refusals have a counter and at most ten log lines a second.

On a slow store, what is asked after the crowd no longer waits for that store: three reads of 0.9 s in a row come close to the timeout of a query, so that WholeBodiesInManyRequestsAhead failed once for its own query, not for the crowd.

ServerLimitsTest sets its limit of 4 connections by the budget now; its checks are unchanged.

--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_CONFIG_CELLSETTINGS_H
 
 #include "config/Settings.h"
+#include "http/RequestBudget.h"
 
 namespace daisylanding::config {
 
@@ -16,7 +17,8 @@
   ListenAddress ReadinessAddress; ///< Polled by the load balancer.
   ListenAddress RelayAddress;     ///< Calls from other entries.
   ListenAddress OperatorAddress;  ///< Status and metrics.
-  size_t MaxConnections = 3'000;
+  /// What callers may make the process hold.
+  http::BudgetLimits CallerBudget;
 
   std::string StoreAddress;  ///< host:port.
   std::string AdviceAddress; ///< host:port; empty without a policy service.
@@ -25,6 +27,7 @@
   /// acquire services first.
   double ProcessorShare = 0;
   double LinkMbitPerSecond = 0;
+  size_t MemoryMb = 0;
   /// File descriptors that this process may have open.
   size_t MaxDescriptors = 4'096;
 
--- a/src/http/RequestScanner.cpp
+++ b/src/http/RequestScanner.cpp
@@ -11,6 +11,16 @@
 
 namespace {
 
+/// What a parsed header field takes beside its text, in the server's message
+/// and in its copy for the handler.
+constexpr size_t FieldBytes = 256;
+
+/// What the server's record of a chunk takes beside its text.
+constexpr size_t ChunkRecordBytes = 64;
+
+/// Larger buffers are freed at the end of a head or chunk line.
+constexpr size_t MaxKeptBufferBytes = 1'024;
+
 /// For a chunk size with its extensions, or for one trailer.
 constexpr size_t MaxChunkLineBytes = 1'024;
 
@@ -86,6 +96,7 @@
                                             TimePoint Now) {
   size_t BytesFed = Bytes.size();
   CompleteBytes = 0;
+  CompletedSizes.clear();
   while (!Bytes.empty()) {
     uint64_t CompletedBefore = CompletedMessages;
     std::optional<Refusal> Error;
@@ -97,6 +108,7 @@
       size_t Consumed = std::min<uint64_t>(BytesLeft, Bytes.size());
       Bytes.remove_prefix(Consumed);
       BytesLeft -= Consumed;
+      MessageBytes += Consumed;
       if (BytesLeft == 0)
         completeMessage(Now);
     }
@@ -116,9 +128,9 @@
   };
   if (CurrentPhase == Phase::Head && Now > LastBoundary + Limits.HeaderTimeout)
     return TimeoutRefusal("head", Limits.HeaderTimeout);
-  if (CurrentPhase == Phase::Body &&
-      Now > LastBoundary + 2 * Limits.HeaderTimeout)
-    return TimeoutRefusal("body", 2 * Limits.HeaderTimeout);
+  Millis BodyTimeout = std::min(2 * Limits.HeaderTimeout, Limits.BodyTimeout);
+  if (CurrentPhase == Phase::Body && Now > LastBoundary + BodyTimeout)
+    return TimeoutRefusal("body", BodyTimeout);
   return std::nullopt;
 }
 
@@ -133,6 +145,9 @@
       return std::nullopt;
     CurrentPhase = Phase::Head;
     LastBoundary = Now;
+    MessageBytes = 0;
+    HeadLines = 0;
+    Chunks = 0;
     Buffer.clear();
   }
   constexpr size_t TerminatorOverlap = 3; ///< It may be split across reads.
@@ -141,6 +156,11 @@
   size_t BytesBefore = Buffer.size();
   Buffer.append(Bytes.substr(0, Limits.MaxHeaderBytes + 1 - BytesBefore));
   size_t HeadEnd = findHeadEnd(Buffer, SearchStart);
+  std::string_view HeadPart = Buffer;
+  HeadPart = HeadPart.substr(0, HeadEnd).substr(BytesBefore);
+  MessageBytes += HeadPart.size();
+  if (auto Error = countFields(HeadPart, Limits))
+    return Error;
   if (HeadEnd == std::string::npos) {
     if (Buffer.size() > Limits.MaxHeaderBytes)
       return Refusal{StatusHeadersTooLarge, "headers",
@@ -156,10 +176,35 @@
   CurrentPhase = Phase::Body;
   if (!Chunked && BytesLeft == 0)
     completeMessage(Now);
-  Buffer.clear();
+  releaseBuffer();
   return std::nullopt;
 }
 
+/// Counts the lines of the next part of a head.
+std::optional<Refusal>
+RequestScanner::countFields(std::string_view HeadPart,
+                            const RequestLimits &Limits) {
+  HeadLines +=
+      static_cast<size_t>(std::count(HeadPart.begin(), HeadPart.end(), '\n'));
+  constexpr size_t OtherLines = 2; // The request line and the empty one.
+  if (HeadLines <= Limits.MaxHeaderFields + OtherLines)
+    return std::nullopt;
+  return Refusal{StatusHeadersTooLarge, "headers",
+                 fmt::format("at most {} fields", Limits.MaxHeaderFields)};
+}
+
+void RequestScanner::releaseBuffer() {
+  if (Buffer.capacity() > MaxKeptBufferBytes)
+    Buffer = std::string();
+  Buffer.clear();
+}
+
+size_t RequestScanner::heldBytes() const {
+  if (CurrentPhase == Phase::BetweenMessages)
+    return 0;
+  return MessageBytes + HeadLines * FieldBytes + Chunks * ChunkRecordBytes;
+}
+
 std::optional<Refusal> RequestScanner::parseHead(const RequestLimits &Limits) {
   ContentLength.reset();
   Chunked = false;
@@ -224,6 +269,7 @@
       LineEnd == std::string_view::npos ? Bytes.size() : LineEnd + 1;
   Buffer.append(Bytes.substr(0, std::min(Consumed, MaxChunkLineBytes + 1)));
   Bytes.remove_prefix(Consumed);
+  MessageBytes += Consumed;
   return LineEnd != std::string_view::npos;
 }
 
@@ -234,6 +280,7 @@
     size_t Consumed = std::min<uint64_t>(BytesLeft, Bytes.size());
     Bytes.remove_prefix(Consumed);
     BytesLeft -= Consumed;
+    MessageBytes += Consumed;
     if (BytesLeft == 0)
       CurrentChunkPhase = ChunkPhase::DataEnd;
     return std::nullopt;
@@ -255,8 +302,10 @@
     CurrentChunkPhase = ChunkPhase::Size;
   } else if (BlankLine) {
     completeMessage(Now);
+  } else {
+    Error = countFields("\n", Limits);
   }
-  Buffer.clear();
+  releaseBuffer();
   return Error;
 }
 
@@ -272,6 +321,7 @@
     return badRequest("chunk", "its size in hexadecimal digits");
   bool TooLarge = Failure != std::errc() || BytesLeft > Limits.MaxBodyBytes;
   ChunkedBodyBytes += TooLarge ? 0 : BytesLeft;
+  ++Chunks;
   if (TooLarge || ChunkedBodyBytes > Limits.MaxBodyBytes)
     return Refusal{StatusPayloadTooLarge, "body",
                    fmt::format("at most {} bytes", Limits.MaxBodyBytes)};
@@ -280,6 +330,7 @@
 }
 
 void RequestScanner::completeMessage(TimePoint Now) {
+  CompletedSizes.push_back(heldBytes());
   CurrentPhase = Phase::BetweenMessages;
   LastBoundary = Now;
   ++CompletedMessages;
--- a/src/http/RequestScanner.h
+++ b/src/http/RequestScanner.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace daisylanding::http {
 
@@ -14,7 +15,9 @@
 struct RequestLimits {
   size_t MaxHeaderBytes = 16'384;
   size_t MaxBodyBytes = 262'144;
+  size_t MaxHeaderFields = 256;
   Millis HeaderTimeout{3'000}; ///< For the head; twice this for head and body.
+  Millis BodyTimeout{60'000};  ///< Caps the latter.
   Millis IdleTimeout{15'000};  ///< Between two messages.
 };
 
@@ -51,6 +54,11 @@
   size_t completeBytes() const { return CompleteBytes; }
   /// Number of messages scanned to their end.
   uint64_t completedMessages() const { return CompletedMessages; }
+  /// Memory that the received part of the current message takes: its bytes and
+  /// a fixed cost for each header field; 0 between messages.
+  size_t heldBytes() const;
+  /// The same of each message that the last `feed` completed.
+  const std::vector<size_t> &completedSizes() const { return CompletedSizes; }
 
 private:
   enum class ChunkPhase : uint8_t { Size, Data, DataEnd, Trailer };
@@ -69,12 +77,19 @@
   std::optional<Refusal> parseChunkSize(const RequestLimits &Limits);
   bool consumeLine(std::string_view &Bytes);
   void completeMessage(TimePoint Now);
+  std::optional<Refusal> countFields(std::string_view HeadPart,
+                                     const RequestLimits &Limits);
+  void releaseBuffer();
 
   Phase CurrentPhase = Phase::BetweenMessages;
   TimePoint LastBoundary;
   uint64_t CompletedMessages = 0;
   size_t CompleteBytes = 0;
-  std::string Buffer; ///< Received part of the head or of a chunk line.
+  std::vector<size_t> CompletedSizes;
+  size_t MessageBytes = 0; ///< Received of the current message.
+  size_t HeadLines = 0;    ///< Likewise, with trailers.
+  size_t Chunks = 0;       ///< Likewise.
+  std::string Buffer;      ///< Received part of the head or of a chunk line.
   std::optional<uint64_t> ContentLength;
   bool Chunked = false;
   uint64_t BytesLeft = 0;        ///< Still to come of the body or chunk.
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -13,17 +13,20 @@
 
 namespace {
 
-/// Connections accepted beyond the limit while an idle one is being closed.
-constexpr size_t ExtraConnections = 64;
-
+/// The library's count of connections loses a place for each one that is reset
+/// before it is accepted. It is used for trusted clients only, which wait to be
+/// accepted; others are counted by ConnectionLimiter.
+template <bool ClientsAreTrusted>
 struct Traits : public restinio::default_single_thread_traits_t {
   // NOLINTBEGIN(readability-identifier-naming): the library's names.
   using stream_socket_t = LimitedSocket;
-  static constexpr bool use_connection_count_limiter = true;
+  static constexpr bool use_connection_count_limiter = ClientsAreTrusted;
   // NOLINTEND(readability-identifier-naming)
 };
 
-using RestinioServer = restinio::http_server_t<Traits>;
+template <bool ClientsAreTrusted>
+using RunningServer = std::unique_ptr<restinio::running_server_instance_t<
+    restinio::http_server_t<Traits<ClientsAreTrusted>>>>;
 
 /// Counts requests whose response has not been written yet.
 class PendingResponses {
@@ -70,8 +73,8 @@
   std::shared_ptr<PendingResponses> Pending =
       std::make_shared<PendingResponses>();
   ConnectionLimiter *Limiter = nullptr; ///< Owned by the server's I/O context.
-  std::unique_ptr<restinio::running_server_instance_t<RestinioServer>>
-      RunningServer;
+  RunningServer<true> Trusting;         ///< At most one of these runs.
+  RunningServer<false> Limiting;
 
   Impl(ServerOptions Options, Handler &RequestHandler)
       : Options(std::move(Options)), RequestHandler(RequestHandler) {}
@@ -79,13 +82,19 @@
   restinio::request_handling_status_t
   handleRequest(const restinio::request_handle_t &Source) {
     Pending->add();
-    auto OnWritten = [Responses = Pending, ActiveLimiter = Limiter,
+    std::shared_ptr<RequestTicket> Ticket =
+        Limiter->takeTicket(Source->remote_endpoint());
+    auto OnWritten = [Responses = Pending, ActiveLimiter = Limiter, Ticket,
                       Peer = Source->remote_endpoint()](const auto &) {
+      if (Ticket)
+        Ticket->recordSent();
       ActiveLimiter->onResponseWritten(Peer);
       Responses->remove();
     };
-    RequestHandler.handle(convertRequest(Source), [Source,
+    RequestHandler.handle(convertRequest(Source), [Source, Ticket,
                                                    OnWritten](Response Reply) {
+      if (Ticket)
+        Ticket->recordAnswer(Reply.Body.size());
       auto Builder = Source->create_response(makeStatusLine(Reply.Status));
       for (Header &Field : Reply.Headers)
         Builder.append_header(std::move(Field.first), std::move(Field.second));
@@ -95,29 +104,49 @@
     return restinio::request_accepted();
   }
 
+  template <bool ClientsAreTrusted>
+  restinio::server_settings_t<Traits<ClientsAreTrusted>>
+  settings(size_t MaxOpenRequests) {
+    return restinio::server_settings_t<Traits<ClientsAreTrusted>>{}
+        .address(Options.Address)
+        .port(Options.Port)
+        .max_pipelined_requests(MaxOpenRequests)
+        .read_next_http_message_timelimit(Options.ReadTimeout)
+        .handle_request_timeout(Options.HandleTimeout)
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}.max_body_size(
+                Options.MaxBodyBytes))
+        .request_handler([this](auto Source) { return handleRequest(Source); });
+  }
+
   void listen() {
     auto Context = std::make_shared<asio::io_context>();
     Limiter = &asio::use_service<ConnectionLimiter>(*Context);
-    size_t MaxOpenConnections = Options.MaxConnections;
-    if (Options.Limits) {
-      Limiter->enable(*Context, Options.MaxConnections, Options.Limits);
-      MaxOpenConnections += ExtraConnections;
+    restinio::io_context_holder_t Holder(Context);
+    if (!Options.Limits) {
+      auto Settings = settings<true>(Options.MaxPipelinedRequests)
+                          .max_parallel_connections(Options.MaxConnections);
+      Trusting =
+          restinio::run_async<Traits<true>>(Holder, std::move(Settings), 1U);
+      return;
     }
-    auto Settings =
-        restinio::server_settings_t<Traits>{}
-            .address(Options.Address)
-            .port(Options.Port)
-            .max_parallel_connections(MaxOpenConnections)
-            .max_pipelined_requests(Options.MaxPipelinedRequests)
-            .read_next_http_message_timelimit(Options.ReadTimeout)
-            .handle_request_timeout(Options.HandleTimeout)
-            .incoming_http_msg_limits(
-                restinio::incoming_http_msg_limits_t{}.max_body_size(
-                    Options.MaxBodyBytes))
-            .request_handler(
-                [this](auto Source) { return handleRequest(Source); });
-    RunningServer = restinio::run_async<Traits>(
-        restinio::io_context_holder_t(Context), std::move(Settings), 1U);
+    Limiter->enable(*Context, {.Budget = Options.Budget,
+                               .MaxSocketHandle = Options.MaxSocketHandle,
+                               .Server = Options.ThreadName,
+                               .Counters = Options.Counters,
+                               .Limits = Options.Limits});
+    Limiting = restinio::run_async<Traits<false>>(
+        Holder, settings<false>(Options.Budget.MaxOpenRequests), 1U);
+  }
+
+  bool isRunning() const { return Trusting || Limiting; }
+
+  template <typename Running> static void stop(Running &Stopped) {
+    if (!Stopped)
+      return;
+    Stopped->stop();
+    Stopped->wait();
+    Stopped.reset();
   }
 };
 
@@ -138,12 +167,11 @@
 }
 
 void Server::stop(Millis Timeout) {
-  if (!Pimpl->RunningServer)
+  if (!Pimpl->isRunning())
     return;
   Pimpl->Pending->waitUntilEmpty(Timeout);
-  Pimpl->RunningServer->stop();
-  Pimpl->RunningServer->wait();
-  Pimpl->RunningServer.reset();
+  Impl::stop(Pimpl->Trusting);
+  Impl::stop(Pimpl->Limiting);
 }
 
 } // namespace daisylanding::http
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -2,8 +2,10 @@
 #define DAISYLANDING_HTTP_SERVER_H
 
 #include "common/Error.h"
+#include "common/Metrics.h"
 #include "common/Time.h"
 #include "http/Message.h"
+#include "http/RequestBudget.h"
 #include "http/RequestScanner.h"
 
 #include <functional>
@@ -30,6 +32,11 @@
   std::string ThreadName = "http";
   size_t MaxConnections = 1024;
   size_t MaxPipelinedRequests = 16;
+  /// With `Limits` only; in place of the two above.
+  BudgetLimits Budget;
+  /// A socket with this descriptor and above takes the place of an earlier one.
+  size_t MaxSocketHandle = SIZE_MAX;
+  Metrics *Counters = nullptr; ///< Of refusals; may be null.
   size_t MaxBodyBytes = 1 << 20;
   Millis ReadTimeout{60'000};
   Millis HandleTimeout{600'000};
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -10,6 +10,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
@@ -22,34 +23,75 @@
 /// An entry that has had no answer from the store for this long is not ready.
 constexpr Millis ReadinessSilenceLimit{1'500};
 
+/// Descriptors that callers leave to files, own calls and the other servers.
+constexpr size_t DescriptorsForOthers = 256;
+/// The same for the load balancer's connections.
+constexpr size_t DescriptorsForFiles = 224;
+
+constexpr size_t ServerConnections = 64;
+
+/// The load balancer's question is short.
+constexpr http::RequestLimits ReadinessLimits{.MaxHeaderBytes = 8'192,
+                                              .MaxBodyBytes = 1'024,
+                                              .MaxHeaderFields = 64,
+                                              .IdleTimeout = Millis(60'000)};
+constexpr http::BudgetLimits ReadinessBudget{.MaxRequestBytes = 1 << 20,
+                                             .MaxConnectionBytes = 1 << 18,
+                                             .MaxConnections =
+                                                 ServerConnections,
+                                             .MaxUnsentBytes = 16'384};
+
+size_t maxSocketHandle(const config::CellSettings &Settings, size_t Kept) {
+  return Settings.MaxDescriptors - std::min(Kept, Settings.MaxDescriptors / 2);
+}
+
 std::string newIncarnation() {
   std::random_device Source;
   return fmt::format("{:08x}{:08x}", Source(), Source());
 }
 
 http::ServerOptions serverOptions(const config::ListenAddress &Listen,
-                                  std::string ThreadName,
-                                  size_t MaxConnections) {
+                                  std::string ThreadName) {
   http::ServerOptions Options;
   Options.Address = Listen.Host;
   Options.Port = Listen.Port;
   Options.ThreadName = std::move(ThreadName);
-  Options.MaxConnections = MaxConnections;
+  Options.MaxConnections = ServerConnections;
   return Options;
 }
 
 /// Requests of callers are checked against the limits of the current
 /// configuration.
-http::ServerOptions callerOptions(const EntryContext &Context) {
-  http::ServerOptions Options = serverOptions(
-      Context.Options.CallerAddress, "callers", Context.Options.MaxConnections);
+http::ServerOptions callerOptions(EntryContext &Context) {
+  http::ServerOptions Options =
+      serverOptions(Context.Options.CallerAddress, "callers");
+  Options.Budget = Context.Options.CallerBudget;
+  Options.MaxSocketHandle =
+      maxSocketHandle(Context.Options, DescriptorsForOthers);
+  Options.Counters = &Context.EntryMetrics;
   Options.Limits = [&Context] {
     auto Config = Context.Config.current();
-    return Config ? Config->Limits : http::RequestLimits();
+    http::RequestLimits Limits =
+        Config ? Config->Limits : http::RequestLimits();
+    Limits.MaxHeaderFields = Context.Options.CallerBudget.MaxHeaderFields;
+    Limits.BodyTimeout = Context.Options.CallerBudget.BodyTimeout;
+    return Limits;
   };
   return Options;
 }
 
+/// Crowds at this address don't keep the load balancer from its answer.
+http::ServerOptions readinessOptions(EntryContext &Context) {
+  http::ServerOptions Options =
+      serverOptions(Context.Options.ReadinessAddress, "readiness");
+  Options.Budget = ReadinessBudget;
+  Options.MaxSocketHandle =
+      maxSocketHandle(Context.Options, DescriptorsForFiles);
+  Options.Counters = &Context.EntryMetrics;
+  Options.Limits = [] { return ReadinessLimits; };
+  return Options;
+}
+
 /// Tells the load balancer whether to send requests to this entry.
 class ReadinessHandler final : public http::Handler {
 public:
@@ -89,10 +131,8 @@
         Watch(Context, Advice, Relay), Intake(Context, Relay),
         ReadinessCheck(Context), Status(Context),
         CallerServer(callerOptions(Context), Intake),
-        ReadinessServer(
-            serverOptions(Options.ReadinessAddress, "readiness", 64),
-            ReadinessCheck),
-        OperatorServer(serverOptions(Options.OperatorAddress, "operators", 64),
+        ReadinessServer(readinessOptions(Context), ReadinessCheck),
+        OperatorServer(serverOptions(Options.OperatorAddress, "operators"),
                        Status) {}
 
   std::error_code start() {
--- a/tests/process/CrowdTest.cpp
+++ b/tests/process/CrowdTest.cpp
@@ -188,7 +188,7 @@
     std::ofstream(File) << fmt::format(
         "[entry]\nname = \"e0\"\nzone = \"za\"\n[listen]\ncallers = \"127.0.0.1:{}\"\n"
         "readiness = \"127.0.0.1:{}\"\nrelay = \"127.0.0.1:7993\"\noperators = \"127.0.0.1:7994\"\n"
-        "max_connections = {}\n"
+        "max_connections = {}\nmax_request_bytes = 4194304\nmax_connection_bytes = 2097152\n"
         "[services]\nstore = \"127.0.0.1:{}\"\nadvice = \"127.0.0.1:{}\"\n",
         CallerPort, ReadinessPort, MaxConnections, PlatformPort, PlatformPort);
     Entry.emplace(std::vector<std::string>{"./daisylanding", "serve", "--config", File},
@@ -256,12 +256,14 @@
   void play(uint16_t Port, std::string_view Text, size_t PieceBytes = 65'536, size_t Size = CrowdSize) {
     Crowd Senders(Port, Size);
     Senders.send(Text, PieceBytes);
+    Platform.setFaults({});
     checkEntry();
   }
 };
 
 TEST_GROUP_BASE(OnASlowStore, TEST_GROUP_CppUTestGroupACrowdNobodyControls) {
-  /// Queries stay open while the crowd sends.
+  /// Queries stay open while the crowd sends. What is asked afterwards doesn't
+  /// wait for the store: three reads in a row may take longer than an answer.
   void setup() override {
     TEST_GROUP_CppUTestGroupACrowdNobodyControls::setup();
     Platform.setFaults({.ReadTime = Millis(900)});
--- a/tests/unit/CellSettingsTest.cpp
+++ b/tests/unit/CellSettingsTest.cpp
@@ -19,9 +19,22 @@
                     "[services]\nstore = \"127.0.0.1:5\"\n[bounds]\n{}\n", Entry, Bounds),
         "f.toml", Problems);
   }
+  size_t requestBytes(const std::string &Instance) {
+    auto Settings = read("[instance]\n" + Instance, "");
+    CHECK_TRUE(static_cast<bool>(Settings));
+    return Settings->CallerBudget.MaxRequestBytes;
+  }
 };
 // clang-format on
 
+/// Guards against an instance with little memory that callers run out of it.
+TEST(SettingsWithBounds, LimitCallersByTheMemoryOfTheInstance) {
+  constexpr size_t OneMb = 1'048'576;
+  LONGS_EQUAL(32 * OneMb, requestBytes(""));
+  LONGS_EQUAL(12 * OneMb, requestBytes("memory_mb = 120"));
+  LONGS_EQUAL(32 * OneMb, requestBytes("memory_mb = 512"));
+}
+
 /// Guards against an entry that refuses its settings, since a bound in seconds
 /// is a fraction.
 TEST(SettingsWithBounds, TakeFractions) {
--- a/tests/unit/RequestScannerTest.cpp
+++ b/tests/unit/RequestScannerTest.cpp
@@ -187,3 +187,52 @@
                        SeedLabel.c_str());
   }
 }
+
+/// Guards against requests of legal size that take a hundred times as much
+/// memory, for their many short fields.
+TEST(ThatSendsInvalidRequests, TooManyFieldsAreRefusedBeforeTheHeadEnds) {
+  Limits.MaxHeaderFields = 3;
+  std::string Head = "GET / HTTP/1.1\r\na:\r\nb:\r\nc:\r\n";
+  CHECK_FALSE(feed(Head + "\r\n").has_value());
+  LONGS_EQUAL(1, Scanner.completedMessages());
+  checkRefused(Head + "d:\r\n\r\n", 431, "headers");
+  checkRefused(Head + "d:\r\ne:\r\n", 431, "headers");
+}
+
+TEST(ThatSendsInvalidRequests, TooManyFieldsAfterTheChunksAreRefused) {
+  Limits.MaxHeaderFields = 3;
+  checkRefused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+               "a:b\r\na:b\r\na:b\r\na:b\r\n",
+               431, "headers");
+}
+
+TEST(ThatSendsCompleteMessages, WhatTheyHoldIsKnownWhileAndOnceTheyArrive) {
+  std::string_view Input = "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello";
+  feed(Input.substr(0, Input.size() - 1));
+  size_t Partial = Scanner.heldBytes();
+  CHECK(Partial > Input.size() - 1);
+  CHECK(Scanner.completedSizes().empty());
+  feed(Input.substr(Input.size() - 1));
+  LONGS_EQUAL(0, Scanner.heldBytes());
+  LONGS_EQUAL(1, Scanner.completedSizes().size());
+  LONGS_EQUAL(Partial + 1, Scanner.completedSizes().front());
+}
+
+TEST(ThatSendsCompleteMessages, ManySmallChunksHoldMoreThanTheirBytes) {
+  constexpr size_t Chunks = 100;
+  feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  size_t Before = Scanner.heldBytes();
+  std::string_view Chunk = "1\r\n \r\n";
+  for (size_t I = 0; I < Chunks; ++I)
+    feed(Chunk);
+  CHECK(Scanner.heldBytes() > Before + 2 * Chunks * Chunk.size());
+}
+
+TEST(ThatSendsSlowly, ABodyHasItsOwnTimeIfThatIsShorter) {
+  Limits.BodyTimeout = Limits.HeaderTimeout;
+  feed("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhell");
+  Now += Limits.HeaderTimeout;
+  CHECK_FALSE(Scanner.checkTimeout(Limits, Now).has_value());
+  Now += Millis(1);
+  LONGS_EQUAL(408, Scanner.checkTimeout(Limits, Now)->Status);
+}
--- a/tests/unit/ServerLimitsTest.cpp
+++ b/tests/unit/ServerLimitsTest.cpp
@@ -81,7 +81,8 @@
 // clang-format off
 TEST_GROUP(AServerWithLimits) {
   DeferringHandler RequestHandler;
-  Server HttpServer{{.Port = ServerPort, .MaxConnections = 4,
+  Metrics Counters;
+  Server HttpServer{{.Port = ServerPort, .Budget = {.MaxRequestBytes = 20'000, .MaxConnections = 4}, .Counters = &Counters,
                     .Limits = [] {
                       return RequestLimits{.MaxHeaderBytes = 4'000, .MaxBodyBytes = 10'000,
                                            .HeaderTimeout = Millis(300), .IdleTimeout = Millis(60'000)};
@@ -102,6 +103,7 @@
   }
 };
 TEST_GROUP_BASE(ThatReceivesInvalidRequests, TEST_GROUP_CppUTestGroupAServerWithLimits) {};
+TEST_GROUP_BASE(ThatReadsMoreThanItMayHold, TEST_GROUP_CppUTestGroupAServerWithLimits) {};
 TEST_GROUP_BASE(ThatWaitsForClients, TEST_GROUP_CppUTestGroupAServerWithLimits) {};
 // clang-format on
 
@@ -186,3 +188,21 @@
   STRCMP_EQUAL("HTTP/1.1 200 OK",
                IdleClients[0].readUntil("fine").substr(0, 15).c_str());
 }
+
+/// Guards against clients that make the process hold their unfinished bodies.
+TEST(ThatReadsMoreThanItMayHold, TellsTheCostliestClientThatItIsNotRun) {
+  std::string Head = "POST / HTTP/1.1\r\nContent-Length: 9900\r\n\r\n";
+  RawClient First;
+  First.send(Head + std::string(9'899, ' '));
+  RawClient Second;
+  Second.send(Head + std::string(9'000, ' '));
+  RawClient Third;
+  Third.send(Head + std::string(9'000, ' '));
+  Third.send(std::string(900, ' '));
+  std::string Received = Third.readUntil("\r\n");
+  std::string Refused = First.readAll();
+  STRCMP_EQUAL("HTTP/1.1 200", Received.substr(0, 12).c_str());
+  STRCMP_EQUAL("HTTP/1.1 503", Refused.substr(0, 12).c_str());
+  STRCMP_CONTAINS("refusals{server=\"http\",reason=\"request-bytes\"}",
+                  Counters.render().c_str());
+}
