--- a/tests/process/CrowdTest.cpp
+++ b/tests/process/CrowdTest.cpp
@@ -44,7 +44,7 @@
 constexpr size_t SmallPiece = 1'400;
 
 /// What the process may grow by: less than half of what the crowds send.
-constexpr size_t MaxGrowthKb = 32 * 1'024;
+constexpr size_t MaxGrowthKb = 32'768;
 /// The test's settings allow 400 connections.
 constexpr size_t MaxConnections = 400;
 constexpr size_t MaxDescriptors = MaxConnections + 200;
