--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -456,7 +456,7 @@
   void removeLoad(const TaskKey &Key);
 
   // Waits for near places.
-  static WorkClass workClassOf(const TaskKey &Key) {
+  static RunTimeClass runTimeClassOf(const TaskKey &Key) {
     return {.Queue = Key.Job->Spec.Queue, .Image = Key.spec().Image};
   }
   bool isSpread(const StepSpec &Spec,
--- a/src/cell/OwnerPlaces.cpp
+++ b/src/cell/OwnerPlaces.cpp
@@ -63,7 +63,7 @@
   const LiveTask &Task = Key.task();
   Millis Elapsed(Task.Confirmed ? toMillis(Now - Task.RunningSince) : 0);
   double Slowness = Loads[Task.Executor].Slowness * spreadOf(Key);
-  return Times.remaining(workClassOf(Key), Key.spec().Estimate, Elapsed,
+  return Times.remaining(runTimeClassOf(Key), Key.spec().Estimate, Elapsed,
                          Slowness, Share);
 }
 
@@ -92,7 +92,8 @@
 WaitTerms CellOwner::waitTermsOf(const WaitingStepRef &Waiting,
                                  TimePoint Now) const {
   const StepSpec &Spec = Waiting.spec();
-  Millis RunTime = Times.typical(workClassOf(Waiting.task(0)), Spec.Estimate);
+  Millis RunTime =
+      Times.typical(runTimeClassOf(Waiting.task(0)), Spec.Estimate);
   WaitTerms Terms{.NearRunTime = RunTime,
                   .FarRunTime = scale(RunTime, Options.SpreadFactor),
                   .Slack = Millis(static_cast<int64_t>(Waiting.SlackMs))};
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -427,7 +427,7 @@
                               TimePoint Now) {
   double NearMs = static_cast<double>(RunTime.count()) / spreadOf(Key);
   Times.record({.Executor = Key.task().Executor,
-                .Work = workClassOf(Key),
+                .Work = runTimeClassOf(Key),
                 .Declared = Key.spec().Estimate,
                 .Taken = Millis(static_cast<int64_t>(NearMs))},
                Now);
--- a/src/cell/RunTimes.cpp
+++ b/src/cell/RunTimes.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-RunTimes::ClassTimes &RunTimes::findOrAdd(const WorkClass &Work) {
+RunTimes::ClassTimes &RunTimes::findOrAdd(const RunTimeClass &Work) {
   ClassKey Key(Work.Queue, Work.Image);
   auto Found = Classes.find(Key);
   if (Found != Classes.end())
@@ -47,7 +47,7 @@
                    (toDouble(Sample.Declared) * Slowness));
 }
 
-const RatioHistogram *RunTimes::ratiosOf(const WorkClass &Work) const {
+const RatioHistogram *RunTimes::ratiosOf(const RunTimeClass &Work) const {
   auto Found =
       Classes.find(ClassKey(std::string(Work.Queue), std::string(Work.Image)));
   if (Found == Classes.end() ||
@@ -56,19 +56,19 @@
   return &Found->second.Ratios;
 }
 
-Millis RunTimes::typical(const WorkClass &Work, Millis Declared) const {
+Millis RunTimes::typical(const RunTimeClass &Work, Millis Declared) const {
   constexpr double Half = 0.5;
   return quantile(Work, Declared, Half);
 }
 
-Millis RunTimes::quantile(const WorkClass &Work, Millis Declared,
+Millis RunTimes::quantile(const RunTimeClass &Work, Millis Declared,
                           double Share) const {
   if (const RatioHistogram *Ratios = ratiosOf(Work))
     return scale(Declared, Ratios->quantile(Share));
   return Speeds.expectedRunTime(std::string(Work.Queue), Declared);
 }
 
-Millis RunTimes::remaining(const WorkClass &Work, Millis Declared,
+Millis RunTimes::remaining(const RunTimeClass &Work, Millis Declared,
                            Millis Elapsed, double Slowness,
                            double Share) const {
   Millis Whole = scale(quantile(Work, Declared, Share), Slowness);
--- a/src/cell/RunTimes.h
+++ b/src/cell/RunTimes.h
@@ -14,7 +14,7 @@
 namespace daisylanding::cell {
 
 /// What tasks have in common whose declared times are off alike.
-struct WorkClass {
+struct RunTimeClass {
   std::string_view Queue;
   std::string_view Image;
 };
@@ -22,7 +22,7 @@
 /// A run that is over, or whose time can be predicted.
 struct RunSample {
   ExecutorIndex Executor = NoExecutor;
-  WorkClass Work;
+  RunTimeClass Work;
   Millis Declared{0};
   Millis Taken{0}; ///< As if at a near place.
 };
@@ -38,12 +38,13 @@
 
   /// Half of the tasks take less, on an executor of the usual speed. A few that
   /// take many times as long don't change it.
-  Millis typical(const WorkClass &Work, Millis Declared) const;
+  Millis typical(const RunTimeClass &Work, Millis Declared) const;
   /// \p Share of the tasks take less.
-  Millis quantile(const WorkClass &Work, Millis Declared, double Share) const;
+  Millis quantile(const RunTimeClass &Work, Millis Declared,
+                  double Share) const;
   /// \p Share of the tasks that have run for \p Elapsed end within this time.
   /// \p Slowness: of the executor, or of the place.
-  Millis remaining(const WorkClass &Work, Millis Declared, Millis Elapsed,
+  Millis remaining(const RunTimeClass &Work, Millis Declared, Millis Elapsed,
                    double Slowness, double Share) const;
 
 private:
@@ -53,9 +54,9 @@
   };
   using ClassKey = std::pair<std::string, std::string>;
 
-  ClassTimes &findOrAdd(const WorkClass &Work);
+  ClassTimes &findOrAdd(const RunTimeClass &Work);
   /// Null if too few of its tasks have ended.
-  const RatioHistogram *ratiosOf(const WorkClass &Work) const;
+  const RatioHistogram *ratiosOf(const RunTimeClass &Work) const;
 
   SpeedTracker Speeds;
   std::map<ClassKey, ClassTimes> Classes;
--- a/tests/unit/RunTimesTest.cpp
+++ b/tests/unit/RunTimesTest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr WorkClass Work{.Queue = "q", .Image = "a"};
+constexpr RunTimeClass Work{.Queue = "q", .Image = "a"};
 constexpr Millis Declared{1'000};
 
 TimePoint at(int64_t Ms) { return TimePoint{Millis(1'000'000 + Ms)}; }
@@ -18,7 +18,7 @@
 TEST_GROUP(RunTimesOfAQueue) {
   RunTimes Times;
 
-  void record(Millis Taken, int Count, const WorkClass &Class = Work, ExecutorIndex Index = 0) {
+  void record(Millis Taken, int Count, const RunTimeClass &Class = Work, ExecutorIndex Index = 0) {
     for (int I = 0; I < Count; ++I)
       Times.record({.Executor = Index, .Work = Class, .Declared = Declared, .Taken = Taken}, at(I));
   }
