--- a/src/cell/BacklogEstimate.h
+++ b/src/cell/BacklogEstimate.h
@@ -22,6 +22,7 @@
   std::string Constraint; ///< A label that the executor must have.
   bool NeedsAccelerators = false;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): a name of the library's.
   auto operator<=>(const WorkClass &) const = default;
 };
 
