--- a/src/http/RequestBudget.h
+++ b/src/http/RequestBudget.h
@@ -25,8 +25,9 @@
   /// Unanswered requests of a connection; no more are read from it.
   size_t MaxOpenRequests = 16;
   size_t MaxUnsentBytes = size_t{1} << 20; ///< Of a connection's answers.
-  size_t MaxHeaderFields = 256;            ///< Of a request.
-  Millis BodyTimeout{60'000};              ///< For a request's head and body.
+  /// Of a request. As many as fit into a head of 16 KB, at four bytes each.
+  size_t MaxHeaderFields = 4'096;
+  Millis BodyTimeout{60'000}; ///< For a request's head and body.
 };
 
 /// The limit for which a connection is closed.
--- a/src/http/RequestScanner.h
+++ b/src/http/RequestScanner.h
@@ -15,7 +15,8 @@
 struct RequestLimits {
   size_t MaxHeaderBytes = 16'384;
   size_t MaxBodyBytes = 262'144;
-  size_t MaxHeaderFields = 256;
+  /// As many as fit into such a head, at four bytes each.
+  size_t MaxHeaderFields = 4'096;
   Millis HeaderTimeout{3'000}; ///< For the head; twice this for head and body.
   Millis BodyTimeout{60'000};  ///< Caps the latter.
   Millis IdleTimeout{15'000};  ///< Between two messages.
