--- a/tests/unit/FairOrderTest.cpp
+++ b/tests/unit/FairOrderTest.cpp
@@ -226,10 +226,13 @@
 }
 
 TEST(ABacklog, OfThousandWorkspacesIsStatedOfTheLongest) {
+  constexpr size_t Count = 1'000;
   std::vector<std::string> Names;
-  for (int I = 0; I < 1'000; ++I)
+  Names.reserve(Count);
+  for (size_t I = 0; I < Count; ++I)
     Names.push_back(fmt::format("w{}", I));
   std::vector<BacklogEstimate::Item> Items;
+  Items.reserve(Count);
   for (const std::string &Name : Names)
     Items.push_back(item(Name.c_str(), 100, OneCore, 10));
   Backlog.set(Items);
