Read once more: a stale mark in the order of work, and logic that stood twice

- FairOrder: a workspace that was beyond its share and then waited for nothing kept the mark until it waited again.
An offer of its next job was judged by it, and could be refused though it no longer goes behind others.
It comes back now by its last fair share, with a log line as before.
Test: AndThenWaitsForNothing, ItComesBackAsItsUseEnds.
- Steps that their workspace's cap holds back no longer ask for near places that others could take.
- One WorthlessSlackMs (a member shadowed that of UsefulTime.h), one count of waiting tasks (three copies), one class for what owners state.

Weighed and not done: to judge whether versions of the configuration were missed by the follower's history in place of consecutive numbers.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -346,8 +346,6 @@
   static bool mayJoinSuspects(const TaskKey &Key, TimePoint Now);
 
   // Planning.
-  /// From here on, the job of a step has no value left.
-  static constexpr double WorthlessSlackMs = 1e9;
   struct WaitingStepRef {
     LiveJob *Job = nullptr;
     uint32_t Occurrence = 0;
--- a/src/cell/FairOrder.cpp
+++ b/src/cell/FairOrder.cpp
@@ -78,11 +78,19 @@
   addUses(Waiting, UsedBy, All, Now);
   if (IsFull)
     FullUntil = Now + FullMemory;
+  std::vector<Change> Changes;
+  // One that waits for nothing comes back by its last fair share.
+  for (auto &[Name, Entry] : Shares) {
+    bool StaysBeyond = Now < FullUntil && Entry.Used > Entry.Fair;
+    if (!Entry.IsBeyond || Entry.IsWaiting || StaysBeyond)
+      continue;
+    Entry.IsBeyond = false;
+    Changes.push_back({.Name = Name, .Now = Entry});
+  }
   double Weights = 0;
   for (const auto &Entry : Waiting)
     Weights += Entry.second.Weight;
   double Left = shareLeftByOthers();
-  std::vector<Change> Changes;
   for (const auto &[Name, Demand] : Waiting) {
     auto Found = Shares.find(Name);
     if (Found == Shares.end())
--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -132,6 +132,13 @@
                      [](const LiveTask &Task) { return Task.Run > 0; });
 }
 
+inline uint32_t countWaitingTasks(const LiveStep &Step) {
+  auto Count = std::count_if(
+      Step.Tasks.begin(), Step.Tasks.end(),
+      [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
+  return static_cast<uint32_t>(Count);
+}
+
 /// What must be stored of a task when it changes. Its checkpoint is stored with
 /// the next change of a task in the same row.
 struct TaskMark {
--- a/src/cell/OwnerCaps.cpp
+++ b/src/cell/OwnerCaps.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-uint32_t waitingTasks(const LiveStep &Step) {
-  return static_cast<uint32_t>(std::count_if(
-      Step.Tasks.begin(), Step.Tasks.end(),
-      [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; }));
-}
-
 uint32_t multiply(uint32_t Amount, uint32_t Count) {
   uint64_t Product = static_cast<uint64_t>(Amount) * Count;
   return static_cast<uint32_t>(
@@ -33,7 +27,7 @@
 
 /// Units of the step that wait.
 uint32_t waitingUnits(const LiveStep &Step, const StepSpec &Spec) {
-  uint32_t Tasks = waitingTasks(Step);
+  uint32_t Tasks = countWaitingTasks(Step);
   if (!Spec.Gang)
     return Tasks;
   return Tasks == Step.Tasks.size() ? 1 : 0;
@@ -45,7 +39,7 @@
 uint32_t CellOwner::startableTasks(const WaitingStepRef &Waiting) const {
   const StepSpec &Spec = Waiting.spec();
   const JobSpec &Job = Waiting.Job->Spec;
-  uint32_t Tasks = waitingTasks(Waiting.step());
+  uint32_t Tasks = countWaitingTasks(Waiting.step());
   if (Job.Workspace.empty() || Tasks == 0)
     return Tasks;
   // The workspace may be new, and its cap not known here yet.
@@ -84,7 +78,7 @@
           Used.MilliCores, Used.MemoryMb, Used.Accelerators, Allowed.MilliCores,
           Allowed.MemoryMb, Allowed.Accelerators, Cap.MilliCores, Cap.MemoryMb,
           Cap.Accelerators, Wanted.MilliCores, Wanted.MemoryMb,
-          Wanted.Accelerators, waitingTasks(Step));
+          Wanted.Accelerators, countWaitingTasks(Step));
 }
 
 /// At the end of a planning turn: states what is wanted, and grants what others
--- a/src/cell/OwnerOrder.cpp
+++ b/src/cell/OwnerOrder.cpp
@@ -25,12 +25,6 @@
 /// Workspaces whose refusals are counted.
 constexpr size_t MaxCountedWorkspaces = 2'000;
 
-uint64_t countWaiting(const LiveStep &Step) {
-  return static_cast<uint64_t>(std::count_if(
-      Step.Tasks.begin(), Step.Tasks.end(),
-      [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; }));
-}
-
 WorkClass classOf(const StepSpec &Spec) {
   return {.Constraint = Spec.Constraint,
           .NeedsAccelerators = Spec.Size.Accelerators > 0};
@@ -108,7 +102,7 @@
   for (const WaitingStepRef &Waiting : Steps) {
     std::string_view Name = Waiting.Job->Spec.Workspace;
     if (Name.empty() || Waiting.SlackMs >= WorthlessSlackMs ||
-        countWaiting(Waiting.step()) == 0)
+        countWaitingTasks(Waiting.step()) == 0)
       continue;
     FairOrder::Waiting &Demand = ByName[Name];
     Demand.Weight = weightOf(Name);
@@ -162,7 +156,7 @@
   YieldingWorkspaces.clear();
   BacklogEstimate::CapacityByClass Capacities;
   for (const WaitingStepRef &Waiting : Steps) {
-    uint64_t Tasks = countWaiting(Waiting.step());
+    uint64_t Tasks = countWaitingTasks(Waiting.step());
     if (Waiting.SlackMs >= WorthlessSlackMs)
       break;
     if (Tasks == 0 || Waiting.spec().LongRunning)
--- a/src/cell/OwnerPlaces.cpp
+++ b/src/cell/OwnerPlaces.cpp
@@ -1,5 +1,6 @@
 #include "cell/CellOwner.h"
 
+#include "cell/UsefulTime.h"
 #include "common/Log.h"
 
 #include <algorithm>
@@ -20,13 +21,6 @@
       static_cast<int64_t>(static_cast<double>(Time.count()) * Factor));
 }
 
-uint32_t countWaitingTasks(const LiveStep &Step) {
-  auto Count = std::count_if(
-      Step.Tasks.begin(), Step.Tasks.end(),
-      [](const LiveTask &Task) { return Task.Phase == TaskPhase::Waiting; });
-  return static_cast<uint32_t>(Count);
-}
-
 } // namespace
 
 /// Whether the executors are not all near: to the data, or to each other.
@@ -122,7 +116,7 @@
   PlacementRequest Request =
       placementRequestFor(Waiting, &JobQueue, TasksByExecutor);
   PlaceBid Bid{.Demand = demandOf(Spec),
-               .Tasks = countWaitingTasks(Waiting.step()),
+               .Tasks = startableTasks(Waiting),
                .Terms = waitTermsOf(Waiting, Now)};
   Request.AvoidedRack = Spec.Affinity;
   if (auto Far = chooseExecutor(Pool, Loads, Request, Now)) {
@@ -191,7 +185,7 @@
   std::map<ExecutorIndex, size_t> RoomNumbers;
   for (const WaitingStepRef &Waiting : Steps) {
     if (Waiting.spec().Gang || !mayWaitForPlace(Waiting) ||
-        countWaitingTasks(Waiting.step()) == 0)
+        startableTasks(Waiting) == 0)
       continue;
     Bidders.push_back(&Waiting);
     Bids.push_back(bidOf(Waiting, *queueOf(*Waiting.Job), RoomNumbers, Now));
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -76,9 +76,8 @@
 /// the rest at a multiple of its allowed time. Jobs without remaining value
 /// rank last, so that they don't displace others. Long-running tasks that have
 /// run before are due at once.
-double slackOf(const SpeedTracker &Speeds, double WorthlessSlackMs,
-               const LiveJob &Job, const LiveOccurrence &Occurrence,
-               uint32_t Step, TimePoint Now) {
+double slackOf(const SpeedTracker &Speeds, const LiveJob &Job,
+               const LiveOccurrence &Occurrence, uint32_t Step, TimePoint Now) {
   auto LeftMs = static_cast<double>(toMillis(Occurrence.DueAt - Now));
   auto WorkMs = static_cast<double>(
       remainingCriticalPath(Speeds, Job.Spec, Step).count());
@@ -138,7 +137,7 @@
 
 double CellOwner::slackMs(const LiveJob &Job, const LiveOccurrence &Occurrence,
                           uint32_t Step, TimePoint Now) const {
-  return slackOf(Times.speeds(), WorthlessSlackMs, Job, Occurrence, Step, Now);
+  return slackOf(Times.speeds(), Job, Occurrence, Step, Now);
 }
 
 /// Adds the job's steps that are ready and wanted.
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -57,19 +57,16 @@
   std::map<std::string, std::string> Relays;
 };
 
-/// What the services' owners state of their queues, from the owner rows last
-/// read.
-class QueueStatements {
+/// What the services' owners state, from the owner rows last read.
+template <typename T> class OwnerStatements {
 public:
-  void set(const std::string &Service, cell::QueueStatement Statement) {
-    auto Shared =
-        std::make_shared<const cell::QueueStatement>(std::move(Statement));
+  void set(const std::string &Service, T Statement) {
+    auto Shared = std::make_shared<const T>(std::move(Statement));
     std::lock_guard<std::mutex> Lock(Mutex);
     Services[Service] = std::move(Shared);
   }
   /// Never null; states nothing if no row was read.
-  std::shared_ptr<const cell::QueueStatement>
-  of(const std::string &Service) const {
+  std::shared_ptr<const T> of(const std::string &Service) const {
     std::lock_guard<std::mutex> Lock(Mutex);
     auto It = Services.find(Service);
     return It == Services.end() ? Unstated : It->second;
@@ -77,35 +74,12 @@
 
 private:
   mutable std::mutex Mutex;
-  std::map<std::string, std::shared_ptr<const cell::QueueStatement>> Services;
-  std::shared_ptr<const cell::QueueStatement> Unstated =
-      std::make_shared<const cell::QueueStatement>();
+  std::map<std::string, std::shared_ptr<const T>> Services;
+  std::shared_ptr<const T> Unstated = std::make_shared<const T>();
 };
 
-/// What the services' owners state of their backlogs, from the owner rows last
-/// read.
-class BacklogStatements {
-public:
-  void set(const std::string &Service, cell::BacklogStatement Statement) {
-    auto Shared =
-        std::make_shared<const cell::BacklogStatement>(std::move(Statement));
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Services[Service] = std::move(Shared);
-  }
-  /// Never null; states nothing if no row was read.
-  std::shared_ptr<const cell::BacklogStatement>
-  of(const std::string &Service) const {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    auto It = Services.find(Service);
-    return It == Services.end() ? Unstated : It->second;
-  }
-
-private:
-  mutable std::mutex Mutex;
-  std::map<std::string, std::shared_ptr<const cell::BacklogStatement>> Services;
-  std::shared_ptr<const cell::BacklogStatement> Unstated =
-      std::make_shared<const cell::BacklogStatement>();
-};
+using QueueStatements = OwnerStatements<cell::QueueStatement>;
+using BacklogStatements = OwnerStatements<cell::BacklogStatement>;
 
 /// Time of the store's last answer, its clock and its read latency, as observed
 /// by all loops of the process.
--- a/tests/unit/FairOrderTest.cpp
+++ b/tests/unit/FairOrderTest.cpp
@@ -66,6 +66,15 @@
   }
 };
 
+/// It stops sending, and the service stays full of others' work.
+TEST_GROUP_BASE(AndThenWaitsForNothing, TEST_GROUP_CppUTestGroupWhenOneUsesMostOfIt) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupWhenOneUsesMostOfIt::setup();
+    Used.clear();
+    Used["b"] = {.MilliCores = 80'000};
+  }
+};
+
 TEST_GROUP(ABacklog) {
   static constexpr Resources OneCore{.MilliCores = 1'000};
   static constexpr Resources OneAccelerator{.MilliCores = 1'000, .Accelerators = 1};
@@ -81,6 +90,15 @@
 };
 // clang-format on
 
+/// Guards against a refusal of its next job for what it used long before.
+TEST(AndThenWaitsForNothing, ItComesBackAsItsUseEnds) {
+  CHECK_TRUE(Order.isBeyondShare("a"));
+  runFor(500, waiting({"b"}));
+  CHECK_TRUE(Order.isBeyondShare("a"));
+  runFor(20'000, waiting({"b"}));
+  CHECK_FALSE(Order.isBeyondShare("a"));
+}
+
 TEST(AWorkspaceThatMaySendFourJobsASecond, IsWithinItsRateAtAnEvenPace) {
   for (int64_t Ms = 0; Ms < 20'000; Ms += 250)
     CHECK_TRUE(send(Ms));
