--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -15,7 +15,7 @@
   c++ $Flags -c "review/standin-11/$Source.cpp" -o "target/review-3/$Source.o"
   Shared="$Shared target/review-3/$Source.o"
 done
-for Program in Memory Dependencies Reads LateStart Gang; do
+for Program in Memory Dependencies Reads Gang; do
   Name=$(echo "$Program" | tr 'A-Z' 'a-z')
   c++ $Flags "review/standin-11/${Program}Main.cpp" $Shared $Libraries \
     -o "target/review-3/$Name"
--- a/review/standin-11/Cell.h
+++ b/review/standin-11/Cell.h
@@ -106,8 +106,7 @@
 
 void sleepFor(Millis Time);
 
-template <typename Condition>
-bool eventually(Condition IsMet, Millis MaxWait) {
+template <typename Condition> bool eventually(Condition IsMet, Millis MaxWait) {
   TimePoint Deadline = monotonicNow() + MaxWait;
   while (!IsMet()) {
     if (monotonicNow() >= Deadline)
--- a/review/standin-11/DependenciesMain.cpp
+++ b/review/standin-11/DependenciesMain.cpp
@@ -108,7 +108,8 @@
                            .Status;
           Seen.add("job {} of the crowd, {} bytes: {}", jobId(I + 1),
                    Body.size(), Status);
-          sleepFor(std::max(Millis(0), Millis(toMillis(Next - monotonicNow()))));
+          sleepFor(
+              std::max(Millis(0), Millis(toMillis(Next - monotonicNow()))));
         }
       });
     for (std::thread &Sender : Senders)
--- a/review/standin-11/GangMain.cpp
+++ b/review/standin-11/GangMain.cpp
@@ -43,11 +43,11 @@
     if (!setUp())
       return Verdict::NotRun;
     // On one of the other kind.
-    bool IsSubmitted = submit(LongJob, {{"count", 1},
-                                           {"cpu", 1'000},
-                                           {"constraints", "a"},
-                                           {"est-runtime-ms",
-                                            LongRunTime.count()}});
+    bool IsSubmitted =
+        submit(LongJob, {{"count", 1},
+                         {"cpu", 1'000},
+                         {"constraints", "a"},
+                         {"est-runtime-ms", LongRunTime.count()}});
     if (!IsSubmitted ||
         !eventually([&] { return Platform.runsStarted() == 1; }, Millis(5'000)))
       return Verdict::NotRun;
@@ -71,8 +71,7 @@
     bool Begun = eventually(
         [&] { return Platform.runsStarted() > StartsBefore; }, MaxIdleTime);
     for (uint64_t Job : {LongJob, GangJob, OtherJob}) {
-      Reply Answer =
-          call(All[0]->CallerPort, "GET", "/q/" + jobId(Job));
+      Reply Answer = call(All[0]->CallerPort, "GET", "/q/" + jobId(Job));
       Seen.add("job {}: {} {}", jobId(Job), Answer.Status, Answer.Body);
     }
     Seen.add("of six executors five are idle, three of them of kind b; the job "
--- a/review/standin-11/MemoryMain.cpp
+++ b/review/standin-11/MemoryMain.cpp
@@ -36,12 +36,10 @@
 constexpr Millis MaxIdleTime{3'000};
 
 std::string ordinaryBody() {
-  return json{{"spec", "work"},
-              {"steps",
-               {{{"count", 2},
-                 {"cpu", 500},
-                 {"mem-mb", 10},
-                 {"est-runtime-ms", 250}}}}}
+  return json{
+      {"spec", "work"},
+      {"steps",
+       {{{"count", 2}, {"cpu", 500}, {"mem-mb", 10}, {"est-runtime-ms", 250}}}}}
       .dump();
 }
 
@@ -218,8 +216,8 @@
       bool IsKnown = Answer.Status == http::StatusOk;
       ++ByState[IsKnown ? Answer.Body
                         : fmt::format("status {}", Answer.Status)];
-      bool IsDone = IsKnown && json::parse(Answer.Body).value("state", "") ==
-                                   "completed";
+      bool IsDone =
+          IsKnown && json::parse(Answer.Body).value("state", "") == "completed";
       Unfinished += IsDone ? 0 : 1;
     }
     for (const auto &[State, Count] : ByState)
--- a/review/standin-11/ReadsMain.cpp
+++ b/review/standin-11/ReadsMain.cpp
@@ -101,8 +101,7 @@
     Seen.add("{} of {} reading calls and {} of {} writing calls were refused; "
              "the crowd sent {} requests",
              Rated.Reads.Refused.load(), Rated.Reads.All.load(),
-             Rated.Writes.Refused.load(), Rated.Writes.All.load(),
-             Sent.load());
+             Rated.Writes.Refused.load(), Rated.Writes.All.load(), Sent.load());
     Seen.add("{} answers by an older version, CONFIG: {}", Late,
              Late > 0 ? "broken" : "held");
     return Late > 0 ? Verdict::Broken : Verdict::Held;
@@ -152,11 +151,10 @@
     for (uint64_t I = 2; I <= Version; ++I)
       Add(fmt::format("added-{}", I));
     json Services = {{{"name", "s"}}, {{"name", "t"}}};
-    Rated.Platform.putRow("op", "", "config",
-                          json{{"version", Version},
-                               {"routes", Routes},
-                               {"services", Services}}
-                              .dump());
+    Rated.Platform.putRow(
+        "op", "", "config",
+        json{{"version", Version}, {"routes", Routes}, {"services", Services}}
+            .dump());
   }
 
   /// Counts of the new queue are asked for at each entry, once the version has
@@ -168,11 +166,11 @@
     sleepFor(ApplyTime + Millis(50));
     for (auto &Machine : All) {
       TimePoint SentAt = monotonicNow();
-      Reply Answer = call(Machine->CallerPort, "GET",
-                          fmt::format("/added-{}/", Version));
+      Reply Answer =
+          call(Machine->CallerPort, "GET", fmt::format("/added-{}/", Version));
       Seen.add("{}: a count of the queue of version {}, sent at {} ms: {}",
-               Machine->name(), Version,
-               toMillis(SentAt - (Next - Interval)), Answer.Status);
+               Machine->name(), Version, toMillis(SentAt - (Next - Interval)),
+               Answer.Status);
       Late += Answer.Status == http::StatusNotFound ? 1 : 0;
     }
     sleepFor(std::max(Millis(0), Millis(toMillis(Next - monotonicNow()))));
@@ -202,9 +200,8 @@
   }
 
   bool send(int Socket, uint64_t Number) {
-    std::string Text =
-        fmt::format("GET /q/{} HTTP/1.1\r\nHost: jobs.example\r\n\r\n",
-                    jobId(Number));
+    std::string Text = fmt::format(
+        "GET /q/{} HTTP/1.1\r\nHost: jobs.example\r\n\r\n", jobId(Number));
     pollfd Writable{.fd = Socket, .events = POLLOUT, .revents = 0};
     if (::poll(&Writable, 1, 1'000) <= 0)
       return false;
--- a/review/standin-11/WatchedPlatform.cpp
+++ b/review/standin-11/WatchedPlatform.cpp
@@ -33,8 +33,7 @@
   if (Path == "/-/hold") {
     const std::string *Id =
         http::findHeader(Request.Headers, "X-Daisylanding-Expect-Instance");
-    Respond = [this, Executor = Id ? *Id : "",
-               Respond](http::Response Answer) {
+    Respond = [this, Executor = Id ? *Id : "", Respond](http::Response Answer) {
       if (Answer.Status == http::StatusOk)
         noteLists(Executor, Answer.Body);
       Respond(std::move(Answer));
