Logs: lease ends and clock readings of orders, and of an executor's two lives

Callers saw two runs of one task side by side. The lines of the owner could not tell a lease by the earlier life's clock from one that the owner itself granted for too long: neither the lease end of an order nor the reading of any answer was written.

start-sent tells the token, the newest reading, its age and the lease end; start-not-confirmed the reading of the answer and the highest end sent; executor-restarted the reading and the end of the life before; executor-greeted the reading; run-lapsed both. Metrics executor_restarts and long_leases count restarts, and first answers with a long lease. No decision has changed.

--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -20,10 +20,14 @@
   ExecutorIndex Newest = Pool.findOrAdd(Id, Born);
   if (Newest == Earlier)
     return Newest;
+  ++Counts.Restarts;
+  const ExecutorState &Before = Pool[Earlier];
   logInfo("executor-restarted",
-          "executor={} born={} born_before={} heard_from={} open_runs={}",
-          Pool[Newest].Info.Id, Born, Pool[Earlier].Info.Born, HeardFrom,
-          Pool[Earlier].OpenRuns);
+          "executor={} born={} born_before={} heard_from={} open_runs={} "
+          "clock_ms_before={} lease_end_ms_before={} lease_sent_ms_ago={}",
+          Before.Info.Id, Born, Before.Info.Born, HeardFrom, Before.OpenRuns,
+          Before.ClockMs, Before.MaxLeaseEndSent,
+          millisSince(Before.LeaseExtendedAt, Now));
   onRestart(Earlier, Newest, Answer, Now);
   return Newest;
 }
@@ -75,12 +79,16 @@
                       const executor::RenewalAnswer &Answer, TimePoint Now) {
   const ExecutorState &Executor = Pool[Index];
   TimePoint LongLeaseEnd = longLeaseEndOn(Index, Answer, Now);
+  if (LongLeaseEnd > Now)
+    ++Counts.LongLeases;
   // An idle executor may keep a lease for runs that are started there.
   Pool.confirmToken(Index, LongLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
   logInfo("executor-greeted",
-          "executor={} born={} token={} running={} ended={} long_lease_ms={}",
+          "executor={} born={} token={} running={} ended={} clock_ms={} "
+          "long_lease_ms={}",
           Executor.Info.Id, Executor.Info.Born, Executor.FencingToken,
           Answer.Running.size(), Answer.Ended.size(),
+          Answer.ClockMs.value_or(-1),
           std::max<int64_t>(0, toMillis(LongLeaseEnd - Now)));
 }
 
--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -74,12 +74,14 @@
   logInfo("start-sent",
           "task={} run={} executor={} born={} epoch={} row_version={} first={} "
           "service={} labels={} wanted_label={} listed={} list_ms_ago={} "
-          "step_runs_there={} anti_affinity={}",
+          "step_runs_there={} anti_affinity={} token={} clock_ms={} "
+          "clock_read_ms_ago={} lease_end_ms={}",
           Key.name(), Task.Run, Info.Id, Info.Born, Row.Epoch, RowVersion,
           IsFirstTry, Info.Service, fmt::join(Info.Labels, ","),
           Key.spec().Constraint, Executor.Listed,
           toMillis(Now - InstanceListConfirmedAt), RunsThere,
-          Key.spec().AntiAffinity);
+          Key.spec().AntiAffinity, Executor.FencingToken, Executor.ClockMs,
+          millisSince(Executor.ClockReadAt, Now), Executor.MaxLeaseEndSent);
 }
 
 void CellOwner::emitStart(const TaskKey &Key, TimePoint Now) {
@@ -390,10 +392,11 @@
     StartTimes Times = startTimesOf(Key.step(), Task, Now);
     logInfo("start-not-confirmed",
             "task={} run={} executor={} outcome={} ticketed_ms={} sent_ms={} "
-            "ticket_left_ms={}",
+            "ticket_left_ms={} clock_ms={} lease_end_ms={}",
             Id.Task, Id.Run, Pool[Index].Info.Id,
             executor::outcomeName(Answer.Outcome), Times.TicketedMs,
-            Times.SentMs, Times.TicketLeftMs);
+            Times.SentMs, Times.TicketLeftMs, Answer.ClockMs.value_or(-1),
+            Pool[Index].MaxLeaseEndSent);
   }
   switch (Answer.Outcome) {
   case OrderOutcome::Done:
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -13,11 +13,6 @@
 
 namespace {
 
-/// -1 if it never was.
-int64_t millisSince(TimePoint Past, TimePoint Now) {
-  return Past == TimePoint{} ? -1 : toMillis(Now - Past);
-}
-
 int64_t millisSinceAnswer(const ExecutorState &Executor, TimePoint Now) {
   return millisSince(Executor.LastAnswerAt, Now);
 }
@@ -523,11 +518,13 @@
   const ExecutorState &Executor = Pool[Index];
   logInfo("run-lapsed",
           "task={} run={} executor={} heard_ms_ago={} leases_of={} "
-          "lease_sent_ms_ago={} renewal_sent_ms_ago={} renewal_pending={} "
-          "renewal_failed={} unacknowledged_ends={} row_allows_lease={}",
+          "clock_ms={} lease_end_ms={} lease_sent_ms_ago={} "
+          "renewal_sent_ms_ago={} renewal_pending={} renewal_failed={} "
+          "unacknowledged_ends={} row_allows_lease={}",
           Key.name(), Key.task().Run, Executor.Info.Id,
           millisSinceAnswer(Executor, Now),
           Pool.isInheritedWaitLonger(Index) ? "earlier-owners" : "this-owner",
+          Executor.ClockMs, Executor.MaxLeaseEndSent,
           millisSince(Executor.LeaseExtendedAt, Now),
           millisSince(Executor.RenewalSentAt, Now), Executor.RenewalPending,
           Executor.RenewalFailed, Executor.UnacknowledgedEnds.size(),
--- a/src/cell/OwnerStatus.h
+++ b/src/cell/OwnerStatus.h
@@ -21,6 +21,9 @@
   uint64_t TicketRefusals = 0;
   uint64_t CapacityRefusals = 0;
   uint64_t ExpiredRuns = 0;
+  uint64_t Restarts = 0; ///< Of executors under their ids.
+  /// First answers of executors that may hold a lease by an earlier clock.
+  uint64_t LongLeases = 0;
   uint64_t Stragglers = 0;
   uint64_t PlaceWaits = 0;    ///< Tasks that waited for a near place.
   uint64_t PlaceWaitHits = 0; ///< Of these, those that got one.
--- a/src/cell/StartTimes.cpp
+++ b/src/cell/StartTimes.cpp
@@ -2,14 +2,6 @@
 
 namespace daisylanding::cell {
 
-namespace {
-
-int64_t millisSince(TimePoint Then, TimePoint Now) {
-  return Then == TimePoint{} ? -1 : toMillis(Now - Then);
-}
-
-} // namespace
-
 StartTimes startTimesOf(const LiveStep &Step, const LiveTask &Task,
                         TimePoint Now) {
   StartTimes Times{.EndedMs = millisSince(Task.LastRunEndedAt, Now),
--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -45,6 +45,11 @@
   return std::chrono::duration_cast<Millis>(Duration).count();
 }
 
+/// For logs; -1 if \p Past was never set.
+inline int64_t millisSince(TimePoint Past, TimePoint Now) {
+  return Past == TimePoint{} ? -1 : toMillis(Now - Past);
+}
+
 inline double toSeconds(Micros Duration) {
   return std::chrono::duration<double>(Duration).count();
 }
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -601,6 +601,8 @@
   SetGauge("ticket_refusals", Counts.TicketRefusals);
   SetGauge("room_refusals", Counts.CapacityRefusals);
   SetGauge("lapses", Counts.ExpiredRuns);
+  SetGauge("executor_restarts", Counts.Restarts);
+  SetGauge("long_leases", Counts.LongLeases);
   SetGauge("stragglers", Counts.Stragglers);
   SetGauge("place_waits", Counts.PlaceWaits);
   SetGauge("place_wait_hits", Counts.PlaceWaitHits);
