--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -186,11 +186,12 @@
     listExecutors(*Owner);
 }
 
-/// All that an incarnation holds begins empty, its clock near 0.
+/// All that an incarnation holds begins empty, its clock near 0 or as chosen.
 void Simulation::beginIncarnation(SimExecutor &Executor) const {
-  constexpr int64_t StartTimeMs = 5;
+  constexpr int64_t UsualStartMs = 5;
+  int64_t StartMs = ClockAtRestart ? ClockAtRestart() : UsualStartMs;
   int64_t OldReading = Executor.clockMs(Now);
-  Executor.ClockOffset -= Millis(OldReading - StartTimeMs);
+  Executor.ClockOffset -= Millis(OldReading - StartMs);
   Executor.FencingToken = 0;
   Executor.LeaseEndMs = 0;
   Executor.Running.clear();
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -240,6 +240,8 @@
   /// Whether the place is checked, too, of a start that is carried out by an
   /// incarnation of which its sender had not heard.
   bool ChecksPlacesInNextLife = true;
+  /// What the clock of an executor's next life reads at first: any time.
+  std::function<int64_t()> ClockAtRestart;
   /// What differs in the next life of an executor under its id.
   std::function<void(executor::ExecutorInfo &)> ChangeAtRestart;
   int64_t CrashedForMs = 3'000; ///< Until a crashed executor is back.
