Owners store which lives of executors have answered to them

A successor has to know whether an executor that it first hears has started again unheard: until its first call such a one may have carried out orders of the last owner to the life before, by that one's clock. It guessed that from the clock reading, which tells nothing of it, and from runs that the last owner had started there.

A table tells it: the start time of each life that has answered, by id, in 64 rows chosen by a hash of the id, so that a restart rewrites one of them. Rows go with commits that are due anyway, at most 16 in each, and tell only of executors in use. A load reads them beside jobs and progress.

Nothing decides by the table yet.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -8,6 +8,7 @@
 #include "cell/EndedJob.h"
 #include "cell/ExecutorPool.h"
 #include "cell/FairOrder.h"
+#include "cell/KnownLives.h"
 #include "cell/LiveJob.h"
 #include "cell/Offer.h"
 #include "cell/OwnerCommands.h"
@@ -101,6 +102,11 @@
   void setMovesEndedJobs(bool Moves) { MovesEndedJobs = Moves; }
   /// Whether these rows tell their queue, which all entries have to read.
   void setStoresQueueOfEnded(bool Stores) { StoresQueueOfEnded = Stores; }
+  /// Adds a row of the table of executors' incarnations. To be called while
+  /// the owner is loading.
+  void restoreLives(std::string_view Key, LivesById Stored) {
+    Lives.restore(Key, std::move(Stored));
+  }
   /// Adds a job from the table of ended jobs.
   void addEndedRow(const std::string &JobId, const EndedJob &Ended,
                    TimePoint Now);
@@ -199,6 +205,7 @@
     /// these need its entries.
     bool MovesEnds = false;
     uint64_t CapRevision = 0; ///< Of the row of caps; 0 if it has none.
+    std::vector<LifeRow> LifeRows;
   };
 
   /// The oldest change of a job that is not stored.
@@ -326,6 +333,7 @@
                            TimePoint Now) const;
   void greet(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
              TimePoint Now);
+  void addLifeRows(CommitInFlight &Commit);
   void listLongLeases(OwnerRow &NewRow, TimePoint Now, const StoreClock &Clock);
   void onRenewalDone(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
                      TimePoint Now);
@@ -634,6 +642,7 @@
   std::unordered_map<std::string_view, const Queue *> QueuesByName;
   std::unordered_map<std::string_view, const Workspace *> WorkspacesByName;
   ExecutorPool Pool;
+  KnownLives Lives;
   RunTimes Times;
   WorkspaceCaps Caps;
   SendRate SendRates;
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -1,4 +1,5 @@
 #include "cell/CellOwner.h"
+#include "cell/CommitEntries.h"
 
 #include "common/Log.h"
 
@@ -74,6 +75,30 @@
   return std::max(ListedEnd, Pool.longLeaseEnd(Answer.ClockMs, Now));
 }
 
+/// Stores which incarnations have answered, as far as the commit has room.
+void CellOwner::addLifeRows(CommitInFlight &Commit) {
+  /// So that many restarts at once don't hold up the jobs.
+  constexpr size_t MaxRows = 16;
+  store::Transaction &Tx = Commit.Transaction;
+  size_t Used = Tx.entryCount() + OwnerRowEntries;
+  if (Loading || !Lives.isDue() || Used >= store::MaxTransactionEntries)
+    return;
+  std::vector<ExecutorLife> Answered;
+  for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
+    const ExecutorState &Executor = Pool[I];
+    bool IsInUse =
+        Executor.Listed || Executor.EntryOutdated || Executor.OpenRuns > 0;
+    if (Executor.TokenConfirmed && IsInUse && !Executor.Ended)
+      Answered.push_back({Executor.Info.Id, Executor.Info.Born});
+  }
+  Commit.LifeRows = Lives.dueRows(
+      Answered, std::min(MaxRows, store::MaxTransactionEntries - Used));
+  for (const LifeRow &LivesOfRow : Commit.LifeRows)
+    Tx.Writes.push_back({.Table = LifeTable,
+                         .Key = LivesOfRow.Key,
+                         .Value = encodeLives(LivesOfRow.Lives)});
+}
+
 /// The executor has answered to its token for the first time.
 void CellOwner::greet(ExecutorIndex Index,
                       const executor::RenewalAnswer &Answer, TimePoint Now) {
@@ -83,6 +108,7 @@
     ++Counts.LongLeases;
   // An idle executor may keep a lease for runs that are started there.
   Pool.confirmToken(Index, LongLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
+  Lives.note({Executor.Info.Id, Executor.Info.Born});
   logInfo("executor-greeted",
           "executor={} born={} token={} running={} ended={} clock_ms={} "
           "long_lease_ms={}",
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -204,6 +204,8 @@
 
 void OwnerLoop::finishLoading(TimePoint Now) {
   StoredService Stored = Loader->take();
+  for (auto &[Key, Lives] : Stored.Lives)
+    Owner->restoreLives(Key, std::move(Lives));
   for (auto &[Id, Job] : Stored.Jobs) {
     if (Stored.UnreadableJobs.count(Id))
       continue;
--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -19,9 +19,10 @@
 
 void ServiceLoader::start(TimePoint Now) {
   LastProgressAt = Now;
-  OpenTables = 2;
+  OpenTables = 3;
   readPage(cell::JobTable, "");
   readPage(cell::ProgressTable, "");
+  readPage(cell::LifeTable, "");
 }
 
 void ServiceLoader::readPage(const std::string &Table,
@@ -56,8 +57,10 @@
     Counts.Bytes += Row.Value.size();
     if (IsJobTable)
       addJobRow(Row);
-    else
+    else if (Table == cell::ProgressTable)
       addProgressRow(Row);
+    else
+      addLifeRow(Row);
   }
   if (auto NextKey = store::nextPageStart(Page))
     readPage(Table, *NextKey);
@@ -83,6 +86,16 @@
     logError("progress-unreadable", "key={} version={}", Row.Key, Row.Version);
 }
 
+/// Without the row, its executors count as ones that nobody has called.
+void ServiceLoader::addLifeRow(const store::Row &Row) {
+  auto Lives = cell::decodeLives(Row.Value);
+  if (Lives)
+    Loaded.Lives.emplace(Row.Key, std::move(*Lives));
+  else
+    logError("executor-lives-unreadable", "key={} version={}", Row.Key,
+             Row.Version);
+}
+
 StoredService ServiceLoader::take() {
   // Restarting such a job could run its tasks twice. It stays unscheduled until
   // an owner can read its record.
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_NODE_SERVICELOADER_H
 
 #include "cell/JobSpec.h"
+#include "cell/KnownLives.h"
 #include "cell/ProgressRows.h"
 #include "common/Timers.h"
 #include "store/RowStore.h"
@@ -25,6 +26,8 @@
   std::set<std::string> CancelledJobs;
   std::map<std::string, cell::JobProgress> Progress;
   std::set<std::string> UnreadableJobs; ///< Their progress is malformed.
+  /// Rows of executors' incarnations, by key.
+  std::map<std::string, cell::LivesById> Lives;
   /// The job feed continues after this version.
   uint64_t JobsVersion = store::AbsentVersion;
 };
@@ -37,9 +40,9 @@
   size_t Bytes = 0; ///< Of the rows' values.
 };
 
-/// Reads jobs and progress side by side, page by page. Nobody else writes
-/// progress once the service is acquired. A failed read is repeated until it
-/// succeeds. Single-threaded.
+/// Reads jobs, progress and executors' incarnations side by side, page by page.
+/// Nobody else writes the latter two once the service is acquired. A failed
+/// read is repeated until it succeeds. Single-threaded.
 class ServiceLoader {
 public:
   ServiceLoader(std::string Service, store::RowStore &Store, Timers &TimerQueue,
@@ -59,6 +62,7 @@
               const store::RowPage &Page);
   void addJobRow(const store::Row &Row);
   void addProgressRow(const store::Row &Row);
+  void addLifeRow(const store::Row &Row);
 
   std::string Service;
   store::RowStore &Store;
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -292,6 +292,8 @@
 }
 
 void Simulation::loadStoredJobs(cell::CellOwner &Target) {
+  for (const store::Row &Row : rowsOf(cell::LifeTable))
+    Target.restoreLives(Row.Key, *cell::decodeLives(Row.Value));
   for (const auto &[Id, Job] : Specs) {
     if (storedValue(cell::JobTable, Id).empty())
       continue;
