--- a/tests/unit/NextLifeClockTest.cpp
+++ b/tests/unit/NextLifeClockTest.cpp
@@ -129,3 +129,22 @@
   startLongRun();
   cutOff();
 }
+
+// clang-format off
+/// The end of a lease by the earlier clock has passed on this one.
+TEST_GROUP_BASE(AnExecutorWhoseNextClockReadsMore, TEST_GROUP_CppUTestGroupAnExecutorWhoseNextClockReadsLess) {
+  void prepare() override { Sim.ClockAtRestart = [] { return GreaterClockMs; }; }
+};
+// clang-format on
+
+/// Guards against lasting tasks that wait for a lease which nobody has granted.
+TEST(AnExecutorWhoseNextClockReadsMore, GetsALastingTaskAtOnce) {
+  Sim.restartExecutor(Id, 0, 100);
+  Sim.runFor(5);
+  Sim.carryOutAgain(Renewal);
+  Sim.runFor(300);
+  JobSpec Job = Simulation::makeJob(LongId, 1, Small, LongRunMs);
+  Job.Steps[0].LongRunning = true;
+  Sim.submit(Job);
+  CHECK(Sim.runUntil([&] { return runsHere(); }, 500));
+}
