Tests: what an owner takes from the counts of one life for the next

Two runs of a task at once, or one that runs again after it was done, as orders and answers of an executor's earlier life meet the next one, whose clock begins anywhere.

--- a/tests/unit/RandomRestartsTest.cpp
+++ b/tests/unit/RandomRestartsTest.cpp
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <string>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 /// Executors that start again under their id at random times, together with
@@ -93,6 +96,66 @@
   return Options;
 }
 
+/// Some runs outlast a lease, so that a second one may begin beside them.
+PlayOptions withLongRuns(PlayOptions Options) {
+  Options.MaxRunTime = Millis(9'000);
+  return Options;
+}
+
+/// Executors restart more rarely, and are cut off soon after. The clock of each
+/// next life reads any time at first: far less or more than that of the life
+/// before, or about the same.
+class AnyClockPlay : public RestartPlay {
+public:
+  AnyClockPlay(uint64_t Seed, const PlayOptions &Options)
+      : RestartPlay(Seed, withLongRuns(Options)), ClockRng(Seed * 17 + 11) {
+    Sim.ClockAtRestart = [this] { return firstReadingMs(); };
+  }
+
+private:
+  struct Cut {
+    std::string Id;
+    TimePoint Begin{};
+    TimePoint End{};
+  };
+
+  /// The first lives begin in the middle.
+  static constexpr uint64_t MaxReadingMs = 2'000'000;
+
+  int64_t firstReadingMs() {
+    constexpr uint64_t NearMs = 30'000;
+    bool IsNear = ClockRng.below(3) == 0;
+    uint64_t RangeMs = IsNear ? NearMs : MaxReadingMs;
+    return static_cast<int64_t>((MaxReadingMs - RangeMs) / 2 +
+                                ClockRng.below(RangeMs));
+  }
+
+  void injectFault() override {
+    if (Rng.below(6) == 0)
+      restartAndCutOff();
+    if (!NeedsAdvice && Rng.below(40) == 0)
+      Sim.takeOver();
+    for (const Cut &Planned : Cuts)
+      Sim.executor(Planned.Id).Unreachable =
+          Planned.Begin <= Sim.Now && Sim.Now < Planned.End;
+  }
+
+  void restartAndCutOff() {
+    std::string Id = randomExecutor();
+    std::erase_if(Cuts, [&](const Cut &Planned) { return Planned.Id == Id; });
+    auto BackAfterMs = static_cast<int64_t>(Rng.below(300));
+    auto ListedAfterMs = static_cast<int64_t>(Rng.below(600));
+    TimePoint CutAt = Sim.Now + Millis(BackAfterMs + 200 + Rng.below(2'000));
+    Millis CutTime(1'000 + Rng.below(11'000));
+    Sim.executor(Id).Unreachable = false;
+    Sim.restartExecutor(Id, BackAfterMs, ListedAfterMs);
+    Cuts.push_back({.Id = Id, .Begin = CutAt, .End = CutAt + CutTime});
+  }
+
+  Random ClockRng;
+  std::vector<Cut> Cuts;
+};
+
 /// Each life of an executor may have the label or not, and be in the service or
 /// in another one. At the end all are as they were.
 class OtherKindPlay : public RestartPlay {
@@ -133,6 +196,21 @@
     RestartPlay(Seed, withLateCalls(0, 0.02)).run();
 }
 
+/// Guards against conclusions from what the clock of a next life reads: from
+/// which time it begins is not known.
+IGNORE_TEST(RandomRestarts, RunNoTaskTwiceThoughClocksBeginAnywhere) {
+  constexpr uint64_t Seeds = 30;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    AnyClockPlay(Seed, RestartOptions).run();
+}
+
+/// Guards against the same with renewals that come late.
+IGNORE_TEST(RandomRestarts, RunNoTaskTwiceThoughRenewalsComeLateByAnyClock) {
+  constexpr uint64_t Seeds = 30;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    AnyClockPlay(Seed, withLateCalls(0, 0.05)).run();
+}
+
 /// Guards against starts beyond an anti-affinity, in another service, or
 /// without the label that a step needs: the next life of an executor may be of
 /// another kind.
