Leases: the row tells at once of one by another clock, old orders are forgotten

An owner that is lost 100 ms after an answer by another clock left a row that didn't tell of the lease, and its successor ran the task twice (HoldsItsLeaseThoughItsOwnerIsLostSoonAfter): the next row is due at once now.

Lease ends of a life long over counted for each later restart of the executor, as they were merged with the times of newer orders (HoldsNoLeaseOfTheFirstLongAfter): orders that could no longer come when the last life got its own are left out.

An answer by another clock counted as one of the life that was asked, for crashes and for silent zones, as it was noted before the reading was judged. By reading; no test failed.

--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -204,6 +204,8 @@
   EarlierOrders Orders = Executor.Earlier;
   if (Executor.LeaseSentAt == TimePoint{})
     return Orders;
+  if (Orders.MayComeUntil < Executor.LeaseSentAt)
+    Orders = {};
   Orders.MaxLeaseEndMs =
       std::max(Orders.MaxLeaseEndMs, Executor.MaxLeaseEndSent);
   Orders.MayComeUntil = std::max(
@@ -237,14 +239,13 @@
                                 const std::optional<int64_t> &ClockMs,
                                 TimePoint Now, TimePoint SentAt) {
   ExecutorState &Executor = Executors[Index];
-  Executor.LastAnswerAt = std::max(Executor.LastAnswerAt, Now);
-  if (!ClockMs)
-    return true;
-  if (!mayRead(Executor, *ClockMs, Now, SentAt)) {
+  if (ClockMs && !mayRead(Executor, *ClockMs, Now, SentAt)) {
     recordOtherClock(Index, *ClockMs, Now);
     return false;
   }
-  recordReading(Executor, *ClockMs, Now, SentAt);
+  Executor.LastAnswerAt = std::max(Executor.LastAnswerAt, Now);
+  if (ClockMs)
+    recordReading(Executor, *ClockMs, Now, SentAt);
   return true;
 }
 
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -41,6 +41,7 @@
                                   TimePoint Now, TimePoint SentAt) {
   if (Pool.recordAnswer(Index, Answer.ClockMs, Now, SentAt))
     return;
+  RowOutdated = true; // Its long lease is for successors, too.
   const ExecutorState &Executor = Pool[Index];
   logInfo("executor-clock-jumped",
           "executor={} born={} outcome={} clock_ms={} clock_ms_before={} "
