--- a/tests/unit/NextLifeCountsTest.cpp
+++ b/tests/unit/NextLifeCountsTest.cpp
@@ -199,6 +199,13 @@
   cutOffAndReplaceOwner(100);
 }
 
+/// The same before the last owner could write a row. Known red: no row can tell
+/// of the lease in time.
+IGNORE_TEST(AndTakesAStartInItsNextLife,
+            HoldsItsLeaseThoughItsOwnerIsLostAtOnce) {
+  cutOffAndReplaceOwner(5);
+}
+
 /// Guards against the same with one that hears of it first, and is cut off
 /// from it soon after.
 TEST(AndTakesAStartInItsNextLife, HoldsItsLeaseUnderTheOwnerThatHearsOfIt) {
