A gang that waits keeps no executors idle before it can start

Callers saw a job stay queued beside idle executors: a gang that needs each of six executors whole waited for one task of a minute, and a job of 35 s, for which three idle ones are suitable, had nothing running 17 s later.

Cause: CellOwner::reserveExecutors let others use a gang's executors until the last of those reserved was expected to be free. Of six it may reserve three (half of all), which were idle, so that they counted as needed at once. Ruled out: that the gang can't be placed at all (it can, a minute later, and canEverHold says so), and advice (the unit test has none).

Now a gang's executors may be used until all places that it needs are expected to be free. Places are counted instead of executors, as members may share one. Tasks that are placed and have not begun, and the work of others that have reserved an executor, count as in the way for their run time. Where too few places are known (an executor is silent, or reserved for lasting tasks), work that ends may use them, and only lasting tasks are kept off. As chooseGangExecutors does, executors that are too slow count only if no others can hold the gang.

Not changed: at most half of the executors are reserved, so that work may stay long on the others that a gang needs; a run that outlasts its estimate counts as over at any moment; and calls for advice about free executors leave out reserved ones (AdviceCandidates), also for work that ends before.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -445,8 +445,24 @@
                  uint32_t Step, TimePoint Now) const;
   void reserveExecutors(const WaitingStepRef &Waiting, size_t Count,
                         TimePoint Now, std::string_view Rack = {});
-  std::optional<Millis> timeUntilFree(ExecutorIndex Index, const StepSpec &Spec,
-                                      TimePoint Now) const;
+  /// For tasks of a step, on one executor.
+  struct ExpectedPlaces {
+    Millis FreeIn{0};
+    ExecutorIndex Executor = NoExecutor;
+    uint32_t Count = 0;
+  };
+  static size_t countPlaces(std::span<const ExpectedPlaces> Places);
+  std::vector<ExpectedPlaces> expectedPlaces(const WaitingStepRef &Waiting,
+                                             size_t Count,
+                                             std::string_view Rack,
+                                             bool UsesLastResort,
+                                             TimePoint Now) const;
+  void addExpectedPlaces(ExecutorIndex Index, const StepSpec &Spec,
+                         uint32_t MaxPlaces, Millis NotBefore, TimePoint Now,
+                         std::vector<ExpectedPlaces> &Places) const;
+  std::vector<std::pair<Millis, Resources>>
+  expectedReleases(ExecutorIndex Index, TimePoint Now) const;
+  void notePlacedTasks(const WaitingStepRef &Waiting);
   PlacementRequest placementRequestFor(const WaitingStepRef &Waiting,
                                        const Queue *JobQueue,
                                        TaskCounts &TasksByExecutor) const;
@@ -674,7 +690,11 @@
   std::vector<bool> HasUnsettledRuns;
   std::vector<PaceState> PaceByExecutor;
   std::vector<ExecutorLoad> Loads; ///< By executor, of its open runs.
+  /// Tasks without an open run yet, in the present planning turn.
+  std::vector<std::vector<TaskKey>> PlacedByExecutor;
   std::vector<Reservation> Reservations;
+  /// When the work for which an executor is reserved is expected to have ended.
+  std::vector<Millis> ReservedUntil;
   size_t ReservedExecutors = 0; ///< Active among `Reservations`.
   size_t MaxReservedExecutors = 0;
   RoomForUrgentSteps UrgentRoom; ///< Of the present planning turn.
--- a/src/cell/OwnerPlan.cpp
+++ b/src/cell/OwnerPlan.cpp
@@ -254,6 +254,10 @@
     Loads[I].Slowness = Times.speeds().slowness(I, Now);
   countOpenCalls(Now);
   std::vector<WaitingStepRef> Steps = stepsToPlan(Now);
+  ReservedUntil.assign(Pool.size(), Millis(0));
+  PlacedByExecutor.assign(Pool.size(), {});
+  for (const WaitingStepRef &Waiting : Steps)
+    notePlacedTasks(Waiting);
   estimateBacklog(Steps, Now);
   beginUrgentRoom(Steps, Now);
   beginPlaceWaits(Steps, Now);
@@ -368,6 +372,7 @@
     }
     uint32_t PlacesBefore = urgentPlacesIn(Pool.freeCapacity(*Best));
     placeTask(Key, *Best, Now);
+    PlacedByExecutor[*Best].push_back(Key);
     notePlace(Key, *Best);
     UrgentRoom.take(PlacesBefore - urgentPlacesIn(Pool.freeCapacity(*Best)));
     ++TasksByExecutor[*Best];
@@ -436,8 +441,10 @@
   }
   if (awaitsRack(Waiting, *Executors, Request, Now))
     return;
-  for (uint32_t I = 0; I < Count; ++I)
+  for (uint32_t I = 0; I < Count; ++I) {
     placeTask(Waiting.task(I), (*Executors)[I], Now);
+    PlacedByExecutor[(*Executors)[I]].push_back(Waiting.task(I));
+  }
 }
 
 /// Takes placed tasks off executors that have ended or announced that they
