Known red: random plays that fail now, and two that start a task twice

The red tests play seeds that fail now (263, 44 and 18; 28 still does). Whether these have the cause that was traced for 91 is not known; nothing was done about that one.

Traced as far as that an end is taken for one of work that is over (job-over) while commits are refused, and is acknowledged with a commit of another job.

--- a/tests/unit/RandomFaultsTest.cpp
+++ b/tests/unit/RandomFaultsTest.cpp
@@ -420,13 +420,13 @@
 /// Known red: a gang that never gets a reservation, as other gangs hold all
 /// that may be reserved, is left without places by lasting tasks.
 IGNORE_TEST(RandomFaultsOfAllKinds, CompleteAGangBesideLastingTasks) {
-  constexpr uint64_t Seed = 91;
+  constexpr uint64_t Seed = 263;
   FaultPlay(Seed).run();
 }
 
 /// Known red: the same, for gangs whose members need an executor each.
 IGNORE_TEST(RandomFaultsOfAllKinds, CompleteASpreadGangBesideLastingTasks) {
-  constexpr uint64_t Seed = 174;
+  constexpr uint64_t Seed = 44;
   FaultPlay(Seed, {.IsSpread = true}).run();
 }
 
@@ -438,5 +438,18 @@
 
 IGNORE_TEST(RandomFaultsOfAllKinds,
             CompleteSpreadGangsThoughListingsAreDrawnFirst) {
-  FaultPlay(8, {.IsSpread = true, .DrawsListingFirst = true}).run();
+  FaultPlay(18, {.IsSpread = true, .DrawsListingFirst = true}).run();
+}
+
+/// Known red: a task is started once more after it was done.
+IGNORE_TEST(RandomFaultsOfAllKinds, RunNoSpreadTaskTwice) {
+  constexpr uint64_t Seed = 440;
+  FaultPlay(Seed, {.IsSpread = true}).run();
+}
+
+/// Known red: an end that is taken for one of work that is over is acknowledged
+/// before it is stored.
+IGNORE_TEST(RandomFaultsOfAllKinds,
+            RunNoSpreadTaskTwiceThoughListingsAreDrawnFirst) {
+  FaultPlay(125, {.IsSpread = true, .DrawsListingFirst = true}).run();
 }
