--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -8,7 +8,7 @@
 #include "cell/EndedJob.h"
 #include "cell/ExecutorPool.h"
 #include "cell/FairOrder.h"
-#include "cell/KnownLives.h"
+#include "cell/KnownIncarnations.h"
 #include "cell/LiveJob.h"
 #include "cell/Offer.h"
 #include "cell/OwnerCommands.h"
@@ -105,8 +105,8 @@
   void setStoresQueueOfEnded(bool Stores) { StoresQueueOfEnded = Stores; }
   /// Adds a row of the table of executors' incarnations. To be called while
   /// the owner is loading.
-  void restoreLives(std::string_view Key, LivesById Stored) {
-    Lives.restore(Key, std::move(Stored));
+  void restoreIncarnations(std::string_view Key, BornById Stored) {
+    Incarnations.restore(Key, std::move(Stored));
   }
   /// Adds a job from the table of ended jobs.
   void addEndedRow(const std::string &JobId, const EndedJob &Ended,
@@ -206,7 +206,7 @@
     /// these need its entries.
     bool MovesEnds = false;
     uint64_t CapRevision = 0; ///< Of the row of caps; 0 if it has none.
-    std::vector<LifeRow> LifeRows;
+    std::vector<IncarnationRow> IncarnationRows;
   };
 
   /// The oldest change of a job that is not stored.
@@ -340,7 +340,7 @@
   void expectLongLease(ExecutorIndex Index, TimePoint Now);
   void greet(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
              TimePoint Now);
-  void addLifeRows(CommitInFlight &Commit);
+  void addIncarnationRows(CommitInFlight &Commit);
   void listLongLeases(OwnerRow &NewRow, TimePoint Now, const StoreClock &Clock);
   void onRenewalDone(ExecutorIndex Index, const executor::RenewalAnswer &Answer,
                      TimePoint Now);
@@ -665,7 +665,7 @@
   std::unordered_map<std::string_view, const Queue *> QueuesByName;
   std::unordered_map<std::string_view, const Workspace *> WorkspacesByName;
   ExecutorPool Pool;
-  KnownLives Lives;
+  KnownIncarnations Incarnations;
   RunTimes Times;
   WorkspaceCaps Caps;
   SendRate SendRates;
--- a/src/cell/ExecutorPool.cpp
+++ b/src/cell/ExecutorPool.cpp
@@ -213,33 +213,46 @@
   return Orders;
 }
 
-/// Whether the clock that was read before may read this, in the answer to a
-/// call.
-bool ExecutorPool::mayRead(const ExecutorState &Executor, int64_t ClockMs,
-                           TimePoint Now, TimePoint SentAt) const {
+/// Whether the clock that gave the last reading can read \p ClockMs in the
+/// answer to a call, allowing for drift and for the time that the calls took.
+bool ExecutorPool::isPlausibleReading(const ExecutorState &Executor,
+                                      int64_t ClockMs, TimePoint Now,
+                                      TimePoint SentAt) const {
   if (!Executor.ClockKnown)
     return true;
-  double Fastest = 1 + Options.MaxClockDrift;
-  double Slowest = 1 - Options.MaxClockDrift;
-  auto Read = static_cast<double>(ClockMs);
-  auto Known = static_cast<double>(Executor.ClockMs);
-  if (Executor.ClockAskedAt != TimePoint{}) {
-    auto SinceMs = static_cast<double>(toMillis(Now - Executor.ClockAskedAt));
-    if (Read > Known + Fastest * SinceMs + ReadingErrorMs)
-      return false;
-  }
-  if (SentAt == TimePoint{})
-    return Read >= Known - static_cast<double>(MaxAnswerDelay.count());
+  bool IsSentAtKnown = SentAt != TimePoint{};
+  int64_t Least = IsSentAtKnown ? leastReading(Executor, SentAt)
+                                : Executor.ClockMs - MaxAnswerDelay.count();
+  return Least <= ClockMs && ClockMs <= mostReading(Executor, Now);
+}
+
+/// What the clock reads at least in an answer to a call that was sent at
+/// \p SentAt. A call from before the last reading may have been overtaken.
+int64_t ExecutorPool::leastReading(const ExecutorState &Executor,
+                                   TimePoint SentAt) const {
   auto SinceMs = static_cast<double>(toMillis(SentAt - Executor.ClockReadAt));
-  return Read >=
-         Known + (SinceMs > 0 ? Slowest : Fastest) * SinceMs - ReadingErrorMs;
+  double Rate =
+      SinceMs > 0 ? 1 - Options.MaxClockDrift : 1 + Options.MaxClockDrift;
+  return Executor.ClockMs + static_cast<int64_t>(Rate * SinceMs) -
+         ReadingErrorMs;
+}
+
+/// What the clock reads at most.
+int64_t ExecutorPool::mostReading(const ExecutorState &Executor,
+                                  TimePoint Now) const {
+  if (Executor.ClockAskedAt == TimePoint{})
+    return std::numeric_limits<int64_t>::max();
+  auto SinceMs = static_cast<double>(toMillis(Now - Executor.ClockAskedAt));
+  return Executor.ClockMs +
+         static_cast<int64_t>((1 + Options.MaxClockDrift) * SinceMs) +
+         ReadingErrorMs;
 }
 
 bool ExecutorPool::recordAnswer(ExecutorIndex Index,
                                 const std::optional<int64_t> &ClockMs,
                                 TimePoint Now, TimePoint SentAt) {
   ExecutorState &Executor = Executors[Index];
-  if (ClockMs && !mayRead(Executor, *ClockMs, Now, SentAt)) {
+  if (ClockMs && !isPlausibleReading(Executor, *ClockMs, Now, SentAt)) {
     recordOtherClock(Index, *ClockMs, Now);
     return false;
   }
@@ -253,7 +266,8 @@
                                    const std::optional<int64_t> &ClockMs,
                                    TimePoint Now, TimePoint SentAt) {
   ExecutorState &Executor = Executors[Index];
-  // Its clock is what it says, as long as leases by it aren't cut short.
+  // A reading ahead of the expected one is accepted: leases by the readings
+  // before are only shorter.
   bool IsAhead = ClockMs && Executor.ClockKnown && *ClockMs > Executor.ClockMs;
   if (!IsAhead)
     return recordAnswer(Index, ClockMs, Now, SentAt);
--- a/src/cell/ExecutorPool.h
+++ b/src/cell/ExecutorPool.h
@@ -171,7 +171,7 @@
   TimePoint LastUnansweredAt{};
 
   /// The executor's clock read at least `ClockMs` at `ClockReadAt`, and at most
-  /// that when the call was sent; not set if that isn't known.
+  /// that at `ClockAskedAt`, when the call was sent (not set if unknown).
   int64_t ClockMs = 0;
   TimePoint ClockReadAt{};
   TimePoint ClockAskedAt{};
@@ -348,8 +348,10 @@
 private:
   uint64_t tokenAfter(uint64_t Token);
   static EarlierOrders ordersSentTo(const ExecutorState &Executor);
-  bool mayRead(const ExecutorState &Executor, int64_t ClockMs, TimePoint Now,
-               TimePoint SentAt) const;
+  bool isPlausibleReading(const ExecutorState &Executor, int64_t ClockMs,
+                          TimePoint Now, TimePoint SentAt) const;
+  int64_t leastReading(const ExecutorState &Executor, TimePoint SentAt) const;
+  int64_t mostReading(const ExecutorState &Executor, TimePoint Now) const;
   static void recordReading(ExecutorState &Executor, int64_t ClockMs,
                             TimePoint Now, TimePoint SentAt);
   void recordOtherClock(ExecutorIndex Index, int64_t ClockMs, TimePoint Now);
--- a/src/cell/KnownLives.h
+++ b/src/cell/KnownIncarnations.h
@@ -1,5 +1,5 @@
-#ifndef DAISYLANDING_CELL_KNOWNLIVES_H
-#define DAISYLANDING_CELL_KNOWNLIVES_H
+#ifndef DAISYLANDING_CELL_KNOWNINCARNATIONS_H
+#define DAISYLANDING_CELL_KNOWNINCARNATIONS_H
 
 #include "common/Error.h"
 
@@ -19,50 +19,50 @@
 
 /// Its rows share the service's partition. Each holds the executors whose ids
 /// have one hash, so that a restart rewrites few of them.
-constexpr const char *LifeTable = "executor_lives";
-constexpr uint32_t LifeRowCount = 64;
+constexpr const char *IncarnationTable = "executor_incarnations";
+constexpr uint32_t IncarnationRowCount = 64;
 
 /// The start of an incarnation in Unix ms, by the id of its executor.
-using LivesById = std::map<std::string, int64_t, std::less<>>;
+using BornById = std::map<std::string, int64_t, std::less<>>;
 
 /// The key of the row that holds the executor; two digits.
-std::string lifeRowKey(std::string_view ExecutorId);
+std::string incarnationRowKey(std::string_view ExecutorId);
 
-std::string encodeLives(const LivesById &Lives);
+std::string encodeIncarnations(const BornById &Entries);
 /// Errors: Malformed.
-Result<LivesById> decodeLives(std::string_view Text);
+Result<BornById> decodeIncarnations(std::string_view Text);
 
 /// One incarnation of an executor.
-struct ExecutorLife {
+struct Incarnation {
   std::string_view Id;
   int64_t Born = 0; ///< Unix ms.
 };
 
 /// A row that a commit stores.
-struct LifeRow {
+struct IncarnationRow {
   std::string Key;
-  LivesById Lives;
+  BornById Entries;
   uint64_t Revision = 0; ///< Of the changes that it tells of.
 };
 
 /// The rows as stored, and those that are to be rewritten.
-class KnownLives {
+class KnownIncarnations {
 public:
   /// Adds a row that an earlier owner has stored.
-  void restore(std::string_view Key, LivesById Lives);
+  void restore(std::string_view Key, BornById Entries);
   /// Whether this owner or an earlier one has stored the incarnation.
-  bool isStored(const ExecutorLife &Life) const;
+  bool isStored(const Incarnation &Given) const;
   /// The incarnation has answered: its row is due unless it is stored.
-  void note(const ExecutorLife &Life);
+  void note(const Incarnation &Given);
   bool isDue() const { return !DueRows.empty(); }
   /// Rows to store now, at most \p Limit, with those of \p Answered that belong
   /// there. These are all that are in use: others leave the rows.
-  std::vector<LifeRow> dueRows(std::span<const ExecutorLife> Answered,
-                               size_t Limit) const;
-  void noteStored(LifeRow Row);
+  std::vector<IncarnationRow> dueRows(std::span<const Incarnation> Answered,
+                                      size_t Limit) const;
+  void noteStored(IncarnationRow Row);
 
 private:
-  std::map<std::string, LivesById, std::less<>> StoredRows;
+  std::map<std::string, BornById, std::less<>> StoredRows;
   /// By key: the newest change.
   std::map<std::string, uint64_t, std::less<>> DueRows;
   uint64_t LastRevision = 0;
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -85,7 +85,7 @@
   addJobs(Commit, Now, Clock.MinMs);
   addRemovals(Commit, Now);
   addMoves(Commit, Clock.MinMs);
-  addLifeRows(Commit);
+  addIncarnationRows(Commit);
   Commit.Row.Released = Releasing && storesAllJobs(Commit, Now);
   if (!Loading) {
     listLeaseEnds(Commit, Now, Clock);
@@ -289,8 +289,8 @@
   Released = Row.Released;
   if (Commit.CapRevision > 0)
     Caps.noteWritten(Commit.CapRevision);
-  for (LifeRow &Stored : Commit.LifeRows)
-    Lives.noteStored(std::move(Stored));
+  for (IncarnationRow &Stored : Commit.IncarnationRows)
+    Incarnations.noteStored(std::move(Stored));
   for (JobChange &Change : Commit.Jobs)
     finishChange(Change);
   for (const executor::RunId &Start : Commit.Starts) {
--- a/src/cell/OwnerIncarnations.cpp
+++ b/src/cell/OwnerIncarnations.cpp
@@ -45,7 +45,7 @@
   const ExecutorState &Executor = Pool[Index];
   logInfo("executor-clock-jumped",
           "executor={} born={} outcome={} clock_ms={} clock_ms_before={} "
-          "read_ms_ago={} lease_end_ms={} long_lease_ms={}",
+          "clock_read_ms_ago={} lease_end_ms={} long_lease_ms={}",
           Executor.Info.Id, Executor.Info.Born,
           executor::outcomeName(Answer.Outcome), Answer.ClockMs.value_or(-1),
           Executor.ClockMs, millisSince(Executor.ClockReadAt, Now),
@@ -104,7 +104,7 @@
 EarlierOrders CellOwner::ordersOfEarlierOwners(ExecutorIndex Index) const {
   const executor::ExecutorInfo &Info = Pool[Index].Info;
   bool IsFirstOwner = Options.AcquiredRow.LeasesEndMs == 0;
-  if (IsFirstOwner || Lives.isStored({Info.Id, Info.Born}))
+  if (IsFirstOwner || Incarnations.isStored({Info.Id, Info.Born}))
     return {};
   TimePoint LastSentAt =
       Options.CreatedAt + Options.Leases.MaxOwnershipTimeout + MaxSendTime;
@@ -134,26 +134,27 @@
 }
 
 /// Stores which incarnations have answered, as far as the commit has room.
-void CellOwner::addLifeRows(CommitInFlight &Commit) {
+void CellOwner::addIncarnationRows(CommitInFlight &Commit) {
   /// So that many restarts at once don't hold up the jobs.
   constexpr size_t MaxRows = 16;
   store::Transaction &Tx = Commit.Transaction;
   size_t Used = Tx.entryCount() + OwnerRowEntries;
-  if (Loading || !Lives.isDue() || Used >= store::MaxTransactionEntries)
+  if (Loading || !Incarnations.isDue() || Used >= store::MaxTransactionEntries)
     return;
-  std::vector<ExecutorLife> Answered;
+  std::vector<Incarnation> Answered;
   for (ExecutorIndex I = 0; I < Pool.size(); ++I) {
     const ExecutorState &Executor = Pool[I];
-    ExecutorLife Life{Executor.Info.Id, Executor.Info.Born};
-    if (!Executor.Ended && (Executor.TokenConfirmed || Lives.isStored(Life)))
+    Incarnation Life{Executor.Info.Id, Executor.Info.Born};
+    if (!Executor.Ended &&
+        (Executor.TokenConfirmed || Incarnations.isStored(Life)))
       Answered.push_back(Life);
   }
-  Commit.LifeRows = Lives.dueRows(
+  Commit.IncarnationRows = Incarnations.dueRows(
       Answered, std::min(MaxRows, store::MaxTransactionEntries - Used));
-  for (const LifeRow &LivesOfRow : Commit.LifeRows)
-    Tx.Writes.push_back({.Table = LifeTable,
-                         .Key = LivesOfRow.Key,
-                         .Value = encodeLives(LivesOfRow.Lives)});
+  for (const IncarnationRow &Written : Commit.IncarnationRows)
+    Tx.Writes.push_back({.Table = IncarnationTable,
+                         .Key = Written.Key,
+                         .Value = encodeIncarnations(Written.Entries)});
 }
 
 /// The executor has answered to its token for the first time.
@@ -165,7 +166,7 @@
     ++Counts.LongLeases;
   // An idle executor may keep a lease for runs that are started there.
   Pool.confirmToken(Index, LongLeaseEnd, inheritedLeaseEndOn(Executor.Info.Id));
-  Lives.note({Executor.Info.Id, Executor.Info.Born});
+  Incarnations.note({Executor.Info.Id, Executor.Info.Born});
   logInfo("executor-greeted",
           "executor={} born={} token={} running={} ended={} clock_ms={} "
           "long_lease_ms={}",
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -204,8 +204,8 @@
 
 void OwnerLoop::finishLoading(TimePoint Now) {
   StoredService Stored = Loader->take();
-  for (auto &[Key, Lives] : Stored.Lives)
-    Owner->restoreLives(Key, std::move(Lives));
+  for (auto &[Key, Incarnations] : Stored.Incarnations)
+    Owner->restoreIncarnations(Key, std::move(Incarnations));
   for (auto &[Id, Job] : Stored.Jobs) {
     if (Stored.UnreadableJobs.count(Id))
       continue;
--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -22,7 +22,7 @@
   OpenTables = 3;
   readPage(cell::JobTable, "");
   readPage(cell::ProgressTable, "");
-  readPage(cell::LifeTable, "");
+  readPage(cell::IncarnationTable, "");
 }
 
 void ServiceLoader::readPage(const std::string &Table,
@@ -60,7 +60,7 @@
     else if (Table == cell::ProgressTable)
       addProgressRow(Row);
     else
-      addLifeRow(Row);
+      addIncarnationRow(Row);
   }
   if (auto NextKey = store::nextPageStart(Page))
     readPage(Table, *NextKey);
@@ -87,12 +87,12 @@
 }
 
 /// Without the row, its executors count as ones that nobody has called.
-void ServiceLoader::addLifeRow(const store::Row &Row) {
-  auto Lives = cell::decodeLives(Row.Value);
-  if (Lives)
-    Loaded.Lives.emplace(Row.Key, std::move(*Lives));
+void ServiceLoader::addIncarnationRow(const store::Row &Row) {
+  auto Incarnations = cell::decodeIncarnations(Row.Value);
+  if (Incarnations)
+    Loaded.Incarnations.emplace(Row.Key, std::move(*Incarnations));
   else
-    logError("executor-lives-unreadable", "key={} version={}", Row.Key,
+    logError("executor-incarnations-unreadable", "key={} version={}", Row.Key,
              Row.Version);
 }
 
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -2,7 +2,7 @@
 #define DAISYLANDING_NODE_SERVICELOADER_H
 
 #include "cell/JobSpec.h"
-#include "cell/KnownLives.h"
+#include "cell/KnownIncarnations.h"
 #include "cell/ProgressRows.h"
 #include "common/Timers.h"
 #include "store/RowStore.h"
@@ -27,7 +27,7 @@
   std::map<std::string, cell::JobProgress> Progress;
   std::set<std::string> UnreadableJobs; ///< Their progress is malformed.
   /// Rows of executors' incarnations, by key.
-  std::map<std::string, cell::LivesById> Lives;
+  std::map<std::string, cell::BornById> Incarnations;
   /// The job feed continues after this version.
   uint64_t JobsVersion = store::AbsentVersion;
 };
@@ -62,7 +62,7 @@
               const store::RowPage &Page);
   void addJobRow(const store::Row &Row);
   void addProgressRow(const store::Row &Row);
-  void addLifeRow(const store::Row &Row);
+  void addIncarnationRow(const store::Row &Row);
 
   std::string Service;
   store::RowStore &Store;
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -122,7 +122,7 @@
 
 void Simulation::noteKnownLife(const cell::CellOwner &Receiver,
                                const std::string &Id, int64_t Born) {
-  int64_t &Known = KnownLives[&Receiver][Id];
+  int64_t &Known = KnownIncarnations[&Receiver][Id];
   Known = std::max(Known, Born);
 }
 
@@ -293,8 +293,8 @@
 }
 
 void Simulation::loadStoredJobs(cell::CellOwner &Target) {
-  for (const store::Row &Row : rowsOf(cell::LifeTable))
-    Target.restoreLives(Row.Key, *cell::decodeLives(Row.Value));
+  for (const store::Row &Row : rowsOf(cell::IncarnationTable))
+    Target.restoreIncarnations(Row.Key, *cell::decodeIncarnations(Row.Value));
   for (const auto &[Id, Job] : Specs) {
     if (storedValue(cell::JobTable, Id).empty())
       continue;
@@ -700,7 +700,7 @@
       Receiver.onStart(Order.Id, Index, Result, Now);
     });
   };
-  int64_t SentTo = KnownLives[Sender][Order.Target.Id];
+  int64_t SentTo = KnownIncarnations[Sender][Order.Target.Id];
   if (Rng.uniform() < Faults.OrderLate) {
     auto Delay = 500 + static_cast<int64_t>(Rng.below(MaxLateMs));
     schedule(Delay, [this, Order, Sender, SentTo] {
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -377,7 +377,8 @@
   /// Tasks that an owner has heard of as done.
   std::map<const cell::CellOwner *, std::set<std::string>> HeardDone;
   /// The start of the newest incarnation that an owner has heard of, by id.
-  std::map<const cell::CellOwner *, std::map<std::string, int64_t>> KnownLives;
+  std::map<const cell::CellOwner *, std::map<std::string, int64_t>>
+      KnownIncarnations;
   AttemptCheck Attempts;
   std::vector<std::string> Violations;
 };
--- a/tests/unit/KnownLivesTest.cpp
+++ b/tests/unit/KnownIncarnationsTest.cpp
@@ -1,4 +1,4 @@
-#include "cell/KnownLives.h"
+#include "cell/KnownIncarnations.h"
 #include "cell/OwnerRow.h"
 #include "unit/CellSim.h"
 
@@ -15,60 +15,60 @@
 
 constexpr Resources Wide{.MilliCores = 8'000, .MemoryMb = 4'000};
 constexpr const char *JobId = "00000000000000a1";
-constexpr size_t AllRows = LifeRowCount;
+constexpr size_t AllRows = IncarnationRowCount;
 
 } // namespace
 
-TEST_GROUP(TheLivesOfExecutors) {
-  KnownLives Lives;
+TEST_GROUP(TheIncarnationsOfExecutors) {
+  KnownIncarnations Known;
 
-  std::vector<LifeRow> dueRows(std::vector<ExecutorLife> Answered) {
-    return Lives.dueRows(Answered, AllRows);
+  std::vector<IncarnationRow> dueRows(std::vector<Incarnation> Answered) {
+    return Known.dueRows(Answered, AllRows);
   }
 };
 
-TEST(TheLivesOfExecutors, AreStoredOnceEach) {
-  ExecutorLife Life{.Id = "i-1", .Born = 7};
-  Lives.note(Life);
-  CHECK_FALSE(Lives.isStored(Life));
-  std::vector<LifeRow> Rows = dueRows({Life});
+TEST(TheIncarnationsOfExecutors, AreStoredOnceEach) {
+  Incarnation Life{.Id = "i-1", .Born = 7};
+  Known.note(Life);
+  CHECK_FALSE(Known.isStored(Life));
+  std::vector<IncarnationRow> Rows = dueRows({Life});
   LONGS_EQUAL(1, Rows.size());
-  Lives.noteStored(Rows.front());
-  CHECK_TRUE(Lives.isStored(Life));
-  CHECK_FALSE(Lives.isStored({.Id = "i-1", .Born = 8}));
-  Lives.note(Life);
-  CHECK_FALSE(Lives.isDue());
+  Known.noteStored(Rows.front());
+  CHECK_TRUE(Known.isStored(Life));
+  CHECK_FALSE(Known.isStored({.Id = "i-1", .Born = 8}));
+  Known.note(Life);
+  CHECK_FALSE(Known.isDue());
 }
 
 /// Guards against a life that is forgotten, as it answered while the commit of
 /// its row was under way.
-TEST(TheLivesOfExecutors, AreDueAgainIfOneAnswersMeanwhile) {
-  Lives.note({.Id = "i-1", .Born = 7});
-  std::vector<LifeRow> Rows = dueRows({{.Id = "i-1", .Born = 7}});
-  Lives.note({.Id = "i-1", .Born = 8});
-  Lives.noteStored(Rows.front());
-  CHECK_TRUE(Lives.isDue());
+TEST(TheIncarnationsOfExecutors, AreDueAgainIfOneAnswersMeanwhile) {
+  Known.note({.Id = "i-1", .Born = 7});
+  std::vector<IncarnationRow> Rows = dueRows({{.Id = "i-1", .Born = 7}});
+  Known.note({.Id = "i-1", .Born = 8});
+  Known.noteStored(Rows.front());
+  CHECK_TRUE(Known.isDue());
 }
 
 /// Guards against a row that is written again and again for an executor that
 /// has ended meanwhile.
-TEST(TheLivesOfExecutors, AreNotDueOnceTheyAreOver) {
-  Lives.note({.Id = "i-1", .Born = 7});
-  Lives.noteStored(dueRows({}).front());
-  CHECK_FALSE(Lives.isDue());
+TEST(TheIncarnationsOfExecutors, AreNotDueOnceTheyAreOver) {
+  Known.note({.Id = "i-1", .Born = 7});
+  Known.noteStored(dueRows({}).front());
+  CHECK_FALSE(Known.isDue());
 }
 
-TEST(TheLivesOfExecutors, AreReadAsTheyWereWritten) {
-  LivesById Written{{"i-1", 1'768'573'953'704}, {"i-2", 1}};
-  CHECK(*decodeLives(encodeLives(Written)) == Written);
+TEST(TheIncarnationsOfExecutors, AreReadAsTheyWereWritten) {
+  BornById Written{{"i-1", 1'768'573'953'704}, {"i-2", 1}};
+  CHECK(*decodeIncarnations(encodeIncarnations(Written)) == Written);
   for (const char *Text : {"", "[]", "{\"i-1\":\"x\"}", "{\"i-1\":-1}", "7"})
-    CHECK_FALSE(decodeLives(Text));
+    CHECK_FALSE(decodeIncarnations(Text));
 }
 
 /// Rows of one version must be found by the next one, on any machine.
-TEST(TheLivesOfExecutors, HaveRowsThatStayTheSame) {
-  STRCMP_EQUAL("56", lifeRowKey("i-a02460a98c").c_str());
-  STRCMP_EQUAL("19", lifeRowKey("i-42016e3f95").c_str());
+TEST(TheIncarnationsOfExecutors, HaveRowsThatStayTheSame) {
+  STRCMP_EQUAL("56", incarnationRowKey("i-a02460a98c").c_str());
+  STRCMP_EQUAL("19", incarnationRowKey("i-42016e3f95").c_str());
 }
 
 // clang-format off
@@ -82,10 +82,10 @@
     Sim.takeOver("e1/1");
     Sim.runFor(1'000);
   }
-  size_t lifeRowWrites() const {
+  size_t incarnationRowWrites() const {
     size_t Count = 0;
     for (const store::Transaction &Tx : Sim.AppliedCommits)
-      Count += static_cast<size_t>(std::count_if(Tx.Writes.begin(), Tx.Writes.end(), [](const store::RowWrite &Write) { return Write.Table == LifeTable; }));
+      Count += static_cast<size_t>(std::count_if(Tx.Writes.begin(), Tx.Writes.end(), [](const store::RowWrite &Write) { return Write.Table == IncarnationTable; }));
     return Count;
   }
   void submitLastingTask() {
@@ -97,13 +97,13 @@
 // clang-format on
 
 TEST(AnOwnerOfIdleExecutors, WritesNothingOfThemAfterwards) {
-  size_t Before = lifeRowWrites();
+  size_t Before = incarnationRowWrites();
   CHECK(Before > 0);
   Sim.runFor(5'000);
-  LONGS_EQUAL(Before, lifeRowWrites());
+  LONGS_EQUAL(Before, incarnationRowWrites());
   Sim.restartExecutor("i-3", 0, 100);
   Sim.runFor(1'000);
-  LONGS_EQUAL(Before + 1, lifeRowWrites());
+  LONGS_EQUAL(Before + 1, incarnationRowWrites());
 }
 
 /// Guards against lasting tasks that wait after each takeover, as any executor
--- a/tests/unit/NextLifeLeaseTest.cpp
+++ b/tests/unit/NextLifeLeaseTest.cpp
@@ -1,4 +1,4 @@
-#include "cell/KnownLives.h"
+#include "cell/KnownIncarnations.h"
 #include "unit/CellSim.h"
 
 #include <algorithm>
@@ -418,7 +418,7 @@
       for (int J = I + 1; J < 30; ++J) {
         std::string First = "i-" + std::to_string(I);
         std::string Second = "i-" + std::to_string(J);
-        if (lifeRowKey(First) == lifeRowKey(Second)) {
+        if (incarnationRowKey(First) == incarnationRowKey(Second)) {
           Absent = First;
           Neighbour = Second;
         }
@@ -426,8 +426,8 @@
     CHECK_FALSE(Absent.empty());
   }
   bool isStored(const std::string &Id) {
-    for (const store::Row &Row : Sim.rowsOf(LifeTable)) {
-      LivesById Lives = *decodeLives(Row.Value);
+    for (const store::Row &Row : Sim.rowsOf(IncarnationTable)) {
+      BornById Lives = *decodeIncarnations(Row.Value);
       auto Found = Lives.find(Id);
       if (Found != Lives.end())
         return Found->second == Sim.executor(Id).BornMs;
