--- a/tests/unit/NextLifeClockTest.cpp
+++ b/tests/unit/NextLifeClockTest.cpp
@@ -12,7 +12,6 @@
 
 constexpr Resources Small{.MilliCores = 1'000, .MemoryMb = 100};
 constexpr Resources Wide{.MilliCores = 8'000, .MemoryMb = 4'000};
-constexpr const char *EarlierId = "00000000000000a1";
 constexpr const char *RefusedId = "00000000000000a2";
 constexpr const char *LongId = "00000000000000a3";
 constexpr int64_t LongRunMs = 60'000;
