--- a/src/cell/LiveJob.h
+++ b/src/cell/LiveJob.h
@@ -193,6 +193,12 @@
   std::optional<uint64_t> IdleRevision;
 };
 
+/// Whether callers are told that the job waits: no task is known to have
+/// started. Jobs with a schedule aren't counted.
+inline bool isPending(const LiveJob &Job) {
+  return Job.Spec.RepeatCount == 0 && !isFinal(Job.Phase) && !Job.Started;
+}
+
 /// Identifies one task of one live job.
 struct TaskKey {
   LiveJob *Job = nullptr;
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -73,6 +73,8 @@
   Commit.TimedFrom = Now;
   Commit.LastSentAt = Now;
   Commit.Row = buildOwnerRow();
+  if (!Loading)
+    Commit.Row.Pending = countPendingJobs(Now, Clock);
   store::Transaction &Tx = Commit.Transaction;
   Tx.Partition = Options.Service;
   Tx.AnswerWait = CommitAnswerWait;
@@ -190,15 +192,25 @@
   // one.
   NewRow.Sequence = ++LastBuiltSequence;
   NewRow.HighestToken = Pool.highestToken();
-  // While loading, what the last owner wrote about its jobs still holds.
-  if (Loading)
-    return NewRow;
-  NewRow.PendingJobs.clear();
+  return NewRow;
+}
+
+/// Since the stored jobs were known to be read.
+Millis CellOwner::jobReadingAge(TimePoint Now) const {
+  return std::max(Millis(0),
+                  std::chrono::ceil<Millis>(Now - JobFeedConfirmedAt));
+}
+
+PendingJobs CellOwner::countPendingJobs(TimePoint Now,
+                                        const StoreClock &Clock) const {
+  PendingJobs Counted{
+      .CountedBy = Row.Epoch,
+      .AsOfMs = std::max<int64_t>(0, Clock.MinMs - jobReadingAge(Now).count())};
   for (const auto &[Id, Job] : Jobs) {
-    if (Job.Spec.RepeatCount == 0 && !isFinal(Job.Phase) && !Job.Started)
-      ++NewRow.PendingJobs[Job.Spec.Queue];
+    if (isPending(Job))
+      ++Counted.ByQueue[Job.Spec.Queue];
   }
-  return NewRow;
+  return Counted;
 }
 
 /// How long leases are granted because of the row. On a slow store long enough
--- a/src/cell/OwnerRow.cpp
+++ b/src/cell/OwnerRow.cpp
@@ -50,7 +50,9 @@
                    {"released", Row.Released},
                    {"largest_millicores", Row.LargestEntry.MilliCores},
                    {"largest_link_kbit", Row.LargestEntry.LinkKbitPerSecond},
-                   {"pending", Row.PendingJobs},
+                   {"pending", Row.Pending.ByQueue},
+                   {"pending_by", Row.Pending.CountedBy},
+                   {"pending_ms", Row.Pending.AsOfMs},
                    {"silent", Row.SilentLeaseEnds}};
   if (!Row.LongLeaseEnds.empty())
     Document["long_leases"] = Row.LongLeaseEnds;
@@ -96,7 +98,10 @@
                             Document, "largest_millicores", 0),
                         .LinkKbitPerSecond = Numbers.field<uint32_t>(
                             Document, "largest_link_kbit", 0)};
-    Row.PendingJobs = decodeNumbers<uint64_t>(Document.at("pending"), Numbers);
+    Row.Pending = {
+        .ByQueue = decodeNumbers<uint64_t>(Document.at("pending"), Numbers),
+        .CountedBy = Numbers.field<uint64_t>(Document, "pending_by", 0),
+        .AsOfMs = Numbers.field<int64_t>(Document, "pending_ms", 0)};
     if (Document.contains("leases_end_ms"))
       Row.LeasesEndMs = Numbers.whole<int64_t>(Document.at("leases_end_ms"));
     if (Document.contains("silent"))
--- a/src/cell/OwnerRow.h
+++ b/src/cell/OwnerRow.h
@@ -3,6 +3,7 @@
 
 #include "cell/BacklogStatement.h"
 #include "cell/EntryCapacity.h"
+#include "cell/PendingJobs.h"
 #include "cell/QueueStatement.h"
 #include "common/Error.h"
 
@@ -54,7 +55,7 @@
   uint64_t Sequence = 0;      ///< Commit count of this owner.
   bool Released = false;      ///< Any entry may acquire the service at once.
   EntryCapacity LargestEntry; ///< Of all entries that the owner knows.
-  std::map<std::string, uint64_t> PendingJobs; ///< Jobs not started, by queue.
+  PendingJobs Pending;
   /// Store clock in ms at which all leases have expired that were granted by
   /// earlier owners, or by the holder before it writes the next row. None in
   /// rows of versions that don't tell.
--- a/src/cell/OwnerStatus.cpp
+++ b/src/cell/OwnerStatus.cpp
@@ -12,7 +12,14 @@
 } // namespace
 
 OwnerStatus CellOwner::status(TimePoint Now) {
-  OwnerStatus Status{.LiveJobs = Jobs.size(), .CommitMs = AverageCommitMs};
+  OwnerStatus Status{.Loading = Loading,
+                     .LiveJobs = Jobs.size(),
+                     .JobReadingAge = jobReadingAge(Now),
+                     .CommitMs = AverageCommitMs};
+  for (const auto &[Id, Job] : Jobs) {
+    Status.OfferedJobs += Job.Stored ? 0 : 1;
+    Status.PendingJobs += isPending(Job) ? 1 : 0;
+  }
   uint64_t PlacedMilliCores = 0;
   uint64_t TotalMilliCores = 0;
   uint64_t ReservedMilliCores = 0;
--- a/src/cell/OwnerStatus.h
+++ b/src/cell/OwnerStatus.h
@@ -50,7 +50,11 @@
 
 /// Current totals of an owner.
 struct OwnerStatus {
+  bool Loading = false; ///< The stored jobs are being read; none is known yet.
   size_t LiveJobs = 0;
+  size_t OfferedJobs = 0;  ///< Of these, those that are not stored.
+  size_t PendingJobs = 0;  ///< Of these, those of which no task has started.
+  Millis JobReadingAge{0}; ///< Since the stored jobs were known to be read.
   size_t WaitingSteps = 0;
   size_t StepsWithoutAdvice = 0;
   size_t OpenRuns = 0;
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -16,28 +16,6 @@
 
 namespace daisylanding::node {
 
-/// Number of jobs not yet started, by queue, from the owner rows last read.
-class PendingJobCounts {
-public:
-  void set(const std::string &Service, std::map<std::string, uint64_t> Counts) {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Services[Service] = std::move(Counts);
-  }
-  uint64_t count(const std::string &Queue) const {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    uint64_t Total = 0;
-    for (const auto &ServiceCounts : Services) {
-      auto It = ServiceCounts.second.find(Queue);
-      Total += It == ServiceCounts.second.end() ? 0 : It->second;
-    }
-    return Total;
-  }
-
-private:
-  mutable std::mutex Mutex;
-  std::map<std::string, std::map<std::string, uint64_t>> Services;
-};
-
 /// Relay addresses of the services' owners, from the owner rows last read.
 class OwnerAddresses {
 public:
@@ -78,6 +56,15 @@
   std::shared_ptr<const T> Unstated = std::make_shared<const T>();
 };
 
+/// An owner's row, as far as it tells of pending jobs.
+struct PendingReading {
+  uint64_t RowVersion = 0; ///< 0 if no row was read.
+  uint64_t RowEpoch = 0;   ///< Of the owner that wrote the row.
+  TimePoint SentAt{};      ///< When the row was asked for.
+  cell::PendingJobs Jobs;
+};
+
+using PendingReadings = OwnerStatements<PendingReading>;
 using QueueStatements = OwnerStatements<cell::QueueStatement>;
 using BacklogStatements = OwnerStatements<cell::BacklogStatement>;
 
@@ -246,7 +233,7 @@
   const Ports &Platform;
   cell::SharedConfig Config;
   ConfigConfirmation ConfirmedConfig;
-  PendingJobCounts PendingJobs;
+  PendingReadings Pending;
   OwnerAddresses Owners;
   QueueStatements Statements;
   BacklogStatements Backlogs;
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -206,9 +206,7 @@
   std::string_view JobPath = Path.substr(Request->Queue->PathPrefix.size());
   const std::string &Method = Request->HttpRequest.Method;
   if (JobPath.empty() && Method == "GET") {
-    uint64_t Count = Context.PendingJobs.count(Request->Queue->Name);
-    answer(Request, http::StatusOk,
-           Context.Platform.codec().formatPending(Count), "pending");
+    answerPending(Request);
     return;
   }
   if (!cell::isJobId(JobPath)) {
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -120,6 +120,7 @@
   readEndedPhase(const RequestPtr &Request, const std::string &Partition,
                  std::function<void(std::optional<cell::JobPhase>)> OnPhase);
   void answerPhase(const RequestPtr &Request, cell::JobPhase Phase);
+  void answerPending(const RequestPtr &Request);
   void answer(const RequestPtr &Request, uint16_t Status, std::string Body,
               std::string_view Reason);
   void refuse(const RequestPtr &Request, std::string_view Reason);
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -556,14 +556,16 @@
   cell::OwnerStatus State = Owner->status(Now);
   logInfo(
       "service-state",
-      "service={} live={} waiting={} unadvised={} advice_queue={} open={} "
+      "service={} loading={} live={} offered={} pending={} jobs_read_ms_ago={} "
+      "waiting={} unadvised={} advice_queue={} open={} "
       "executors={} usable={} commit_ms={:.0f} commits={} commit_entries={} "
       "commit_bytes={} planning_ms={} turns_ms={} cores={} reserved={} "
       "placed={} placed_cores={}",
-      Service, State.LiveJobs, State.WaitingSteps, State.StepsWithoutAdvice,
-      AdviceQueues.waitingCount(), State.OpenRuns, State.Executors,
-      State.Usable, State.CommitMs, CommitsSent, CommitEntries, CommitBytes,
-      toMillis(PlanningTime), toMillis(TurnTime), State.TotalCores,
+      Service, State.Loading, State.LiveJobs, State.OfferedJobs,
+      State.PendingJobs, State.JobReadingAge.count(), State.WaitingSteps,
+      State.StepsWithoutAdvice, AdviceQueues.waitingCount(), State.OpenRuns,
+      State.Executors, State.Usable, State.CommitMs, CommitsSent, CommitEntries,
+      CommitBytes, toMillis(PlanningTime), toMillis(TurnTime), State.TotalCores,
       State.ReservedCores, State.PlacedTasks, State.PlacedCores);
   CommitsSent = 0;
   CommitEntries = 0;
--- a/src/node/OwnerWatch.cpp
+++ b/src/node/OwnerWatch.cpp
@@ -57,7 +57,7 @@
     Successor.LongLeaseEnds = Row->LongLeaseEnds;
     Successor.LargestEntry = Row->LargestEntry;
     // Until the new owner has counted its jobs.
-    Successor.PendingJobs = Row->PendingJobs;
+    Successor.Pending = Row->Pending;
     Successor.Queues = Row->Queues;
   }
   return Successor;
--- a/src/node/WatchLoop.cpp
+++ b/src/node/WatchLoop.cpp
@@ -181,7 +181,10 @@
       logError("owner-row-unreadable", "service={}", Service);
       return;
     }
-    Context.PendingJobs.set(Service, Row->PendingJobs);
+    Context.Pending.set(Service, {.RowVersion = Page->Rows.front().Version,
+                                  .RowEpoch = Row->Epoch,
+                                  .SentAt = RequestedAt,
+                                  .Jobs = Row->Pending});
     Context.Owners.set(Service, Row->Released ? "" : Row->RelayAddress);
     Context.Statements.set(Service, Row->Queues);
     Context.Backlogs.set(Service, Row->Backlog);
--- a/tests/unit/CellOwnerTest.cpp
+++ b/tests/unit/CellOwnerTest.cpp
@@ -191,7 +191,7 @@
   OwnerRow Before = Sim.ownerRow();
   Sim.runFor(LoadMs - 500);
   CHECK(Sim.ownerRow().Sequence > Before.Sequence);
-  CHECK(Sim.ownerRow().PendingJobs == Before.PendingJobs);
+  CHECK(Sim.ownerRow().Pending == Before.Pending);
   CHECK(Sim.ownerRow().SilentLeaseEnds == Before.SilentLeaseEnds);
 }
 
@@ -464,7 +464,7 @@
   Sim.submit(Simulation::makeJob(JobId, 1, Small, 100));
   Sim.runFor(700);
   auto Row = decodeOwnerRow(Sim.storedValue(OwnerTable, OwnerKey));
-  LONGS_EQUAL(1, Row->PendingJobs["q"]);
+  LONGS_EQUAL(1, Row->Pending.ByQueue["q"]);
 }
 
 TEST(AnOwnerOfTwoExecutors, ACommitIsNotResentToASlowStore) {
--- a/tests/unit/CellPartsTest.cpp
+++ b/tests/unit/CellPartsTest.cpp
@@ -220,9 +220,9 @@
 }
 
 TEST(AWatchedOwner, PassesItsPendingCountsToTheNextOwner) {
-  Row.PendingJobs["q"] = 7;
+  Row.Pending.ByQueue["q"] = 7;
   Watch.recordRow(11, Row, Quick, at(100));
-  LONGS_EQUAL(7, Watch.successorRow("b/1").PendingJobs["q"]);
+  LONGS_EQUAL(7, Watch.successorRow("b/1").Pending.ByQueue["q"]);
 }
 
 TEST(AWatchedOwner, ThatReleasedTheServiceIsReplacedAtOnce) {
