--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -96,6 +96,13 @@
 
 void CellPlatform::handleRead(const http::Request &Request,
                               http::Responder Responder) {
+  bool IsRefused =
+      !Faults.RefusedTable.empty() &&
+      http::queryValue(Request.Target, "table") == Faults.RefusedTable;
+  if (IsRefused) {
+    sendJson(Responder, http::StatusUnavailable, Json::object());
+    return;
+  }
   Json Page = readRows(Request);
   constexpr size_t MicrosPerSecond = 1'000'000;
   Micros AnswerTime = Faults.ReadTime;
--- a/tests/standin/CellPlatform.h
+++ b/tests/standin/CellPlatform.h
@@ -34,6 +34,7 @@
   bool FeedHistoryGone = false; ///< Feeds are answered with 410.
   /// Range reads are answered at this rate; 0 for at once.
   uint32_t ReadBytesPerSecond = 0;
+  std::string RefusedTable; ///< Range reads of it are answered with 503.
 };
 
 struct CellRunTimes {
