Pending jobs: offers that aren't stored are not counted

What callers saw: jobs that were never accepted were said to wait, as long as their owner had no room for them in a commit.

Cause: the owner counted all jobs that it knew, before it chose which offers the commit stores.

Change: the count is taken once the commit is built, of the jobs that are stored with it or were before.

Measured: OffersThatAreNotStoredAreNotCounted, 80 offers at once, fails with the change taken out and passes with it; the other tests of the group pass.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -584,7 +584,8 @@
   CommitInFlight buildCommit(TimePoint Now, const StoreClock &Clock);
   void addJobs(CommitInFlight &Commit, TimePoint Now, int64_t StoreClockMs);
   OwnerRow buildOwnerRow();
-  PendingJobs countPendingJobs(TimePoint Now, const StoreClock &Clock) const;
+  PendingJobs countPendingJobs(const CommitInFlight &Commit, TimePoint Now,
+                               const StoreClock &Clock) const;
   Millis jobReadingAge(TimePoint Now) const;
   Millis grantTime(const OwnerRow &NewRow, TimePoint Now) const;
   void listLeaseEnds(CommitInFlight &Commit, TimePoint Now,
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -73,8 +73,6 @@
   Commit.TimedFrom = Now;
   Commit.LastSentAt = Now;
   Commit.Row = buildOwnerRow();
-  if (!Loading)
-    Commit.Row.Pending = countPendingJobs(Now, Clock);
   store::Transaction &Tx = Commit.Transaction;
   Tx.Partition = Options.Service;
   Tx.AnswerWait = CommitAnswerWait;
@@ -90,6 +88,7 @@
   addIncarnationRows(Commit);
   Commit.Row.Released = Releasing && storesAllJobs(Commit, Now);
   if (!Loading) {
+    Commit.Row.Pending = countPendingJobs(Commit, Now, Clock);
     listLeaseEnds(Commit, Now, Clock);
     stateBacklog(Commit.Row, Now, Clock);
   }
@@ -201,13 +200,20 @@
                   std::chrono::ceil<Millis>(Now - JobFeedConfirmedAt));
 }
 
-PendingJobs CellOwner::countPendingJobs(TimePoint Now,
+/// Of the jobs that are stored once the commit is.
+PendingJobs CellOwner::countPendingJobs(const CommitInFlight &Commit,
+                                        TimePoint Now,
                                         const StoreClock &Clock) const {
-  PendingJobs Counted{
-      .CountedBy = Row.Epoch,
-      .AsOfMs = std::max<int64_t>(0, Clock.MinMs - jobReadingAge(Now).count())};
+  const std::vector<std::string> &Offered = Commit.OfferedJobs;
+  auto IsAccepted = [&](const LiveJob &Job) {
+    return Job.Stored || std::find(Offered.begin(), Offered.end(),
+                                   Job.Spec.Id) != Offered.end();
+  };
+  int64_t ReadAtMs = Clock.MinMs - jobReadingAge(Now).count();
+  PendingJobs Counted{.CountedBy = Row.Epoch,
+                      .AsOfMs = std::max<int64_t>(0, ReadAtMs)};
   for (const auto &[Id, Job] : Jobs) {
-    if (isPending(Job))
+    if (isPending(Job) && IsAccepted(Job))
       ++Counted.ByQueue[Job.Spec.Queue];
   }
   return Counted;
--- a/tests/unit/PendingJobsTest.cpp
+++ b/tests/unit/PendingJobsTest.cpp
@@ -149,3 +149,32 @@
   takeOver();
   LONGS_EQUAL(0, pending());
 }
+
+/// Guards against a count of jobs that are offered, and may never be accepted.
+TEST(AnOwnerThatCountsItsPendingJobs, OffersThatAreNotStoredAreNotCounted) {
+  constexpr size_t Offers = 80; // More than one commit has room for.
+  Sim.RefusalFor = [](const executor::StartOrder &) {
+    return executor::OrderOutcome::Unhealthy;
+  };
+  Sim.CommitTimeMs = 200;
+  size_t Accepted = 0;
+  for (size_t I = 1; I <= Offers; ++I) {
+    JobSpec Job = Simulation::makeJob(jobId(I), 1, TaskSize, 100);
+    Sim.registerJob(Job);
+    Sim.Owner->offer({.Job = Job,
+                      .TimeLeft = Millis(5'000),
+                      .Done =
+                          [&](OfferOutcome Outcome) {
+                            Accepted += Outcome == OfferOutcome::Stored ? 1 : 0;
+                          }},
+                     Sim.Now, Sim.Now);
+  }
+  CHECK(Sim.runUntil(
+      [&] {
+        CHECK(pending() <= Sim.rowsOf(JobTable).size());
+        return Accepted == Offers;
+      },
+      5'000));
+  Sim.runFor(1'000);
+  LONGS_EQUAL(Offers, pending());
+}
