Loads: the reading of the jobs is as old as its first page

What callers could see: a job cancelled while a slow load went on could be started by the new owner just after it, until the first page of the job feed arrived.

Cause: at the end of a load the owner noted the job feed as up to date at that moment, though the first page of jobs may have been read seconds before.

Change: it notes when that page was asked for. So that starts don't wait for a change then, the first read of the feed after a load asks for no wait.

Evidence: by reading; the test of the loader is new, that the owner uses its time has no test. Measured: its group of unit tests.

--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -237,8 +237,9 @@
   JobFeed.restart(Stored.JobsVersion);
   Loader.reset();
   Context.Offers.registerOwner(Service, Offers);
-  Owner->confirmJobFeed(Now);
-  followJobs();
+  // The load may have taken long; the feed tells at once what came meanwhile.
+  Owner->confirmJobFeed(Stored.JobsReadAt);
+  followJobs(Millis(0));
   LoaderOfEnded = std::make_unique<EndedLoader>(
       Service, *Store, TimerQueue,
       [this](const std::string &JobId, const cell::EndedJob &Ended) {
@@ -403,10 +404,10 @@
                 });
 }
 
-void OwnerLoop::followJobs() {
-  store::ChangeQuery Query{.Table = cell::JobTable,
-                           .After = JobFeed.position(),
-                           .MaxWait = FeedWait};
+/// \p MaxWait is how long the store waits for a first change.
+void OwnerLoop::followJobs(Millis MaxWait) {
+  store::ChangeQuery Query{
+      .Table = cell::JobTable, .After = JobFeed.position(), .MaxWait = MaxWait};
   Store->readChanges(Query, [this](const Result<store::ChangePage> &Page) {
     if (Page) {
       TimePoint Now = monotonicNow();
@@ -417,9 +418,10 @@
       JobFeed.advance(*Page, Now);
       // Most rows come from this owner's own commits; others can wait.
       if (Page->Rows.empty())
-        followJobs();
+        followJobs(FeedWait);
       else
-        TimerQueue.schedule(Now + JobFeedInterval, [this] { followJobs(); });
+        TimerQueue.schedule(Now + JobFeedInterval,
+                            [this] { followJobs(FeedWait); });
       return;
     }
     logInfo("job-feed-lost", "service={} error={}", Service,
@@ -447,7 +449,7 @@
     if (auto NextKey = store::nextPageStart(*Page))
       reloadJobs(*NextKey);
     else
-      followJobs();
+      followJobs(Millis(0));
   });
 }
 
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -53,7 +53,7 @@
   void executeCommands(cell::OwnerCommands Commands);
   void sendAdviceCalls(TimePoint Now);
   void sendNextCommit(TimePoint Now);
-  void followJobs();
+  void followJobs(Millis MaxWait);
   void onJobRows(const std::vector<store::Row> &Rows);
   void reloadJobs(const std::string &FromKey);
   void readEntries();
--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -31,9 +31,11 @@
                          .Partition = Service,
                          .From = FromKey,
                          .Limit = JobPageRows};
-  Store.read(Range, [this, Table, FromKey](const Result<store::RowPage> &Page) {
+  TimePoint SentAt = monotonicNow();
+  Store.read(Range, [this, Table, FromKey,
+                     SentAt](const Result<store::RowPage> &Page) {
     if (Page) {
-      onPage(Table, FromKey, *Page);
+      onPage(Table, FromKey, *Page, SentAt);
       return;
     }
     ++Counts.FailedReads;
@@ -45,11 +47,13 @@
 }
 
 void ServiceLoader::onPage(const std::string &Table, const std::string &FromKey,
-                           const store::RowPage &Page) {
+                           const store::RowPage &Page, TimePoint SentAt) {
   OnStoreAnswer(Page.StoreClockMs);
   bool IsJobTable = Table == cell::JobTable;
-  if (IsJobTable && FromKey.empty())
+  if (IsJobTable && FromKey.empty()) {
     Loaded.JobsVersion = Page.Version;
+    Loaded.JobsReadAt = SentAt;
+  }
   LastProgressAt = monotonicNow();
   ++Counts.Pages;
   Counts.Rows += Page.Rows.size();
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -30,6 +30,9 @@
   std::map<std::string, cell::BornById> Incarnations;
   /// The job feed continues after this version.
   uint64_t JobsVersion = store::AbsentVersion;
+  /// When the first page of jobs was asked for. What was stored later may be
+  /// missing.
+  TimePoint JobsReadAt{};
 };
 
 /// What a load has read, for the log.
@@ -59,7 +62,7 @@
 private:
   void readPage(const std::string &Table, const std::string &FromKey);
   void onPage(const std::string &Table, const std::string &FromKey,
-              const store::RowPage &Page);
+              const store::RowPage &Page, TimePoint SentAt);
   void addJobRow(const store::Row &Row);
   void addProgressRow(const store::Row &Row);
   void addIncarnationRow(const store::Row &Row);
--- a/tests/unit/EndedJobTest.cpp
+++ b/tests/unit/EndedJobTest.cpp
@@ -129,6 +129,23 @@
   CHECK_EQUAL(size_t{3}, Counts.Pages);
 }
 
+/// Guards against a load that takes long and passes for up to date at its end:
+/// a cancellation may have come after its first page.
+TEST(AServiceThatHasRunManyJobs, ALoadTellsWhenItsFirstPageOfJobsWasAskedFor) {
+  SimulatedReads Store(Sim);
+  Timers TimerQueue;
+  TimePoint Before = monotonicNow();
+  TimePoint PageRead = TimePoint::max();
+  node::ServiceLoader Loader("s", Store, TimerQueue, [&](int64_t) {
+    PageRead = std::min(PageRead, monotonicNow());
+  });
+  Loader.start(Sim.Now);
+  CHECK(Loader.done());
+  TimePoint ReadAt = Loader.take().JobsReadAt;
+  CHECK(ReadAt >= Before);
+  CHECK(ReadAt <= PageRead);
+}
+
 TEST(AServiceThatHasRunManyJobs, EachEndedOneKeepsASmallRow) {
   constexpr size_t MaxBytes = 60;
   CHECK_EQUAL(size_t{EndedJobs}, Sim.rowsOf(EndedTable).size());
