--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -269,6 +269,7 @@
   void recordRun(const TaskKey &Key, TimePoint Now);
   void openRun(const TaskKey &Key);
   void closeRun(const TaskKey &Key, TaskPhase NextPhase);
+  void noteBegun(LiveJob &Job);
   void dropRefusedStart(const TaskKey &Key, TimePoint Now);
   void beginStop(const TaskKey &Key, TimePoint Now);
   void stopAllRuns(LiveJob &Job, TimePoint Now);
@@ -583,6 +584,9 @@
   CommitInFlight buildCommit(TimePoint Now, const StoreClock &Clock);
   void addJobs(CommitInFlight &Commit, TimePoint Now, int64_t StoreClockMs);
   OwnerRow buildOwnerRow();
+  PendingJobs countPendingJobs(const CommitInFlight &Commit, TimePoint Now,
+                               const StoreClock &Clock) const;
+  Millis jobReadingAge(TimePoint Now) const;
   Millis grantTime(const OwnerRow &NewRow, TimePoint Now) const;
   void listLeaseEnds(CommitInFlight &Commit, TimePoint Now,
                      const StoreClock &Clock);
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -88,6 +88,7 @@
   addIncarnationRows(Commit);
   Commit.Row.Released = Releasing && storesAllJobs(Commit, Now);
   if (!Loading) {
+    Commit.Row.Pending = countPendingJobs(Commit, Now, Clock);
     listLeaseEnds(Commit, Now, Clock);
     stateBacklog(Commit.Row, Now, Clock);
   }
@@ -190,15 +191,32 @@
   // one.
   NewRow.Sequence = ++LastBuiltSequence;
   NewRow.HighestToken = Pool.highestToken();
-  // While loading, what the last owner wrote about its jobs still holds.
-  if (Loading)
-    return NewRow;
-  NewRow.PendingJobs.clear();
+  return NewRow;
+}
+
+/// Since the stored jobs were known to be read.
+Millis CellOwner::jobReadingAge(TimePoint Now) const {
+  return std::max(Millis(0),
+                  std::chrono::ceil<Millis>(Now - JobFeedConfirmedAt));
+}
+
+/// Of the jobs that are stored once the commit is.
+PendingJobs CellOwner::countPendingJobs(const CommitInFlight &Commit,
+                                        TimePoint Now,
+                                        const StoreClock &Clock) const {
+  const std::vector<std::string> &Offered = Commit.OfferedJobs;
+  auto IsAccepted = [&](const LiveJob &Job) {
+    return Job.Stored || std::find(Offered.begin(), Offered.end(),
+                                   Job.Spec.Id) != Offered.end();
+  };
+  int64_t ReadAtMs = Clock.MinMs - jobReadingAge(Now).count();
+  PendingJobs Counted{.CountedBy = Row.Epoch,
+                      .AsOfMs = std::max<int64_t>(0, ReadAtMs)};
   for (const auto &[Id, Job] : Jobs) {
-    if (Job.Spec.RepeatCount == 0 && !isFinal(Job.Phase) && !Job.Started)
-      ++NewRow.PendingJobs[Job.Spec.Queue];
+    if (isPending(Job) && IsAccepted(Job))
+      ++Counted.ByQueue[Job.Spec.Queue];
   }
-  return NewRow;
+  return Counted;
 }
 
 /// How long leases are granted because of the row. On a slow store long enough
