Nothing is denied by a configuration that isn't confirmed

Cause: IntakeLoop denies by the configuration that it read last. Only keys looked at when the store confirmed it (key_confirmation_ms).

Ruled out: a bound on the search itself. The rule counts from when a request was sent, so that the time of arrival is compared with the confirmation that was known when the configuration was taken; one that arrives during the search says nothing about it, and a slow search is no ground to refuse. A 410 after a cancel found the job's row removed is not by the configuration.

Change: isConfigConfirmed says whether a configuration decides; the check of keys uses it, too (areKeysOutdated, its opposite, is gone; its tests check the same moments by the new function). Beyond bounds.config_apply_ms, new, from the deployment's bounds, 2 s by default, an entry refuses with 503, Retry-After and why=config-unconfirmed what it would deny with 404, 401, or 410 for a job that isn't found or is another workspace's. One line a second tells version, age and limit. What it finds it serves as before. Between two confirmations a calm entry's gets at most 1.51 s old (two questions of 0.7 s, an answer and a turn each); less than 1.6 can't be set, and a test holds the sum.

Left: a feed's answer confirms as of its question, without the second by which a change may reach the feed late (docs/TIME-BOUNDS.md, open).

--- a/src/config/CellSettings.cpp
+++ b/src/config/CellSettings.cpp
@@ -78,6 +78,8 @@
   SectionReader BoundsSection(Root, "bounds", File, Problems);
   BoundsSection.duration("drain_ms", Parsed.MaxDrainDelay, 1'300, OneDayMs);
   BoundsSection.duration("cancel_ms", Parsed.MaxCancelDelay, 1'300, OneDayMs);
+  BoundsSection.duration("config_apply_ms", Parsed.MaxConfigDelay,
+                         CellSettings::MinConfigDelay.count(), OneDayMs);
   BoundsSection.duration("max_lease_ms", Parsed.MaxLease, 1'000, OneDayMs);
   BoundsSection.duration("status_kept_ms", "status_kept_s",
                          Parsed.StatusRetention, 0, OneDayMs);
--- a/src/config/CellSettings.h
+++ b/src/config/CellSettings.h
@@ -35,6 +35,11 @@
   Millis MaxDrainDelay{2'000};
   /// Time after which no more tasks of a cancelled job are started.
   Millis MaxCancelDelay{3'000};
+  /// Time after which a change of the configuration has to be in force.
+  Millis MaxConfigDelay{2'000};
+  /// Least limit: an entry's configuration gets nearly as old between two
+  /// confirmations (docs/TIME-BOUNDS.md).
+  static constexpr Millis MinConfigDelay{1'600};
   Millis MaxLease{10'000}; ///< The longest lease that an executor grants.
   /// How long the status of ended jobs is available.
   Millis StatusRetention{120'000};
--- a/src/node/CallerKeys.cpp
+++ b/src/node/CallerKeys.cpp
@@ -18,10 +18,6 @@
   return !Config.Workspaces.empty() && !Queue.IsPublic;
 }
 
-bool areKeysOutdated(TimePoint ConfirmedAt, Millis Limit, TimePoint Now) {
-  return Limit > Millis(0) && Now >= ConfirmedAt + Limit;
-}
-
 bool mayCancel(const CallerIdentity &Caller, std::string_view StoredText) {
   if (Caller.Config.Workspaces.empty())
     return true;
--- a/src/node/CallerKeys.h
+++ b/src/node/CallerKeys.h
@@ -23,10 +23,6 @@
 /// Whether callers of the queue need a key.
 bool needsKey(const cell::CellConfig &Config, const cell::Queue &Queue);
 
-/// Whether the store has not confirmed the configuration for longer than keys
-/// are trusted (\p Limit, 0: always), so that any key may be withdrawn.
-bool areKeysOutdated(TimePoint ConfirmedAt, Millis Limit, TimePoint Now);
-
 /// A caller who has been let into a queue.
 struct CallerIdentity {
   const cell::CellConfig &Config;
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// A feed read may miss changes made while it waits; this wait keeps a
-/// configuration change within its bound of two seconds.
-constexpr Millis FeedWait{700};
 constexpr Millis ReadRetryDelay{100};
 
 } // namespace
--- a/src/node/ConfigFollower.h
+++ b/src/node/ConfigFollower.h
@@ -14,6 +14,10 @@
 /// Single-threaded.
 class ConfigFollower {
 public:
+  /// A feed read may miss changes made while it waits; this wait keeps a
+  /// configuration change within its bound of two seconds.
+  static constexpr Millis FeedWait{700};
+
   ConfigFollower(EntryContext &Context, store::RowStore &Store,
                  Timers &TimerQueue)
       : Context(Context), Store(Store), TimerQueue(TimerQueue) {}
--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -7,6 +7,7 @@
 #include "common/EventLog.h"
 #include "common/Metrics.h"
 #include "config/CellSettings.h"
+#include "node/ConfigConfirmation.h"
 #include "node/Ports.h"
 
 #include <algorithm>
@@ -165,25 +166,6 @@
   ClockReading MaxClock;
 };
 
-/// Until when the store has confirmed the configuration in force. Shared
-/// between threads.
-class ConfigConfirmation {
-public:
-  /// The store answered a read that was sent at \p SentAt.
-  void record(TimePoint SentAt) {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    ConfirmedAt = std::max(ConfirmedAt, SentAt);
-  }
-  TimePoint confirmedAt() const {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    return ConfirmedAt;
-  }
-
-private:
-  mutable std::mutex Mutex;
-  TimePoint ConfirmedAt{};
-};
-
 /// A live job as last published by its owner.
 struct JobStatus {
   std::string Id;
--- a/src/node/IntakeLoop.cpp
+++ b/src/node/IntakeLoop.cpp
@@ -158,10 +158,10 @@
 /// Whether the request needs a key, and the entry can't know any more whether
 /// keys are valid.
 bool IntakeLoop::refusesKeys(const PendingRequest &Request, TimePoint Now) {
-  TimePoint ConfirmedAt = Context.ConfirmedConfig.confirmedAt();
+  TimePoint ConfirmedAt = Request.ConfigConfirmedAt;
   Millis Limit = Context.Options.KeyConfirmation;
   if (!needsKey(*Request.Config, *Request.Queue) ||
-      !areKeysOutdated(ConfirmedAt, Limit, Now))
+      isConfigConfirmed(ConfirmedAt, Limit, Now))
     return false;
   Context.EntryMetrics.count("requests_with_unconfirmed_keys");
   uint64_t Dropped = 0;
@@ -178,6 +178,8 @@
   Request->Deadline =
       deadlineOf(Request->HttpRequest,
                  Context.Platform.codec().deadlineHeader(), Request->ArrivedAt);
+  // Read first, as it must not be newer than the configuration.
+  Request->ConfigConfirmedAt = Context.ConfirmedConfig.confirmedAt();
   Request->Config = Context.Config.current();
   if (!Request->Config) {
     refuse(Request, "no-configuration");
@@ -187,7 +189,7 @@
   Request->Queue =
       Request->Config->findQueueByPath(hostOf(Request->HttpRequest), Path);
   if (!Request->Queue) {
-    answer(Request, http::StatusNotFound, "{}", "no-such-queue");
+    denyByConfig(Request, http::StatusNotFound, "no-such-queue");
     return;
   }
   // Before the keys are looked up: an unknown one may have been added since.
@@ -198,7 +200,7 @@
   KeyCheck Caller =
       checkKey(*Request->Config, *Request->Queue, Request->HttpRequest);
   if (!Caller.Allowed) {
-    answer(Request, http::StatusUnauthorized, "{}", "unknown-key");
+    denyByConfig(Request, http::StatusUnauthorized, "unknown-key");
     return;
   }
   if (Caller.Workspace)
--- a/src/node/IntakeLoop.h
+++ b/src/node/IntakeLoop.h
@@ -49,6 +49,7 @@
     TimePoint Deadline;
     const cell::Queue *Queue = nullptr;
     std::shared_ptr<const cell::CellConfig> Config; ///< Keeps `Queue` alive.
+    TimePoint ConfigConfirmedAt; ///< When `Config` was taken.
     std::string JobId;
     std::string Workspace;               ///< Of its key; empty if it has none.
     std::vector<std::string> Partitions; ///< Not yet searched for the job.
@@ -124,6 +125,8 @@
   void answer(const RequestPtr &Request, uint16_t Status, std::string Body,
               std::string_view Reason);
   void refuse(const RequestPtr &Request, std::string_view Reason);
+  void denyByConfig(const RequestPtr &Request, uint16_t Status,
+                    std::string_view Reason);
   void answerUnknown(const RequestPtr &Request);
   void answerProblem(const RequestPtr &Request, uint16_t Status,
                      std::string_view Field, std::string_view Allowed);
@@ -135,6 +138,7 @@
   relay::RelayLoop &Relay;
   OfferPolicy Policy;
   LogLimiter OutdatedKeysLog{1};
+  LogLimiter OutdatedConfigLog{1};
   AdmissionPolicy Admission;
   SharedQueue<RequestPtr> Arrivals;
   SharedQueue<std::function<void()>> OfferOutcomes;
--- a/src/node/IntakeQueries.cpp
+++ b/src/node/IntakeQueries.cpp
@@ -10,11 +10,11 @@
 namespace daisylanding::node {
 
 /// Returns the next service whose rows may hold the job. Answers that there is
-/// no such job if all were searched.
+/// no such job if all of the configuration were searched.
 std::optional<std::string>
 IntakeLoop::nextPartition(const RequestPtr &Request) {
   if (Request->Partitions.empty()) {
-    answer(Request, http::StatusGone, "{}", "no-such-job");
+    denyByConfig(Request, http::StatusGone, "no-such-job");
     return std::nullopt;
   }
   std::string Partition = std::move(Request->Partitions.front());
@@ -169,7 +169,7 @@
                                      .Queue = *Request->Queue,
                                      .Workspace = Request->Workspace},
                                     Rows.front().Value))
-                  answer(Request, http::StatusGone, "{}", "other-workspace");
+                  denyByConfig(Request, http::StatusGone, "other-workspace");
                 else if (Rows.size() > 1)
                   answer(Request, http::StatusOk, "{}", "cancelled-before");
                 else
--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -540,6 +540,20 @@
   Entries.pop_back();
 }
 
+/// Guards against a queue, a job or a key that is denied although it may have
+/// been added: the store has long not confirmed the configuration.
+TEST(ACellOfTwoEntries, DeniesNothingByAConfigurationThatIsNotConfirmed) {
+  Platform.configureKeys(2, {"first"});
+  CHECK(eventually([&] { return countWith(0, "/q/", "unknown") == 401; }));
+  LONGS_EQUAL(404, countWith(0, "/added/", "first"));
+  Platform.setFaults({.StoreUnavailable = true});
+  CHECK(eventually([&] { return countWith(0, "/added/", "first") == 503; }));
+  LONGS_EQUAL(503, countWith(0, "/q/", "unknown"));
+  LONGS_EQUAL(200, countWith(0, "/q/", "first"));
+  Platform.setFaults({});
+  CHECK(eventually([&] { return countWith(0, "/added/", "first") == 404; }));
+}
+
 TEST(ACellOfTwoEntries, ServesItsStatusToOperators) {
   CHECK(eventually([&] {
     auto Status = call(0, 3, "GET", "/v1/status");
--- a/tests/unit/CallerKeysTest.cpp
+++ b/tests/unit/CallerKeysTest.cpp
@@ -1,5 +1,6 @@
 #include "node/CallerKeys.h"
 #include "cell/JobSpec.h"
+#include "node/ConfigConfirmation.h"
 #include "platform/PlatformPorts.h"
 
 #include <fmt/format.h>
@@ -165,14 +166,14 @@
 
 TEST(AnEntryThatTheStoreDoesNotAnswer, TrustsKeysUntilTheirLimit) {
   Micros Moment{1};
-  CHECK_FALSE(
-      node::areKeysOutdated(ConfirmedAt, Limit, ConfirmedAt + Limit - Moment));
-  CHECK(node::areKeysOutdated(ConfirmedAt, Limit, ConfirmedAt + Limit));
+  CHECK(node::isConfigConfirmed(ConfirmedAt, Limit,
+                                ConfirmedAt + Limit - Moment));
+  CHECK_FALSE(node::isConfigConfirmed(ConfirmedAt, Limit, ConfirmedAt + Limit));
 }
 
 TEST(AnEntryThatTheStoreDoesNotAnswer, TrustsThemForGoodWithoutALimit) {
-  CHECK_FALSE(node::areKeysOutdated(ConfirmedAt, Millis(0),
-                                    ConfirmedAt + Millis(3'600'000)));
+  CHECK(node::isConfigConfirmed(ConfirmedAt, Millis(0),
+                                ConfirmedAt + Millis(3'600'000)));
 }
 
 TEST(AnEntryThatTheStoreDoesNotAnswer, GoesOnWithPublicQueues) {
--- a/tests/unit/CellSettingsTest.cpp
+++ b/tests/unit/CellSettingsTest.cpp
@@ -79,6 +79,18 @@
         Millis(5'000));
 }
 
+TEST(SettingsWithBounds, TellWhenAConfigurationIsInForce) {
+  CHECK(read("", "")->MaxConfigDelay == Millis(2'000));
+  CHECK(read("", "config_apply_ms = 3000")->MaxConfigDelay == Millis(3'000));
+}
+
+/// Guards against an entry that refuses requests between two confirmations.
+TEST(SettingsWithBounds, LeaveAConfigurationTheTimeToBeConfirmed) {
+  CHECK_TRUE(static_cast<bool>(read("", "config_apply_ms = 1600")));
+  CHECK_FALSE(static_cast<bool>(read("", "config_apply_ms = 1599")));
+  STRCMP_EQUAL("bounds.config_apply_ms", Problems[0].Key.c_str());
+}
+
 TEST(SettingsWithBounds, TakeASpreadFactor) {
   auto Settings = read("", "spread_factor = 1.5");
   CHECK_TRUE(static_cast<bool>(Settings));
--- a/tests/unit/TimeBoundsTest.cpp
+++ b/tests/unit/TimeBoundsTest.cpp
@@ -1,6 +1,7 @@
 #include "cell/AdviceDispatcher.h"
 #include "cell/LeavingExecutors.h"
 #include "config/CellSettings.h"
+#include "node/ConfigFollower.h"
 #include "node/ExecutorList.h"
 #include "node/IntakeLoop.h"
 #include "node/OwnerReads.h"
@@ -147,6 +148,16 @@
     CHECK_FALSE(isTakenOver(Interval, Phase));
 }
 
+TEST_GROUP(AnEntryThatDeniesByItsConfiguration){};
+
+/// Guards against an entry of a calm cell that refuses requests: just before an
+/// answer, what is confirmed is as old as that question and the one before it.
+TEST(AnEntryThatDeniesByItsConfiguration, HasItConfirmedInTime) {
+  Millis Question = ConfigFollower::FeedWait + ReadTime + WatchTurn;
+  Millis OldestConfirmation = 2 * Question;
+  CHECK(OldestConfirmation < config::CellSettings::MinConfigDelay);
+}
+
 TEST_GROUP(AnOwnerThatStartsTasks){};
 
 /// Guards against pauses without starts: they require a list young enough that
