--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -543,6 +543,23 @@
   Entries.pop_back();
 }
 
+/// Guards against a queue, a job or a key that is denied although it may have
+/// been added: the store has long not confirmed the configuration.
+TEST(ACellOfTwoEntries, DeniesNothingByAConfigurationThatIsNotConfirmed) {
+  Platform.configureKeys(2, {"first"});
+  CHECK(eventually([&] { return countWith(0, "/q/", "unknown") == 401; }));
+  LONGS_EQUAL(404, countWith(0, "/added/", "first"));
+  Platform.setFaults({.StoreUnavailable = true});
+  const std::string ForTheConfig = "config-unconfirmed";
+  CHECK(eventually(
+      [&] { return countRefusal(0, "/added/", "first") == ForTheConfig; }));
+  CHECK(countRefusal(0, "/q/", "unknown") == ForTheConfig);
+  // Who is let in learns that the count is too old by then.
+  CHECK(countRefusal(0, "/q/", "first") == "pending-unknown");
+  Platform.setFaults({});
+  CHECK(eventually([&] { return countWith(0, "/added/", "first") == 404; }));
+}
+
 TEST(ACellOfTwoEntries, ServesItsStatusToOperators) {
   CHECK(eventually([&] {
     auto Status = call(0, 3, "GET", "/v1/status");
