Calls: nothing is sent once its time is over

Cause: a connection that had opened meanwhile was used whatever the time; so was one that was released to a call that had waited.

Change: a call whose time is over ends as not sent.

Measured: IsNotSentOnceItsTimeIsOver passes; by reading it fails without the change (that run was not made).

--- a/src/http/DirectCalls.cpp
+++ b/src/http/DirectCalls.cpp
@@ -60,6 +60,12 @@
     return End;
   }
 
+  /// Whether its time is over, as its loop was held up. It isn't sent then:
+  /// what it says was decided before.
+  bool isOutOfTime(TimePoint Now) const {
+    return Now >= StartedAt + Request.Timeout;
+  }
+
   bool awaitsRelease(TimePoint Now) const {
     return !Carrier && OpensAt && Now < *OpensAt;
   }
@@ -174,6 +180,11 @@
   void serveWaiting(Host &Peer, TimePoint Now) {
     while (!Peer.Waiting.empty()) {
       Exchange &Next = *Peer.Waiting.front();
+      if (Next.isOutOfTime(Now)) {
+        Peer.Waiting.pop_front();
+        complete(Next, failureOf(Next));
+        continue;
+      }
       Connection *Carrier = takeConnection(Next, Now);
       if (!Carrier)
         break;
@@ -287,7 +298,7 @@
     int Failure = 0;
     socklen_t Size = sizeof(Failure);
     ::getsockopt(Ready.Socket, SOL_SOCKET, SO_ERROR, &Failure, &Size);
-    if (Failure != 0) {
+    if (Failure != 0 || Ready.Current->isOutOfTime(Now)) {
       fail(Ready, Now);
       return;
     }
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -175,6 +175,42 @@
   LONGS_EQUAL(Calls, Answered);
 }
 
+// clang-format off
+/// Its connection is open by the time at which the loop goes on.
+TEST_GROUP(ACallWhoseLoopIsHeldUpWhileItConnects) {
+  static constexpr Millis Timeout{60};
+  http::MultiClient Client{{}};
+  RawServer Server{{}};
+  std::vector<http::CallResult> Results;
+  void start(Millis Allowed) {
+    http::Call Request;
+    Request.Method = "POST";
+    Request.Url = "http://" + Server.address() + "/";
+    Request.Timeout = Allowed;
+    Request.ConnectTimeout = Millis(60'000);
+    Client.start(std::move(Request), [this](http::CallResult Result) { Results.push_back(std::move(Result)); });
+  }
+  void setup() override {
+    start(Timeout);
+    TimePoint OutOfTime = monotonicNow() + Timeout;
+    while (monotonicNow() < OutOfTime) {
+    }
+    while (Results.empty())
+      Client.poll(Millis(1));
+  }
+};
+// clang-format on
+
+/// Guards against an order that a process sends when it goes on after a
+/// suspension, long after its decision.
+TEST(ACallWhoseLoopIsHeldUpWhileItConnects, IsNotSentOnceItsTimeIsOver) {
+  CHECK(Results.front().error() == Errc::Unreachable);
+  start(Millis(5'000));
+  while (Results.size() < 2)
+    Client.poll(Millis(1));
+  LONGS_EQUAL(1, Server.requestCount());
+}
+
 // clang-format off
 TEST_GROUP(ACallStartedByAnAnswer) {
   http::MultiClient Client{{}};
