Feeds: a page that comes late doesn't move a feed past changes that it can't show

Cause, by reading: changes may reach a feed up to 3 s late, so that a page without rows moves a feed on to the version that it states only 3 s later. That time was counted to the receipt of the next page. A page tells what the feed held when the store looked, and its transfer, or the wait for the thread that takes it, may take as long as the lag: a page looked at within the 3 s and taken after them moved the feed past a change that it couldn't have shown. Jobs that entries store themselves are told of by the feed alone. Evidence: model of a feed that shows each change up to 3 s late, in order, with answers that now and then take up to 5 s. Ruled out by reading: a page with rows moves the feed to its highest version, which skips nothing as long as the store's feed is in order, as its protocol says; a lost feed is followed by a reading of the whole table. Change: a page without rows counts once a page has come that was requested the maximum lag later. For the feeds of jobs, caps, configurations and executors. No further calls; the range that is asked again has no rows.

--- a/src/node/CapFeed.cpp
+++ b/src/node/CapFeed.cpp
@@ -91,7 +91,8 @@
 void CapFeed::followFeed() {
   store::ChangeQuery Query{
       .Table = cell::CapTable, .After = Cursor.position(), .MaxWait = FeedWait};
-  Store.readChanges(Query, [this, Reading = Readings](const auto &Page) {
+  TimePoint SentAt = monotonicNow();
+  Store.readChanges(Query, [=, this, Reading = Readings](const auto &Page) {
     if (!isCurrent(Reading))
       return;
     if (!Page) {
@@ -105,7 +106,7 @@
       apply(Row);
     if (!Page->Rows.empty())
       OnChange();
-    Cursor.advance(*Page, monotonicNow());
+    Cursor.advance(*Page, SentAt, monotonicNow());
     followFeed();
   });
 }
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -99,7 +99,7 @@
           apply(Row, true);
         // A change made while the page was awaited may be missing from it.
         Context.ConfirmedConfig.record(SentAt);
-        Cursor.advance(*Page, monotonicNow());
+        Cursor.advance(*Page, SentAt, monotonicNow());
         followFeed();
       });
 }
--- a/src/node/ExecutorList.cpp
+++ b/src/node/ExecutorList.cpp
@@ -101,7 +101,8 @@
   store::ChangeQuery Query{.Table = Codec.executorTable(),
                            .After = Cursor.position(),
                            .MaxWait = FeedWait};
-  Store.readChanges(Query, [this](const Result<store::ChangePage> &Page) {
+  TimePoint SentAt = monotonicNow();
+  Store.readChanges(Query, [this, SentAt](const auto &Page) {
     TimePoint Now = monotonicNow();
     if (!Page) {
       // The next full read restarts the feed.
@@ -118,7 +119,7 @@
       if (Row.Version > FullReadVersion)
         applyRow(Row);
     }
-    Cursor.advance(*Page, Now);
+    Cursor.advance(*Page, SentAt, Now);
     followFeed();
   });
 }
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -407,14 +407,15 @@
   store::ChangeQuery Query{.Table = cell::JobTable,
                            .After = JobFeed.position(),
                            .MaxWait = FeedWait};
-  Store->readChanges(Query, [this](const Result<store::ChangePage> &Page) {
+  TimePoint SentAt = monotonicNow();
+  Store->readChanges(Query, [this, SentAt](const auto &Page) {
     if (Page) {
       TimePoint Now = monotonicNow();
       Context.StoreHealth.recordFeedPage(Now, *Page);
       onJobRows(Page->Rows);
       Owner->confirmJobFeed(Page->AnsweredAt);
       recordChange();
-      JobFeed.advance(*Page, Now);
+      JobFeed.advance(*Page, SentAt, Now);
       // Most rows come from this owner's own commits; others can wait.
       if (Page->Rows.empty())
         followJobs();
--- a/src/store/FeedCursor.h
+++ b/src/store/FeedCursor.h
@@ -13,8 +13,11 @@
 constexpr Millis MaxFeedLag{3'000};
 
 /// The position from which a change feed is read on. Changes may reach the feed
-/// late, so a page without rows advances the position only after the maximum
-/// lag; until then the same range is requested again.
+/// late, so a page without rows advances the position only once a page that was
+/// requested the maximum lag later has shown no earlier change; until then the
+/// same range is requested again. A page tells what the feed held at some time
+/// since its request: the transfer of a page, or the wait for the thread that
+/// takes it, may have lasted as long as the lag.
 class FeedCursor {
 public:
   /// \p MaxLag bounds how late a change reaches the feed.
@@ -26,13 +29,14 @@
     EmptyPages.clear();
   }
 
-  /// Accounts for \p Page, received at \p Now.
-  void advance(const ChangePage &Page, TimePoint Now) {
+  /// Accounts for \p Page, requested at \p RequestedAt and received at \p Now.
+  void advance(const ChangePage &Page, TimePoint RequestedAt, TimePoint Now) {
     for (const Row &ChangedRow : Page.Rows)
       Position = std::max(Position, ChangedRow.Version);
     if (Page.Rows.empty())
       EmptyPages.emplace_back(Now, Page.Version);
-    while (!EmptyPages.empty() && EmptyPages.front().first + MaxLag <= Now) {
+    while (!EmptyPages.empty() &&
+           EmptyPages.front().first + MaxLag <= RequestedAt) {
       Position = std::max(Position, EmptyPages.front().second);
       EmptyPages.pop_front();
     }
