Offers: a job that the feed showed while its commit was in flight isn't forgotten

Cause, by reading: a job may be offered to the owner and stored by another entry. If the owner's commit that holds the offer was in flight when the feed showed the row, the row was dropped, as the answer to the commit was to settle it. An answer need not: the one to an older copy of the commit may have been given before the row was stored and come after the feed; and a commit that the store rejects tells of no rows. The offer then expired, or was dropped as the largest of the rejected commit, and the feed shows a row once. Ruled out: other copies of the refused commit can't store the offered job later (the owner's row has changed, or the row that was in the way is still there); offers that are dropped while no commit is in flight (expired, outdated) are adopted if the feed has shown their row or shows it later; the successor of an owner reads all rows; the random plays below found nothing more. Change: the commit in flight keeps what the feed shows of the jobs that it stores; when it is refused or rejected, those are adopted. Test: OfferedJobTest. With the adoption taken out, two of its three tests fail: a job isn't completed, an offer of a stored job isn't answered as stored before. The third, 60 random plays of offers, writes of entries, silences, lost and late commits and takeovers, passes with and without the change: it didn't find this order.

--- a/src/cell/CellOwner.cpp
+++ b/src/cell/CellOwner.cpp
@@ -165,9 +165,13 @@
     return;
   }
   if (const LiveJob *Existing = findJob(Spec.Id)) {
-    // If a commit in flight stores the job, the answer to that commit settles
-    // it.
-    if (!Existing->Stored && !isInFlight(Spec.Id))
+    if (Existing->Stored)
+      return;
+    // The answer to a commit in flight that stores the job tells whose row it
+    // is.
+    if (isInFlight(Spec.Id))
+      InFlight->ShownJobs.insert_or_assign(Existing->Spec.Id, std::move(Spec));
+    else
       adoptStoredJob(std::move(Spec), Now);
     return;
   }
--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -198,6 +198,8 @@
     Millis GrantTime{0}; ///< From its sending; its row allows for leases.
     /// Jobs that this commit stores.
     std::vector<std::string> OfferedJobs;
+    /// Rows of these jobs that the job feed has shown meanwhile.
+    std::map<std::string, JobSpec> ShownJobs;
     /// Jobs whose rows this commit moves to the table of ended jobs.
     std::vector<std::string> MovedJobs;
     /// Jobs whose rows this commit removes.
@@ -619,6 +621,7 @@
   void onAlreadyStored(const store::Row &StoredRow, TimePoint Now);
   void onAlreadyEnded(const store::Row &EndedRow, TimePoint Now);
   void adoptStoredJob(JobSpec StoredJob, TimePoint Now);
+  void adoptShownJobs(const CommitInFlight &Refused, TimePoint Now);
   Micros expectedCommitTime(TimePoint Now) const;
   size_t offersPerCommit() const;
   void expireOffers(TimePoint Now);
--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 /// Commits, one transaction at a time. Each has the owner row's version after
 /// the one before it as a precondition, so a transaction that the store carries
@@ -424,6 +425,17 @@
                IsSame ? OfferOutcome::StoredBefore : OfferOutcome::OtherWork);
 }
 
+/// Adopts jobs of a commit that was not carried out and whose rows the job feed
+/// has shown, which it does once. The answer need not show them: that to an
+/// older copy of the commit may come after the feed.
+void CellOwner::adoptShownJobs(const CommitInFlight &Refused, TimePoint Now) {
+  for (const auto &[Id, ShownJob] : Refused.ShownJobs) {
+    const LiveJob *Existing = findJob(Id);
+    if (Existing && !Existing->Stored)
+      adoptStoredJob(ShownJob, Now);
+  }
+}
+
 void CellOwner::onAlreadyStored(const store::Row &StoredRow, TimePoint Now) {
   auto StoredJob = decodeJob(StoredRow.Value);
   if (StoredJob) {
@@ -496,12 +508,13 @@
           Options.Service, InFlight->Row.Sequence, ExistingJobs.size(),
           AlreadyEndedJobs.size(), CancelKeys.size(),
           toMillis(Now - InFlight->FirstSentAt));
-  InFlight.reset();
+  CommitInFlight Refused = *std::exchange(InFlight, std::nullopt);
   HoldsOffersBack = !ExistingJobs.empty() || !AlreadyEndedJobs.empty();
   for (const store::Row *CurrentRow : ExistingJobs)
     onAlreadyStored(*CurrentRow, Now);
   for (const store::Row *EndedRow : AlreadyEndedJobs)
     onAlreadyEnded(*EndedRow, Now);
+  adoptShownJobs(Refused, Now);
   for (const std::string &Key : CancelKeys)
     cancel(Key.substr(0, Key.find('/')), Now);
 }
@@ -547,10 +560,11 @@
            InFlight->Transaction.byteCount(), BytesByJob.size(),
            HasJobs ? Largest->first : "none", HasJobs ? Largest->second : 0);
   restoreQueues(*InFlight, Now);
-  InFlight.reset();
+  CommitInFlight Refused = *std::exchange(InFlight, std::nullopt);
   RetryCommitAt = Now + CommitRetryDelay;
-  if (HasJobs)
+  if (HasJobs && !Refused.ShownJobs.count(Largest->first))
     setAside(Largest->first, Now);
+  adoptShownJobs(Refused, Now);
 }
 
 /// Stores the job's changes later, and those of others meanwhile. One that
