Load: the job feed continues after the version at which the service was acquired

Cause, by reading: the feed continued after the version that the first page of jobs states. The protocol says that a page's rows are as of a single moment and that the answer states the newest version, but not that both are as of the same moment: of a job that is stored between the two, neither the page nor the feed tells. Evidence: none that the platform's store states a newer version than its rows have; the assumption is removed because nothing has shown that it holds. Change: the feed continues after the version of the transaction that acquired the service, which is older than all reads of the load. Jobs stored since are read twice, and known ones stay as they are. Remains: a reading of the whole table after a lost feed, and the first readings of the configuration and of caps, still go on from the version that their page states.

--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -114,7 +114,7 @@
   Loader = std::make_unique<ServiceLoader>(
       Service, *Store, TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
-  Loader->start(AcquiredAt);
+  Loader->start(RowVersion, AcquiredAt);
   Instances = std::make_unique<ExecutorList>(
       *Store, Context.Platform.codec(), TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -17,7 +17,8 @@
     : Service(std::move(Service)), Store(Store), TimerQueue(TimerQueue),
       OnStoreAnswer(std::move(OnStoreAnswer)) {}
 
-void ServiceLoader::start(TimePoint Now) {
+void ServiceLoader::start(uint64_t AcquiredVersion, TimePoint Now) {
+  Loaded.JobsVersion = AcquiredVersion;
   LastProgressAt = Now;
   OpenTables = 3;
   readPage(cell::JobTable, "");
@@ -33,7 +34,7 @@
                          .Limit = JobPageRows};
   Store.read(Range, [this, Table, FromKey](const Result<store::RowPage> &Page) {
     if (Page) {
-      onPage(Table, FromKey, *Page);
+      onPage(Table, *Page);
       return;
     }
     ++Counts.FailedReads;
@@ -44,12 +45,10 @@
   });
 }
 
-void ServiceLoader::onPage(const std::string &Table, const std::string &FromKey,
+void ServiceLoader::onPage(const std::string &Table,
                            const store::RowPage &Page) {
   OnStoreAnswer(Page.StoreClockMs);
   bool IsJobTable = Table == cell::JobTable;
-  if (IsJobTable && FromKey.empty())
-    Loaded.JobsVersion = Page.Version;
   LastProgressAt = monotonicNow();
   ++Counts.Pages;
   Counts.Rows += Page.Rows.size();
--- a/src/node/ServiceLoader.h
+++ b/src/node/ServiceLoader.h
@@ -28,7 +28,8 @@
   std::set<std::string> UnreadableJobs; ///< Their progress is malformed.
   /// Rows of executors' incarnations, by key.
   std::map<std::string, cell::BornById> Incarnations;
-  /// The job feed continues after this version.
+  /// The job feed continues after this version, which is older than all reads:
+  /// the one that a page states may be newer than the page's rows.
   uint64_t JobsVersion = store::AbsentVersion;
 };
 
@@ -48,7 +49,8 @@
   ServiceLoader(std::string Service, store::RowStore &Store, Timers &TimerQueue,
                 std::function<void(int64_t)> OnStoreAnswer);
 
-  void start(TimePoint Now);
+  /// \p AcquiredVersion is that of the transaction that acquired the service.
+  void start(uint64_t AcquiredVersion, TimePoint Now);
   bool done() const { return OpenTables == 0; }
   /// When the last page arrived, or the load started.
   TimePoint lastProgressAt() const { return LastProgressAt; }
@@ -58,8 +60,7 @@
 
 private:
   void readPage(const std::string &Table, const std::string &FromKey);
-  void onPage(const std::string &Table, const std::string &FromKey,
-              const store::RowPage &Page);
+  void onPage(const std::string &Table, const store::RowPage &Page);
   void addJobRow(const store::Row &Row);
   void addProgressRow(const store::Row &Row);
   void addIncarnationRow(const store::Row &Row);
--- a/tests/unit/EndedJobTest.cpp
+++ b/tests/unit/EndedJobTest.cpp
@@ -97,7 +97,7 @@
     SimulatedReads Store(Sim);
     Timers TimerQueue;
     node::ServiceLoader Loader("s", Store, TimerQueue, [](int64_t) {});
-    Loader.start(Sim.Now);
+    Loader.start(Sim.ownerRowVersion(), Sim.Now);
     CHECK(Loader.done());
     return Loader.counts();
   }
