Offers: the cancel of an offered job outlives its adoption

Callers could see: a queue's number of waiting jobs that counts a cancelled job, until the owner tries to start it; its cancel stays unstored until then as well. Cause: the feed shows the cancel of a job once. If the owner knew the job as offered only, it marked the offered copy, and forgot the mark when it replaced that copy by the stored job. Evidence: in the simulation, an offer in flight, the row of another entry, its cancel, and then the answer to the commit. Ruled out: a run of a cancelled job; the record of a start is refused while the row of the cancel is there. Change: the job that is adopted is cancelled if the offered copy was. Test: KnowsThatOneWasCancelledOnceItIsStored; without the change it fails, with one job pending instead of none.

--- a/src/cell/OwnerCommit.cpp
+++ b/src/cell/OwnerCommit.cpp
@@ -418,9 +418,13 @@
   std::string Id = StoredJob.Id;
   const LiveJob &OfferedJob = Jobs.at(Id);
   bool IsSame = isSameRequest(StoredJob, OfferedJob.Spec);
+  bool WasCancelled = OfferedJob.Cancelled;
   TimePoint AcceptedAt = OfferedJob.AcceptedAt;
   dropOfferedJob(Id, Now);
   accept(std::move(StoredJob), AcceptedAt, Now);
+  // The feed shows a cancel once.
+  if (WasCancelled)
+    cancel(Id, Now);
   answerOffers(Id,
                IsSame ? OfferOutcome::StoredBefore : OfferOutcome::OtherWork);
 }
--- a/tests/unit/OfferedJobTest.cpp
+++ b/tests/unit/OfferedJobTest.cpp
@@ -192,6 +192,25 @@
   CHECK_TRUE(completes(OtherId, 5'000));
 }
 
+/// Guards against a cancelled job that counts as waiting: the feed, which shows
+/// a cancel once, did so before the owner knew that the job was stored.
+TEST(AnOwnerWithOfferedJobs, KnowsThatOneWasCancelledOnceItIsStored) {
+  Sim.StoreSilent = true;
+  offer(makeJob(JobId), Millis(3'000));
+  Sim.runFor(50);
+  Sim.submit(makeJob(JobId));
+  Sim.cancel(JobId);
+  Sim.Owner->cancel(JobId, Sim.Now);
+  Sim.Owner->onCommit(Sim.Owner->commitSequence(), conflictWith(makeJob(JobId)),
+                      Sim.Now);
+  CHECK(Outcomes.at(JobId) == OfferOutcome::StoredBefore);
+  LONGS_EQUAL(0, Sim.Owner->status(Sim.Now).PendingJobs);
+  Sim.StoreSilent = false;
+  CHECK_TRUE(Sim.runUntil(
+      [&] { return Sim.storedPhase(JobId) == JobPhase::Cancelled; }, 2'000));
+  LONGS_EQUAL(0, Sim.Started.size());
+}
+
 /// Guards against stored jobs that stay unknown to all later owners, and offers
 /// that are answered as stored though they are not.
 TEST(AnOwnerWithOfferedJobs, KnowsAllThatAreStoredInRandomPlays) {
