--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -114,7 +114,7 @@
   Loader = std::make_unique<ServiceLoader>(
       Service, *Store, TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
-  Loader->start(AcquiredAt);
+  Loader->start(RowVersion, AcquiredAt);
   Instances = std::make_unique<ExecutorList>(
       *Store, Context.Platform.codec(), TimerQueue,
       [this](int64_t StoreMillis) { recordStoreAnswer(StoreMillis); });
@@ -408,14 +408,15 @@
 void OwnerLoop::followJobs(Millis MaxWait) {
   store::ChangeQuery Query{
       .Table = cell::JobTable, .After = JobFeed.position(), .MaxWait = MaxWait};
-  Store->readChanges(Query, [this](const Result<store::ChangePage> &Page) {
+  TimePoint SentAt = monotonicNow();
+  Store->readChanges(Query, [this, SentAt](const auto &Page) {
     if (Page) {
       TimePoint Now = monotonicNow();
       Context.StoreHealth.recordFeedPage(Now, *Page);
       onJobRows(Page->Rows);
       Owner->confirmJobFeed(Page->AnsweredAt);
       recordChange();
-      JobFeed.advance(*Page, Now);
+      JobFeed.advance(*Page, SentAt, Now);
       // Most rows come from this owner's own commits; others can wait.
       if (Page->Rows.empty())
         followJobs(FeedWait);
