Operators: what an owner that is loading doesn't know is told as unknown

What operators saw: for as long as an owner read the stored jobs of a service that it had just taken, /v1/status gave live_jobs 0 and waiting_steps 0 for it, /v1/jobs answered {"jobs":[]}, and /v1/jobs/ID 404, though jobs existed.

Cause: the owner publishes its status while it loads, and the operator API gave the zeros of an empty owner as figures.

Evidence: by reading, and by the tests of OwnerFiguresTest.cpp. With the StatusApi.cpp of before, three of WhoseStoredJobsAreBeingRead fail (figures without a word, 200 in place of 503, a list that doesn't say that it lacks a service's jobs), and AnOperatorOfAnOwner, IsToldItsFigures ends the program there, as the answer has no field `figures`.

Change: `figures` says "known" or "loading" for each service that the entry owns. While it is loading, its figures are left out; a list of jobs says complete: false, or is a 503 (not-ready) if no service's jobs are known here; a job that may be among the unknown ones is a 503, and 404 is left for jobs that no owner here has. jobs_read_ms_ago tells how old an owner's reading of the stored jobs is. The types of an owner's status have a header of their own.

Measured: the six tests of both groups pass, and those of AnOperatorWhoAsksForWorkspaces.

--- a/src/node/EntryContext.h
+++ b/src/node/EntryContext.h
@@ -8,6 +8,7 @@
 #include "common/Metrics.h"
 #include "config/CellSettings.h"
 #include "node/Ports.h"
+#include "node/ServiceStatus.h"
 
 #include <algorithm>
 #include <atomic>
@@ -184,43 +185,6 @@
   TimePoint ConfirmedAt{};
 };
 
-/// A live job as last published by its owner.
-struct JobStatus {
-  std::string Id;
-  std::string Queue;
-  std::string Phase;
-  uint32_t OpenRuns = 0;
-  int64_t AgeMs = 0;
-};
-
-/// A service owned by this process, as shown to operators.
-struct ServiceStatus {
-  uint64_t Epoch = 0;
-  cell::OwnerStatus State;
-  std::vector<JobStatus> Jobs;
-};
-
-/// Statuses last published by the owners in this process, by service.
-class ServiceStatuses {
-public:
-  void set(const std::string &Service, ServiceStatus Status) {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Services[Service] = std::move(Status);
-  }
-  void remove(const std::string &Service) {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Services.erase(Service);
-  }
-  std::map<std::string, ServiceStatus> all() const {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    return Services;
-  }
-
-private:
-  mutable std::mutex Mutex;
-  std::map<std::string, ServiceStatus> Services;
-};
-
 /// State shared by all loops of one entry.
 struct EntryContext {
   EntryContext(config::CellSettings Options, std::string Incarnation,
--- a/src/node/StatusApi.cpp
+++ b/src/node/StatusApi.cpp
@@ -14,6 +14,7 @@
 
 constexpr size_t TimelineLimit = 5'000;
 constexpr std::string_view JobsPath = "/v1/jobs";
+constexpr std::string_view RetryAfterSeconds = "1";
 
 http::Response jsonResponse(uint16_t Status, const json &Body) {
   return {.Status = Status,
@@ -34,6 +35,53 @@
       {"phase", Job.Phase}, {"open_runs", Job.OpenRuns}, {"age_ms", Job.AgeMs}};
 }
 
+/// Whether the owner's figures are known.
+json figuresToJson(const std::string &Service, const ServiceStatus &Status) {
+  FiguresState Figures = Status.figures();
+  json Shown = {{"service", Service}, {"figures", figuresStateName(Figures)}};
+  if (Figures == FiguresState::Known)
+    Shown["jobs_read_ms_ago"] = Status.State.JobReadingAge.count();
+  return Shown;
+}
+
+json figuresToJson(const std::map<std::string, ServiceStatus> &Owned) {
+  json Services = json::array();
+  for (const auto &[Service, Status] : Owned)
+    Services.push_back(figuresToJson(Service, Status));
+  return Services;
+}
+
+size_t countKnown(const std::map<std::string, ServiceStatus> &Owned) {
+  size_t Known = 0;
+  for (const auto &[Service, Status] : Owned)
+    Known += Status.figures() == FiguresState::Known ? 1 : 0;
+  return Known;
+}
+
+/// For jobs of which an owner here can't tell whether there are any.
+http::Response
+jobsUnknownResponse(const std::map<std::string, ServiceStatus> &Owned) {
+  http::Response Response = jsonResponse(
+      http::StatusUnavailable,
+      {{"code", make_error_code(Errc::NotReady).message()},
+       {"field", "jobs"},
+       {"detail", "the jobs of a service that this entry owns are not known"},
+       {"services", figuresToJson(Owned)}});
+  Response.Headers.emplace_back("Retry-After", RetryAfterSeconds);
+  return Response;
+}
+
+http::Response
+noSuchJobResponse(const std::map<std::string, ServiceStatus> &Owned) {
+  return jsonResponse(
+      http::StatusNotFound,
+      {{"code", make_error_code(Errc::NotFound).message()},
+       {"field", "id"},
+       {"allowed",
+        "a live job of a service that this entry owns; see /v1/status"},
+       {"services", figuresToJson(Owned)}});
+}
+
 json useToJson(const std::string &Service, const cell::WorkspaceStatus &Use) {
   return {{"service", Service},
           {"used",
@@ -48,11 +96,13 @@
           {"refused", Use.Refused}};
 }
 
-/// What the owners in this process tell of the workspace.
+/// What the owners in this process know of the workspace.
 json usesOf(const std::string &Workspace,
             const std::map<std::string, ServiceStatus> &Owned) {
   json Uses = json::array();
   for (const auto &[Service, Status] : Owned) {
+    if (Status.figures() != FiguresState::Known)
+      continue;
     for (const cell::WorkspaceStatus &Use : Status.State.Workspaces) {
       if (Use.Name == Workspace)
         Uses.push_back(useToJson(Service, Use));
@@ -113,8 +163,11 @@
                         {"owned_here", Owned.count(Service) > 0}};
     auto It = Owned.find(Service);
     if (It != Owned.end()) {
-      const cell::OwnerStatus &State = It->second.State;
       ServiceJson["epoch"] = It->second.Epoch;
+      ServiceJson.update(figuresToJson(Service, It->second));
+    }
+    if (It != Owned.end() && It->second.figures() == FiguresState::Known) {
+      const cell::OwnerStatus &State = It->second.State;
       ServiceJson["live_jobs"] = State.LiveJobs;
       ServiceJson["waiting_steps"] = State.WaitingSteps;
       ServiceJson["open_runs"] = State.OpenRuns;
@@ -154,25 +207,34 @@
     Services.push_back(Service);
   return jsonResponse(http::StatusOk, {{"config_version", Config->Version},
                                        {"services_owned_here", Services},
+                                       {"services", figuresToJson(Owned)},
                                        {"workspaces", Workspaces}});
 }
 
-/// Jobs of the services that this entry owns, at most one second old.
+/// Jobs of the services that this entry owns, as far as they are known.
 http::Response StatusApi::jobs(std::string_view Id) const {
   json Jobs = json::array();
-  for (const auto &[Service, Owned] : Context.OwnedServices.all()) {
-    for (const JobStatus &Job : Owned.Jobs) {
-      if (Id.empty() || Job.Id == Id)
-        Jobs.push_back(jobToJson(Job, Service));
+  auto Owned = Context.OwnedServices.all();
+  for (const auto &[Service, Status] : Owned) {
+    if (Status.figures() != FiguresState::Known)
+      continue;
+    for (const JobStatus &Job : Status.Jobs) {
+      if (!Id.empty() && Job.Id != Id)
+        continue;
+      Jobs.push_back(jobToJson(Job, Service));
     }
   }
-  if (Id.empty())
-    return jsonResponse(http::StatusOk, {{"jobs", Jobs}});
-  if (Jobs.empty())
-    return errorResponse(
-        http::StatusNotFound, Errc::NotFound, "id",
-        "a live job of a service that this entry owns; see /v1/status");
-  return jsonResponse(http::StatusOk, Jobs.front());
+  size_t Known = countKnown(Owned);
+  bool IsComplete = Known == Owned.size();
+  if (!Id.empty() && !Jobs.empty())
+    return jsonResponse(http::StatusOk, Jobs.front());
+  if (!IsComplete && (!Id.empty() || Known == 0))
+    return jobsUnknownResponse(Owned);
+  if (!Id.empty())
+    return noSuchJobResponse(Owned);
+  return jsonResponse(http::StatusOk, {{"complete", IsComplete},
+                                       {"services", figuresToJson(Owned)},
+                                       {"jobs", Jobs}});
 }
 
 http::Response StatusApi::timeline(const http::Request &Request) const {
