Operators: an owner's figures say how old they are, and end with their age

What operators saw: /v1/status, /v1/jobs and /v1/workspaces gave the figures that an owner had published last as present ones, however long ago: for ever if its thread is stuck, and for a moment after a suspended process goes on.

Cause: the published status had no time, so that the operator API could not compare it with the present one.

Evidence: by reading, and by the new tests. With a status whose age counts as 0 and which is never outdated, as before, three of them fail: IsToldHowOldIts- FiguresAre (no status_age_ms), IsToldThatTheFiguresAreOutdated and SeesNoUse- OfWorkspaces (figures of more than 5 s ago are given).

Change: a status says when its owner made it. Answers give status_age_ms, and beyond MaxStatusAge (5 s; owners publish each second) the figures are "outdated" and treated as those of an owner that is loading: left out, with a 503 for jobs. The present time is an argument of what decides this.

WorkspaceStatusTest.cpp, SeesWhatTheOwnersHereTellOfThem: its status now has a time, since one without is outdated. What it checks is unchanged.

Measured: the nine tests of OwnerFiguresTest.cpp and the three of AnOperatorWhoAsksForWorkspaces pass.

--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -583,7 +583,7 @@
             Step.Size.Accelerators, Step.Gang, Step.Colocate, Step.Age.count(),
             Step.SlackMs, Step.Suitable, Step.Allowed, Step.Usable,
             Step.WithFreeCapacity);
-  ServiceStatus Status{.Epoch = OwnRow.Epoch, .State = State};
+  ServiceStatus Status{.Epoch = OwnRow.Epoch, .TakenAt = Now, .State = State};
   Owner->forEachJob([&](const cell::LiveJob &Job) {
     Status.Jobs.push_back({.Id = Job.Spec.Id,
                            .Queue = Job.Spec.Queue,
--- a/src/node/ServiceStatus.cpp
+++ b/src/node/ServiceStatus.cpp
@@ -1,5 +1,7 @@
 #include "node/ServiceStatus.h"
 
+#include <algorithm>
+
 namespace daisylanding::node {
 
 std::string_view figuresStateName(FiguresState State) {
@@ -8,11 +10,20 @@
     return "known";
   case FiguresState::Loading:
     return "loading";
+  case FiguresState::Outdated:
+    return "outdated";
   }
   return "unrecognized";
 }
 
-FiguresState ServiceStatus::figures() const {
+/// The owner's thread may publish a status after \p Now was read.
+Millis ServiceStatus::age(TimePoint Now) const {
+  return std::max(Millis(0), std::chrono::duration_cast<Millis>(Now - TakenAt));
+}
+
+FiguresState ServiceStatus::figures(TimePoint Now) const {
+  if (age(Now) > MaxStatusAge)
+    return FiguresState::Outdated;
   return State.Loading ? FiguresState::Loading : FiguresState::Known;
 }
 
--- a/src/node/ServiceStatus.h
+++ b/src/node/ServiceStatus.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_NODE_SERVICESTATUS_H
 
 #include "cell/OwnerStatus.h"
+#include "common/Time.h"
 
 #include <map>
 #include <mutex>
@@ -9,16 +10,21 @@
 #include <string_view>
 #include <vector>
 
-/// What the owners in this process tell operators.
+/// What the owners in this process tell operators, and as of when.
 namespace daisylanding::node {
 
+/// Owners publish their status each second; a long turn delays it. An older
+/// one tells nothing of the present.
+constexpr Millis MaxStatusAge{5'000};
+
 /// Whether a status tells of the service's jobs.
 enum class FiguresState {
   Known,
-  Loading, ///< The stored jobs are being read.
+  Loading,  ///< The stored jobs are being read.
+  Outdated, ///< The owner has published nothing for `MaxStatusAge`.
 };
 
-/// As it stands in answers: "known", "loading".
+/// As it stands in answers: "known", "loading", "outdated".
 std::string_view figuresStateName(FiguresState State);
 
 /// A live job as last published by its owner.
@@ -33,10 +39,12 @@
 /// A service owned by this process, as shown to operators.
 struct ServiceStatus {
   uint64_t Epoch = 0;
+  TimePoint TakenAt{}; ///< When the owner made this status.
   cell::OwnerStatus State;
   std::vector<JobStatus> Jobs;
 
-  FiguresState figures() const;
+  Millis age(TimePoint Now) const;
+  FiguresState figures(TimePoint Now) const;
 };
 
 /// Statuses last published by the owners in this process, by service.
--- a/src/node/StatusApi.cpp
+++ b/src/node/StatusApi.cpp
@@ -35,51 +35,58 @@
       {"phase", Job.Phase}, {"open_runs", Job.OpenRuns}, {"age_ms", Job.AgeMs}};
 }
 
-/// Whether the owner's figures are known.
-json figuresToJson(const std::string &Service, const ServiceStatus &Status) {
-  FiguresState Figures = Status.figures();
-  json Shown = {{"service", Service}, {"figures", figuresStateName(Figures)}};
+/// Whether the owner's figures are known, and as of when.
+json figuresToJson(const std::string &Service, const ServiceStatus &Status,
+                   TimePoint Now) {
+  FiguresState Figures = Status.figures(Now);
+  json Shown = {{"service", Service},
+                {"figures", figuresStateName(Figures)},
+                {"status_age_ms", Status.age(Now).count()}};
   if (Figures == FiguresState::Known)
     Shown["jobs_read_ms_ago"] = Status.State.JobReadingAge.count();
   return Shown;
 }
 
-json figuresToJson(const std::map<std::string, ServiceStatus> &Owned) {
+json figuresToJson(const std::map<std::string, ServiceStatus> &Owned,
+                   TimePoint Now) {
   json Services = json::array();
   for (const auto &[Service, Status] : Owned)
-    Services.push_back(figuresToJson(Service, Status));
+    Services.push_back(figuresToJson(Service, Status, Now));
   return Services;
 }
 
-size_t countKnown(const std::map<std::string, ServiceStatus> &Owned) {
+size_t countKnown(const std::map<std::string, ServiceStatus> &Owned,
+                  TimePoint Now) {
   size_t Known = 0;
   for (const auto &[Service, Status] : Owned)
-    Known += Status.figures() == FiguresState::Known ? 1 : 0;
+    Known += Status.figures(Now) == FiguresState::Known ? 1 : 0;
   return Known;
 }
 
 /// For jobs of which an owner here can't tell whether there are any.
 http::Response
-jobsUnknownResponse(const std::map<std::string, ServiceStatus> &Owned) {
+jobsUnknownResponse(const std::map<std::string, ServiceStatus> &Owned,
+                    TimePoint Now) {
   http::Response Response = jsonResponse(
       http::StatusUnavailable,
       {{"code", make_error_code(Errc::NotReady).message()},
        {"field", "jobs"},
        {"detail", "the jobs of a service that this entry owns are not known"},
-       {"services", figuresToJson(Owned)}});
+       {"services", figuresToJson(Owned, Now)}});
   Response.Headers.emplace_back("Retry-After", RetryAfterSeconds);
   return Response;
 }
 
 http::Response
-noSuchJobResponse(const std::map<std::string, ServiceStatus> &Owned) {
+noSuchJobResponse(const std::map<std::string, ServiceStatus> &Owned,
+                  TimePoint Now) {
   return jsonResponse(
       http::StatusNotFound,
       {{"code", make_error_code(Errc::NotFound).message()},
        {"field", "id"},
        {"allowed",
         "a live job of a service that this entry owns; see /v1/status"},
-       {"services", figuresToJson(Owned)}});
+       {"services", figuresToJson(Owned, Now)}});
 }
 
 json useToJson(const std::string &Service, const cell::WorkspaceStatus &Use) {
@@ -98,10 +105,10 @@
 
 /// What the owners in this process know of the workspace.
 json usesOf(const std::string &Workspace,
-            const std::map<std::string, ServiceStatus> &Owned) {
+            const std::map<std::string, ServiceStatus> &Owned, TimePoint Now) {
   json Uses = json::array();
   for (const auto &[Service, Status] : Owned) {
-    if (Status.figures() != FiguresState::Known)
+    if (Status.figures(Now) != FiguresState::Known)
       continue;
     for (const cell::WorkspaceStatus &Use : Status.State.Workspaces) {
       if (Use.Name == Workspace)
@@ -114,10 +121,11 @@
 } // namespace
 
 void StatusApi::handle(http::Request Request, http::Responder Respond) {
-  Respond(route(Request));
+  Respond(route(Request, monotonicNow()));
 }
 
-http::Response StatusApi::route(const http::Request &Request) const {
+http::Response StatusApi::route(const http::Request &Request,
+                                TimePoint Now) const {
   std::string_view Path = http::targetPath(Request.Target);
   if (Request.Method != "GET")
     return errorResponse(
@@ -128,23 +136,22 @@
             .Headers = {{"Content-Type", "text/plain; version=0.0.4"}},
             .Body = Context.EntryMetrics.render()};
   if (Path == "/v1/status")
-    return status();
+    return status(Now);
   if (Path == "/v1/config")
     return config();
   if (Path == "/v1/workspaces")
-    return workspaces();
+    return workspaces(Now);
   if (Path == "/v1/timeline")
     return timeline(Request);
   if (Path == JobsPath)
-    return jobs("");
+    return jobs("", Now);
   if (Path.starts_with(JobsPath) && Path[JobsPath.size()] == '/')
-    return jobs(Path.substr(JobsPath.size() + 1));
+    return jobs(Path.substr(JobsPath.size() + 1), Now);
   return errorResponse(http::StatusNotFound, Errc::NotFound, "path",
                        "a path of the operator API");
 }
 
-http::Response StatusApi::status() const {
-  TimePoint Now = monotonicNow();
+http::Response StatusApi::status(TimePoint Now) const {
   auto Config = Context.Config.current();
   json Status = {
       {"entry", Context.Options.Name},
@@ -164,9 +171,9 @@
     auto It = Owned.find(Service);
     if (It != Owned.end()) {
       ServiceJson["epoch"] = It->second.Epoch;
-      ServiceJson.update(figuresToJson(Service, It->second));
+      ServiceJson.update(figuresToJson(Service, It->second, Now));
     }
-    if (It != Owned.end() && It->second.figures() == FiguresState::Known) {
+    if (It != Owned.end() && It->second.figures(Now) == FiguresState::Known) {
       const cell::OwnerStatus &State = It->second.State;
       ServiceJson["live_jobs"] = State.LiveJobs;
       ServiceJson["waiting_steps"] = State.WaitingSteps;
@@ -189,7 +196,7 @@
 
 /// The workspaces of the configuration, and what they use of the services that
 /// this entry owns.
-http::Response StatusApi::workspaces() const {
+http::Response StatusApi::workspaces(TimePoint Now) const {
   auto Config = Context.Config.current();
   if (!Config)
     return errorResponse(http::StatusUnavailable, Errc::NotReady, "config",
@@ -199,7 +206,7 @@
   json Workspaces = json::array();
   for (size_t I = 0; I < Config->Workspaces.size(); ++I) {
     json Shown = workspaceToJson(Config->Workspaces[I], KeyCounts[I]);
-    Shown["services"] = usesOf(Config->Workspaces[I].Name, Owned);
+    Shown["services"] = usesOf(Config->Workspaces[I].Name, Owned, Now);
     Workspaces.push_back(std::move(Shown));
   }
   json Services = json::array();
@@ -207,33 +214,34 @@
     Services.push_back(Service);
   return jsonResponse(http::StatusOk, {{"config_version", Config->Version},
                                        {"services_owned_here", Services},
-                                       {"services", figuresToJson(Owned)},
+                                       {"services", figuresToJson(Owned, Now)},
                                        {"workspaces", Workspaces}});
 }
 
 /// Jobs of the services that this entry owns, as far as they are known.
-http::Response StatusApi::jobs(std::string_view Id) const {
+http::Response StatusApi::jobs(std::string_view Id, TimePoint Now) const {
   json Jobs = json::array();
   auto Owned = Context.OwnedServices.all();
   for (const auto &[Service, Status] : Owned) {
-    if (Status.figures() != FiguresState::Known)
+    if (Status.figures(Now) != FiguresState::Known)
       continue;
     for (const JobStatus &Job : Status.Jobs) {
       if (!Id.empty() && Job.Id != Id)
         continue;
       Jobs.push_back(jobToJson(Job, Service));
+      Jobs.back()["status_age_ms"] = Status.age(Now).count();
     }
   }
-  size_t Known = countKnown(Owned);
+  size_t Known = countKnown(Owned, Now);
   bool IsComplete = Known == Owned.size();
   if (!Id.empty() && !Jobs.empty())
     return jsonResponse(http::StatusOk, Jobs.front());
   if (!IsComplete && (!Id.empty() || Known == 0))
-    return jobsUnknownResponse(Owned);
+    return jobsUnknownResponse(Owned, Now);
   if (!Id.empty())
-    return noSuchJobResponse(Owned);
+    return noSuchJobResponse(Owned, Now);
   return jsonResponse(http::StatusOk, {{"complete", IsComplete},
-                                       {"services", figuresToJson(Owned)},
+                                       {"services", figuresToJson(Owned, Now)},
                                        {"jobs", Jobs}});
 }
 
--- a/src/node/StatusApi.h
+++ b/src/node/StatusApi.h
@@ -16,11 +16,11 @@
   void handle(http::Request Request, http::Responder Respond) override;
 
 private:
-  http::Response route(const http::Request &Request) const;
-  http::Response status() const;
+  http::Response route(const http::Request &Request, TimePoint Now) const;
+  http::Response status(TimePoint Now) const;
   http::Response config() const;
-  http::Response workspaces() const;
-  http::Response jobs(std::string_view Id) const;
+  http::Response workspaces(TimePoint Now) const;
+  http::Response jobs(std::string_view Id, TimePoint Now) const;
   http::Response timeline(const http::Request &Request) const;
 
   EntryContext &Context;
--- a/tests/unit/OwnerFiguresTest.cpp
+++ b/tests/unit/OwnerFiguresTest.cpp
@@ -32,8 +32,8 @@
   }
 
   /// As an owner with two live jobs publishes it.
-  ServiceStatus statusOfTwoJobs() {
-    ServiceStatus Status{.Epoch = 7};
+  ServiceStatus statusOfTwoJobs(Millis Age) {
+    ServiceStatus Status{.Epoch = 7, .TakenAt = monotonicNow() - Age};
     Status.State.LiveJobs = 2;
     Status.State.WaitingSteps = 3;
     Status.State.JobReadingAge = Millis(400);
@@ -42,7 +42,7 @@
     return Status;
   }
   ServiceStatus loadingStatus() {
-    ServiceStatus Status{.Epoch = 7};
+    ServiceStatus Status{.Epoch = 7, .TakenAt = monotonicNow()};
     Status.State.Loading = true;
     return Status;
   }
@@ -58,10 +58,17 @@
   }
 };
 
+TEST_GROUP_BASE(ThatHasPublishedNothingOfLate, TEST_GROUP_CppUTestGroupAnOperatorOfAnOwner) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOperatorOfAnOwner::setup();
+    publish("s", statusOfTwoJobs(MaxStatusAge + Millis(1)));
+  }
+};
+
 // clang-format on
 
 TEST(AnOperatorOfAnOwner, IsToldItsFigures) {
-  publish("s", statusOfTwoJobs());
+  publish("s", statusOfTwoJobs(Millis(0)));
   auto Service = askDocument("/v1/status")["services"][0];
   CHECK_EQUAL(std::string("known"), Service.value("figures", ""));
   LONGS_EQUAL(2, Service.value("live_jobs", 0));
@@ -71,8 +78,22 @@
   LONGS_EQUAL(200, ask("/v1/jobs/b").Status);
 }
 
+/// Guards against figures that don't say when they were made.
+TEST(AnOperatorOfAnOwner, IsToldHowOldItsFiguresAre) {
+  constexpr int AgeMs = 1'500;
+  publish("s", statusOfTwoJobs(Millis(AgeMs)));
+  auto IsOfThatAge = [&](const nlohmann::json &Document) {
+    return Document.value("status_age_ms", 0) >= AgeMs;
+  };
+  CHECK(IsOfThatAge(askDocument("/v1/status")["services"][0]));
+  CHECK(IsOfThatAge(askDocument("/v1/jobs/a")));
+  CHECK(IsOfThatAge(askDocument("/v1/jobs")["services"][0]));
+  CHECK(IsOfThatAge(askDocument("/v1/jobs/other")["services"][0]));
+  CHECK(IsOfThatAge(askDocument("/v1/workspaces")["services"][0]));
+}
+
 TEST(AnOperatorOfAnOwner, IsToldThatAJobIsNotAmongThoseKnown) {
-  publish("s", statusOfTwoJobs());
+  publish("s", statusOfTwoJobs(Millis(0)));
   LONGS_EQUAL(404, ask("/v1/jobs/other").Status);
 }
 
@@ -106,7 +127,7 @@
 
 /// Guards against a list that leaves out a service's jobs without saying so.
 TEST(WhoseStoredJobsAreBeingRead, IsToldThatAListOfOthersIsNotComplete) {
-  publish("t", statusOfTwoJobs());
+  publish("t", statusOfTwoJobs(Millis(0)));
   auto Document = askDocument("/v1/jobs");
   LONGS_EQUAL(2, Document["jobs"].size());
   CHECK_FALSE(Document.value("complete", true));
@@ -115,3 +136,20 @@
   LONGS_EQUAL(200, ask("/v1/jobs/a").Status);
   LONGS_EQUAL(503, ask("/v1/jobs/other").Status);
 }
+
+/// Guards against the last figures of a stuck owner, shown as present ones.
+TEST(ThatHasPublishedNothingOfLate, IsToldThatTheFiguresAreOutdated) {
+  auto Service = askDocument("/v1/status")["services"][0];
+  CHECK_EQUAL(std::string("outdated"), Service.value("figures", ""));
+  CHECK_FALSE(Service.contains("live_jobs"));
+  LONGS_EQUAL(503, ask("/v1/jobs").Status);
+  LONGS_EQUAL(503, ask("/v1/jobs/a").Status);
+}
+
+/// Guards against the last use of a workspace, shown as the present one.
+TEST(ThatHasPublishedNothingOfLate, SeesNoUseOfWorkspaces) {
+  auto Document = askDocument("/v1/workspaces");
+  CHECK(Document["workspaces"][0]["services"].empty());
+  CHECK_EQUAL(std::string("outdated"),
+              Document["services"][0].value("figures", ""));
+}
--- a/tests/unit/WorkspaceStatusTest.cpp
+++ b/tests/unit/WorkspaceStatusTest.cpp
@@ -48,7 +48,7 @@
 
 TEST(AnOperatorWhoAsksForWorkspaces, SeesWhatTheOwnersHereTellOfThem) {
   configure();
-  ServiceStatus Owned;
+  ServiceStatus Owned{.TakenAt = monotonicNow()};
   Owned.State.Workspaces.push_back({.Name = "b",
                                     .Used = {.MilliCores = 700},
                                     .WaitingSteps = 5,
