Metrics: gauges of a service end with its owner, and aren't given unknown

What operators saw: live_jobs, starts, advice_waiting and workspace_* of a service stayed at their last value on an entry that had left it (released or deposed) for as long as the process ran, so that sums over entries counted its jobs twice; an owner that loads gave zeros, and a stuck one its last values. A workspace that was not among the 100 busiest of a service any more was said to have nothing that waits.

Cause: the owner set them in the metrics of the process, which keeps each series for ever; gauges of a workspace that the owner's list doesn't name were set to zero, though the list may be cut off.

Evidence: by reading, and by the new tests. With the gauges set in the entry's metrics, also while loading, and zeros for all workspaces that aren't listed, as before, four tests fail: SeesNoGauges (of an owner that loads, and of one that has published nothing of late), SeesTheGaugesOfOtherServicesOnly and AreLeftOutForOneThatTheOwnerMayNotTellOf.

Ruled out: removing series from Metrics. An owner's thread that is stuck can't remove its own, so that its age has to be looked at when metrics are read.

Change: an owner publishes its gauges with its status, made by OwnerGauges; /metrics gives those of the services that are owned and whose figures are known, so that they end with the status when the owner's loop ends. figures_known{service} and status_age_ms{service} are there as long as the service is owned.

Measured: the 14 tests of OwnerFiguresTest.cpp and the three of AnOperatorWhoAsksForWorkspaces pass. OwnerLoop itself has no unit test; process tests were not run.

--- a/src/common/Metrics.cpp
+++ b/src/common/Metrics.cpp
@@ -67,6 +67,10 @@
 
 } // namespace
 
+std::string renderSample(std::string_view Name, double Value) {
+  return fmt::format("daisylanding_{} {}\n", Name, Value);
+}
+
 struct Metrics::Impl {
   mutable std::mutex Mutex;
   std::map<std::string, double, std::less<>> Values;
@@ -104,7 +108,7 @@
   std::lock_guard<std::mutex> Lock(State->Mutex);
   std::string Text;
   for (const auto &[Name, Value] : State->Values)
-    Text += fmt::format("daisylanding_{} {}\n", Name, Value);
+    Text += renderSample(Name, Value);
   for (const auto &[Name, Values] : State->Distributions)
     renderDistribution(Text, Name, Values);
   return Text;
--- a/src/common/Metrics.h
+++ b/src/common/Metrics.h
@@ -7,6 +7,16 @@
 
 namespace daisylanding {
 
+/// A current value; the name includes its labels.
+struct Gauge {
+  std::string Name;
+  double Value = 0;
+};
+
+/// A line of the Prometheus text format, with the name prefixed with
+/// `daisylanding_`.
+std::string renderSample(std::string_view Name, double Value);
+
 /// Counters, gauges and distributions, rendered in the Prometheus text format.
 /// Names include their labels, as in `answers_total{outcome="done"}`.
 /// Thread-safe.
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -48,16 +48,6 @@
   return static_cast<long>(Options.MaxDescriptors / 2);
 }
 
-/// A workspace's name as the value of a metric's label.
-std::string labelValue(std::string_view Name) {
-  std::string Value;
-  for (char C : Name) {
-    bool IsPlain = C != '"' && C != '\\' && C != '\n';
-    Value += IsPlain ? C : '_';
-  }
-  return Value;
-}
-
 } // namespace
 
 OwnerLoop::OwnerLoop(EntryContext &Context, AdviceLoop &Advice,
@@ -73,7 +63,7 @@
           AnswerCapacity, [this] { wakeForChange(); })),
       Offers(std::make_shared<cell::OfferMailbox>(OfferCapacity,
                                                   [this] { wakeForChange(); })),
-      OtherServices(Context, this->Service) {}
+      OtherServices(Context, this->Service), Gauges(this->Service) {}
 
 OwnerLoop::~OwnerLoop() {
   AdviceAnswers->close();
@@ -522,37 +512,8 @@
           Calls.WorkMs);
 }
 
-/// Each name that was ever published stays a time series, so that there are
-/// only so many.
-void OwnerLoop::publishWorkspaces(
-    std::span<const cell::WorkspaceStatus> Workspaces) {
-  for (const cell::WorkspaceStatus &Status : Workspaces) {
-    if (LabeledWorkspaces.size() < cell::MaxReportedWorkspaces)
-      LabeledWorkspaces.insert(Status.Name);
-  }
-  for (const std::string &Name : LabeledWorkspaces) {
-    auto Found =
-        std::find_if(Workspaces.begin(), Workspaces.end(),
-                     [&](const auto &Status) { return Status.Name == Name; });
-    bool IsBusy = Found != Workspaces.end();
-    cell::WorkspaceStatus Status = IsBusy ? *Found : cell::WorkspaceStatus{};
-    auto SetGauge = [&](const char *Metric, double Value) {
-      Context.EntryMetrics.gauge(
-          fmt::format("{}{{service=\"{}\",workspace=\"{}\"}}", Metric, Service,
-                      labelValue(Name)),
-          Value);
-    };
-    SetGauge("workspace_used_share", Status.UsedShare);
-    SetGauge("workspace_fair_share", Status.FairShare);
-    SetGauge("workspace_waiting_steps",
-             static_cast<double>(Status.WaitingSteps));
-    SetGauge("workspace_refused", static_cast<double>(Status.Refused));
-  }
-}
-
 void OwnerLoop::publishStatus(TimePoint Now) {
   NextPublish = Now + PublishInterval;
-  const cell::OwnerCounts &Counts = Owner->counts();
   cell::OwnerStatus State = Owner->status(Now);
   logInfo(
       "service-state",
@@ -591,31 +552,11 @@
                            .OpenRuns = Job.OpenRuns,
                            .AgeMs = toMillis(Now - Job.AcceptedAt)});
   });
+  Status.Gauges = Gauges.make({.Counts = Owner->counts(),
+                               .State = State,
+                               .FeedSkipped = Instances->skippedChanges(),
+                               .AdviceWaiting = AdviceQueues.waitingCount()});
   Context.OwnedServices.set(Service, std::move(Status));
-  auto SetGauge = [&](const char *Name, uint64_t Value) {
-    Context.EntryMetrics.gauge(
-        fmt::format("{}{{service=\"{}\"}}", Name, Service),
-        static_cast<double>(Value));
-  };
-  publishWorkspaces(State.Workspaces);
-  SetGauge("starts", Counts.Starts);
-  SetGauge("ends_done", Counts.EndsDone);
-  SetGauge("ends_failed", Counts.EndsFailed);
-  SetGauge("ends_other", Counts.EndsOther);
-  SetGauge("ticket_refusals", Counts.TicketRefusals);
-  SetGauge("room_refusals", Counts.CapacityRefusals);
-  SetGauge("lapses", Counts.ExpiredRuns);
-  SetGauge("executor_restarts", Counts.Restarts);
-  SetGauge("long_leases", Counts.LongLeases);
-  SetGauge("stragglers", Counts.Stragglers);
-  SetGauge("place_waits", Counts.PlaceWaits);
-  SetGauge("place_wait_hits", Counts.PlaceWaitHits);
-  SetGauge("jobs_completed", Counts.JobsCompleted);
-  SetGauge("jobs_failed", Counts.JobsFailed);
-  SetGauge("jobs_cancelled", Counts.JobsCancelled);
-  SetGauge("live_jobs", Owner->liveJobCount());
-  SetGauge("feed_skipped", Instances->skippedChanges());
-  SetGauge("advice_waiting", AdviceQueues.waitingCount());
 }
 
 } // namespace daisylanding::node
--- a/src/node/OwnerLoop.h
+++ b/src/node/OwnerLoop.h
@@ -11,6 +11,7 @@
 #include "node/EndedLoader.h"
 #include "node/EntryContext.h"
 #include "node/ExecutorList.h"
+#include "node/OwnerGauges.h"
 #include "node/ServiceLoader.h"
 #include "node/ServicePlaces.h"
 #include "node/TurnPacer.h"
@@ -60,7 +61,6 @@
   TimePoint acceptedAt(const cell::JobSpec &Job, TimePoint Now) const;
   void recordStoreAnswer(int64_t StoreMillis);
   void publishStatus(TimePoint Now);
-  void publishWorkspaces(std::span<const cell::WorkspaceStatus> Workspaces);
   void logAdviceCalls();
 
   EntryContext &Context;
@@ -86,9 +86,9 @@
 
   TimePoint AcquiredAt{};
   std::unique_ptr<EndedLoader> LoaderOfEnded;
-  std::unique_ptr<ServiceLoader> Loader;   ///< Null once the load is done.
-  std::set<std::string> UnreadableJobs;    ///< Never scheduled.
-  std::set<std::string> LabeledWorkspaces; ///< With metrics of their own.
+  std::unique_ptr<ServiceLoader> Loader; ///< Null once the load is done.
+  std::set<std::string> UnreadableJobs;  ///< Never scheduled.
+  OwnerGauges Gauges;
 
   std::unique_ptr<ExecutorList> Instances;
   std::unique_ptr<CapFeed> Caps;
--- a/src/node/ServiceStatus.h
+++ b/src/node/ServiceStatus.h
@@ -2,6 +2,7 @@
 #define DAISYLANDING_NODE_SERVICESTATUS_H
 
 #include "cell/OwnerStatus.h"
+#include "common/Metrics.h"
 #include "common/Time.h"
 
 #include <map>
@@ -42,6 +43,7 @@
   TimePoint TakenAt{}; ///< When the owner made this status.
   cell::OwnerStatus State;
   std::vector<JobStatus> Jobs;
+  std::vector<Gauge> Gauges;
 
   Millis age(TimePoint Now) const;
   FiguresState figures(TimePoint Now) const;
--- a/src/node/StatusApi.cpp
+++ b/src/node/StatusApi.cpp
@@ -1,6 +1,7 @@
 #include "node/StatusApi.h"
 
 #include "node/ConfigDocument.h"
+#include "node/OwnerGauges.h"
 
 #include <nlohmann/json.hpp>
 
@@ -134,7 +135,7 @@
   if (Path == "/metrics")
     return {.Status = http::StatusOk,
             .Headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-            .Body = Context.EntryMetrics.render()};
+            .Body = metrics(Now)};
   if (Path == "/v1/status")
     return status(Now);
   if (Path == "/v1/config")
@@ -151,6 +152,26 @@
                        "a path of the operator API");
 }
 
+/// Gauges of a service are those of its owner here: they end with it, and are
+/// left out when they don't tell of the present.
+std::string StatusApi::metrics(TimePoint Now) const {
+  std::map<std::string, double> Samples; // Sorted, so that series stay grouped.
+  for (const auto &[Service, Status] : Context.OwnedServices.all()) {
+    bool IsKnown = Status.figures(Now) == FiguresState::Known;
+    Samples[serviceSeries("figures_known", Service)] = IsKnown ? 1 : 0;
+    Samples[serviceSeries("status_age_ms", Service)] =
+        static_cast<double>(Status.age(Now).count());
+    if (!IsKnown)
+      continue;
+    for (const Gauge &Shown : Status.Gauges)
+      Samples[Shown.Name] = Shown.Value;
+  }
+  std::string Text = Context.EntryMetrics.render();
+  for (const auto &[Name, Value] : Samples)
+    Text += renderSample(Name, Value);
+  return Text;
+}
+
 http::Response StatusApi::status(TimePoint Now) const {
   auto Config = Context.Config.current();
   json Status = {
--- a/src/node/StatusApi.h
+++ b/src/node/StatusApi.h
@@ -17,6 +17,7 @@
 
 private:
   http::Response route(const http::Request &Request, TimePoint Now) const;
+  std::string metrics(TimePoint Now) const;
   http::Response status(TimePoint Now) const;
   http::Response config() const;
   http::Response workspaces(TimePoint Now) const;
--- a/tests/unit/OwnerFiguresTest.cpp
+++ b/tests/unit/OwnerFiguresTest.cpp
@@ -1,6 +1,8 @@
+#include "node/OwnerGauges.h"
 #include "node/StatusApi.h"
 #include "platform/PlatformPorts.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -30,6 +32,9 @@
   nlohmann::json askDocument(const std::string &Target) {
     return nlohmann::json::parse(ask(Target).Body);
   }
+  bool hasSeries(const std::string &Name) {
+    return ask("/metrics").Body.find("daisylanding_" + Name) != std::string::npos;
+  }
 
   /// As an owner with two live jobs publishes it.
   ServiceStatus statusOfTwoJobs(Millis Age) {
@@ -47,6 +52,7 @@
     return Status;
   }
   void publish(const std::string &Service, ServiceStatus Status) {
+    Status.Gauges = OwnerGauges(Service).make({.Counts = {}, .State = Status.State});
     Context.OwnedServices.set(Service, std::move(Status));
   }
 };
@@ -65,6 +71,14 @@
   }
 };
 
+TEST_GROUP_BASE(ThatHasLeftTheService, TEST_GROUP_CppUTestGroupAnOperatorOfAnOwner) {
+  void setup() override {
+    TEST_GROUP_CppUTestGroupAnOperatorOfAnOwner::setup();
+    publish("s", statusOfTwoJobs(Millis(0)));
+    publish("t", statusOfTwoJobs(Millis(0)));
+    Context.OwnedServices.remove("s");
+  }
+};
 // clang-format on
 
 TEST(AnOperatorOfAnOwner, IsToldItsFigures) {
@@ -76,6 +90,8 @@
   LONGS_EQUAL(2, askDocument("/v1/jobs")["jobs"].size());
   CHECK(askDocument("/v1/jobs").value("complete", false));
   LONGS_EQUAL(200, ask("/v1/jobs/b").Status);
+  CHECK(hasSeries("live_jobs{service=\"s\"} 2\n"));
+  CHECK(hasSeries("figures_known{service=\"s\"} 1\n"));
 }
 
 /// Guards against figures that don't say when they were made.
@@ -90,6 +106,7 @@
   CHECK(IsOfThatAge(askDocument("/v1/jobs")["services"][0]));
   CHECK(IsOfThatAge(askDocument("/v1/jobs/other")["services"][0]));
   CHECK(IsOfThatAge(askDocument("/v1/workspaces")["services"][0]));
+  CHECK(hasSeries("status_age_ms{service=\"s\"} 15"));
 }
 
 TEST(AnOperatorOfAnOwner, IsToldThatAJobIsNotAmongThoseKnown) {
@@ -137,6 +154,13 @@
   LONGS_EQUAL(503, ask("/v1/jobs/other").Status);
 }
 
+/// Guards against gauges of zero, which sums over entries would count.
+TEST(WhoseStoredJobsAreBeingRead, SeesNoGauges) {
+  CHECK_FALSE(hasSeries("live_jobs{"));
+  CHECK_FALSE(hasSeries("advice_waiting{"));
+  CHECK(hasSeries("figures_known{service=\"s\"} 0\n"));
+}
+
 /// Guards against the last figures of a stuck owner, shown as present ones.
 TEST(ThatHasPublishedNothingOfLate, IsToldThatTheFiguresAreOutdated) {
   auto Service = askDocument("/v1/status")["services"][0];
@@ -153,3 +177,53 @@
   CHECK_EQUAL(std::string("outdated"),
               Document["services"][0].value("figures", ""));
 }
+
+/// Guards against the last gauges of a stuck owner, scraped as present ones.
+TEST(ThatHasPublishedNothingOfLate, SeesNoGauges) {
+  CHECK_FALSE(hasSeries("live_jobs{"));
+  CHECK_FALSE(hasSeries("workspace_waiting_steps{"));
+  CHECK(hasSeries("figures_known{service=\"s\"} 0\n"));
+}
+
+/// Guards against gauges that stay after a service was left, so that sums over
+/// entries count its jobs twice.
+TEST(ThatHasLeftTheService, SeesTheGaugesOfOtherServicesOnly) {
+  CHECK_FALSE(hasSeries("live_jobs{service=\"s\"}"));
+  CHECK_FALSE(hasSeries("workspace_waiting_steps{service=\"s\""));
+  CHECK(hasSeries("live_jobs{service=\"t\"} 2\n"));
+}
+
+// clang-format off
+TEST_GROUP(GaugesOfWorkspaces) {
+  OwnerGauges Gauges{"s"};
+
+  std::vector<cell::WorkspaceStatus> busyWorkspaces(size_t First, size_t Count) {
+    std::vector<cell::WorkspaceStatus> Statuses;
+    for (size_t I = First; I < First + Count; ++I)
+      Statuses.push_back({.Name = fmt::format("w{}", I), .WaitingSteps = 1});
+    return Statuses;
+  }
+  /// -1 if the owner tells nothing of the workspace.
+  double waitingSteps(std::vector<cell::WorkspaceStatus> Statuses, const std::string &Workspace) {
+    cell::OwnerStatus State{.Workspaces = std::move(Statuses)};
+    std::string Name = "workspace_waiting_steps{service=\"s\",workspace=\"" + Workspace + "\"}";
+    for (const Gauge &Made : Gauges.make({.Counts = {}, .State = State})) {
+      if (Made.Name == Name)
+        return Made.Value;
+    }
+    return -1;
+  }
+};
+// clang-format on
+
+TEST(GaugesOfWorkspaces, AreZeroForOneThatIsIdleAgain) {
+  DOUBLES_EQUAL(1, waitingSteps(busyWorkspaces(0, 2), "w0"), 0);
+  DOUBLES_EQUAL(0, waitingSteps(busyWorkspaces(1, 1), "w0"), 0);
+}
+
+/// Guards against zeros for a workspace that only isn't among the busiest.
+TEST(GaugesOfWorkspaces, AreLeftOutForOneThatTheOwnerMayNotTellOf) {
+  constexpr size_t Most = cell::MaxReportedWorkspaces;
+  DOUBLES_EQUAL(1, waitingSteps(busyWorkspaces(0, Most), "w0"), 0);
+  DOUBLES_EQUAL(-1, waitingSteps(busyWorkspaces(1, Most), "w0"), 0);
+}
