Client: says of when figures are, or why they are missing

What operators saw: `status`, `status workspaces`, `job list` and `job show` print an answer's fields; whether figures are unknown, and how old they are, had to be read from them, and a refusal's list of services wasn't printed.

The lines are made in a module of their own.

Measured: the three tests of FiguresTextTest.cpp pass; with a module that makes no lines, as before, two of them fail.

--- a/src/operator/Client.cpp
+++ b/src/operator/Client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/Client.h"
 #include "operator/CommandLine.h"
+#include "operator/FiguresText.h"
 
 #include <fmt/format.h>
 
@@ -77,7 +78,11 @@
     Message += ": " + Document.value("field", "");
   if (Document.contains("allowed"))
     Message += "; allowed: " + Document.value("allowed", "");
+  if (Document.contains("detail"))
+    Message += "; " + Document.value("detail", "");
   fmt::print(stderr, "{}\n", Message);
+  for (const std::string &Line : describeFigures(Document))
+    fmt::print(stderr, "{}\n", Line);
 }
 
 std::optional<json> EntryClient::requestJson(const std::string &Method,
@@ -127,10 +132,13 @@
 }
 
 void printDocument(const Command &Cmd, const json &Document) {
-  if (Cmd.PrintJson)
+  if (Cmd.PrintJson) {
     fmt::print("{}\n", Document.dump(2));
-  else
-    printAsText(Document);
+    return;
+  }
+  for (const std::string &Line : describeFigures(Document))
+    fmt::print("{}\n", Line);
+  printAsText(Document);
 }
 
 int showDocument(const Command &Cmd, EntryClient &Client,
