Operators: jobs and shards that no entry was asked for aren't told as none

What operators saw: if an entry's queue of calls to the others was full, or their answers took over 3 s, /v1/jobs answered {"jobs":[]}, /v1/status an empty list of shards, and /v1/jobs/ID a job without progress.

Cause: collectJobDocuments turned both failures into an empty list.

Change: the failure is returned. A list of jobs is a 503 then (queue-full, unreachable); a status and a job are answered without the part, and shards_unknown and progress_unknown say why.

What remains: an entry that can't be reached or doesn't answer in time is still left out of these lists without a word.

--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -162,13 +162,16 @@
                              "a path of the operator API");
 }
 
-std::vector<std::string>
+/// Documents of the entries that answer. Errors: QueueFull, Unreachable; then
+/// nothing is known of any entry's jobs.
+Result<std::vector<std::string>>
 OperatorApi::collectJobDocuments(const std::string &JobId) {
   auto Promise = std::make_shared<std::promise<std::vector<std::string>>>();
   auto Future = Promise->get_future();
-  if (!Peers.JobsCalls.push({JobId, Promise}) ||
-      Future.wait_for(PeerResponseTimeout) != std::future_status::ready)
-    return {};
+  if (!Peers.JobsCalls.push({JobId, Promise}))
+    return Errc::QueueFull;
+  if (Future.wait_for(PeerResponseTimeout) != std::future_status::ready)
+    return Errc::Unreachable;
   return Future.get();
 }
 
@@ -183,14 +186,17 @@
                    {"spare_slots", Context.LoadDigests.own()},
                    {"zones", zonesToJson(View->Members)},
                    {"entries", json::array()},
-                   {"shards", json::array()},
                    {"shard_owners", json::object()}};
   for (const entry::Member &Member : View->Members)
     Document["entries"].push_back(memberToJson(Member));
   for (const entry::ShardRow &Shard : View->Shards)
     Document["shard_owners"][Shard.Id] = {{"owner", Shard.Owner},
                                           {"epoch", Shard.Epoch}};
-  Document["shards"] = mergeLists(collectJobDocuments("(none)"), "shards");
+  auto ShardDocuments = collectJobDocuments("(none)");
+  if (ShardDocuments)
+    Document["shards"] = mergeLists(*ShardDocuments, "shards");
+  else
+    Document["shards_unknown"] = ShardDocuments.error().message();
   return makeJsonResponse(http::StatusOk, Document);
 }
 
@@ -393,15 +399,23 @@
     return makeProblemResponse(Errc::NotFound, "id",
                                "the id of an accepted job");
   json Document = json::parse(Row->Value);
-  json Progress = mergeLists(collectJobDocuments(JobId), "jobs");
+  auto JobDocuments = collectJobDocuments(JobId);
+  if (!JobDocuments) {
+    Document["progress_unknown"] = JobDocuments.error().message();
+    return makeJsonResponse(http::StatusOk, Document);
+  }
+  json Progress = mergeLists(*JobDocuments, "jobs");
   if (!Progress.empty())
     Document["progress"] = std::move(Progress.front());
   return makeJsonResponse(http::StatusOk, Document);
 }
 
 http::Response OperatorApi::listJobs() {
-  return makeJsonResponse(
-      http::StatusOk, {{"jobs", mergeLists(collectJobDocuments(""), "jobs")}});
+  auto JobDocuments = collectJobDocuments("");
+  if (!JobDocuments)
+    return makeProblemResponse(JobDocuments.error());
+  return makeJsonResponse(http::StatusOk,
+                          {{"jobs", mergeLists(*JobDocuments, "jobs")}});
 }
 
 http::Response OperatorApi::stopJob(const std::string &JobId) {
--- a/src/operator/OperatorApi.h
+++ b/src/operator/OperatorApi.h
@@ -55,7 +55,8 @@
   http::Response respondToExistingJob(const config::JobSpec &Spec,
                                       const table::Row &Row) const;
   void notifyShardOwner(const std::string &ShardId);
-  std::vector<std::string> collectJobDocuments(const std::string &JobId);
+  Result<std::vector<std::string>>
+  collectJobDocuments(const std::string &JobId);
 
   entry::EntryContext &Context;
   entry::ShardLoop &Shards;
