Operators: a store that has never answered has no time of silence

What operators saw: /v1/status of an entry that had got no answer from the store yet gave the time since the machine's start as store_silent_ms, and 5 as store_read_ms, the value that the moving average starts with.

Change: both are null until the store has answered.

Evidence: IsNotToldOfAStoreThatHasNotAnswered fails without the change.

--- a/src/node/StatusApi.cpp
+++ b/src/node/StatusApi.cpp
@@ -174,15 +174,19 @@
 
 http::Response StatusApi::status(TimePoint Now) const {
   auto Config = Context.Config.current();
-  json Status = {
-      {"entry", Context.Options.Name},
-      {"zone", Context.Options.AvailabilityZone},
-      {"incarnation", Context.Incarnation},
-      {"config_version", Config ? Config->Version : 0},
-      {"draining", Context.Draining.load()},
-      {"store_silent_ms", toMillis(Now - Context.StoreHealth.lastAnswer())},
-      {"store_read_ms", Context.StoreHealth.readLatencyMs()},
-      {"services", json::array()}};
+  json Status = {{"entry", Context.Options.Name},
+                 {"zone", Context.Options.AvailabilityZone},
+                 {"incarnation", Context.Incarnation},
+                 {"config_version", Config ? Config->Version : 0},
+                 {"draining", Context.Draining.load()},
+                 {"store_silent_ms", nullptr},
+                 {"store_read_ms", nullptr},
+                 {"services", json::array()}};
+  TimePoint StoreAnsweredAt = Context.StoreHealth.lastAnswer();
+  if (StoreAnsweredAt != TimePoint{}) {
+    Status["store_silent_ms"] = toMillis(Now - StoreAnsweredAt);
+    Status["store_read_ms"] = Context.StoreHealth.readLatencyMs();
+  }
   auto Owned = Context.OwnedServices.all();
   for (const std::string &Service :
        Config ? Config->Services : std::vector<std::string>()) {
--- a/tests/unit/OwnerFiguresTest.cpp
+++ b/tests/unit/OwnerFiguresTest.cpp
@@ -120,6 +120,23 @@
   LONGS_EQUAL(404, ask("/v1/jobs/a").Status);
 }
 
+/// Guards against a silence since the start of the machine, and a read time of
+/// reads that nobody made.
+TEST(AnOperatorOfAnOwner, IsNotToldOfAStoreThatHasNotAnswered) {
+  auto Status = askDocument("/v1/status");
+  CHECK(Status["store_silent_ms"].is_null());
+  CHECK(Status["store_read_ms"].is_null());
+}
+
+TEST(AnOperatorOfAnOwner, IsToldHowLongTheStoreIsSilent) {
+  constexpr int SilentMs = 700;
+  Context.StoreHealth.recordAnswer(monotonicNow() - Millis(SilentMs), 1);
+  auto Status = askDocument("/v1/status");
+  CHECK(Status["store_silent_ms"].is_number());
+  CHECK(Status.value("store_silent_ms", 0) >= SilentMs);
+  CHECK(Status["store_read_ms"].is_number());
+}
+
 /// Guards against zeros that nobody counted.
 TEST(WhoseStoredJobsAreBeingRead, IsToldThatTheFiguresAreNotKnown) {
   auto Service = askDocument("/v1/status")["services"][0];
