Process test: an entry's status is asked for once its service is loaded

ServesItsStatusToOperators waits only until an entry knows the configuration. It then expects 200 for the list of jobs and 404 for an unknown one, which holds once the service's owner has read its stored jobs: before, both are a 503 now. The test waits until one of the entries says that its figures are known, and expects the same answers as before.

--- a/tests/process/CellTest.cpp
+++ b/tests/process/CellTest.cpp
@@ -545,6 +545,12 @@
     auto Status = call(0, 3, "GET", "/v1/status");
     return Status && json::parse(Status->Body)["services"].size() == 1;
   }));
+  auto HasLoaded = [&](int Entry) {
+    auto Status = call(Entry, 3, "GET", "/v1/status");
+    json Services = Status ? json::parse(Status->Body)["services"] : json();
+    return Services.size() == 1 && Services[0].value("figures", "") == "known";
+  };
+  CHECK(eventually([&] { return HasLoaded(0) || HasLoaded(1); }));
   LONGS_EQUAL(200, get(0, 3, "/v1/config"));
   LONGS_EQUAL(200, get(0, 3, "/v1/jobs"));
   LONGS_EQUAL(404, get(0, 3, "/v1/jobs/" + jobId(1)));
