Operators: an owner's address says when its row was read

What operators saw: /v1/status gave owner_relay from the owner's row as it was read last, also if that was long ago, and "" both for a service that its owner had released and for one whose row had never been read.

Change: owner_read_ms_ago tells when the row was asked for; both are null until a row was read.

Evidence: IsToldWhenItsRowWasRead fails without the change.

--- a/src/node/StatusApi.cpp
+++ b/src/node/StatusApi.cpp
@@ -191,8 +191,14 @@
   for (const std::string &Service :
        Config ? Config->Services : std::vector<std::string>()) {
     json ServiceJson = {{"service", Service},
-                        {"owner_relay", Context.Owners.relayAddress(Service)},
+                        {"owner_relay", nullptr},
+                        {"owner_read_ms_ago", nullptr},
                         {"owned_here", Owned.count(Service) > 0}};
+    auto OwnerRow = Context.Pending.of(Service);
+    if (OwnerRow->RowVersion != 0) {
+      ServiceJson["owner_relay"] = Context.Owners.relayAddress(Service);
+      ServiceJson["owner_read_ms_ago"] = toMillis(Now - OwnerRow->SentAt);
+    }
     auto It = Owned.find(Service);
     if (It != Owned.end()) {
       ServiceJson["epoch"] = It->second.Epoch;
--- a/tests/unit/OwnerFiguresTest.cpp
+++ b/tests/unit/OwnerFiguresTest.cpp
@@ -137,6 +137,18 @@
   CHECK(Status["store_read_ms"].is_number());
 }
 
+/// Guards against an owner's address without a word on when it was read.
+TEST(AnOperatorOfAnOwner, IsToldWhenItsRowWasRead) {
+  constexpr int ReadMsAgo = 9'000;
+  Context.Owners.set("s", "10.0.0.1:7");
+  Context.Pending.set(
+      "s", {.RowVersion = 3, .SentAt = monotonicNow() - Millis(ReadMsAgo)});
+  auto Services = askDocument("/v1/status")["services"];
+  CHECK(Services[0].value("owner_read_ms_ago", 0) >= ReadMsAgo);
+  CHECK(Services[1]["owner_relay"].is_null());
+  CHECK(Services[1]["owner_read_ms_ago"].is_null());
+}
+
 /// Guards against zeros that nobody counted.
 TEST(WhoseStoredJobsAreBeingRead, IsToldThatTheFiguresAreNotKnown) {
   auto Service = askDocument("/v1/status")["services"][0];
