--- a/tests/standin/CellPlatform.cpp
+++ b/tests/standin/CellPlatform.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace daisylanding::standin {
 
@@ -74,7 +75,7 @@
 
 void CellPlatform::setFaults(CellPlatformFaults NewFaults) {
   std::lock_guard<std::mutex> Lock(Mutex);
-  Faults = NewFaults;
+  Faults = std::move(NewFaults);
 }
 
 void CellPlatform::handleStoreCall(const http::Request &Request,
