--- a/src/node/ServiceLoader.cpp
+++ b/src/node/ServiceLoader.cpp
@@ -17,7 +17,9 @@
     : Service(std::move(Service)), Store(Store), TimerQueue(TimerQueue),
       OnStoreAnswer(std::move(OnStoreAnswer)) {}
 
-void ServiceLoader::start(TimePoint Now) {
+void ServiceLoader::start(uint64_t AcquiredVersion, TimePoint Now) {
+  Loaded.JobsVersion = AcquiredVersion;
+  Loaded.JobsReadAt = Now;
   LastProgressAt = Now;
   OpenTables = 3;
   readPage(cell::JobTable, "");
@@ -31,11 +33,9 @@
                          .Partition = Service,
                          .From = FromKey,
                          .Limit = JobPageRows};
-  TimePoint SentAt = monotonicNow();
-  Store.read(Range, [this, Table, FromKey,
-                     SentAt](const Result<store::RowPage> &Page) {
+  Store.read(Range, [this, Table, FromKey](const Result<store::RowPage> &Page) {
     if (Page) {
-      onPage(Table, FromKey, *Page, SentAt);
+      onPage(Table, *Page);
       return;
     }
     ++Counts.FailedReads;
@@ -46,14 +46,10 @@
   });
 }
 
-void ServiceLoader::onPage(const std::string &Table, const std::string &FromKey,
-                           const store::RowPage &Page, TimePoint SentAt) {
+void ServiceLoader::onPage(const std::string &Table,
+                           const store::RowPage &Page) {
   OnStoreAnswer(Page.StoreClockMs);
   bool IsJobTable = Table == cell::JobTable;
-  if (IsJobTable && FromKey.empty()) {
-    Loaded.JobsVersion = Page.Version;
-    Loaded.JobsReadAt = SentAt;
-  }
   LastProgressAt = monotonicNow();
   ++Counts.Pages;
   Counts.Rows += Page.Rows.size();
