Pending jobs: a start refused after its stop doesn't count as begun

What callers saw: none of six gangs is said to wait, though nothing has begun.

Cause: one member's start is refused, the other's is stopped while it is under way, and is refused as old when it arrives. The owner took that refusal for an end of the run.

Change: the refusal of a run that is being stopped tells nothing.

--- a/src/cell/OwnerOrders.cpp
+++ b/src/cell/OwnerOrders.cpp
@@ -416,9 +416,11 @@
       Task.Phase = TaskPhase::Running;
     break;
   case OrderOutcome::RunTooLow:
-    // This run has ended there already; the next renewal answer tells how.
+    // This run has ended there already; the next renewal answer tells how. A
+    // stop that overtook the start says nothing of whether it has begun.
     Task.Confirmed = true;
-    noteBegun(*Key.Job);
+    if (Task.Phase != TaskPhase::Stopping)
+      noteBegun(*Key.Job);
     Task.ConfirmedAt = Now;
     Task.NextOrderAt = TimePoint::max();
     break;
--- a/tests/unit/PendingReviewTest.cpp
+++ b/tests/unit/PendingReviewTest.cpp
@@ -94,8 +94,7 @@
 
 /// Guards against a start that arrives after the stop of its run, and is
 /// refused for that, but counts as one that was carried out.
-IGNORE_TEST(WhoseGangsHaveAMemberThatIsRefused,
-            CountsThoseWhoseStopOvertookTheStart) {
+TEST(WhoseGangsHaveAMemberThatIsRefused, CountsThoseWhoseStopOvertookTheStart) {
   Sim.RefusalFor = [](const executor::StartOrder &Order) {
     return std::optional(isFirst(Order) ? executor::OrderOutcome::RunTooLow
                                         : executor::OrderOutcome::Unhealthy);
