Pending jobs: no job is stored as queued again beside an older version

What could happen, found by a review by reading: an owner of the version before reads a job as queued that has had runs, hears the late end of one whose lease had lapsed, stores nothing, as it takes a queued job for one without progress, and acknowledges the end. The next owner starts a task that was done.

Change: entries say in their row of capacities that they know such jobs, as for the rows of ended ones; owners queue jobs again only once all say so. Beside an older version counts are as they were before. The line service-state has -1 for the age of a reading that isn't there yet.

--- a/src/cell/CellOwner.h
+++ b/src/cell/CellOwner.h
@@ -103,6 +103,10 @@
   void setMovesEndedJobs(bool Moves) { MovesEndedJobs = Moves; }
   /// Whether these rows tell their queue, which all entries have to read.
   void setStoresQueueOfEnded(bool Stores) { StoresQueueOfEnded = Stores; }
+  /// Whether a job of which no task has begun is stored as queued once its runs
+  /// are closed. Versions that don't know such jobs would acknowledge an end of
+  /// an earlier run of theirs without storing it.
+  void setQueuesAgain(bool QueuesAgain) { QueuesJobsAgain = QueuesAgain; }
   /// Adds a row of the table of executors' incarnations. To be called while
   /// the owner is loading.
   void restoreIncarnations(std::string_view Key, BornById Stored) {
@@ -695,6 +699,7 @@
   std::deque<std::string> RowsToMove; ///< Of `EndedJobs`.
   bool MovesEndedJobs = false;
   bool StoresQueueOfEnded = false;
+  bool QueuesJobsAgain = false;
   bool EndedRowsRead = false;
   bool HoldingKnown = false; ///< All stored jobs are known.
   /// Of `EndedJobs`, by queue; under no name those whose rows don't tell it.
--- a/src/cell/EntryCapacity.cpp
+++ b/src/cell/EntryCapacity.cpp
@@ -10,6 +10,7 @@
 
 constexpr const char *KnowsEndedField = "knows_ended";
 constexpr const char *KnowsQueueOfEndedField = "knows_ended_queue";
+constexpr const char *KnowsQueuedRunsField = "knows_queued_runs";
 
 bool isTrue(std::string_view Text, const char *Name) {
   auto Document = parseJson(Text);
@@ -34,7 +35,8 @@
   nlohmann::json Document = {{"millicores", Capacity.MilliCores},
                              {"link_kbit", Capacity.LinkKbitPerSecond},
                              {KnowsEndedField, true},
-                             {KnowsQueueOfEndedField, true}};
+                             {KnowsQueueOfEndedField, true},
+                             {KnowsQueuedRunsField, true}};
   return Document.dump();
 }
 
@@ -61,4 +63,8 @@
   return isTrue(Text, KnowsQueueOfEndedField);
 }
 
+bool knowsQueuedRuns(std::string_view Text) {
+  return isTrue(Text, KnowsQueuedRunsField);
+}
+
 } // namespace daisylanding::cell
--- a/src/cell/EntryCapacity.h
+++ b/src/cell/EntryCapacity.h
@@ -34,6 +34,8 @@
 bool knowsEndedJobs(std::string_view Text);
 /// Whether it reads rows of ended jobs that tell their queue.
 bool knowsQueueOfEnded(std::string_view Text);
+/// Whether it stores what is heard of the runs of a job that is queued again.
+bool knowsQueuedRuns(std::string_view Text);
 
 } // namespace daisylanding::cell
 
--- a/src/cell/OwnerRuns.cpp
+++ b/src/cell/OwnerRuns.cpp
@@ -99,8 +99,8 @@
   releaseCapacity(Key);
   Task.Phase = NextPhase;
   Task.Executor = NoExecutor;
-  // A successor can't tell otherwise that no start was carried out.
-  if (isPending(*Key.Job) && Key.Job->OpenRuns == 0)
+  // A successor can't tell otherwise that no task is known to have begun.
+  if (QueuesJobsAgain && isPending(*Key.Job) && Key.Job->OpenRuns == 0)
     Key.Job->Phase = JobPhase::Queued;
   markChanged(*Key.Job);
 }
--- a/src/node/EntryCapacities.cpp
+++ b/src/node/EntryCapacities.cpp
@@ -37,4 +37,8 @@
   return isSaidByAll(Page, cell::knowsQueueOfEnded);
 }
 
+bool allKnowQueuedRuns(const store::RowPage &Page) {
+  return isSaidByAll(Page, cell::knowsQueuedRuns);
+}
+
 } // namespace daisylanding::node
--- a/src/node/EntryCapacities.h
+++ b/src/node/EntryCapacities.h
@@ -14,6 +14,9 @@
 bool allKnowEndedJobs(const store::RowPage &Page);
 /// Whether each reads rows of ended jobs that tell their queue.
 bool allKnowQueueOfEnded(const store::RowPage &Page);
+/// The same, and stores what is heard of the runs of a job that is queued
+/// again.
+bool allKnowQueuedRuns(const store::RowPage &Page);
 
 } // namespace daisylanding::node
 
--- a/src/node/OwnerLoop.cpp
+++ b/src/node/OwnerLoop.cpp
@@ -492,6 +492,7 @@
                 Owner->setLargestEntry(largestEntryIn(*Page));
                 Owner->setMovesEndedJobs(allKnowEndedJobs(*Page));
                 Owner->setStoresQueueOfEnded(allKnowQueueOfEnded(*Page));
+                Owner->setQueuesAgain(allKnowQueuedRuns(*Page));
               });
 }
 
@@ -526,11 +527,12 @@
       "commit_bytes={} planning_ms={} turns_ms={} cores={} reserved={} "
       "placed={} placed_cores={}",
       Service, State.Loading, State.LiveJobs, State.OfferedJobs,
-      State.PendingJobs, State.JobReadingAge.count(), State.WaitingSteps,
-      State.StepsWithoutAdvice, AdviceQueues.waitingCount(), State.OpenRuns,
-      State.Executors, State.Usable, State.CommitMs, CommitsSent, CommitEntries,
-      CommitBytes, toMillis(PlanningTime), toMillis(TurnTime), State.TotalCores,
-      State.ReservedCores, State.PlacedTasks, State.PlacedCores);
+      State.PendingJobs, State.Loading ? -1 : State.JobReadingAge.count(),
+      State.WaitingSteps, State.StepsWithoutAdvice, AdviceQueues.waitingCount(),
+      State.OpenRuns, State.Executors, State.Usable, State.CommitMs,
+      CommitsSent, CommitEntries, CommitBytes, toMillis(PlanningTime),
+      toMillis(TurnTime), State.TotalCores, State.ReservedCores,
+      State.PlacedTasks, State.PlacedCores);
   CommitsSent = 0;
   CommitEntries = 0;
   CommitBytes = 0;
--- a/tests/unit/CellSim.cpp
+++ b/tests/unit/CellSim.cpp
@@ -280,6 +280,7 @@
   Owner = std::make_unique<cell::CellOwner>(std::move(Options), Config);
   Owner->setMovesEndedJobs(MovesEndedJobs);
   Owner->setStoresQueueOfEnded(StoresQueueOfEnded);
+  Owner->setQueuesAgain(QueuesAgain);
   LoadingOwners.insert(Owner.get());
   if (LoadTimeMs == 0) {
     loadStoredJobs(*Owner);
--- a/tests/unit/CellSim.h
+++ b/tests/unit/CellSim.h
@@ -225,6 +225,7 @@
   bool KeepsHistory = true;
   bool MovesEndedJobs = true;     ///< Of owners that take over from then on.
   bool StoresQueueOfEnded = true; ///< The same.
+  bool QueuesAgain = true;        ///< The same.
   bool StoreDown = false;
   bool FeedsSilent = false; ///< Instance list and job feed are not confirmed.
   bool StoreSilent = false; ///< Commits get no answer and are not carried out.
--- a/tests/unit/PendingJobsTest.cpp
+++ b/tests/unit/PendingJobsTest.cpp
@@ -93,6 +93,27 @@
         [&] { return Sim.storedPhase(jobId(I)) == JobPhase::Queued; }, 2'000));
 }
 
+/// Guards against a row that a version before can't keep: it would acknowledge
+/// the late end of a run of a queued job, and store nothing.
+TEST(AnOwnerThatCountsItsPendingJobs, BesideAnOlderVersionQueuesNoJobAgain) {
+  Sim.QueuesAgain = false;
+  takeOver();
+  Sim.RefusalFor = [](const executor::StartOrder &) {
+    return executor::OrderOutcome::Unhealthy;
+  };
+  submitJobs();
+  auto IsAnyQueuedAgain = [&] {
+    for (size_t I = 1; I <= JobCount; ++I) {
+      auto Progress = Sim.storedProgress(jobId(I));
+      if (Progress && !Progress->Tasks.empty() &&
+          Progress->Phase == JobPhase::Queued)
+        return true;
+    }
+    return false;
+  };
+  CHECK_FALSE(Sim.runUntil(IsAnyQueuedAgain, 3'000));
+}
+
 /// Guards against starts that are recorded, and dropped as their tickets end
 /// before they may be sent.
 TEST(AnOwnerThatCountsItsPendingJobs,
